--- /dev/null
+++ b/chervilrock/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration files and settings, checked with places."""
--- /dev/null
+++ b/chervilrock/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decisions: no sockets, no clock, no hidden randomness."""
--- /dev/null
+++ b/chervilrock/edges/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP handlers and clients at the edges of a node."""
--- /dev/null
+++ b/chervilrock/node/__init__.py
@@ -0,0 +1,1 @@
+"""An entry node, assembled from tasks and edges."""
--- /dev/null
+++ b/chervilrock/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Interfaces of the platform and of the backend servers."""
--- /dev/null
+++ b/chervilrock/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of the platform and of the backend servers."""
--- /dev/null
+++ b/chervilrock/tasks/__init__.py
@@ -0,0 +1,1 @@
+"""Tasks that own their state and talk by messages."""
