--- /dev/null
+++ b/chervilrock/decisions/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Limits on the requests that a node lets through."""
--- /dev/null
+++ b/chervilrock/decisions/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of a replica group for each request."""
