Add numbered log events

The catalogue is an enumeration in chervilrock/catalogue.py; events.emit checks the fields of an event against the placeholders of its sentence and writes it through loguru as text or as a JSON object in one line.

--- /dev/null
+++ b/chervilrock/catalogue.py
@@ -0,0 +1,179 @@
+"""The catalogue of log events; `docs/events.md` explains it to operators."""
+
+import enum
+import string
+from typing import NamedTuple
+
+
+class Level(enum.IntEnum):
+    """Severity of an event, with the numbers of the standard library."""
+
+    DEBUG = 10
+    INFO = 20
+    WARNING = 30
+    ERROR = 40
+
+
+class EventSpec(NamedTuple):
+    """What is fixed about an event.
+
+    Attributes:
+      number: stable number; it is never used for another event
+      level: severity
+      template: a sentence whose placeholders are the fields of the event
+    """
+
+    number: int
+    level: Level
+    template: str
+
+
+def list_placeholders(template: str) -> list[str]:
+    """Returns the names of the placeholders of a template, in its order."""
+    parts = string.Formatter().parse(template)
+    return [name for _, name, _, _ in parts if name]
+
+
+class Event(enum.Enum):
+    """The events, by number: 1 node, 2 log, 3 configuration, 4 groups and
+    hosts, 5 requests, 6 peers, 9 logging itself.
+
+    The name in log lines is the name of the member in lower case with dashes.
+    """
+
+    NODE_STARTED = EventSpec(
+        1001, Level.INFO, "node {node} listens on {address}"
+    )
+    NODE_READY = EventSpec(
+        1002,
+        Level.INFO,
+        "node {node} takes requests with configuration revision {revision}",
+    )
+    NODE_LEAVING = EventSpec(
+        1003,
+        Level.INFO,
+        "node {node} takes no new callers; {in_flight} requests in flight",
+    )
+    NODE_STOPPED = EventSpec(
+        1004, Level.INFO, "node {node} stopped; {in_flight} requests were cut"
+    )
+    SETTING_REFUSED = EventSpec(
+        1005, Level.ERROR, "setting {setting}: {reason}"
+    )
+    TASK_FAILED = EventSpec(1006, Level.ERROR, "task {task} failed: {error}")
+    LOG_OUTAGE_BEGAN = EventSpec(
+        2001, Level.ERROR, "log stream {stream} cannot be reached: {reason}"
+    )
+    LOG_OUTAGE_ENDED = EventSpec(
+        2002, Level.INFO, "log stream {stream} is back after {seconds} s"
+    )
+    LOG_TRIMMED = EventSpec(
+        2003,
+        Level.WARNING,
+        "log stream {stream} starts at {first_offset}; {wanted} was wanted",
+    )
+    SNAPSHOT_WRITTEN = EventSpec(
+        2004,
+        Level.INFO,
+        "snapshot {snapshot} of stream {stream} holds all up to {upto}",
+    )
+    CONFIGURATION_IN_FORCE = EventSpec(
+        3001,
+        Level.INFO,
+        "configuration revision {revision} of {operator} is in force",
+    )
+    CONFIGURATION_LOST = EventSpec(
+        3002,
+        Level.WARNING,
+        "configuration of {operator} on base {base_revision} lost to {winner}",
+    )
+    LEASE_ACQUIRED = EventSpec(
+        4001, Level.INFO, "controller lease of {region} held, epoch {epoch}"
+    )
+    LEASE_LOST = EventSpec(
+        4002,
+        Level.WARNING,
+        "controller lease of {region} lost, epoch {epoch}: {reason}",
+    )
+    LEASE_RELEASED = EventSpec(
+        4003, Level.INFO, "controller lease of {region} given up, epoch {epoch}"
+    )
+    GROUP_GRANTED = EventSpec(
+        4101,
+        Level.INFO,
+        "group {group} of model {model} gets {hosts}, fence {fence}",
+    )
+    GROUP_REPAIRED = EventSpec(
+        4102, Level.WARNING, "group {group} now has {hosts}, fence {fence}"
+    )
+    GROUP_SERVING = EventSpec(
+        4103, Level.INFO, "group {group} serves, fence {fence}"
+    )
+    GROUP_DRAINING = EventSpec(
+        4104, Level.INFO, "group {group} takes no new requests: {reason}"
+    )
+    GROUP_DISSOLVED = EventSpec(4105, Level.INFO, "group {group} is dissolved")
+    HOST_MISSING = EventSpec(
+        4201,
+        Level.WARNING,
+        "host {host} of group {group} gave no evidence for {age_ms} ms",
+    )
+    HOST_RETURNED = EventSpec(
+        4202, Level.INFO, "host {host} of group {group} is present again"
+    )
+    HOST_QUARANTINED = EventSpec(
+        4203,
+        Level.WARNING,
+        "host {host} may still hold a shard of fence {fence}: {reason}",
+    )
+    HOST_CLEARED = EventSpec(
+        4204, Level.INFO, "host {host} holds nothing of fence {fence}"
+    )
+    ORDER_REFUSED = EventSpec(
+        4205,
+        Level.WARNING,
+        "host {host} refused an order of fence {fence}; it saw {seen}",
+    )
+    REQUEST_UNKNOWN = EventSpec(
+        5001,
+        Level.WARNING,
+        "request {request_id} to {target} may have run: {reason}",
+    )
+    REQUEST_REJECTED = EventSpec(
+        5002,
+        Level.DEBUG,
+        "request {request_id} of workspace {workspace} rejected: {reason}",
+    )
+    STREAM_BROKEN = EventSpec(
+        5003,
+        Level.WARNING,
+        "stream {request_id} from {group} broke at {position}: {reason}",
+    )
+    STREAM_RESUMED = EventSpec(
+        5004, Level.INFO, "stream {request_id} resumed on {group} at {position}"
+    )
+    STREAM_CONTINUED = EventSpec(
+        5005,
+        Level.INFO,
+        "stream {request_id} goes on at group {group} after {position}",
+    )
+    PEER_LOST = EventSpec(
+        6001, Level.WARNING, "peer {node} at {address} does not answer"
+    )
+    PEER_BACK = EventSpec(
+        6002, Level.INFO, "peer {node} at {address} answers again"
+    )
+    EVENT_MALFORMED = EventSpec(
+        9001, Level.ERROR, "event {event_name} has wrong fields: {difference}"
+    )
+    LIBRARY_MESSAGE = EventSpec(
+        9002, Level.WARNING, "library {library} says: {text}"
+    )
+
+    def __init__(self, number: int, level: Level, template: str) -> None:
+        """Computes what `emit` needs so that a call stays cheap."""
+        self.number = number
+        self.level = level
+        self.template = template
+        self.title = self.name.lower().replace("_", "-")
+        self.fields = frozenset(list_placeholders(template))
--- /dev/null
+++ b/chervilrock/events.py
@@ -0,0 +1,177 @@
+"""Numbered log events and the only way to log them.
+
+Every log line of the system is one member of `Event`. `docs/events.md`
+explains each of them to operators; a test holds that both agree. A line is
+written either as text,
+
+    2026-01-31T12:00:00.000+00:00 INFO E1001 node-started node=a address=..
+
+or as one JSON object with the same values and a sentence in `message`.
+"""
+
+import enum
+import logging
+import string
+import sys
+from typing import TYPE_CHECKING, Any, TextIO
+
+import msgspec
+from loguru import logger
+
+from chervilrock.catalogue import Event, Level
+
+if TYPE_CHECKING:
+    import loguru
+
+__all__ = ["Event", "Level", "LogFormat", "configure_logging", "emit"]
+
+PLAIN = frozenset(string.ascii_letters + string.digits + "_.:/-+@,%[]()*")
+
+
+class LogFormat(enum.StrEnum):
+    """How log lines are written."""
+
+    TEXT = "text"
+    JSON = "json"
+
+
+class _Output:
+    """Where this process logs; one for each process, like loguru's logger."""
+
+    level: Level = Level.DEBUG
+    strict: bool = True
+
+
+def emit(event: Event, **fields: Any) -> None:
+    """Logs an event.
+
+    Args:
+      event: the event
+      **fields: exactly the fields that the template of the event names
+
+    Raises:
+      ValueError: the fields are wrong, and `configure_logging` has not been
+        called, as in tests. In a running process `EVENT_MALFORMED` is logged
+        besides, for a wrong log line must not stop a request.
+    """
+    if fields.keys() != event.fields:
+        _report_mismatch(event, fields)
+    if event.level < _Output.level:
+        return
+    bound = logger.bind(event=event, fields=fields)
+    bound.log(event.level.name, render_text(event, fields))
+
+
+def render_text(event: Event, fields: dict[str, Any]) -> str:
+    """Returns number, name and fields of an event as one line of text."""
+    parts = [f"E{event.number} {event.title}"]
+    for name, value in fields.items():
+        parts.append(f"{name}={quote(str(value))}")
+    return " ".join(parts)
+
+
+def quote(value: str) -> str:
+    """Returns a value so that it stays one word of one line."""
+    if value and PLAIN.issuperset(value):
+        return value
+    return msgspec.json.encode(value).decode()
+
+
+def render_json(event: Event, fields: dict[str, Any], time: str) -> str:
+    """Returns an event as a JSON object in one line.
+
+    Args:
+      event: the event
+      fields: its values; those that JSON has no form for become strings
+      time: time of the event in ISO 8601
+    """
+    line = {
+        "time": time,
+        "level": event.level.name,
+        "number": event.number,
+        "event": event.title,
+    }
+    line.update(fields)
+    if fields.keys() >= event.fields:
+        line["message"] = event.template.format_map(fields)
+    return msgspec.json.encode(line, enc_hook=str).decode()
+
+
+def configure_logging(
+    log_format: str = LogFormat.TEXT,
+    level: str = Level.INFO.name,
+    sink: TextIO | None = None,
+    *,
+    strict: bool = False,
+) -> None:
+    """Sends the log lines of this process to one sink.
+
+    Messages of libraries that use the logging module of the standard library
+    become `LIBRARY_MESSAGE` events from WARNING on.
+
+    Args:
+      log_format: a value of `LogFormat`
+      level: name of the least `Level` that is written
+      sink: an open text file; standard error when missing
+      strict: whether `emit` raises on wrong fields
+
+    Raises:
+      ValueError: there is no such format.
+      KeyError: there is no such level.
+    """
+    formats = {LogFormat.TEXT: _format_text, LogFormat.JSON: _format_json}
+    chosen = formats[LogFormat(log_format)]
+    _Output.level = Level[level]
+    _Output.strict = strict
+    logger.remove()
+    logger.add(
+        sys.stderr if sink is None else sink,
+        level=level,
+        format=chosen,
+        colorize=False,
+        backtrace=False,
+        diagnose=False,
+    )
+    logging.basicConfig(
+        handlers=[_LibraryHandler()], level=logging.WARNING, force=True
+    )
+    logging.getLogger("tornado.access").setLevel(logging.CRITICAL)
+
+
+class _LibraryHandler(logging.Handler):
+    """Turns messages of libraries into events."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Logs one message of a library."""
+        text = record.getMessage()
+        if record.exc_info and record.exc_info[1] is not None:
+            text = f"{text}: {record.exc_info[1]!r}"
+        emit(Event.LIBRARY_MESSAGE, library=record.name, text=text)
+
+
+def _report_mismatch(event: Event, fields: dict[str, Any]) -> None:
+    """Raises or logs that an event has wrong fields."""
+    difference = ",".join(sorted(event.fields ^ fields.keys()))
+    if _Output.strict:
+        raise ValueError(f"{event.title} has wrong fields: {difference}")
+    emit(Event.EVENT_MALFORMED, event_name=event.title, difference=difference)
+
+
+def _format_text(record: "loguru.Record") -> str:
+    """Returns the template by which loguru writes a line of text."""
+    record["extra"]["time"] = _format_time(record)
+    return "{extra[time]} {level.name} {message}\n"
+
+
+def _format_json(record: "loguru.Record") -> str:
+    """Returns the template by which loguru writes a line of JSON."""
+    extra = record["extra"]
+    extra["line"] = render_json(
+        extra["event"], extra["fields"], _format_time(record)
+    )
+    return "{extra[line]}\n"
+
+
+def _format_time(record: "loguru.Record") -> str:
+    """Returns the time of a record in ISO 8601, in milliseconds."""
+    return record["time"].isoformat(timespec="milliseconds")
