Add HTTP clients of the platform and of engines

Cause: the interfaces had no implementation over HTTP. Change: clients over the curl client of tornado; an error says refused only when libcurl had not begun to send or the remote side proved it.

--- a/chervilrock/platform/base.py
+++ b/chervilrock/platform/base.py
@@ -156,11 +156,15 @@
         """
 
     @abc.abstractmethod
-    async def read_state(self, address: str) -> Result[EngineState, PlatformError]:
+    async def read_state(
+        self, address: str
+    ) -> Result[EngineState, PlatformError]:
         """Reads back what the engine holds."""
 
     @abc.abstractmethod
-    async def read_load(self, address: str) -> Result[EngineLoad, PlatformError]:
+    async def read_load(
+        self, address: str
+    ) -> Result[EngineLoad, PlatformError]:
         """Reads the last load report of the engine."""
 
     @abc.abstractmethod
@@ -170,7 +174,9 @@
         """Reads cache events from the sequence number `start` on."""
 
     @abc.abstractmethod
-    async def cancel(self, address: str, attempt: str) -> Result[bool, PlatformError]:
+    async def cancel(
+        self, address: str, attempt: str
+    ) -> Result[bool, PlatformError]:
         """Cancels an attempt; False when the engine does not know it."""
 
     @abc.abstractmethod
--- /dev/null
+++ b/chervilrock/platform/http.py
@@ -0,0 +1,309 @@
+"""Clients of the platform and of model engines over HTTP with JSON."""
+
+from typing import TypedDict, TypeVar
+from urllib.parse import quote
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from chervilrock.generated.interfaces import (
+    EngineLoad,
+    EngineOrder,
+    EngineState,
+    HostList,
+    LogAppended,
+)
+from chervilrock.generated.records import Record, StoredRecord
+from chervilrock.platform import base
+from chervilrock.platform.errors import PlatformError, PlatformErrorKind
+from chervilrock.platform.httpclient import (
+    check_status,
+    HttpAnswer,
+    HttpClient,
+)
+
+DEFAULT_TIMEOUT_S = 3.0
+DEFAULT_ENGINE_TIMEOUT_S = 1.0
+
+_MS_PER_S = 1000.0
+_STATUS_CONFLICT = 409
+_STATUS_NOT_FOUND = 404
+
+_T = TypeVar("_T")
+
+
+class _LogReadBody(TypedDict):
+    records: tuple[StoredRecord, ...]
+    first_offset: int
+    next_offset: int
+
+
+class _AttemptBody(TypedDict):
+    phase: base.AttemptPhase
+
+
+_PAGE_DECODER = msgspec.json.Decoder(_LogReadBody)
+_APPENDED_DECODER = msgspec.json.Decoder(LogAppended)
+_HOST_LIST_DECODER = msgspec.json.Decoder(HostList)
+_CATALOGUE_DECODER = msgspec.json.Decoder(base.Catalogue)
+_STATE_DECODER = msgspec.json.Decoder(EngineState)
+_LOAD_DECODER = msgspec.json.Decoder(EngineLoad)
+_EVENTS_DECODER = msgspec.json.Decoder(base.CacheEventPage)
+_ATTEMPT_DECODER = msgspec.json.Decoder(_AttemptBody)
+
+
+def _decode(
+    decoder: msgspec.json.Decoder[_T], answer: HttpAnswer
+) -> Result[_T, PlatformError]:
+    try:
+        return Success(decoder.decode(answer.body))
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return Failure(PlatformError(PlatformErrorKind.BAD_ANSWER, str(error)))
+
+
+def _decode_success(
+    decoder: msgspec.json.Decoder[_T], answer: HttpAnswer
+) -> Result[_T, PlatformError]:
+    return check_status(answer).bind(lambda good: _decode(decoder, good))
+
+
+class HttpLogService(base.LogService):
+    """Client of the log service."""
+
+    def __init__(
+        self,
+        *,
+        http: HttpClient,
+        address: str,
+        timeout_s: float = DEFAULT_TIMEOUT_S,
+    ) -> None:
+        """Makes a client.
+
+        Args:
+          http: client to send the requests with.
+          address: IP:port of the log service.
+          timeout_s: longest time for a request in seconds; a read that waits
+            gets its waiting time on top.
+        """
+        self._http = http
+        self._address = address
+        self._timeout_s = timeout_s
+
+    def _format_url(self, stream: str) -> str:
+        return f"http://{self._address}/log/{quote(stream, safe='')}"
+
+    async def append(
+        self, stream: str, records: tuple[Record, ...]
+    ) -> Result[tuple[int, ...], PlatformError]:
+        """See base class."""
+        result = await self._http.request(
+            "POST",
+            self._format_url(stream),
+            timeout_s=self._timeout_s,
+            body=msgspec.json.encode(records),
+        )
+        return result.bind(
+            lambda answer: _decode_success(_APPENDED_DECODER, answer)
+        ).bind(lambda appended: _check_offsets(appended, len(records)))
+
+    async def read(
+        self, stream: str, start: int, limit: int, wait_ms: int
+    ) -> Result[base.LogPage, PlatformError]:
+        """See base class."""
+        query = f"from={start}&limit={limit}&wait_ms={wait_ms}"
+        result = await self._http.request(
+            "GET",
+            f"{self._format_url(stream)}?{query}",
+            timeout_s=self._timeout_s + wait_ms / _MS_PER_S,
+        )
+        return result.bind(
+            lambda answer: _decode_success(_PAGE_DECODER, answer)
+        ).bind(lambda page: _check_page(page, start))
+
+
+def _check_offsets(
+    appended: LogAppended, count: int
+) -> Result[tuple[int, ...], PlatformError]:
+    offsets = appended["offsets"]
+    if len(offsets) == count:
+        return Success(offsets)
+    message = f"{len(offsets)} offsets for {count} records"
+    return Failure(PlatformError(PlatformErrorKind.BAD_ANSWER, message))
+
+
+def _check_page(
+    page: _LogReadBody, start: int
+) -> Result[base.LogPage, PlatformError]:
+    previous = max(start, page["first_offset"]) - 1
+    for stored in page["records"]:
+        if not previous < stored.offset < page["next_offset"]:
+            message = f"offset {stored.offset} out of order"
+            return Failure(PlatformError(PlatformErrorKind.BAD_ANSWER, message))
+        previous = stored.offset
+    return Success(base.LogPage(**page))
+
+
+class HttpHostListSource(base.HostListSource):
+    """Client of the host list."""
+
+    def __init__(
+        self,
+        *,
+        http: HttpClient,
+        address: str,
+        timeout_s: float = DEFAULT_TIMEOUT_S,
+    ) -> None:
+        """Makes a client.
+
+        Args:
+          http: client to send the requests with.
+          address: IP:port of the host list.
+          timeout_s: longest time for a request in seconds.
+        """
+        self._http = http
+        self._url = f"http://{address}/hosts"
+        self._timeout_s = timeout_s
+
+    async def fetch(self) -> Result[HostList, PlatformError]:
+        """See base class."""
+        result = await self._http.request(
+            "GET", self._url, timeout_s=self._timeout_s
+        )
+        return result.bind(
+            lambda answer: _decode_success(_HOST_LIST_DECODER, answer)
+        )
+
+
+class HttpWeightStore(base.WeightStore):
+    """Client of the catalogue of the weight store."""
+
+    def __init__(
+        self,
+        *,
+        http: HttpClient,
+        address: str,
+        timeout_s: float = DEFAULT_TIMEOUT_S,
+    ) -> None:
+        """Makes a client.
+
+        Args:
+          http: client to send the requests with.
+          address: IP:port of the weight store.
+          timeout_s: longest time for a request in seconds.
+        """
+        self._http = http
+        self._url = f"http://{address}/weights"
+        self._timeout_s = timeout_s
+
+    async def fetch_catalogue(
+        self,
+    ) -> Result[base.Catalogue, PlatformError]:
+        """See base class."""
+        result = await self._http.request(
+            "GET", self._url, timeout_s=self._timeout_s
+        )
+        return result.bind(
+            lambda answer: _decode_success(_CATALOGUE_DECODER, answer)
+        )
+
+
+class HttpModelEngine(base.ModelEngine):
+    """Client of the control side of model engines."""
+
+    def __init__(
+        self,
+        *,
+        http: HttpClient,
+        timeout_s: float = DEFAULT_ENGINE_TIMEOUT_S,
+    ) -> None:
+        """Makes a client.
+
+        Args:
+          http: client to send the requests with.
+          timeout_s: longest time for a request in seconds.
+        """
+        self._http = http
+        self._timeout_s = timeout_s
+
+    async def _request(
+        self, method: str, address: str, path: str, body: bytes | None = None
+    ) -> Result[HttpAnswer, PlatformError]:
+        return await self._http.request(
+            method,
+            f"http://{address}/control/{path}",
+            timeout_s=self._timeout_s,
+            body=body,
+        )
+
+    async def order(
+        self, address: str, order: EngineOrder
+    ) -> Result[base.OrderAnswer, PlatformError]:
+        """See base class."""
+        body = msgspec.json.encode(order)
+        result = await self._request("POST", address, "orders", body)
+        return result.bind(_convert_order_answer)
+
+    async def read_state(
+        self, address: str
+    ) -> Result[EngineState, PlatformError]:
+        """See base class."""
+        result = await self._request("GET", address, "state")
+        return result.bind(
+            lambda answer: _decode_success(_STATE_DECODER, answer)
+        )
+
+    async def read_load(
+        self, address: str
+    ) -> Result[EngineLoad, PlatformError]:
+        """See base class."""
+        result = await self._request("GET", address, "load")
+        return result.bind(
+            lambda answer: _decode_success(_LOAD_DECODER, answer)
+        )
+
+    async def read_events(
+        self, address: str, start: int
+    ) -> Result[base.CacheEventPage, PlatformError]:
+        """See base class."""
+        result = await self._request("GET", address, f"events?from={start}")
+        return result.bind(
+            lambda answer: _decode_success(_EVENTS_DECODER, answer)
+        )
+
+    async def cancel(
+        self, address: str, attempt: str
+    ) -> Result[bool, PlatformError]:
+        """See base class."""
+        path = f"cancel/{quote(attempt, safe='')}"
+        result = await self._request("POST", address, path, b"")
+        return result.bind(_convert_cancel_answer)
+
+    async def read_attempt(
+        self, address: str, attempt: str
+    ) -> Result[base.AttemptPhase, PlatformError]:
+        """See base class."""
+        path = f"attempts/{quote(attempt, safe='')}"
+        result = await self._request("GET", address, path)
+        return result.bind(
+            lambda answer: _decode_success(_ATTEMPT_DECODER, answer)
+        ).map(lambda body: body["phase"])
+
+
+def _convert_order_answer(
+    answer: HttpAnswer,
+) -> Result[base.OrderAnswer, PlatformError]:
+    if answer.status == _STATUS_CONFLICT:
+        return _decode(_STATE_DECODER, answer).map(
+            lambda state: base.OrderAnswer(False, state)
+        )
+    return _decode_success(_STATE_DECODER, answer).map(
+        lambda state: base.OrderAnswer(True, state)
+    )
+
+
+def _convert_cancel_answer(
+    answer: HttpAnswer,
+) -> Result[bool, PlatformError]:
+    if answer.status == _STATUS_NOT_FOUND:
+        return Success(False)
+    return check_status(answer).map(lambda _good: True)
--- /dev/null
+++ b/chervilrock/platform/httpclient.py
@@ -0,0 +1,190 @@
+"""HTTP requests over the curl client of tornado, without exceptions.
+
+A request that failed tells whether a byte of it can have reached the remote
+side: libcurl calls back once a connection stands and right before it sends.
+"""
+
+import functools
+from typing import NamedTuple
+
+import pycurl
+from returns.result import Failure, Result, Success
+from tornado.curl_httpclient import CurlAsyncHTTPClient, CurlError
+from tornado.httpclient import HTTPClientError, HTTPRequest, HTTPResponse
+
+from chervilrock.platform.errors import PlatformError, PlatformErrorKind
+
+DEFAULT_MAX_CLIENTS = 512
+DEFAULT_CONNECT_TIMEOUT_S = 1.0
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
+
+_JSON_HEADERS = {"Content-Type": "application/json"}
+_SEND_OK: int = pycurl.PREREQFUNC_OK
+_STATUS_REQUEST_TIMEOUT = 408
+_STATUS_TOO_MANY_REQUESTS = 429
+_CLIENT_ERRORS = range(400, 500)
+_SERVER_ERRORS = range(500, 600)
+_SUCCESSES = range(200, 300)
+
+
+class HttpAnswer(NamedTuple):
+    """A whole HTTP answer, whatever its status.
+
+    Attributes:
+      status: status code.
+      body: body of the answer.
+      retry_after_s: value of the header Retry-After in seconds, 0 when it is
+        missing or a date.
+      not_run: whether the remote side proved that it did nothing.
+    """
+
+    status: int
+    body: bytes
+    retry_after_s: float
+    not_run: bool
+
+
+class _Transfer:
+    """Whether libcurl has begun to send a request."""
+
+    __slots__ = ("sent",)
+
+    def __init__(self) -> None:
+        self.sent = False
+
+    def note_send(self, *_addresses: object) -> int:
+        """Callback of libcurl right before it sends."""
+        self.sent = True
+        return _SEND_OK
+
+
+class HttpClient:
+    """Client for short requests, shared by all clients of a process.
+
+    It keeps connections open and reuses them, so that libcurl may send a
+    request twice when a reused connection turns out to be closed. It is only
+    for requests whose repetition does no harm.
+
+    A caller that is cancelled stops waiting; the request itself goes on.
+    """
+
+    def __init__(
+        self,
+        *,
+        connect_timeout_s: float = DEFAULT_CONNECT_TIMEOUT_S,
+        max_clients: int = DEFAULT_MAX_CLIENTS,
+    ) -> None:
+        """Makes a client for the running event loop.
+
+        Args:
+          connect_timeout_s: longest time to connect, in seconds.
+          max_clients: greatest number of requests at once; more of them wait
+            without a timeout, so it has to be ample.
+        """
+        self._connect_timeout_s = connect_timeout_s
+        self._client = CurlAsyncHTTPClient(
+            force_instance=True,
+            max_clients=max_clients,
+            max_body_size=MAX_ANSWER_BYTES,
+        )
+
+    def close(self) -> None:
+        """Closes all connections."""
+        self._client.close()
+
+    async def request(
+        self,
+        method: str,
+        url: str,
+        *,
+        timeout_s: float,
+        body: bytes | None = None,
+    ) -> Result[HttpAnswer, PlatformError]:
+        """Sends a request and waits for its whole answer.
+
+        Args:
+          method: HTTP method.
+          url: URL with an IP address.
+          timeout_s: longest time for the request in seconds.
+          body: body in JSON, or None.
+
+        Returns:
+          The answer, whatever its status, or why there was none.
+        """
+        transfer = _Transfer()
+        request = HTTPRequest(
+            url,
+            method=method,
+            body=body,
+            headers=None if body is None else _JSON_HEADERS,
+            connect_timeout=self._connect_timeout_s,
+            request_timeout=timeout_s,
+            follow_redirects=False,
+            decompress_response=False,
+            prepare_curl_callback=functools.partial(_prepare, transfer),
+        )
+        try:
+            response = await self._client.fetch(request, raise_error=False)
+        except HTTPClientError as error:
+            return Failure(_describe_error(error, transfer.sent, url))
+        return Success(_convert_response(response))
+
+
+def _prepare(transfer: _Transfer, curl: pycurl.Curl) -> None:
+    curl.setopt(pycurl.NOPROXY, "*")
+    curl.setopt(pycurl.PREREQFUNCTION, transfer.note_send)
+
+
+def _convert_response(response: HTTPResponse) -> HttpAnswer:
+    headers = response.headers
+    return HttpAnswer(
+        status=response.code,
+        body=response.body,
+        retry_after_s=_parse_retry_after(headers.get("Retry-After", "")),
+        not_run=headers.get("X-Not-Run") == "true",
+    )
+
+
+def _parse_retry_after(value: str) -> float:
+    return float(value) if value.isdecimal() else 0.0
+
+
+def _describe_error(
+    error: HTTPClientError, sent: bool, url: str
+) -> PlatformError:
+    message = f"{url}: {error.message}"
+    if not sent:
+        return PlatformError(PlatformErrorKind.REFUSED, message)
+    errno = error.errno if isinstance(error, CurlError) else 0
+    if errno == pycurl.E_OPERATION_TIMEDOUT:
+        return PlatformError(PlatformErrorKind.TIMEOUT, message)
+    return PlatformError(PlatformErrorKind.OUTAGE, message)
+
+
+def check_status(answer: HttpAnswer) -> Result[HttpAnswer, PlatformError]:
+    """Turns an answer without success into an error.
+
+    Returns:
+      The answer itself when its status is 2xx.
+    """
+    if answer.status in _SUCCESSES:
+        return Success(answer)
+    return Failure(
+        PlatformError(
+            _classify_status(answer),
+            f"status {answer.status}",
+            answer.retry_after_s,
+        )
+    )
+
+
+def _classify_status(answer: HttpAnswer) -> PlatformErrorKind:
+    if answer.not_run or answer.status == _STATUS_TOO_MANY_REQUESTS:
+        return PlatformErrorKind.REFUSED
+    if answer.status == _STATUS_REQUEST_TIMEOUT:
+        return PlatformErrorKind.TIMEOUT
+    if answer.status in _CLIENT_ERRORS:
+        return PlatformErrorKind.REFUSED
+    if answer.status in _SERVER_ERRORS:
+        return PlatformErrorKind.OUTAGE
+    return PlatformErrorKind.BAD_ANSWER
