--- a/chervilrock/decisions/routing/base.py
+++ b/chervilrock/decisions/routing/base.py
@@ -103,8 +103,11 @@
           excluded, or None when there is none.
         """
 
-    def on_sent(self, request: RequestView, endpoint: Endpoint, now: float) -> None:
+    def on_sent(
+        self, request: RequestView, endpoint: Endpoint, now: float
+    ) -> None:
         """Learn that an attempt was sent to a group."""
+        del request, endpoint, now
 
     def on_first_token(
         self,
@@ -114,6 +117,7 @@
         waited: float,
     ) -> None:
         """Learn that the first token came `waited` seconds after sending."""
+        del request, endpoint, now, waited
 
     def on_done(
         self,
@@ -124,16 +128,19 @@
         tokens: int,
     ) -> None:
         """Learn that an attempt ended, after `tokens` tokens of answer."""
+        del request, endpoint, now, ok, tokens
 
     def on_load_report(
         self, group: str, load: interfaces.EngineLoad, now: float
     ) -> None:
         """Learn from a load report of a group."""
+        del group, load, now
 
     def on_cache_event(
         self, group: str, event: interfaces.CacheEvent, now: float
     ) -> None:
         """Learn that a prefix block entered or left the cache of a group."""
+        del group, event, now
 
 
 def serves(endpoint: Endpoint, request: RequestView) -> bool:
