--- a/chervilrock/events.py
+++ b/chervilrock/events.py
@@ -13,10 +13,10 @@
 import logging
 import string
 import sys
-from typing import TYPE_CHECKING, Any, TextIO
+from typing import Any, TextIO, TYPE_CHECKING
 
-import msgspec
 from loguru import logger
+import msgspec
 
 from chervilrock.catalogue import Event, Level
 
