--- a/chervilrock/catalogue.py
+++ b/chervilrock/catalogue.py
@@ -35,8 +35,10 @@
 
 
 class Event(enum.Enum):
-    """The events, by number: 1 node, 2 log, 3 configuration, 4 groups and
-    hosts, 5 requests, 6 peers, 9 logging itself.
+    """The events, ordered by number.
+
+    The first digit tells the area: 1 node, 2 log service, 3 configuration,
+    4 groups and hosts, 5 requests, 6 peers, 9 logging itself.
 
     The name in log lines is the name of the member in lower case with dashes.
     """
