--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benches: each module of this package measures one part of the product."""
--- /dev/null
+++ b/test/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of chervilrock."""
