Add the stand-in of the platform and its faults

Cause: tests and the demonstration need a log service, host list and weight store that fail on demand.

--- a/chervilrock/platform/http.py
+++ b/chervilrock/platform/http.py
@@ -101,6 +101,7 @@
             self._format_url(stream),
             timeout_s=self._timeout_s,
             body=msgspec.json.encode(records),
+            send_once=True,
         )
         return result.bind(
             lambda answer: _decode_success(_APPENDED_DECODER, answer)
--- a/chervilrock/platform/httpclient.py
+++ b/chervilrock/platform/httpclient.py
@@ -20,6 +20,7 @@
 
 _JSON_HEADERS = {"Content-Type": "application/json"}
 _SEND_OK: int = pycurl.PREREQFUNC_OK
+_SEND_ABORT: int = pycurl.PREREQFUNC_ABORT
 _STATUS_REQUEST_TIMEOUT = 408
 _STATUS_TOO_MANY_REQUESTS = 429
 _CLIENT_ERRORS = range(400, 500)
@@ -47,13 +48,16 @@
 class _Transfer:
     """Whether libcurl has begun to send a request."""
 
-    __slots__ = ("sent",)
+    __slots__ = ("sent", "_send_once")
 
-    def __init__(self) -> None:
+    def __init__(self, send_once: bool) -> None:
         self.sent = False
+        self._send_once = send_once
 
     def note_send(self, *_addresses: object) -> int:
         """Callback of libcurl right before it sends."""
+        if self.sent and self._send_once:
+            return _SEND_ABORT
         self.sent = True
         return _SEND_OK
 
@@ -61,9 +65,9 @@
 class HttpClient:
     """Client for short requests, shared by all clients of a process.
 
-    It keeps connections open and reuses them, so that libcurl may send a
-    request twice when a reused connection turns out to be closed. It is only
-    for requests whose repetition does no harm.
+    It keeps connections open and reuses them. When a reused connection turns
+    out to be closed, libcurl by itself sends the request again on another
+    one, unless `send_once` is set.
 
     A caller that is cancelled stops waiting; the request itself goes on.
     """
@@ -99,6 +103,7 @@
         *,
         timeout_s: float,
         body: bytes | None = None,
+        send_once: bool = False,
     ) -> Result[HttpAnswer, PlatformError]:
         """Sends a request and waits for its whole answer.
 
@@ -107,11 +112,12 @@
           url: URL with an IP address.
           timeout_s: longest time for the request in seconds.
           body: body in JSON, or None.
+          send_once: whether to fail rather than to send a second time.
 
         Returns:
           The answer, whatever its status, or why there was none.
         """
-        transfer = _Transfer()
+        transfer = _Transfer(send_once)
         request = HTTPRequest(
             url,
             method=method,
--- /dev/null
+++ b/chervilrock/standin/faults.py
@@ -0,0 +1,159 @@
+"""Faults that a stand-in was told to show."""
+
+import asyncio
+import enum
+import random
+from typing import NotRequired, TypedDict
+
+
+class FaultKind(enum.StrEnum):
+    """A way to fail.
+
+    LOSE_ANSWER: take effect, then close the connection without an answer.
+    REFUSE: answer 503 with X-Not-Run before any effect.
+    DELAY: wait `delay_ms` before the effect.
+    ANSWER_LATE: wait `delay_ms` between the effect and the answer.
+    OUTAGE: answer 503 before any effect, without a proof.
+    CLOSE_REUSED: on a connection that had a request before, take effect and
+      close the connection without an answer.
+    BREAK_STREAM: close the connection of a stream after `after_events`.
+    REPEAT_EVENT: send an event of a stream twice.
+    FOREIGN_EVENT: send an event of another request within a stream.
+    DROP_CACHE_EVENT: lose a cache event, which leaves a gap.
+    IGNORE_FENCE: take old fencing numbers of orders and requests.
+    """
+
+    LOSE_ANSWER = "lose_answer"
+    REFUSE = "refuse"
+    DELAY = "delay"
+    ANSWER_LATE = "answer_late"
+    OUTAGE = "outage"
+    CLOSE_REUSED = "close_reused"
+    BREAK_STREAM = "break_stream"
+    REPEAT_EVENT = "repeat_event"
+    FOREIGN_EVENT = "foreign_event"
+    DROP_CACHE_EVENT = "drop_cache_event"
+    IGNORE_FENCE = "ignore_fence"
+
+
+class FaultRule(TypedDict):
+    """When a fault strikes.
+
+    Attributes:
+      path: prefix of the paths that it strikes, everything when missing.
+      method: HTTP method that it strikes, all when missing.
+      count: number of times that it strikes, without end when missing.
+      probability: chance to strike at each occasion, 1 when missing.
+      delay_ms: length of a delay in milliseconds.
+      after_events: number of events before a stream breaks.
+    """
+
+    kind: FaultKind
+    path: NotRequired[str]
+    method: NotRequired[str]
+    count: NotRequired[int]
+    probability: NotRequired[float]
+    delay_ms: NotRequired[int]
+    after_events: NotRequired[int]
+
+
+class FaultOrder(TypedDict):
+    """Body of `POST /faults`; what is missing stays as it is.
+
+    Attributes:
+      clear: whether to remove all rules first.
+      rules: rules to add.
+      paused: whether the stand-in is frozen.
+    """
+
+    clear: NotRequired[bool]
+    rules: NotRequired[tuple[FaultRule, ...]]
+    paused: NotRequired[bool]
+
+
+class Faults:
+    """The rules in force, and whether the stand-in is frozen."""
+
+    def __init__(self, *, rng: random.Random | None = None) -> None:
+        """Makes an empty set of rules.
+
+        Args:
+          rng: source of chance for rules with a probability.
+        """
+        self._rng = rng or random.Random(0)
+        self._rules: list[FaultRule] = []
+        self._running = asyncio.Event()
+        self._running.set()
+
+    def add(self, rule: FaultRule) -> None:
+        """Adds a rule after the others."""
+        self._rules.append(rule.copy())
+
+    def clear(self, kind: FaultKind | None = None) -> None:
+        """Removes the rules of one kind, or all."""
+        self._rules = [
+            rule for rule in self._rules if kind and rule["kind"] != kind
+        ]
+
+    def apply(self, order: FaultOrder) -> None:
+        """Applies an order that came over HTTP."""
+        if order.get("clear", False):
+            self.clear()
+        for rule in order.get("rules", ()):
+            self.add(rule)
+        if "paused" in order:
+            self.set_paused(order["paused"])
+
+    def list_rules(self) -> tuple[FaultRule, ...]:
+        """Returns the rules in force, with the counts that are left."""
+        return tuple(self._rules)
+
+    def strike(
+        self, kind: FaultKind, path: str = "", method: str = ""
+    ) -> FaultRule | None:
+        """Decides whether a fault strikes now, and uses up one of its count.
+
+        Args:
+          kind: fault that could strike.
+          path: path of the request.
+          method: HTTP method of the request.
+
+        Returns:
+          The rule that strikes, or None.
+        """
+        for rule in self._rules:
+            if rule["kind"] == kind and self._matches(rule, path, method):
+                self._use_up(rule)
+                return rule
+        return None
+
+    def _matches(self, rule: FaultRule, path: str, method: str) -> bool:
+        if not path.startswith(rule.get("path", "")):
+            return False
+        if rule.get("method", method) != method:
+            return False
+        probability = rule.get("probability", 1.0)
+        return probability >= 1.0 or self._rng.random() < probability
+
+    def _use_up(self, rule: FaultRule) -> None:
+        if "count" not in rule:
+            return
+        rule["count"] -= 1
+        if rule["count"] <= 0:
+            self._rules.remove(rule)
+
+    @property
+    def paused(self) -> bool:
+        """Whether the stand-in is frozen."""
+        return not self._running.is_set()
+
+    def set_paused(self, paused: bool) -> None:
+        """Freezes the stand-in or lets it go on."""
+        if paused:
+            self._running.clear()
+        else:
+            self._running.set()
+
+    async def wait_resumed(self) -> None:
+        """Waits while the stand-in is frozen."""
+        await self._running.wait()
