--- /dev/null
+++ b/chervilrock/decisions/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which nodes there are, and which of them callers should use."""
--- /dev/null
+++ b/chervilrock/tasks/clock.py
@@ -0,0 +1,16 @@
+"""The clock of a process."""
+
+from collections.abc import Callable
+import time
+
+Clock = Callable[[], float]
+"""Returns seconds of a monotonic clock that also counts while suspended."""
+
+
+def read_clock() -> float:
+    """Return the present time of this host in seconds.
+
+    CLOCK_BOOTTIME counts while the host is suspended, which CLOCK_MONOTONIC
+    does not: a lease must not look young after a suspend.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
--- /dev/null
+++ b/chervilrock/tasks/mailbox.py
@@ -0,0 +1,58 @@
+"""Bounded queues between tasks.
+
+A task reads its own mailbox and writes to those of others. A mailbox never
+blocks its writer: when it is full, the oldest message that may be lost is
+dropped and counted. Messages that may not be lost are put with `send`, which
+waits.
+"""
+
+import asyncio
+from typing import Generic, TypeVar
+
+Message = TypeVar("Message")
+
+DEFAULT_SIZE = 1024
+
+
+class Mailbox(Generic[Message]):
+    """A bounded queue of messages for one task.
+
+    Attributes:
+      dropped: messages dropped since the start
+    """
+
+    def __init__(self, *, size: int = DEFAULT_SIZE) -> None:
+        self._queue: asyncio.Queue[Message] = asyncio.Queue(maxsize=size)
+        self.dropped = 0
+
+    async def send(self, message: Message) -> None:
+        """Put a message; wait while the mailbox is full."""
+        await self._queue.put(message)
+
+    def offer(self, message: Message) -> None:
+        """Put a message; drop the oldest one when the mailbox is full."""
+        if self._queue.full():
+            self._queue.get_nowait()
+            self.dropped += 1
+        self._queue.put_nowait(message)
+
+    async def receive(self) -> Message:
+        """Return the next message, waiting for it."""
+        return await self._queue.get()
+
+    async def receive_within(self, timeout_s: float) -> Message | None:
+        """Return the next message, or None when none comes in time."""
+        try:
+            return await asyncio.wait_for(self._queue.get(), timeout_s)
+        except TimeoutError:
+            return None
+
+    def receive_waiting(self) -> tuple[Message, ...]:
+        """Return all messages that are there now."""
+        waiting = []
+        while not self._queue.empty():
+            waiting.append(self._queue.get_nowait())
+        return tuple(waiting)
+
+    def __len__(self) -> int:
+        return self._queue.qsize()
--- /dev/null
+++ b/chervilrock/tasks/messages.py
@@ -0,0 +1,131 @@
+"""Messages between the tasks of a node.
+
+Every message carries the times that a decision needs: when a request was
+sent and when its answer was read, in seconds of the clock of this process.
+"""
+
+from typing import NamedTuple
+
+from chervilrock.generated.configuration import Configuration
+from chervilrock.generated.interfaces import (
+    EngineOrder,
+    EngineState,
+    HostList,
+    PeerDigest,
+    ServiceEntry,
+)
+from chervilrock.generated.records import Record, StoredRecord
+from chervilrock.platform.base import LogPage
+from chervilrock.platform.errors import PlatformError
+
+
+class PageRead(NamedTuple):
+    """A page of a stream was read.
+
+    Attributes:
+      stream: name of the stream
+      start: offset that was asked for
+      page: what the log service answered
+      sent_at: when the read was sent
+      read_at: when the answer came
+    """
+
+    stream: str
+    start: int
+    page: LogPage
+    sent_at: float
+    read_at: float
+
+
+class ReadFailed(NamedTuple):
+    """A stream could not be read."""
+
+    stream: str
+    error: PlatformError
+    failed_at: float
+
+
+class BatchAppended(NamedTuple):
+    """An append ended.
+
+    Attributes:
+      records: the records of the batch
+      error: None when the log service took them
+      sent_at: when the append was sent
+      ended_at: when its answer came or the wait for it ended
+    """
+
+    stream: str
+    records: tuple[Record, ...]
+    error: PlatformError | None
+    sent_at: float
+    ended_at: float
+
+
+class HostProbed(NamedTuple):
+    """A model engine was asked for its state.
+
+    Attributes:
+      state: None when it gave no valid answer
+      sent_at: when the probe was sent
+    """
+
+    host: str
+    state: EngineState | None
+    sent_at: float
+    read_at: float
+
+
+class HostsListed(NamedTuple):
+    """The host list was read."""
+
+    hosts: HostList
+    read_at: float
+
+
+class OrderAnswered(NamedTuple):
+    """A model engine answered an order, or did not.
+
+    Attributes:
+      accepted: None when the effect of the order is unknown
+      state: what the engine holds, None without a valid answer
+    """
+
+    host: str
+    order: EngineOrder
+    accepted: bool | None
+    state: EngineState | None
+    sent_at: float
+    ended_at: float
+
+
+class ConfigurationInForce(NamedTuple):
+    """Another configuration is in force at this node.
+
+    Attributes:
+      stored: the accepted record, as peers hand it on
+    """
+
+    revision: int
+    document: Configuration
+    stored: StoredRecord
+
+
+class DigestReceived(NamedTuple):
+    """A peer sent a digest, as a request or as an answer."""
+
+    digest: PeerDigest
+    read_at: float
+
+
+class ProbeTarget(NamedTuple):
+    """A model engine to probe."""
+
+    host: str
+    address: str
+
+
+class ServicesListed(NamedTuple):
+    """Backend servers of the plain services."""
+
+    services: tuple[ServiceEntry, ...]
--- /dev/null
+++ b/chervilrock/tasks/probes.py
@@ -0,0 +1,74 @@
+"""The task that asks model engines what they hold.
+
+Its answers are the evidence that a host is present. Each host is probed once
+an interval; the probes are spread over the interval.
+"""
+
+import asyncio
+
+from returns.result import Success
+
+from chervilrock.platform.base import ModelEngine
+from chervilrock.tasks.clock import Clock
+from chervilrock.tasks.mailbox import Mailbox
+from chervilrock.tasks.messages import HostProbed, ProbeTarget
+
+SLOTS = 10
+"""Parts of an interval, each with its share of the hosts."""
+
+
+class ProbeTask:
+    """Probes hosts and sends `HostProbed` messages.
+
+    A host whose last probe has not ended is not probed again, so a host that
+    does not answer costs one open request.
+    """
+
+    def __init__(
+        self,
+        *,
+        engine: ModelEngine,
+        clock: Clock,
+        interval_s: float,
+        outbox: "Mailbox[HostProbed]",
+    ) -> None:
+        self._engine = engine
+        self._clock = clock
+        self._slot_s = interval_s / SLOTS
+        self._outbox = outbox
+        self._targets: tuple[ProbeTarget, ...] = ()
+        self._running: dict[str, asyncio.Task[None]] = {}
+        self.inbox: Mailbox[tuple[ProbeTarget, ...]] = Mailbox(size=4)
+
+    async def run(self) -> None:
+        """Probe until cancelled."""
+        slot = 0
+        while True:
+            for targets in self.inbox.receive_waiting():
+                self._targets = targets
+            for target in self._targets[slot::SLOTS]:
+                self._start(target)
+            slot = (slot + 1) % SLOTS
+            await asyncio.sleep(self._slot_s)
+
+    def _start(self, target: ProbeTarget) -> None:
+        if target.host in self._running:
+            return
+        task = asyncio.create_task(self._probe(target))
+        self._running[target.host] = task
+        task.add_done_callback(lambda _: self._running.pop(target.host))
+
+    async def _probe(self, target: ProbeTarget) -> None:
+        sent_at = self._clock()
+        result = await self._engine.read_state(target.address)
+        state = result.unwrap() if isinstance(result, Success) else None
+        if state is not None and state["host"] != target.host:
+            state = None
+        self._outbox.offer(
+            HostProbed(
+                host=target.host,
+                state=state,
+                sent_at=sent_at,
+                read_at=self._clock(),
+            )
+        )
