--- /dev/null
+++ b/chervilrock/decisions/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions about requests: attempts, outcomes, tickets and keys."""
