--- /dev/null
+++ b/chervilrock/decisions/configurations.py
@@ -0,0 +1,252 @@
+"""The fold of the stream `config`.
+
+The revision of a configuration is the offset of its record. A record that
+names another base revision than the one in force is rejected, and its writer
+is told who was first. A configuration that a peer hands on is a record that
+was already accepted, so it is valid by its offset.
+"""
+
+from typing import NamedTuple
+
+import msgspec
+
+from chervilrock.decisions.records import (
+    decode_body,
+    SeenRecords,
+)
+from chervilrock.decisions.verdicts import Reason, Verdict, VerdictKind
+from chervilrock.generated.configuration import Configuration
+from chervilrock.generated.records import (
+    ConfigurationApplied,
+    RecordId,
+    RecordKind,
+    StoredRecord,
+)
+
+
+class AcceptedConfiguration(NamedTuple):
+    """A configuration that the log accepted.
+
+    Attributes:
+      revision: offset of its record
+      operator: who applied it
+      digest: hash of the document, in hexadecimal
+      document: the configuration
+      stored: the record, to be handed on to peers
+    """
+
+    revision: int
+    operator: str
+    digest: str
+    document: Configuration
+    stored: StoredRecord
+
+
+class Winner(NamedTuple):
+    """The configuration that was accepted before another one.
+
+    Attributes:
+      revision: revision of the accepted configuration
+      operator: who applied it
+    """
+
+    revision: int
+    operator: str
+
+
+class ConfigurationVerdict(NamedTuple):
+    """Judgement on a record of the stream.
+
+    Attributes:
+      verdict: what the fold did
+      winner: who was first, for a configuration with a stale base
+    """
+
+    verdict: Verdict
+    winner: Winner | None = None
+
+
+class ConfigurationImage(NamedTuple):
+    """The folded state as a snapshot carries it.
+
+    Attributes:
+      upto: offset of the last record that the state contains
+      accepted: record of the last accepted configuration
+    """
+
+    upto: int
+    accepted: StoredRecord | None
+    seen: tuple[RecordId, ...]
+
+
+class ConfigurationFold:
+    """Folded state of the stream `config`.
+
+    What was read from the log and what a peer handed on are kept apart: a
+    record of the log is always judged against the records before it, also
+    when a peer has already told of a later one. The greater revision of the
+    two is in force.
+
+    Attributes:
+      upto: offset of the last record applied
+    """
+
+    def __init__(self) -> None:
+        """Start with the state of an empty stream."""
+        self.upto = 0
+        self._folded: AcceptedConfiguration | None = None
+        self._adopted: AcceptedConfiguration | None = None
+        self._seen = SeenRecords()
+
+    @property
+    def in_force(self) -> AcceptedConfiguration | None:
+        """The accepted configuration with the greatest revision known."""
+        if self._adopted is None:
+            return self._folded
+        if self._folded is None:
+            return self._adopted
+        return max(self._folded, self._adopted, key=lambda one: one.revision)
+
+    @property
+    def revision(self) -> int:
+        """Revision in force, 0 for none."""
+        accepted = self.in_force
+        return 0 if accepted is None else accepted.revision
+
+    def apply(self, stored: StoredRecord) -> Verdict:
+        """Apply the next record and say what came of it."""
+        return self.judge(stored).verdict
+
+    def judge(self, stored: StoredRecord) -> ConfigurationVerdict:
+        """Apply the next record; say also who was first, to a loser."""
+        offset = stored.offset
+        if offset <= self.upto:
+            return _answer(VerdictKind.SKIPPED, offset)
+        self.upto = offset
+        body = decode_body(stored.record)
+        if body is None:
+            return _answer(VerdictKind.REJECTED, offset, Reason.UNREADABLE)
+        if not self._seen.add(stored.record.record_id):
+            return ConfigurationVerdict(
+                Verdict(VerdictKind.DOUBLED, offset, body=body)
+            )
+        if stored.record.kind is RecordKind.SNAPSHOT_PART:
+            return ConfigurationVerdict(
+                Verdict(VerdictKind.ACCEPTED, offset, body=body)
+            )
+        if not isinstance(body, ConfigurationApplied):
+            return _answer(VerdictKind.REJECTED, offset, Reason.FOREIGN_KIND)
+        return self._judge_base(stored, body)
+
+    def adopt(self, stored: StoredRecord) -> bool:
+        """Take over an accepted record from a peer.
+
+        Returns:
+          Whether it is now in force; a revision that is not greater than the
+          one in force changes nothing.
+        """
+        accepted = read_accepted(stored)
+        if accepted is None or accepted.revision <= self.revision:
+            return False
+        self._adopted = accepted
+        return True
+
+    def resume(self, first_offset: int) -> bool:
+        """Go on from the adopted record when the log before it is gone.
+
+        An accepted record tells all that the state at its offset contains,
+        but for the doubles, which a stale base rejects as well.
+
+        Args:
+          first_offset: least offset that the log still keeps.
+
+        Returns:
+          Whether the records from `upto` + 1 on can be read without a gap.
+        """
+        adopted = self._adopted
+        if adopted is None or adopted.revision <= self.upto:
+            return False
+        if adopted.revision + 1 < first_offset:
+            return False
+        self._folded = adopted
+        self.upto = adopted.revision
+        return True
+
+    def inherit(self, other: "ConfigurationFold") -> None:
+        """Keep what another fold of the same stream has in force."""
+        accepted = other.in_force
+        if accepted is not None:
+            self.adopt(accepted.stored)
+
+    def export(self) -> str:
+        """Return the state as JSON text."""
+        image = ConfigurationImage(
+            upto=self.upto,
+            accepted=self._folded.stored if self._folded else None,
+            seen=self._seen.export(),
+        )
+        return msgspec.json.encode(image).decode()
+
+    @classmethod
+    def restore(cls, text: str) -> "ConfigurationFold":
+        """Return the state that `export` wrote.
+
+        Raises:
+          msgspec.DecodeError: the text is no such state.
+        """
+        image = msgspec.json.decode(text, type=ConfigurationImage)
+        fold = cls()
+        fold.upto = image.upto
+        fold._seen.restore(image.seen)
+        if image.accepted is None:
+            return fold
+        fold._folded = read_accepted(image.accepted)
+        if fold._folded is None:
+            raise msgspec.ValidationError("no configuration in the snapshot")
+        return fold
+
+    def _judge_base(
+        self, stored: StoredRecord, body: ConfigurationApplied
+    ) -> ConfigurationVerdict:
+        offset = stored.offset
+        folded = self._folded
+        current = folded.revision if folded else 0
+        if body.base_revision != current:
+            winner = (
+                Winner(folded.revision, folded.operator) if folded else None
+            )
+            verdict = Verdict(
+                VerdictKind.REJECTED, offset, Reason.STALE_BASE, body
+            )
+            return ConfigurationVerdict(verdict, winner)
+        accepted = read_accepted(stored)
+        if accepted is None:
+            return _answer(VerdictKind.REJECTED, offset, Reason.UNREADABLE)
+        self._folded = accepted
+        return ConfigurationVerdict(
+            Verdict(VerdictKind.ACCEPTED, offset, body=body)
+        )
+
+
+def read_accepted(stored: StoredRecord) -> AcceptedConfiguration | None:
+    """Return the typed configuration of a record, None when it has none."""
+    body = decode_body(stored.record)
+    if not isinstance(body, ConfigurationApplied):
+        return None
+    try:
+        document = msgspec.convert(body.document, type=Configuration)
+    except (msgspec.ValidationError, RecursionError):
+        return None
+    return AcceptedConfiguration(
+        revision=stored.offset,
+        operator=body.operator,
+        digest=body.digest,
+        document=document,
+        stored=stored,
+    )
+
+
+def _answer(
+    kind: VerdictKind, offset: int, reason: Reason | None = None
+) -> ConfigurationVerdict:
+    return ConfigurationVerdict(Verdict(kind, offset, reason))
--- /dev/null
+++ b/chervilrock/decisions/verdicts.py
@@ -0,0 +1,52 @@
+"""What a fold makes of a record."""
+
+import enum
+from typing import NamedTuple
+
+from chervilrock.decisions.records import Body
+
+
+class VerdictKind(enum.StrEnum):
+    """What a fold did with a record."""
+
+    ACCEPTED = "accepted"
+    DOUBLED = "doubled"
+    REJECTED = "rejected"
+    SKIPPED = "skipped"
+
+
+class Reason(enum.StrEnum):
+    """Why a record was rejected."""
+
+    UNREADABLE = "unreadable"
+    FOREIGN_KIND = "foreign-kind"
+    STALE_EPOCH = "stale-epoch"
+    STALE_FENCE = "stale-fence"
+    STALE_BASE = "stale-base"
+    UNKNOWN_GROUP = "unknown-group"
+    GROUP_EXISTS = "group-exists"
+    WRONG_PHASE = "wrong-phase"
+    WRONG_HOSTS = "wrong-hosts"
+    HOST_OWNED = "host-owned"
+    HOST_NOT_REVOKED = "host-not-revoked"
+
+
+class Verdict(NamedTuple):
+    """Judgement of a fold on one record.
+
+    Attributes:
+      kind: `skipped` for an offset that the fold has already passed
+      offset: offset of the record
+      reason: set when the record was rejected
+      body: typed body, None when it was not read
+    """
+
+    kind: VerdictKind
+    offset: int
+    reason: Reason | None = None
+    body: Body | None = None
+
+    @property
+    def accepted(self) -> bool:
+        """Whether the record took effect."""
+        return self.kind is VerdictKind.ACCEPTED
