--- /dev/null
+++ b/chervilrock/decisions/planner/base.py
@@ -0,0 +1,22 @@
+"""Base class of the planners."""
+
+from abc import ABC, abstractmethod
+
+from chervilrock.decisions.actions import Action, PlanInput
+
+
+class GroupPlanner(ABC):
+    """Chooses which replica groups to form, repair and dissolve."""
+
+    @abstractmethod
+    def plan(self, view: PlanInput, now: float) -> tuple[Action, ...]:
+        """Returns the actions for a whole view, the most urgent first.
+
+        The caller carries the actions out and calls again with the new view;
+        hosts of a dissolved group can be used only once the view shows them
+        as free.
+
+        Args:
+          view: wanted models, costs, hosts and groups of the region.
+          now: present time in seconds, of the clock of `missing_since`.
+        """
--- /dev/null
+++ b/chervilrock/decisions/planner/inventory.py
@@ -0,0 +1,144 @@
+"""Index over the hosts, the groups and the wanted models of a region."""
+
+from collections.abc import Iterable
+from typing import NamedTuple, TypeVar
+
+from chervilrock.decisions.actions import (
+    GroupView,
+    HostView,
+    PlanInput,
+    Prices,
+)
+from chervilrock.generated.configuration import ModelSpec
+from chervilrock.generated.records import GroupPhase
+
+_Key = TypeVar("_Key")
+
+
+class Domain(NamedTuple):
+    """Identity of a fabric domain; names may repeat between data centres."""
+
+    data_centre: str
+    name: str
+
+
+class Inventory:
+    """What is known of a region, indexed for decisions.
+
+    Attributes:
+      hosts: hosts by name.
+      groups: groups by name that are not dissolved.
+      models: wanted models by name.
+      prices: costs that hold now.
+      free: names of the hosts that may be used, for each fabric domain that
+        has any.
+      owner: name of the group for each host that is in one.
+      groups_of_model: names of the groups for each model that has any.
+      groups_in_domain: names of the groups with a host in a domain.
+    """
+
+    def __init__(self, *, view: PlanInput) -> None:
+        self.hosts: dict[str, HostView] = {}
+        self.groups: dict[str, GroupView] = {}
+        self.models: dict[str, ModelSpec] = {}
+        self.prices = view.prices
+        self.free: dict[Domain, set[str]] = {}
+        self.owner: dict[str, str] = {}
+        self.groups_of_model: dict[str, set[str]] = {}
+        self.groups_in_domain: dict[Domain, set[str]] = {}
+        self.set_configuration(view.models, view.prices)
+        for host in view.hosts:
+            self.hosts[host.host] = host
+        for group in view.groups:
+            self.put_group(group)
+        for host in view.hosts:
+            self.put_host(host)
+
+    def set_configuration(
+        self, models: Iterable[ModelSpec], costs: Prices
+    ) -> None:
+        """Replaces the wanted models and the costs."""
+        self.models = {spec["name"]: spec for spec in models}
+        self.prices = costs
+
+    def put_host(self, host: HostView) -> None:
+        """Adds a host or replaces what is known of it."""
+        old = self.hosts.get(host.host)
+        if old is not None:
+            _discard(self.free, domain_of(old), old.host)
+        self.hosts[host.host] = host
+        if self._is_usable(host):
+            self.free.setdefault(domain_of(host), set()).add(host.host)
+
+    def remove_host(self, name: str) -> None:
+        """Forgets a host."""
+        host = self.hosts.pop(name, None)
+        if host is not None:
+            _discard(self.free, domain_of(host), name)
+
+    def put_group(self, group: GroupView) -> None:
+        """Adds a group or replaces what is known of it."""
+        self.remove_group(group.name)
+        self.groups[group.name] = group
+        self.groups_of_model.setdefault(group.model, set()).add(group.name)
+        for name in group.hosts:
+            self.owner[name] = group.name
+            host = self.hosts.get(name)
+            if host is not None:
+                domain = domain_of(host)
+                _discard(self.free, domain, name)
+                self.groups_in_domain.setdefault(domain, set()).add(group.name)
+
+    def remove_group(self, name: str) -> None:
+        """Forgets a group; its hosts stay as their own views say."""
+        group = self.groups.pop(name, None)
+        if group is None:
+            return
+        _discard(self.groups_of_model, group.model, name)
+        for host_name in group.hosts:
+            if self.owner.get(host_name) == name:
+                del self.owner[host_name]
+            host = self.hosts.get(host_name)
+            if host is not None:
+                _discard(self.groups_in_domain, domain_of(host), name)
+                self.put_host(host)
+
+    def is_healthy(self, name: str) -> bool:
+        """Tells whether a host is present and stays."""
+        host = self.hosts.get(name)
+        return host is not None and host.present and not host.leaving
+
+    def get_losses(self, group: GroupView) -> tuple[str, ...]:
+        """Returns the hosts of a group that are missing or leaving."""
+        return tuple(
+            name
+            for name in group.hosts
+            if name in group.missing or not self.is_healthy(name)
+        )
+
+    def is_serving(self, group: GroupView) -> bool:
+        """Tells whether a group serves and has lost no host."""
+        return group.phase == GroupPhase.SERVING and not self.get_losses(group)
+
+    def _is_usable(self, host: HostView) -> bool:
+        return (
+            host.free
+            and host.present
+            and not host.leaving
+            and host.host not in self.owner
+        )
+
+
+def domain_of(host: HostView) -> Domain:
+    """Returns the fabric domain of a host."""
+    return Domain(host.data_centre, host.domain)
+
+
+def _discard(index: dict[_Key, set[str]], key: _Key, name: str) -> None:
+    """Removes a name from an index that holds no empty sets."""
+    names = index.get(key)
+    if names is None:
+        return
+    names.discard(name)
+    if not names:
+        del index[key]
--- /dev/null
+++ b/chervilrock/decisions/planner/removal.py
@@ -0,0 +1,99 @@
+"""Groups to dissolve: not wanted, too many, or of an old version."""
+
+from chervilrock.decisions.actions import GroupView
+from chervilrock.decisions.planner.draft import Draft
+from chervilrock.decisions.planner.specs import is_current, is_ending
+from chervilrock.generated.configuration import ModelSpec
+from chervilrock.generated.records import GroupPhase
+
+
+def dissolve_unwanted(draft: Draft) -> None:
+    """Dissolves the groups of models that are not wanted any more."""
+    inventory = draft.inventory
+    for name in sorted(inventory.groups):
+        group = inventory.groups[name]
+        spec = inventory.models.get(group.model)
+        wanted = spec is not None and spec["groups"] > 0
+        if not wanted and not is_ending(group):
+            draft.dissolve(group, "model not wanted")
+
+
+def dissolve_surplus(draft: Draft, spec: ModelSpec) -> None:
+    """Dissolves the groups that a model does not need any more.
+
+    Groups of an old version that do not serve go at once. Others go only
+    while as many groups serve as are wanted.
+    """
+    inventory = draft.inventory
+    wanted = spec["groups"]
+    groups = draft.list_groups(spec)
+    serving = sum(1 for group in groups if inventory.is_serving(group))
+    served = sum(
+        1
+        for group in groups
+        if inventory.is_serving(group) and is_current(spec, group)
+    )
+    for group in sorted(groups, key=lambda each: _rank(draft, spec, each)):
+        if inventory.is_serving(group):
+            if serving <= wanted:
+                continue
+            serving -= 1
+            draft.dissolve(group, "more groups than wanted")
+        elif served >= wanted:
+            draft.dissolve(group, "more groups than wanted")
+        elif not is_current(spec, group):
+            draft.dissolve(group, "old version")
+
+
+def replace_outdated(draft: Draft, spec: ModelSpec) -> None:
+    """Dissolves one group of an old version when its successor has no room.
+
+    It waits while any group of the model loads, drains or is being formed,
+    and never ends the last group that serves.
+    """
+    inventory = draft.inventory
+    groups = draft.list_groups(spec)
+    outdated = [group for group in groups if not is_current(spec, group)]
+    if not outdated or draft.forming.get(spec["name"], 0):
+        return
+    if _is_changing(draft, spec, groups):
+        return
+    outdated.sort(key=lambda each: _rank(draft, spec, each))
+    victim = outdated[0]
+    serving = sum(1 for group in groups if inventory.is_serving(group))
+    if inventory.is_serving(victim) and serving <= 1:
+        return
+    draft.dissolve(victim, "old version")
+
+
+def _is_changing(
+    draft: Draft, spec: ModelSpec, groups: list[GroupView]
+) -> bool:
+    """Tells whether a group of the model loads, drains or is repaired."""
+    inventory = draft.inventory
+    names = inventory.groups_of_model.get(spec["name"], ())
+    every = [inventory.groups[name] for name in names]
+    if any(group.phase == GroupPhase.DRAINING for group in every):
+        return True
+    if any(group.name in draft.touched for group in every):
+        return True
+    return any(
+        group.phase == GroupPhase.LOADING
+        and is_current(spec, group)
+        and not inventory.get_losses(group)
+        for group in groups
+    )
+
+
+def _rank(
+    draft: Draft, spec: ModelSpec, group: GroupView
+) -> tuple[bool, bool, bool, int, str]:
+    """Orders the groups of a model, the least useful first."""
+    inventory = draft.inventory
+    return (
+        inventory.is_serving(group) and is_current(spec, group),
+        inventory.is_serving(group),
+        bool(group.domain),
+        -len(inventory.get_losses(group)),
+        group.name,
+    )
--- /dev/null
+++ b/chervilrock/decisions/planner/specs.py
@@ -0,0 +1,39 @@
+"""Questions about the wanted models and their groups."""
+
+from chervilrock.decisions.actions import GroupView
+from chervilrock.decisions.planner.inventory import Domain
+from chervilrock.generated.configuration import ModelSpec
+from chervilrock.generated.records import GroupPhase
+
+_ALLOW = "allow"
+_ENDING = (GroupPhase.DRAINING, GroupPhase.DISSOLVED)
+
+
+def is_current(spec: ModelSpec, group: GroupView) -> bool:
+    """Tells whether a group is what its model asks for today."""
+    return (
+        group.version == spec["version"]
+        and set(group.adapters) == set(spec.get("adapters", ()))
+        and len(group.hosts) == spec["hosts_per_group"]
+    )
+
+
+def is_ending(group: GroupView) -> bool:
+    """Tells whether a group drains or is dissolved."""
+    return group.phase in _ENDING
+
+
+def may_stand_in(spec: ModelSpec, domain: Domain) -> bool:
+    """Tells whether groups of a model may use hosts of a fabric domain."""
+    data_centres = spec.get("data_centres", ())
+    return not data_centres or domain.data_centre in data_centres
+
+
+def may_cross(spec: ModelSpec) -> bool:
+    """Tells whether a group of a model may span fabric domains."""
+    return spec.get("cross_domain", "forbid") == _ALLOW
+
+
+def get_weight(spec: ModelSpec) -> float:
+    """Returns the worth of a group of a model against other models."""
+    return spec.get("weight", 1.0)
