--- /dev/null
+++ b/chervilrock/standin/cache.py
@@ -0,0 +1,94 @@
+"""Prefix cache of the engine stand-in, with its events."""
+
+import collections
+from typing import NamedTuple
+
+from chervilrock.generated.interfaces import CacheEvent
+from chervilrock.platform.base import CacheEventPage
+
+_KEPT_EVENTS = 4096
+
+
+class _TimedEvent(NamedTuple):
+    at: float
+    event: CacheEvent
+
+
+class PrefixCache:
+    """Least recently used cache of prefix blocks."""
+
+    def __init__(self, *, capacity: int, lag_s: float) -> None:
+        """Makes an empty cache.
+
+        Args:
+          capacity: greatest number of blocks.
+          lag_s: time in seconds after which an event can be read.
+        """
+        self._capacity = capacity
+        self._lag_s = lag_s
+        self._blocks: collections.OrderedDict[str, None]
+        self._blocks = collections.OrderedDict()
+        self._events: collections.deque[_TimedEvent]
+        self._events = collections.deque(maxlen=_KEPT_EVENTS)
+        self._next_sequence = 1
+
+    @property
+    def used(self) -> float:
+        """Share of the capacity in use, 0 to 1."""
+        return len(self._blocks) / max(1, self._capacity)
+
+    def store(
+        self, blocks: tuple[str, ...], now: float, *, drop: bool = False
+    ) -> int:
+        """Stores the prefix blocks of a prompt.
+
+        Args:
+          blocks: hashes of the blocks in order.
+          now: present time in seconds.
+          drop: whether the events get lost.
+
+        Returns:
+          The number of leading blocks that were there before.
+        """
+        hits = self._count_hits(blocks)
+        for block in blocks:
+            if block in self._blocks:
+                self._blocks.move_to_end(block)
+                continue
+            self._blocks[block] = None
+            self._note(block, True, now, drop)
+            self._evict(now, drop)
+        return hits
+
+    def clear(self) -> None:
+        """Forgets all blocks without an event, as a restart does."""
+        self._blocks.clear()
+
+    def list_events(self, start: int, now: float) -> CacheEventPage:
+        """Returns the events from a sequence number on that can be read."""
+        seen = tuple(
+            timed.event
+            for timed in self._events
+            if timed.event["sequence"] >= start
+            and timed.at <= now - self._lag_s
+        )
+        following = seen[-1]["sequence"] + 1 if seen else start
+        return CacheEventPage(events=seen, next=following)
+
+    def _count_hits(self, blocks: tuple[str, ...]) -> int:
+        for index, block in enumerate(blocks):
+            if block not in self._blocks:
+                return index
+        return len(blocks)
+
+    def _evict(self, now: float, drop: bool) -> None:
+        if len(self._blocks) > self._capacity:
+            block, _ = self._blocks.popitem(last=False)
+            self._note(block, False, now, drop)
+
+    def _note(self, block: str, stored: bool, now: float, drop: bool) -> None:
+        sequence = self._next_sequence
+        self._next_sequence += 1
+        if not drop:
+            event = CacheEvent(sequence=sequence, block=block, stored=stored)
+            self._events.append(_TimedEvent(now, event))
--- a/chervilrock/standin/faults.py
+++ b/chervilrock/standin/faults.py
@@ -21,6 +21,7 @@
     FOREIGN_EVENT: send an event of another request within a stream.
     DROP_CACHE_EVENT: lose a cache event, which leaves a gap.
     IGNORE_FENCE: take old fencing numbers of orders and requests.
+    SLOW_TOKEN: add `delay_ms` to each step of the batch.
     """
 
     LOSE_ANSWER = "lose_answer"
@@ -34,6 +35,7 @@
     FOREIGN_EVENT = "foreign_event"
     DROP_CACHE_EVENT = "drop_cache_event"
     IGNORE_FENCE = "ignore_fence"
+    SLOW_TOKEN = "slow_token"
 
 
 class FaultRule(TypedDict):
