--- a/chervilrock/decisions/actions.py
+++ b/chervilrock/decisions/actions.py
@@ -74,7 +74,8 @@
       checks_fence: whether its engine refuses old fencing numbers
       present: whether evidence within the age limit proves it present
       leaving: whether the host list says that it is leaving
-      free: whether no group owns it and it is not quarantined
+      free: whether a group may get it: no group owns it, or it is only a
+        spare for a log outage, and it is not quarantined
       loaded: shard that its engine still caches, None for nothing
     """
 
@@ -104,6 +105,7 @@
       missing: hosts that are not proved present
       missing_since: time at which the first of them went missing, in seconds
         of the clock of `now`; None when none is missing
+      spares: hosts that it holds for a repair while the log is out
     """
 
     name: str
@@ -116,6 +118,7 @@
     phase: GroupPhase
     missing: tuple[str, ...]
     missing_since: float | None
+    spares: tuple[str, ...] = ()
 
 
 class Prices(NamedTuple):
@@ -136,7 +139,7 @@
     Attributes:
       models: wanted models
       prices: costs that hold now
-      hosts: every host of the region that is on the list or owned
+      hosts: every host of the region that is on the list
       groups: every group of the region that is not dissolved
     """
 
--- a/chervilrock/decisions/ownership.py
+++ b/chervilrock/decisions/ownership.py
@@ -82,14 +82,14 @@
     Attributes:
       upto: offset of the last record that the state contains
       epoch: offset of the accepted claim, 0 for none
-      granted: number of groups granted so far
+      renewed: offset of the last accepted claim or renewal
       seen: greatest sequence number of each writer
     """
 
     upto: int
     epoch: int
+    renewed: int
     controller: Controller | None
-    granted: int
     groups: tuple[Group, ...]
     owners: tuple[HostOwnership, ...]
     seen: tuple[RecordId, ...]
--- /dev/null
+++ b/chervilrock/decisions/presence.py
@@ -0,0 +1,215 @@
+"""Evidence that hosts are present and hold what the log says.
+
+The age of evidence counts from the moment at which the probe was sent, so an
+answer that was long under way is old when it comes.
+"""
+
+from collections.abc import Iterator
+from typing import NamedTuple
+
+from chervilrock.decisions.ownership import Group
+from chervilrock.decisions.region import RegionState
+from chervilrock.decisions.shards import holds_rank
+from chervilrock.generated.interfaces import (
+    EnginePhase,
+    EngineShard,
+    EngineState,
+)
+from chervilrock.generated.records import GroupPhase
+
+
+class Evidence(NamedTuple):
+    """What an engine said when it was last probed.
+
+    Attributes:
+      sent_at: when the probe was sent, in seconds
+      incarnation: changes when the engine restarts
+      phase: what the engine does
+      fence: greatest fencing number that the engine has seen
+      checks_fence: whether it refuses old fencing numbers
+      shard: what it holds or loads, None for nothing
+    """
+
+    sent_at: float
+    incarnation: str
+    phase: EnginePhase
+    fence: int
+    checks_fence: bool
+    shard: EngineShard | None
+
+
+class ReadyEngine(NamedTuple):
+    """The incarnation that was first seen ready under a fencing number."""
+
+    fence: int
+    incarnation: str
+
+
+class PresenceTable:
+    """The last evidence of each host.
+
+    Attributes:
+      limit: greatest age of evidence in seconds
+      created_at: when the table was created, in seconds
+    """
+
+    def __init__(self, *, limit: float, now: float = 0.0) -> None:
+        """Start without evidence."""
+        self.limit = limit
+        self.created_at = now
+        self._evidence: dict[str, Evidence] = {}
+        self._ready: dict[str, ReadyEngine] = {}
+
+    def observe(self, host: str, state: EngineState, sent_at: float) -> None:
+        """Note the answer to a probe.
+
+        An answer to an earlier probe than the last one, and an answer that
+        names another host, change nothing.
+        """
+        last = self._evidence.get(host)
+        if state["host"] != host or (last and last.sent_at > sent_at):
+            return
+        evidence = Evidence(
+            sent_at=sent_at,
+            incarnation=state["incarnation"],
+            phase=state["phase"],
+            fence=state["fence"],
+            checks_fence=state["checks_fence"],
+            shard=state.get("shard"),
+        )
+        self._evidence[host] = evidence
+        self._note_ready(host, evidence)
+
+    def forget(self, host: str) -> None:
+        """Drop the evidence of a host, as when it refused a connection."""
+        self._evidence.pop(host, None)
+
+    def retain(self, hosts: set[str]) -> None:
+        """Drop all hosts but these, which are listed or owned."""
+        for host in self._evidence.keys() - hosts:
+            del self._evidence[host]
+        for host in self._ready.keys() - hosts:
+            del self._ready[host]
+
+    def find(self, host: str, now: float) -> Evidence | None:
+        """Return the evidence of a host within the age limit."""
+        return self._find(host, now, self.limit)
+
+    def find_last(self, host: str) -> Evidence | None:
+        """Return the last evidence of a host, whatever its age."""
+        return self._evidence.get(host)
+
+    def missing_since(self, host: str, now: float) -> float | None:
+        """Return when the evidence of a host passed the age limit."""
+        last = self._evidence.get(host)
+        since = self.created_at if last is None else last.sent_at + self.limit
+        return since if now > since else None
+
+    def missing(
+        self, group: Group, now: float, limit: float | None = None
+    ) -> tuple[str, ...]:
+        """Return the hosts of a group that are not proved present."""
+        age = self.limit if limit is None else limit
+        return tuple(
+            host for host in group.hosts if self._find(host, now, age) is None
+        )
+
+    def whole(
+        self, group: Group, now: float, limit: float | None = None
+    ) -> bool:
+        """Return whether every host of a group is present and ready.
+
+        Each host must hold its own rank of the group under the fencing number
+        in force, in the incarnation in which it became ready.
+        """
+        age = self.limit if limit is None else limit
+        return all(
+            self._is_ready(group, rank, now, age)
+            for rank in range(len(group.hosts))
+        )
+
+    def servable(self, region: RegionState, now: float) -> tuple[Group, ...]:
+        """Return the groups that may serve now.
+
+        A group that was repaired under its reserve fencing number while the
+        log was out comes with the hosts and the number that it has now.
+        """
+        return tuple(self._find_servable(region, now))
+
+    def compose_reserve(self, group: Group, now: float) -> Group | None:
+        """Return the group as ready under its reserve fencing number.
+
+        Returns:
+          None unless exactly one host holds each rank under that number and
+          every engine of the group refuses old numbers.
+        """
+        if not group.reserve:
+            return None
+        ranks: dict[int, str] = {}
+        for host in (*group.hosts, *group.spares):
+            evidence = self.find(host, now)
+            shard = evidence.shard if evidence else None
+            if shard is None or shard["fence"] != group.reserve:
+                continue
+            if shard["rank"] in ranks:
+                return None
+            ranks[shard["rank"]] = host
+        if sorted(ranks) != list(range(len(group.hosts))):
+            return None
+        hosts = tuple(ranks[rank] for rank in range(len(group.hosts)))
+        repaired = group._replace(
+            hosts=hosts, fence=group.reserve, incarnations=()
+        )
+        return repaired if self._is_fenced(repaired, now) else None
+
+    def incarnations(self, group: Group) -> tuple[str, ...]:
+        """Return the incarnation last seen of each host, by rank."""
+        found = (self._evidence.get(host) for host in group.hosts)
+        return tuple(one.incarnation if one else "" for one in found)
+
+    def _find_servable(
+        self, region: RegionState, now: float
+    ) -> Iterator[Group]:
+        for group in region.groups.values():
+            if group.phase is not GroupPhase.SERVING:
+                continue
+            if self.whole(group, now):
+                yield group
+                continue
+            repaired = self.compose_reserve(group, now)
+            if repaired is not None and self.whole(repaired, now):
+                yield repaired
+
+    def _is_fenced(self, group: Group, now: float) -> bool:
+        found = (self.find(host, now) for host in group.hosts)
+        return all(one is not None and one.checks_fence for one in found)
+
+    def _is_ready(
+        self, group: Group, rank: int, now: float, limit: float
+    ) -> bool:
+        host = group.hosts[rank]
+        evidence = self._find(host, now, limit)
+        if evidence is None or evidence.phase != EnginePhase.READY:
+            return False
+        if not holds_rank(evidence.shard, group, rank):
+            return False
+        if group.incarnations:
+            return evidence.incarnation == group.incarnations[rank]
+        ready = self._ready.get(host)
+        return ready == ReadyEngine(group.fence, evidence.incarnation)
+
+    def _find(self, host: str, now: float, limit: float) -> Evidence | None:
+        evidence = self._evidence.get(host)
+        if evidence is None or now - evidence.sent_at > limit:
+            return None
+        return evidence
+
+    def _note_ready(self, host: str, evidence: Evidence) -> None:
+        shard = evidence.shard
+        if shard is None or evidence.phase != EnginePhase.READY:
+            return
+        known = self._ready.get(host)
+        if known is None or shard["fence"] > known.fence:
+            self._ready[host] = ReadyEngine(
+                shard["fence"], evidence.incarnation
+            )
--- a/chervilrock/decisions/region.py
+++ b/chervilrock/decisions/region.py
@@ -52,22 +52,22 @@
     Attributes:
       upto: offset of the last record applied
       epoch: offset of the accepted claim, 0 for none
+      renewed: offset of the last accepted claim or renewal, 0 for none
       controller: the controller of this epoch, None after a release
       groups: groups by name; a dissolved group stays until each of its hosts
         is released or quarantined
       owners: owner of each host that is not free
       revoked: hosts that must be proved empty and released
       quarantined: hosts in quarantine
-      granted: number of groups granted so far
     """
 
     def __init__(self) -> None:
         """Start with the state of an empty stream."""
         self.upto = 0
         self.epoch = 0
+        self.renewed = 0
         self.controller: Controller | None = None
         self.groups: dict[str, Group] = {}
-        self.granted = 0
         self._table = OwnerTable()
         self.owners = self._table.owners
         self.revoked = self._table.revoked
@@ -111,8 +111,8 @@
         image = RegionImage(
             upto=self.upto,
             epoch=self.epoch,
+            renewed=self.renewed,
             controller=self.controller,
-            granted=self.granted,
             groups=tuple(self.groups.values()),
             owners=tuple(HostOwnership(*item) for item in self.owners.items()),
             seen=self._seen.export(),
@@ -130,8 +130,8 @@
         state = cls()
         state.upto = image.upto
         state.epoch = image.epoch
+        state.renewed = image.renewed
         state.controller = image.controller
-        state.granted = image.granted
         state.groups = {sys.intern(group.name): group for group in image.groups}
         state._seen.restore(image.seen)
         for host, ownership in image.owners:
@@ -147,7 +147,12 @@
     def _claim(self, body: ControllerClaimed, offset: int) -> Reason | None:
         if body.replaces_epoch != self.epoch:
             return Reason.STALE_EPOCH
+        # A taker that reads the log late must not replace a lease which was
+        # renewed after the last record that it has read.
+        if body.replaces_renewal != self.renewed:
+            return Reason.STALE_EPOCH
         self.epoch = offset
+        self.renewed = offset
         self.controller = Controller(
             node=body.node,
             address=body.address,
@@ -155,8 +160,11 @@
         )
         return None
 
-    def _renew(self, body: ControllerRenewed, _: int) -> Reason | None:
-        return self._check_epoch(body.epoch)
+    def _renew(self, body: ControllerRenewed, offset: int) -> Reason | None:
+        reason = self._check_epoch(body.epoch)
+        if reason is None:
+            self.renewed = offset
+        return reason
 
     def _resign(self, body: ControllerReleased, _: int) -> Reason | None:
         reason = self._check_epoch(body.epoch)
@@ -190,7 +198,6 @@
             phase=GroupPhase.LOADING,
             revision=body.revision,
         )
-        self.granted += 1
         for host in hosts:
             self._table.assign(host, Ownership(name, offset))
         return None
