--- /dev/null
+++ b/chervilrock/edges/peers.py
@@ -0,0 +1,49 @@
+"""Handlers for exchanges with other nodes."""
+
+import abc
+
+import msgspec
+from returns.result import Failure
+from tornado import routing, web
+
+from chervilrock.generated.interfaces import PeerDigest
+from chervilrock.tasks.peers import decode_digest
+
+_STATUS_BAD_REQUEST = 400
+
+
+class PeerContext(abc.ABC):
+    """State of a node as the handlers for peers see it."""
+
+    @abc.abstractmethod
+    def answer_digest(self, digest: PeerDigest) -> PeerDigest:
+        """Take the digest of a peer and return the own one."""
+
+
+class _ExchangeHandler(web.RequestHandler):
+    """Exchanges digests."""
+
+    context: PeerContext
+
+    def initialize(self, context: PeerContext) -> None:
+        """Take the state that the handler works on."""
+        self.context = context
+
+    def post(self) -> None:
+        result = decode_digest(self.request.body)
+        self.set_header("Content-Type", "application/json; charset=UTF-8")
+        if isinstance(result, Failure):
+            self.set_status(_STATUS_BAD_REQUEST)
+            self.finish(msgspec.json.encode({"error": result.failure()}))
+            return
+        answer = self.context.answer_digest(result.unwrap())
+        self.finish(msgspec.json.encode(answer))
+
+
+def make_peer_routes(context: PeerContext) -> list[routing.URLSpec]:
+    """Return the routes for peers."""
+    return [
+        routing.URLSpec(
+            "/peer/exchange", _ExchangeHandler, {"context": context}
+        )
+    ]
