--- /dev/null
+++ b/chervilrock/edges/relay.py
@@ -0,0 +1,323 @@
+"""HTTP requests to backend servers whose answers are read as they come.
+
+Built on the curl client of tornado. libcurl calls back right before it sends
+a request, so it is known of each transfer whether a byte can have left. A
+transfer that must be sent once uses a connection of its own and refuses a
+second send within libcurl.
+"""
+
+import abc
+from collections.abc import Callable, Sequence
+import os
+import socket
+from typing import NamedTuple
+
+import pycurl
+from tornado import httputil
+from tornado.curl_httpclient import CurlAsyncHTTPClient
+from tornado.httpclient import HTTPClientError, HTTPRequest
+
+CLIENTS_PER_POOL = 256
+"""Transfers of one curl multi handle; more of them get a further one."""
+
+MAX_TRANSFER_BYTES = 1 << 40
+"""Bound of the library; bodies are bounded where they are kept."""
+
+DEFAULT_CONNECT_TIMEOUT_S = 1.0
+
+_SEND_OK: int = pycurl.PREREQFUNC_OK
+_SEND_ABORT: int = pycurl.PREREQFUNC_ABORT
+_PAUSE: int = pycurl.WRITEFUNC_PAUSE
+_ABORT = -1
+_STATUS_CONTINUE = 100
+_STATUS_OK = 200
+_NO_SOCKET = -1
+
+
+class BackendRequest(NamedTuple):
+    """A request to a backend server.
+
+    Attributes:
+      method: HTTP method.
+      url: URL with an IP address.
+      headers: names and values of the headers.
+      body: body, None for none.
+      timeout_s: longest time for the whole transfer in seconds.
+      send_once: whether it must not be sent a second time.
+    """
+
+    method: str
+    url: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes | None
+    timeout_s: float
+    send_once: bool
+
+
+class Head(NamedTuple):
+    """Status and headers of an answer."""
+
+    status: int
+    reason: str
+    headers: httputil.HTTPHeaders
+
+
+class Receiver(abc.ABC):
+    """Takes an answer while it comes; called from within libcurl.
+
+    No method may raise or wait.
+    """
+
+    @abc.abstractmethod
+    def take_head(self, head: Head) -> None:
+        """Takes the head of the answer, once, before the first data."""
+
+    @abc.abstractmethod
+    def take_data(self, data: bytes) -> None:
+        """Takes the next bytes of the body."""
+
+
+class TransferEnd(NamedTuple):
+    """How a transfer ended.
+
+    Attributes:
+      sent: whether a byte of the request may have left.
+      head: head of the answer, None when none came.
+      error: why the answer is not whole, empty when it is.
+    """
+
+    sent: bool
+    head: Head | None
+    error: str
+
+
+class Transfer:
+    """One request and its answer.
+
+    Attributes:
+      sent: whether a byte of the request may have left.
+      head: head of the answer, None until it has come.
+    """
+
+    def __init__(self, *, request: BackendRequest, receiver: Receiver) -> None:
+        """Makes a transfer that has not begun.
+
+        Args:
+          request: the request.
+          receiver: gets the answer.
+        """
+        self._request = request
+        self._receiver = receiver
+        self._curl: pycurl.Curl | None = None
+        self._lines: list[bytes] = []
+        self._paused = False
+        self._abandoned = False
+        self._in_callback = False
+        self.sent = False
+        self.head: Head | None = None
+
+    async def run(self, client: CurlAsyncHTTPClient) -> TransferEnd:
+        """Sends the request and waits for the end of its answer."""
+        request = self._request
+        try:
+            http_request = HTTPRequest(
+                request.url,
+                method=request.method,
+                headers=httputil.HTTPHeaders(),
+                body=request.body,
+                connect_timeout=min(
+                    DEFAULT_CONNECT_TIMEOUT_S, request.timeout_s
+                ),
+                request_timeout=request.timeout_s,
+                follow_redirects=False,
+                decompress_response=False,
+                allow_nonstandard_methods=True,
+                prepare_curl_callback=self._prepare,
+            )
+            for name, value in request.headers:
+                http_request.headers.add(name, value)
+            await client.fetch(http_request, raise_error=False)
+        except (HTTPClientError, ValueError) as error:
+            return self._end(str(error) or type(error).__name__)
+        finally:
+            self._curl = None
+        return self._end("abandoned" if self._abandoned else "")
+
+    def pause(self) -> None:
+        """Stops reading from the backend server until `resume`."""
+        self._paused = True
+
+    def resume(self) -> None:
+        """Goes on reading from the backend server."""
+        if not self._paused:
+            return
+        self._paused = False
+        if self._curl is not None and not self._in_callback:
+            self._unpause(self._curl)
+
+    def abandon(self) -> None:
+        """Drops whatever comes from now on, and closes the connection."""
+        if self._abandoned:
+            return
+        self._abandoned = True
+        if self._curl is not None and not self._in_callback:
+            self._shut_down(self._curl)
+            self._unpause(self._curl)
+
+    def _end(self, error: str) -> TransferEnd:
+        self._take_lines()
+        return TransferEnd(sent=self.sent, head=self.head, error=error)
+
+    def _prepare(self, curl: pycurl.Curl) -> None:
+        """Sets the options that the client of tornado does not know."""
+        self._curl = curl
+        curl.setopt(pycurl.NOPROXY, "*")
+        curl.setopt(pycurl.PATH_AS_IS, 1)
+        curl.setopt(pycurl.PREREQFUNCTION, self._note_send)
+        curl.setopt(pycurl.HEADERFUNCTION, self._lines.append)
+        curl.setopt(pycurl.WRITEFUNCTION, self._receive)
+        if self._request.send_once:
+            use_own_connection(curl)
+
+    def _note_send(self, *_addresses: object) -> int:
+        """Called by libcurl right before it sends."""
+        if self._abandoned or (self.sent and self._request.send_once):
+            return _SEND_ABORT
+        self.sent = True
+        return _SEND_OK
+
+    def _receive(self, data: bytes) -> int:
+        """Called by libcurl with bytes of the body."""
+        if self._abandoned:
+            return _ABORT
+        if self._paused:
+            return _PAUSE
+        self._in_callback = True
+        try:
+            if self.head is None:
+                self._take_lines()
+            self._receiver.take_data(data)
+        finally:
+            self._in_callback = False
+        return _ABORT if self._abandoned else len(data)
+
+    def _take_lines(self) -> None:
+        """Hands on the head, when a final one has come."""
+        if self.head is None:
+            self.head = parse_head(self._lines)
+            if self.head is not None and not self._abandoned:
+                self._receiver.take_head(self.head)
+
+    def _unpause(self, curl: pycurl.Curl) -> None:
+        try:
+            curl.pause(pycurl.PAUSE_CONT)
+        except pycurl.error:
+            # The transfer failed while it was paused; its end is reported
+            # where the client waits for it.
+            return
+
+    def _shut_down(self, curl: pycurl.Curl) -> None:
+        """Closes the connection so that libcurl ends the transfer now."""
+        if not self.sent:
+            return
+        number = curl.getinfo(pycurl.LASTSOCKET)
+        if number == _NO_SOCKET:
+            return
+        with socket.socket(fileno=os.dup(number)) as connection:
+            try:
+                connection.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                # The backend server was faster.
+                return
+
+
+def use_own_connection(curl: pycurl.Curl) -> None:
+    """Keeps a transfer off connections that served another one.
+
+    libcurl silently sends a request again when a connection that it reuses
+    turns out to be closed.
+    """
+    curl.setopt(pycurl.FRESH_CONNECT, 1)
+    curl.setopt(pycurl.FORBID_REUSE, 1)
+
+
+def parse_head(lines: Sequence[bytes]) -> Head | None:
+    """Parses the lines that libcurl gave as headers.
+
+    Args:
+      lines: all lines, also those of answers before the final one, such as
+        100 Continue.
+
+    Returns:
+      The final head, or None when there is none or it is malformed.
+    """
+    starts = [i for i, line in enumerate(lines) if line.startswith(b"HTTP/")]
+    if not starts:
+        return None
+    try:
+        text = [line.decode("latin1").rstrip() for line in lines[starts[-1] :]]
+        start = httputil.parse_response_start_line(text[0])
+        headers = httputil.HTTPHeaders()
+        for line in filter(None, text[1:]):
+            headers.parse_line(line)
+    except (httputil.HTTPInputError, ValueError):
+        return None
+    if _STATUS_CONTINUE <= start.code < _STATUS_OK:
+        return None
+    return Head(status=start.code, reason=start.reason, headers=headers)
+
+
+class TransferPool:
+    """Runs transfers; a pool of one node."""
+
+    def __init__(
+        self,
+        *,
+        make_client: Callable[[], CurlAsyncHTTPClient] | None = None,
+    ) -> None:
+        """Makes an empty pool for the running event loop.
+
+        Args:
+          make_client: makes a client for `CLIENTS_PER_POOL` transfers.
+        """
+        self._make_client = make_client or _make_client
+        self._clients: list[CurlAsyncHTTPClient] = []
+        self._running: list[int] = []
+
+    async def run(self, transfer: Transfer) -> TransferEnd:
+        """Runs a transfer to its end."""
+        index = self._choose()
+        self._running[index] += 1
+        try:
+            return await transfer.run(self._clients[index])
+        finally:
+            self._running[index] -= 1
+
+    @property
+    def running(self) -> int:
+        """Number of transfers that run now."""
+        return sum(self._running)
+
+    def close(self) -> None:
+        """Closes all connections."""
+        for client in self._clients:
+            client.close()
+        self._clients.clear()
+        self._running.clear()
+
+    def _choose(self) -> int:
+        """Returns the first client with room, so that few stay in use."""
+        for index, running in enumerate(self._running):
+            if running < CLIENTS_PER_POOL:
+                return index
+        self._clients.append(self._make_client())
+        self._running.append(0)
+        return len(self._clients) - 1
+
+
+def _make_client() -> CurlAsyncHTTPClient:
+    return CurlAsyncHTTPClient(
+        force_instance=True,
+        max_clients=CLIENTS_PER_POOL,
+        max_body_size=MAX_TRANSFER_BYTES,
+    )
