--- /dev/null
+++ b/chervilrock/configuration/schema_check.py
@@ -0,0 +1,125 @@
+"""Checks a document against the JSON Schema that generates the types."""
+
+from collections.abc import Iterator
+import functools
+from typing import Any, cast, NamedTuple
+
+import jsonschema
+from jsonschema.exceptions import ValidationError
+from jsonschema.protocols import Validator
+
+from chervilrock.configuration.findings import (
+    Fault,
+    Finding,
+    FindingCode,
+    quote_value,
+    suggest_name,
+)
+from chervilrock.configuration.places import Document, find_place, Path
+from chervilrock.configuration.report import Report
+from chervilrock.configuration.schema import load_schema
+from chervilrock.configuration.value_fault import describe_fault
+
+VALUE_KEYWORDS = (
+    "type",
+    "enum",
+    "minLength",
+    "maxLength",
+    "pattern",
+    "minimum",
+    "maximum",
+    "minItems",
+    "maxItems",
+)
+
+
+class SchemaReport(NamedTuple):
+    """What the schema says about a document.
+
+    Attributes:
+      findings: all faults
+      bad: paths of the values that cannot be used
+    """
+
+    findings: tuple[Finding, ...]
+    bad: frozenset[Path]
+
+
+def check_schema(document: Document, file_name: str) -> SchemaReport:
+    """Check all values of a document; report every fault at once."""
+    report = Report(file_name=file_name, document=document)
+    bad = set(document.bad)
+    value = cast(Any, document.value)
+    seen: set[Path] = set()
+    for error in sort_errors(make_validator().iter_errors(value)):
+        path = tuple(error.absolute_path)
+        if path in document.bad:
+            continue
+        if error.validator == "additionalProperties":
+            bad.update(add_unknown_keys(report, path, error))
+        elif error.validator == "required":
+            bad.add(path)
+            add_missing_keys(report, path, error)
+        elif path not in seen:
+            seen.add(path)
+            bad.add(path)
+            place = find_place(document, path)
+            report.add_value(path, describe_fault(error, place.text))
+    return SchemaReport(tuple(report.findings), frozenset(bad))
+
+
+@functools.cache
+def make_validator() -> Validator:
+    """Return a validator to which 1.0 is not an integer."""
+    checker = jsonschema.Draft202012Validator.TYPE_CHECKER.redefine(
+        "integer",
+        lambda _, value: isinstance(value, int) and not isinstance(value, bool),
+    )
+    validator = jsonschema.validators.extend(  # type: ignore[no-untyped-call]
+        jsonschema.Draft202012Validator, type_checker=checker
+    )
+    return cast(Validator, validator(load_schema()))
+
+
+def sort_errors(errors: Iterator[ValidationError]) -> list[ValidationError]:
+    """Order errors so that the most telling one of a value comes first."""
+
+    def rank(error: ValidationError) -> int:
+        keyword = str(error.validator)
+        if keyword in VALUE_KEYWORDS:
+            return VALUE_KEYWORDS.index(keyword)
+        return len(VALUE_KEYWORDS)
+
+    return sorted(errors, key=rank)
+
+
+def add_unknown_keys(
+    report: Report, path: Path, error: ValidationError
+) -> list[Path]:
+    """Add a finding for each key that the schema does not know."""
+    known = list(cast(dict[str, Any], error.schema)["properties"])
+    present = cast(dict[str, Any], error.instance)
+    unknown = [(*path, key) for key in present if key not in known]
+    for found in unknown:
+        hint = suggest_name(str(found[-1]), known)
+        fault = Fault(
+            FindingCode.UNKNOWN_KEY,
+            "unknown key",
+            hint or f"known keys are {', '.join(known)}",
+        )
+        report.add_key(found, fault)
+    return unknown
+
+
+def add_missing_keys(
+    report: Report, path: Path, error: ValidationError
+) -> None:
+    """Add a finding for each required key that is not there."""
+    present = cast(dict[str, Any], error.instance)
+    wanted = cast(list[str], error.validator_value)
+    missing = [key for key in wanted if key not in present]
+    for key in missing:
+        finding = Fault(
+            FindingCode.MISSING_KEY, f"key {quote_value(key)} is missing"
+        )
+        report.add_value(path, finding)
--- /dev/null
+++ b/chervilrock/configuration/source.py
@@ -0,0 +1,98 @@
+"""Text of a configuration file: size, encoding and permitted characters."""
+
+import re
+from typing import NamedTuple
+
+from chervilrock.configuration.findings import Finding, FindingCode
+
+MAX_BYTES = 10_000_000
+BYTE_ORDER_MARK = "\ufeff"
+UTF16_MARKS = (b"\xff\xfe", b"\xfe\xff")
+LINE_BREAK = re.compile("\r\n|[\r\n\x85\u2028\u2029]")
+FORBIDDEN = re.compile(
+    "[^\t\n\r\x20-\x7e\x85\xa0-\ud7ff\ue000-\ufffd\U00010000-\U0010ffff]"
+)
+
+
+class Source(NamedTuple):
+    """The text of a file, or why it cannot be read as text.
+
+    Attributes:
+      text: the decoded text, empty when there is a finding
+      finding: the fault, None when the text may be parsed
+    """
+
+    text: str
+    finding: Finding | None
+
+
+def decode_source(data: bytes | str, file_name: str) -> Source:
+    """Decode a file as UTF-8 and refuse what YAML does not permit.
+
+    Args:
+      data: content of the file, at most `MAX_BYTES` long
+      file_name: name for the finding
+    """
+    if len(data) > MAX_BYTES:
+        return refuse_source(
+            file_name,
+            "",
+            FindingCode.FILE_TOO_LARGE,
+            f"the file is larger than {MAX_BYTES} bytes",
+            "split the installation or remove generated parts",
+        )
+    if isinstance(data, str):
+        return check_characters(data, file_name)
+    if data.startswith(UTF16_MARKS):
+        return refuse_mark(file_name)
+    try:
+        text = data.decode("utf-8")
+    except UnicodeDecodeError as error:
+        return refuse_source(
+            file_name,
+            data[: error.start].decode("utf-8"),
+            FindingCode.BAD_ENCODING,
+            f"byte 0x{data[error.start]:02x} is not UTF-8",
+            "save the file as UTF-8",
+        )
+    return check_characters(text, file_name)
+
+
+def check_characters(text: str, file_name: str) -> Source:
+    """Refuse a byte order mark and characters that YAML forbids."""
+    if text.startswith(BYTE_ORDER_MARK):
+        return refuse_mark(file_name)
+    forbidden = FORBIDDEN.search(text)
+    if forbidden is None:
+        return Source(text, None)
+    return refuse_source(
+        file_name,
+        text[: forbidden.start()],
+        FindingCode.CONTROL_CHARACTER,
+        f"character U+{ord(forbidden.group()):04X} is not permitted",
+        "remove it, or write it as an escape in a double-quoted text",
+    )
+
+
+def refuse_mark(file_name: str) -> Source:
+    """Return the finding for a byte order mark."""
+    return refuse_source(
+        file_name,
+        "",
+        FindingCode.BYTE_ORDER_MARK,
+        "the file begins with a byte order mark",
+        "save the file as UTF-8 without a byte order mark",
+    )
+
+
+def refuse_source(
+    file_name: str, before: str, code: FindingCode, message: str, hint: str
+) -> Source:
+    """Return a finding that stands just after the text `before`."""
+    line = 1
+    start = 0
+    for found in LINE_BREAK.finditer(before):
+        line += 1
+        start = found.end()
+    column = len(before) - start + 1
+    return Source("", Finding(file_name, line, column, code, message, hint))
