--- a/chervilrock/platform/base.py
+++ b/chervilrock/platform/base.py
@@ -103,7 +103,9 @@
 
         Returns:
           The offset of each record. After an error whose `effect_possible`
-          holds, the batch may stand in the stream all the same.
+          holds, the batch may stand in the stream all the same, so that a
+          repeated append may store it twice: only a read tells the offset of
+          the first one.
         """
 
     @abc.abstractmethod
--- a/chervilrock/platform/httpclient.py
+++ b/chervilrock/platform/httpclient.py
@@ -4,7 +4,6 @@
 side: libcurl calls back once a connection stands and right before it sends.
 """
 
-import functools
 from typing import NamedTuple
 
 import pycurl
@@ -13,14 +12,13 @@
 from tornado.httpclient import HTTPClientError, HTTPRequest, HTTPResponse
 
 from chervilrock.platform.errors import PlatformError, PlatformErrorKind
+from chervilrock.platform.sendguard import SendGuard
 
-DEFAULT_MAX_CLIENTS = 512
+DEFAULT_MAX_CLIENTS = 256
 DEFAULT_CONNECT_TIMEOUT_S = 1.0
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
 
 _JSON_HEADERS = {"Content-Type": "application/json"}
-_SEND_OK: int = pycurl.PREREQFUNC_OK
-_SEND_ABORT: int = pycurl.PREREQFUNC_ABORT
 _STATUS_REQUEST_TIMEOUT = 408
 _STATUS_TOO_MANY_REQUESTS = 429
 _CLIENT_ERRORS = range(400, 500)
@@ -45,23 +43,6 @@
     not_run: bool
 
 
-class _Transfer:
-    """Whether libcurl has begun to send a request."""
-
-    __slots__ = ("sent", "_send_once")
-
-    def __init__(self, send_once: bool) -> None:
-        self.sent = False
-        self._send_once = send_once
-
-    def note_send(self, *_addresses: object) -> int:
-        """Callback of libcurl right before it sends."""
-        if self.sent and self._send_once:
-            return _SEND_ABORT
-        self.sent = True
-        return _SEND_OK
-
-
 class HttpClient:
     """Client for short requests, shared by all clients of a process.
 
@@ -117,7 +98,7 @@
         Returns:
           The answer, whatever its status, or why there was none.
         """
-        transfer = _Transfer(send_once)
+        guard = SendGuard(once=send_once)
         request = HTTPRequest(
             url,
             method=method,
@@ -127,20 +108,15 @@
             request_timeout=timeout_s,
             follow_redirects=False,
             decompress_response=False,
-            prepare_curl_callback=functools.partial(_prepare, transfer),
+            prepare_curl_callback=guard.prepare,
         )
         try:
             response = await self._client.fetch(request, raise_error=False)
         except HTTPClientError as error:
-            return Failure(_describe_error(error, transfer.sent, url))
+            return Failure(_describe_error(error, guard.sent, url))
         return Success(_convert_response(response))
 
 
-def _prepare(transfer: _Transfer, curl: pycurl.Curl) -> None:
-    curl.setopt(pycurl.NOPROXY, "*")
-    curl.setopt(pycurl.PREREQFUNCTION, transfer.note_send)
-
-
 def _convert_response(response: HTTPResponse) -> HttpAnswer:
     headers = response.headers
     return HttpAnswer(
--- a/chervilrock/standin/lag.py
+++ b/chervilrock/standin/lag.py
@@ -21,6 +21,11 @@
         self._history: collections.deque[tuple[float, _T]]
         self._history = collections.deque([(now - lag_s, value)])
 
+    @property
+    def newest(self) -> _T:
+        """The value without the lag."""
+        return self._history[-1][1]
+
     def set(self, value: _T, now: float) -> None:
         """Changes the value."""
         self._forget(now)
--- a/chervilrock/standin/platform.py
+++ b/chervilrock/standin/platform.py
@@ -159,6 +159,21 @@
         """Changes the host list, which shows after the lag."""
         self._hosts.set(_Hosts(hosts, services), self.clock())
 
+    def add_hosts(
+        self,
+        hosts: tuple[HostEntry, ...],
+        services: tuple[ServiceEntry, ...] = (),
+    ) -> None:
+        """Adds entries to the host list, or replaces older ones."""
+        newest = self._hosts.newest
+        hosts_by_name = {entry["host"]: entry for entry in newest.hosts}
+        hosts_by_name |= {entry["host"]: entry for entry in hosts}
+        services_by_key = {_make_key(entry): entry for entry in newest.services}
+        services_by_key |= {_make_key(entry): entry for entry in services}
+        self.set_hosts(
+            tuple(hosts_by_name.values()), tuple(services_by_key.values())
+        )
+
     def list_hosts(self) -> HostList:
         """Returns the host list as callers see it now."""
         seen = self._hosts.get(self.clock())
@@ -175,6 +190,10 @@
         return self._weight_budget.take(entry["bytes"] / size, self.clock())
 
 
+def _make_key(entry: ServiceEntry) -> tuple[str, str]:
+    return entry["service"], entry["address"]
+
+
 def _make_budget(rate: float, burst: float, now: float) -> Budget | None:
     if rate <= 0:
         return None
@@ -243,11 +262,19 @@
         await self.reply_after_effect(200, self.standin.list_hosts())
 
     def put(self) -> None:
+        """Replaces the list."""
         hosts = self.decode(self._decoder)
         if hosts is not None:
             self.standin.set_hosts(hosts["hosts"], hosts["services"])
             self.reply(200, hosts)
 
+    def post(self) -> None:
+        """Adds entries, or replaces those of the same host or address."""
+        hosts = self.decode(self._decoder)
+        if hosts is not None:
+            self.standin.add_hosts(hosts["hosts"], hosts["services"])
+            self.reply(200, hosts)
+
 
 class _CatalogueHandler(_PlatformHandler):
     async def get(self) -> None:
