Build the one-file program and run the benches

Cause: the product ships as one binary, and the benches need one way to be called.

It is a target of its own, not a test, since building and watching take more than 20 s on a busy machine. python -m bench runs the modules of bench/ that have run().

--- a/Makefile
+++ b/Makefile
@@ -5,6 +5,9 @@
 VENV := .venv
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.stamp
+PACKAGE_FILES := $(shell find chervilrock -type f -not -name '*.py[co]')
+# Where the binary unpacks itself unless SHIV_ROOT is set.
+BINARY_ROOT := /tmp/chervilrock
 SOURCES := chervilrock bench tools
 CODE := $(wildcard $(SOURCES) test)
 COMPILE := $(BIN)/uv pip compile --quiet --no-config --universal \
@@ -36,7 +39,7 @@
 test: format-check lint imports types unit  ## Run every check and test.
 
 bench: $(STAMP)  ## Run the benches: JSON lines on stdout.
-	@$(BIN)/python -m bench $(NAMES)
+	@$(BIN)/python -m bench $(if $(QUICK),--quick) $(NAMES)
 
 format: $(STAMP)  ## Format the code and sort its imports.
 	$(BIN)/ruff check --quiet --select I --fix $(CODE)
@@ -68,6 +71,19 @@
 
 binary: dist/chervilrock  ## Build dist/chervilrock, the one-file program.
 
+# The packages are installed by the lock file; direct_url.json would name the
+# folder of the build.
+dist/chervilrock: $(STAMP) requirements.txt $(PACKAGE_FILES)
+	rm -rf build && mkdir -p build dist
+	$(BIN)/python -m pip install --quiet --require-hashes --no-compile \
+		--target build/site -r requirements.txt
+	$(BIN)/python -m pip install --quiet --no-deps --no-build-isolation \
+		--no-compile --target build/site .
+	rm -rf build/site/bin build/site/*.dist-info/direct_url.json
+	$(BIN)/shiv --reproducible --compressed --site-packages build/site \
+		--python "/usr/bin/env python3.11" --root $(BINARY_ROOT) \
+		--entry-point chervilrock.ui:main --output-file $@
+
 binary-check: binary  ## Prove how dist/chervilrock behaves as a process.
 	$(BIN)/python tools/check_binary.py dist/chervilrock
 
