Add the command line

serve reads its flags itself, from the fields of NodeSettings, so that typer does not stay in the memory of a serving process; its help is written from the schema of the settings. All other commands are typer commands whose modules are imported when they run.

--- /dev/null
+++ b/chervilrock/ui/application.py
@@ -0,0 +1,181 @@
+"""The commands, their arguments and their help, for typer.
+
+Each function only describes a command and imports the module that does its
+work when it runs, so that a command loads no more than it needs.
+"""
+
+import asyncio
+from collections.abc import Sequence
+import getpass
+import os
+import pathlib
+from typing import Annotated
+
+import typer
+
+import chervilrock
+from chervilrock.ui.options import (
+    AddressArgument,
+    DEFAULT_NODE,
+    JsonOption,
+    NodeOption,
+    NUMBER,
+    TEXT,
+)
+from chervilrock.ui.standin import standin_app
+
+PROGRAM = "chervilrock"
+DEFAULT_WAIT_S = 30.0
+PASS_THROUGH = {
+    "allow_extra_args": True,
+    "ignore_unknown_options": True,
+    "help_option_names": [],
+}
+EPILOG = """\
+\b
+Examples:
+  chervilrock check installation.yaml
+  chervilrock apply installation.yaml --node 10.0.0.1:8000 --wait
+  chervilrock status --node 10.0.0.1:8000
+
+\b
+Exit codes:
+  0  done
+  1  findings in a file or in settings, or a broken promise
+  2  wrong use of the command line
+  3  another operator's configuration won
+  4  accepted, but not in force on every live node in time
+  5  a node cannot be reached
+"""
+APPLY_EPILOG = """\
+\b
+Examples:
+  chervilrock apply installation.yaml --wait
+  chervilrock apply installation.yaml --base 41 --operator asha
+"""
+
+app = typer.Typer(
+    name=PROGRAM,
+    add_completion=False,
+    no_args_is_help=True,
+    pretty_exceptions_enable=False,
+    rich_markup_mode=None,
+    epilog=EPILOG,
+)
+app.add_typer(standin_app, name="stand-in")
+
+
+def run(arguments: Sequence[str]) -> int:
+    """Runs a command and returns its exit code."""
+    try:
+        app(args=list(arguments), prog_name=PROGRAM)
+    except SystemExit as end:
+        return int(end.code or 0)
+    return 0
+
+
+def print_version(wanted: bool) -> None:
+    """Prints the version and ends, when it is wanted."""
+    if wanted:
+        typer.echo(f"{PROGRAM} {chervilrock.__version__}")
+        raise typer.Exit
+
+
+@app.callback()
+def describe(
+    version: Annotated[
+        bool,
+        typer.Option(
+            "--version",
+            callback=print_version,
+            is_eager=True,
+            help="Print the version and end.",
+        ),
+    ] = False,
+) -> None:
+    """Serves models whose replicas span several hosts.
+
+    Operators declare in a file which models, versions and replica groups
+    should exist, and apply the file as a whole; the entry nodes make it true
+    and route the requests of callers to the groups.
+    """
+
+
+@app.command(context_settings=PASS_THROUGH, add_help_option=False)
+def serve(context: typer.Context) -> None:
+    """Run an entry node. Its settings: chervilrock serve --help."""
+    from chervilrock.ui.serve import serve as run_serve
+
+    raise typer.Exit(run_serve(context.args, os.environ))
+
+
+@app.command(epilog=APPLY_EPILOG)
+def apply(
+    file: Annotated[
+        pathlib.Path,
+        typer.Argument(
+            metavar="FILE", exists=True, dir_okay=False, help="YAML file."
+        ),
+    ],
+    node: NodeOption = DEFAULT_NODE,
+    wait: Annotated[
+        bool,
+        typer.Option(
+            "--wait", help="Wait until every live node has it in force."
+        ),
+    ] = False,
+    timeout: Annotated[
+        float,
+        typer.Option(min=0.0, metavar=NUMBER, help="Longest wait in seconds."),
+    ] = DEFAULT_WAIT_S,
+    base: Annotated[
+        int | None,
+        typer.Option(
+            min=0,
+            metavar=NUMBER,
+            help="Revision to replace; by default the one in force.",
+        ),
+    ] = None,
+    operator: Annotated[
+        str,
+        typer.Option(
+            metavar=TEXT, help="Name to record; by default the user's."
+        ),
+    ] = "",
+    as_json: JsonOption = False,
+) -> None:
+    """Check a configuration file and put it in force as a whole.
+
+    When somebody else applied one meanwhile, nothing changes: the command
+    tells who it was and ends with exit code 3.
+    """
+    from chervilrock.ui.apply import apply_file, ApplyOptions
+
+    options = ApplyOptions(
+        address=node,
+        base_revision=base,
+        operator=operator or getpass.getuser(),
+        wait_s=timeout if wait else None,
+        as_json=as_json,
+    )
+    raise typer.Exit(asyncio.run(apply_file(file, options)))
+
+
+@app.command()
+def status(
+    node: NodeOption = DEFAULT_NODE, as_json: JsonOption = False
+) -> None:
+    """Show nodes, groups, stranded hosts and quarantine."""
+    from chervilrock.ui.status import show_status
+
+    raise typer.Exit(asyncio.run(show_status(address=node, as_json=as_json)))
+
+
+@app.command()
+def dump(
+    address: AddressArgument,
+) -> None:
+    """Print the whole state of a process as JSON."""
+    from chervilrock.ui.status import dump_state
+
+    raise typer.Exit(asyncio.run(dump_state(address=address)))
--- /dev/null
+++ b/chervilrock/ui/client.py
@@ -0,0 +1,127 @@
+"""Client of the interface that nodes have for operators."""
+
+from typing import NamedTuple, TypeVar
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from chervilrock.generated.interfaces import ErrorBody, Outcome
+from chervilrock.generated.operators import (
+    ApplyAnswer,
+    ApplyRequest,
+    StatusAnswer,
+)
+from chervilrock.platform.errors import PlatformError
+from chervilrock.platform.httpclient import HttpAnswer, HttpClient
+
+READ_TIMEOUT_S = 10.0
+APPLY_TIMEOUT_S = 30.0
+APPLY_STATUSES = frozenset({200, 400, 409})
+STATUS_OK = 200
+
+T = TypeVar("T")
+
+
+class ClientError(NamedTuple):
+    """Why a node gave no usable answer.
+
+    Attributes:
+      message: one line for the operator
+      effect_possible: whether the request may have changed something
+    """
+
+    message: str
+    effect_possible: bool
+
+
+class OperatorClient:
+    """Asks one node on behalf of an operator."""
+
+    def __init__(self, *, address: str, http: HttpClient) -> None:
+        """Makes a client.
+
+        Args:
+          address: IP:port of the node
+          http: client to send the requests with
+        """
+        self._address = address
+        self._http = http
+
+    async def get_status(self) -> Result[StatusAnswer, ClientError]:
+        """Returns the status of the installation."""
+        answer = await self._read("/admin/status")
+        return answer.bind(lambda body: self._decode(body, StatusAnswer))
+
+    async def get_state(self) -> Result[msgspec.Raw, ClientError]:
+        """Returns the state of the process, as the JSON text that it sent."""
+        answer = await self._read("/state")
+        return answer.bind(lambda body: self._decode(body, msgspec.Raw))
+
+    async def apply(
+        self, request: ApplyRequest
+    ) -> Result[ApplyAnswer, ClientError]:
+        """Sends a configuration once and returns what became of it."""
+        result = await self._http.request(
+            "POST",
+            self._format_url("/admin/apply"),
+            timeout_s=APPLY_TIMEOUT_S,
+            body=msgspec.json.encode(request),
+            send_once=True,
+        )
+        return result.alt(self._describe_failure).bind(self._read_apply)
+
+    def _read_apply(
+        self, answer: HttpAnswer
+    ) -> Result[ApplyAnswer, ClientError]:
+        """Returns the answer to an apply, or the error that it holds."""
+        if answer.status in APPLY_STATUSES:
+            decoded = self._decode(answer.body, ApplyAnswer, True)
+            if isinstance(decoded, Success):
+                return decoded
+        return Failure(self._describe_status(answer, True))
+
+    async def _read(self, path: str) -> Result[bytes, ClientError]:
+        """Returns the body of a path."""
+        result = await self._http.request(
+            "GET", self._format_url(path), timeout_s=READ_TIMEOUT_S
+        )
+        return result.alt(self._describe_failure).bind(self._check_status)
+
+    def _check_status(self, answer: HttpAnswer) -> Result[bytes, ClientError]:
+        """Returns the body of an answer with success."""
+        if answer.status == STATUS_OK:
+            return Success(answer.body)
+        return Failure(self._describe_status(answer, False))
+
+    def _decode(
+        self, body: bytes, kind: type[T], effect_possible: bool = False
+    ) -> Result[T, ClientError]:
+        """Returns the decoded body, or an error that names the node."""
+        try:
+            return Success(msgspec.json.decode(body, type=kind))
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            text = f"{self._address} does not answer as a node: {error}"
+            return Failure(ClientError(text, effect_possible))
+
+    def _describe_failure(self, error: PlatformError) -> ClientError:
+        """Returns the error for a request without an answer."""
+        text = f"node {self._address} cannot be reached: {error.message}"
+        return ClientError(text, error.effect_possible)
+
+    def _describe_status(
+        self, answer: HttpAnswer, effect_possible: bool
+    ) -> ClientError:
+        """Returns the error for an answer without success."""
+        try:
+            body = msgspec.json.decode(answer.body, type=ErrorBody)
+        except (msgspec.DecodeError, UnicodeDecodeError):
+            text = f"node {self._address} answered status {answer.status}"
+            return ClientError(text, effect_possible)
+        detail = body["error"]
+        ran = detail["outcome"] is not Outcome.NOT_RUN
+        text = f"node {self._address}: {detail['message']} ({detail['code']})"
+        return ClientError(text, ran and effect_possible)
+
+    def _format_url(self, path: str) -> str:
+        """Returns the URL of a path of the node."""
+        return f"http://{self._address}{path}"
