Add the decisions of the region controller

The controller compares the folded log with the evidence of the hosts and returns records to append and orders to send. A host leaves a group for another one only when it is proved empty; otherwise it is quarantined.

--- /dev/null
+++ b/chervilrock/decisions/control/__init__.py
@@ -0,0 +1,1 @@
+"""What the controller of a region does about hosts and groups."""
--- /dev/null
+++ b/chervilrock/decisions/control/loading.py
@@ -0,0 +1,138 @@
+"""Groups that load, and groups whose engines were restarted."""
+
+from collections.abc import Iterator
+
+from chervilrock.decisions.control.context import ControlContext
+from chervilrock.decisions.control.effects import (
+    append,
+    AppendRecord,
+    Effect,
+    SendOrder,
+)
+from chervilrock.decisions.ownership import Group
+from chervilrock.decisions.shards import holds_rank, order_load
+from chervilrock.generated.interfaces import EnginePhase
+from chervilrock.generated.records import (
+    GroupPhase,
+    GroupPhaseChanged,
+    GroupRepaired,
+)
+
+
+def change_phase(
+    context: ControlContext,
+    group: Group,
+    phase: GroupPhase,
+    incarnations: tuple[str, ...] = (),
+) -> Iterator[AppendRecord]:
+    """Yield the record for another phase unless it is under way."""
+    body = GroupPhaseChanged(
+        epoch=context.region.epoch,
+        group=group.name,
+        fence=group.fence,
+        phase=phase,
+        incarnations=incarnations,
+    )
+    if not context.progress.is_pending(body, context.now):
+        yield append(body)
+
+
+def repair(
+    context: ControlContext,
+    group: Group,
+    hosts: tuple[str, ...],
+    domain: str,
+    reserve: int = 0,
+) -> Iterator[AppendRecord]:
+    """Yield the record for a repair unless one is under way."""
+    body = GroupRepaired(
+        epoch=context.region.epoch,
+        group=group.name,
+        fence=group.fence,
+        hosts=hosts,
+        domain=domain,
+        reserve=reserve,
+    )
+    if not context.progress.is_pending(body, context.now):
+        yield append(body)
+
+
+def load_group(context: ControlContext, group: Group) -> Iterator[Effect]:
+    """Yield the orders of a loading group, or the record that it serves."""
+    if context.is_whole(group):
+        incarnations = context.presence.incarnations(group)
+        yield from change_phase(
+            context, group, GroupPhase.SERVING, incarnations
+        )
+        return
+    leader = context.hosts.get(group.hosts[0])
+    if leader is None:
+        return
+    for rank, host in enumerate(group.hosts):
+        yield from _load_host(context, group, rank, host, leader["address"])
+
+
+def adopt_reserve(
+    context: ControlContext, group: Group
+) -> Iterator[AppendRecord]:
+    """Yield the records for a repair that was done while the log was out."""
+    repaired = context.presence.compose_reserve(group, context.now)
+    if repaired is None or not context.is_whole(repaired):
+        return
+    domain = _find_domain(context, repaired.hosts)
+    yield from repair(
+        context, group, repaired.hosts, domain, reserve=group.reserve
+    )
+    incarnations = context.presence.incarnations(repaired)
+    yield from change_phase(context, repaired, GroupPhase.SERVING, incarnations)
+
+
+def reload_restarted(
+    context: ControlContext, group: Group
+) -> Iterator[AppendRecord]:
+    """Yield a repair with the same hosts after an engine was restarted.
+
+    An engine that lost its shard is out of step with the other ranks, so all
+    of them get a new fencing number.
+    """
+    if is_restarted(context, group):
+        yield from repair(context, group, group.hosts, group.domain)
+
+
+def is_restarted(context: ControlContext, group: Group) -> bool:
+    """Return whether all hosts are present but one lost its shard."""
+    key = ("group", group.name)
+    value = (group.fence, group.phase)
+    since = context.progress.stable_since(key, value, context.now)
+    lost = False
+    for rank, host in enumerate(group.hosts):
+        evidence = context.find_evidence(host)
+        if evidence is None or evidence.sent_at <= since:
+            return False
+        held = holds_rank(evidence.shard, group, rank)
+        ready = held and evidence.phase == EnginePhase.READY
+        if group.incarnations:
+            same = evidence.incarnation == group.incarnations[rank]
+            ready = ready and same
+        lost = lost or not ready
+    return lost
+
+
+def _load_host(
+    context: ControlContext, group: Group, rank: int, host: str, leader: str
+) -> Iterator[SendOrder]:
+    entry = context.hosts.get(host)
+    if entry is None:
+        return
+    evidence = context.find_evidence(host)
+    if evidence is not None and holds_rank(evidence.shard, group, rank):
+        return
+    order = order_load(group, rank, leader)
+    if context.progress.is_due(host, order, context.now):
+        yield SendOrder(host, entry["address"], order, context.until)
+
+
+def _find_domain(context: ControlContext, hosts: tuple[str, ...]) -> str:
+    entries = [context.hosts.get(host) for host in hosts]
+    domains = {entry["domain"] if entry else "" for entry in entries}
+    return domains.pop() if len(domains) == 1 else ""
--- /dev/null
+++ b/chervilrock/decisions/control/progress.py
@@ -0,0 +1,214 @@
+"""What the controller has under way: records, orders and waiting times.
+
+It is the memory of one process and is lost with it. Losing it is safe: a
+record that is appended twice is rejected the second time, an order is sent
+again, and a wait starts anew.
+"""
+
+from collections.abc import Hashable
+from typing import NamedTuple
+
+from chervilrock.decisions.control.effects import SendOrder
+from chervilrock.decisions.records import Body
+from chervilrock.generated.interfaces import EngineOrder
+from chervilrock.generated.records import (
+    GroupGranted,
+    GroupRepaired,
+    RecordId,
+    SparesGranted,
+)
+
+
+class BodyKey(NamedTuple):
+    """What two records must share to mean the same step.
+
+    Attributes:
+      subject: group or host
+      fence: fencing number that the record names, 0 for none
+      phase: phase that a group enters, empty for none
+    """
+
+    body_type: type[Body]
+    subject: str
+    fence: int
+    phase: str
+
+
+class PendingRecord(NamedTuple):
+    """A record that was appended and not yet read back."""
+
+    body: Body
+    record_id: RecordId
+    since: float
+
+
+class SentOrder(NamedTuple):
+    """The last order to a host.
+
+    Attributes:
+      tries: how often this same order was sent
+      sent_at: when it was sent last
+    """
+
+    order: EngineOrder
+    tries: int
+    sent_at: float
+
+
+class StableValue(NamedTuple):
+    """A value and the time since which it has not changed."""
+
+    value: Hashable
+    since: float
+
+
+def find_key(body: Body) -> BodyKey:
+    """Return what identifies the step that a record takes."""
+    group: str = getattr(body, "group", "")
+    host: str = getattr(body, "host", "")
+    fence: int = getattr(body, "fence", 0)
+    phase: str = getattr(body, "phase", "")
+    return BodyKey(type(body), group or host, fence, phase)
+
+
+class Progress:
+    """Records and orders of the controller that are under way.
+
+    Attributes:
+      grants: number of grants that this process has appended
+      compositions: hosts by rank that were chosen for the reserve fencing
+        number of a group; chosen once and never changed
+    """
+
+    def __init__(
+        self,
+        *,
+        pending_s: float = 5.0,
+        retry_s: float = 0.5,
+        retry_limit_s: float = 8.0,
+    ) -> None:
+        """Start with nothing under way.
+
+        Args:
+          pending_s: time after which a record that was not read back may be
+            appended anew.
+          retry_s: time before an order is sent for the second time; doubles
+            with each try.
+          retry_limit_s: greatest time between two tries.
+        """
+        self.grants = 0
+        self.compositions: dict[int, tuple[str, ...]] = {}
+        self._pending_s = pending_s
+        self._retry_s = retry_s
+        self._retry_limit_s = retry_limit_s
+        self._pending: dict[BodyKey, PendingRecord] = {}
+        self._keys: dict[RecordId, BodyKey] = {}
+        self._orders: dict[str, SentOrder] = {}
+        self._loads: dict[str, float] = {}
+        self._unloads: dict[str, float] = {}
+        self._stable: dict[Hashable, StableValue] = {}
+
+    def note_appended(
+        self, body: Body, record_id: RecordId, now: float
+    ) -> None:
+        """Note that a record is being appended."""
+        if isinstance(body, GroupGranted):
+            self.grants += 1
+        key = find_key(body)
+        last = self._pending.get(key)
+        if last is not None:
+            self._keys.pop(last.record_id, None)
+        self._pending[key] = PendingRecord(body, record_id, now)
+        self._keys[record_id] = key
+
+    def note_read(self, record_id: RecordId) -> None:
+        """Note that a record was read back, whatever came of it."""
+        key = self._keys.pop(record_id, None)
+        if key is not None:
+            del self._pending[key]
+
+    def is_pending(self, body: Body, now: float) -> bool:
+        """Return whether a record for the same step is under way."""
+        pending = self._pending.get(find_key(body))
+        return pending is not None and now < pending.since + self._pending_s
+
+    def find_claimed(self, now: float) -> set[str]:
+        """Return the hosts that records under way give to a group."""
+        claimed: set[str] = set()
+        for pending in self._pending.values():
+            body = pending.body
+            if now >= pending.since + self._pending_s:
+                continue
+            if isinstance(body, GroupGranted | GroupRepaired):
+                claimed.update(body.hosts)
+            elif isinstance(body, SparesGranted):
+                claimed.update(body.spares)
+        return claimed
+
+    def note_ordered(self, effect: SendOrder, now: float) -> None:
+        """Note that an order is being sent."""
+        last = self._orders.get(effect.host)
+        same = last is not None and last.order == effect.order
+        tries = last.tries + 1 if last is not None and same else 1
+        self._orders[effect.host] = SentOrder(effect.order, tries, now)
+        if effect.order.get("shard") is not None:
+            self._loads[effect.host] = now
+            self._unloads.pop(effect.host, None)
+
+    def note_answered(
+        self,
+        host: str,
+        order: EngineOrder,
+        accepted: bool | None,
+        sent_at: float,
+    ) -> None:
+        """Note the answer to an order.
+
+        Args:
+          host: name of the host.
+          order: the order that was sent.
+          accepted: None when no valid answer came.
+          sent_at: when the order was sent, in seconds.
+        """
+        if not accepted or order.get("shard") is not None:
+            return
+        if sent_at > self._loads.get(host, float("-inf")):
+            self._unloads[host] = sent_at
+
+    def is_due(self, host: str, order: EngineOrder, now: float) -> bool:
+        """Return whether an order may be sent, first or again."""
+        last = self._orders.get(host)
+        if last is None or last.order != order:
+            return True
+        wait = min(self._retry_s * 2 ** (last.tries - 1), self._retry_limit_s)
+        return bool(now >= last.sent_at + wait)
+
+    def find_load(self, host: str) -> float | None:
+        """Return when this process last ordered the host to load."""
+        return self._loads.get(host)
+
+    def find_unload(self, host: str) -> float | None:
+        """Return when the last confirmed order to unload was sent.
+
+        Returns:
+          None when there is none after the last order to load.
+        """
+        return self._unloads.get(host)
+
+    def stable_since(self, key: Hashable, value: Hashable, now: float) -> float:
+        """Return since when this process has seen this value of a key."""
+        last = self._stable.get(key)
+        if last is None or last.value != value:
+            last = self._stable[key] = StableValue(value, now)
+        return last.since
+
+    def retain(self, hosts: set[str], groups: set[str]) -> None:
+        """Forget all hosts and groups but these."""
+        for host in self._orders.keys() - hosts:
+            del self._orders[host]
+            self._loads.pop(host, None)
+            self._unloads.pop(host, None)
+        names = hosts | groups
+        for key in list(self._stable):
+            if isinstance(key, tuple) and key[1] not in names:
+                del self._stable[key]
--- /dev/null
+++ b/chervilrock/decisions/control/release.py
@@ -0,0 +1,122 @@
+"""Hosts that left a group: unload them, prove them empty, free them.
+
+An engine that refuses old fencing numbers is proved empty when it shows that
+it is empty and has seen the number of the record that ended its use: no order
+of an earlier owner can take effect after that. For any other engine a number
+proves nothing. It is proved empty by an order to unload that was sent when
+the leases of all earlier controllers were surely over and no order to load
+could be under way, that the engine confirmed, and that was followed by a
+probe which shows it empty.
+"""
+
+from collections.abc import Iterator
+
+from chervilrock.decisions.control.context import ControlContext
+from chervilrock.decisions.control.effects import (
+    append,
+    AppendRecord,
+    Effect,
+    SendOrder,
+)
+from chervilrock.decisions.ownership import Ownership
+from chervilrock.decisions.presence import Evidence
+from chervilrock.decisions.records import Body
+from chervilrock.decisions.shards import order_unload
+from chervilrock.generated.interfaces import EnginePhase
+from chervilrock.generated.records import (
+    HostCleared,
+    HostQuarantined,
+    HostReleased,
+)
+
+UNREACHABLE = "unreachable"
+NOT_EMPTY = "not proved empty"
+
+
+def release_hosts(context: ControlContext) -> Iterator[Effect]:
+    """Yield the steps for hosts that left their group."""
+    for host in context.region.revoked:
+        yield from _release_host(context, host)
+
+
+def clear_hosts(context: ControlContext) -> Iterator[Effect]:
+    """Yield the steps for quarantined hosts that came back."""
+    for host in context.region.quarantined:
+        ownership = context.region.owners[host]
+        if is_proved_empty(context, host, ownership):
+            yield from _append(
+                context,
+                HostCleared(context.region.epoch, host, ownership.fence),
+            )
+        elif context.find_evidence(host) is not None:
+            yield from _unload(context, host, ownership)
+
+
+def is_proved_empty(
+    context: ControlContext, host: str, ownership: Ownership
+) -> bool:
+    """Return whether a host holds nothing and no old order can change that."""
+    evidence = context.find_evidence(host)
+    if evidence is None or not _is_empty(evidence):
+        return False
+    if context.checks_fence(host):
+        return evidence.fence >= ownership.revoked
+    unloaded_at = context.progress.find_unload(host)
+    if unloaded_at is None or unloaded_at < find_quiet(context, host):
+        return False
+    return evidence.sent_at > unloaded_at
+
+
+def find_quiet(context: ControlContext, host: str) -> float:
+    """Return the time from which no order to load can be under way."""
+    loaded_at = context.progress.find_load(host)
+    if loaded_at is None:
+        return context.quiet_at
+    return max(context.quiet_at, loaded_at + context.timing.order_timeout_s)
+
+
+def _release_host(context: ControlContext, host: str) -> Iterator[Effect]:
+    ownership = context.region.owners[host]
+    epoch = context.region.epoch
+    if is_proved_empty(context, host, ownership):
+        yield from _append(context, HostReleased(epoch, host, ownership.fence))
+        return
+    key = ("revoked", host)
+    value = ownership.revoked
+    since = context.progress.stable_since(key, value, context.now)
+    if context.now >= since + context.timing.quarantine_after_s:
+        present = context.find_evidence(host) is not None
+        reason = NOT_EMPTY if present else UNREACHABLE
+        yield from _append(
+            context, HostQuarantined(epoch, host, ownership.fence, reason)
+        )
+        return
+    yield from _unload(context, host, ownership)
+
+
+def _unload(
+    context: ControlContext, host: str, ownership: Ownership
+) -> Iterator[SendOrder]:
+    entry = context.hosts.get(host)
+    if entry is None:
+        return
+    progress = context.progress
+    quiet_at = find_quiet(context, host)
+    fenced = context.checks_fence(host)
+    unloaded_at = progress.find_unload(host)
+    if not fenced and unloaded_at is not None and unloaded_at >= quiet_at:
+        evidence = context.find_evidence(host)
+        if evidence is None or evidence.sent_at <= unloaded_at:
+            return
+    order = order_unload(ownership.group, ownership.revoked)
+    if progress.is_due(host, order, context.now):
+        yield SendOrder(host, entry["address"], order, context.until)
+
+
+def _append(context: ControlContext, body: Body) -> Iterator[AppendRecord]:
+    if not context.progress.is_pending(body, context.now):
+        yield append(body)
+
+
+def _is_empty(evidence: Evidence) -> bool:
+    return evidence.phase == EnginePhase.EMPTY and evidence.shard is None
--- /dev/null
+++ b/chervilrock/decisions/controller.py
@@ -0,0 +1,119 @@
+"""The decisions of the controller of a region.
+
+`decide` is called whenever something has changed and once in a while. It
+compares the folded log with the evidence of the hosts and returns what to
+append and what to order. It changes nothing in the region, and asking for the
+same twice is harmless: a record that comes a second time is rejected by the
+fold, and an order that comes a second time is the same order.
+"""
+
+from collections.abc import Iterable, Iterator
+
+from chervilrock.decisions.actions import Action
+from chervilrock.decisions.control.context import ControlContext, ControlTiming
+from chervilrock.decisions.control.effects import Effect
+from chervilrock.decisions.control.loading import (
+    adopt_reserve,
+    change_phase,
+    load_group,
+    reload_restarted,
+)
+from chervilrock.decisions.control.progress import Progress
+from chervilrock.decisions.control.release import clear_hosts, release_hosts
+from chervilrock.decisions.control.requests import perform_actions
+from chervilrock.decisions.control.rollout import (
+    choose_drains,
+    drain_group,
+    is_outdated,
+)
+from chervilrock.decisions.control.spares import grant_spares
+from chervilrock.decisions.lease import LeaseView
+from chervilrock.decisions.ownership import Group
+from chervilrock.decisions.presence import PresenceTable
+from chervilrock.decisions.region import RegionState
+from chervilrock.generated.configuration import Configuration
+from chervilrock.generated.interfaces import HostEntry
+from chervilrock.generated.records import GroupPhase
+
+_DEFAULT_TIMING = ControlTiming()
+
+
+def decide(
+    *,
+    region: RegionState,
+    wanted: Configuration,
+    revision: int,
+    presence: PresenceTable,
+    hosts: Iterable[HostEntry],
+    actions: tuple[Action, ...],
+    pending: Progress,
+    lease: LeaseView,
+    now: float,
+    idle: frozenset[str] = frozenset(),
+    timing: ControlTiming = _DEFAULT_TIMING,
+) -> tuple[Effect, ...]:
+    """Return the records to append and the orders to send now.
+
+    Args:
+      region: folded state of the region stream.
+      wanted: configuration in force.
+      revision: its revision.
+      presence: evidence of the hosts.
+      hosts: host list, of this region.
+      actions: what the planner asks for.
+      pending: records and orders under way; the caller notes there what it
+        does with the effects.
+      lease: the lease of the region as this process knows it.
+      now: present time in seconds.
+      idle: names of draining groups whose engines have no request left.
+      timing: waiting times.
+
+    Returns:
+      Nothing at all unless this process holds the lease now.
+    """
+    if not lease.may_act(now) or lease.holder.epoch != region.epoch:
+        return ()
+    context = ControlContext(
+        region=region,
+        models={model["name"]: model for model in wanted["models"]},
+        revision=revision,
+        presence=presence,
+        hosts={entry["host"]: entry for entry in hosts},
+        actions=actions,
+        progress=pending,
+        idle=idle,
+        quiet_at=lease.taker.quiet_at,
+        until=lease.holder.until,
+        timing=timing,
+        now=now,
+    )
+    return tuple(_decide_all(context))
+
+
+def _decide_all(context: ControlContext) -> Iterator[Effect]:
+    for group in context.region.groups.values():
+        yield from _advance_group(context, group)
+    for group in choose_drains(context):
+        yield from change_phase(context, group, GroupPhase.DRAINING)
+    yield from release_hosts(context)
+    yield from clear_hosts(context)
+    yield from perform_actions(context)
+    yield from grant_spares(context)
+
+
+def _advance_group(context: ControlContext, group: Group) -> Iterator[Effect]:
+    if group.phase is GroupPhase.LOADING:
+        if _is_wanted(context, group):
+            yield from load_group(context, group)
+        else:
+            yield from change_phase(context, group, GroupPhase.DISSOLVED)
+    elif group.phase is GroupPhase.SERVING:
+        yield from adopt_reserve(context, group)
+        yield from reload_restarted(context, group)
+    elif group.phase is GroupPhase.DRAINING:
+        yield from drain_group(context, group)
+
+
+def _is_wanted(context: ControlContext, group: Group) -> bool:
+    spec = context.models.get(group.model)
+    return spec is not None and not is_outdated(spec, group)
--- a/chervilrock/decisions/presence.py
+++ b/chervilrock/decisions/presence.py
@@ -53,8 +53,8 @@
       created_at: when the table was created, in seconds
     """
 
-    def __init__(self, *, limit: float, now: float = 0.0) -> None:
-        """Start without evidence."""
+    def __init__(self, *, limit: float, now: float) -> None:
+        """Start without evidence; a host never seen is missing from `now`."""
         self.limit = limit
         self.created_at = now
         self._evidence: dict[str, Evidence] = {}
