--- a/chervilrock/configuration/findings.py
+++ b/chervilrock/configuration/findings.py
@@ -17,7 +17,6 @@
 class FindingCode(enum.StrEnum):
     """Stable name of a kind of finding; docs/configuration.md lists them."""
 
-    UNREADABLE_FILE = "unreadable-file"
     FILE_TOO_LARGE = "file-too-large"
     BAD_ENCODING = "bad-encoding"
     BYTE_ORDER_MARK = "byte-order-mark"
