--- /dev/null
+++ b/test/ui/conftest.py
@@ -0,0 +1,133 @@
+"""A fake node for the tests of the command line."""
+
+import asyncio
+from collections.abc import Iterator
+import threading
+from typing import Any, NamedTuple
+
+import msgspec
+import pytest
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+from tornado.web import Application, RequestHandler
+
+from chervilrock.ui import main
+from chervilrock.ui.codes import ExitCode
+
+STATUS = {
+    "node": "a",
+    "region": "r1",
+    "revision": 7,
+    "operator": "asha",
+    "controller": "a",
+    "log_reachable": True,
+    "nodes": [],
+    "groups": [],
+    "stranded": [],
+    "quarantined": [],
+}
+
+
+class Reply(NamedTuple):
+    """A scripted answer; without a status the connection is closed."""
+
+    status: int | None
+    body: Any
+
+
+class FakeNode:
+    """Answers from a script; the last answer of a path repeats."""
+
+    def __init__(self) -> None:
+        self.script: dict[str, list[Reply]] = {}
+        self.received: list[tuple[str, Any]] = []
+        self.address = ""
+        self._started = threading.Event()
+        self._stop: asyncio.Event | None = None
+        self._loop: asyncio.AbstractEventLoop | None = None
+        self._thread = threading.Thread(target=self._run)
+
+    def answer(self, path: str, *bodies: Any, status: int | None = 200) -> None:
+        """Adds answers to a path."""
+        replies = [Reply(status, body) for body in bodies]
+        self.script.setdefault(path, []).extend(replies)
+
+    def answer_status(self, **changes: Any) -> None:
+        """Adds an answer to /admin/status."""
+        self.answer("/admin/status", {**STATUS, **changes})
+
+    def take(self, path: str) -> Reply:
+        """Returns the next answer of a path."""
+        replies = self.script.get(path, [Reply(404, {})])
+        return replies.pop(0) if len(replies) > 1 else replies[0]
+
+    def count(self, path: str) -> int:
+        """Returns how many requests came for a path."""
+        return sum(1 for received, _ in self.received if received == path)
+
+    def start(self) -> None:
+        """Begins to answer."""
+        self._thread.start()
+        self._started.wait()
+
+    def stop(self) -> None:
+        """Stops and waits for the thread."""
+        assert self._loop is not None and self._stop is not None
+        self._loop.call_soon_threadsafe(self._stop.set)
+        self._thread.join()
+
+    def _run(self) -> None:
+        asyncio.run(self._serve())
+
+    async def _serve(self) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._stop = asyncio.Event()
+        sockets = bind_sockets(0, "127.0.0.1")
+        server = HTTPServer(
+            Application(
+                [(r"/.*", _Handler, {"fake": self})],
+                log_function=lambda _handler: None,
+            )
+        )
+        server.add_sockets(sockets)
+        self.address = f"127.0.0.1:{sockets[0].getsockname()[1]}"
+        self._started.set()
+        await self._stop.wait()
+        server.stop()
+        await server.close_all_connections()
+
+
+class _Handler(RequestHandler):
+    def initialize(self, fake: FakeNode) -> None:
+        self.fake = fake
+
+    def _reply(self) -> None:
+        body = self.request.body
+        sent = msgspec.json.decode(body) if body else None
+        self.fake.received.append((self.request.path, sent))
+        reply = self.fake.take(self.request.path)
+        if reply.status is None:
+            self.request.connection.detach().close()  # type: ignore[union-attr]
+            self._finished = True
+            return
+        self.set_status(reply.status)
+        text = reply.body
+        encoded = text if isinstance(text, bytes) else msgspec.json.encode(text)
+        self.finish(encoded)
+
+    get = _reply
+    post = _reply
+
+
+def run(*arguments: str) -> ExitCode:
+    """Runs a command in this process and returns its exit code."""
+    return ExitCode(main(arguments))
+
+
+@pytest.fixture
+def node() -> Iterator[FakeNode]:
+    """A fake node that answers until the test ends."""
+    fake = FakeNode()
+    fake.start()
+    yield fake
+    fake.stop()
--- /dev/null
+++ b/test/ui/test_apply_command.py
@@ -0,0 +1,236 @@
+"""Tests of `apply`: what is sent, what is printed, and every exit code."""
+
+import json
+import pathlib
+import socket
+from typing import Any
+
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Contains, ContainsDict, Equals, HasLength
+
+from chervilrock.generated.interfaces import ErrorBody, ErrorDetail, Outcome
+from chervilrock.generated.operators import NodeStatus
+from chervilrock.ui.codes import ExitCode
+from test.ui.conftest import FakeNode, run
+
+APPLY = "/admin/apply"
+ACCEPTED = {"accepted": True, "revision": 8, "findings": []}
+DOCUMENT = """\
+name: trial
+data_centres: [dc1]
+models:
+  - {name: m, version: "1", groups: 1, hosts_per_group: 2}
+"""
+
+
+@pytest.fixture
+def file(tmp_path: pathlib.Path) -> pathlib.Path:
+    """A configuration file without findings."""
+    path = tmp_path / "installation.yaml"
+    path.write_text(DOCUMENT)
+    return path
+
+
+def make_node(name: str, revision: int, **changes: Any) -> NodeStatus:
+    """Returns a live node of a status."""
+    status = NodeStatus(
+        node=name,
+        address="127.0.0.1:1",
+        region="r1",
+        data_centre="dc1",
+        phase="serving",
+        alive=True,
+        revision=revision,
+        load=0.0,
+    )
+    return NodeStatus(**{**status, **changes})  # type: ignore[typeddict-item]
+
+
+def make_error(outcome: Outcome) -> ErrorBody:
+    """Returns the body of a failed apply."""
+    detail = ErrorDetail(
+        code="log_outage",
+        message="the log service does not answer",
+        outcome=outcome,
+        retry_after_ms=1000,
+        request_id="r",
+        type="server_error",
+    )
+    return ErrorBody(error=detail)
+
+
+def test_apply_replaces_the_revision_in_force(
+    node: FakeNode, file: pathlib.Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    node.answer_status()
+    node.answer(APPLY, ACCEPTED)
+    code = run(
+        "apply", str(file), "--node", node.address, "--operator", "lucia"
+    )
+    path, sent = node.received[-1]
+    assert_that(code, Equals(ExitCode.DONE))
+    assert_that(path, Equals(APPLY))
+    assert_that(
+        sent,
+        ContainsDict({"base_revision": Equals(7), "operator": Equals("lucia")}),
+    )
+    assert_that(sent["document"]["models"][0]["name"], Equals("m"))
+    assert_that(capsys.readouterr().out, Equals("revision 8 accepted\n"))
+
+
+def test_apply_with_a_base_asks_for_no_status(
+    node: FakeNode, file: pathlib.Path
+) -> None:
+    node.answer(APPLY, ACCEPTED)
+    run("apply", str(file), "--node", node.address, "--base", "0")
+    assert_that(node.received, HasLength(1))
+    assert_that(node.received[0][1]["base_revision"], Equals(0))
+
+
+def test_apply_tells_the_loser_who_won(
+    node: FakeNode, file: pathlib.Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    answer = {
+        "accepted": False,
+        "revision": 9,
+        "findings": [],
+        "winner": {"revision": 9, "operator": "lucia"},
+    }
+    node.answer_status()
+    node.answer(APPLY, answer, status=409)
+    code = run("apply", str(file), "--node", node.address)
+    assert_that(code, Equals(ExitCode.LOST))
+    assert_that(capsys.readouterr().err, Contains("revision 9 of lucia"))
+
+
+def test_apply_prints_the_findings_of_the_node(
+    node: FakeNode, file: pathlib.Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    finding = {"code": "unknown-version", "message": "models[0]", "hint": "h"}
+    answer = {"accepted": False, "revision": 7, "findings": [finding]}
+    node.answer_status()
+    node.answer(APPLY, answer, status=400)
+    code = run("apply", str(file), "--node", node.address)
+    assert_that(code, Equals(ExitCode.FINDINGS))
+    assert_that(
+        capsys.readouterr().err, Equals("unknown-version: models[0] (h)\n")
+    )
+
+
+def test_apply_sends_nothing_when_the_file_has_findings(
+    node: FakeNode, file: pathlib.Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    file.write_text(DOCUMENT.replace("groups: 1", "groups: many"))
+    code = run("apply", str(file), "--node", node.address)
+    assert_that(code, Equals(ExitCode.FINDINGS))
+    assert_that(node.received, HasLength(0))
+    assert_that(capsys.readouterr().err, Contains("installation.yaml:4:"))
+
+
+def test_apply_without_a_node_applies_nothing(
+    file: pathlib.Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    with socket.socket() as bound:
+        bound.bind(("127.0.0.1", 0))
+        address = f"127.0.0.1:{bound.getsockname()[1]}"
+        code = run("apply", str(file), "--node", address)
+    assert_that(code, Equals(ExitCode.UNREACHABLE))
+    assert_that(capsys.readouterr().err, Contains("nothing was applied"))
+
+
+@pytest.mark.parametrize(
+    ("status", "body", "told"),
+    [
+        (503, make_error(Outcome.NOT_RUN), "nothing was applied"),
+        (503, make_error(Outcome.UNKNOWN), "may be accepted all the same"),
+        (502, b"<html>", "may be accepted all the same"),
+        (200, b"<html>", "may be accepted all the same"),
+        (None, b"", "may be accepted all the same"),
+    ],
+)
+def test_apply_tells_whether_it_may_be_accepted(
+    node: FakeNode,
+    file: pathlib.Path,
+    capsys: pytest.CaptureFixture[str],
+    status: int | None,
+    body: object,
+    told: str,
+) -> None:
+    node.answer_status()
+    node.answer(APPLY, body, status=status)
+    code = run("apply", str(file), "--node", node.address)
+    assert_that(code, Equals(ExitCode.UNREACHABLE))
+    assert_that(capsys.readouterr().err, Contains(told))
+    assert_that(node.count(APPLY), Equals(1))
+
+
+def test_wait_ends_when_every_live_node_follows(
+    node: FakeNode, file: pathlib.Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    node.answer_status()
+    node.answer(APPLY, ACCEPTED)
+    node.answer_status(nodes=[make_node("a", 8), make_node("b", 7)])
+    node.answer_status(nodes=[make_node("a", 8), make_node("b", 9)])
+    code = run("apply", str(file), "--node", node.address, "--wait")
+    assert_that(code, Equals(ExitCode.DONE))
+    assert_that(node.count("/admin/status"), Equals(3))
+    assert_that(
+        capsys.readouterr().out,
+        Contains("revision 8 in force on every live node"),
+    )
+
+
+def test_wait_names_the_nodes_that_do_not_follow(
+    node: FakeNode, file: pathlib.Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    nodes = [
+        make_node("d", 7),
+        make_node("a", 8),
+        make_node("b", 7),
+        make_node("c", 7, alive=False),
+        make_node("e", 7, phase="stopped"),
+    ]
+    node.answer_status(nodes=nodes)
+    node.answer(APPLY, ACCEPTED)
+    arguments = ["--node", node.address, "--wait", "--timeout", "0"]
+    code = run("apply", str(file), *arguments)
+    assert_that(code, Equals(ExitCode.NOT_IN_FORCE))
+    assert_that(
+        capsys.readouterr().err.splitlines(),
+        Equals(
+            [
+                "not heard of lately, so not waited for: c",
+                "revision 8 is not in force on: b, d",
+            ]
+        ),
+    )
+
+
+def test_wait_without_answers_cannot_tell(
+    node: FakeNode, file: pathlib.Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    node.answer_status()
+    node.answer("/admin/status", b"", status=500)
+    node.answer(APPLY, ACCEPTED)
+    arguments = ["--node", node.address, "--wait", "--timeout", "0"]
+    code = run("apply", str(file), *arguments)
+    assert_that(code, Equals(ExitCode.UNREACHABLE))
+    assert_that(capsys.readouterr().err, Contains("was accepted"))
+
+
+@pytest.mark.parametrize("wait", [[], ["--wait", "--timeout", "0"]])
+def test_json_is_one_document(
+    node: FakeNode,
+    file: pathlib.Path,
+    capsys: pytest.CaptureFixture[str],
+    wait: list[str],
+) -> None:
+    node.answer_status(nodes=[make_node("b", 7)])
+    node.answer(APPLY, ACCEPTED)
+    arguments = ["--node", node.address, "--json", *wait]
+    run("apply", str(file), *arguments)
+    printed = json.loads(capsys.readouterr().out)
+    spread = {"lagging": ["b"], "lost": []} if wait else None
+    assert_that(printed["revision"], Equals(8))
+    assert_that(printed.get("spread"), Equals(spread))
