--- a/chervilrock/decisions/requests/attempts.py
+++ b/chervilrock/decisions/requests/attempts.py
@@ -115,7 +115,6 @@
       end: how it ended.
       position: events that the caller has now.
       target_serves: whether the group of the send still serves.
-      may_retry: whether the retry budget has room.
       continuable: whether the answer so far is one plain text.
     """
 
@@ -123,7 +122,6 @@
     end: AttemptEnd
     position: int = 0
     target_serves: bool = False
-    may_retry: bool = True
     continuable: bool = False
 
 
@@ -243,7 +241,7 @@
         """Tells whether a further send is allowed at all."""
         if now >= self._deadline or self._sends >= self._max_sends:
             return False
-        if not report.may_retry or report.end is AttemptEnd.DENIED:
+        if report.end is AttemptEnd.DENIED:
             return False
         return self._idempotent or report.end in outcomes.PROVES_NOT_RUN
 
--- a/chervilrock/decisions/requests/outcomes.py
+++ b/chervilrock/decisions/requests/outcomes.py
@@ -8,6 +8,9 @@
 STATUS_CONFLICT = 409
 STATUS_TOO_MANY_REQUESTS = 429
 STATUS_UNAVAILABLE = 503
+REFUSAL_CODES = frozenset({"not_leader", "unknown_attempt"})
+"""Codes with which an engine says that it holds nothing to run."""
+
 _SUCCESSES = range(200, 300)
 _SERVER_ERRORS = range(500, 600)
 
@@ -84,7 +87,7 @@
     """
     if status in _SUCCESSES:
         return AttemptEnd.COMPLETE
-    if status == STATUS_CONFLICT and code == "not_leader":
+    if status == STATUS_CONFLICT and code in REFUSAL_CODES:
         return AttemptEnd.REFUSED
     if status == STATUS_TOO_MANY_REQUESTS:
         return AttemptEnd.REFUSED
--- a/chervilrock/edges/context.py
+++ b/chervilrock/edges/context.py
@@ -8,6 +8,7 @@
 if TYPE_CHECKING:
     from chervilrock.decisions.limits.admission import Admission
     from chervilrock.decisions.routing.base import Endpoint, RoutingPolicy
+    from chervilrock.metrics import Metrics
     from chervilrock.platform.base import ModelEngine
 
 
@@ -48,6 +49,11 @@
     def engine(self) -> "ModelEngine":
         """Control side of the engines, to cancel attempts."""
 
+    @property
+    @abc.abstractmethod
+    def metrics(self) -> "Metrics":
+        """Metrics of this process."""
+
     @abc.abstractmethod
     def now(self) -> float:
         """Returns the present time in seconds of a monotonic clock."""
--- a/chervilrock/edges/errors.py
+++ b/chervilrock/edges/errors.py
@@ -58,7 +58,6 @@
     TICKET_RUNNING = "ticket_running"
     KEY_UNAVAILABLE = "key_unavailable"
     LOG_UNAVAILABLE = "log_unavailable"
-    LOG_UNAVAILABLE = "log_unavailable"
     INTERNAL = "internal"
 
 
@@ -110,7 +109,6 @@
     ErrorCode.TICKET_RUNNING: _TIMED_OUT,
     ErrorCode.KEY_UNAVAILABLE: _UNAVAILABLE,
     ErrorCode.LOG_UNAVAILABLE: _UNAVAILABLE,
-    ErrorCode.LOG_UNAVAILABLE: _UNAVAILABLE,
     ErrorCode.INTERNAL: ErrorSpec(500, ErrorType.SERVER, DEFAULT_RETRY_AFTER_S),
 }
 
--- /dev/null
+++ b/chervilrock/edges/handlers.py
@@ -0,0 +1,227 @@
+"""Base of the handlers for callers."""
+
+import asyncio
+from typing import Any, NamedTuple
+
+import msgspec
+from returns.result import Failure
+from tornado import web
+from tornado.http1connection import HTTP1Connection
+
+from chervilrock.edges import errors
+from chervilrock.edges.errors import CallerError, ErrorCode
+from chervilrock.edges.parsing import (
+    CallerHeaders,
+    format_findings,
+    parse_count,
+    parse_headers,
+)
+from chervilrock.edges.path import RequestPath
+from chervilrock.edges.sinks import CallerSink
+from chervilrock.generated.interfaces import Outcome
+
+DRAIN_FACTOR = 4
+"""A body of up to this many times the bound is read to its end before it is
+refused, since a caller that still sends may miss the answer."""
+
+DRAIN_TIMEOUT_S = 30.0
+"""Time that a caller has to take the end of its answer."""
+
+_STATUS_NO_CONTENT = 204
+_STATUS_NOT_FOUND = 404
+_STATUS_NOT_ALLOWED = 405
+
+
+class CallerHandler(web.RequestHandler):
+    """Gives every answer of a handler the form that callers expect."""
+
+    path: RequestPath
+    request_id = ""
+    allowed = "GET, HEAD, OPTIONS"
+
+    def initialize(self, path: RequestPath) -> None:
+        """Takes the request path of the node."""
+        self.path = path
+
+    def set_default_headers(self) -> None:
+        """Sets the headers of every answer."""
+        self.clear_header("Server")
+        if not self.request_id:
+            self.request_id = self.path.make_request_id()
+        self.set_header("X-Request-Id", self.request_id)
+        self.set_header("X-Node", self.path.context.node_id)
+
+    def write_json(self, value: object) -> None:
+        """Answers with a JSON body."""
+        self.set_header("Content-Type", "application/json; charset=UTF-8")
+        self.finish(msgspec.json.encode(value))
+
+    def refuse(self, error: CallerError) -> None:
+        """Answers with an error about a request that was sent nowhere."""
+        self.set_status(error.status)
+        for name, value in errors.make_headers(error, may_repeat=True):
+            self.set_header(name, value)
+        self.finish(errors.make_body(error, self.request_id))
+
+    def write_error(self, status_code: int, **kwargs: Any) -> None:
+        """Answers with an error that a handler did not foresee."""
+        del kwargs
+        self.refuse(make_unforeseen_error(status_code, self.get_outcome()))
+
+    def get_outcome(self) -> Outcome:
+        """Returns what is known of the request after a fault of this node."""
+        return Outcome.NOT_RUN
+
+    def options_allowed(self) -> str:
+        """Returns the methods that this handler knows."""
+        known = type(self).__dict__
+        names = [
+            name for name in self.SUPPORTED_METHODS if name.lower() in known
+        ]
+        return ", ".join([*names, "OPTIONS"])
+
+    def options(self, *_args: str) -> None:
+        """Tells which methods there are."""
+        self.set_status(204)
+        self.set_header("Allow", self.options_allowed())
+        self.finish()
+
+
+def make_unforeseen_error(status: int, outcome: Outcome) -> CallerError:
+    """Makes the error for a status that the library chose."""
+    if status == _STATUS_NOT_FOUND:
+        return CallerError(ErrorCode.NOT_FOUND, "there is no such path")
+    if status == _STATUS_NOT_ALLOWED:
+        return CallerError(ErrorCode.METHOD_NOT_ALLOWED, "not for this path")
+    if 400 <= status < 500:
+        return CallerError(ErrorCode.BAD_REQUEST, "the request is malformed")
+    return CallerError(ErrorCode.INTERNAL, "this node failed", outcome)
+
+
+class NotFoundHandler(CallerHandler):
+    """Answers all paths that no other handler has."""
+
+    def prepare(self) -> None:
+        """Refuses the request whatever its method is."""
+        self.refuse(CallerError(ErrorCode.NOT_FOUND, "there is no such path"))
+
+
+class BodyLimits(NamedTuple):
+    """Bounds for the bodies of requests.
+
+    Attributes:
+      max_bytes: greatest body.
+      timeout_s: longest time for a body to arrive, in seconds.
+    """
+
+    max_bytes: int = 4 * 1024 * 1024
+    timeout_s: float = 10.0
+
+
+@web.stream_request_body
+class BodyHandler(CallerHandler):
+    """Reads the body of a request for a backend server within bounds."""
+
+    allowed = "POST, OPTIONS"
+    limits: BodyLimits
+
+    def initialize(
+        self, path: RequestPath, limits: BodyLimits | None = None
+    ) -> None:
+        """Takes the request path of the node and the bounds."""
+        super().initialize(path)
+        self.limits = limits or BodyLimits()
+
+    def prepare(self) -> None:
+        """Checks the head, before the body is read."""
+        self._chunks: list[bytes] = []
+        self._size = 0
+        self._timer: asyncio.TimerHandle | None = None
+        self.arrived = self.path.context.now()
+        self.headers = CallerHeaders("", 0, None, None, "")
+        if self.request.method == "OPTIONS":
+            return
+        error = self._check_head()
+        if error is not None:
+            self.refuse(error)
+            return
+        connection = self.request.connection
+        assert isinstance(connection, HTTP1Connection)
+        connection.set_max_body_size(DRAIN_FACTOR * self.limits.max_bytes)
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(
+            self.limits.timeout_s, self._refuse_late_body
+        )
+
+    def data_received(self, chunk: bytes) -> None:
+        """Takes a part of the body."""
+        self._size += len(chunk)
+        if self._size <= self.limits.max_bytes:
+            self._chunks.append(chunk)
+        else:
+            self._chunks.clear()
+
+    def on_finish(self) -> None:
+        """Forgets the body."""
+        self._stop_timer()
+
+    def on_connection_close(self) -> None:
+        """Takes note that the caller is gone."""
+        self._stop_timer()
+
+    def take_body(self) -> bytes | None:
+        """Returns the body, or None when the request has been refused."""
+        self._stop_timer()
+        if self._finished:
+            return None
+        if self._size > self.limits.max_bytes:
+            self.refuse(self._make_size_error())
+            return None
+        body = b"".join(self._chunks)
+        self._chunks.clear()
+        return body
+
+    def make_sink(self) -> CallerSink:
+        """Makes the sink for the answer to this request."""
+        return CallerSink(
+            handler=self,
+            request_id=self.request_id,
+            now=self.path.context.now,
+        )
+
+    def find_deadline(self) -> float:
+        """Returns the time in seconds until which the caller waits."""
+        limits = self.path.context.limits()
+        longest = limits.get("request_timeout_ms", 120000) / 1000.0
+        wanted = self.headers.timeout_s
+        return self.arrived + min(longest, wanted or longest)
+
+    def _check_head(self) -> CallerError | None:
+        """Returns why the request is refused before its body is read."""
+        if self.path.context.leaving:
+            return CallerError(ErrorCode.LEAVING, "this node is leaving")
+        parsed = parse_headers(self.request.headers)
+        if isinstance(parsed, Failure):
+            message = format_findings(parsed.failure())
+            return CallerError(ErrorCode.BAD_REQUEST, message)
+        self.headers = parsed.unwrap()
+        length = parse_count(self.request.headers.get("Content-Length", "0"))
+        if length is None or length > DRAIN_FACTOR * self.limits.max_bytes:
+            return self._make_size_error()
+        return None
+
+    def _make_size_error(self) -> CallerError:
+        message = f"the body is greater than {self.limits.max_bytes} bytes"
+        return CallerError(ErrorCode.BODY_TOO_LARGE, message)
+
+    def _refuse_late_body(self) -> None:
+        """Refuses a request whose body does not come."""
+        self._timer = None
+        if not self._finished:
+            message = "the body did not come in time"
+            self.refuse(CallerError(ErrorCode.BODY_TIMEOUT, message))
+
+    def _stop_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
--- /dev/null
+++ b/chervilrock/edges/path.py
@@ -0,0 +1,109 @@
+"""What all requests of callers at a node share."""
+
+import abc
+import asyncio
+from collections.abc import Coroutine
+import re
+from typing import Any
+
+from chervilrock.decisions.routing.base import Endpoint
+from chervilrock.edges.context import RequestContext
+from chervilrock.edges.gate import AdmissionGate
+from chervilrock.edges.relay import TransferPool
+
+SWEEP_INTERVAL_S = 0.25
+"""Time between two looks at the requests in progress, in seconds."""
+
+_UNSAFE = re.compile(r"[^A-Za-z0-9_-]")
+
+
+class Run(abc.ABC):
+    """A request in progress."""
+
+    @abc.abstractmethod
+    def check(self, now: float) -> None:
+        """Looks whether the run still gets on."""
+
+
+class RequestPath:
+    """State of the request path of one node.
+
+    Attributes:
+      context: the node.
+      gate: where requests wait for their admission.
+      pool: runs the transfers to backend servers.
+    """
+
+    def __init__(self, *, context: RequestContext) -> None:
+        """Starts with no requests, for the running event loop.
+
+        Args:
+          context: the node.
+        """
+        self.context = context
+        self.gate = AdmissionGate(context=context)
+        self.pool = TransferPool()
+        self._runs: set[Run] = set()
+        self._tasks: set[asyncio.Task[Any]] = set()
+        self._sweeping = False
+        self._sequence = 0
+        name = f"{context.node_id}-{context.incarnation}"
+        self._id_start = _UNSAFE.sub("_", name)
+
+    @property
+    def in_flight(self) -> int:
+        """Number of requests in progress."""
+        return len(self._runs)
+
+    def make_request_id(self) -> str:
+        """Returns an identity that no other request of any node has."""
+        self._sequence += 1
+        return f"{self._id_start}-{self._sequence}"
+
+    def add_run(self, run: Run) -> None:
+        """Looks after a run until it is removed."""
+        self._runs.add(run)
+        self._sweep_later()
+
+    def remove_run(self, run: Run) -> None:
+        """Stops looking after a run."""
+        self._runs.discard(run)
+
+    def start_task(self, work: Coroutine[Any, Any, Any]) -> None:
+        """Runs something that nobody waits for."""
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def cancel_attempt(self, address: str, attempt: str) -> None:
+        """Asks an engine to stop an attempt that nobody wants any more."""
+        self.start_task(self.context.engine.cancel(address, attempt))
+
+    def serves(self, endpoint: Endpoint, model: str, adapter: str) -> bool:
+        """Tells whether a group may still serve under the same fence."""
+        now = self.context.now()
+        serving = self.context.endpoints(model, adapter, now)
+        return any(
+            other.group == endpoint.group and other.fence == endpoint.fence
+            for other in serving
+        )
+
+    def close(self) -> None:
+        """Closes all connections to backend servers."""
+        self.pool.close()
+
+    def _sweep_later(self) -> None:
+        if not self._sweeping:
+            self._sweeping = True
+            loop = asyncio.get_running_loop()
+            loop.call_later(SWEEP_INTERVAL_S, self._sweep)
+
+    def _sweep(self) -> None:
+        """Looks at all requests in progress."""
+        self._sweeping = False
+        now = self.context.now()
+        self.gate.sweep(now)
+        for run in list(self._runs):
+            run.check(now)
+        if self._runs:
+            self._sweep_later()
--- a/chervilrock/edges/relay.py
+++ b/chervilrock/edges/relay.py
@@ -143,6 +143,11 @@
             self._curl = None
         return self._end("abandoned" if self._abandoned else "")
 
+    @property
+    def paused(self) -> bool:
+        """Whether the answer is not read for now."""
+        return self._paused
+
     def pause(self) -> None:
         """Stops reading from the backend server until `resume`."""
         self._paused = True
--- /dev/null
+++ b/chervilrock/edges/sinks.py
@@ -0,0 +1,220 @@
+"""Where the answer to a request goes.
+
+A run writes its answer to a sink. The sink of a caller that reads slowly
+holds back the transfer from the backend server.
+"""
+
+import abc
+import asyncio
+from collections.abc import Callable
+from typing import NamedTuple
+
+from tornado import web
+from tornado.http1connection import HTTP1Connection
+from tornado.iostream import IOStream
+
+from chervilrock.edges import errors
+from chervilrock.edges.relay import Transfer
+
+MAX_UNSENT_BYTES = 256 * 1024
+"""Bytes that wait for a slow caller before its transfer is held back."""
+
+Headers = tuple[tuple[str, str], ...]
+
+
+class AnswerHead(NamedTuple):
+    """Status and headers of an answer to a caller.
+
+    Attributes:
+      status: HTTP status.
+      reason: reason of the status, None for that of the standard.
+      headers: names and values of the headers.
+      events: whether the body is a stream of events.
+    """
+
+    status: int
+    reason: str | None
+    headers: Headers
+    events: bool
+
+
+class AnswerSink(abc.ABC):
+    """Takes one answer: head, data, and an end.
+
+    Attributes:
+      started: whether the head was taken, so that no other can follow.
+    """
+
+    started = False
+
+    @abc.abstractmethod
+    def start(self, head: AnswerHead) -> None:
+        """Takes the head of the answer."""
+
+    @abc.abstractmethod
+    def write(self, data: bytes) -> None:
+        """Takes bytes of the body."""
+
+    @abc.abstractmethod
+    def finish(self) -> None:
+        """Ends the answer as a whole one."""
+
+    @abc.abstractmethod
+    def fail(self, error: errors.CallerError, *, may_repeat: bool) -> None:
+        """Ends the answer with an error.
+
+        Args:
+          error: the error.
+          may_repeat: whether the request may run a second time.
+        """
+
+    @abc.abstractmethod
+    def attach(self, transfer: Transfer | None) -> None:
+        """Names the transfer to hold back while too much is unsent."""
+
+
+def get_stream(handler: web.RequestHandler) -> IOStream:
+    """Returns the stream of the connection of a caller."""
+    connection = handler.request.connection
+    assert isinstance(connection, HTTP1Connection)
+    return connection.stream
+
+
+class CallerSink(AnswerSink):
+    """Writes the answer to the connection of a caller.
+
+    Attributes:
+      blocked_since: time since which the caller reads too slowly, None when
+        it does not.
+    """
+
+    def __init__(
+        self,
+        *,
+        handler: web.RequestHandler,
+        request_id: str,
+        now: Callable[[], float],
+    ) -> None:
+        """Makes a sink for one answer.
+
+        Args:
+          handler: handler of the request.
+          request_id: identity of the request.
+          now: gives the present time in seconds.
+        """
+        self._handler = handler
+        self._stream = get_stream(handler)
+        self._request_id = request_id
+        self._now = now
+        self._transfer: Transfer | None = None
+        self._events = False
+        self._unsent = 0
+        self._watching = False
+        self._closed = False
+        self._ended: asyncio.Future[None] | None = None
+        self.blocked_since: float | None = None
+
+    def start(self, head: AnswerHead) -> None:
+        """See base class."""
+        if self._closed:
+            return
+        self.started = True
+        self._events = head.events
+        self._handler.set_status(head.status, head.reason)
+        self._handler.clear_header("Content-Type")
+        for name, value in head.headers:
+            self._handler.add_header(name, value)
+        if head.events:
+            # Each event has to leave at once.
+            self._stream.set_nodelay(True)
+
+    def write(self, data: bytes) -> None:
+        """See base class."""
+        if self._closed:
+            return
+        self._handler.write(data)
+        flushed = self._handler.flush()
+        if not flushed.done():
+            self._count_unsent(len(data), flushed)
+        elif flushed.exception() is not None:
+            self.close()
+
+    def finish(self) -> None:
+        """See base class."""
+        if not self._closed:
+            self._closed = True
+            self._ended = self._handler.finish()
+
+    def fail(self, error: errors.CallerError, *, may_repeat: bool) -> None:
+        """See base class."""
+        if self._closed:
+            return
+        if not self.started:
+            self._fail_early(error, may_repeat)
+        elif self._events:
+            self.write(errors.make_event(error, self._request_id))
+            self.finish()
+        else:
+            self.cut()
+
+    def cut(self) -> None:
+        """Closes the connection, so that the caller sees a broken answer."""
+        self._closed = True
+        self._stream.close()
+
+    async def drain(self, timeout_s: float) -> None:
+        """Waits until the caller has all of its answer.
+
+        Args:
+          timeout_s: time in seconds after which the connection is closed.
+        """
+        if self._ended is None:
+            return
+        await asyncio.wait({self._ended}, timeout=timeout_s)
+        if not self._ended.done():
+            self.cut()
+
+    def close(self) -> None:
+        """Takes note that the caller is gone."""
+        self._closed = True
+
+    def attach(self, transfer: Transfer | None) -> None:
+        """See base class."""
+        self._transfer = transfer
+        if transfer is not None and self.blocked_since is not None:
+            transfer.pause()
+
+    def _count_unsent(self, size: int, flushed: "asyncio.Future[None]") -> None:
+        """Holds the transfer back once too much waits for the caller."""
+        self._unsent += size
+        if not self._watching:
+            self._watching = True
+            flushed.add_done_callback(self._note_flushed)
+        if self._unsent > MAX_UNSENT_BYTES and self.blocked_since is None:
+            self.blocked_since = self._now()
+            if self._transfer is not None:
+                self._transfer.pause()
+
+    def _note_flushed(self, flushed: "asyncio.Future[None]") -> None:
+        """Goes on with the transfer once all is written."""
+        self._watching = False
+        if flushed.exception() is not None:
+            self.close()
+        elif self._stream.writing():
+            if not self._closed:
+                self._watching = True
+                self._handler.flush().add_done_callback(self._note_flushed)
+        else:
+            self._unsent = 0
+            self.blocked_since = None
+            if self._transfer is not None:
+                self._transfer.resume()
+
+    def _fail_early(self, error: errors.CallerError, may_repeat: bool) -> None:
+        self.started = True
+        self._closed = True
+        self._handler.set_status(error.status)
+        for name, value in errors.make_headers(error, may_repeat=may_repeat):
+            self._handler.set_header(name, value)
+        body = errors.make_body(error, self._request_id)
+        self._ended = self._handler.finish(body)
