--- a/chervilrock/decisions/control/loading.py
+++ b/chervilrock/decisions/control/loading.py
@@ -11,7 +11,6 @@
 )
 from chervilrock.decisions.ownership import Group
 from chervilrock.decisions.shards import holds_rank, order_load
-from chervilrock.generated.interfaces import EnginePhase
 from chervilrock.generated.records import (
     GroupPhase,
     GroupPhaseChanged,
@@ -104,18 +103,10 @@
     key = ("group", group.name)
     value = (group.fence, group.phase)
     since = context.progress.stable_since(key, value, context.now)
-    lost = False
-    for rank, host in enumerate(group.hosts):
-        evidence = context.find_evidence(host)
-        if evidence is None or evidence.sent_at <= since:
-            return False
-        held = holds_rank(evidence.shard, group, rank)
-        ready = held and evidence.phase == EnginePhase.READY
-        if group.incarnations:
-            same = evidence.incarnation == group.incarnations[rank]
-            ready = ready and same
-        lost = lost or not ready
-    return lost
+    found = [context.find_evidence(host) for host in group.hosts]
+    if any(one is None or one.sent_at <= since for one in found):
+        return False
+    return not context.is_whole(group)
 
 
 def _load_host(
--- a/chervilrock/decisions/control/release.py
+++ b/chervilrock/decisions/control/release.py
@@ -52,6 +52,27 @@
             yield from _unload(context, host, ownership)
 
 
+def empty_strays(context: ControlContext) -> Iterator[Effect]:
+    """Yield orders to unload free hosts that hold something all the same.
+
+    Only an engine that does not check numbers needs this; any other one is
+    emptied by its next order to load.
+    """
+    if context.now < context.quiet_at:
+        return
+    claimed = context.progress.find_claimed(context.now)
+    for host in context.hosts:
+        evidence = context.find_evidence(host)
+        if evidence is None or evidence.shard is None:
+            continue
+        if host in claimed or not context.region.is_free(host):
+            continue
+        if not context.checks_fence(host):
+            shard = evidence.shard
+            ownership = Ownership(shard["group"], 0, revoked=shard["fence"])
+            yield from _unload(context, host, ownership)
+
+
 def is_proved_empty(
     context: ControlContext, host: str, ownership: Ownership
 ) -> bool:
--- a/chervilrock/decisions/control/requests.py
+++ b/chervilrock/decisions/control/requests.py
@@ -134,6 +134,8 @@
         return
     if set(action.hosts) == set(group.hosts):
         return
+    if context.presence.compose_reserve(group, context.now) is not None:
+        return
     yield from repair(context, group, action.hosts, action.domain)
 
 
--- a/chervilrock/decisions/controller.py
+++ b/chervilrock/decisions/controller.py
@@ -19,7 +19,11 @@
     reload_restarted,
 )
 from chervilrock.decisions.control.progress import Progress
-from chervilrock.decisions.control.release import clear_hosts, release_hosts
+from chervilrock.decisions.control.release import (
+    clear_hosts,
+    empty_strays,
+    release_hosts,
+)
 from chervilrock.decisions.control.requests import perform_actions
 from chervilrock.decisions.control.rollout import (
     choose_drains,
@@ -97,6 +101,7 @@
         yield from change_phase(context, group, GroupPhase.DRAINING)
     yield from release_hosts(context)
     yield from clear_hosts(context)
+    yield from empty_strays(context)
     yield from perform_actions(context)
     yield from grant_spares(context)
 
--- a/chervilrock/decisions/presence.py
+++ b/chervilrock/decisions/presence.py
@@ -128,6 +128,10 @@
             for rank in range(len(group.hosts))
         )
 
+    def is_ready(self, group: Group, rank: int, now: float) -> bool:
+        """Return whether the host of one rank is present and ready."""
+        return self._is_ready(group, rank, now, self.limit)
+
     def servable(self, region: RegionState, now: float) -> tuple[Group, ...]:
         """Return the groups that may serve now.
 
