Test that the stand-ins keep their protocol

Cause: other tests rely on the stand-ins. Figures: three calls on reused connections that the server closes ran five times; with fresh connections, and with the guard, three times. Conclusion: a call that must not run twice needs the guard or a fresh connection.

--- a/chervilrock/platform/http.py
+++ b/chervilrock/platform/http.py
@@ -1,6 +1,6 @@
 """Clients of the platform and of model engines over HTTP with JSON."""
 
-from typing import TypedDict, TypeVar
+from typing import TypedDict
 from urllib.parse import quote
 
 import msgspec
@@ -18,6 +18,8 @@
 from chervilrock.platform.errors import PlatformError, PlatformErrorKind
 from chervilrock.platform.httpclient import (
     check_status,
+    decode,
+    decode_success,
     HttpAnswer,
     HttpClient,
 )
@@ -29,8 +31,6 @@
 _STATUS_CONFLICT = 409
 _STATUS_NOT_FOUND = 404
 
-_T = TypeVar("_T")
-
 
 class _LogReadBody(TypedDict):
     records: tuple[StoredRecord, ...]
@@ -52,21 +52,6 @@
 _ATTEMPT_DECODER = msgspec.json.Decoder(_AttemptBody)
 
 
-def _decode(
-    decoder: msgspec.json.Decoder[_T], answer: HttpAnswer
-) -> Result[_T, PlatformError]:
-    try:
-        return Success(decoder.decode(answer.body))
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        return Failure(PlatformError(PlatformErrorKind.BAD_ANSWER, str(error)))
-
-
-def _decode_success(
-    decoder: msgspec.json.Decoder[_T], answer: HttpAnswer
-) -> Result[_T, PlatformError]:
-    return check_status(answer).bind(lambda good: _decode(decoder, good))
-
-
 class HttpLogService(base.LogService):
     """Client of the log service."""
 
@@ -104,7 +89,7 @@
             send_once=True,
         )
         return result.bind(
-            lambda answer: _decode_success(_APPENDED_DECODER, answer)
+            lambda answer: decode_success(_APPENDED_DECODER, answer)
         ).bind(lambda appended: _check_offsets(appended, len(records)))
 
     async def read(
@@ -118,7 +103,7 @@
             timeout_s=self._timeout_s + wait_ms / _MS_PER_S,
         )
         return result.bind(
-            lambda answer: _decode_success(_PAGE_DECODER, answer)
+            lambda answer: decode_success(_PAGE_DECODER, answer)
         ).bind(lambda page: _check_page(page, start))
 
 
@@ -171,7 +156,7 @@
             "GET", self._url, timeout_s=self._timeout_s
         )
         return result.bind(
-            lambda answer: _decode_success(_HOST_LIST_DECODER, answer)
+            lambda answer: decode_success(_HOST_LIST_DECODER, answer)
         )
 
 
@@ -204,7 +189,7 @@
             "GET", self._url, timeout_s=self._timeout_s
         )
         return result.bind(
-            lambda answer: _decode_success(_CATALOGUE_DECODER, answer)
+            lambda answer: decode_success(_CATALOGUE_DECODER, answer)
         )
 
 
@@ -250,7 +235,7 @@
         """See base class."""
         result = await self._request("GET", address, "state")
         return result.bind(
-            lambda answer: _decode_success(_STATE_DECODER, answer)
+            lambda answer: decode_success(_STATE_DECODER, answer)
         )
 
     async def read_load(
@@ -258,9 +243,7 @@
     ) -> Result[EngineLoad, PlatformError]:
         """See base class."""
         result = await self._request("GET", address, "load")
-        return result.bind(
-            lambda answer: _decode_success(_LOAD_DECODER, answer)
-        )
+        return result.bind(lambda answer: decode_success(_LOAD_DECODER, answer))
 
     async def read_events(
         self, address: str, start: int
@@ -268,7 +251,7 @@
         """See base class."""
         result = await self._request("GET", address, f"events?from={start}")
         return result.bind(
-            lambda answer: _decode_success(_EVENTS_DECODER, answer)
+            lambda answer: decode_success(_EVENTS_DECODER, answer)
         )
 
     async def cancel(
@@ -286,7 +269,7 @@
         path = f"attempts/{quote(attempt, safe='')}"
         result = await self._request("GET", address, path)
         return result.bind(
-            lambda answer: _decode_success(_ATTEMPT_DECODER, answer)
+            lambda answer: decode_success(_ATTEMPT_DECODER, answer)
         ).map(lambda body: body["phase"])
 
 
@@ -294,10 +277,10 @@
     answer: HttpAnswer,
 ) -> Result[base.OrderAnswer, PlatformError]:
     if answer.status == _STATUS_CONFLICT:
-        return _decode(_STATE_DECODER, answer).map(
+        return decode(_STATE_DECODER, answer).map(
             lambda state: base.OrderAnswer(False, state)
         )
-    return _decode_success(_STATE_DECODER, answer).map(
+    return decode_success(_STATE_DECODER, answer).map(
         lambda state: base.OrderAnswer(True, state)
     )
 
--- a/chervilrock/platform/httpclient.py
+++ b/chervilrock/platform/httpclient.py
@@ -4,8 +4,9 @@
 side: libcurl calls back once a connection stands and right before it sends.
 """
 
-from typing import NamedTuple
+from typing import NamedTuple, TypeVar
 
+import msgspec
 import pycurl
 from returns.result import Failure, Result, Success
 from tornado.curl_httpclient import CurlAsyncHTTPClient, CurlError
@@ -25,6 +26,8 @@
 _SERVER_ERRORS = range(500, 600)
 _SUCCESSES = range(200, 300)
 
+_T = TypeVar("_T")
+
 
 class HttpAnswer(NamedTuple):
     """A whole HTTP answer, whatever its status.
@@ -170,3 +173,20 @@
     if answer.status in _SERVER_ERRORS:
         return PlatformErrorKind.OUTAGE
     return PlatformErrorKind.BAD_ANSWER
+
+
+def decode(
+    decoder: msgspec.json.Decoder[_T], answer: HttpAnswer
+) -> Result[_T, PlatformError]:
+    """Decodes the body of an answer; a bad body is an error."""
+    try:
+        return Success(decoder.decode(answer.body))
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return Failure(PlatformError(PlatformErrorKind.BAD_ANSWER, str(error)))
+
+
+def decode_success(
+    decoder: msgspec.json.Decoder[_T], answer: HttpAnswer
+) -> Result[_T, PlatformError]:
+    """Decodes the body of an answer with success."""
+    return check_status(answer).bind(lambda good: decode(decoder, good))
--- /dev/null
+++ b/test/standin/calls.py
@@ -0,0 +1,111 @@
+"""Calls to stand-ins, for tests."""
+
+import asyncio
+from collections.abc import Callable, Iterable
+import functools
+from typing import Any, NamedTuple
+
+import msgspec
+import pycurl
+from tornado.curl_httpclient import CurlAsyncHTTPClient
+from tornado.httpclient import HTTPClientError, HTTPRequest
+from tornado.httputil import HTTPHeaders
+
+from chervilrock.generated.interfaces import EnginePhase, EngineShard
+from chervilrock.standin.answers import Answer, CompletionRequest
+from chervilrock.standin.engine import EngineStandIn
+
+GROUP_SIZE = 3
+HEADERS = {"X-Fence": "7", "X-Request-Id": "r1", "X-Attempt-Id": "a1"}
+
+Prepare = Callable[[pycurl.Curl], None] | None
+
+
+class Call(NamedTuple):
+    """What a caller got.
+
+    Attributes:
+      status: status code, 0 when the headers did not arrive.
+      whole: whether the answer arrived as a whole.
+    """
+
+    status: int
+    headers: HTTPHeaders
+    body: bytes
+    whole: bool
+
+
+async def call(
+    client: CurlAsyncHTTPClient,
+    url: str,
+    *,
+    method: str = "POST",
+    body: Any = None,
+    headers: dict[str, str] | None = None,
+    on_chunk: Callable[[bytes], None] | None = None,
+    prepare: Prepare = None,
+) -> Call:
+    chunks: list[bytes] = []
+    lines: list[str] = []
+    request = HTTPRequest(
+        url,
+        method=method,
+        headers=headers,
+        body=None if body is None else msgspec.json.encode(body),
+        request_timeout=30.0,
+        streaming_callback=functools.partial(_take, chunks, on_chunk),
+        header_callback=lines.append,
+        prepare_curl_callback=prepare,
+    )
+    try:
+        response = await client.fetch(request, raise_error=False)
+    except HTTPClientError:
+        status = int(lines[0].split()[1]) if lines else 0
+        return Call(status, HTTPHeaders(), b"".join(chunks), False)
+    return Call(response.code, response.headers, b"".join(chunks), True)
+
+
+def _take(
+    chunks: list[bytes], on_chunk: Callable[[bytes], None] | None, chunk: bytes
+) -> None:
+    chunks.append(chunk)
+    if on_chunk is not None:
+        on_chunk(chunk)
+
+
+async def make_client() -> CurlAsyncHTTPClient:
+    return CurlAsyncHTTPClient(force_instance=True, max_clients=16)
+
+
+def make_body(**members: Any) -> dict[str, Any]:
+    return {"model": "m", "prompt": "hello", "max_tokens": 6} | members
+
+
+def make_answer(body: dict[str, Any], request_id: str = "r1") -> Answer:
+    request = msgspec.convert(body, CompletionRequest)
+    return Answer(request_id=request_id, body=request, chat="messages" in body)
+
+
+def list_events(answer: Answer, start: int = 0) -> bytes:
+    """Returns the whole stream after an event."""
+    numbers = range(start + 1, answer.event_count + 2)
+    return b"".join(answer.format_event(number) for number in numbers)
+
+
+async def wait_ready(engines: Iterable[EngineStandIn]) -> None:
+    for engine in engines:
+        while engine.shards.phase is not EnginePhase.READY:
+            await asyncio.sleep(0)
+
+
+def make_shard(rank: int, leader: str) -> EngineShard:
+    return EngineShard(
+        group="g",
+        fence=7,
+        model="m",
+        version="1",
+        adapters=("a",),
+        rank=rank,
+        size=GROUP_SIZE,
+        leader=leader,
+    )
--- /dev/null
+++ b/test/standin/test_second_send.py
@@ -0,0 +1,78 @@
+"""How often a request runs when its reused connection is closed."""
+
+import functools
+
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals
+
+from chervilrock.platform.sendguard import SendGuard
+from chervilrock.standin.faults import FaultKind
+from chervilrock.standin.service import ServiceStandIn
+from test.standin.calls import call, make_client
+
+CALLS = 3
+
+
+@pytest.fixture
+def service(runner):
+    service = ServiceStandIn()
+    runner.run(service.start())
+    service.faults.add({"kind": FaultKind.CLOSE_REUSED})
+    yield service
+    runner.run(service.stop())
+
+
+@pytest.fixture
+def post(runner, service):
+    """Posts the calls one after the other; returns how many were answered."""
+    client = runner.run(make_client())
+
+    async def post_all(make_guard) -> int:
+        answered = 0
+        for number in range(CALLS):
+            guard = make_guard()
+            got = await call(
+                client,
+                f"http://{service.address}/filings",
+                body={},
+                headers={"X-Request-Id": f"r{number}"},
+                prepare=guard.prepare,
+            )
+            answered += got.whole
+        return answered
+
+    yield lambda make_guard: runner.run(post_all(make_guard))
+    client.close()
+
+
+def test_reused_connection_sends_twice_in_silence(post, service):
+    answered = post(functools.partial(SendGuard, once=False))
+    assert_that(answered, Equals(CALLS))
+    assert_that(service.executions, Equals({"r0": 1, "r1": 2, "r2": 2}))
+
+
+def test_fresh_connection_sends_once(post, service):
+    answered = post(functools.partial(SendGuard, once=False, fresh=True))
+    assert_that(answered, Equals(CALLS))
+    assert_that(service.executions, Equals({"r0": 1, "r1": 1, "r2": 1}))
+
+
+def test_guard_stops_the_second_send(post, service):
+    answered = post(functools.partial(SendGuard, once=True))
+    assert_that(answered, Equals(CALLS - 1))
+    assert_that(service.executions, Equals({"r0": 1, "r1": 1, "r2": 1}))
+
+
+def test_fresh_connection_with_the_guard_sends_once(post, service):
+    answered = post(functools.partial(SendGuard, once=True, fresh=True))
+    assert_that(answered, Equals(CALLS))
+    assert_that(service.executions, Equals({"r0": 1, "r1": 1, "r2": 1}))
+
+
+def test_guard_tells_that_nothing_was_sent(runner, service, post):
+    guard = SendGuard(once=True)
+    service.kill()
+    post(lambda: guard)
+    assert_that(guard.sent, Equals(False))
+    assert_that(service.executions.total(), Equals(0))
