--- a/tools/check_binary.py
+++ b/tools/check_binary.py
@@ -19,7 +19,7 @@
 import typer
 
 UNWRITABLE = "/proc"
-LONG_COMMAND = ["stand-in", "platform", "--port", "0"]
+LONG_COMMAND = ["stand-in", "platform", "--listen", "127.0.0.1:0"]
 SHORT_COMMANDS = (["--version"], ["serve", "--help"])
 TIMEOUT_SECONDS = 30.0
 WATCH_SECONDS = 3.0
