--- a/chervilrock/catalogue.py
+++ b/chervilrock/catalogue.py
@@ -72,12 +72,12 @@
     LOG_TRIMMED = EventSpec(
         2003,
         Level.WARNING,
-        "log stream {stream} starts at {first_offset}; {wanted} was wanted",
+        "log stream {stream} starts at {first}; {offset} was wanted",
     )
     SNAPSHOT_WRITTEN = EventSpec(
         2004,
         Level.INFO,
-        "snapshot {snapshot} of stream {stream} holds all up to {upto}",
+        "snapshot of stream {stream} up to {upto} has {parts} parts",
     )
     CONFIGURATION_IN_FORCE = EventSpec(
         3001,
--- a/chervilrock/ui/application.py
+++ b/chervilrock/ui/application.py
@@ -5,15 +5,18 @@
 """
 
 import asyncio
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 import getpass
+import importlib
+import inspect
 import os
 import pathlib
-from typing import Annotated
+from typing import Annotated, Any
 
 import typer
 
 import chervilrock
+from chervilrock.ui.check import check
 from chervilrock.ui.options import (
     AddressArgument,
     DEFAULT_NODE,
@@ -47,13 +50,6 @@
   4  accepted, but not in force on every live node in time
   5  a node cannot be reached
 """
-APPLY_EPILOG = """\
-\b
-Examples:
-  chervilrock apply installation.yaml --wait
-  chervilrock apply installation.yaml --base 41 --operator asha
-"""
-
 app = typer.Typer(
     name=PROGRAM,
     add_completion=False,
@@ -62,7 +58,6 @@
     rich_markup_mode=None,
     epilog=EPILOG,
 )
-app.add_typer(standin_app, name="stand-in")
 
 
 def run(arguments: Sequence[str]) -> int:
@@ -101,7 +96,6 @@
     """
 
 
-@app.command(context_settings=PASS_THROUGH, add_help_option=False)
 def serve(context: typer.Context) -> None:
     """Run an entry node. Its settings: chervilrock serve --help."""
     from chervilrock.ui.serve import serve as run_serve
@@ -109,13 +103,10 @@
     raise typer.Exit(run_serve(context.args, os.environ))
 
 
-@app.command(epilog=APPLY_EPILOG)
 def apply(
     file: Annotated[
         pathlib.Path,
-        typer.Argument(
-            metavar="FILE", exists=True, dir_okay=False, help="YAML file."
-        ),
+        typer.Argument(metavar="FILE", help="YAML file."),
     ],
     node: NodeOption = DEFAULT_NODE,
     wait: Annotated[
@@ -144,10 +135,15 @@
     ] = "",
     as_json: JsonOption = False,
 ) -> None:
-    """Check a configuration file and put it in force as a whole.
+    r"""Check a configuration file and put it in force as a whole.
 
     When somebody else applied one meanwhile, nothing changes: the command
     tells who it was and ends with exit code 3.
+
+    \b
+    Examples:
+      chervilrock apply installation.yaml --wait
+      chervilrock apply installation.yaml --base 41 --operator asha
     """
     from chervilrock.ui.apply import apply_file, ApplyOptions
 
@@ -161,7 +157,6 @@
     raise typer.Exit(asyncio.run(apply_file(file, options)))
 
 
-@app.command()
 def status(
     node: NodeOption = DEFAULT_NODE, as_json: JsonOption = False
 ) -> None:
@@ -171,7 +166,6 @@
     raise typer.Exit(asyncio.run(show_status(address=node, as_json=as_json)))
 
 
-@app.command()
 def dump(
     address: AddressArgument,
 ) -> None:
@@ -179,3 +173,25 @@
     from chervilrock.ui.status import dump_state
 
     raise typer.Exit(asyncio.run(dump_state(address=address)))
+
+
+def demo() -> None:
+    """Run a whole installation on this machine and check its promises."""
+    module = importlib.import_module("chervilrock.ui.demo")
+    raise typer.Exit(module.run_demo())
+
+
+def add_command(function: Callable[..., None], **settings: Any) -> None:
+    r"""Adds a command with the help in the docstring of its function.
+
+    Docstrings are raw and hold `\b` as two characters, for the one character
+    by which typer knows a paragraph that keeps its lines.
+    """
+    text = inspect.getdoc(function) or ""
+    app.command(help=text.replace(r"\b", "\b"), **settings)(function)
+
+
+add_command(serve, context_settings=PASS_THROUGH, add_help_option=False)
+for command in (check, apply, status, dump, demo):
+    add_command(command)
+app.add_typer(standin_app, name="stand-in")
--- a/chervilrock/ui/apply.py
+++ b/chervilrock/ui/apply.py
@@ -8,6 +8,7 @@
 from returns.result import Failure
 
 from chervilrock.configuration.check import check
+from chervilrock.configuration.source import MAX_BYTES
 from chervilrock.generated.configuration import Configuration
 from chervilrock.generated.interfaces import NodePhase
 from chervilrock.generated.operators import (
@@ -16,6 +17,7 @@
     StatusAnswer,
 )
 from chervilrock.platform.httpclient import HttpClient
+from chervilrock.ui.check import InputError, read_bytes, render_name
 from chervilrock.ui.client import ClientError, OperatorClient
 from chervilrock.ui.codes import ExitCode
 from chervilrock.ui.output import (
@@ -61,8 +63,13 @@
 
 async def apply_file(file: pathlib.Path, options: ApplyOptions) -> ExitCode:
     """Applies a file and prints what became of it."""
+    try:
+        text = read_bytes(file, MAX_BYTES + 1)
+    except InputError as error:
+        print_error(str(error))
+        return ExitCode.USAGE
     document, findings = check(
-        file.read_bytes(), str(file), hosts=None, weights=None
+        text, render_name(file), hosts=None, weights=None
     )
     if document is None:
         print_findings(findings)
--- a/chervilrock/ui/standin.py
+++ b/chervilrock/ui/standin.py
@@ -7,6 +7,7 @@
 
 import typer
 
+from chervilrock.ui.check import InputError
 from chervilrock.ui.codes import ExitCode
 from chervilrock.ui.options import check_address, NUMBER, TEXT
 from chervilrock.ui.output import print_error
@@ -46,13 +47,13 @@
     The file of hosts is a body of GET /hosts, that of weights a body of
     GET /weights; docs/interfaces.md describes both.
     """
-    from chervilrock.ui.platform_files import load_platform, PlatformFileError
+    from chervilrock.ui.platform_files import load_platform
 
     try:
         standin = load_platform(hosts, weights)
-    except PlatformFileError as error:
+    except InputError as error:
         print_error(str(error))
-        raise typer.Exit(ExitCode.FINDINGS) from None
+        raise typer.Exit(ExitCode.USAGE) from None
     run_standin(lambda: standin, listen)
 
 
