--- a/chervilrock/edges/handlers.py
+++ b/chervilrock/edges/handlers.py
@@ -42,12 +42,17 @@
     def initialize(self, path: RequestPath) -> None:
         """Takes the request path of the node."""
         self.path = path
+        self.request_id = path.make_request_id()
+        self.set_default_headers()
 
     def set_default_headers(self) -> None:
-        """Sets the headers of every answer."""
+        """Sets the headers of every answer.
+
+        The library calls it once before `initialize`.
+        """
         self.clear_header("Server")
         if not self.request_id:
-            self.request_id = self.path.make_request_id()
+            return
         self.set_header("X-Request-Id", self.request_id)
         self.set_header("X-Node", self.path.context.node_id)
 
