--- a/chervilrock/catalogue.py
+++ b/chervilrock/catalogue.py
@@ -72,12 +72,12 @@
     LOG_TRIMMED = EventSpec(
         2003,
         Level.WARNING,
-        "log stream {stream} starts at {first}; {offset} was wanted",
+        "log stream {stream} starts at {first_offset}; {wanted} was wanted",
     )
     SNAPSHOT_WRITTEN = EventSpec(
         2004,
         Level.INFO,
-        "snapshot of stream {stream} up to {upto} has {parts} parts",
+        "snapshot {snapshot} of stream {stream} holds all up to {upto}",
     )
     CONFIGURATION_IN_FORCE = EventSpec(
         3001,
