Use only engines that kept their number while the log is out

Cause: an engine that restarts forgets the greatest fencing number it has seen, so a controller cut off from the log could load a spare that was given to another group since. Change: the grant of spares names the incarnation of each; a member or spare in another incarnation is not used. A host is released only when no order to load can be under way, also when its engine checks numbers.

--- a/chervilrock/decisions/control/loading.py
+++ b/chervilrock/decisions/control/loading.py
@@ -59,7 +59,7 @@
 def load_group(context: ControlContext, group: Group) -> Iterator[Effect]:
     """Yield the orders of a loading group, or the record that it serves."""
     if context.is_whole(group):
-        incarnations = context.presence.incarnations(group)
+        incarnations = context.presence.find_incarnations(group.hosts)
         yield from change_phase(
             context, group, GroupPhase.SERVING, incarnations
         )
@@ -82,7 +82,7 @@
     yield from repair(
         context, group, repaired.hosts, domain, reserve=group.reserve
     )
-    incarnations = context.presence.incarnations(repaired)
+    incarnations = context.presence.find_incarnations(repaired.hosts)
     yield from change_phase(context, repaired, GroupPhase.SERVING, incarnations)
 
 
--- a/chervilrock/decisions/control/release.py
+++ b/chervilrock/decisions/control/release.py
@@ -2,11 +2,12 @@
 
 An engine that refuses old fencing numbers is proved empty when it shows that
 it is empty and has seen the number of the record that ended its use: no order
-of an earlier owner can take effect after that. For any other engine a number
-proves nothing. It is proved empty by an order to unload that was sent when
-the leases of all earlier controllers were surely over and no order to load
-could be under way, that the engine confirmed, and that was followed by a
-probe which shows it empty.
+of an earlier owner takes effect after that. An engine forgets that number when
+it restarts, so the host is released only when no order to load can be under
+way any more. For any other engine a number proves nothing. It is proved empty
+by an order to unload that was sent when the leases of all earlier controllers
+were surely over and no order to load could be under way, that the engine
+confirmed, and that was followed by a probe which shows it empty.
 """
 
 from collections.abc import Iterator
@@ -80,10 +81,12 @@
     evidence = context.find_evidence(host)
     if evidence is None or not _is_empty(evidence):
         return False
+    quiet_at = find_quiet(context, host)
     if context.checks_fence(host):
-        return evidence.fence >= ownership.revoked
+        seen = evidence.fence >= ownership.revoked
+        return seen and context.now >= quiet_at
     unloaded_at = context.progress.find_unload(host)
-    if unloaded_at is None or unloaded_at < find_quiet(context, host):
+    if unloaded_at is None or unloaded_at < quiet_at:
         return False
     return evidence.sent_at > unloaded_at
 
--- a/chervilrock/decisions/control/spares.py
+++ b/chervilrock/decisions/control/spares.py
@@ -1,8 +1,8 @@
 """Spares that are granted ahead, for a repair while the log is out.
 
-A serving group whose engines all refuse old fencing numbers gets a reserve
-fencing number, and free hosts of its fabric domain as far as its model wants
-spares. When the planner wants such a host for a group, it is taken back.
+A serving group whose engines all refuse old fencing numbers gets free hosts of
+its fabric domain, as far as its model wants spares, and a reserve fencing
+number to load them with. When the planner wants such a host, it is taken back.
 """
 
 from collections.abc import Iterator, Sequence
@@ -16,15 +16,17 @@
 
 
 def grant_spares(context: ControlContext) -> Iterator[AppendRecord]:
-    """Yield a grant for each serving group that lacks a number or a spare."""
+    """Yield a grant for each serving group that lacks a spare."""
     wanted = _find_wanted(context)
     taken: set[str] = set()
+    if not any(spec.get("spares", 0) for spec in context.models.values()):
+        return
     for group in context.region.groups.values():
         if not _may_hold(context, group):
             continue
         spares = _choose(context, group, wanted | taken)
         taken.update(spares)
-        if group.reserve and len(spares) <= len(group.spares):
+        if spares == group.spares and (group.reserve or not spares):
             continue
         yield from _grant(context, group, spares)
 
@@ -47,6 +49,7 @@
         group=group.name,
         fence=group.fence,
         spares=spares,
+        incarnations=context.presence.find_incarnations(spares),
     )
     if not context.progress.is_pending(body, context.now):
         yield append(body)
@@ -79,7 +82,8 @@
         for other in context.find_groups(group.model)
         if domains & _find_domains(context, other)
     )
-    found = list(group.spares)
+    found = [host for host in group.spares if _is_kept(context, group, host)]
+    held -= len(group.spares) - len(found)
     for host in sorted(context.hosts):
         if held >= limit:
             break
@@ -95,6 +99,17 @@
     return {entry["domain"] for entry in entries if entry is not None}
 
 
+def _is_kept(context: ControlContext, group: Group, host: str) -> bool:
+    """Return whether a spare of a group can still replace a host."""
+    entry = context.hosts.get(host)
+    since = context.presence.missing_since(host, context.now)
+    if entry is None or entry["leaving"]:
+        return False
+    if since is not None:
+        return context.now < since + context.timing.lost_after_s
+    return context.presence.is_unchanged(group, host, context.now)
+
+
 def _is_fit(context: ControlContext, host: str, domains: set[str]) -> bool:
     entry = context.hosts[host]
     if entry["domain"] not in domains or entry["leaving"]:
--- a/chervilrock/decisions/outage.py
+++ b/chervilrock/decisions/outage.py
@@ -10,7 +10,8 @@
 refuses all orders under the old one; and it is less than any number that
 another controller can get from now on, so the orders of that one win. This
 holds only for engines that refuse old numbers, hence every engine of the
-group must.
+group must. And it holds only while an engine remembers the numbers it has
+seen, hence no engine that was restarted since the grant is used.
 """
 
 from collections.abc import Iterable, Iterator, Mapping
@@ -117,7 +118,11 @@
         if chosen is None:
             return
         outage.progress.compositions[group.reserve] = chosen
-    repaired = group._replace(hosts=chosen, fence=group.reserve)
+    repaired = group._replace(
+        hosts=chosen,
+        fence=group.reserve,
+        incarnations=tuple(group.find_incarnation(host) for host in chosen),
+    )
     leader = outage.hosts.get(chosen[0])
     if leader is None:
         return
@@ -134,30 +139,27 @@
     spares = [host for host in group.spares if _is_fit(outage, host, group)]
     chosen: list[str] = []
     for host in group.hosts:
-        since = outage.presence.missing_since(host, outage.now)
-        if since is None:
+        if outage.presence.is_unchanged(group, host, outage.now):
             chosen.append(host)
-        elif outage.now < since + outage.timing.lost_after_s or not spares:
-            return None
-        else:
+        elif spares and _is_lost(outage, host):
             chosen.append(spares.pop(0))
-    if tuple(chosen) == group.hosts and not _is_restarted(outage, group):
-        return None
+        else:
+            return None
     return tuple(chosen)
 
 
-def _is_restarted(outage: _Outage, group: Group) -> bool:
-    """Return whether one of the engines, all present, lost its shard."""
-    return any(
-        not outage.presence.is_ready(group, rank, outage.now)
-        for rank in range(len(group.hosts))
-    )
+def _is_lost(outage: _Outage, host: str) -> bool:
+    """Return whether a host was restarted, or is missing for long enough."""
+    since = outage.presence.missing_since(host, outage.now)
+    return since is None or (outage.now >= since + outage.timing.lost_after_s)
 
 
 def _is_fit(outage: _Outage, host: str, group: Group) -> bool:
     evidence = outage.presence.find(host, outage.now)
     if evidence is None or not _is_fenced(outage, host):
         return False
+    if not outage.presence.is_unchanged(group, host, outage.now):
+        return False
     empty = evidence.phase == EnginePhase.EMPTY and evidence.shard is None
     return empty and evidence.fence < group.reserve
 
@@ -177,6 +179,8 @@
     evidence = outage.presence.find(host, outage.now)
     if entry is None or evidence is None or evidence.fence > group.fence:
         return
+    if not outage.presence.is_unchanged(group, host, outage.now):
+        return
     if holds_rank(evidence.shard, group, rank):
         return
     order = order_load(group, rank, leader)
--- a/chervilrock/decisions/ownership.py
+++ b/chervilrock/decisions/ownership.py
@@ -35,6 +35,7 @@
       spares: hosts reserved for a repair while the log is out
       reserve: fencing number for such a repair, 0 for none
       incarnations: engine incarnations by rank since it began to serve
+      spare_incarnations: engine incarnation of each spare when it was granted
     """
 
     name: str
@@ -49,6 +50,19 @@
     spares: tuple[str, ...] = ()
     reserve: int = 0
     incarnations: tuple[str, ...] = ()
+    spare_incarnations: tuple[str, ...] = ()
+
+    def find_incarnation(self, host: str) -> str:
+        """Return the incarnation on record of a member or a spare.
+
+        Returns:
+          An empty string when there is none on record.
+        """
+        hosts = (*self.hosts, *self.spares)
+        incarnations = (*self.incarnations, *self.spare_incarnations)
+        if len(hosts) != len(incarnations) or host not in hosts:
+            return ""
+        return incarnations[hosts.index(host)]
 
 
 class Ownership(NamedTuple):
--- a/chervilrock/decisions/presence.py
+++ b/chervilrock/decisions/presence.py
@@ -144,8 +144,8 @@
         """Return the group as ready under its reserve fencing number.
 
         Returns:
-          None unless exactly one host holds each rank under that number and
-          every engine of the group refuses old numbers.
+          None unless exactly one host holds each rank under that number, in
+          the incarnation on record, and each engine refuses old numbers.
         """
         if not group.reserve:
             return None
@@ -155,22 +155,32 @@
             shard = evidence.shard if evidence else None
             if shard is None or shard["fence"] != group.reserve:
                 continue
-            if shard["rank"] in ranks:
+            unchanged = self.is_unchanged(group, host, now)
+            if shard["rank"] in ranks or not unchanged:
                 return None
             ranks[shard["rank"]] = host
         if sorted(ranks) != list(range(len(group.hosts))):
             return None
         hosts = tuple(ranks[rank] for rank in range(len(group.hosts)))
         repaired = group._replace(
-            hosts=hosts, fence=group.reserve, incarnations=()
+            hosts=hosts,
+            fence=group.reserve,
+            incarnations=tuple(map(group.find_incarnation, hosts)),
         )
         return repaired if self._is_fenced(repaired, now) else None
 
-    def incarnations(self, group: Group) -> tuple[str, ...]:
-        """Return the incarnation last seen of each host, by rank."""
-        found = (self._evidence.get(host) for host in group.hosts)
+    def find_incarnations(self, hosts: tuple[str, ...]) -> tuple[str, ...]:
+        """Return the incarnation last seen of each host, empty for none."""
+        found = (self._evidence.get(host) for host in hosts)
         return tuple(one.incarnation if one else "" for one in found)
 
+    def is_unchanged(self, group: Group, host: str, now: float) -> bool:
+        """Return whether a host is present in the incarnation on record."""
+        evidence = self.find(host, now)
+        if evidence is None:
+            return False
+        return evidence.incarnation == group.find_incarnation(host)
+
     def _find_servable(
         self, region: RegionState, now: float
     ) -> Iterator[Group]:
--- a/chervilrock/decisions/region_rules.py
+++ b/chervilrock/decisions/region_rules.py
@@ -141,6 +141,7 @@
         spares=tuple(host for host in group.spares if host not in hosts),
         reserve=0,
         incarnations=(),
+        spare_incarnations=(),
     )
     return None
 
@@ -157,6 +158,8 @@
     spares = tuple(sys.intern(host) for host in body.spares)
     if spares and not _are_distinct(spares):
         return Reason.WRONG_HOSTS
+    if len(body.incarnations) != len(spares):
+        return Reason.WRONG_HOSTS
     if any(h in state.owners and h not in group.spares for h in spares):
         return Reason.HOST_OWNED
     for host in group.spares:
@@ -164,7 +167,11 @@
             state.table.revoke(host, offset)
     for host in spares:
         state.table.assign(host, Ownership(group.name, offset))
-    state.groups[group.name] = group._replace(spares=spares, reserve=offset)
+    state.groups[group.name] = group._replace(
+        spares=spares,
+        reserve=offset if spares else 0,
+        spare_incarnations=body.incarnations,
+    )
     return None
 
 
@@ -179,8 +186,10 @@
         return Reason.WRONG_PHASE
     if body.incarnations and len(body.incarnations) != len(group.hosts):
         return Reason.WRONG_HOSTS
+    serving = body.phase is GroupPhase.SERVING
     state.groups[group.name] = group._replace(
-        phase=body.phase, incarnations=body.incarnations
+        phase=body.phase,
+        incarnations=body.incarnations if serving else group.incarnations,
     )
     if body.phase is GroupPhase.DISSOLVED:
         for host in (*group.hosts, *group.spares):
