--- /dev/null
+++ b/test/platform/test_log_client.py
@@ -0,0 +1,124 @@
+import asyncio
+
+import msgspec
+import pytest
+from returns.result import Success
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, MatchesStructure
+
+from chervilrock.generated.records import (
+    Record,
+    RecordId,
+    RecordKind,
+    StoredRecord,
+)
+from chervilrock.platform.base import LogPage
+from chervilrock.platform.errors import PlatformErrorKind
+from chervilrock.platform.http import HttpLogService
+from chervilrock.standin.faults import FaultKind
+
+STREAM = "region.north"
+FIRST = Record(RecordKind.CONTROLLER_RENEWED, RecordId("n1", 1), [3])
+SECOND = Record(RecordKind.CONTROLLER_RELEASED, RecordId("n1", 2), [3])
+
+
+def test_appended_records_are_read_back(runner, log):
+    offsets = runner.run(log.append(STREAM, (FIRST, SECOND)))
+    page = runner.run(log.read(STREAM, 1, 10, 0))
+    assert_that(offsets, Equals(Success((1, 2))))
+    records = (StoredRecord(1, FIRST), StoredRecord(2, SECOND))
+    assert_that(page, Equals(Success(LogPage(records, 1, 3))))
+
+
+def test_read_keeps_its_limit_and_start(runner, log):
+    runner.run(log.append(STREAM, (FIRST, SECOND, FIRST)))
+    page = runner.run(log.read(STREAM, 2, 1, 0)).unwrap()
+    assert_that(page, Equals(LogPage((StoredRecord(2, SECOND),), 1, 4)))
+
+
+def test_streams_are_apart_and_empty_at_first(runner, log):
+    runner.run(log.append(STREAM, (FIRST,)))
+    page = runner.run(log.read("keys.a/b c", 1, 10, 0)).unwrap()
+    assert_that(page, Equals(LogPage((), 1, 1)))
+
+
+def test_read_waits_for_a_record(runner, log):
+    async def read_and_append():
+        reading = asyncio.create_task(log.read(STREAM, 1, 10, 20_000))
+        await log.append(STREAM, (FIRST,))
+        return await reading
+
+    page = runner.run(read_and_append()).unwrap()
+    assert_that(page.records, Equals((StoredRecord(1, FIRST),)))
+
+
+def test_read_from_trimmed_offsets_shows_the_first_one(
+    runner, log, platform, clock
+):
+    runner.run(log.append(STREAM, (FIRST,)))
+    clock.now = 60.0
+    runner.run(log.append(STREAM, (SECOND,)))
+    clock.now = 120.0
+    page = runner.run(log.read(STREAM, 1, 10, 0)).unwrap()
+    assert_that(page, Equals(LogPage((StoredRecord(2, SECOND),), 2, 3)))
+
+
+@pytest.mark.parametrize(
+    ("kind", "error", "stored"),
+    [
+        (FaultKind.REFUSE, PlatformErrorKind.REFUSED, 0),
+        (FaultKind.OUTAGE, PlatformErrorKind.OUTAGE, 0),
+        (FaultKind.LOSE_ANSWER, PlatformErrorKind.OUTAGE, 1),
+    ],
+)
+def test_fault_of_an_append(runner, log, platform, kind, error, stored):
+    platform.faults.add({"kind": kind, "count": 1})
+    result = runner.run(log.append(STREAM, (FIRST,)))
+    assert_that(result.failure().kind, Equals(error))
+    assert_that(platform.get_stream(STREAM).next_offset, Equals(1 + stored))
+
+
+def test_lost_answer_on_a_reused_connection_stores_once(runner, log, platform):
+    runner.run(log.append(STREAM, (FIRST,)))
+    platform.faults.add({"kind": FaultKind.CLOSE_REUSED, "count": 1})
+    result = runner.run(log.append(STREAM, (SECOND,)))
+    assert_that(
+        result.failure(),
+        MatchesStructure.byEquality(
+            kind=PlatformErrorKind.OUTAGE, effect_possible=True
+        ),
+    )
+    assert_that(platform.get_stream(STREAM).next_offset, Equals(3))
+
+
+def test_frozen_service_times_out(runner, http, platform):
+    platform.faults.set_paused(True)
+    log = HttpLogService(http=http, address=platform.address, timeout_s=0.05)
+    result = runner.run(log.append(STREAM, (FIRST,)))
+    assert_that(result.failure().kind, Equals(PlatformErrorKind.TIMEOUT))
+    assert_that(result.failure().effect_possible, Equals(True))
+
+
+def test_dead_service_has_taken_nothing(runner, log, platform):
+    platform.kill()
+    result = runner.run(log.append(STREAM, (FIRST,)))
+    assert_that(result.failure().kind, Equals(PlatformErrorKind.REFUSED))
+
+
+def test_streams_outlive_a_restart(runner, log, platform):
+    runner.run(log.append(STREAM, (FIRST,)))
+    platform.kill()
+    port = int(platform.address.rpartition(":")[2])
+    runner.run(platform.start(port=port))
+    page = runner.run(log.read(STREAM, 1, 10, 0)).unwrap()
+    assert_that(page.next_offset, Equals(2))
+
+
+@pytest.mark.parametrize(
+    "record",
+    [b"{}", b'["no-kind",["n1",1],[]]', b'["key-claimed",["n1","1"],[]]'],
+)
+def test_bad_record_is_a_bad_answer(runner, log, platform, record):
+    platform.append(STREAM, (msgspec.Raw(record),))
+    result = runner.run(log.read(STREAM, 1, 10, 0))
+    assert_that(result.failure().kind, Equals(PlatformErrorKind.BAD_ANSWER))
--- a/test/standin/test_control.py
+++ b/test/standin/test_control.py
@@ -13,10 +13,10 @@
 from test.standin.calls import make_answer, make_body, make_shard, wait_ready
 
 
-def make_order(fence: int, rank: int = 0, **members) -> EngineOrder:
-    shard = make_shard(rank, "127.0.0.1:1")
+def make_order(fence: int, version: str = "1") -> EngineOrder:
+    shard = make_shard(0, "127.0.0.1:1")
     shard["fence"] = fence
-    shard.update(members)
+    shard["version"] = version
     return EngineOrder(fence=fence, group="g", shard=shard)
 
 
@@ -137,7 +137,7 @@
     engine.cache.store(("c",), now)
     early = engine.cache.list_events(1, 0.4)
     late = engine.cache.list_events(1, 0.5)
-    assert_that(early, Equals({"events": (), "next": 1}))
+    assert_that((len(early["events"]), early["next"]), Equals((0, 1)))
     sequences = [event["sequence"] for event in late["events"]]
     assert_that((sequences, late["next"]), Equals(([1, 3], 4)))
 
