--- a/chervilrock/ui/apply.py
+++ b/chervilrock/ui/apply.py
@@ -190,18 +190,20 @@
     """Tells why a configuration was not accepted."""
     if as_json:
         print_json(answer)
-    winner = answer.get("winner")
-    if winner is not None:
-        print_error(
-            f"not applied: revision {winner['revision']} of "
-            f"{winner['operator']} has replaced revision {base}; merge it "
-            "into the file and apply again"
-        )
-        return ExitCode.LOST
     for finding in answer["findings"]:
         hint = f" ({finding['hint']})" if finding["hint"] else ""
         print_error(f"{finding['code']}: {finding['message']}{hint}")
-    return ExitCode.FINDINGS
+    if answer["findings"]:
+        return ExitCode.FINDINGS
+    winner = answer.get("winner")
+    name = "another configuration"
+    if winner is not None:
+        name = f"revision {winner['revision']} of {winner['operator']}"
+    print_error(
+        f"not applied: {name} has replaced revision {base}; merge it into "
+        "the file and apply again"
+    )
+    return ExitCode.LOST
 
 
 def _report_unreachable(error: ClientError) -> ExitCode:
