--- a/chervilrock/tasks/clock.py
+++ b/chervilrock/tasks/clock.py
@@ -14,3 +14,11 @@
     does not: a lease must not look young after a suspend.
     """
     return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+def read_day() -> str:
+    """Return the present day of the year as MM-DD, in UTC.
+
+    It only selects the costs of the calendar; nothing else depends on it.
+    """
+    return time.strftime("%m-%d", time.gmtime())
--- /dev/null
+++ b/chervilrock/tasks/outages.py
@@ -0,0 +1,47 @@
+"""Notes when a stream of the log service cannot be read."""
+
+from chervilrock import events
+from chervilrock.metrics import Metrics
+
+
+class OutageLog:
+    """Logs the begin and the end of outages and counts their seconds."""
+
+    def __init__(self, *, metrics: Metrics) -> None:
+        """Start with every stream readable."""
+        self._metrics = metrics
+        self._since: dict[str, float] = {}
+        self._counted: dict[str, float] = {}
+
+    def is_out(self, stream: str) -> bool:
+        """Return whether the last read of a stream failed."""
+        return stream in self._since
+
+    def note_failure(self, stream: str, reason: str, now: float) -> None:
+        """Note that a read failed at `now`."""
+        if stream not in self._since:
+            self._since[stream] = now
+            events.emit(
+                events.Event.LOG_OUTAGE_BEGAN, stream=stream, reason=reason
+            )
+        self._count(stream, now)
+
+    def note_success(self, stream: str, now: float) -> None:
+        """Note that a read succeeded at `now`."""
+        since = self._since.pop(stream, None)
+        if since is None:
+            return
+        self._since[stream] = since
+        self._count(stream, now)
+        del self._since[stream]
+        del self._counted[stream]
+        events.emit(
+            events.Event.LOG_OUTAGE_ENDED,
+            stream=stream,
+            seconds=round(now - since, 3),
+        )
+
+    def _count(self, stream: str, now: float) -> None:
+        last = self._counted.get(stream, self._since[stream])
+        self._metrics.log_outage_seconds.inc(max(0.0, now - last))
+        self._counted[stream] = now
--- /dev/null
+++ b/chervilrock/tasks/region.py
@@ -0,0 +1,469 @@
+"""The task that follows a region and, with the lease, controls it.
+
+It owns everything that is known of the region: the fold of its stream, the
+lease, the evidence of the hosts and what is under way. Others get views of it
+by messages.
+"""
+
+import asyncio
+from typing import NamedTuple
+
+from chervilrock import events
+from chervilrock.decisions.control.effects import AppendRecord, Effect
+from chervilrock.decisions.control.progress import Progress
+from chervilrock.decisions.controller import decide
+from chervilrock.decisions.lease import LeaseStep, LeaseView
+from chervilrock.decisions.ownership import Group
+from chervilrock.decisions.planner import Planner, prices
+from chervilrock.decisions.presence import PresenceTable
+from chervilrock.decisions.records import Body, RecordWriter
+from chervilrock.decisions.region import RegionState
+from chervilrock.decisions.snapshots import SnapshotSchedule, split_snapshot
+from chervilrock.decisions.streams import FoldStep, ReadResult, StreamReader
+from chervilrock.decisions.verdicts import VerdictKind
+from chervilrock.decisions.views import (
+    count_missing_groups,
+    list_endpoints,
+    list_stranded,
+    TimedEndpoint,
+    view_region,
+)
+from chervilrock.generated.configuration import Configuration, ModelSpec
+from chervilrock.generated.interfaces import HostEntry, ServiceEntry
+from chervilrock.generated.records import (
+    ControllerClaimed,
+    ControllerReleased,
+    ControllerRenewed,
+    GroupPhase,
+)
+from chervilrock.metrics import Metrics
+from chervilrock.tasks.clock import Clock, read_day
+from chervilrock.tasks.idleness import IdleTable
+from chervilrock.tasks.loads import GroupLoad, LoadTarget
+from chervilrock.tasks.log import AppendTask, ReadTask
+from chervilrock.tasks.mailbox import Mailbox
+from chervilrock.tasks.messages import (
+    BatchAppended,
+    ConfigurationInForce,
+    HostProbed,
+    HostsListed,
+    OrderAnswered,
+    PageRead,
+    ProbeTarget,
+    ReadFailed,
+)
+from chervilrock.tasks.orders import OrderRequest, OrderTask
+from chervilrock.tasks.outages import OutageLog
+from chervilrock.tasks.region_events import RegionEvents
+from chervilrock.tasks.region_report import make_report, RegionReport
+
+TICK_S = 0.1
+PLAN_INTERVAL_S = 0.3
+_MS_PER_S = 1000
+
+
+class ReportWanted(NamedTuple):
+    """Somebody wants a report of the region."""
+
+    reply: "asyncio.Future[RegionReport]"
+
+
+class LeaseGivenUp(NamedTuple):
+    """The node stops, so it gives the lease up."""
+
+    done: "asyncio.Future[None]"
+
+
+Message = (
+    PageRead
+    | ReadFailed
+    | BatchAppended
+    | HostProbed
+    | HostsListed
+    | OrderAnswered
+    | ConfigurationInForce
+    | GroupLoad
+    | ReportWanted
+    | LeaseGivenUp
+)
+
+
+class ServingView(NamedTuple):
+    """What requests are routed by.
+
+    Attributes:
+      endpoints: groups that may get requests, each for a while
+      services: backend servers of plain services that are not leaving
+      known: whether the region stream is known to this node
+      holds_lease: whether this node controls the region
+    """
+
+    endpoints: tuple[TimedEndpoint, ...] = ()
+    services: tuple[ServiceEntry, ...] = ()
+    known: bool = False
+    holds_lease: bool = False
+
+
+class RegionIdentity(NamedTuple):
+    """Who this node is in its region."""
+
+    region: str
+    node: str
+    address: str
+    lease_ms: int
+
+    @property
+    def stream(self) -> str:
+        """Name of the stream of the region."""
+        return f"region.{self.region}"
+
+
+class RegionPorts(NamedTuple):
+    """The tasks and mailboxes that the region task writes to."""
+
+    reader: ReadTask
+    appender: AppendTask
+    orders: OrderTask
+    probes: "Mailbox[tuple[ProbeTarget, ...]]"
+    loads: "Mailbox[tuple[LoadTarget, ...]]"
+    views: "tuple[Mailbox[ServingView], ...]"
+
+
+class RegionTask:
+    """Follows a region and controls it while it holds the lease."""
+
+    def __init__(
+        self,
+        *,
+        identity: RegionIdentity,
+        clock: Clock,
+        lease: LeaseView,
+        presence: PresenceTable,
+        writer: RecordWriter,
+        schedule: SnapshotSchedule,
+        metrics: Metrics,
+        outages: OutageLog,
+    ) -> None:
+        """Make the task with nothing read."""
+        self._identity = identity
+        self._clock = clock
+        self._lease = lease
+        self._presence = presence
+        self._writer = writer
+        self._schedule = schedule
+        self._metrics = metrics
+        self._outages = outages
+        self._reader = StreamReader(fold=RegionState())
+        self._progress = Progress()
+        self._planner = Planner()
+        self._idle = IdleTable()
+        self._events = RegionEvents(region=identity.region)
+        self._hosts: dict[str, HostEntry] = {}
+        self._services: tuple[ServiceEntry, ...] = ()
+        self._configuration: Configuration | None = None
+        self._revision = 0
+        self._planned_at = 0.0
+        self._measured_at: float | None = None
+        self._stopping = False
+        self.inbox: Mailbox[Message] = Mailbox(size=4096)
+
+    @property
+    def _region(self) -> RegionState:
+        return self._reader.fold
+
+    async def run(self, ports: RegionPorts) -> None:
+        """Follow the region until cancelled."""
+        while True:
+            first = await self.inbox.receive_within(TICK_S)
+            messages = self.inbox.receive_waiting()
+            for message in (first, *messages):
+                if message is not None:
+                    self._handle(message, ports, self._clock())
+            self._step(ports, self._clock())
+
+    def _handle(self, message: Message, ports: RegionPorts, now: float) -> None:
+        if isinstance(message, HostProbed):
+            self._take_probe(message)
+        elif isinstance(message, PageRead):
+            self._take_page(message, ports)
+        elif isinstance(message, ReadFailed):
+            stream = self._identity.stream
+            self._outages.note_failure(stream, message.error.message, now)
+        elif isinstance(message, BatchAppended):
+            self._take_append(message)
+        elif isinstance(message, HostsListed):
+            self._take_hosts(message, ports)
+        elif isinstance(message, OrderAnswered):
+            self._take_order(message)
+        elif isinstance(message, ConfigurationInForce):
+            self._configuration = message.document
+            self._revision = message.revision
+            self._planned_at = 0.0
+        elif isinstance(message, GroupLoad):
+            self._idle.note_load(message)
+        elif isinstance(message, ReportWanted):
+            message.reply.set_result(self._make_report(now))
+        else:
+            self._give_up(message, ports, now)
+
+    def _take_probe(self, message: HostProbed) -> None:
+        if message.state is not None:
+            self._presence.observe(message.host, message.state, message.sent_at)
+
+    def _take_page(self, message: PageRead, ports: RegionPorts) -> None:
+        self._outages.note_success(self._identity.stream, message.read_at)
+        was_known = self._reader.known
+        result = self._reader.read(message.start, message.page)
+        if result.position != message.start:
+            ports.reader.move(result.position)
+        if was_known and not self._reader.known:
+            self._events.note_trimmed(
+                self._identity.stream, message.start, message.page.first_offset
+            )
+        self._follow(result, message.read_at)
+
+    def _follow(self, result: ReadResult, now: float) -> None:
+        """Let lease, progress and log events follow the records."""
+        if result.restored:
+            self._adopt_snapshot(now)
+        for upto in result.snapshots:
+            self._schedule.note_read(upto, now)
+        for step in result.steps:
+            self._follow_step(step, now)
+
+    def _adopt_snapshot(self, now: float) -> None:
+        region = self._region
+        controller = region.controller
+        lease_s = None if controller is None else controller.lease_s
+        self._lease.adopt(region.epoch, lease_s, now)
+
+    def _follow_step(self, step: FoldStep, now: float) -> None:
+        record_id = step.stored.record.record_id
+        if step.verdict.kind is VerdictKind.SKIPPED:
+            return
+        self._lease.read(record_id, step.verdict, now)
+        self._progress.note_read(record_id)
+        if step.verdict.accepted:
+            self._events.note_record(step.verdict.body, step.stored.offset)
+
+    def _take_append(self, message: BatchAppended) -> None:
+        taken = message.ended_at - message.sent_at
+        if message.error is None:
+            self._metrics.log_append_seconds.observe(taken)
+            return
+        if message.error.effect_possible:
+            return
+        for record in message.records:
+            self._progress.note_read(record.record_id)
+
+    def _take_hosts(self, message: HostsListed, ports: RegionPorts) -> None:
+        self._hosts = {
+            entry["host"]: entry
+            for entry in message.hosts["hosts"]
+            if entry["region"] == self._identity.region
+        }
+        self._services = message.hosts["services"]
+        known = self._hosts.keys() | self._region.owners.keys()
+        self._presence.retain(set(known))
+        targets = tuple(
+            ProbeTarget(name, entry["address"])
+            for name, entry in self._hosts.items()
+        )
+        ports.probes.offer(targets)
+
+    def _take_order(self, message: OrderAnswered) -> None:
+        self._progress.note_answered(
+            message.host, message.order, message.accepted, message.sent_at
+        )
+        if message.accepted is False and message.state is not None:
+            self._events.note_refused(
+                message.host, message.order["fence"], message.state["fence"]
+            )
+
+    def _give_up(
+        self, message: LeaseGivenUp, ports: RegionPorts, now: float
+    ) -> None:
+        self._stopping = True
+        if self._lease.may_act(now):
+            epoch = self._lease.holder.epoch
+            self._append(ControllerReleased(epoch=epoch), ports, now)
+        self._lease.holder.drop()
+        message.done.set_result(None)
+
+    def _step(self, ports: RegionPorts, now: float) -> None:
+        """Decide everything that is due."""
+        if not self._stopping:
+            self._keep_lease(ports, now)
+        self._events.note_lease(self._lease.holder.epoch, now)
+        holds = self._lease.may_act(now)
+        self._metrics.lease_held.set(1 if holds else 0)
+        if holds and now >= self._planned_at + PLAN_INTERVAL_S:
+            self._planned_at = now
+            self._control(ports, now)
+        view = self._make_view(now)
+        self._measure(view, holds, now)
+        self._publish(view, ports)
+
+    def _keep_lease(self, ports: RegionPorts, now: float) -> None:
+        decision = self._lease.decide(now, known=self._reader.known)
+        if decision.step is LeaseStep.CLAIM:
+            claim = ControllerClaimed(
+                node=self._identity.node,
+                address=self._identity.address,
+                replaces_epoch=self._region.epoch,
+                replaces_renewal=self._region.renewed,
+                lease_ms=self._identity.lease_ms,
+            )
+            self._append_for_lease(claim, ports, now)
+        elif decision.step is LeaseStep.RENEW:
+            epoch = self._lease.holder.epoch
+            self._append_for_lease(ControllerRenewed(epoch), ports, now)
+        elif decision.step is LeaseStep.STEP_DOWN:
+            self._lease.holder.drop()
+
+    def _append_for_lease(
+        self, body: Body, ports: RegionPorts, now: float
+    ) -> None:
+        record = self._writer.prepare(body)
+        self._lease.holder.note_sent(record.record_id, now)
+        ports.appender.inbox.offer(record)
+
+    def _append(self, body: Body, ports: RegionPorts, now: float) -> None:
+        record = self._writer.prepare(body)
+        self._progress.note_appended(body, record.record_id, now)
+        ports.appender.inbox.offer(record)
+
+    def _control(self, ports: RegionPorts, now: float) -> None:
+        if self._configuration is None or not self._reader.known:
+            return
+        for effect in self._decide(self._configuration, now):
+            self._perform(effect, ports, now)
+        self._write_snapshot(ports, now)
+        self._progress.retain(
+            self._hosts.keys() | self._region.owners.keys(),
+            set(self._region.groups),
+        )
+
+    def _decide(
+        self, configuration: Configuration, now: float
+    ) -> tuple[Effect, ...]:
+        view = view_region(
+            region=self._region,
+            presence=self._presence,
+            hosts=self._hosts,
+            models=self._models(),
+            prices=prices(configuration.get("objective"), read_day()),
+            now=now,
+        )
+        return decide(
+            region=self._region,
+            wanted=configuration,
+            revision=self._revision,
+            presence=self._presence,
+            hosts=self._hosts.values(),
+            actions=self._planner.plan(view, now),
+            pending=self._progress,
+            lease=self._lease,
+            now=now,
+            idle=self._idle.find_idle(),
+        )
+
+    def _models(self) -> tuple[ModelSpec, ...]:
+        if self._configuration is None:
+            return ()
+        return tuple(self._configuration["models"])
+
+    def _perform(self, effect: Effect, ports: RegionPorts, now: float) -> None:
+        if isinstance(effect, AppendRecord):
+            self._append(effect.body, ports, now)
+            return
+        self._progress.note_ordered(effect, now)
+        request = OrderRequest(
+            host=effect.host,
+            address=effect.address,
+            order=effect.order,
+            valid_until=effect.valid_until,
+        )
+        ports.orders.inbox.offer(request)
+
+    def _write_snapshot(self, ports: RegionPorts, now: float) -> None:
+        region = self._region
+        if not self._schedule.is_due(region.upto, now):
+            return
+        stream = self._identity.stream
+        name = f"{self._writer.writer}/{stream}/{region.upto}"
+        for part in split_snapshot(name, region.upto, region.export()):
+            ports.appender.inbox.offer(self._writer.prepare(part))
+        self._schedule.note_written(now)
+        events.emit(
+            events.Event.SNAPSHOT_WRITTEN,
+            snapshot=name,
+            stream=stream,
+            upto=region.upto,
+        )
+
+    def _make_view(self, now: float) -> ServingView:
+        known = self._reader.known
+        endpoints = list_endpoints(
+            region=self._region,
+            presence=self._presence,
+            hosts=self._hosts,
+            now=now,
+        )
+        return ServingView(
+            endpoints=endpoints if known else (),
+            services=tuple(s for s in self._services if not s["leaving"]),
+            known=known,
+            holds_lease=self._lease.may_act(now),
+        )
+
+    def _publish(self, view: ServingView, ports: RegionPorts) -> None:
+        for mailbox in ports.views:
+            mailbox.offer(view)
+        groups = self._region.groups.values()
+        targets = [self._find_leader(group) for group in groups]
+        ports.loads.offer(tuple(t for t in targets if t is not None))
+        self._idle.retain(groups, self._clock())
+
+    def _find_leader(self, group: Group) -> LoadTarget | None:
+        entry = self._hosts.get(group.hosts[0])
+        if entry is None:
+            return None
+        if group.phase not in (GroupPhase.SERVING, GroupPhase.DRAINING):
+            return None
+        return LoadTarget(group.name, entry["address"])
+
+    def _measure(self, view: ServingView, holds: bool, now: float) -> None:
+        """Count group downtime and stranded accelerators since last time."""
+        elapsed = now - (self._measured_at or now)
+        self._measured_at = now
+        region = self._region
+        self._events.note_presence(region, self._presence, now)
+        counts = dict.fromkeys(GroupPhase, 0)
+        for group in region.groups.values():
+            counts[group.phase] += 1
+        self._metrics.set_groups(counts)
+        self._metrics.quarantined_hosts.set(len(region.quarantined))
+        stranded = sum(
+            entry["accelerators"]
+            for entry in list_stranded(region, self._presence, self._hosts, now)
+        )
+        self._metrics.stranded_accelerators.set(stranded)
+        if not holds:
+            return
+        self._metrics.stranded_accelerator_seconds.inc(stranded * elapsed)
+        serving = [one.endpoint for one in view.endpoints]
+        missing = count_missing_groups(self._models(), serving)
+        for model, count in missing.items():
+            self._metrics.count_downtime(model=model, seconds=count * elapsed)
+
+    def _make_report(self, now: float) -> RegionReport:
+        return make_report(
+            region=self._region,
+            presence=self._presence,
+            hosts=self._hosts,
+            known=self._reader.known,
+            reachable=not self._outages.is_out(self._identity.stream),
+            epoch_held=self._lease.holder.epoch,
+            now=now,
+        )
