--- a/chervilrock/ui/application.py
+++ b/chervilrock/ui/application.py
@@ -29,6 +29,7 @@
 
 PROGRAM = "chervilrock"
 DEFAULT_WAIT_S = 30.0
+UNKNOWN_USER = "unknown"
 PASS_THROUGH = {
     "allow_extra_args": True,
     "ignore_unknown_options": True,
@@ -150,7 +151,7 @@
     options = ApplyOptions(
         address=node,
         base_revision=base,
-        operator=operator or getpass.getuser(),
+        operator=operator or find_user(),
         wait_s=timeout if wait else None,
         as_json=as_json,
     )
@@ -175,6 +176,14 @@
     raise typer.Exit(asyncio.run(dump_state(address=address)))
 
 
+def find_user() -> str:
+    """Returns the name of the user, or `unknown` when there is none."""
+    try:
+        return getpass.getuser()
+    except (KeyError, OSError):
+        return UNKNOWN_USER
+
+
 def demo() -> None:
     """Run a whole installation on this machine and check its promises."""
     module = importlib.import_module("chervilrock.ui.demo")
--- a/test/ui/test_apply_command.py
+++ b/test/ui/test_apply_command.py
@@ -1,5 +1,6 @@
 """Tests of `apply`: what is sent, what is printed, and every exit code."""
 
+import getpass
 import json
 import pathlib
 import socket
@@ -240,3 +241,15 @@
     spread = {"lagging": ["b"], "lost": []} if wait else None
     assert_that(printed["revision"], Equals(8))
     assert_that(printed.get("spread"), Equals(spread))
+
+
+def test_apply_needs_no_user_entry(
+    node: FakeNode, file: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    def find_nobody() -> str:
+        raise KeyError("uid not found")
+
+    monkeypatch.setattr(getpass, "getuser", find_nobody)
+    node.answer(APPLY, ACCEPTED)
+    run("apply", str(file), "--node", node.address, "--base", "0")
+    assert_that(node.received[0][1]["operator"], Equals("unknown"))
