--- a/chervilrock/decisions/requests/attempts.py
+++ b/chervilrock/decisions/requests/attempts.py
@@ -68,9 +68,11 @@
 
     Attributes:
       exclude: targets of the attempts so far.
+      again: whether one of them will do when there is no other.
     """
 
     exclude: frozenset[str]
+    again: bool = False
 
 
 class ContinueElsewhere(NamedTuple):
@@ -79,10 +81,12 @@
     Attributes:
       exclude: targets of the attempts so far.
       after: events that the caller has already.
+      again: whether one of them will do when there is no other.
     """
 
     exclude: frozenset[str]
     after: int
+    again: bool = False
 
 
 class Deliver(NamedTuple):
@@ -248,16 +252,18 @@
     def _choose_next(
         self, send: Send, report: SendReport, progress: bool
     ) -> Decision:
+        exclude = frozenset(self._targets)
+        again = report.end not in outcomes.PROVES_NOT_RUN
         if self._position == 0:
             self._record_end(report.end)
-            return TryElsewhere(frozenset(self._targets))
+            return TryElsewhere(exclude, again)
         if self._may_resume(report, progress):
             self._resumes = 0 if progress else self._resumes + 1
             self._resumed_end = report.end
             return Resume(send.target, self._position)
         self._record_end(report.end)
         if report.continuable:
-            return ContinueElsewhere(frozenset(self._targets), self._position)
+            return ContinueElsewhere(exclude, self._position, again)
         return self.give_up()
 
     def _record_end(self, end: AttemptEnd) -> None:
--- a/chervilrock/edges/completions.py
+++ b/chervilrock/edges/completions.py
@@ -1,15 +1,7 @@
 """One completion request from its admission to the end of its answer."""
 
-from typing import NamedTuple
-
-from chervilrock.decisions.limits.verdicts import Rejected
 from chervilrock.decisions.requests import attempts
-from chervilrock.decisions.requests.attempts import (
-    AttemptTracker,
-    Send,
-    SendMode,
-    SendReport,
-)
+from chervilrock.decisions.requests.attempts import Send, SendMode, SendReport
 from chervilrock.decisions.requests.outcomes import AttemptEnd
 from chervilrock.decisions.requests.transcript import Kept, Transcript
 from chervilrock.decisions.routing.base import Endpoint, RequestView
@@ -20,16 +12,12 @@
     StreamReceiver,
     WholeReceiver,
 )
-from chervilrock.edges.errors import CallerError, ErrorCode
-from chervilrock.edges.path import RequestPath, Run
+from chervilrock.edges.path import RequestPath
 from chervilrock.edges.relay import Transfer
+from chervilrock.edges.runs import BackendRun, CANCELLED, COMPLETE, RunEnd
 from chervilrock.edges.sinks import AnswerHead, AnswerSink
 from chervilrock.events import emit, Event
-from chervilrock.generated.interfaces import Outcome
-from chervilrock.metrics import RequestOutcome, RetryKind
-
-CALLER_STALL_S = 30.0
-"""Time that a caller may leave its answer unread."""
+from chervilrock.metrics import RetryKind
 
 GROUP_LOST_S = 1.0
 """Time without an event after which a request leaves a group that no longer
@@ -43,52 +31,31 @@
 
 STREAM_HEAD = AnswerHead(
     status=200,
-    reason=None,
     headers=(
         ("Content-Type", "text/event-stream"),
         ("Cache-Control", "no-cache"),
     ),
     events=True,
 )
-WHOLE_HEAD = AnswerHead(
-    status=200,
-    reason=None,
-    headers=(("Content-Type", "application/json"),),
-    events=False,
-)
 
 _NEW_RUNS = (attempts.TryElsewhere, attempts.ContinueElsewhere)
 _RUNNING_ENDS = frozenset(
     {AttemptEnd.LOST, AttemptEnd.BROKEN, AttemptEnd.FOREIGN}
 )
 _STATUS_TOO_MANY_REQUESTS = 429
-
-_CODES = {
-    None: ErrorCode.NO_GROUP,
-    AttemptEnd.NOT_SENT: ErrorCode.BACKEND_UNREACHABLE,
-    AttemptEnd.REFUSED: ErrorCode.BACKEND_REFUSED,
-    AttemptEnd.LOST: ErrorCode.BACKEND_LOST,
-    AttemptEnd.DENIED: ErrorCode.BACKEND_DENIED,
-    AttemptEnd.ERROR: ErrorCode.BACKEND_ERROR,
-    AttemptEnd.BROKEN: ErrorCode.ANSWER_BROKEN,
-    AttemptEnd.FOREIGN: ErrorCode.BACKEND_LOST,
+_RETRY_KINDS = {
+    SendMode.START: RetryKind.RETRY,
+    SendMode.RESUME: RetryKind.RESUME,
+    SendMode.CONTINUE: RetryKind.CONTINUE,
+}
+_RETRY_EVENTS = {
+    SendMode.RESUME: Event.STREAM_RESUMED,
+    SendMode.CONTINUE: Event.STREAM_CONTINUED,
 }
 
 
-class RunEnd(NamedTuple):
-    """How a request ended.
-
-    Attributes:
-      outcome: how it ended.
-      error: error that the caller got, None for a whole answer.
-    """
-
-    outcome: RequestOutcome
-    error: CallerError | None
-
-
-class CompletionRun(Run):
-    """Gets one whole answer to its caller, or an error that says the truth."""
+class CompletionRun(BackendRun):
+    """Runs a completion at one replica group, or at several in turn."""
 
     def __init__(
         self,
@@ -108,65 +75,31 @@
           engine_path: path of the request at the engine.
           sink: takes the answer.
         """
-        self._path = path
-        self._context = path.context
-        self._view = view
+        super().__init__(path=path, view=view, sink=sink)
         self._call = call
         self._engine_path = engine_path
-        self._sink = sink
-        self._tracker = AttemptTracker(
-            request_id=view.request_id,
-            idempotent=view.idempotent,
-            deadline=view.deadline,
-        )
         self._transcript = (
             Transcript() if call.stream and view.idempotent else None
         )
+        self._arrived = path.context.now()
         self._endpoint: Endpoint | None = None
-        self._transfer: Transfer | None = None
         self._receiver: EngineReceiver | None = None
         self._sent_at = 0.0
         self._position = 0
-        self._version = ""
         self._seen_position = 0
         self._seen_at = 0.0
-        self._left = False
-
-    async def run(self) -> RunEnd:
-        """Runs the request to its end."""
-        self._path.add_run(self)
-        rejected = await self._path.gate.enter(self._view)
-        if rejected is not None:
-            self._path.remove_run(self)
-            return self._reject(rejected)
-        ok = False
-        try:
-            end = await self._run_admitted()
-            ok = end.error is None
-            return end
-        finally:
-            self._path.remove_run(self)
-            self._path.gate.leave(
-                self._view.request_id, ok=ok, tokens=self._position
-            )
 
-    def leave(self) -> None:
-        """Stops the run, since its caller is gone."""
-        self._left = True
-        self._path.gate.withdraw(self._view.request_id)
-        if self._transfer is not None:
-            self._transfer.abandon()
+    def count_tokens(self) -> int:
+        """See base class."""
+        return self._position
 
-    def check(self, now: float) -> None:
+    def check_transfer(self, transfer: Transfer, now: float) -> None:
         """See base class."""
-        if self._transfer is None or self._left:
-            return
-        if self._position != self._seen_position or self._transfer.paused:
+        if self._position != self._seen_position or transfer.paused:
             self._seen_position = self._position
             self._seen_at = now
-            return
-        if self._is_stuck(now - max(self._seen_at, self._sent_at)):
-            self._transfer.abandon()
+        elif self._is_stuck(now - max(self._seen_at, self._sent_at)):
+            transfer.abandon()
 
     def _is_stuck(self, silence: float) -> bool:
         """Tells whether a send without news for a while is given up."""
@@ -181,33 +114,16 @@
         return not self._serves(self._endpoint)
 
     def _serves(self, endpoint: Endpoint) -> bool:
-        view = self._view
+        view = self.view
         return self._path.serves(endpoint, view.model, view.adapter)
 
-    def _reject(self, rejected: Rejected) -> RunEnd:
-        if self._left:
-            return RunEnd(RequestOutcome.CANCELLED, None)
-        emit(
-            Event.REQUEST_REJECTED,
-            request_id=self._view.request_id,
-            workspace=self._view.workspace,
-            reason=rejected.code.value,
-        )
-        error = CallerError(
-            code=ErrorCode(rejected.code.value),
-            message="the request was not sent to a backend server",
-            outcome=Outcome.NOT_RUN,
-            retry_after_s=rejected.retry_after_s,
-        )
-        return self._fail(error)
-
-    async def _run_admitted(self) -> RunEnd:
+    async def run_admitted(self) -> RunEnd:
         """Sends the request until its answer is whole or it is given up."""
         decision: attempts.Decision = attempts.TryElsewhere(frozenset())
         mode = SendMode.START
         while True:
             if isinstance(decision, attempts.Deliver):
-                return RunEnd(RequestOutcome.COMPLETE, None)
+                return COMPLETE
             if isinstance(decision, attempts.GiveUp):
                 return self._give_up(decision)
             endpoint = self._choose(decision)
@@ -219,7 +135,7 @@
             end = await self._send(endpoint, send)
             if self._left:
                 self._cancel(endpoint, send, end)
-                return RunEnd(RequestOutcome.CANCELLED, None)
+                return CANCELLED
             decision = self._decide(endpoint, send, end)
 
     def _choose(self, decision: attempts.Decision) -> Endpoint | None:
@@ -228,14 +144,14 @@
             return self._endpoint
         assert isinstance(decision, _NEW_RUNS)
         now = self._context.now()
-        view = self._view
+        view = self.view
         endpoints = self._context.endpoints(view.model, view.adapter, now)
-        if self._position > 0:
+        if self._position > 0 and self._endpoint is not None:
             # The rest of an answer has to come from the same weights.
             endpoints = tuple(
                 endpoint
                 for endpoint in endpoints
-                if endpoint.version == self._version
+                if endpoint.version == self._endpoint.version
             )
         policy = self._context.policy
         chosen = policy.choose(view, endpoints, now, exclude=decision.exclude)
@@ -247,12 +163,12 @@
         """Sends the request once and waits for the end of the answer."""
         now = self._context.now()
         self._endpoint = endpoint
-        self._version = self._version or endpoint.version
+        self._target = endpoint.group
         self._sent_at = now
         receiver = self._make_receiver(endpoint, send)
         transfer = Transfer(
             request=enginecalls.make_request(
-                view=self._view,
+                view=self.view,
                 endpoint=endpoint,
                 send=send,
                 path=self._engine_path,
@@ -263,26 +179,23 @@
             receiver=receiver,
         )
         self._receiver = receiver
-        self._transfer = transfer
-        self._sink.attach(transfer)
-        self._context.policy.on_sent(self._view, endpoint, now)
-        end = receiver.judge(await self._path.pool.run(transfer))
-        self._transfer = None
-        self._sink.attach(None)
-        self._learn(endpoint, end, receiver)
+        self._context.policy.on_sent(self.view, endpoint, now)
+        end = receiver.judge(await self._transmit(transfer))
+        self._refusal = receiver.refusal
+        self._learn(endpoint, end)
         return end
 
     def _make_receiver(self, endpoint: Endpoint, send: Send) -> EngineReceiver:
         if self._call.stream:
             return StreamReceiver(
-                view=self._view,
+                view=self.view,
                 fence=endpoint.fence,
                 send=send,
                 deliver=self._deliver,
                 stop=self._stop,
             )
         return WholeReceiver(
-            view=self._view, fence=endpoint.fence, send=send, stop=self._stop
+            view=self.view, fence=endpoint.fence, send=send, stop=self._stop
         )
 
     def _read_text(self, send: Send) -> str | None:
@@ -316,25 +229,23 @@
         waited = now - self._sent_at
         assert self._endpoint is not None
         self._context.policy.on_first_token(
-            self._view, self._endpoint, now, waited
+            self.view, self._endpoint, now, waited
         )
         self._context.admission.observe_first_token(
-            self._view.request_id, self._endpoint.group, waited, now
+            self.view.request_id, self._endpoint.group, waited, now
         )
         self._context.metrics.observe_first_token(
-            model=self._view.model, seconds=waited
+            model=self.view.model, seconds=now - self._arrived
         )
 
-    def _learn(
-        self, endpoint: Endpoint, end: AttemptEnd, receiver: EngineReceiver
-    ) -> None:
+    def _learn(self, endpoint: Endpoint, end: AttemptEnd) -> None:
         """Tells the policies how a send ended."""
         now = self._context.now()
         ok = end is AttemptEnd.COMPLETE
         self._context.policy.on_done(
-            self._view, endpoint, now, ok, self._position
+            self.view, endpoint, now, ok, self._position
         )
-        if receiver.refusal.status == _STATUS_TOO_MANY_REQUESTS:
+        if self._refusal.status == _STATUS_TOO_MANY_REQUESTS:
             self._context.admission.observe_refusal(endpoint.group, now)
 
     def _decide(
@@ -369,11 +280,11 @@
         if end is AttemptEnd.NOT_SENT:
             return True
         now = self._context.now()
-        return self._context.admission.allow_retry(self._view, now)
+        return self._context.admission.allow_retry(self.view, now)
 
     def _finish_answer(self) -> None:
         if isinstance(self._receiver, WholeReceiver):
-            self._sink.start(WHOLE_HEAD)
+            self._sink.start(make_whole_head(self._receiver.body))
             self._sink.write(self._receiver.body)
         self._sink.finish()
 
@@ -384,7 +295,7 @@
         if self._call.wants_usage:
             return False
         number = self._position + 1
-        event = f"id: {self._view.request_id}/{number}\ndata: [DONE]\n\n"
+        event = f"id: {self.view.request_id}/{number}\ndata: [DONE]\n\n"
         self._sink.write(event.encode())
         self._sink.finish()
         return True
@@ -398,7 +309,7 @@
         if self._position > 0:
             emit(
                 Event.STREAM_BROKEN,
-                request_id=self._view.request_id,
+                request_id=self.view.request_id,
                 group=endpoint.group,
                 position=self._position,
                 reason=end.value,
@@ -413,59 +324,11 @@
         if event is not None:
             emit(
                 event,
-                request_id=self._view.request_id,
+                request_id=self.view.request_id,
                 group=endpoint.group,
                 position=self._position,
             )
 
-    def _give_up(self, decision: attempts.GiveUp) -> RunEnd:
-        """Tells the caller what is known of the request."""
-        error = self._make_error(decision)
-        if error.outcome is Outcome.UNKNOWN and self._endpoint is not None:
-            emit(
-                Event.REQUEST_UNKNOWN,
-                request_id=self._view.request_id,
-                target=self._endpoint.group,
-                reason=error.code.value,
-            )
-        return self._fail(error)
-
-    def _make_error(self, decision: attempts.GiveUp) -> CallerError:
-        code = _CODES[decision.end]
-        late = self._context.now() >= self._view.deadline
-        if late and decision.end in (AttemptEnd.LOST, AttemptEnd.BROKEN):
-            code = ErrorCode.DEADLINE_EXCEEDED
-        refusal = enginecalls.Refusal()
-        if self._receiver is not None:
-            refusal = self._receiver.refusal
-        message = refusal.message or _MESSAGES[decision.outcome]
-        return CallerError(
-            code=code,
-            message=message,
-            outcome=decision.outcome,
-            retry_after_s=refusal.retry_after_s or None,
-        )
-
-    def _fail(self, error: CallerError) -> RunEnd:
-        self._sink.fail(error, may_repeat=self._view.idempotent)
-        return RunEnd(RequestOutcome(error.outcome.value), error)
-
-
-_RETRY_KINDS = {
-    SendMode.START: RetryKind.RETRY,
-    SendMode.RESUME: RetryKind.RESUME,
-    SendMode.CONTINUE: RetryKind.CONTINUE,
-}
-_RETRY_EVENTS = {
-    SendMode.RESUME: Event.STREAM_RESUMED,
-    SendMode.CONTINUE: Event.STREAM_CONTINUED,
-}
-_MESSAGES = {
-    Outcome.NOT_RUN: "no backend server has run the request",
-    Outcome.UNKNOWN: "a backend server may have run the request",
-    Outcome.FAILED: "the request ran and ended without a whole answer",
-}
-
 
 def choose_mode(decision: attempts.Decision) -> SendMode:
     """Returns what the next send asks for."""
@@ -474,3 +337,12 @@
     if isinstance(decision, attempts.ContinueElsewhere):
         return SendMode.CONTINUE
     return SendMode.START
+
+
+def make_whole_head(body: bytes) -> AnswerHead:
+    """Makes the head of an answer that is not streamed."""
+    headers = (
+        ("Content-Type", "application/json"),
+        ("Content-Length", str(len(body))),
+    )
+    return AnswerHead(status=200, headers=headers, events=False)
--- a/chervilrock/edges/enginecalls.py
+++ b/chervilrock/edges/enginecalls.py
@@ -2,7 +2,6 @@
 
 import abc
 from collections.abc import Callable
-from typing import NamedTuple
 
 import msgspec
 from tornado import httputil
@@ -18,6 +17,7 @@
 from chervilrock.edges.bodies import add_continuation
 from chervilrock.edges.parsing import parse_count
 from chervilrock.edges.relay import BackendRequest, Head, Receiver, TransferEnd
+from chervilrock.edges.runs import Refusal
 
 CHAT_PATH = "/v1/chat/completions"
 TEXT_PATH = "/v1/completions"
@@ -51,22 +51,6 @@
 _WHOLE_DECODER = msgspec.json.Decoder(_WholeBody)
 
 
-class Refusal(NamedTuple):
-    """What an engine said instead of an answer.
-
-    Attributes:
-      status: HTTP status, 0 when there was no answer.
-      code: code of the error, empty when it gave none.
-      message: text of the error, empty when it gave none.
-      retry_after_s: time to wait that it asks for, 0 when it does not.
-    """
-
-    status: int = 0
-    code: str = ""
-    message: str = ""
-    retry_after_s: float = 0.0
-
-
 def make_request(
     *,
     view: RequestView,
--- a/chervilrock/edges/path.py
+++ b/chervilrock/edges/path.py
@@ -3,10 +3,12 @@
 import abc
 import asyncio
 from collections.abc import Coroutine
+import random
 import re
 from typing import Any
 
-from chervilrock.decisions.routing.base import Endpoint
+from chervilrock.decisions.routing.base import Endpoint, RoutingPolicy
+from chervilrock.decisions.routing.baselines import LeastInFlight
 from chervilrock.edges.context import RequestContext
 from chervilrock.edges.gate import AdmissionGate
 from chervilrock.edges.relay import TransferPool
@@ -32,6 +34,7 @@
       context: the node.
       gate: where requests wait for their admission.
       pool: runs the transfers to backend servers.
+      service_policy: chooses backend servers of plain services.
     """
 
     def __init__(self, *, context: RequestContext) -> None:
@@ -43,6 +46,9 @@
         self.context = context
         self.gate = AdmissionGate(context=context)
         self.pool = TransferPool()
+        self.service_policy: RoutingPolicy = LeastInFlight(
+            rng=random.Random(f"{context.node_id}/{context.incarnation}")
+        )
         self._runs: set[Run] = set()
         self._tasks: set[asyncio.Task[Any]] = set()
         self._sweeping = False
--- /dev/null
+++ b/chervilrock/edges/runs.py
@@ -0,0 +1,220 @@
+"""What runs of completions and of plain services have in common."""
+
+import abc
+from typing import NamedTuple
+
+from chervilrock.decisions.limits.verdicts import Rejected
+from chervilrock.decisions.requests.attempts import AttemptTracker, GiveUp
+from chervilrock.decisions.requests.outcomes import AttemptEnd
+from chervilrock.decisions.routing.base import RequestView
+from chervilrock.edges.errors import CallerError, ErrorCode
+from chervilrock.edges.path import RequestPath, Run
+from chervilrock.edges.relay import Transfer, TransferEnd
+from chervilrock.edges.sinks import AnswerSink
+from chervilrock.events import emit, Event
+from chervilrock.generated.interfaces import Outcome
+from chervilrock.metrics import RequestOutcome
+
+CALLER_STALL_S = 30.0
+"""Time that a caller may leave its answer unread."""
+
+_CODES = {
+    None: ErrorCode.NO_GROUP,
+    AttemptEnd.NOT_SENT: ErrorCode.BACKEND_UNREACHABLE,
+    AttemptEnd.REFUSED: ErrorCode.BACKEND_REFUSED,
+    AttemptEnd.LOST: ErrorCode.BACKEND_LOST,
+    AttemptEnd.DENIED: ErrorCode.BACKEND_DENIED,
+    AttemptEnd.ERROR: ErrorCode.BACKEND_ERROR,
+    AttemptEnd.BROKEN: ErrorCode.ANSWER_BROKEN,
+    AttemptEnd.FOREIGN: ErrorCode.BACKEND_LOST,
+}
+_MESSAGES = {
+    Outcome.NOT_RUN: "no backend server has run the request",
+    Outcome.UNKNOWN: "a backend server may have run the request",
+    Outcome.FAILED: "the request ran and ended without a whole answer",
+}
+
+
+class Refusal(NamedTuple):
+    """What a backend server said instead of an answer.
+
+    Attributes:
+      status: HTTP status, 0 when there was no answer.
+      code: code of the error, empty when it gave none.
+      message: text of the error, empty when it gave none.
+      retry_after_s: time to wait that it asks for, 0 when it does not.
+    """
+
+    status: int = 0
+    code: str = ""
+    message: str = ""
+    retry_after_s: float = 0.0
+
+
+class RunEnd(NamedTuple):
+    """How a request ended.
+
+    Attributes:
+      outcome: how it ended.
+      error: error that the caller got, None for a whole answer.
+    """
+
+    outcome: RequestOutcome
+    error: CallerError | None
+
+
+CANCELLED = RunEnd(RequestOutcome.CANCELLED, None)
+COMPLETE = RunEnd(RequestOutcome.COMPLETE, None)
+
+
+class BackendRun(Run):
+    """Gets one whole answer to its caller, or an error that says the truth.
+
+    Attributes:
+      view: what the decisions know of the request.
+    """
+
+    def __init__(
+        self, *, path: RequestPath, view: RequestView, sink: AnswerSink
+    ) -> None:
+        """Makes a run that has not begun.
+
+        Args:
+          path: request path of the node.
+          view: what the decisions know of the request.
+          sink: takes the answer.
+        """
+        self.view = view
+        self._path = path
+        self._context = path.context
+        self._sink = sink
+        self._tracker = AttemptTracker(
+            request_id=view.request_id,
+            idempotent=view.idempotent,
+            deadline=view.deadline,
+        )
+        self._transfer: Transfer | None = None
+        self._target = ""
+        self._refusal = Refusal()
+        self._left = False
+
+    async def run(self) -> RunEnd:
+        """Runs the request to its end."""
+        began = self._context.now()
+        self._path.add_run(self)
+        try:
+            end = await self._run_with_admission()
+        finally:
+            self._path.remove_run(self)
+        tokens = self.count_tokens()
+        if tokens:
+            self._context.metrics.count_tokens(
+                model=self.view.model, tokens=tokens
+            )
+        self._context.metrics.count_request(
+            workspace=self.view.workspace,
+            model=self.view.model,
+            outcome=end.outcome,
+            seconds=self._context.now() - began,
+        )
+        return end
+
+    def leave(self) -> None:
+        """Stops the run, since nobody wants its answer any more."""
+        self._left = True
+        self._path.gate.withdraw(self.view.request_id)
+        self._stop()
+
+    def check(self, now: float) -> None:
+        """See base class."""
+        blocked_since = self._sink.blocked_since
+        if blocked_since is not None and now - blocked_since > CALLER_STALL_S:
+            self._sink.cut()
+        elif self._transfer is not None and not self._left:
+            self.check_transfer(self._transfer, now)
+
+    @abc.abstractmethod
+    def check_transfer(self, transfer: Transfer, now: float) -> None:
+        """Looks whether the transfer still gets on."""
+
+    @abc.abstractmethod
+    async def run_admitted(self) -> RunEnd:
+        """Sends the request until its answer is whole or it is given up."""
+
+    @abc.abstractmethod
+    def count_tokens(self) -> int:
+        """Returns the tokens of the answer so far."""
+
+    async def _run_with_admission(self) -> RunEnd:
+        rejected = await self._path.gate.enter(self.view)
+        if rejected is not None:
+            return self._reject(rejected)
+        ok = False
+        try:
+            end = CANCELLED if self._left else await self.run_admitted()
+            ok = end is COMPLETE
+            return end
+        finally:
+            self._path.gate.leave(
+                self.view.request_id, ok=ok, tokens=self.count_tokens()
+            )
+
+    async def _transmit(self, transfer: Transfer) -> TransferEnd:
+        """Runs a transfer, held back while the caller reads too slowly."""
+        self._transfer = transfer
+        self._sink.attach(transfer)
+        try:
+            return await self._path.pool.run(transfer)
+        finally:
+            self._transfer = None
+            self._sink.attach(None)
+
+    def _stop(self) -> None:
+        """Ends the transfer, since what comes is of no use."""
+        if self._transfer is not None:
+            self._transfer.abandon()
+
+    def _reject(self, rejected: Rejected) -> RunEnd:
+        if self._left:
+            return CANCELLED
+        emit(
+            Event.REQUEST_REJECTED,
+            request_id=self.view.request_id,
+            workspace=self.view.workspace,
+            reason=rejected.code.value,
+        )
+        error = CallerError(
+            code=ErrorCode(rejected.code.value),
+            message="the request was not sent to a backend server",
+            outcome=Outcome.NOT_RUN,
+            retry_after_s=rejected.retry_after_s,
+        )
+        return self._fail(error)
+
+    def _give_up(self, decision: GiveUp) -> RunEnd:
+        """Tells the caller what is known of the request."""
+        error = self._make_error(decision)
+        if error.outcome is Outcome.UNKNOWN:
+            emit(
+                Event.REQUEST_UNKNOWN,
+                request_id=self.view.request_id,
+                target=self._target,
+                reason=error.code.value,
+            )
+        return self._fail(error)
+
+    def _make_error(self, decision: GiveUp) -> CallerError:
+        code = _CODES[decision.end]
+        late = self._context.now() >= self.view.deadline
+        if late and decision.end in (AttemptEnd.LOST, AttemptEnd.BROKEN):
+            code = ErrorCode.DEADLINE_EXCEEDED
+        return CallerError(
+            code=code,
+            message=self._refusal.message or _MESSAGES[decision.outcome],
+            outcome=decision.outcome,
+            retry_after_s=self._refusal.retry_after_s or None,
+        )
+
+    def _fail(self, error: CallerError) -> RunEnd:
+        self._sink.fail(error, may_repeat=self.view.idempotent)
+        return RunEnd(RequestOutcome(error.outcome.value), error)
--- /dev/null
+++ b/chervilrock/edges/services.py
@@ -0,0 +1,159 @@
+"""One call of a plain service from its admission to its answer."""
+
+from collections.abc import Sequence
+
+from chervilrock.decisions.requests import attempts
+from chervilrock.decisions.requests.attempts import Send, SendMode, SendReport
+from chervilrock.decisions.requests.outcomes import AttemptEnd
+from chervilrock.decisions.routing.base import Endpoint, RequestView
+from chervilrock.edges import servicecalls
+from chervilrock.edges.path import RequestPath
+from chervilrock.edges.relay import Transfer
+from chervilrock.edges.runs import BackendRun, CANCELLED, COMPLETE, RunEnd
+from chervilrock.edges.servicecalls import ServiceCall, ServiceReceiver
+from chervilrock.edges.sinks import AnswerSink
+from chervilrock.generated.interfaces import ServiceEntry
+from chervilrock.metrics import RetryKind
+
+
+def make_endpoints(backends: Sequence[ServiceEntry]) -> tuple[Endpoint, ...]:
+    """Presents backend servers of a plain service as endpoints.
+
+    The admission and the policies know a service as a model of this name and
+    each backend server as a group named by its address.
+    """
+    return tuple(
+        Endpoint(
+            group=entry["address"],
+            fence=0,
+            model=entry["service"],
+            version="",
+            adapters=(),
+            address=entry["address"],
+            data_centre=entry["data_centre"],
+            size=1,
+        )
+        for entry in backends
+    )
+
+
+class ServiceRun(BackendRun):
+    """Runs a call at one backend server, or at several in turn."""
+
+    def __init__(
+        self,
+        *,
+        path: RequestPath,
+        view: RequestView,
+        call: ServiceCall,
+        sink: AnswerSink,
+    ) -> None:
+        """Makes a run that has not begun.
+
+        Args:
+          path: request path of the node.
+          view: what the decisions know of the request; its model is the name
+            of the service.
+          call: the call.
+          sink: takes the answer.
+        """
+        super().__init__(path=path, view=view, sink=sink)
+        self._call = call
+        self._started = False
+
+    def count_tokens(self) -> int:
+        """See base class."""
+        return 0
+
+    def check_transfer(self, transfer: Transfer, now: float) -> None:
+        """See base class."""
+
+    def leave(self) -> None:
+        """See base class.
+
+        A call that must not run twice is not cut while it runs: its caller
+        may ask for its effect later.
+        """
+        if self.view.idempotent or self._transfer is None:
+            super().leave()
+
+    async def run_admitted(self) -> RunEnd:
+        """See base class."""
+        decision: attempts.Decision = attempts.TryElsewhere(frozenset())
+        while True:
+            if isinstance(decision, attempts.Deliver):
+                return COMPLETE
+            if isinstance(decision, attempts.GiveUp):
+                return self._give_up(decision)
+            assert isinstance(decision, attempts.TryElsewhere)
+            endpoint = self._choose(decision)
+            if endpoint is None:
+                return self._give_up(self._tracker.give_up())
+            if self._tracker.sends:
+                self._context.metrics.count_retry(RetryKind.RETRY)
+            decision = await self._send(endpoint)
+            if self._left:
+                return CANCELLED
+
+    def _choose(self, decision: attempts.TryElsewhere) -> Endpoint | None:
+        """Chooses the backend server for the next send."""
+        now = self._context.now()
+        name = self.view.model
+        backends = self._context.service_backends(name, now)
+        endpoints = make_endpoints(backends)
+        policy = self._path.service_policy
+        chosen = policy.choose(
+            self.view, endpoints, now, exclude=decision.exclude
+        )
+        if chosen is None and decision.again:
+            chosen = policy.choose(self.view, endpoints, now)
+        return chosen
+
+    async def _send(self, endpoint: Endpoint) -> attempts.Decision:
+        """Sends the call once and decides what follows."""
+        send = self._tracker.begin(endpoint.group, SendMode.START)
+        self._target = endpoint.group
+        now = self._context.now()
+        receiver = ServiceReceiver(
+            method=self._call.method,
+            expected=(
+                ("X-Request-Id", self.view.request_id),
+                ("X-Attempt-Id", send.attempt),
+            ),
+            sink=self._sink,
+        )
+        transfer = Transfer(
+            request=servicecalls.make_request(
+                view=self.view,
+                call=self._call,
+                address=endpoint.address,
+                send=send,
+                now=now,
+            ),
+            receiver=receiver,
+        )
+        policy = self._path.service_policy
+        policy.on_sent(self.view, endpoint, now)
+        end = receiver.judge(await self._transmit(transfer))
+        ok = end is AttemptEnd.COMPLETE
+        policy.on_done(self.view, endpoint, self._context.now(), ok, 0)
+        self._refusal = receiver.refusal
+        if ok:
+            receiver.finish()
+        return self._decide(send, end, receiver.started)
+
+    def _decide(
+        self, send: Send, end: AttemptEnd, started: bool
+    ) -> attempts.Decision:
+        """Decides what follows the end of a send."""
+        now = self._context.now()
+        report = SendReport(number=send.number, end=end, position=int(started))
+        decision = self._tracker.finish(report, now)
+        assert decision is not None
+        if not isinstance(decision, attempts.TryElsewhere):
+            return decision
+        if end is AttemptEnd.NOT_SENT:
+            return decision
+        if self._context.admission.allow_retry(self.view, now):
+            return decision
+        return self._tracker.give_up()
--- a/chervilrock/edges/sinks.py
+++ b/chervilrock/edges/sinks.py
@@ -27,13 +27,11 @@
 
     Attributes:
       status: HTTP status.
-      reason: reason of the status, None for that of the standard.
       headers: names and values of the headers.
       events: whether the body is a stream of events.
     """
 
     status: int
-    reason: str | None
     headers: Headers
     events: bool
 
@@ -43,9 +41,12 @@
 
     Attributes:
       started: whether the head was taken, so that no other can follow.
+      blocked_since: time in seconds since which the caller reads too slowly,
+        None when it does not.
     """
 
     started = False
+    blocked_since: float | None = None
 
     @abc.abstractmethod
     def start(self, head: AnswerHead) -> None:
@@ -68,6 +69,10 @@
           may_repeat: whether the request may run a second time.
         """
 
+    @abc.abstractmethod
+    def cut(self) -> None:
+        """Drops the rest of the answer, so that it is seen to be broken."""
+
     @abc.abstractmethod
     def attach(self, transfer: Transfer | None) -> None:
         """Names the transfer to hold back while too much is unsent."""
@@ -81,12 +86,7 @@
 
 
 class CallerSink(AnswerSink):
-    """Writes the answer to the connection of a caller.
-
-    Attributes:
-      blocked_since: time since which the caller reads too slowly, None when
-        it does not.
-    """
+    """Writes the answer to the connection of a caller."""
 
     def __init__(
         self,
@@ -108,11 +108,11 @@
         self._now = now
         self._transfer: Transfer | None = None
         self._events = False
+        self._wrote = False
         self._unsent = 0
         self._watching = False
         self._closed = False
         self._ended: asyncio.Future[None] | None = None
-        self.blocked_since: float | None = None
 
     def start(self, head: AnswerHead) -> None:
         """See base class."""
@@ -120,7 +120,7 @@
             return
         self.started = True
         self._events = head.events
-        self._handler.set_status(head.status, head.reason)
+        self._handler.set_status(head.status)
         self._handler.clear_header("Content-Type")
         for name, value in head.headers:
             self._handler.add_header(name, value)
@@ -132,6 +132,7 @@
         """See base class."""
         if self._closed:
             return
+        self._wrote = True
         self._handler.write(data)
         flushed = self._handler.flush()
         if not flushed.done():
@@ -143,6 +144,9 @@
         """See base class."""
         if not self._closed:
             self._closed = True
+            if not self._wrote:
+                # The library must not make an answer of its own.
+                self._handler.flush()
             self._ended = self._handler.finish()
 
     def fail(self, error: errors.CallerError, *, may_repeat: bool) -> None:
@@ -158,7 +162,7 @@
             self.cut()
 
     def cut(self) -> None:
-        """Closes the connection, so that the caller sees a broken answer."""
+        """See base class."""
         self._closed = True
         self._stream.close()
 
@@ -177,6 +181,7 @@
     def close(self) -> None:
         """Takes note that the caller is gone."""
         self._closed = True
+        self._release()
 
     def attach(self, transfer: Transfer | None) -> None:
         """See base class."""
@@ -205,10 +210,14 @@
                 self._watching = True
                 self._handler.flush().add_done_callback(self._note_flushed)
         else:
-            self._unsent = 0
-            self.blocked_since = None
-            if self._transfer is not None:
-                self._transfer.resume()
+            self._release()
+
+    def _release(self) -> None:
+        """Goes on with a transfer that was held back."""
+        self._unsent = 0
+        self.blocked_since = None
+        if self._transfer is not None:
+            self._transfer.resume()
 
     def _fail_early(self, error: errors.CallerError, may_repeat: bool) -> None:
         self.started = True
