--- a/chervilrock/decisions/limits/admission.py
+++ b/chervilrock/decisions/limits/admission.py
@@ -3,24 +3,45 @@
 Each request that is offered ends in exactly one way: admitted and later
 released, rejected, or cancelled. A rejected request was not run, and its
 caller is told at once and when to come back.
+
+The node calls `admit` and `expire` several times a second, and sends what
+`release` and `admit` return.
 """
 
-from collections.abc import Sequence
+import collections
+from collections.abc import Iterable, Sequence
 from typing import Any, NamedTuple
 
-from chervilrock.decisions.limits import concurrency, fairness, verdicts
+from chervilrock.decisions.limits import (
+    concurrency,
+    fairness,
+    retries,
+    verdicts,
+)
+from chervilrock.decisions.limits import pool as pools
+from chervilrock.decisions.limits import quota as quotas
 from chervilrock.decisions.routing import base
-from chervilrock.generated import configuration
+from chervilrock.generated import configuration, interfaces
 
 DEFAULT_QUEUE = 256
 DEFAULT_QUEUE_WAIT_MS = 2000
-DEFAULT_RETRY_AFTER_S = 1.0
+DEFAULT_REQUEST_TIMEOUT_MS = 120000
+NO_GROUP_RETRY_S = 2.0
+"""Delay for a caller while no group serves the model."""
+
+UNLISTED = "default"
+"""Workspace that stands for all that the configuration does not list.
+
+Together they have one share, so that nobody gains places by inventing names.
+"""
+
+HEDGE_RESERVE = 1.0
+"""Tokens of the retry budget that hedges leave to retries."""
 
 
 class _Running(NamedTuple):
     request: base.RequestView
     cost: float
-    since: float
 
 
 class Admission:
@@ -41,39 +62,104 @@
           workspaces: workspaces of the configuration.
         """
         self._node = node
-        self._limits = limits
-        self._workspaces = {spec["name"]: spec for spec in workspaces}
-        self._groups: dict[str, concurrency.GroupLimit] = {}
-        self._models: dict[str, tuple[str, ...]] = {}
+        self._pools: dict[str, pools.Pool] = {}
         self._running: dict[str, _Running] = {}
         self._waiting: dict[str, base.RequestView] = {}
-        self._queue = fairness.FairQueue()
+        self._in_flight: collections.Counter[str] = collections.Counter()
+        self._quota = quotas.Quota(node=node)
+        self._budget = retries.RetryBudget()
+        self._shares: dict[str, float] = {}
+        self._maximums: dict[str, float] = {}
+        self.set_limits(limits, workspaces, 0.0)
+
+    def set_limits(
+        self,
+        limits: configuration.LimitSpec,
+        workspaces: Sequence[configuration.WorkspaceSpec],
+        now: float,
+        *,
+        services: Sequence[configuration.ServiceSpec] = (),
+    ) -> None:
+        """Put the limits of a configuration in force.
+
+        Requests that run or wait are kept; later decisions follow the new
+        limits.
+
+        Args:
+          limits: limits of the configuration.
+          workspaces: workspaces of the configuration.
+          now: present time.
+          services: plain services, for which pools are named as well.
+        """
+        del now
+        self._max_queue = limits.get("queue", DEFAULT_QUEUE)
+        wait_ms = limits.get("queue_wait_ms", DEFAULT_QUEUE_WAIT_MS)
+        self._max_wait_s = wait_ms / 1000.0
+        self._budget.set_ratio(limits.get("retry_ratio", retries.DEFAULT_RATIO))
+        self._shares = {
+            spec["name"]: spec.get("share", 1.0) for spec in workspaces
+        }
+        self._maximums = {
+            spec["name"]: float(spec.get("max_in_flight", 64))
+            for spec in services
+        }
+        timeout_ms = limits.get(
+            "request_timeout_ms", DEFAULT_REQUEST_TIMEOUT_MS
+        )
+        self._quota.set_bounds(
+            {
+                spec["name"]: spec["max_in_flight"]
+                for spec in workspaces
+                if spec.get("max_in_flight", 0)
+            },
+            longest_s=timeout_ms / 1000.0,
+        )
+        for pool in self._pools.values():
+            pool.set_shares(self._shares)
 
     def offer(self, request: base.RequestView, now: float) -> verdicts.Verdict:
         """Decide on a request that has arrived.
 
+        Args:
+          request: the request; its identity must be new.
+          now: present time.
+
         Returns:
           Whether it runs now, waits, or is rejected. The requests in
           `Queued.displaced` are rejected with it and need their answer now.
+
+        Raises:
+          ValueError: a request with this identity runs or waits already.
         """
-        if not self._capacity(request.model):
-            return self._reject(request, verdicts.RejectCode.NO_GROUP)
+        known = request.request_id in self._running
+        if known or request.request_id in self._waiting:
+            raise ValueError(f"request {request.request_id} offered twice")
+        pool = self._pools.get(request.model)
+        if pool is None or not pool.capacity():
+            return _reject_without_group(request)
+        if request.workspace not in self._shares:
+            request = request._replace(workspace=UNLISTED)
         if request.deadline <= now:
-            return self._reject(request, verdicts.RejectCode.DEADLINE)
-        if not self._waiting and self._has_place(request.model):
-            self._start(request, now)
+            return self._reject(request, verdicts.RejectCode.DEADLINE, now)
+        pool.note_active(request.workspace, now)
+        first = not pool.queue.count(request.workspace)
+        if first and self._may_start(pool, request.workspace, now):
+            self._start(pool, request, pool.estimate_cost(request))
+            pool.queue.charge(
+                request.workspace,
+                pool.estimate_cost(request),
+                pool.share_of(request.workspace),
+            )
             return verdicts.Admitted(request.request_id)
-        if len(self._queue) >= self._limits.get("queue", DEFAULT_QUEUE):
-            return self._reject(request, verdicts.RejectCode.QUEUE_FULL)
-        self._queue.push(request, _estimate_cost(request), now)
-        self._waiting[request.request_id] = request
-        return verdicts.Queued(request.request_id, len(self._queue))
+        return self._enqueue(pool, request, now)
 
     def release(
         self, request_id: str, now: float, ok: bool, *, tokens: int = 0
     ) -> tuple[str, ...]:
         """Take note that an admitted request has ended.
 
+        A second call for the same request changes nothing.
+
         Args:
           request_id: identity of the request.
           now: present time.
@@ -83,36 +169,37 @@
         Returns:
           The requests that are admitted now in its place.
         """
-        self._running.pop(request_id, None)
-        return self.admit(now)
+        entry = self._running.pop(request_id, None)
+        if entry is None:
+            return ()
+        request = entry.request
+        self._in_flight[request.workspace] -= 1
+        if not self._in_flight[request.workspace]:
+            del self._in_flight[request.workspace]
+        pool = self._pools[request.model]
+        pool.finish(request, entry.cost, ok, tokens, now)
+        return self._admit_from(pool, now)
 
     def admit(self, now: float) -> tuple[str, ...]:
-        """Admit the requests that wait and now find a place."""
+        """Adapt the limits, and admit the requests that find a place."""
+        self._quota.update(self._own_uses(), now)
         admitted: list[str] = []
-        while True:
-            entry = self._queue.pop(self._share_of, lambda _: True)
-            if entry is None:
-                return tuple(admitted)
-            if not self._has_place(entry.request.model):
-                self._queue.push(entry.request, entry.cost, entry.since)
-                return tuple(admitted)
-            del self._waiting[entry.request.request_id]
-            self._start(entry.request, now)
-            admitted.append(entry.request.request_id)
+        for model, pool in list(self._pools.items()):
+            pool.adjust(now)
+            admitted += self._admit_from(pool, now)
+            if pool.is_unused():
+                del self._pools[model]
+        return tuple(admitted)
 
     def expire(self, now: float) -> tuple[verdicts.Rejected, ...]:
-        """Reject the requests that have waited too long."""
-        longest = self._limits.get("queue_wait_ms", DEFAULT_QUEUE_WAIT_MS)
-        rejected = []
-        for entry in list(self._queue):
-            code = None
-            if entry.request.deadline <= now:
-                code = verdicts.RejectCode.DEADLINE
-            elif now - entry.since >= longest / 1000.0:
-                code = verdicts.RejectCode.QUEUE_TIMEOUT
-            if code is not None:
-                self.cancel(entry.request.request_id, now)
-                rejected.append(self._reject(entry.request, code))
+        """Reject the requests that have waited too long or for nothing."""
+        rejected: list[verdicts.Rejected] = []
+        for pool in self._pools.values():
+            for entry in list(pool.queue):
+                code = self._expired(pool, entry, now)
+                if code is not None:
+                    self.cancel(entry.request.request_id, now)
+                    rejected.append(self._reject(entry.request, code, now))
         return tuple(rejected)
 
     def cancel(self, request_id: str, now: float) -> bool:
@@ -121,83 +208,230 @@
         Returns:
           Whether it waited; a running request has to be released instead.
         """
+        del now
         request = self._waiting.pop(request_id, None)
         if request is None:
             return False
-        self._queue.remove(request)
+        self._pools[request.model].queue.remove(request)
         return True
 
-    def set_limits(
-        self,
-        limits: configuration.LimitSpec,
-        workspaces: Sequence[configuration.WorkspaceSpec],
-        now: float,
-    ) -> None:
-        """Put the limits of a new configuration in force."""
-        self._limits = limits
-        self._workspaces = {spec["name"]: spec for spec in workspaces}
+    def allow_retry(self, request: base.RequestView, now: float) -> bool:
+        """Take a further attempt for a request from the retry budget.
+
+        Whether the request may run again is for the caller to decide.
+        """
+        del request, now
+        return self._budget.take()
+
+    def hedge_delay(
+        self, request: base.RequestView, now: float
+    ) -> float | None:
+        """Return when to think of a hedge, in seconds after sending."""
+        del now
+        pool = self._pools.get(request.model)
+        if pool is None or not request.idempotent:
+            return None
+        return pool.hedging.delay(request.prompt_tokens)
+
+    def allow_hedge(self, request: base.RequestView, now: float) -> bool:
+        """Tell whether to send a hedge now, and take it from the budget."""
+        pool = self._pools.get(request.model)
+        if pool is None or not request.idempotent:
+            return False
+        if self._budget.tokens < 1.0 + HEDGE_RESERVE:
+            return False
+        if not pool.hedging.pays(pool.load(), now):
+            return False
+        return self._budget.take(reserve=HEDGE_RESERVE)
+
+    def observe_hedge(self, request_id: str, won: bool, now: float) -> None:
+        """Learn whether the hedge of a running request came first."""
+        del now
+        entry = self._running.get(request_id)
+        if entry is not None:
+            self._pools[entry.request.model].hedging.observe_hedge(won)
 
     def observe_groups(
         self, endpoints: Sequence[base.Endpoint], now: float
     ) -> None:
         """Learn which groups are whole and serving now."""
-        models: dict[str, list[str]] = {}
-        groups = {}
+        del now
+        groups: dict[str, list[str]] = {model: [] for model in self._pools}
         for endpoint in endpoints:
-            models.setdefault(endpoint.model, []).append(endpoint.group)
-            known = self._groups.get(endpoint.group)
-            groups[endpoint.group] = known or concurrency.GroupLimit()
-        self._groups = groups
-        self._models = {name: tuple(found) for name, found in models.items()}
+            groups.setdefault(endpoint.model, []).append(endpoint.group)
+        for model, names in groups.items():
+            if model not in self._pools:
+                self._pools[model] = pools.Pool()
+                self._pools[model].set_shares(self._shares)
+            maximum = self._maximums.get(model, concurrency.MAX_LIMIT)
+            self._pools[model].set_groups(tuple(names), maximum)
 
     def observe_first_token(
         self, request_id: str, group: str, waited: float, now: float
     ) -> None:
         """Learn that the first token came `waited` seconds after sending."""
+        entry = self._running.get(request_id)
+        if entry is not None:
+            pool = self._pools[entry.request.model]
+            pool.observe_first_token(entry.request, group, waited, now)
+
+    def observe_load(
+        self, group: str, load: interfaces.EngineLoad, now: float
+    ) -> None:
+        """Learn from a load report of a group."""
+        del now
+        limit = self._find_limit(group)
+        if limit is not None:
+            limit.on_load(load["running"], load["waiting"])
 
     def observe_refusal(self, group: str, now: float) -> None:
         """Learn that a group refused a request because of overload."""
-        if group in self._groups:
-            self._groups[group].on_overload(now)
+        del now
+        limit = self._find_limit(group)
+        if limit is not None:
+            limit.on_overload()
+
+    def observe_members(self, members: Iterable[str], now: float) -> None:
+        """Learn all nodes that may run requests, reachable or not."""
+        del now
+        self._quota.observe_members(members)
+
+    def observe_peer_shares(
+        self, uses: Iterable[interfaces.NodeUse], now: float
+    ) -> None:
+        """Learn what peers run of the bounded workspaces."""
+        for use in uses:
+            self._quota.observe_peer(use, now)
+
+    def shares(self, now: float) -> tuple[interfaces.NodeUse, ...]:
+        """Return the use of this node and of its peers, for an exchange."""
+        own = interfaces.NodeUse(
+            node=self._node, age_ms=0, uses=self._own_uses()
+        )
+        return (own, *self._quota.peer_uses(now))
+
+    def load(self) -> float:
+        """Return the share of all places that is taken, 0 to about 1."""
+        capacity = sum(pool.capacity() for pool in self._pools.values())
+        return len(self._running) / capacity if capacity else 0.0
 
     def snapshot(self) -> dict[str, Any]:
         """Return the state for the state dump, as JSON values."""
         return {
             "running": len(self._running),
-            "waiting": len(self._queue),
-            "groups": {
-                name: round(limit.limit, 2)
-                for name, limit in self._groups.items()
+            "waiting": len(self._waiting),
+            "retry_tokens": round(self._budget.tokens, 2),
+            "models": {
+                model: pool.snapshot() for model, pool in self._pools.items()
+            },
+            "quotas": {
+                name: self._quota.allowed(name)
+                for name in self._quota.bounded()
             },
         }
 
-    def _capacity(self, model: str) -> int:
-        groups = self._models.get(model, ())
-        return int(sum(self._groups[name].limit for name in groups))
+    def _may_start(self, pool: pools.Pool, workspace: str, now: float) -> bool:
+        if not self._is_within_quota(workspace):
+            return False
+        return pool.has_place(workspace, now)
 
-    def _has_place(self, model: str) -> bool:
-        running = sum(
-            1
-            for entry in self._running.values()
-            if entry.request.model == model
-        )
-        return running < self._capacity(model)
+    def _is_within_quota(self, workspace: str) -> bool:
+        if not self._quota.is_bounded(workspace):
+            return True
+        allowed = self._quota.allowed(workspace)
+        return self._in_flight[workspace] < allowed
 
-    def _start(self, request: base.RequestView, now: float) -> None:
-        cost = _estimate_cost(request)
-        self._running[request.request_id] = _Running(request, cost, now)
+    def _start(
+        self, pool: pools.Pool, request: base.RequestView, cost: float
+    ) -> None:
+        self._running[request.request_id] = _Running(request, cost)
+        self._in_flight[request.workspace] += 1
+        self._budget.on_request()
+        pool.start(request)
 
-    def _share_of(self, workspace: str) -> float:
-        spec = self._workspaces.get(workspace)
-        return spec.get("share", 1.0) if spec else 1.0
+    def _admit_from(self, pool: pools.Pool, now: float) -> tuple[str, ...]:
+        admitted: list[str] = []
+        while True:
+            entry = pool.queue.pop(
+                pool.share_of,
+                lambda name: self._may_start(pool, name, now),
+            )
+            if entry is None:
+                return tuple(admitted)
+            del self._waiting[entry.request.request_id]
+            self._start(pool, entry.request, entry.cost)
+            admitted.append(entry.request.request_id)
+
+    def _enqueue(
+        self, pool: pools.Pool, request: base.RequestView, now: float
+    ) -> verdicts.Verdict:
+        if self._is_within_quota(request.workspace):
+            pool.note_saturated()
+            refusal = verdicts.RejectCode.OVERLOADED
+        else:
+            refusal = verdicts.RejectCode.WORKSPACE_LIMIT
+        longest = min(self._max_wait_s, request.deadline - now)
+        if pool.expected_wait(request, now) > longest:
+            return self._reject(request, refusal, now)
+        displaced: tuple[verdicts.Rejected, ...] = ()
+        if len(self._waiting) >= self._max_queue:
+            victim = pool.find_displaced(request)
+            if victim is None:
+                code = verdicts.RejectCode.QUEUE_FULL
+                return self._reject(request, code, now)
+            self.cancel(victim.request_id, now)
+            code = verdicts.RejectCode.QUEUE_FULL
+            displaced = (self._reject(victim, code, now),)
+        pool.queue.push(request, pool.estimate_cost(request), now)
+        self._waiting[request.request_id] = request
+        return verdicts.Queued(request.request_id, len(pool.queue), displaced)
+
+    def _expired(
+        self, pool: pools.Pool, entry: fairness.Waiting, now: float
+    ) -> verdicts.RejectCode | None:
+        if not pool.capacity():
+            return verdicts.RejectCode.NO_GROUP
+        if entry.request.deadline <= now:
+            return verdicts.RejectCode.DEADLINE
+        if now - entry.since >= self._max_wait_s:
+            return verdicts.RejectCode.QUEUE_TIMEOUT
+        return None
 
     def _reject(
-        self, request: base.RequestView, code: verdicts.RejectCode
+        self,
+        request: base.RequestView,
+        code: verdicts.RejectCode,
+        now: float,
     ) -> verdicts.Rejected:
+        pool = self._pools[request.model]
+        if code is verdicts.RejectCode.NO_GROUP:
+            return _reject_without_group(request)
         return verdicts.Rejected(
-            request.request_id, code, DEFAULT_RETRY_AFTER_S
+            request.request_id, code, pool.book(request.workspace, now)
         )
 
+    def _own_uses(self) -> tuple[interfaces.WorkspaceUse, ...]:
+        waiting = collections.Counter(
+            request.workspace for request in self._waiting.values()
+        )
+        return tuple(
+            interfaces.WorkspaceUse(
+                workspace=name,
+                in_flight=self._in_flight[name],
+                waiting=waiting[name],
+                reserved=self._quota.reserved(name),
+            )
+            for name in self._quota.bounded()
+        )
+
+    def _find_limit(self, group: str) -> concurrency.GroupLimit | None:
+        for pool in self._pools.values():
+            if group in pool.group_limits:
+                return pool.group_limits[group]
+        return None
+
 
-def _estimate_cost(request: base.RequestView) -> float:
-    return float(request.prompt_tokens + request.max_tokens)
+def _reject_without_group(request: base.RequestView) -> verdicts.Rejected:
+    return verdicts.Rejected(
+        request.request_id, verdicts.RejectCode.NO_GROUP, NO_GROUP_RETRY_S
+    )
--- a/chervilrock/decisions/limits/concurrency.py
+++ b/chervilrock/decisions/limits/concurrency.py
@@ -1,23 +1,31 @@
 """Adaptive limit on the requests that a node has at one replica group.
 
-Additive increase, multiplicative decrease. The sign of overload is a
-standing queue: the least queueing time among the last first tokens of a
-group stays above a target. The least one is taken, since a long prompt or a
-prefix that is not cached delays single requests of an idle group as well.
+Additive increase, multiplicative decrease. The sign of overload is a standing
+queue: within an interval even the least queueing time of a first token is
+above a target, or the load report shows more requests that wait than the
+batch will soon take. The least one is taken, since a long prompt or a prefix
+that is not cached delays single requests of an idle group as well.
+
+Every node sees the same standing queue, so all nodes lower their limits
+together and raise them by the same step, which evens them out.
 """
 
-INITIAL_LIMIT = 8.0
-MIN_LIMIT = 1.0
+INITIAL_LIMIT = 4.0
+MIN_LIMIT = 0.1
+"""Less than one: a node among many has less than a place in each group."""
+
 MAX_LIMIT = 256.0
-INCREASE = 0.5
+INCREASE = 0.3
 DECREASE = 0.85
-SAMPLES = 6
-"""First tokens after which the least queueing time counts."""
+INTERVAL_S = 1.0
+"""Time over which evidence is gathered before the limit changes."""
 
-TARGET_QUEUEING_S = 0.15
+MIN_SAMPLES = 2
+TARGET_QUEUEING_S = 0.2
 """Standing queue in seconds that is taken for overload."""
 
-MIN_DECREASE_INTERVAL_S = 1.0
+WAITING_SHARE = 0.1
+"""Waiting requests for each running one that are taken for overload."""
 
 
 class GroupLimit:
@@ -32,11 +40,13 @@
           initial: requests in flight allowed at first.
           maximum: requests in flight allowed at most.
         """
-        self._limit = min(initial, maximum)
-        self._maximum = maximum
+        self._maximum = max(MIN_LIMIT, maximum)
+        self._limit = min(initial, self._maximum)
+        self._interval_end = 0.0
         self._least = float("inf")
         self._samples = 0
-        self._decreased_at = float("-inf")
+        self._overloaded = False
+        self._saturated = False
 
     @property
     def limit(self) -> float:
@@ -48,31 +58,37 @@
         self._maximum = max(MIN_LIMIT, maximum)
         self._limit = min(self._limit, self._maximum)
 
-    def on_queueing(self, queueing: float, saturated: bool, now: float) -> None:
-        """Learn the queueing time of a request in seconds.
-
-        Args:
-          queueing: time in the queue of the engine.
-          saturated: whether the node could use a greater limit.
-          now: present time.
-        """
+    def on_queueing(self, queueing: float) -> None:
+        """Learn the time in seconds that a request waited at the engine."""
         self._least = min(self._least, queueing)
         self._samples += 1
-        if self._samples < SAMPLES:
+
+    def on_load(self, running: int, waiting: int) -> None:
+        """Learn from a load report how many requests run and wait."""
+        if waiting > 1 + running * WAITING_SHARE:
+            self._overloaded = True
+
+    def on_overload(self) -> None:
+        """Learn that the group refused a request because of overload."""
+        self._overloaded = True
+
+    def on_saturated(self) -> None:
+        """Learn that a request found no place because of the limits."""
+        self._saturated = True
+
+    def adjust(self, now: float) -> None:
+        """Change the limit by the evidence, once in an interval."""
+        if now < self._interval_end:
             return
-        if self._least > TARGET_QUEUEING_S:
-            self.on_overload(now)
-        elif saturated:
-            self._increase()
+        standing = (
+            self._samples >= MIN_SAMPLES and self._least > TARGET_QUEUEING_S
+        )
+        if self._overloaded or standing:
+            self._limit = max(MIN_LIMIT, self._limit * DECREASE)
+        elif self._saturated:
+            self._limit = min(self._maximum, self._limit + INCREASE)
+        self._interval_end = now + INTERVAL_S
         self._least = float("inf")
         self._samples = 0
-
-    def on_overload(self, now: float) -> None:
-        """Learn that the group is overloaded, such as from a refusal."""
-        if now - self._decreased_at < MIN_DECREASE_INTERVAL_S:
-            return
-        self._decreased_at = now
-        self._limit = max(MIN_LIMIT, self._limit * DECREASE)
-
-    def _increase(self) -> None:
-        self._limit = min(self._maximum, self._limit + INCREASE)
+        self._overloaded = False
+        self._saturated = False
--- a/chervilrock/decisions/routing/base.py
+++ b/chervilrock/decisions/routing/base.py
@@ -103,6 +103,10 @@
           excluded, or None when there is none.
         """
 
+    def engine_priority(self, request: RequestView) -> int:
+        """Return the priority that the engine is told, 0 to 9."""
+        return request.priority
+
     def on_sent(
         self, request: RequestView, endpoint: Endpoint, now: float
     ) -> None:
@@ -127,7 +131,16 @@
         ok: bool,
         tokens: int,
     ) -> None:
-        """Learn that an attempt ended, after `tokens` tokens of answer."""
+        """Learn that an attempt ended.
+
+        Args:
+          request: the request.
+          endpoint: the group that had the attempt.
+          now: present time.
+          ok: False when the group failed it; True also when the node
+            cancelled it.
+          tokens: tokens of answer that came.
+        """
         del request, endpoint, now, ok, tokens
 
     def on_load_report(
--- /dev/null
+++ b/chervilrock/decisions/routing/stragglers.py
@@ -0,0 +1,247 @@
+"""Groups that are slower than the others, and their way back.
+
+A group is compared with the median of its peers, by two ratios that barely
+depend on the requests: the time to the first token over the expected time,
+and the time between tokens. It also counts as slow while one of its attempts
+has given no token for far longer than expected, since a paused host sends
+nothing that could be measured.
+
+An ejected group gets single requests as probes, at growing intervals. It is
+back when its probes are as fast as the others.
+"""
+
+from collections.abc import Collection, Iterable
+import math
+import statistics
+from typing import NamedTuple
+
+WEIGHT = 0.2
+"""Weight of a new sample in a moving mean."""
+
+MIN_SAMPLES = 4
+SLOW_FIRST_TOKEN = 3.0
+SLOW_DECODING = 1.8
+"""Ratios to the median of all groups from which a group is ejected."""
+
+FAST_AGAIN = 1.4
+"""Ratio to the median up to which a probe counts as fast."""
+
+PROBES = 2
+"""Fast probes in a row that bring a group back."""
+
+SILENCE_S = 1.0
+SILENCE_FACTOR = 5.0
+"""An attempt is silent after this time and this multiple of the expected."""
+
+FAILURES = 2
+"""Failures in a row from which a group is ejected."""
+
+MAX_EJECTED_SHARE = 0.34
+"""Greatest share of the groups that is ejected at once."""
+
+FIRST_PROBE_S = 1.0
+MAX_PROBE_S = 8.0
+SLOWNESS_MEMORY_S = 10.0
+"""Time constant in which slowness that is not seen again is forgotten."""
+
+FORGET_S = 60.0
+"""Time after which a group without samples counts as unknown."""
+
+
+class _Mean:
+    """Exponentially weighted mean of a logarithm."""
+
+    def __init__(self) -> None:
+        self.value = 0.0
+        self.samples = 0
+
+    def observe(self, ratio: float) -> None:
+        sample = math.log(max(ratio, 1e-6))
+        self.samples += 1
+        weight = max(WEIGHT, 1.0 / self.samples)
+        self.value += weight * (sample - self.value)
+
+
+class _Ejection(NamedTuple):
+    next_probe: float
+    interval: float
+    fast_probes: int
+
+
+class _Pending(NamedTuple):
+    sent_at: float
+    expected: float
+
+
+class _Group:
+    def __init__(self) -> None:
+        self.first_token = _Mean()
+        self.decoding = _Mean()
+        self.failures = 0
+        self.pending: dict[str, _Pending] = {}
+        self.ejection: _Ejection | None = None
+        self.sampled_at = 0.0
+
+
+class Stragglers:
+    """Slowness of the groups, and which of them are ejected."""
+
+    def __init__(self) -> None:
+        """Start with no group known."""
+        self._groups: dict[str, _Group] = {}
+
+    def keep_only(self, groups: Collection[str]) -> None:
+        """Forget all other groups."""
+        for name in list(self._groups):
+            if name not in groups:
+                del self._groups[name]
+
+    def forget(self, group: str) -> None:
+        """Forget a group, such as after a repair."""
+        self._groups.pop(group, None)
+
+    def on_sent(
+        self, group: str, request_id: str, expected: float, now: float
+    ) -> None:
+        """Learn of an attempt with its expected time to the first token."""
+        state = self._group(group)
+        state.pending[request_id] = _Pending(now, expected)
+        if state.ejection is not None:
+            state.ejection = state.ejection._replace(
+                next_probe=now + state.ejection.interval
+            )
+
+    def on_first_token(
+        self, group: str, request_id: str, waited: float, now: float
+    ) -> None:
+        """Learn the time to a first token in seconds."""
+        state = self._group(group)
+        pending = state.pending.pop(request_id, None)
+        state.failures = 0
+        if pending is None:
+            return
+        ratio = waited / max(pending.expected, 1e-3)
+        self._sample(state, state.first_token, ratio, SLOW_FIRST_TOKEN, now)
+
+    def on_decoded(self, group: str, seconds: float, now: float) -> None:
+        """Learn the mean time between the tokens of an answer."""
+        state = self._group(group)
+        self._sample(state, state.decoding, seconds, SLOW_DECODING, now)
+
+    def on_end(self, group: str, request_id: str, ok: bool, now: float) -> None:
+        """Learn that an attempt ended."""
+        state = self._group(group)
+        state.pending.pop(request_id, None)
+        if ok:
+            return
+        state.failures += 1
+        if state.failures >= FAILURES:
+            self._eject(state, now)
+
+    def slowness(self, group: str, now: float) -> float:
+        """Return the time to the first token over that of the median.
+
+        It goes back to 1 while there are no new samples, or a group that was
+        slow once would get no request that could show the contrary.
+        """
+        state = self._groups.get(group)
+        if state is None or state.first_token.samples < MIN_SAMPLES:
+            return 1.0
+        median = self._median(
+            each.first_token for each in self._groups.values()
+        )
+        age = max(0.0, now - state.sampled_at)
+        trust = math.exp(-age / SLOWNESS_MEMORY_S)
+        return math.exp((state.first_token.value - median) * trust)
+
+    def check(self, now: float) -> None:
+        """Eject the groups with a silent attempt."""
+        for state in self._groups.values():
+            if state.ejection is None and _is_silent(state, now):
+                self._eject(state, now)
+
+    def ejected(self) -> frozenset[str]:
+        """Return the groups that are ejected now."""
+        return frozenset(
+            name
+            for name, state in self._groups.items()
+            if state.ejection is not None
+        )
+
+    def due_probes(self, now: float) -> list[str]:
+        """Return the ejected groups that should get a request now."""
+        return [
+            name
+            for name, state in self._groups.items()
+            if state.ejection is not None
+            and now >= state.ejection.next_probe
+            and not state.pending
+        ]
+
+    def _group(self, group: str) -> _Group:
+        if group not in self._groups:
+            self._groups[group] = _Group()
+        return self._groups[group]
+
+    def _sample(
+        self,
+        state: _Group,
+        mean: _Mean,
+        ratio: float,
+        slow: float,
+        now: float,
+    ) -> None:
+        if now - state.sampled_at > FORGET_S:
+            state.first_token = _Mean()
+            state.decoding = _Mean()
+        state.sampled_at = now
+        mean.observe(ratio)
+        means = [
+            each.first_token if mean is state.first_token else each.decoding
+            for each in self._groups.values()
+        ]
+        median = self._median(means)
+        if state.ejection is not None:
+            self._judge_probe(state, math.log(max(ratio, 1e-6)) - median, now)
+        elif mean.samples >= MIN_SAMPLES and mean.value - median > math.log(
+            slow
+        ):
+            self._eject(state, now)
+
+    def _judge_probe(
+        self, state: _Group, difference: float, now: float
+    ) -> None:
+        assert state.ejection is not None
+        if difference > math.log(FAST_AGAIN):
+            interval = min(MAX_PROBE_S, state.ejection.interval * 2.0)
+            state.ejection = _Ejection(now + interval, interval, 0)
+            return
+        fast = state.ejection.fast_probes + 1
+        if fast < PROBES:
+            state.ejection = state.ejection._replace(fast_probes=fast)
+            return
+        state.ejection = None
+        state.first_token = _Mean()
+        state.decoding = _Mean()
+
+    def _eject(self, state: _Group, now: float) -> None:
+        if state.ejection is not None:
+            interval = min(MAX_PROBE_S, state.ejection.interval * 2.0)
+            state.ejection = _Ejection(now + interval, interval, 0)
+            return
+        most = MAX_EJECTED_SHARE * len(self._groups)
+        if len(self.ejected()) + 1 > most:
+            return
+        state.ejection = _Ejection(now + FIRST_PROBE_S, FIRST_PROBE_S, 0)
+
+    def _median(self, means: Iterable[_Mean]) -> float:
+        values = [each.value for each in means if each.samples]
+        return statistics.median(values) if values else 0.0
+
+
+def _is_silent(state: _Group, now: float) -> bool:
+    for pending in state.pending.values():
+        limit = max(SILENCE_S, SILENCE_FACTOR * pending.expected)
+        if now - pending.sent_at > limit:
+            return True
+    return False
