--- a/chervilrock/decisions/membership/table.py
+++ b/chervilrock/decisions/membership/table.py
@@ -96,6 +96,15 @@
         )
         return (self._own, *sorted(others, key=lambda peer: peer.node))
 
+    def known(self, now: float) -> tuple[tuple[PeerNode, bool], ...]:
+        """Return every node that was heard of, and whether it lives."""
+        others = [
+            (member.peer, self.is_live(member, now))
+            for member in self._members.values()
+        ]
+        others.sort(key=lambda item: item[0].node)
+        return ((self._own, True), *others)
+
     def find(self, incarnation: str, now: float) -> PeerNode | None:
         """Return a live node by its incarnation."""
         if incarnation == self._own.incarnation:
--- a/chervilrock/edges/operators.py
+++ b/chervilrock/edges/operators.py
@@ -35,11 +35,11 @@
         """
 
     @abc.abstractmethod
-    def report_status(self) -> StatusAnswer:
+    async def report_status(self) -> StatusAnswer:
         """Return the state of the installation as this node knows it."""
 
     @abc.abstractmethod
-    def dump_state(self) -> dict[str, Any]:
+    async def dump_state(self) -> dict[str, Any]:
         """Return the whole state of this process as JSON values."""
 
     @abc.abstractmethod
@@ -108,15 +108,15 @@
 class _StatusHandler(_Handler):
     """Tells the state of the installation."""
 
-    def get(self) -> None:
-        self.write_json(self.context.report_status())
+    async def get(self) -> None:
+        self.write_json(await self.context.report_status())
 
 
 class _StateHandler(_Handler):
     """Dumps the state of this process."""
 
-    def get(self) -> None:
-        self.write_json(self.context.dump_state())
+    async def get(self) -> None:
+        self.write_json(await self.context.dump_state())
 
 
 class _MetricsHandler(_Handler):
--- a/chervilrock/node/__init__.py
+++ b/chervilrock/node/__init__.py
@@ -1,1 +1,33 @@
 """An entry node, assembled from tasks and edges."""
+
+import asyncio
+import signal
+
+from chervilrock.generated.settings import NodeSettings
+from chervilrock.node.entry import EntryNode
+
+__all__ = ["EntryNode", "run"]
+
+_FAILED = 1
+
+
+async def run(settings: NodeSettings) -> int:
+    """Run a node until SIGTERM or SIGINT and return the exit code."""
+    node = EntryNode(settings=settings)
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    await node.start()
+    waits = [
+        asyncio.create_task(stopping.wait()),
+        asyncio.create_task(node.failed.wait()),
+    ]
+    await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+    for wait in waits:
+        wait.cancel()
+    if node.failed.is_set():
+        await node.kill()
+        return _FAILED
+    await node.stop()
+    return 0
--- a/chervilrock/tasks/configurations.py
+++ b/chervilrock/tasks/configurations.py
@@ -20,7 +20,7 @@
 )
 from chervilrock.tasks.clock import Clock
 from chervilrock.tasks.log import AppendTask, ReadTask
-from chervilrock.tasks.mailbox import Mailbox
+from chervilrock.tasks.mailbox import Mailbox, Outbox
 from chervilrock.tasks.messages import (
     BatchAppended,
     ConfigurationInForce,
@@ -93,7 +93,7 @@
         *,
         clock: Clock,
         writer: RecordWriter,
-        outboxes: "tuple[Mailbox[ConfigurationInForce], ...]",
+        outboxes: tuple[Outbox[ConfigurationInForce], ...],
         schedule: SnapshotSchedule,
         outages: OutageLog,
     ) -> None:
--- a/chervilrock/tasks/hosts.py
+++ b/chervilrock/tasks/hosts.py
@@ -6,7 +6,7 @@
 
 from chervilrock.platform.base import HostListSource
 from chervilrock.tasks.clock import Clock
-from chervilrock.tasks.mailbox import Mailbox
+from chervilrock.tasks.mailbox import Outbox
 from chervilrock.tasks.messages import HostsListed
 
 
@@ -23,7 +23,7 @@
         source: HostListSource,
         clock: Clock,
         interval_s: float,
-        outbox: "Mailbox[HostsListed]",
+        outbox: Outbox[HostsListed],
     ) -> None:
         self._source = source
         self._clock = clock
--- a/chervilrock/tasks/loads.py
+++ b/chervilrock/tasks/loads.py
@@ -8,7 +8,7 @@
 from chervilrock.generated.interfaces import EngineLoad
 from chervilrock.platform.base import ModelEngine
 from chervilrock.tasks.clock import Clock
-from chervilrock.tasks.mailbox import Mailbox
+from chervilrock.tasks.mailbox import Mailbox, Outbox
 
 _MS_PER_S = 1000.0
 
@@ -41,7 +41,7 @@
         engine: ModelEngine,
         clock: Clock,
         interval_s: float,
-        outboxes: "tuple[Mailbox[GroupLoad], ...]",
+        outboxes: tuple[Outbox[GroupLoad], ...],
     ) -> None:
         """Make the task; each report goes to every outbox."""
         self._engine = engine
--- a/chervilrock/tasks/log.py
+++ b/chervilrock/tasks/log.py
@@ -8,7 +8,7 @@
 from chervilrock.platform.base import LogPage, LogService
 from chervilrock.platform.errors import PlatformError
 from chervilrock.tasks.clock import Clock
-from chervilrock.tasks.mailbox import Mailbox
+from chervilrock.tasks.mailbox import Mailbox, Outbox
 from chervilrock.tasks.messages import BatchAppended, PageRead, ReadFailed
 
 READ_LIMIT = 500
@@ -30,7 +30,7 @@
         log: LogService,
         stream: str,
         clock: Clock,
-        outbox: "Mailbox[PageRead | ReadFailed]",
+        outbox: Outbox[PageRead | ReadFailed],
     ) -> None:
         self._log = log
         self._stream = stream
@@ -87,7 +87,7 @@
         log: LogService,
         stream: str,
         clock: Clock,
-        outbox: "Mailbox[BatchAppended]",
+        outbox: Outbox[BatchAppended],
     ) -> None:
         self._log = log
         self._stream = stream
--- a/chervilrock/tasks/mailbox.py
+++ b/chervilrock/tasks/mailbox.py
@@ -7,13 +7,24 @@
 """
 
 import asyncio
-from typing import Generic, TypeVar
+from typing import Generic, Protocol, TypeVar
 
 Message = TypeVar("Message")
+Sent = TypeVar("Sent", contravariant=True)
 
 DEFAULT_SIZE = 1024
 
 
+class Outbox(Protocol[Sent]):
+    """The mailbox of another task, as its writers see it."""
+
+    async def send(self, message: Sent) -> None:
+        """Put a message; wait while the mailbox is full."""
+
+    def offer(self, message: Sent) -> None:
+        """Put a message; drop the oldest one when the mailbox is full."""
+
+
 class Mailbox(Generic[Message]):
     """A bounded queue of messages for one task.
 
--- a/chervilrock/tasks/orders.py
+++ b/chervilrock/tasks/orders.py
@@ -8,7 +8,7 @@
 from chervilrock.generated.interfaces import EngineOrder
 from chervilrock.platform.base import ModelEngine
 from chervilrock.tasks.clock import Clock
-from chervilrock.tasks.mailbox import Mailbox
+from chervilrock.tasks.mailbox import Mailbox, Outbox
 from chervilrock.tasks.messages import OrderAnswered
 
 
@@ -38,7 +38,7 @@
         *,
         engine: ModelEngine,
         clock: Clock,
-        outbox: "Mailbox[OrderAnswered]",
+        outbox: Outbox[OrderAnswered],
     ) -> None:
         self._engine = engine
         self._clock = clock
--- a/chervilrock/tasks/probes.py
+++ b/chervilrock/tasks/probes.py
@@ -10,7 +10,7 @@
 
 from chervilrock.platform.base import ModelEngine
 from chervilrock.tasks.clock import Clock
-from chervilrock.tasks.mailbox import Mailbox
+from chervilrock.tasks.mailbox import Mailbox, Outbox
 from chervilrock.tasks.messages import HostProbed, ProbeTarget
 
 SLOTS = 10
@@ -30,7 +30,7 @@
         engine: ModelEngine,
         clock: Clock,
         interval_s: float,
-        outbox: "Mailbox[HostProbed]",
+        outbox: Outbox[HostProbed],
     ) -> None:
         self._engine = engine
         self._clock = clock
--- a/chervilrock/tasks/region.py
+++ b/chervilrock/tasks/region.py
@@ -41,7 +41,7 @@
 from chervilrock.tasks.idleness import IdleTable
 from chervilrock.tasks.loads import GroupLoad, LoadTarget
 from chervilrock.tasks.log import AppendTask, ReadTask
-from chervilrock.tasks.mailbox import Mailbox
+from chervilrock.tasks.mailbox import Mailbox, Outbox
 from chervilrock.tasks.messages import (
     BatchAppended,
     ConfigurationInForce,
@@ -124,9 +124,9 @@
     reader: ReadTask
     appender: AppendTask
     orders: OrderTask
-    probes: "Mailbox[tuple[ProbeTarget, ...]]"
-    loads: "Mailbox[tuple[LoadTarget, ...]]"
-    views: "tuple[Mailbox[ServingView], ...]"
+    probes: Outbox[tuple[ProbeTarget, ...]]
+    loads: Outbox[tuple[LoadTarget, ...]]
+    views: tuple[Outbox[ServingView], ...]
 
 
 class RegionTask:
