Bound the work for hostile configuration files

A file of 100,000 TAG directives took 73 s of CPU in a trial, since the C parser compares each with all others, and a number of 10 MB in base 60 took 600 MB in the pattern of the resolver.

--- a/chervilrock/configuration/check.py
+++ b/chervilrock/configuration/check.py
@@ -34,6 +34,8 @@
     if document is None:
         return None, findings
     schema = check_schema(document, file_name)
+    if not schema.complete:
+        return None, sort_findings([*findings, *schema.findings])
     partial = fill_partial(document.value, schema.bad)
     report = Report(
         file_name=file_name, document=document, origins=partial.origins
--- a/chervilrock/configuration/events.py
+++ b/chervilrock/configuration/events.py
@@ -17,6 +17,8 @@
 MAX_DEPTH = 32
 MAX_VALUES = 50_000
 MAX_ALIASES = 100
+MAX_LENGTH = 4096
+LIBRARY_DEPTH = "exceeded maximum nesting depth"
 LOADER = getattr(yaml, "CSafeLoader", yaml.SafeLoader)
 
 
@@ -85,6 +87,7 @@
         elif isinstance(event, yaml.AliasEvent):
             self.add_alias(event.anchor or "")
         elif isinstance(event, yaml.ScalarEvent):
+            check_length(event.value)
             self.add_value(Extent(1, 0))
             self.keep_anchor(event.anchor, Extent(1, 0))
         elif isinstance(event, yaml.CollectionStartEvent):
@@ -167,6 +170,20 @@
         )
 
 
+def check_length(text: str) -> None:
+    """Refuse a scalar that is longer than any value can be.
+
+    Raises:
+      ScanError: it is too long.
+    """
+    if len(text) > MAX_LENGTH:
+        raise ScanError(
+            FindingCode.TEXT_TOO_LONG,
+            f"a text of {len(text)} characters, more than {MAX_LENGTH}",
+            "look for a quote that is not closed",
+        )
+
+
 def scan_events(text: str, file_name: str) -> Finding | None:
     """Return the first finding about the shape of a text, if any."""
     scan = EventScan()
@@ -211,7 +228,8 @@
         hint = "indent with spaces, not with tabs"
     line = mark.line + 1 if mark else 1
     column = mark.column + 1 if mark else 1
+    code = FindingCode.BROKEN_YAML
+    if LIBRARY_DEPTH in message:
+        code = FindingCode.TOO_DEEP
     message = " ".join(message.split())
-    return Finding(
-        file_name, line, column, FindingCode.BROKEN_YAML, message, hint
-    )
+    return Finding(file_name, line, column, code, message, hint)
--- a/chervilrock/configuration/findings.py
+++ b/chervilrock/configuration/findings.py
@@ -35,6 +35,8 @@
     AMBIGUOUS_VALUE = "ambiguous-value"
     MISSING_KEY = "missing-key"
     UNKNOWN_KEY = "unknown-key"
+    TEXT_TOO_LONG = "text-too-long"
+    TOO_MANY_FINDINGS = "too-many-findings"
     OUT_OF_RANGE = "out-of-range"
     BAD_FORM = "bad-form"
     UNKNOWN_CHOICE = "unknown-choice"
--- a/chervilrock/configuration/schema_check.py
+++ b/chervilrock/configuration/schema_check.py
@@ -1,7 +1,8 @@
 """Checks a document against the JSON Schema that generates the types."""
 
-from collections.abc import Iterator
+from collections.abc import Iterable
 import functools
+import itertools
 from typing import Any, cast, NamedTuple
 
 import jsonschema
@@ -20,6 +21,12 @@
 from chervilrock.configuration.schema import load_schema
 from chervilrock.configuration.value_fault import describe_fault
 
+MAX_ERRORS = 1000
+TOO_MANY = Fault(
+    FindingCode.TOO_MANY_FINDINGS,
+    f"more than {MAX_ERRORS} faults, the rest is not listed",
+    "mend these and check again",
+)
 VALUE_KEYWORDS = (
     "type",
     "enum",
@@ -39,10 +46,12 @@
     Attributes:
       findings: all faults
       bad: paths of the values that cannot be used
+      complete: False when there were more faults than are reported
     """
 
     findings: tuple[Finding, ...]
     bad: frozenset[Path]
+    complete: bool
 
 
 def check_schema(document: Document, file_name: str) -> SchemaReport:
@@ -51,7 +60,13 @@
     bad = set(document.bad)
     value = cast(Any, document.value)
     seen: set[Path] = set()
-    for error in sort_errors(make_validator().iter_errors(value)):
+    errors = list(
+        itertools.islice(make_validator().iter_errors(value), MAX_ERRORS + 1)
+    )
+    complete = len(errors) <= MAX_ERRORS
+    if not complete:
+        report.add_value((), TOO_MANY)
+    for error in sort_errors(errors):
         path = tuple(error.absolute_path)
         if path in document.bad:
             continue
@@ -65,7 +80,7 @@
             bad.add(path)
             place = find_place(document, path)
             report.add_value(path, describe_fault(error, place.text))
-    return SchemaReport(tuple(report.findings), frozenset(bad))
+    return SchemaReport(tuple(report.findings), frozenset(bad), complete)
 
 
 @functools.cache
@@ -81,7 +96,7 @@
     return cast(Validator, validator(load_schema()))
 
 
-def sort_errors(errors: Iterator[ValidationError]) -> list[ValidationError]:
+def sort_errors(errors: Iterable[ValidationError]) -> list[ValidationError]:
     """Order errors so that the most telling one of a value comes first."""
 
     def rank(error: ValidationError) -> int:
--- a/chervilrock/configuration/source.py
+++ b/chervilrock/configuration/source.py
@@ -8,10 +8,11 @@
 MAX_BYTES = 10_000_000
 BYTE_ORDER_MARK = "\ufeff"
 UTF16_MARKS = (b"\xff\xfe", b"\xfe\xff")
-LINE_BREAK = re.compile("\r\n|[\r\n\x85\u2028\u2029]")
+LINE_BREAKS = ("\n", "\r", "\x85", "\u2028", "\u2029")
 FORBIDDEN = re.compile(
     "[^\t\n\r\x20-\x7e\x85\xa0-\ud7ff\ue000-\ufffd\U00010000-\U0010ffff]"
 )
+DIRECTIVE = re.compile("(?:\\A|[\n\r\x85\u2028\u2029])%(?!YAML[ \t])")
 
 
 class Source(NamedTuple):
@@ -64,7 +65,7 @@
         return refuse_mark(file_name)
     forbidden = FORBIDDEN.search(text)
     if forbidden is None:
-        return Source(text, None)
+        return check_directives(text, file_name)
     return refuse_source(
         file_name,
         text[: forbidden.start()],
@@ -74,6 +75,20 @@
     )
 
 
+def check_directives(text: str, file_name: str) -> Source:
+    """Refuse directives but `%YAML`; many of them take very long to parse."""
+    found = DIRECTIVE.search(text)
+    if found is None:
+        return Source(text, None)
+    return refuse_source(
+        file_name,
+        text[: found.end() - 1],
+        FindingCode.BROKEN_YAML,
+        "directives are not supported",
+        "remove the line that begins with %",
+    )
+
+
 def refuse_mark(file_name: str) -> Source:
     """Return the finding for a byte order mark."""
     return refuse_source(
@@ -89,10 +104,8 @@
     file_name: str, before: str, code: FindingCode, message: str, hint: str
 ) -> Source:
     """Return a finding that stands just after the text `before`."""
-    line = 1
-    start = 0
-    for found in LINE_BREAK.finditer(before):
-        line += 1
-        start = found.end()
+    line = 1 + sum(before.count(mark) for mark in LINE_BREAKS)
+    line -= before.count("\r\n")
+    start = 1 + max(before.rfind(mark) for mark in LINE_BREAKS)
     column = len(before) - start + 1
     return Source("", Finding(file_name, line, column, code, message, hint))
