Route plain services and tickets of callers

One handler runs completions and calls of plain services; a request with a ticket runs in a task of its own, so that it outlives its caller and repeats join it. Tickets of other incarnations are passed to the node that minted them.

--- a/chervilrock/edges/callers.py
+++ b/chervilrock/edges/callers.py
@@ -1,27 +1,28 @@
-"""Routes for callers."""
+"""Routes for callers, and those of tickets between nodes."""
 
 from returns.result import Failure
 from tornado import routing, web
 
-from chervilrock.decisions.routing.base import hash_prefix_blocks, RequestView
-from chervilrock.edges import bodies, enginecalls
-from chervilrock.edges.bodies import CompletionCall
-from chervilrock.edges.completions import CompletionRun
+from chervilrock.decisions.requests.tickets import parse_ticket
+from chervilrock.edges import dispatch, tickets
 from chervilrock.edges.context import RequestContext
+from chervilrock.edges.dispatch import CallerRequest, Prepared
 from chervilrock.edges.errors import CallerError, ErrorCode
 from chervilrock.edges.handlers import (
     BodyHandler,
-    BodyLimits,
     CallerHandler,
     DRAIN_TIMEOUT_S,
     NotFoundHandler,
 )
-from chervilrock.edges.parsing import format_findings
 from chervilrock.edges.path import RequestPath
+from chervilrock.edges.runs import BackendRun
+from chervilrock.edges.sinks import CallerSink
+from chervilrock.edges.state import BodyLimits, make_state
+from chervilrock.edges.tickets import METHOD_HEADER, TARGET_HEADER
 from chervilrock.generated.interfaces import Outcome
 
-CHARS_PER_TOKEN = 4
 MAX_DATA_CENTRE_CHARS = 200
+SERVICE_METHODS = "GET, HEAD, POST, DELETE, PATCH, PUT, OPTIONS"
 
 
 def make_caller_routes(
@@ -37,17 +38,27 @@
       path: request path of the node, a new one when missing.
       limits: bounds for the bodies of requests.
     """
-    path = path or RequestPath(context=context)
-    options = {"path": path}
-    bounded = {"path": path, "limits": limits}
+    state = make_state(path or RequestPath(context=context), limits)
+    options = {"state": state}
     return [
         web.url(r"/v1/addresses", AddressHandler, options),
         web.url(r"/v1/models", ModelHandler, options),
-        web.url(r"/v1/chat/completions", ChatHandler, bounded),
-        web.url(r"/v1/completions", CompletionHandler, bounded),
+        web.url(r"/v1/tickets", TicketHandler, options),
+        web.url(r"/v1/chat/completions", CompletionHandler, options),
+        web.url(r"/v1/completions", CompletionHandler, options),
+        web.url(r"/services/[^/]+(?:/.*)?", ServiceHandler, options),
+        web.url(r"/peer/tickets/([^/]+)", PeerTicketHandler, options),
     ]
 
 
+def make_not_found_options(path: RequestPath) -> dict[str, object]:
+    """Returns settings of an application so that each error has its form."""
+    return {
+        "default_handler_class": NotFoundHandler,
+        "default_handler_args": {"state": make_state(path)},
+    }
+
+
 class AddressHandler(CallerHandler):
     """Tells callers which addresses to use."""
 
@@ -90,93 +101,121 @@
     return names
 
 
-class CompletionHandler(BodyHandler):
-    """Answers a completion request."""
+class TicketHandler(CallerHandler):
+    """Mints tickets."""
 
-    chat = False
-    engine_path = enginecalls.TEXT_PATH
-    _run: CompletionRun | None = None
+    allowed = "POST, OPTIONS"
 
-    async def post(self) -> None:
-        """Runs the request and passes its answer on."""
-        body = self.take_body()
-        if body is None:
-            return
-        parsed = bodies.parse_completion(body, chat=self.chat)
-        if isinstance(parsed, Failure):
-            message = format_findings(parsed.failure())
-            self.refuse(CallerError(ErrorCode.BAD_REQUEST, message))
+    def post(self) -> None:
+        """Answers with a new ticket."""
+        if self.path.context.leaving:
+            self.refuse(tickets.LEAVING)
             return
-        call = parsed.unwrap()
-        error = check_model(self.path.context, call)
-        if error is not None:
-            self.refuse(error)
-            return
-        await self._run_call(call)
+        self.write_json(self.state.tickets.mint())
+
+
+class RunHandler(BodyHandler):
+    """Answers a request that backend servers run."""
+
+    _sink: CallerSink | None = None
+    _run: BackendRun | None = None
 
     def on_connection_close(self) -> None:
         """See base class."""
         super().on_connection_close()
+        if self._sink is not None:
+            self._sink.close()
         if self._run is not None:
             self._run.leave()
 
     def get_outcome(self) -> Outcome:
         """See base class."""
-        return Outcome.NOT_RUN if self._run is None else Outcome.UNKNOWN
-
-    async def _run_call(self, call: CompletionCall) -> None:
-        sink = self.make_sink()
-        self._run = CompletionRun(
-            path=self.path,
-            view=self._make_view(call),
-            call=call,
-            engine_path=self.engine_path,
-            sink=sink,
-        )
-        await self._run.run()
-        await sink.drain(DRAIN_TIMEOUT_S)
+        return Outcome.NOT_RUN if self._sink is None else Outcome.UNKNOWN
+
+    async def answer(self, method: str, target: str) -> None:
+        """Runs the request and passes its answer on.
 
-    def _make_view(self, call: CompletionCall) -> RequestView:
-        headers = self.headers
-        return RequestView(
+        Args:
+          method: HTTP method.
+          target: path and query.
+        """
+        body = self.take_body()
+        if body is None:
+            return
+        request = CallerRequest(
             request_id=self.request_id,
-            workspace=headers.workspace,
-            model=call.model,
-            adapter=call.adapter,
-            prefix_blocks=hash_prefix_blocks(call.prompt),
-            prompt_tokens=len(call.prompt) // CHARS_PER_TOKEN + 1,
-            max_tokens=call.max_tokens,
-            priority=headers.priority,
-            idempotent=headers.idempotent is not False and not headers.key,
+            method=method,
+            target=target,
+            headers=tuple(self.request.headers.get_all()),
+            parsed=self.headers,
+            body=body,
             deadline=self.find_deadline(),
         )
+        prepared = dispatch.prepare(self.path, request)
+        if isinstance(prepared, Failure):
+            self.refuse(prepared.failure())
+            return
+        self._sink = self.make_sink()
+        await self._answer_prepared(request, prepared.unwrap(), self._sink)
+        await self._sink.drain(DRAIN_TIMEOUT_S)
+
+    async def _answer_prepared(
+        self, request: CallerRequest, prepared: Prepared, sink: CallerSink
+    ) -> None:
+        key = request.parsed.key
+        ticket = parse_ticket(key)
+        if not key:
+            self._run = prepared.make_run(sink)
+            await self._run.run()
+        elif ticket is None:
+            await self.state.keys.answer(key, request, prepared, sink)
+        elif self.state.tickets.is_own(ticket):
+            await self.state.tickets.answer(
+                ticket.sequence, request, prepared, sink
+            )
+        else:
+            await self.state.tickets.pass_on(ticket, request, sink)
+
+
+class CompletionHandler(RunHandler):
+    """Answers a completion or chat request."""
 
+    async def post(self) -> None:
+        """Runs the request and passes its answer on."""
+        await self.answer("POST", self.request.path)
 
-class ChatHandler(CompletionHandler):
-    """Answers a chat request."""
 
-    chat = True
-    engine_path = enginecalls.CHAT_PATH
+class ServiceHandler(RunHandler):
+    """Answers a call of a plain service."""
 
+    allowed = SERVICE_METHODS
+    relays_options = True
 
-def check_model(
-    context: RequestContext, call: CompletionCall
-) -> CallerError | None:
-    """Returns why a model or adapter cannot be used, or None."""
-    for spec in context.models():
-        if spec["name"] != call.model:
-            continue
-        if not call.adapter or call.adapter in spec.get("adapters", ()):
-            return None
-    message = f"there is no model {call.model}"
-    if call.adapter:
-        message += f" with an adapter {call.adapter}"
-    return CallerError(ErrorCode.MODEL_NOT_FOUND, message)
+    async def get(self) -> None:
+        """Runs the call and passes its answer on."""
+        await self.answer(self.request.method or "", self.request.uri or "")
 
-
-def make_not_found_options(path: RequestPath) -> dict[str, object]:
-    """Returns settings of an application so that each error has its form."""
-    return {
-        "default_handler_class": NotFoundHandler,
-        "default_handler_args": {"path": path},
-    }
+    head = get
+    post = get
+    delete = get
+    patch = get
+    put = get
+    options = get  # type: ignore[assignment]
+
+
+class PeerTicketHandler(RunHandler):
+    """Answers a request that another node passes on."""
+
+    async def post(self, text: str) -> None:
+        """Runs the request or answers what became of it."""
+        ticket = parse_ticket(text)
+        headers = self.request.headers
+        if ticket is None or self.headers.key != text:
+            message = "the path and the header Idempotency-Key differ"
+            self.refuse(CallerError(ErrorCode.BAD_REQUEST, message))
+        elif not self.state.tickets.is_own(ticket):
+            self.refuse(tickets.FORGOTTEN)
+        else:
+            await self.answer(
+                headers.get(METHOD_HEADER, ""), headers.get(TARGET_HEADER, "")
+            )
--- a/chervilrock/edges/handlers.py
+++ b/chervilrock/edges/handlers.py
@@ -1,7 +1,7 @@
 """Base of the handlers for callers."""
 
 import asyncio
-from typing import Any, NamedTuple
+from typing import Any
 
 import msgspec
 from returns.result import Failure
@@ -18,12 +18,17 @@
 )
 from chervilrock.edges.path import RequestPath
 from chervilrock.edges.sinks import CallerSink
+from chervilrock.edges.state import CallerState
 from chervilrock.generated.interfaces import Outcome
 
 DRAIN_FACTOR = 4
 """A body of up to this many times the bound is read to its end before it is
 refused, since a caller that still sends may miss the answer."""
 
+BODY_TIMEOUT_SLACK_S = 5.0
+"""Time after which the library closes the connection of a late body, beyond
+the time at which it was refused."""
+
 DRAIN_TIMEOUT_S = 30.0
 """Time that a caller has to take the end of its answer."""
 
@@ -35,14 +40,16 @@
 class CallerHandler(web.RequestHandler):
     """Gives every answer of a handler the form that callers expect."""
 
+    state: CallerState
     path: RequestPath
     request_id = ""
     allowed = "GET, HEAD, OPTIONS"
 
-    def initialize(self, path: RequestPath) -> None:
-        """Takes the request path of the node."""
-        self.path = path
-        self.request_id = path.make_request_id()
+    def initialize(self, state: CallerState) -> None:
+        """Takes the state that all handlers share."""
+        self.state = state
+        self.path = state.path
+        self.request_id = self.path.make_request_id()
         self.set_default_headers()
 
     def set_default_headers(self) -> None:
@@ -111,31 +118,12 @@
         self.refuse(CallerError(ErrorCode.NOT_FOUND, "there is no such path"))
 
 
-class BodyLimits(NamedTuple):
-    """Bounds for the bodies of requests.
-
-    Attributes:
-      max_bytes: greatest body.
-      timeout_s: longest time for a body to arrive, in seconds.
-    """
-
-    max_bytes: int = 4 * 1024 * 1024
-    timeout_s: float = 10.0
-
-
 @web.stream_request_body
 class BodyHandler(CallerHandler):
     """Reads the body of a request for a backend server within bounds."""
 
     allowed = "POST, OPTIONS"
-    limits: BodyLimits
-
-    def initialize(
-        self, path: RequestPath, limits: BodyLimits | None = None
-    ) -> None:
-        """Takes the request path of the node and the bounds."""
-        super().initialize(path)
-        self.limits = limits or BodyLimits()
+    relays_options = False
 
     def prepare(self) -> None:
         """Checks the head, before the body is read."""
@@ -144,7 +132,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self.arrived = self.path.context.now()
         self.headers = CallerHeaders("", 0, None, None, "")
-        if self.request.method == "OPTIONS":
+        if self.request.method == "OPTIONS" and not self.relays_options:
             return
         error = self._check_head()
         if error is not None:
@@ -152,16 +140,16 @@
             return
         connection = self.request.connection
         assert isinstance(connection, HTTP1Connection)
-        connection.set_max_body_size(DRAIN_FACTOR * self.limits.max_bytes)
+        timeout_s = self.state.limits.timeout_s
+        connection.set_max_body_size(self._find_longest_drain())
+        connection.set_body_timeout(timeout_s + BODY_TIMEOUT_SLACK_S)
         loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(
-            self.limits.timeout_s, self._refuse_late_body
-        )
+        self._timer = loop.call_later(timeout_s, self._refuse_late_body)
 
     def data_received(self, chunk: bytes) -> None:
         """Takes a part of the body."""
         self._size += len(chunk)
-        if self._size <= self.limits.max_bytes:
+        if self._size <= self.state.limits.max_bytes:
             self._chunks.append(chunk)
         else:
             self._chunks.clear()
@@ -179,7 +167,7 @@
         self._stop_timer()
         if self._finished:
             return None
-        if self._size > self.limits.max_bytes:
+        if self._size > self.state.limits.max_bytes:
             self.refuse(self._make_size_error())
             return None
         body = b"".join(self._chunks)
@@ -203,20 +191,28 @@
 
     def _check_head(self) -> CallerError | None:
         """Returns why the request is refused before its body is read."""
-        if self.path.context.leaving:
-            return CallerError(ErrorCode.LEAVING, "this node is leaving")
         parsed = parse_headers(self.request.headers)
         if isinstance(parsed, Failure):
             message = format_findings(parsed.failure())
             return CallerError(ErrorCode.BAD_REQUEST, message)
         self.headers = parsed.unwrap()
+        if self.path.context.leaving and not self.headers.key:
+            # A repeat with a key may still learn what became of its run.
+            return CallerError(ErrorCode.LEAVING, "this node is leaving")
         length = parse_count(self.request.headers.get("Content-Length", "0"))
-        if length is None or length > DRAIN_FACTOR * self.limits.max_bytes:
+        if (
+            length is None
+            or length > DRAIN_FACTOR * self.state.limits.max_bytes
+        ):
             return self._make_size_error()
         return None
 
+    def _find_longest_drain(self) -> int:
+        return DRAIN_FACTOR * self.state.limits.max_bytes
+
     def _make_size_error(self) -> CallerError:
-        message = f"the body is greater than {self.limits.max_bytes} bytes"
+        longest = self.state.limits.max_bytes
+        message = f"the body is greater than {longest} bytes"
         return CallerError(ErrorCode.BODY_TOO_LARGE, message)
 
     def _refuse_late_body(self) -> None:
--- a/chervilrock/edges/sinks.py
+++ b/chervilrock/edges/sinks.py
@@ -41,12 +41,14 @@
 
     Attributes:
       started: whether the head was taken, so that no other can follow.
-      blocked_since: time in seconds since which the caller reads too slowly,
-        None when it does not.
     """
 
     started = False
-    blocked_since: float | None = None
+
+    @property
+    @abc.abstractmethod
+    def blocked_since(self) -> float | None:
+        """Time in seconds since which the caller reads too slowly."""
 
     @abc.abstractmethod
     def start(self, head: AnswerHead) -> None:
@@ -112,8 +114,14 @@
         self._unsent = 0
         self._watching = False
         self._closed = False
+        self._blocked_since: float | None = None
         self._ended: asyncio.Future[None] | None = None
 
+    @property
+    def blocked_since(self) -> float | None:
+        """See base class."""
+        return self._blocked_since
+
     def start(self, head: AnswerHead) -> None:
         """See base class."""
         if self._closed:
@@ -186,7 +194,7 @@
     def attach(self, transfer: Transfer | None) -> None:
         """See base class."""
         self._transfer = transfer
-        if transfer is not None and self.blocked_since is not None:
+        if transfer is not None and self._blocked_since is not None:
             transfer.pause()
 
     def _count_unsent(self, size: int, flushed: "asyncio.Future[None]") -> None:
@@ -195,8 +203,8 @@
         if not self._watching:
             self._watching = True
             flushed.add_done_callback(self._note_flushed)
-        if self._unsent > MAX_UNSENT_BYTES and self.blocked_since is None:
-            self.blocked_since = self._now()
+        if self._unsent > MAX_UNSENT_BYTES and self._blocked_since is None:
+            self._blocked_since = self._now()
             if self._transfer is not None:
                 self._transfer.pause()
 
@@ -215,7 +223,7 @@
     def _release(self) -> None:
         """Goes on with a transfer that was held back."""
         self._unsent = 0
-        self.blocked_since = None
+        self._blocked_since = None
         if self._transfer is not None:
             self._transfer.resume()
 
--- a/test/edges/sites.py
+++ b/test/edges/sites.py
@@ -20,7 +20,7 @@
     make_not_found_options,
 )
 from chervilrock.edges.context import RequestContext
-from chervilrock.edges.handlers import BodyLimits
+from chervilrock.edges.state import BodyLimits
 from chervilrock.edges.path import RequestPath
 from chervilrock.generated.configuration import (
     LimitSpec,
