--- a/chervilrock/ui/apply.py
+++ b/chervilrock/ui/apply.py
@@ -26,6 +26,7 @@
     print_json,
     print_result,
 )
+from chervilrock.ui.status import has_left
 
 POLL_INTERVAL_S = 0.25
 
@@ -74,7 +75,7 @@
     if document is None:
         print_findings(findings)
         return ExitCode.FINDINGS
-    http = HttpClient()
+    http = HttpClient(max_clients=1)
     client = OperatorClient(address=options.address, http=http)
     try:
         return await _apply_document(document, options, client)
@@ -154,13 +155,18 @@
 def measure_spread(status: StatusAnswer, revision: int) -> Spread:
     """Returns which nodes lack a revision; a later one counts as well."""
     known = sorted(status["nodes"], key=lambda node: node["node"])
-    present = [n for n in known if n["phase"] != NodePhase.STOPPED]
     lagging = [
         node["node"]
-        for node in present
-        if node["alive"] and node["revision"] < revision
+        for node in known
+        if node["alive"]
+        and node["phase"] != NodePhase.STOPPED
+        and node["revision"] < revision
+    ]
+    lost = [
+        node["node"]
+        for node in known
+        if not node["alive"] and not has_left(node)
     ]
-    lost = [node["node"] for node in present if not node["alive"]]
     return Spread(tuple(lagging), tuple(lost))
 
 
--- a/chervilrock/ui/serve.py
+++ b/chervilrock/ui/serve.py
@@ -6,7 +6,6 @@
 
 import asyncio
 from collections.abc import Iterable, Mapping, Sequence
-import importlib
 
 from returns.result import Failure
 
@@ -53,10 +52,10 @@
 
 def run_node(settings: NodeSettings) -> int:
     """Runs a node with checked settings and returns its exit code."""
+    from chervilrock import node
+
     events.configure_logging(settings.log_format, settings.log_level)
-    node = importlib.import_module("chervilrock.node")
-    code: int = asyncio.run(node.run(settings))
-    return code
+    return asyncio.run(node.run(settings))
 
 
 def report_findings(findings: Iterable[Finding]) -> None:
--- a/chervilrock/ui/status.py
+++ b/chervilrock/ui/status.py
@@ -4,6 +4,7 @@
 
 from returns.result import Failure
 
+from chervilrock.generated.interfaces import NodePhase
 from chervilrock.generated.operators import (
     GroupStatus,
     NodeStatus,
@@ -25,12 +26,14 @@
 )
 GROUP_HEADER = ("GROUP", "MODEL", "VERSION", "PHASE", "HOSTS", "MISSING")
 STRANDED_HEADER = ("STRANDED HOST", "DATA CENTRE", "ACCELERATORS", "REASON")
+LOST = "lost"
+LEFT_PHASES = (NodePhase.LEAVING, NodePhase.STOPPED)
 QUARANTINE_HEADER = ("QUARANTINED HOST", "FENCE", "REASON")
 
 
 async def show_status(*, address: str, as_json: bool) -> ExitCode:
     """Prints the status of the installation as one node knows it."""
-    http = HttpClient()
+    http = HttpClient(max_clients=1)
     result = await OperatorClient(address=address, http=http).get_status()
     http.close()
     if isinstance(result, Failure):
@@ -46,7 +49,7 @@
 
 async def dump_state(*, address: str) -> ExitCode:
     """Prints the state of a process."""
-    http = HttpClient()
+    http = HttpClient(max_clients=1)
     result = await OperatorClient(address=address, http=http).get_state()
     http.close()
     if isinstance(result, Failure):
@@ -68,6 +71,22 @@
     return "\n\n".join(parts)
 
 
+def describe_phase(node: NodeStatus) -> str:
+    """Returns the phase of a node for people; silent nodes are told apart.
+
+    A node that was leaving when it fell silent has stopped, any other one is
+    lost.
+    """
+    if node["alive"]:
+        return node["phase"]
+    return NodePhase.STOPPED if has_left(node) else LOST
+
+
+def has_left(node: NodeStatus) -> bool:
+    """Whether a node is silent because it was stopped."""
+    return not node["alive"] and node["phase"] in LEFT_PHASES
+
+
 def _render_summary(status: StatusAnswer) -> str:
     """Returns what holds for the installation and the region."""
     revision = "none"
@@ -90,7 +109,7 @@
             node["node"],
             node["address"],
             node["data_centre"],
-            node["phase"] if node["alive"] else "lost",
+            describe_phase(node),
             node["revision"],
             f"{node['load']:.0%}",
         )
--- a/test/ui/test_apply_command.py
+++ b/test/ui/test_apply_command.py
@@ -197,6 +197,8 @@
         make_node("b", 7),
         make_node("c", 7, alive=False),
         make_node("e", 7, phase="stopped"),
+        make_node("f", 7, phase="leaving", alive=False),
+        make_node("g", 7, phase="stopped", alive=False),
     ]
     node.answer_status(nodes=nodes)
     node.answer(APPLY, ACCEPTED)
