--- a/chervilrock/configuration/capacity.py
+++ b/chervilrock/configuration/capacity.py
@@ -98,55 +98,82 @@
 ) -> bool:
     """Tell whether the groups of one model alone can exist."""
     path: Path = ("models", index)
-    pools = pool_hosts(model, places, sizes)
     size = model["hosts_per_group"]
-    largest = max(pools, default=0)
+    largest = max(pool_hosts(model, places, sizes, spares=0), default=0)
     if size > largest:
-        kind = "fabric domain" if model["cross_domain"] == FORBID else "region"
-        report.add_value(
-            (*path, "hosts_per_group"),
-            Fault(
-                FindingCode.GROUP_TOO_LARGE,
-                f"a group of {size} hosts fits in no {kind} of its data "
-                f"centres, the largest has {largest}",
-                hint_size(model),
-            ),
-        )
+        fault = describe_size(model, largest)
+        report.add_value((*path, "hosts_per_group"), fault)
+        return False
+    pools = pool_hosts(model, places, sizes, spares=model["spares"])
+    if size > max(pools):
+        fault = describe_spares(model, places, sizes)
+        report.add_value((*path, "spares"), fault)
         return False
     fitting = sum(pool // size for pool in pools)
     if model["groups"] > fitting:
-        report.add_value(
-            (*path, "groups"),
-            Fault(
-                FindingCode.TOO_FEW_HOSTS,
-                f"{model['groups']} groups of {size} hosts are wanted, but at "
-                f"most {fitting} fit in the data centres of the model",
-                "lower groups, or add hosts or data centres",
-            ),
-        )
+        report.add_value((*path, "groups"), describe_groups(model, fitting))
         return False
-    check_spares(model, places, sizes, report, path)
     return True
 
 
-def hint_size(model: ModelSpec) -> str:
-    """Return the hint for a group that is too large."""
-    if model["cross_domain"] == FORBID:
-        return "lower hosts_per_group, or set cross_domain to allow"
-    return "lower hosts_per_group, or add data centres"
+def describe_size(model: ModelSpec, largest: int) -> Fault:
+    """Return the fault for a group that fits nowhere."""
+    forbid = model["cross_domain"] == FORBID
+    kind = "fabric domain" if forbid else "region"
+    other = "set cross_domain to allow" if forbid else "add data centres"
+    return Fault(
+        FindingCode.GROUP_TOO_LARGE,
+        f"a group of {model['hosts_per_group']} hosts fits in no {kind} of "
+        f"its data centres, the largest has {largest}",
+        f"lower hosts_per_group, or {other}",
+    )
 
 
-def pool_hosts(
+def describe_spares(
     model: ModelSpec, places: frozenset[str], sizes: dict[Domain, int]
+) -> Fault:
+    """Return the fault for spares that leave no room for a group."""
+    largest = max(list_domains(places, sizes))
+    return Fault(
+        FindingCode.TOO_MANY_SPARES,
+        f"{model['spares']} spares in a fabric domain leave no room for a "
+        f"group of {model['hosts_per_group']} hosts, the largest has {largest}",
+        "lower spares",
+    )
+
+
+def describe_groups(model: ModelSpec, fitting: int) -> Fault:
+    """Return the fault for more groups than fit."""
+    return Fault(
+        FindingCode.TOO_FEW_HOSTS,
+        f"{model['groups']} groups of {model['hosts_per_group']} hosts are "
+        f"wanted, but at most {fitting} fit in the data centres of the model "
+        f"with {model['spares']} spares in each fabric domain",
+        "lower groups, or add hosts or data centres",
+    )
+
+
+def pool_hosts(
+    model: ModelSpec,
+    places: frozenset[str],
+    sizes: dict[Domain, int],
+    spares: int,
 ) -> list[int]:
-    """Return the sizes of the sets of hosts that may form one group."""
-    if model["cross_domain"] == FORBID:
-        return list_domains(places, sizes)
-    regions: collections.Counter[str] = collections.Counter()
+    """Return the sizes of the sets of hosts that may form one group.
+
+    Args:
+      model: the model
+      places: data centres where its groups may stand
+      sizes: number of hosts in each fabric domain
+      spares: hosts to leave out of each fabric domain
+    """
+    pools: collections.Counter[str | Domain] = collections.Counter()
+    forbid = model["cross_domain"] == FORBID
     for domain, size in sizes.items():
         if domain.data_centre in places:
-            regions[domain.region] += size
-    return list(regions.values())
+            key = domain if forbid else domain.region
+            pools[key] += max(0, size - spares)
+    return list(pools.values())
 
 
 def list_domains(places: frozenset[str], sizes: dict[Domain, int]) -> list[int]:
@@ -156,29 +183,6 @@
     ]
 
 
-def check_spares(
-    model: ModelSpec,
-    places: frozenset[str],
-    sizes: dict[Domain, int],
-    report: Report,
-    path: Path,
-) -> None:
-    """Refuse more spares than the largest fabric domain has room for."""
-    largest = max(list_domains(places, sizes))
-    held = model["hosts_per_group"] if model["cross_domain"] == FORBID else 1
-    if model["spares"] + held <= largest:
-        return
-    report.add_value(
-        (*path, "spares"),
-        Fault(
-            FindingCode.TOO_MANY_SPARES,
-            f"{model['spares']} spares beside {held} hosts of a group exceed "
-            f"the largest fabric domain, which has {largest} hosts",
-            "lower spares",
-        ),
-    )
-
-
 def check_sets(
     demands: list[Demand], sizes: dict[Domain, int], report: Report
 ) -> None:
--- a/test/configuration/test_check.py
+++ b/test/configuration/test_check.py
@@ -110,6 +110,13 @@
         ({"groups": 4}, []),
         ({"groups": 5}, [(Code.TOO_FEW_HOSTS, "5")]),
         ({"spares": 2}, []),
+        ({"groups": 3, "spares": 1}, []),
+        ({"groups": 4, "spares": 1}, [(Code.TOO_FEW_HOSTS, "4")]),
+        ({"hosts_per_group": 7, "spares": 1, "cross_domain": "allow"}, []),
+        (
+            {"hosts_per_group": 8, "spares": 1, "cross_domain": "allow"},
+            [(Code.TOO_MANY_SPARES, "1")],
+        ),
         ({"spares": 3}, [(Code.TOO_MANY_SPARES, "3")]),
     ],
 )
