Test completions, plain services and tickets over loopback

Every fault of the stand-ins that concerns a request is shown to the relay: the answers stay whole, what may run once runs once, and each error tells the truth. A common model client reads streamed and whole answers.

--- a/chervilrock/edges/callers.py
+++ b/chervilrock/edges/callers.py
@@ -1,5 +1,7 @@
 """Routes for callers, and those of tickets between nodes."""
 
+from typing import Any
+
 from returns.result import Failure
 from tornado import routing, web
 
@@ -51,7 +53,7 @@
     ]
 
 
-def make_not_found_options(path: RequestPath) -> dict[str, object]:
+def make_not_found_options(path: RequestPath) -> dict[str, Any]:
     """Returns settings of an application so that each error has its form."""
     return {
         "default_handler_class": NotFoundHandler,
--- a/test/edges/sites.py
+++ b/test/edges/sites.py
@@ -20,8 +20,9 @@
     make_not_found_options,
 )
 from chervilrock.edges.context import RequestContext
-from chervilrock.edges.state import BodyLimits
 from chervilrock.edges.path import RequestPath
+from chervilrock.edges.services import make_endpoints
+from chervilrock.edges.state import BodyLimits
 from chervilrock.generated.configuration import (
     LimitSpec,
     ModelSpec,
@@ -142,7 +143,8 @@
 
     def set_serving(self, endpoints: list[Endpoint]) -> None:
         self.serving = endpoints
-        self._admission.observe_groups(endpoints, self.now())
+        backends = make_endpoints(self.backends)
+        self._admission.observe_groups([*endpoints, *backends], self.now())
 
 
 class Group:
@@ -200,8 +202,8 @@
 class Site:
     """One node, two groups and two backend servers of a plain service."""
 
-    def __init__(self) -> None:
-        self.context = StaticContext()
+    def __init__(self, incarnation: str = "i1") -> None:
+        self.context = StaticContext(incarnation=incarnation)
         self.path = RequestPath(context=self.context)
         fabric = Fabric()
         self.groups = [Group(f"g{n}", 10 + n, fabric) for n in range(2)]
@@ -214,7 +216,6 @@
         self._server: HTTPServer | None = None
 
     async def start(self, limits: BodyLimits | None = None) -> None:
-        self.context.set_serving([await g.start() for g in self.groups])
         for service in self.services:
             address = await service.start()
             self.context.backends.append(
@@ -225,9 +226,8 @@
                     leaving=False,
                 )
             )
-        routes = make_caller_routes(
-            self.context, path=self.path, limits=limits
-        )
+        self.context.set_serving([await g.start() for g in self.groups])
+        routes = make_caller_routes(self.context, path=self.path, limits=limits)
         application = Application(
             routes,
             log_function=lambda _handler: None,
@@ -242,8 +242,10 @@
         assert self._server is not None
         self._server.stop()
         await self._server.close_all_connections()
-        for backend in [*self.groups, *self.services]:
-            await backend.stop()
+        for group in self.groups:
+            await group.stop()
+        for service in self.services:
+            await service.stop()
         self.path.close()
         self.client.close()
         self.context.http.close()
@@ -254,10 +256,15 @@
         )
 
     async def complete(
-        self, headers: dict[str, str] | None = None, **members: Any
+        self,
+        headers: dict[str, str] | None = None,
+        on_chunk: Callable[[bytes], None] | None = None,
+        **members: Any,
     ) -> Call:
         body = {"model": MODEL, "prompt": "hello", "max_tokens": 6} | members
-        return await self.call("/v1/completions", body=body, headers=headers)
+        return await self.call(
+            "/v1/completions", body=body, headers=headers, on_chunk=on_chunk
+        )
 
     def count_runs(self) -> int:
         """Returns how often any engine ran any request."""
@@ -267,6 +274,15 @@
             for engine in group.engines
         )
 
+    def count_arrivals(self) -> int:
+        """Returns how many requests reached any engine."""
+        return sum(group.leader.arrivals for group in self.groups)
+
+    def count_running(self) -> int:
+        """Returns how many attempts any engine still runs."""
+        loads = [group.leader.read_load() for group in self.groups]
+        return sum(load["running"] + load["waiting"] for load in loads)
+
     def count_calls(self) -> int:
         """Returns how often any backend server ran any call."""
         return sum(sum(s.executions.values()) for s in self.services)
--- a/test/edges/test_completions.py
+++ b/test/edges/test_completions.py
@@ -1,22 +1,306 @@
 import asyncio
+from collections.abc import Callable
 
+import openai
+from openai.types.chat import ChatCompletionMessageParam
+import pytest
 from testtools.assertions import assert_that
-from testtools.matchers import Equals
+from testtools.matchers import Equals, GreaterThan
 
 from chervilrock.standin.faults import FaultKind, FaultRule
 from chervilrock.standin.text import expected_text
 from test.edges.sites import join_stream, read_error, Site
 
-EXPECTED = "".join(expected_text("m", "hello", 6))
+TOKENS = 40
+EXPECTED = "".join(expected_text("m", "hello", TOKENS))
+ONCE = {"X-Idempotent": "false"}
+
+
+def add_fault(site: Site, kind: FaultKind, **members: int) -> None:
+    """Makes every engine show a fault."""
+    for group in site.groups:
+        rule = FaultRule(kind=kind, path="/v1/", **members)  # type: ignore[typeddict-item]
+        group.leader.faults.add(rule)
+
+
+def slow_down(site: Site, token_ms: float) -> None:
+    for group in site.groups:
+        for engine in group.engines:
+            engine.options = engine.options._replace(token_ms=token_ms)
 
 
 def test_stream_is_whole(loop: asyncio.Runner, site: Site) -> None:
-    answer = loop.run(site.complete(stream=True))
+    answer = loop.run(site.complete(stream=True, max_tokens=TOKENS))
     assert_that(answer.status, Equals(200))
     assert_that(join_stream(answer.body), Equals(EXPECTED))
 
 
 def test_answer_is_whole(loop: asyncio.Runner, site: Site) -> None:
-    answer = loop.run(site.complete())
+    answer = loop.run(site.complete(max_tokens=TOKENS))
     assert_that(answer.status, Equals(200))
     assert EXPECTED.encode() in answer.body
+    assert_that(answer.headers["X-Node"], Equals("n1"))
+
+
+async def ask_with_model_client(site: Site) -> list[str]:
+    """Returns a whole answer, a streamed one and the names of all models."""
+    url = f"http://{site.address}/v1"
+    messages: list[ChatCompletionMessageParam] = [
+        {"role": "user", "content": "hello"}
+    ]
+    async with openai.AsyncOpenAI(base_url=url, api_key="none") as client:
+        whole = await client.chat.completions.create(
+            model="m:a", messages=messages, max_tokens=TOKENS
+        )
+        stream = await client.chat.completions.create(
+            model="m:a", messages=messages, max_tokens=TOKENS, stream=True
+        )
+        deltas = [chunk.choices[0].delta async for chunk in stream]
+        models = await client.models.list()
+    return [
+        whole.choices[0].message.content or "",
+        "".join(delta.content or "" for delta in deltas),
+        ",".join(model.id for model in models.data),
+    ]
+
+
+def test_model_client_reads_answers(loop: asyncio.Runner, site: Site) -> None:
+    expected = "".join(expected_text("m:a", "user: hello", TOKENS))
+    told = loop.run(ask_with_model_client(site))
+    assert_that(told, Equals([expected, expected, "m,m:a"]))
+
+
+FAULTS_OF_EVENTS = [
+    (FaultKind.REPEAT_EVENT, {}),
+    (FaultKind.FOREIGN_EVENT, {}),
+    (FaultKind.BREAK_STREAM, {"after_events": 7, "count": 1}),
+    (FaultKind.CLOSE_REUSED, {}),
+    (FaultKind.SLOW_TOKEN, {"delay_ms": 1}),
+]
+
+
+@pytest.mark.parametrize(("kind", "members"), FAULTS_OF_EVENTS)
+@pytest.mark.parametrize("headers", [{}, ONCE])
+def test_faults_of_events_never_change_a_whole_stream(
+    loop: asyncio.Runner,
+    site: Site,
+    kind: FaultKind,
+    members: dict[str, int],
+    headers: dict[str, str],
+) -> None:
+    add_fault(site, kind, **members)
+    answer = loop.run(site.complete(headers, stream=True, max_tokens=TOKENS))
+    if headers and kind is FaultKind.BREAK_STREAM:
+        assert b"event: error" in answer.body
+        assert b"[DONE]" not in answer.body
+        assert_that(site.count_runs(), Equals(1))
+    else:
+        assert_that(join_stream(answer.body), Equals(EXPECTED))
+
+
+LOSSES = [
+    FaultRule(kind=FaultKind.BREAK_STREAM, path="/v1/", after_events=0),
+    FaultRule(kind=FaultKind.LOSE_ANSWER, path="/v1/"),
+    FaultRule(kind=FaultKind.OUTAGE, path="/v1/"),
+]
+
+
+@pytest.mark.parametrize("rule", LOSSES)
+@pytest.mark.parametrize("stream", [False, True])
+def test_idempotent_request_is_retried_after_a_loss(
+    loop: asyncio.Runner, site: Site, rule: FaultRule, stream: bool
+) -> None:
+    site.groups[0].leader.faults.add(rule | {"count": 1})
+    answer = loop.run(site.complete(stream=stream, max_tokens=TOKENS))
+    assert_that(answer.status, Equals(200))
+    if stream:
+        assert_that(join_stream(answer.body), Equals(EXPECTED))
+
+
+@pytest.mark.parametrize(
+    ("rule", "stream"),
+    [(rule, True) for rule in LOSSES] + [(rule, False) for rule in LOSSES[1:]],
+)
+def test_request_that_may_run_once_is_not_retried_after_a_loss(
+    loop: asyncio.Runner, site: Site, rule: FaultRule, stream: bool
+) -> None:
+    for group in site.groups:
+        group.leader.faults.add(rule)
+    answer = loop.run(site.complete(ONCE, stream=stream, max_tokens=TOKENS))
+    error = read_error(answer)
+    assert_that(answer.status, Equals(502))
+    assert error["outcome"] in ("unknown", "failed")
+    assert_that(answer.headers["X-Outcome"], Equals(error["outcome"]))
+    assert_that(answer.headers["X-Should-Retry"], Equals("false"))
+    assert_that(site.count_arrivals(), Equals(1))
+
+
+def test_refusal_is_tried_elsewhere(loop: asyncio.Runner, site: Site) -> None:
+    rule = FaultRule(kind=FaultKind.REFUSE, path="/v1/", count=1)
+    for group in site.groups:
+        group.leader.faults.add(rule)
+    answer = loop.run(site.complete(ONCE, max_tokens=TOKENS))
+    assert_that(answer.status, Equals(503))
+    assert_that(read_error(answer)["outcome"], Equals("not_run"))
+    assert_that(answer.headers["X-Should-Retry"], Equals("true"))
+    assert_that(site.count_runs(), Equals(0))
+    answer = loop.run(site.complete(ONCE, max_tokens=TOKENS))
+    assert_that(answer.status, Equals(200))
+    assert_that(site.count_runs(), Equals(1))
+
+
+def test_leader_of_another_fence_is_left_alone(
+    loop: asyncio.Runner, site: Site
+) -> None:
+    stale = site.context.serving[0]._replace(fence=3)
+    site.context.set_serving([stale, site.context.serving[1]])
+    answers = [
+        loop.run(site.complete(ONCE, max_tokens=TOKENS)) for _ in range(4)
+    ]
+    told = {answer.status for answer in answers}
+    assert told <= {200, 503}
+    assert_that(
+        site.count_runs(),
+        Equals(sum(answer.status == 200 for answer in answers)),
+    )
+
+
+def test_dead_group_is_skipped(loop: asyncio.Runner, site: Site) -> None:
+    site.groups[0].leader.kill()
+    for _ in range(4):
+        answer = loop.run(site.complete(ONCE, max_tokens=TOKENS))
+        assert_that(answer.status, Equals(200))
+    assert_that(site.count_runs(), Equals(4))
+
+
+def test_no_group_is_told_at_once(loop: asyncio.Runner, site: Site) -> None:
+    for group in site.groups:
+        group.leader.kill()
+    answer = loop.run(site.complete(ONCE, max_tokens=TOKENS))
+    error = read_error(answer)
+    assert_that(error["outcome"], Equals("not_run"))
+    assert_that(error["code"], Equals("backend_unreachable"))
+    site.context.set_serving([])
+    answer = loop.run(site.complete(ONCE, max_tokens=TOKENS))
+    error = read_error(answer)
+    assert_that(error["outcome"], Equals("not_run"))
+    assert_that(error["code"], Equals("no_group"))
+    assert error["retry_after_ms"] > 0
+    assert "Retry-After" in answer.headers
+
+
+def test_many_calls_over_closing_connections_run_once_each(
+    loop: asyncio.Runner, site: Site
+) -> None:
+    add_fault(site, FaultKind.CLOSE_REUSED)
+
+    async def call_often() -> list[int]:
+        calls = [site.complete(ONCE) for _ in range(12)]
+        return [(await call).status for call in calls]
+
+    assert_that(loop.run(call_often()), Equals([200] * 12))
+    assert_that(site.count_runs(), Equals(12))
+
+
+def test_deadline_ends_a_request(loop: asyncio.Runner, site: Site) -> None:
+    add_fault(site, FaultKind.ANSWER_LATE, delay_ms=60000)
+    headers = ONCE | {"X-Deadline-Ms": "50"}
+    error = read_error(loop.run(site.complete(headers)))
+    assert_that(error["code"], Equals("deadline_exceeded"))
+    assert_that(error["outcome"], Equals("unknown"))
+
+
+def test_caller_that_leaves_frees_the_engine(
+    loop: asyncio.Runner, site: Site
+) -> None:
+    slow_down(site, 1.0)
+
+    async def leave() -> None:
+        reader, writer = await asyncio.open_connection(*site.address.split(":"))
+        body = b'{"model":"m","prompt":"p","max_tokens":900000,"stream":true}'
+        head = b"POST /v1/completions HTTP/1.1\r\nHost: n\r\n"
+        head += b"Content-Length: %d\r\n\r\n"
+        writer.write(head % len(body) + body)
+        await reader.readuntil(b"/3\ndata")
+        writer.close()
+        while site.path.in_flight or site.count_running():
+            await asyncio.sleep(0)
+
+    loop.run(leave())
+
+
+def test_leaving_node_refuses_and_finishes(
+    loop: asyncio.Runner, site: Site
+) -> None:
+    slow_down(site, 1.0)
+
+    def leave(_chunk: bytes) -> None:
+        site.context.is_leaving = True
+
+    answer = loop.run(
+        site.complete(on_chunk=leave, stream=True, max_tokens=TOKENS)
+    )
+    assert_that(join_stream(answer.body), Equals(EXPECTED))
+    error = read_error(loop.run(site.complete()))
+    assert_that(error["code"], Equals("leaving"))
+    assert_that(error["outcome"], Equals("not_run"))
+
+
+def break_leader(site: Site) -> None:
+    """Kills the leader of the group that runs a stream."""
+    for group in site.groups:
+        if group.leader.executions:
+            group.leader.kill()
+            return
+
+
+def break_follower(site: Site) -> None:
+    """Kills another host of the group that runs a stream."""
+    for group in site.groups:
+        if group.leader.executions:
+            group.engines[1].kill()
+            return
+
+
+@pytest.mark.parametrize("break_group", [break_leader, break_follower])
+def test_stream_goes_on_when_its_group_loses_a_host(
+    loop: asyncio.Runner, site: Site, break_group: Callable[[Site], None]
+) -> None:
+    slow_down(site, 2.0)
+    seen: list[bytes] = []
+
+    def break_after_some(chunk: bytes) -> None:
+        seen.append(chunk)
+        if len(seen) == 5:
+            break_group(site)
+
+    answer = loop.run(
+        site.complete(on_chunk=break_after_some, stream=True, max_tokens=TOKENS)
+    )
+    assert_that(join_stream(answer.body), Equals(EXPECTED))
+    assert_that(site.count_runs(), GreaterThan(1))
+
+
+@pytest.mark.parametrize("break_group", [break_leader, break_follower])
+def test_stream_that_may_run_once_ends_with_a_marked_error(
+    loop: asyncio.Runner, site: Site, break_group: Callable[[Site], None]
+) -> None:
+    slow_down(site, 2.0)
+    seen: list[bytes] = []
+
+    def break_after_some(chunk: bytes) -> None:
+        seen.append(chunk)
+        if len(seen) == 5:
+            break_group(site)
+
+    answer = loop.run(
+        site.complete(
+            ONCE, on_chunk=break_after_some, stream=True, max_tokens=TOKENS
+        )
+    )
+    assert answer.whole
+    assert b'event: error\ndata: {"error":{"code":"answer_broken"' in (
+        answer.body
+    )
+    assert b'"outcome":"failed"' in answer.body
+    assert_that(site.count_runs(), Equals(1))
