--- a/bench/workload.py
+++ b/bench/workload.py
@@ -20,6 +20,7 @@
   the address, and changes it in a fifth of its turns.
 """
 
+import bisect
 from collections.abc import Iterator
 import heapq
 import itertools
@@ -236,6 +237,42 @@
         return tuple(next(self._blocks) for _ in range(count))
 
 
+def fit_rate(
+    arrivals: list[Arrival], *, rate: float, start: float, end: float
+) -> list[Arrival]:
+    """Stretch the times so that a window gets exactly the mean rate.
+
+    Bursts make the number of requests of a short run vary by a tenth and
+    more, which would blur the load that a result is for.
+
+    Args:
+      arrivals: requests in the order of time, for longer than the window.
+      rate: requests in a second that the window gets.
+      start: start of the window in seconds.
+      end: end of the window in seconds.
+
+    Returns:
+      The requests up to the end of the window.
+    """
+    wanted = round(rate * (end - start))
+    times = [arrival.time for arrival in arrivals]
+    least, most = 0.5, 2.0
+    for _ in range(40):
+        factor = (least + most) / 2.0
+        count = bisect.bisect_left(times, end / factor) - bisect.bisect_left(
+            times, start / factor
+        )
+        if count > wanted:
+            least = factor
+        else:
+            most = factor
+    return [
+        arrival._replace(time=arrival.time * most)
+        for arrival in arrivals
+        if arrival.time * most < end
+    ]
+
+
 def default_weights() -> dict[str, float]:
     """Return the share of the requests of each of the ten workspaces."""
     weights = {f"large{i}": 0.25 for i in range(LARGE_WORKSPACES)}
