--- a/test/ui/conftest.py
+++ b/test/ui/conftest.py
@@ -1,7 +1,7 @@
 """A fake node for the tests of the command line."""
 
 import asyncio
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 import threading
 from typing import Any, NamedTuple
 
@@ -35,6 +35,25 @@
     body: Any
 
 
+def make_node(name: str, revision: int, **changes: Any) -> dict[str, Any]:
+    """Returns a live node of a status."""
+    place = {"address": f"10.0.0.1:{revision}", "region": "r1"}
+    state = {"phase": "serving", "alive": True, "load": 0.0}
+    known = {"node": name, "revision": revision, "data_centre": "dc1"}
+    return {**known, **place, **state, **changes}
+
+
+class Ended(NamedTuple):
+    """What a command left: its exit code and what it printed."""
+
+    code: ExitCode
+    out: str
+    err: str
+
+
+Run = Callable[..., Ended]
+
+
 class FakeNode:
     """Answers from a script; the last answer of a path repeats."""
 
@@ -48,30 +67,24 @@
         self._thread = threading.Thread(target=self._run)
 
     def answer(self, path: str, *bodies: Any, status: int | None = 200) -> None:
-        """Adds answers to a path."""
         replies = [Reply(status, body) for body in bodies]
         self.script.setdefault(path, []).extend(replies)
 
     def answer_status(self, **changes: Any) -> None:
-        """Adds an answer to /admin/status."""
         self.answer("/admin/status", {**STATUS, **changes})
 
     def take(self, path: str) -> Reply:
-        """Returns the next answer of a path."""
         replies = self.script.get(path, [Reply(404, {})])
         return replies.pop(0) if len(replies) > 1 else replies[0]
 
     def count(self, path: str) -> int:
-        """Returns how many requests came for a path."""
         return sum(1 for received, _ in self.received if received == path)
 
     def start(self) -> None:
-        """Begins to answer."""
         self._thread.start()
         self._started.wait()
 
     def stop(self) -> None:
-        """Stops and waits for the thread."""
         assert self._loop is not None and self._stop is not None
         self._loop.call_soon_threadsafe(self._stop.set)
         self._thread.join()
@@ -119,9 +132,10 @@
     post = _reply
 
 
-def run(*arguments: str) -> ExitCode:
-    """Runs a command in this process and returns its exit code."""
-    return ExitCode(main(arguments))
+@pytest.fixture
+def run(capsys: pytest.CaptureFixture[str]) -> Run:
+    """Runs a command in this process and returns what it left."""
+    return lambda *given: Ended(ExitCode(main(given)), *capsys.readouterr())
 
 
 @pytest.fixture
--- a/test/ui/test_apply_command.py
+++ b/test/ui/test_apply_command.py
@@ -11,9 +11,8 @@
 from testtools.matchers import Contains, ContainsDict, Equals, HasLength
 
 from chervilrock.generated.interfaces import ErrorBody, ErrorDetail, Outcome
-from chervilrock.generated.operators import NodeStatus
 from chervilrock.ui.codes import ExitCode
-from test.ui.conftest import FakeNode, run
+from test.ui.conftest import FakeNode, make_node, Run
 
 APPLY = "/admin/apply"
 ACCEPTED = {"accepted": True, "revision": 8, "findings": []}
@@ -33,19 +32,11 @@
     return path
 
 
-def make_node(name: str, revision: int, **changes: Any) -> NodeStatus:
-    """Returns a live node of a status."""
-    status = NodeStatus(
-        node=name,
-        address="127.0.0.1:1",
-        region="r1",
-        data_centre="dc1",
-        phase="serving",
-        alive=True,
-        revision=revision,
-        load=0.0,
-    )
-    return NodeStatus(**{**status, **changes})  # type: ignore[typeddict-item]
+@pytest.fixture
+def apply(node: FakeNode, file: pathlib.Path, run: Run) -> Run:
+    """Applies the file at the fake node, with more flags."""
+    flags = ("--node", node.address)
+    return lambda *more: run("apply", str(file), *flags, *more)
 
 
 def make_error(outcome: Outcome) -> ErrorBody:
@@ -62,29 +53,27 @@
 
 
 def test_apply_replaces_the_revision_in_force(
-    node: FakeNode, file: pathlib.Path, capsys: pytest.CaptureFixture[str]
+    node: FakeNode, apply: Run
 ) -> None:
     node.answer_status()
     node.answer(APPLY, ACCEPTED)
-    code = run(
-        "apply", str(file), "--node", node.address, "--operator", "lucia"
-    )
+    ended = apply("--operator", "lucia")
     path, sent = node.received[-1]
-    assert_that(code, Equals(ExitCode.DONE))
+    assert_that(ended.code, Equals(ExitCode.DONE))
     assert_that(path, Equals(APPLY))
     assert_that(
         sent,
         ContainsDict({"base_revision": Equals(7), "operator": Equals("lucia")}),
     )
     assert_that(sent["document"]["models"][0]["name"], Equals("m"))
-    assert_that(capsys.readouterr().out, Equals("revision 8 accepted\n"))
+    assert_that(ended.out, Equals("revision 8 accepted\n"))
 
 
 def test_apply_with_a_base_asks_for_no_status(
-    node: FakeNode, file: pathlib.Path
+    node: FakeNode, apply: Run
 ) -> None:
     node.answer(APPLY, ACCEPTED)
-    run("apply", str(file), "--node", node.address, "--base", "0")
+    apply("--base", "0")
     assert_that(node.received, HasLength(1))
     assert_that(node.received[0][1]["base_revision"], Equals(0))
 
@@ -97,53 +86,47 @@
     ],
 )
 def test_apply_tells_the_loser_who_won(
-    node: FakeNode,
-    file: pathlib.Path,
-    capsys: pytest.CaptureFixture[str],
-    winner: dict[str, Any],
-    told: str,
+    node: FakeNode, apply: Run, winner: dict[str, Any], told: str
 ) -> None:
     answer = {"accepted": False, "revision": 9, "findings": [], **winner}
     node.answer_status()
     node.answer(APPLY, answer, status=409)
-    code = run("apply", str(file), "--node", node.address)
-    assert_that(code, Equals(ExitCode.LOST))
-    assert_that(capsys.readouterr().err, Contains(told))
+    ended = apply()
+    assert_that(ended.code, Equals(ExitCode.LOST))
+    assert_that(ended.err, Contains(told))
 
 
 def test_apply_prints_the_findings_of_the_node(
-    node: FakeNode, file: pathlib.Path, capsys: pytest.CaptureFixture[str]
+    node: FakeNode, apply: Run
 ) -> None:
     finding = {"code": "unknown-version", "message": "models[0]", "hint": "h"}
     answer = {"accepted": False, "revision": 7, "findings": [finding]}
     node.answer_status()
     node.answer(APPLY, answer, status=400)
-    code = run("apply", str(file), "--node", node.address)
-    assert_that(code, Equals(ExitCode.FINDINGS))
-    assert_that(
-        capsys.readouterr().err, Equals("unknown-version: models[0] (h)\n")
-    )
+    ended = apply()
+    assert_that(ended.code, Equals(ExitCode.FINDINGS))
+    assert_that(ended.err, Equals("unknown-version: models[0] (h)\n"))
 
 
 def test_apply_sends_nothing_when_the_file_has_findings(
-    node: FakeNode, file: pathlib.Path, capsys: pytest.CaptureFixture[str]
+    node: FakeNode, file: pathlib.Path, apply: Run
 ) -> None:
     file.write_text(DOCUMENT.replace("groups: 1", "groups: many"))
-    code = run("apply", str(file), "--node", node.address)
-    assert_that(code, Equals(ExitCode.FINDINGS))
+    ended = apply()
+    assert_that(ended.code, Equals(ExitCode.FINDINGS))
     assert_that(node.received, HasLength(0))
-    assert_that(capsys.readouterr().err, Contains("installation.yaml:4:"))
+    assert_that(ended.err, Contains("installation.yaml:4:"))
 
 
 def test_apply_without_a_node_applies_nothing(
-    file: pathlib.Path, capsys: pytest.CaptureFixture[str]
+    file: pathlib.Path, run: Run
 ) -> None:
     with socket.socket() as bound:
         bound.bind(("127.0.0.1", 0))
         address = f"127.0.0.1:{bound.getsockname()[1]}"
-        code = run("apply", str(file), "--node", address)
-    assert_that(code, Equals(ExitCode.UNREACHABLE))
-    assert_that(capsys.readouterr().err, Contains("nothing was applied"))
+        ended = run("apply", str(file), "--node", address)
+    assert_that(ended.code, Equals(ExitCode.UNREACHABLE))
+    assert_that(ended.err, Contains("nothing was applied"))
 
 
 @pytest.mark.parametrize(
@@ -157,39 +140,34 @@
     ],
 )
 def test_apply_tells_whether_it_may_be_accepted(
-    node: FakeNode,
-    file: pathlib.Path,
-    capsys: pytest.CaptureFixture[str],
-    status: int | None,
-    body: object,
-    told: str,
+    node: FakeNode, apply: Run, status: int | None, body: object, told: str
 ) -> None:
     node.answer_status()
     node.answer(APPLY, body, status=status)
-    code = run("apply", str(file), "--node", node.address)
-    assert_that(code, Equals(ExitCode.UNREACHABLE))
-    assert_that(capsys.readouterr().err, Contains(told))
+    ended = apply()
+    assert_that(ended.code, Equals(ExitCode.UNREACHABLE))
+    assert_that(ended.err, Contains(told))
     assert_that(node.count(APPLY), Equals(1))
 
 
 def test_wait_ends_when_every_live_node_follows(
-    node: FakeNode, file: pathlib.Path, capsys: pytest.CaptureFixture[str]
+    node: FakeNode, apply: Run
 ) -> None:
     node.answer_status()
     node.answer(APPLY, ACCEPTED)
     node.answer_status(nodes=[make_node("a", 8), make_node("b", 7)])
     node.answer_status(nodes=[make_node("a", 8), make_node("b", 9)])
-    code = run("apply", str(file), "--node", node.address, "--wait")
-    assert_that(code, Equals(ExitCode.DONE))
+    ended = apply("--wait")
+    assert_that(ended.code, Equals(ExitCode.DONE))
     assert_that(node.count("/admin/status"), Equals(3))
     assert_that(
-        capsys.readouterr().out,
+        ended.out,
         Contains("revision 8 in force on every live node"),
     )
 
 
 def test_wait_names_the_nodes_that_do_not_follow(
-    node: FakeNode, file: pathlib.Path, capsys: pytest.CaptureFixture[str]
+    node: FakeNode, apply: Run
 ) -> None:
     nodes = [
         make_node("d", 7),
@@ -202,11 +180,10 @@
     ]
     node.answer_status(nodes=nodes)
     node.answer(APPLY, ACCEPTED)
-    arguments = ["--node", node.address, "--wait", "--timeout", "0"]
-    code = run("apply", str(file), *arguments)
-    assert_that(code, Equals(ExitCode.NOT_IN_FORCE))
+    ended = apply("--wait", "--timeout", "0")
+    assert_that(ended.code, Equals(ExitCode.NOT_IN_FORCE))
     assert_that(
-        capsys.readouterr().err.splitlines(),
+        ended.err.splitlines(),
         Equals(
             [
                 "not heard of lately, so not waited for: c",
@@ -216,42 +193,35 @@
     )
 
 
-def test_wait_without_answers_cannot_tell(
-    node: FakeNode, file: pathlib.Path, capsys: pytest.CaptureFixture[str]
-) -> None:
+def test_wait_without_answers_cannot_tell(node: FakeNode, apply: Run) -> None:
     node.answer_status()
     node.answer("/admin/status", b"", status=500)
     node.answer(APPLY, ACCEPTED)
-    arguments = ["--node", node.address, "--wait", "--timeout", "0"]
-    code = run("apply", str(file), *arguments)
-    assert_that(code, Equals(ExitCode.UNREACHABLE))
-    assert_that(capsys.readouterr().err, Contains("was accepted"))
+    ended = apply("--wait", "--timeout", "0")
+    assert_that(ended.code, Equals(ExitCode.UNREACHABLE))
+    assert_that(ended.err, Contains("was accepted"))
 
 
 @pytest.mark.parametrize("wait", [[], ["--wait", "--timeout", "0"]])
 def test_json_is_one_document(
-    node: FakeNode,
-    file: pathlib.Path,
-    capsys: pytest.CaptureFixture[str],
-    wait: list[str],
+    node: FakeNode, apply: Run, wait: list[str]
 ) -> None:
     node.answer_status(nodes=[make_node("b", 7)])
     node.answer(APPLY, ACCEPTED)
-    arguments = ["--node", node.address, "--json", *wait]
-    run("apply", str(file), *arguments)
-    printed = json.loads(capsys.readouterr().out)
+    ended = apply("--json", *wait)
+    printed = json.loads(ended.out)
     spread = {"lagging": ["b"], "lost": []} if wait else None
     assert_that(printed["revision"], Equals(8))
     assert_that(printed.get("spread"), Equals(spread))
 
 
 def test_apply_needs_no_user_entry(
-    node: FakeNode, file: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+    node: FakeNode, monkeypatch: pytest.MonkeyPatch, apply: Run
 ) -> None:
     def find_nobody() -> str:
         raise KeyError("uid not found")
 
     monkeypatch.setattr(getpass, "getuser", find_nobody)
     node.answer(APPLY, ACCEPTED)
-    run("apply", str(file), "--node", node.address, "--base", "0")
+    apply("--base", "0")
     assert_that(node.received[0][1]["operator"], Equals("unknown"))
--- a/test/ui/test_getting_started.py
+++ b/test/ui/test_getting_started.py
@@ -9,7 +9,7 @@
 
 from chervilrock.ui.codes import ExitCode
 from chervilrock.ui.platform_files import load_platform
-from test.ui.conftest import run
+from test.ui.conftest import Run
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 PAGE = ROOT / "docs" / "getting-started.md"
@@ -24,8 +24,10 @@
     return tmp_path
 
 
-def test_the_configuration_has_no_findings(folder: pathlib.Path) -> None:
-    code = run(
+def test_the_configuration_has_no_findings(
+    folder: pathlib.Path, run: Run
+) -> None:
+    ended = run(
         "check",
         str(folder / "installation.yaml"),
         "--hosts",
@@ -33,7 +35,7 @@
         "--weights",
         str(folder / "weights.json"),
     )
-    assert_that(code, Equals(ExitCode.DONE))
+    assert_that(ended.code, Equals(ExitCode.DONE))
 
 
 def test_the_platform_takes_the_files(folder: pathlib.Path) -> None:
--- a/test/ui/test_serve_command.py
+++ b/test/ui/test_serve_command.py
@@ -18,7 +18,7 @@
 import chervilrock.node
 from chervilrock.ui.codes import ExitCode
 from chervilrock.ui.flags import parse_flags, UsageError
-from test.ui.conftest import run
+from test.ui.conftest import Run
 
 REQUIRED: dict[str, Any] = {
     "node": "a",
@@ -56,9 +56,9 @@
     return [part for name in given for part in (name_flag(name), given[name])]
 
 
-def test_flags_become_settings(started: list[NodeSettings]) -> None:
-    code = run("serve", *list_flags(lease_ms="5000"), "--drift=0.05")
-    assert_that(code, Equals(ExitCode.DONE))
+def test_flags_become_settings(started: list[NodeSettings], run: Run) -> None:
+    ended = run("serve", *list_flags(lease_ms="5000"), "--drift=0.05")
+    assert_that(ended.code, Equals(ExitCode.DONE))
     assert_that(
         started,
         Equals([NodeSettings(**REQUIRED, lease_ms=5000, drift=0.05)]),
@@ -66,7 +66,7 @@
 
 
 def test_variables_become_settings(
-    started: list[NodeSettings], monkeypatch: pytest.MonkeyPatch
+    started: list[NodeSettings], monkeypatch: pytest.MonkeyPatch, run: Run
 ) -> None:
     for name, value in {**REQUIRED, "seed": "9"}.items():
         monkeypatch.setenv(name_variable(name), value)
@@ -75,7 +75,7 @@
 
 
 def test_a_flag_goes_before_a_variable(
-    started: list[NodeSettings], monkeypatch: pytest.MonkeyPatch
+    started: list[NodeSettings], monkeypatch: pytest.MonkeyPatch, run: Run
 ) -> None:
     monkeypatch.setenv("CHERVILROCK_NODE", "from-variable")
     monkeypatch.setenv("CHERVILROCK_LEASE_MS", "4000")
@@ -86,14 +86,12 @@
 
 @pytest.mark.parametrize("log_format", ["text", "json"])
 def test_all_findings_are_logged_together(
-    started: list[NodeSettings],
-    capsys: pytest.CaptureFixture[str],
-    log_format: str,
+    started: list[NodeSettings], run: Run, log_format: str
 ) -> None:
     flags = list_flags(lease_ms="soon", log_format=log_format)
-    code = run("serve", *flags, "--no-such", "1", "--seed", "-1")
-    lines = capsys.readouterr().err.splitlines()
-    assert_that(code, Equals(ExitCode.FINDINGS))
+    ended = run("serve", *flags, "--no-such", "1", "--seed", "-1")
+    lines = ended.err.splitlines()
+    assert_that(ended.code, Equals(ExitCode.FINDINGS))
     assert_that(started, HasLength(0))
     assert_that(lines, HasLength(3))
     for flag, line in zip(
@@ -104,7 +102,7 @@
 
 
 def test_the_log_has_the_wanted_format(
-    started: list[NodeSettings], capsys: pytest.CaptureFixture[str]
+    started: list[NodeSettings], run: Run, capsys: pytest.CaptureFixture[str]
 ) -> None:
     run("serve", *list_flags(log_format="json", log_level="WARNING"))
     events.emit(events.Event.GROUP_DISSOLVED, group="g")
@@ -113,9 +111,9 @@
     assert_that(json.loads(printed)["event"], Equals("peer-lost"))
 
 
-def test_help_lists_every_setting(capsys: pytest.CaptureFixture[str]) -> None:
-    run("serve", "--help")
-    printed = capsys.readouterr().out
+def test_help_lists_every_setting(run: Run) -> None:
+    ended = run("serve", "--help")
+    printed = ended.out
     for name in NodeSettings._fields:
         assert_that(printed, Contains(f"\n  {name_flag(name)} "))
         assert_that(printed, Contains(f"[{name_variable(name)}"))
--- a/test/ui/test_status_command.py
+++ b/test/ui/test_status_command.py
@@ -8,12 +8,11 @@
 
 from chervilrock.generated.operators import (
     GroupStatus,
-    NodeStatus,
     QuarantinedHost,
     StrandedHost,
 )
 from chervilrock.ui.codes import ExitCode
-from test.ui.conftest import FakeNode, run, STATUS
+from test.ui.conftest import FakeNode, make_node, Run, STATUS
 
 TABLES = """\
 configuration: revision 7 of asha
@@ -37,37 +36,22 @@
 QUARANTINED HOST  FENCE  REASON
 h4                12     no answer
 """
+NODES = [
+    make_node("c", 6, address="10.0.0.3:80", phase="leaving", alive=False),
+    make_node("b", 6, address="10.0.0.2:80", alive=False),
+    make_node("a", 7, address="10.0.0.1:80", load=0.25),
+]
 HOSTS = [
     StrandedHost(
-        host="h4",
-        data_centre="dc1",
-        domain="d1",
-        accelerators=4,
-        reason="quarantined",
-    ),
-    StrandedHost(
-        host="h3",
+        host=host,
         data_centre="dc1",
         domain="d1",
-        accelerators=8,
-        reason="spare",
-    ),
-]
-NODES = [
-    NodeStatus(
-        node=name,
-        address=address,
-        region="r1",
-        data_centre="dc1",
-        phase=phase,
-        alive=alive,
-        revision=revision,
-        load=load,
+        accelerators=accelerators,
+        reason=reason,
     )
-    for name, address, phase, alive, revision, load in (
-        ("c", "10.0.0.3:80", "leaving", False, 6, 0.0),
-        ("b", "10.0.0.2:80", "serving", False, 6, 0.0),
-        ("a", "10.0.0.1:80", "serving", True, 7, 0.25),
+    for host, accelerators, reason in (
+        ("h4", 4, "quarantined"),
+        ("h3", 8, "spare"),
     )
 ]
 GROUP = GroupStatus(
@@ -94,43 +78,35 @@
     return node
 
 
-def test_status_prints_tables(
-    full_node: FakeNode, capsys: pytest.CaptureFixture[str]
-) -> None:
-    code = run("status", "--node", full_node.address)
-    assert_that(code, Equals(ExitCode.DONE))
-    assert_that(capsys.readouterr().out, Equals(TABLES))
+def test_status_prints_tables(full_node: FakeNode, run: Run) -> None:
+    ended = run("status", "--node", full_node.address)
+    assert_that(ended.code, Equals(ExitCode.DONE))
+    assert_that(ended.out, Equals(TABLES))
 
 
-def test_status_prints_json(
-    full_node: FakeNode, capsys: pytest.CaptureFixture[str]
-) -> None:
-    run("status", "--node", full_node.address, "--json")
-    printed = json.loads(capsys.readouterr().out)
+def test_status_prints_json(full_node: FakeNode, run: Run) -> None:
+    ended = run("status", "--node", full_node.address, "--json")
+    printed = json.loads(ended.out)
     assert_that(printed["groups"][0]["missing"], Equals(["h2"]))
 
 
-def test_status_of_a_new_installation(
-    node: FakeNode, capsys: pytest.CaptureFixture[str]
-) -> None:
+def test_status_of_a_new_installation(node: FakeNode, run: Run) -> None:
     node.answer_status(
         revision=0, operator="", controller="", log_reachable=False
     )
-    run("status", "--node", node.address)
-    printed = capsys.readouterr().out
+    ended = run("status", "--node", node.address)
+    printed = ended.out
     assert_that(printed, Contains("configuration: none\n"))
     assert_that(printed, Contains("controller:    none\n"))
     assert_that(printed, Contains("NOT REACHABLE"))
     assert_that(printed, Not(Contains("GROUP")))
 
 
-def test_dump_prints_the_state(
-    node: FakeNode, capsys: pytest.CaptureFixture[str]
-) -> None:
+def test_dump_prints_the_state(node: FakeNode, run: Run) -> None:
     node.answer("/state", b'{"tasks":{"log":{"offset":4}}}')
-    code = run("dump", node.address)
-    printed = capsys.readouterr().out
-    assert_that(code, Equals(ExitCode.DONE))
+    ended = run("dump", node.address)
+    printed = ended.out
+    assert_that(ended.code, Equals(ExitCode.DONE))
     assert_that(printed, Contains('\n  "tasks": {\n'))
     assert_that(json.loads(printed), Equals({"tasks": {"log": {"offset": 4}}}))
 
@@ -144,25 +120,25 @@
 )
 def test_without_a_usable_answer_the_node_is_named(
     node: FakeNode,
-    capsys: pytest.CaptureFixture[str],
+    run: Run,
     path: str,
     arguments: list[str],
     status: int | None,
     body: bytes,
 ) -> None:
     node.answer(path, body, status=status)
-    code = run(*arguments, node.address)
-    printed = capsys.readouterr()
-    assert_that(code, Equals(ExitCode.UNREACHABLE))
+    ended = run(*arguments, node.address)
+    printed = ended
+    assert_that(ended.code, Equals(ExitCode.UNREACHABLE))
     assert_that(printed.out, Equals(""))
     assert_that(printed.err, Contains(node.address))
 
 
 def test_a_status_with_a_missing_value_is_refused(
-    node: FakeNode, capsys: pytest.CaptureFixture[str]
+    node: FakeNode, run: Run
 ) -> None:
     body = {key: STATUS[key] for key in STATUS if key != "revision"}
     node.answer("/admin/status", body)
-    code = run("status", "--node", node.address)
-    assert_that(code, Equals(ExitCode.UNREACHABLE))
-    assert_that(capsys.readouterr().err, Contains("`revision`"))
+    ended = run("status", "--node", node.address)
+    assert_that(ended.code, Equals(ExitCode.UNREACHABLE))
+    assert_that(ended.err, Contains("`revision`"))
