Check configurations that were decoded from JSON already

A request that applies a configuration carries decoded values, which cannot go through the YAML loader: YAML 1.1 takes 1e-05 for a text. check_decoded checks them against the schema and across values. NaN is no number any more, since it passed all bounds.

--- a/chervilrock/configuration/check.py
+++ b/chervilrock/configuration/check.py
@@ -33,20 +33,47 @@
     document, findings = load_document(text, file_name)
     if document is None:
         return None, findings
+    surroundings = Surroundings(hosts, weights)
+    configuration, found = check_document(document, file_name, surroundings)
+    if findings or configuration is None:
+        return None, sort_findings([*findings, *found])
+    return configuration, ()
+
+
+def check_decoded(
+    value: object, name: str
+) -> tuple[Configuration | None, tuple[Finding, ...]]:
+    """Check a configuration that was decoded from JSON already.
+
+    Args:
+      value: dicts, lists and scalars
+      name: takes the place of the file name in the findings
+
+    Returns:
+      As `check`; every finding is in line 1 and begins with the path.
+    """
+    document = Document(value, {}, {}, frozenset())
+    return check_document(document, name, Surroundings(None, None))
+
+
+def check_document(
+    document: Document, file_name: str, surroundings: Surroundings
+) -> tuple[Configuration | None, tuple[Finding, ...]]:
+    """Check a loaded document against the schema and across its values."""
     schema = check_schema(document, file_name)
     if not schema.complete:
-        return None, sort_findings([*findings, *schema.findings])
+        return None, sort_findings(schema.findings)
     partial = fill_partial(document.value, schema.bad)
     report = Report(
         file_name=file_name, document=document, origins=partial.origins
     )
     check_values(
         partial.configuration,
-        Surroundings(hosts, weights),
+        surroundings,
         report,
         knows_data_centres(document, schema),
     )
-    found = sort_findings([*findings, *schema.findings, *report.findings])
+    found = sort_findings([*schema.findings, *report.findings])
     return (None, found) if found else (partial.configuration, ())
 
 
--- a/chervilrock/configuration/schema_check.py
+++ b/chervilrock/configuration/schema_check.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 import functools
 import itertools
+import math
 from typing import Any, cast, NamedTuple
 
 import jsonschema
@@ -85,10 +86,12 @@
 
 @functools.cache
 def make_validator() -> Validator:
-    """Return a validator to which 1.0 is not an integer."""
-    checker = jsonschema.Draft202012Validator.TYPE_CHECKER.redefine(
-        "integer",
-        lambda _, value: isinstance(value, int) and not isinstance(value, bool),
+    """Return a validator to which 1.0 is no integer and NaN no number."""
+    checker = jsonschema.Draft202012Validator.TYPE_CHECKER.redefine_many(
+        {
+            "integer": lambda _, value: is_whole(value),
+            "number": lambda _, value: is_whole(value) or is_finite(value),
+        }
     )
     validator = jsonschema.validators.extend(  # type: ignore[no-untyped-call]
         jsonschema.Draft202012Validator, type_checker=checker
@@ -96,6 +99,16 @@
     return cast(Validator, validator(load_schema()))
 
 
+def is_whole(value: object) -> bool:
+    """Tell whether a value is an integer."""
+    return isinstance(value, int) and not isinstance(value, bool)
+
+
+def is_finite(value: object) -> bool:
+    """Tell whether a value is a finite floating-point number."""
+    return isinstance(value, float) and math.isfinite(value)
+
+
 def sort_errors(errors: Iterable[ValidationError]) -> list[ValidationError]:
     """Order errors so that the most telling one of a value comes first."""
 
--- a/chervilrock/configuration/value_fault.py
+++ b/chervilrock/configuration/value_fault.py
@@ -37,8 +37,11 @@
 
     Args:
       error: the error
-      text: the scalar as it is written, empty for a list or mapping
+      text: the scalar as it is written, empty for a list or mapping and
+        when the document was no text
     """
+    if not text and isinstance(error.instance, int | float):
+        text = str(error.instance)
     if error.validator == "type":
         return describe_type(error.instance, str(error.validator_value), text)
     if error.validator == "enum":
--- a/test/configuration/test_check.py
+++ b/test/configuration/test_check.py
@@ -9,7 +9,7 @@
 from testtools.matchers import Equals, Is
 import yaml
 
-from chervilrock.configuration.check import check
+from chervilrock.configuration.check import check, check_decoded
 from chervilrock.configuration.defaults import fill_defaults
 from chervilrock.configuration.digest import digest
 from chervilrock.configuration.findings import FindingCode as Code
@@ -188,6 +188,30 @@
     assert_that(find(models=models), Equals(expected))
 
 
+def test_a_decoded_configuration_is_checked_as_a_file():
+    configuration, findings = check_decoded(BASE, "request")
+    assert configuration is not None
+    assert_that(configuration["limits"]["queue"], Equals(256))
+    assert_that(len(findings), Equals(0))
+    models = [make_model(weight=1e-05), make_model(weight=float("nan"))]
+    _, findings = check_decoded({**BASE, "models": models}, "request")
+    expected = [
+        "request:1:1: duplicate-name: models[1].name: 'm' stands in line 1 "
+        "already (use each name once)",
+        "request:1:1: wrong-type: models[1].weight: 'nan', but a number is "
+        "wanted",
+    ]
+    rendered = [item.render() for item in findings]
+    assert_that(rendered, Equals(expected))
+
+
+@pytest.mark.parametrize("value", [None, 3, [], "x", {}, {"models": [{}]}])
+def test_any_decoded_value_is_refused_without_raising(value):
+    configuration, findings = check_decoded(value, "request")
+    assert_that(configuration is None, Equals(True))
+    assert_that(len(findings) > 0, Equals(True))
+
+
 def test_hints_name_the_nearest():
     text = "name: x\ndata_centers: [a]\nmodels: []\nworkspace: []\n"
     _, findings = check(text, "x", hosts=None, weights=None)
