--- /dev/null
+++ b/bench/relay_load.py
@@ -0,0 +1,115 @@
+"""Load generator of the relay bench, a process of its own."""
+
+import asyncio
+import dataclasses
+import json
+from multiprocessing.connection import Connection
+import time
+
+from bench.relay_context import MODEL
+
+_CONNECT_AT_ONCE = 64
+
+
+@dataclasses.dataclass(frozen=True)
+class Load:
+    """What a generator sends.
+
+    Attributes:
+      port: port of the relay.
+      connections: requests at the same time.
+      requests: requests over each connection, one after the other.
+      stream: whether answers are streamed.
+      tokens: events of a streamed answer.
+      interval_ms: time between two events in milliseconds.
+    """
+
+    port: int
+    connections: int
+    requests: int
+    stream: bool
+    tokens: int = 0
+    interval_ms: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True)
+class LoadResult:
+    """What a generator got.
+
+    Attributes:
+      whole: answers that were whole.
+      events: events, without the one that says done.
+      seconds: time from the first request to the last answer.
+    """
+
+    whole: int
+    events: int
+    seconds: float
+
+
+def run_load(pipe: Connection) -> None:
+    """Runs loads one after the other until it gets None."""
+    while (load := pipe.recv()) is not None:
+        pipe.send(asyncio.run(_generate(load)))
+
+
+async def _generate(load: Load) -> LoadResult:
+    gate = asyncio.Semaphore(_CONNECT_AT_ONCE)
+    began = time.monotonic()
+    results = await asyncio.gather(
+        *(_use_connection(load, gate) for _ in range(load.connections))
+    )
+    return LoadResult(
+        whole=sum(whole for whole, _events in results),
+        events=sum(events for _whole, events in results),
+        seconds=time.monotonic() - began,
+    )
+
+
+async def _use_connection(
+    load: Load, gate: asyncio.Semaphore
+) -> tuple[int, int]:
+    async with gate:
+        reader, writer = await asyncio.open_connection("127.0.0.1", load.port)
+    request = _format_request(load)
+    whole = 0
+    events = 0
+    for _ in range(load.requests):
+        writer.write(request)
+        answer = await _read_answer(reader)
+        events += answer.count(b"\ndata: {")
+        whole += int(not load.stream or b"data: [DONE]" in answer)
+    writer.close()
+    return whole, events
+
+
+def _format_request(load: Load) -> bytes:
+    body = json.dumps(
+        {
+            "model": MODEL,
+            "prompt": "Quote a charter from Ahmedabad to Surat.",
+            "stream": load.stream,
+            "max_tokens": max(1, load.tokens),
+            "interval_ms": load.interval_ms,
+        }
+    ).encode()
+    head = (
+        "POST /v1/completions HTTP/1.1\r\nHost: n\r\n"
+        f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n\r\n"
+    )
+    return head.encode() + body
+
+
+async def _read_answer(reader: asyncio.StreamReader) -> bytes:
+    head = (await reader.readuntil(b"\r\n\r\n")).lower()
+    if b" 200 " not in head.partition(b"\r\n")[0]:
+        raise RuntimeError(head.decode("latin1"))
+    if b"transfer-encoding: chunked" not in head:
+        length = head.partition(b"content-length: ")[2].partition(b"\r\n")[0]
+        return await reader.readexactly(int(length))
+    parts = []
+    while size := int(await reader.readline(), 16):
+        parts.append(await reader.readexactly(size))
+        await reader.readexactly(2)
+    await reader.readexactly(2)
+    return b"".join(parts)
