Spend less on each relayed request

Headers of backend servers were copied through the header class of the library on both ways, and a whole answer was flushed twice.

--- a/bench/relay_servers.py
+++ b/bench/relay_servers.py
@@ -23,7 +23,7 @@
 from tornado.netutil import bind_sockets
 from tornado.web import Application, RequestHandler
 
-from bench.relay_context import BenchContext, MODEL
+from bench.relay_context import BenchContext, GROUPS, MODEL
 from chervilrock.edges.callers import make_caller_routes
 from chervilrock.edges.path import RequestPath
 
@@ -68,9 +68,10 @@
     asyncio.run(_serve(pipe, functools.partial(_start_bare, upstream)))
 
 
-def run_product(pipe: Connection, upstream: str) -> None:
+def run_product(pipe: Connection, upstream: str, groups: int) -> None:
     """Runs the product's relay until it is told to stop."""
-    asyncio.run(_serve(pipe, functools.partial(_start_product, upstream)))
+    start = functools.partial(_start_product, upstream, groups)
+    asyncio.run(_serve(pipe, start))
 
 
 Start = Callable[[], Coroutine[Any, Any, int]]
@@ -212,8 +213,10 @@
     return _listen([(r"/v1/.*", _BareHandler, options)])
 
 
-async def _start_product(upstream: str) -> int:
-    context = BenchContext(upstream=upstream, now=time.monotonic)
+async def _start_product(upstream: str, groups: int = GROUPS) -> int:
+    context = BenchContext(
+        upstream=upstream, now=time.monotonic, groups=groups
+    )
     path = RequestPath(context=context)
     return _listen(make_caller_routes(context, path=path))
 
--- a/chervilrock/edges/completions.py
+++ b/chervilrock/edges/completions.py
@@ -37,6 +37,9 @@
     ),
     events=True,
 )
+WHOLE_HEAD = AnswerHead(
+    status=200, headers=(("Content-Type", "application/json"),), events=False
+)
 
 _NEW_RUNS = (attempts.TryElsewhere, attempts.ContinueElsewhere)
 _RUNNING_ENDS = frozenset(
@@ -254,9 +257,11 @@
         """Decides what follows the end of a send."""
         if end is AttemptEnd.COMPLETE:
             self._finish_answer()
+            return attempts.Deliver()
+        self._note_broken(endpoint, end)
         kept = self._read_kept() if self._position > 0 else None
-        if self._finish_text(end, kept):
-            end = AttemptEnd.COMPLETE
+        if kept is not None and self._finish_text(kept):
+            return attempts.Deliver()
         report = SendReport(
             number=send.number,
             end=end,
@@ -266,8 +271,6 @@
         )
         decision = self._tracker.finish(report, self._context.now())
         assert decision is not None
-        if end is not AttemptEnd.COMPLETE:
-            self._note_broken(endpoint, end)
         if isinstance(decision, attempts.Resume):
             return decision
         self._cancel(endpoint, send, end)
@@ -284,15 +287,13 @@
 
     def _finish_answer(self) -> None:
         if isinstance(self._receiver, WholeReceiver):
-            self._sink.start(make_whole_head(self._receiver.body))
-            self._sink.write(self._receiver.body)
-        self._sink.finish()
+            self._sink.answer(WHOLE_HEAD, self._receiver.body)
+        else:
+            self._sink.finish()
 
-    def _finish_text(self, end: AttemptEnd, kept: Kept | None) -> bool:
+    def _finish_text(self, kept: Kept) -> bool:
         """Ends a broken stream of which only the last event is missing."""
-        if end is AttemptEnd.COMPLETE or kept is None or not kept.finished:
-            return False
-        if self._call.wants_usage:
+        if not kept.finished or self._call.wants_usage:
             return False
         number = self._position + 1
         event = f"id: {self.view.request_id}/{number}\ndata: [DONE]\n\n"
@@ -337,12 +338,3 @@
     if isinstance(decision, attempts.ContinueElsewhere):
         return SendMode.CONTINUE
     return SendMode.START
-
-
-def make_whole_head(body: bytes) -> AnswerHead:
-    """Makes the head of an answer that is not streamed."""
-    headers = (
-        ("Content-Type", "application/json"),
-        ("Content-Length", str(len(body))),
-    )
-    return AnswerHead(status=200, headers=headers, events=False)
--- a/chervilrock/edges/enginecalls.py
+++ b/chervilrock/edges/enginecalls.py
@@ -4,7 +4,6 @@
 from collections.abc import Callable
 
 import msgspec
-from tornado import httputil
 
 from chervilrock.decisions.requests import outcomes
 from chervilrock.decisions.requests.attempts import Send, SendMode
@@ -109,9 +108,9 @@
           send: the send.
         """
         self._expected = {
-            "X-Request-Id": view.request_id,
-            "X-Attempt-Id": send.attempt,
-            "X-Fence": str(fence),
+            ("x-request-id", view.request_id),
+            ("x-attempt-id", send.attempt),
+            ("x-fence", str(fence)),
         }
         self._head: Head | None = None
         self._own = False
@@ -121,10 +120,8 @@
     def take_head(self, head: Head) -> None:
         """See base class."""
         self._head = head
-        self._own = head.status in _SUCCESSES and all(
-            head.headers.get(name) == value
-            for name, value in self._expected.items()
-        )
+        present = {(name.lower(), value) for name, value in head.headers}
+        self._own = head.status in _SUCCESSES and self._expected <= present
 
     def take_data(self, data: bytes) -> None:
         """See base class."""
@@ -156,7 +153,7 @@
         self.refusal = parse_refusal(self._head, self._error_body)
         return outcomes.judge_engine_answer(
             self._head.status,
-            not_run_header=has_not_run_header(self._head.headers),
+            not_run_header=has_not_run_header(self._head),
             code=self.refusal.code,
         )
 
@@ -272,10 +269,10 @@
         message = (error.message or "")[:MAX_MESSAGE_CHARS]
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
         message = ""
-    retry_after = parse_count(head.headers.get("Retry-After", "")) or 0
+    retry_after = parse_count(head.find("retry-after")) or 0
     return Refusal(head.status, code, message, float(retry_after))
 
 
-def has_not_run_header(headers: httputil.HTTPHeaders) -> bool:
+def has_not_run_header(head: Head) -> bool:
     """Tells whether a backend server proves that it did nothing."""
-    return headers.get("X-Not-Run") == "true"
+    return head.find("x-not-run") == "true"
--- a/chervilrock/edges/handlers.py
+++ b/chervilrock/edges/handlers.py
@@ -25,10 +25,6 @@
 """A body of up to this many times the bound is read to its end before it is
 refused, since a caller that still sends may miss the answer."""
 
-BODY_TIMEOUT_SLACK_S = 5.0
-"""Time after which the library closes the connection of a late body, beyond
-the time at which it was refused."""
-
 DRAIN_TIMEOUT_S = 30.0
 """Time that a caller has to take the end of its answer."""
 
@@ -63,6 +59,13 @@
         self.set_header("X-Request-Id", self.request_id)
         self.set_header("X-Node", self.path.context.node_id)
 
+    def set_etag_header(self) -> None:
+        """Adds nothing; the answers of backend servers are passed as are."""
+
+    def check_etag_header(self) -> bool:
+        """Leaves it to backend servers whether an answer has changed."""
+        return False
+
     def write_json(self, value: object) -> None:
         """Answers with a JSON body."""
         self.set_header("Content-Type", "application/json; charset=UTF-8")
@@ -140,11 +143,11 @@
             return
         connection = self.request.connection
         assert isinstance(connection, HTTP1Connection)
-        timeout_s = self.state.limits.timeout_s
         connection.set_max_body_size(self._find_longest_drain())
-        connection.set_body_timeout(timeout_s + BODY_TIMEOUT_SLACK_S)
         loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(timeout_s, self._refuse_late_body)
+        self._timer = loop.call_later(
+            self.state.limits.timeout_s, self._refuse_late_body
+        )
 
     def data_received(self, chunk: bytes) -> None:
         """Takes a part of the body."""
--- a/chervilrock/edges/recordings.py
+++ b/chervilrock/edges/recordings.py
@@ -134,11 +134,7 @@
 
 def replay(record: RecordedAnswer, sink: AnswerSink) -> None:
     """Gives a recorded answer to a caller."""
-    sink.start(
-        AnswerHead(
-            status=record.status, headers=record.headers, events=record.events
-        )
+    head = AnswerHead(
+        status=record.status, headers=record.headers, events=record.events
     )
-    if record.body:
-        sink.write(record.body)
-    sink.finish()
+    sink.answer(head, record.body)
--- a/chervilrock/edges/relay.py
+++ b/chervilrock/edges/relay.py
@@ -13,7 +13,6 @@
 from typing import NamedTuple
 
 import pycurl
-from tornado import httputil
 from tornado.curl_httpclient import CurlAsyncHTTPClient
 from tornado.httpclient import HTTPClientError, HTTPRequest
 
@@ -29,7 +28,8 @@
 _SEND_ABORT: int = pycurl.PREREQFUNC_ABORT
 _PAUSE: int = pycurl.WRITEFUNC_PAUSE
 _ABORT = -1
-_STATUS_CONTINUE = 100
+_MIN_STATUS_PARTS = 2
+_STATUS_DIGITS = 3
 _STATUS_OK = 200
 _NO_SOCKET = -1
 
@@ -55,11 +55,27 @@
 
 
 class Head(NamedTuple):
-    """Status and headers of an answer."""
+    """Status and headers of an answer.
+
+    Attributes:
+      status: HTTP status.
+      headers: names and values as they came.
+    """
 
     status: int
-    reason: str
-    headers: httputil.HTTPHeaders
+    headers: tuple[tuple[str, str], ...]
+
+    def find(self, name: str, default: str = "") -> str:
+        """Returns the last value of a header.
+
+        Args:
+          name: name in lower case.
+          default: value when the header is missing.
+        """
+        for other, value in reversed(self.headers):
+            if other.lower() == name:
+                return value
+        return default
 
 
 class Receiver(abc.ABC):
@@ -123,7 +139,6 @@
             http_request = HTTPRequest(
                 request.url,
                 method=request.method,
-                headers=httputil.HTTPHeaders(),
                 body=request.body,
                 connect_timeout=min(
                     DEFAULT_CONNECT_TIMEOUT_S, request.timeout_s
@@ -134,8 +149,6 @@
                 allow_nonstandard_methods=True,
                 prepare_curl_callback=self._prepare,
             )
-            for name, value in request.headers:
-                http_request.headers.add(name, value)
             await client.fetch(http_request, raise_error=False)
         except (HTTPClientError, ValueError) as error:
             return self._end(str(error) or type(error).__name__)
@@ -178,6 +191,7 @@
         self._curl = curl
         curl.setopt(pycurl.NOPROXY, "*")
         curl.setopt(pycurl.PATH_AS_IS, 1)
+        curl.setopt(pycurl.HTTPHEADER, format_headers(self._request.headers))
         curl.setopt(pycurl.PREREQFUNCTION, self._note_send)
         curl.setopt(pycurl.HEADERFUNCTION, self._lines.append)
         curl.setopt(pycurl.WRITEFUNCTION, self._receive)
@@ -236,6 +250,22 @@
                 return
 
 
+def format_headers(headers: Sequence[tuple[str, str]]) -> list[bytes]:
+    """Returns header lines for libcurl.
+
+    A header with an empty value keeps libcurl from adding its own.
+
+    Raises:
+      ValueError: a name or value would break out of its line.
+    """
+    lines = [f"{name}: {value}" for name, value in headers]
+    for line in lines:
+        if "\r" in line or "\n" in line or "\0" in line:
+            raise ValueError("a header holds a line break")
+    lines.append("Expect:")
+    return [line.encode("latin1") for line in lines]
+
+
 def use_own_connection(curl: pycurl.Curl) -> None:
     """Keeps a transfer off connections that served another one.
 
@@ -256,20 +286,29 @@
     Returns:
       The final head, or None when there is none or it is malformed.
     """
-    starts = [i for i, line in enumerate(lines) if line.startswith(b"HTTP/")]
-    if not starts:
+    first = None
+    for index, line in enumerate(lines):
+        if line.startswith(b"HTTP/"):
+            first = index
+    if first is None:
         return None
-    try:
-        text = [line.decode("latin1").rstrip() for line in lines[starts[-1] :]]
-        start = httputil.parse_response_start_line(text[0])
-        headers = httputil.HTTPHeaders()
-        for line in filter(None, text[1:]):
-            headers.parse_line(line)
-    except (httputil.HTTPInputError, ValueError):
+    status = parse_status(lines[first])
+    if status is None or status < _STATUS_OK:
         return None
-    if _STATUS_CONTINUE <= start.code < _STATUS_OK:
+    pairs = []
+    for line in lines[first + 1 :]:
+        name, colon, value = line.decode("latin1").partition(":")
+        if colon:
+            pairs.append((name.strip(), value.strip()))
+    return Head(status=status, headers=tuple(pairs))
+
+
+def parse_status(line: bytes) -> int | None:
+    """Parses the status of a line such as `HTTP/1.1 200 OK`."""
+    parts = line.split(maxsplit=2)
+    if len(parts) < _MIN_STATUS_PARTS or not parts[1].isdigit():
         return None
-    return Head(status=start.code, reason=start.reason, headers=headers)
+    return int(parts[1]) if len(parts[1]) == _STATUS_DIGITS else None
 
 
 class TransferPool:
--- a/chervilrock/edges/servicecalls.py
+++ b/chervilrock/edges/servicecalls.py
@@ -159,8 +159,8 @@
 
         Args:
           method: HTTP method of the request.
-          expected: headers that have these values or are missing in the
-            answer to this very send.
+          expected: headers in lower case that have these values or are
+            missing in the answer to this very send.
           sink: takes the answer.
           own_headers: headers in lower case that are not passed on.
         """
@@ -179,8 +179,7 @@
         """See base class."""
         self._head = head
         self._own = all(
-            head.headers.get(name, value) == value
-            for name, value in self._expected
+            head.find(name, value) == value for name, value in self._expected
         )
         if self._is_stream() and self._judge_head() is AttemptEnd.COMPLETE:
             self._start()
@@ -207,13 +206,15 @@
 
     def finish(self) -> None:
         """Passes on what is kept of a whole answer, and its end."""
-        if not self.started:
-            self._start(whole=True)
-        self._sink.finish()
+        if self.started:
+            self._sink.finish()
+            return
+        self.started = True
+        self._sink.answer(self._make_head(whole=True), b"".join(self._kept))
 
     def _is_stream(self) -> bool:
         assert self._head is not None
-        kind = self._head.headers.get("Content-Type", "")
+        kind = self._head.find("content-type")
         return kind.partition(";")[0].strip().lower() == EVENT_STREAM
 
     def _judge_head(self) -> AttemptEnd:
@@ -223,37 +224,38 @@
         head = self._head
         judged = judge_service_answer(
             head.status,
-            not_run_header=head.headers.get("X-Not-Run") == "true",
+            not_run_header=head.find("x-not-run") == "true",
         )
         if judged is AttemptEnd.REFUSED:
-            delay = parse_count(head.headers.get("Retry-After", "")) or 0
+            delay = parse_count(head.find("retry-after")) or 0
             self.refusal = Refusal(head.status, retry_after_s=float(delay))
         return judged
 
-    def _start(self, *, whole: bool = False) -> None:
-        assert self._head is not None
+    def _start(self) -> None:
+        """Passes on what has come so far; the rest follows as it comes."""
         self.started = True
-        headers = copy_headers(self._head.headers.get_all(), self._own_headers)
+        self._sink.start(self._make_head(whole=False))
+        if self._kept:
+            self._sink.write(b"".join(self._kept))
+            self._kept.clear()
+
+    def _make_head(self, *, whole: bool) -> AnswerHead:
+        assert self._head is not None
+        headers = copy_headers(self._head.headers, self._own_headers)
         length = self._find_length(whole)
         if length is not None:
             headers.append(("Content-Length", length))
-        self._sink.start(
-            AnswerHead(
-                status=self._head.status,
-                headers=tuple(headers),
-                events=self._is_stream(),
-            )
+        return AnswerHead(
+            status=self._head.status,
+            headers=tuple(headers),
+            events=self._is_stream(),
         )
-        if self._kept:
-            self._sink.write(b"".join(self._kept))
-            self._kept.clear()
 
     def _find_length(self, whole: bool) -> str | None:
         """Returns the length to tell the caller, None when it is not known."""
         assert self._head is not None
         if self._head.status in _NO_BODY_STATUSES:
             return None
-        declared = self._head.headers.get("Content-Length")
         if self._is_head:
-            return declared
+            return self._head.find("content-length") or None
         return str(self._size) if whole else None
--- a/chervilrock/edges/services.py
+++ b/chervilrock/edges/services.py
@@ -117,8 +117,8 @@
         receiver = ServiceReceiver(
             method=self._call.method,
             expected=(
-                ("X-Request-Id", self.view.request_id),
-                ("X-Attempt-Id", send.attempt),
+                ("x-request-id", self.view.request_id),
+                ("x-attempt-id", send.attempt),
             ),
             sink=self._sink,
         )
--- a/chervilrock/edges/sinks.py
+++ b/chervilrock/edges/sinks.py
@@ -62,6 +62,13 @@
     def finish(self) -> None:
         """Ends the answer as a whole one."""
 
+    def answer(self, head: AnswerHead, body: bytes) -> None:
+        """Takes a whole answer at once."""
+        self.start(head)
+        if body:
+            self.write(body)
+        self.finish()
+
     @abc.abstractmethod
     def fail(self, error: errors.CallerError, *, may_repeat: bool) -> None:
         """Ends the answer with an error.
@@ -110,7 +117,6 @@
         self._now = now
         self._transfer: Transfer | None = None
         self._events = False
-        self._wrote = False
         self._unsent = 0
         self._watching = False
         self._closed = False
@@ -140,7 +146,6 @@
         """See base class."""
         if self._closed:
             return
-        self._wrote = True
         self._handler.write(data)
         flushed = self._handler.flush()
         if not flushed.done():
@@ -152,11 +157,15 @@
         """See base class."""
         if not self._closed:
             self._closed = True
-            if not self._wrote:
-                # The library must not make an answer of its own.
-                self._handler.flush()
             self._ended = self._handler.finish()
 
+    def answer(self, head: AnswerHead, body: bytes) -> None:
+        """See base class."""
+        if not self._closed:
+            self.start(head)
+            self._closed = True
+            self._ended = self._handler.finish(body or None)
+
     def fail(self, error: errors.CallerError, *, may_repeat: bool) -> None:
         """See base class."""
         if self._closed:
@@ -180,7 +189,7 @@
         Args:
           timeout_s: time in seconds after which the connection is closed.
         """
-        if self._ended is None:
+        if self._ended is None or self._ended.done():
             return
         await asyncio.wait({self._ended}, timeout=timeout_s)
         if not self._ended.done():
