Keep groups for workspaces within their share

While requests find no place, workspaces above their share leave a tenth of the groups alone and are told to the engine with a lower priority. The queue gets short when it has not been empty for longer than a burst, and the wait is foretold from the measured rate of a workspace. The retry bucket is smaller, as saved tokens let retries exceed a tenth over a minute.

--- a/bench/entry_model.py
+++ b/bench/entry_model.py
@@ -321,12 +321,15 @@
     def _dispatch(self, request: _Request, *, hedge: bool = False) -> bool:
         node = request.arrival.node
         admission = self._admissions[node]
-        endpoint = self._policies[node].choose(
-            request.view,
-            self._visible(),
-            self._now,
-            exclude=frozenset(request.tried),
-        )
+        reserved = admission.reserved_groups(request.view, self._now)
+        tried = frozenset(request.tried)
+        endpoint = None
+        for exclude in (tried | reserved, tried):
+            endpoint = self._policies[node].choose(
+                request.view, self._visible(), self._now, exclude=exclude
+            )
+            if endpoint is not None:
+                break
         if endpoint is None:
             if not hedge:
                 self._release(request, ok=False, code="no_group")
@@ -368,12 +371,12 @@
                 self._now + FAILURE_S, lambda: self._fail(number, ran=False)
             )
             return
-        policy = self._policies[request.arrival.node]
         arrival = request.arrival
+        admission = self._admissions[arrival.node]
         self._engines[engine].submit(
             queue_model.Job(
                 attempt=number,
-                priority=policy.engine_priority(request.view),
+                priority=admission.engine_priority(request.view, self._now),
                 blocks=arrival.blocks,
                 prompt_tokens=arrival.prompt_tokens,
                 answer_tokens=arrival.answer_tokens,
--- a/chervilrock/decisions/limits/admission.py
+++ b/chervilrock/decisions/limits/admission.py
@@ -137,14 +137,13 @@
         pool = self._pools.get(request.model)
         if pool is None or not pool.capacity():
             return _reject_without_group(request)
-        if request.workspace not in self._shares:
-            request = request._replace(workspace=UNLISTED)
+        request = self._with_account(request)
         if request.deadline <= now:
             return self._reject(request, verdicts.RejectCode.DEADLINE, now)
         pool.note_active(request.workspace, now)
         first = not pool.queue.count(request.workspace)
         if first and self._may_start(pool, request.workspace, now):
-            self._start(pool, request, pool.estimate_cost(request))
+            self._start(pool, request, pool.estimate_cost(request), now)
             pool.queue.charge(
                 request.workspace,
                 pool.estimate_cost(request),
@@ -215,6 +214,27 @@
         self._pools[request.model].queue.remove(request)
         return True
 
+    def engine_priority(self, request: base.RequestView, now: float) -> int:
+        """Return the priority to send to the engine, 0 (first) to 9."""
+        pool = self._pools.get(request.model)
+        if pool is None:
+            return request.priority
+        return pool.engine_priority(self._with_account(request), now)
+
+    def reserved_groups(
+        self, request: base.RequestView, now: float
+    ) -> frozenset[str]:
+        """Return the groups to exclude from the choice for a request.
+
+        When no other group can be chosen, the request may go there all the
+        same.
+        """
+        pool = self._pools.get(request.model)
+        if pool is None:
+            return frozenset()
+        account = self._with_account(request)
+        return pool.reserved_groups(account.workspace, now)
+
     def allow_retry(self, request: base.RequestView, now: float) -> bool:
         """Take a further attempt for a request from the retry budget.
 
@@ -330,6 +350,11 @@
             },
         }
 
+    def _with_account(self, request: base.RequestView) -> base.RequestView:
+        if request.workspace in self._shares:
+            return request
+        return request._replace(workspace=UNLISTED)
+
     def _may_start(self, pool: pools.Pool, workspace: str, now: float) -> bool:
         if not self._is_within_quota(workspace):
             return False
@@ -342,12 +367,16 @@
         return self._in_flight[workspace] < allowed
 
     def _start(
-        self, pool: pools.Pool, request: base.RequestView, cost: float
+        self,
+        pool: pools.Pool,
+        request: base.RequestView,
+        cost: float,
+        now: float,
     ) -> None:
         self._running[request.request_id] = _Running(request, cost)
         self._in_flight[request.workspace] += 1
         self._budget.on_request()
-        pool.start(request)
+        pool.start(request, now)
 
     def _admit_from(self, pool: pools.Pool, now: float) -> tuple[str, ...]:
         admitted: list[str] = []
@@ -359,18 +388,19 @@
             if entry is None:
                 return tuple(admitted)
             del self._waiting[entry.request.request_id]
-            self._start(pool, entry.request, entry.cost)
+            self._start(pool, entry.request, entry.cost, now)
             admitted.append(entry.request.request_id)
 
     def _enqueue(
         self, pool: pools.Pool, request: base.RequestView, now: float
     ) -> verdicts.Verdict:
         if self._is_within_quota(request.workspace):
-            pool.note_saturated()
+            pool.note_saturated(now)
             refusal = verdicts.RejectCode.OVERLOADED
         else:
             refusal = verdicts.RejectCode.WORKSPACE_LIMIT
-        longest = min(self._max_wait_s, request.deadline - now)
+        longest = pool.longest_wait(self._max_wait_s, now)
+        longest = min(longest, request.deadline - now)
         if pool.expected_wait(request, now) > longest:
             return self._reject(request, refusal, now)
         displaced: tuple[verdicts.Rejected, ...] = ()
@@ -393,7 +423,7 @@
             return verdicts.RejectCode.NO_GROUP
         if entry.request.deadline <= now:
             return verdicts.RejectCode.DEADLINE
-        if now - entry.since >= self._max_wait_s:
+        if now - entry.since >= pool.longest_wait(self._max_wait_s, now):
             return verdicts.RejectCode.QUEUE_TIMEOUT
         return None
 
--- a/chervilrock/decisions/limits/pool.py
+++ b/chervilrock/decisions/limits/pool.py
@@ -4,6 +4,8 @@
 from collections.abc import Mapping
 from typing import Any
 
+import xxhash
+
 from chervilrock.decisions.limits import (
     concurrency,
     fairness,
@@ -22,6 +24,25 @@
 It lets a small workspace start at once beside one that takes all it can get.
 """
 
+SATURATED_S = 5.0
+"""Time for which a pool counts as saturated after a request found no place."""
+
+STANDING_S = 5.0
+"""Time of saturation after which the queue no longer takes up a burst."""
+
+MEASURED_S = 1.0
+"""Time with requests in the queue after which their rate is measured."""
+
+STANDING_GAP_S = 1.0
+"""Greatest gap between requests without a place in such a time."""
+
+STANDING_WAIT = 0.25
+"""Share of the longest wait that is left while the queue stands."""
+
+LONG_TOKENS = 4096
+"""Length from which a prompt counts as long."""
+
+PRIORITIES = 10
 MAX_RETRY_AFTER_S = 30.0
 ANSWER_MEMORY = 0.05
 INITIAL_ANSWER_TOKENS = 128.0
@@ -40,6 +61,11 @@
         self._releases = throughput.ReleaseRate()
         self._running: collections.Counter[str] = collections.Counter()
         self._total = 0
+        self._starts: dict[str, throughput.ReleaseRate] = {}
+        self._waiting_since: dict[str, float] = {}
+        self._standing_since = float("-inf")
+        self._saturated_at = float("-inf")
+        self._reserved: frozenset[str] = frozenset()
         self._active: dict[str, float] = {}
         self._shares: Mapping[str, float] = {}
         self._answer_tokens = INITIAL_ANSWER_TOKENS
@@ -66,6 +92,7 @@
             limit.set_maximum(maximum)
             limits[group] = limit
         self._limits = limits
+        self._reserved = _choose_reserved(groups)
 
     def set_shares(self, shares: Mapping[str, float]) -> None:
         """Set the weight of each workspace; others have weight 1."""
@@ -99,13 +126,55 @@
         capacity = self.capacity()
         if self._total >= capacity:
             return False
-        if self._total < int(capacity * (1.0 - HEADROOM)):
+        if self._total < int(capacity * (1.0 - self._headroom())):
             return True
         part = self._fair_part(workspace, now)
         return part >= 1.0 or self._running[workspace] < part * capacity
 
-    def start(self, request: base.RequestView) -> None:
+    def is_over_share(self, workspace: str, now: float) -> bool:
+        """Tell whether a workspace runs more than its part of the places."""
+        part = self._fair_part(workspace, now)
+        if part >= 1.0:
+            return False
+        return self._running[workspace] > part * self.capacity()
+
+    def engine_priority(self, request: base.RequestView, now: float) -> int:
+        """Return the priority that the engine is told, 0 to 9.
+
+        The priorities of callers are halved. Workspaces within their share
+        get the upper half, so that a priority buys nothing from others.
+        Long prompts are put back by one, to keep them from holding up short
+        ones.
+        """
+        priority = request.priority // 2
+        if request.prompt_tokens >= LONG_TOKENS:
+            priority = min(PRIORITIES // 2 - 1, priority + 1)
+        if self.is_saturated(now) and self.is_over_share(
+            request.workspace, now
+        ):
+            priority += PRIORITIES // 2
+        return priority
+
+    def is_saturated(self, now: float) -> bool:
+        """Tell whether requests found no place lately."""
+        return now - self._saturated_at < SATURATED_S
+
+    def reserved_groups(self, workspace: str, now: float) -> frozenset[str]:
+        """Return the groups that requests of a workspace must leave alone.
+
+        While requests find no place, the headroom is kept in whole groups,
+        so that workspaces within their share meet engines that are not full.
+        """
+        if not self.is_saturated(now) or not self.is_over_share(workspace, now):
+            return frozenset()
+        return self._reserved
+
+    def start(self, request: base.RequestView, now: float) -> None:
         """Note that a request runs."""
+        starts = self._starts.setdefault(
+            request.workspace, throughput.ReleaseRate()
+        )
+        starts.on_release(now)
         self._running[request.workspace] += 1
         self._total += 1
 
@@ -151,8 +220,11 @@
         if group in self._limits:
             self._limits[group].on_queueing(queued)
 
-    def note_saturated(self) -> None:
+    def note_saturated(self, now: float) -> None:
         """Learn that a request found no place."""
+        if now - self._saturated_at > STANDING_GAP_S:
+            self._standing_since = now
+        self._saturated_at = now
         for limit in self._limits.values():
             limit.on_saturated()
 
@@ -164,9 +236,21 @@
             if now - seen > ACTIVE_S and not self._running[workspace]:
                 del self._active[workspace]
                 del self._running[workspace]
+                self._starts.pop(workspace, None)
+        waiting = set(self.queue.workspaces())
+        self._waiting_since = {
+            name: self._waiting_since.get(name, now) for name in waiting
+        }
 
     def expected_rate(self, workspace: str, now: float) -> float:
-        """Return the places a second that a workspace can expect."""
+        """Return the places a second that a workspace can expect.
+
+        A workspace whose requests have waited for some time goes on with the
+        rate at which they started; for others it follows from the shares.
+        """
+        since = self._waiting_since.get(workspace, now)
+        if now - since > MEASURED_S and workspace in self._starts:
+            return self._starts[workspace].rate(now, running=0)
         rate = self._releases.rate(now, running=self._total)
         waiting = {*self.queue.workspaces(), workspace}
         total = sum(self.share_of(name) for name in waiting)
@@ -177,6 +261,17 @@
         before = self.queue.count_before(request.workspace, request.priority)
         return (before + 1) / self.expected_rate(request.workspace, now)
 
+    def longest_wait(self, configured: float, now: float) -> float:
+        """Return how long a request may wait in seconds.
+
+        A queue should take up bursts. While requests have found no place for
+        longer than a burst, it only delays every request, so it is made short.
+        """
+        gap = now - self._saturated_at
+        if gap > STANDING_GAP_S or now - self._standing_since < STANDING_S:
+            return configured
+        return configured * STANDING_WAIT
+
     def book(self, workspace: str, now: float) -> float:
         """Return the delay in seconds that a rejected caller is told."""
         queued = self.queue.count(workspace)
@@ -223,6 +318,13 @@
             },
         }
 
+    def _headroom(self) -> float:
+        """Return the share of the places kept for those within their share."""
+        if not self._reserved:
+            return HEADROOM
+        reserved = sum(self._limits[group].limit for group in self._reserved)
+        return reserved / sum(each.limit for each in self._limits.values())
+
     def _queue_for_weight(self, workspace: str) -> float:
         return self.queue.count(workspace) / self.share_of(workspace)
 
@@ -231,3 +333,14 @@
         names = {*self._active, workspace}
         total = sum(self.share_of(name) for name in names)
         return self.share_of(workspace) / total
+
+
+def _choose_reserved(groups: tuple[str, ...]) -> frozenset[str]:
+    """Choose the groups that make up the headroom, alike at all nodes."""
+    count = round(len(groups) * HEADROOM)
+    ordered = sorted(groups, key=_hash_name)
+    return frozenset(ordered[:count])
+
+
+def _hash_name(group: str) -> int:
+    return xxhash.xxh3_64_intdigest(group.encode())
--- a/chervilrock/decisions/limits/retries.py
+++ b/chervilrock/decisions/limits/retries.py
@@ -2,7 +2,7 @@
 
 DEFAULT_RATIO = 0.1
 INITIAL_TOKENS = 1.0
-MAX_TOKENS = 20.0
+MAX_TOKENS = 5.0
 """Retries that may follow each other after a long time without any."""
 
 
--- a/chervilrock/decisions/routing/affinity.py
+++ b/chervilrock/decisions/routing/affinity.py
@@ -48,9 +48,7 @@
 INITIAL_S_PER_TOKEN = 1e-4
 RATE_WEIGHT = 0.02
 LONG_TOKENS = 4096
-"""Tokens to compute from which a prompt counts as long."""
-
-LOWEST_PRIORITY = 9
+"""Length from which a prompt is too long for a probe."""
 
 
 class _Attempt(NamedTuple):
@@ -108,12 +106,6 @@
             ),
         )
 
-    def engine_priority(self, request: base.RequestView) -> int:
-        """Let the engine compute long prompts after short ones."""
-        if request.prompt_tokens < LONG_TOKENS:
-            return request.priority
-        return min(LOWEST_PRIORITY, request.priority + 1)
-
     def on_sent(
         self, request: base.RequestView, endpoint: base.Endpoint, now: float
     ) -> None:
--- a/chervilrock/decisions/routing/base.py
+++ b/chervilrock/decisions/routing/base.py
@@ -103,10 +103,6 @@
           excluded, or None when there is none.
         """
 
-    def engine_priority(self, request: RequestView) -> int:
-        """Return the priority that the engine is told, 0 to 9."""
-        return request.priority
-
     def on_sent(
         self, request: RequestView, endpoint: Endpoint, now: float
     ) -> None:
