Let nodes share the use of bounded workspaces

Cause: callers of bounded workspaces were rejected for ten seconds and more, since no node ever heard what the others run, and the parts of the bounds moved only while requests were there. Change: peers exchange the use of bounded workspaces and the names of all nodes; the admission is swept at every exchange; plain services are pools of the admission with their own bounds.

--- a/chervilrock/node/entry.py
+++ b/chervilrock/node/entry.py
@@ -159,6 +159,7 @@
             table=self._table,
             channel=HttpPeerChannel(http=self._http),
             shelf=configuration,
+            shares=self._admission,
             seeds=self._list_seeds(),
             clock=self._clock,
             generator=self._generator,
@@ -254,6 +255,8 @@
             revision=self._tasks.configuration.revision,
         )
         self._tasks.configuration.set_snapshot_duty(view.serving.holds_lease)
+        # Parts of workspace bounds settle by time, also without requests.
+        self._path.gate.sweep(self._clock())
         self._measure_peers()
 
     def _measure_peers(self) -> None:
--- a/chervilrock/node/view.py
+++ b/chervilrock/node/view.py
@@ -2,6 +2,7 @@
 
 from chervilrock.decisions.limits.admission import Admission
 from chervilrock.decisions.routing.base import Endpoint, RoutingPolicy
+from chervilrock.edges.services import make_endpoints
 from chervilrock.generated.configuration import (
     Configuration,
     LimitSpec,
@@ -67,7 +68,10 @@
 
     def _take_serving(self, view: ServingView, now: float) -> None:
         self.serving = view
-        groups = tuple(timed.endpoint for timed in view.endpoints)
+        groups = (
+            *(timed.endpoint for timed in view.endpoints),
+            *make_endpoints(view.services),
+        )
         if groups == self._groups:
             return
         self._groups = groups
@@ -80,7 +84,10 @@
         self.revision = message.revision
         self._metrics.configuration_revision.set(message.revision)
         self._admission.set_limits(
-            self.limits(), tuple(message.document.get("workspaces", ())), now
+            self.limits(),
+            tuple(message.document.get("workspaces", ())),
+            now,
+            services=tuple(message.document.get("services", ())),
         )
 
     def limits(self) -> LimitSpec:
--- a/chervilrock/tasks/peers.py
+++ b/chervilrock/tasks/peers.py
@@ -2,14 +2,15 @@
 
 import abc
 import asyncio
-from typing import TYPE_CHECKING
+from collections.abc import Iterable
+from typing import Protocol, TYPE_CHECKING
 
 import msgspec
 from returns.result import Failure, Result, Success
 
 from chervilrock.decisions.membership.exchange import choose_peer
 from chervilrock.decisions.membership.table import MemberTable
-from chervilrock.generated.interfaces import PeerDigest
+from chervilrock.generated.interfaces import NodeUse, PeerDigest
 from chervilrock.generated.records import StoredRecord
 from chervilrock.platform.errors import PlatformError, PlatformErrorKind
 from chervilrock.platform.httpclient import check_status, HttpClient
@@ -91,6 +92,19 @@
         """Revision of the configuration in force, 0 for none."""
 
 
+class ShareBook(Protocol):
+    """Counts the requests of bounded workspaces at all nodes."""
+
+    def shares(self, now: float) -> tuple[NodeUse, ...]:
+        """Return what this node and its peers run."""
+
+    def observe_peer_shares(self, uses: Iterable[NodeUse], now: float) -> None:
+        """Learn what peers run."""
+
+    def observe_members(self, members: Iterable[str], now: float) -> None:
+        """Learn which nodes may run requests, reachable or not."""
+
+
 class PeerTask:
     """Exchanges digests with one peer an interval and answers theirs."""
 
@@ -100,6 +114,7 @@
         table: MemberTable,
         channel: PeerChannel,
         shelf: ConfigurationShelf,
+        shares: ShareBook,
         seeds: tuple[str, ...],
         clock: Clock,
         generator: "random.Random",
@@ -112,6 +127,7 @@
           table: the nodes; this task alone changes it
           channel: carries digests
           shelf: holds the configuration in force
+          shares: counts the requests of bounded workspaces
           seeds: addresses of nodes from the settings
           clock: the clock of this process
           generator: chooses peers
@@ -121,6 +137,7 @@
         self._table = table
         self._channel = channel
         self._shelf = shelf
+        self._shares = shares
         self._seeds = seeds
         self._clock = clock
         self._generator = generator
@@ -139,6 +156,9 @@
         self._before_exchange()
         now = self._clock()
         self._table.forget(now)
+        self._shares.observe_members(
+            [peer.node for peer, _ in self._table.known(now)], now
+        )
         peer = choose_peer(self._table, self._seeds, now, self._generator)
         if peer is None:
             return
@@ -178,14 +198,17 @@
     def _receive(self, digest: PeerDigest) -> None:
         now = self._clock()
         self._table.merge(digest["nodes"], now)
+        self._shares.observe_peer_shares(digest.get("shares", ()), now)
         stored = decode_configuration(digest)
         if stored is not None:
             self._shelf.adopt(stored, now)
 
     def _make_digest(self, *, with_configuration: bool) -> PeerDigest:
+        now = self._clock()
         digest = PeerDigest(
-            nodes=self._table.digest(self._clock()),
+            nodes=self._table.digest(now),
             revision=self._shelf.revision,
+            shares=self._shares.shares(now),
         )
         current = self._shelf.current()
         if with_configuration and current is not None:
