Remember the granted epoch after the lease has lapsed

Cause: what is allowed in an outage hung on the lease holder, which forgets its epoch when its lease lapses; and the waiting time of a rollout was forgotten with each clean-up, so that a rollout short of hosts never went on. Change: the lease view keeps the granted epoch until another claim or a release is read; waiting times are kept by kind.

--- a/chervilrock/decisions/control/loading.py
+++ b/chervilrock/decisions/control/loading.py
@@ -9,6 +9,7 @@
     Effect,
     SendOrder,
 )
+from chervilrock.decisions.control.progress import Watch
 from chervilrock.decisions.ownership import Group
 from chervilrock.decisions.shards import holds_rank, order_load
 from chervilrock.generated.records import (
@@ -100,9 +101,10 @@
 
 def is_restarted(context: ControlContext, group: Group) -> bool:
     """Return whether all hosts are present but one lost its shard."""
-    key = ("group", group.name)
     value = (group.fence, group.phase)
-    since = context.progress.stable_since(key, value, context.now)
+    since = context.progress.stable_since(
+        Watch.GROUP, group.name, value, context.now
+    )
     found = [context.find_evidence(host) for host in group.hosts]
     if any(one is None or one.sent_at <= since for one in found):
         return False
--- a/chervilrock/decisions/control/progress.py
+++ b/chervilrock/decisions/control/progress.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Hashable
+import enum
 from typing import NamedTuple
 
 from chervilrock.decisions.control.effects import SendOrder
@@ -55,6 +56,22 @@
     sent_at: float
 
 
+class Watch(enum.StrEnum):
+    """What is watched for how long it stays the same."""
+
+    GROUP = "group"
+    DRAIN = "drain"
+    MODEL = "model"
+    REVOCATION = "revocation"
+
+
+class WatchKey(NamedTuple):
+    """A watched group, model or host, by its name."""
+
+    watch: Watch
+    name: str
+
+
 class StableValue(NamedTuple):
     """A value and the time since which it has not changed."""
 
@@ -106,7 +123,7 @@
         self._orders: dict[str, SentOrder] = {}
         self._loads: dict[str, float] = {}
         self._unloads: dict[str, float] = {}
-        self._stable: dict[Hashable, StableValue] = {}
+        self._stable: dict[WatchKey, StableValue] = {}
 
     def note_appended(
         self, body: Body, record_id: RecordId, now: float
@@ -195,8 +212,11 @@
         """
         return self._unloads.get(host)
 
-    def stable_since(self, key: Hashable, value: Hashable, now: float) -> float:
-        """Return since when this process has seen this value of a key."""
+    def stable_since(
+        self, watch: Watch, name: str, value: Hashable, now: float
+    ) -> float:
+        """Return since when this process has seen this value."""
+        key = WatchKey(watch, name)
         last = self._stable.get(key)
         if last is None or last.value != value:
             last = self._stable[key] = StableValue(value, now)
@@ -208,7 +228,11 @@
             del self._orders[host]
             self._loads.pop(host, None)
             self._unloads.pop(host, None)
-        names = hosts | groups
+        kept = {
+            Watch.GROUP: groups,
+            Watch.DRAIN: groups,
+            Watch.REVOCATION: hosts,
+        }
         for key in list(self._stable):
-            if isinstance(key, tuple) and key[1] not in names:
+            if key.watch in kept and key.name not in kept[key.watch]:
                 del self._stable[key]
--- a/chervilrock/decisions/control/release.py
+++ b/chervilrock/decisions/control/release.py
@@ -19,6 +19,7 @@
     Effect,
     SendOrder,
 )
+from chervilrock.decisions.control.progress import Watch
 from chervilrock.decisions.ownership import Ownership
 from chervilrock.decisions.presence import Evidence
 from chervilrock.decisions.records import Body
@@ -105,9 +106,9 @@
     if is_proved_empty(context, host, ownership):
         yield from _append(context, HostReleased(epoch, host, ownership.fence))
         return
-    key = ("revoked", host)
-    value = ownership.revoked
-    since = context.progress.stable_since(key, value, context.now)
+    since = context.progress.stable_since(
+        Watch.REVOCATION, host, ownership.revoked, context.now
+    )
     if context.now >= since + context.timing.quarantine_after_s:
         present = context.find_evidence(host) is not None
         reason = NOT_EMPTY if present else UNREACHABLE
--- a/chervilrock/decisions/control/rollout.py
+++ b/chervilrock/decisions/control/rollout.py
@@ -16,6 +16,7 @@
     is_restarted,
     repair,
 )
+from chervilrock.decisions.control.progress import Watch
 from chervilrock.decisions.ownership import Group
 from chervilrock.generated.configuration import ModelSpec
 from chervilrock.generated.records import GroupPhase
@@ -130,14 +131,16 @@
     context: ControlContext, model: str, groups: list[Group]
 ) -> bool:
     value = tuple((group.name, group.fence, group.phase) for group in groups)
-    key = ("model", model)
-    since = context.progress.stable_since(key, value, context.now)
+    since = context.progress.stable_since(
+        Watch.MODEL, model, value, context.now
+    )
     return context.now >= since + context.timing.rollout_pause_s
 
 
 def _is_drained(context: ControlContext, group: Group) -> bool:
-    key = ("draining", group.name)
-    since = context.progress.stable_since(key, group.fence, context.now)
+    since = context.progress.stable_since(
+        Watch.DRAIN, group.name, group.fence, context.now
+    )
     if context.now >= since + context.timing.drain_limit_s:
         return True
     settled = context.now >= since + context.timing.drain_settle_s
--- a/chervilrock/decisions/lease.py
+++ b/chervilrock/decisions/lease.py
@@ -171,6 +171,8 @@
     Attributes:
       holder: the lease as far as this process holds it
       taker: the lease of whoever holds it
+      granted: epoch that this process was granted, also when its lease has
+        lapsed since; 0 once a later claim or a release was read
     """
 
     def __init__(
@@ -194,6 +196,7 @@
         self.taker = LeaseTaker(
             drift=timing.drift, order_timeout_s=timing.order_timeout_s
         )
+        self.granted = 0
         self._timing = timing
         self._writer = writer
         self._generator = generator
@@ -217,7 +220,8 @@
             return
         longest = max(lease_s or 0.0, self._timing.lease_s)
         self.taker.note_snapshot(epoch, longest, now)
-        if self.holder.epoch != epoch:
+        if self.granted != epoch:
+            self.granted = 0
             self.holder.drop()
 
     def read(self, record_id: RecordId, verdict: Verdict, now: float) -> None:
@@ -231,6 +235,7 @@
         if isinstance(body, ControllerClaimed):
             self._delay_s = self._draw_delay()
             self.taker.note_claim(verdict.offset, body.lease_ms / _MS, now)
+            self.granted = verdict.offset if mine else 0
             if mine:
                 self.holder.note_accepted(record_id, verdict.offset)
             else:
@@ -241,6 +246,7 @@
                 self.holder.note_accepted(record_id, body.epoch)
         elif isinstance(body, ControllerReleased):
             self.taker.note_release(now)
+            self.granted = 0
             self.holder.drop()
 
     def may_act(self, now: float) -> bool:
--- a/chervilrock/decisions/outage.py
+++ b/chervilrock/decisions/outage.py
@@ -82,7 +82,7 @@
     """
     if out_since is None or now < out_since + timing.out_after_s:
         return ()
-    if region.epoch == 0 or lease.holder.epoch != region.epoch:
+    if region.epoch == 0 or lease.granted != region.epoch:
         return ()
     outage = _Outage(
         region=region,
