--- a/Makefile
+++ b/Makefile
@@ -71,15 +71,16 @@
 
 binary: dist/chervilrock  ## Build dist/chervilrock, the one-file program.
 
-# The packages are installed by the lock file; direct_url.json would name the
-# folder of the build.
+# The packages are installed by the lock file. RECORD and direct_url.json depend
+# on the folder of the build and are not needed at run time.
 dist/chervilrock: $(STAMP) requirements.txt $(PACKAGE_FILES)
 	rm -rf build && mkdir -p build dist
 	$(BIN)/python -m pip install --quiet --require-hashes --no-compile \
 		--target build/site -r requirements.txt
 	$(BIN)/python -m pip install --quiet --no-deps --no-build-isolation \
 		--no-compile --target build/site .
-	rm -rf build/site/bin build/site/*.dist-info/direct_url.json
+	rm -rf build/site/bin
+	rm -f $(addprefix build/site/*.dist-info/,RECORD direct_url.json)
 	$(BIN)/shiv --reproducible --compressed --site-packages build/site \
 		--python "/usr/bin/env python3.11" --root $(BINARY_ROOT) \
 		--entry-point chervilrock.ui:main --output-file $@
