--- a/bench/relay_servers.py
+++ b/bench/relay_servers.py
@@ -23,9 +23,10 @@
 from tornado.netutil import bind_sockets
 from tornado.web import Application, RequestHandler
 
-from bench.relay_context import BenchContext, GROUPS, MODEL
+from bench.relay_context import BenchContext, MODEL
 from chervilrock.edges.callers import make_caller_routes
 from chervilrock.edges.path import RequestPath
+from chervilrock.events import configure_logging
 
 PAGE_KB = 4
 
@@ -68,9 +69,9 @@
     asyncio.run(_serve(pipe, functools.partial(_start_bare, upstream)))
 
 
-def run_product(pipe: Connection, upstream: str, groups: int) -> None:
+def run_product(pipe: Connection, upstream: str, limited: bool) -> None:
     """Runs the product's relay until it is told to stop."""
-    start = functools.partial(_start_product, upstream, groups)
+    start = functools.partial(_start_product, upstream, limited)
     asyncio.run(_serve(pipe, start))
 
 
@@ -108,8 +109,11 @@
             head = await reader.readuntil(b"\r\n\r\n")
             headers = _parse_headers(head)
             length = int(headers.get("content-length", "0"))
-            body = json.loads(await reader.readexactly(length))
-            await _answer_request(writer, headers, body)
+            body = await reader.readexactly(length)
+            if head.startswith(b"POST /control/"):
+                writer.write(b"HTTP/1.1 404 N\r\nContent-Length: 0\r\n\r\n")
+            else:
+                await _answer_request(writer, headers, json.loads(body))
     except (asyncio.IncompleteReadError, ConnectionError):
         writer.close()
 
@@ -213,9 +217,10 @@
     return _listen([(r"/v1/.*", _BareHandler, options)])
 
 
-async def _start_product(upstream: str, groups: int = GROUPS) -> int:
+async def _start_product(upstream: str, limited: bool = True) -> int:
+    configure_logging(level="WARNING")
     context = BenchContext(
-        upstream=upstream, now=time.monotonic, groups=groups
+        upstream=upstream, now=time.monotonic, limited=limited
     )
     path = RequestPath(context=context)
     return _listen(make_caller_routes(context, path=path))
