Test frozen engines that die and addresses that are none

Cause: a request held by a frozen engine must not take effect in the engine that starts after it, and a bad address in the host list must not raise.

--- a/test/platform/test_store_clients.py
+++ b/test/platform/test_store_clients.py
@@ -128,3 +128,10 @@
     )
     error = check_status(answer).failure()
     assert_that((error.kind, error.retry_after_s), Equals((kind, 2.0)))
+
+
+@pytest.mark.parametrize("address", ["é:1", "127.0.0.1:99999", "[::1", " "])
+def test_bad_address_is_refused(runner, http, address):
+    source = HttpHostListSource(http=http, address=address)
+    result = runner.run(source.fetch())
+    assert_that(result.failure().kind, Equals(PlatformErrorKind.REFUSED))
--- a/test/standin/calls.py
+++ b/test/standin/calls.py
@@ -16,6 +16,7 @@
 from chervilrock.standin.engine import EngineStandIn
 
 GROUP_SIZE = 3
+MAX_TURNS = 100_000
 HEADERS = {"X-Fence": "7", "X-Request-Id": "r1", "X-Attempt-Id": "a1"}
 
 Prepare = Callable[[pycurl.Curl], None] | None
@@ -92,10 +93,20 @@
     return b"".join(answer.format_event(number) for number in numbers)
 
 
+async def wait_until(condition: Callable[[], bool]) -> None:
+    """Waits for a condition, and fails when it does not come about."""
+    for _ in range(MAX_TURNS):
+        if condition():
+            return
+        await asyncio.sleep(0)
+    raise AssertionError("the condition did not come about")
+
+
 async def wait_ready(engines: Iterable[EngineStandIn]) -> None:
-    for engine in engines:
-        while engine.shards.phase is not EnginePhase.READY:
-            await asyncio.sleep(0)
+    shards = [engine.shards for engine in engines]
+    await wait_until(
+        lambda: all(held.phase is EnginePhase.READY for held in shards)
+    )
 
 
 def make_shard(rank: int, leader: str) -> EngineShard:
--- a/test/standin/test_completions.py
+++ b/test/standin/test_completions.py
@@ -32,6 +32,7 @@
     make_client,
     make_shard,
     wait_ready,
+    wait_until,
 )
 
 LONG = 3000
@@ -249,8 +250,7 @@
     async def ask_while_paused():
         group[2].faults.set_paused(True)
         task = asyncio.create_task(ask(make_body()))
-        while group[0].read_load()["waiting"] == 0:
-            await asyncio.sleep(0)
+        await wait_until(lambda: group[0].read_load()["waiting"] > 0)
         ran = group[0].executions.total()
         group[2].faults.set_paused(False)
         return ran, await task
--- a/test/standin/test_control.py
+++ b/test/standin/test_control.py
@@ -10,7 +10,13 @@
 from chervilrock.standin.engine import EngineOptions, EngineStandIn
 from chervilrock.standin.faults import FaultKind
 from chervilrock.standin.platform import PlatformOptions, PlatformStandIn
-from test.standin.calls import make_answer, make_body, make_shard, wait_ready
+from test.standin.calls import (
+    make_answer,
+    make_body,
+    make_shard,
+    wait_ready,
+    wait_until,
+)
 
 
 def make_order(fence: int, version: str = "1") -> EngineOrder:
@@ -21,8 +27,7 @@
 
 
 async def wait_empty(engine: EngineStandIn) -> None:
-    while engine.shards.phase is not EnginePhase.EMPTY:
-        await asyncio.sleep(0)
+    await wait_until(lambda: engine.shards.phase is EnginePhase.EMPTY)
 
 
 def test_order_loads_and_unloads(runner, engine, control):
@@ -184,7 +189,7 @@
     async def order_frozen():
         engine.faults.set_paused(True)
         task = asyncio.create_task(control.order(engine.address, make_order(3)))
-        await asyncio.sleep(0)
+        await wait_until(lambda: engine.arrivals > 0)
         before = engine.shards.fence
         engine.faults.set_paused(False)
         return before, await task
@@ -192,3 +197,18 @@
     before, answer = runner.run(order_frozen())
     assert_that(before, Equals(0))
     assert_that(answer.unwrap().accepted, Equals(True))
+
+
+def test_order_to_a_frozen_engine_dies_with_it(runner, engine, control):
+    address = engine.address
+
+    async def restart_frozen():
+        engine.faults.set_paused(True)
+        task = asyncio.create_task(control.order(address, make_order(3)))
+        await wait_until(lambda: engine.arrivals > 0)
+        engine.kill()
+        await engine.start(port=int(address.rpartition(":")[2]))
+        await task
+
+    runner.run(restart_frozen())
+    assert_that(engine.shards.fence, Equals(0))
