--- a/chervilrock/decisions/control/spares.py
+++ b/chervilrock/decisions/control/spares.py
@@ -5,27 +5,84 @@
 number to load them with. When the planner wants such a host, it is taken back.
 """
 
+from collections import Counter
 from collections.abc import Iterator, Sequence
+from typing import NamedTuple
 
 from chervilrock.decisions.actions import FormGroup, RepairGroup
 from chervilrock.decisions.control.context import ControlContext
 from chervilrock.decisions.control.effects import append, AppendRecord
 from chervilrock.decisions.ownership import Group
-from chervilrock.generated.interfaces import EnginePhase
+from chervilrock.generated.interfaces import EnginePhase, HostEntry
 from chervilrock.generated.records import SparesGranted
 
 
+class _Domain(NamedTuple):
+    """A fabric domain of a data centre."""
+
+    data_centre: str
+    name: str
+
+
+class _Pool:
+    """Hosts that may become spares, and spares held, by fabric domain."""
+
+    def __init__(self, *, context: ControlContext) -> None:
+        """Look at each host once."""
+        self._context = context
+        self._free: dict[_Domain, list[str]] = {}
+        self._held: Counter[tuple[str, _Domain]] = Counter()
+        wanted = _find_wanted(context)
+        for host in sorted(context.hosts):
+            if host not in wanted and _is_fit(context, host):
+                domain = _find_domain(context.hosts[host])
+                self._free.setdefault(domain, []).append(host)
+
+    def choose(self, group: Group) -> tuple[str, ...]:
+        """Return the spares of a group: those it has, and new ones."""
+        spec = self._context.models.get(group.model)
+        limit = spec.get("spares", 0) if spec else 0
+        chosen = self.keep(group)
+        for domain in self._find_domains(group):
+            key = (group.model, domain)
+            free = self._free.get(domain, [])
+            while free and self._held[key] < limit:
+                chosen.append(free.pop(0))
+                self._held[key] += 1
+        return tuple(chosen)
+
+    def keep(self, group: Group) -> list[str]:
+        """Return the spares of a group that can still replace a host."""
+        return [
+            host
+            for host in group.spares
+            if _is_kept(self._context, group, host)
+        ]
+
+    def count_held(self, group: Group) -> None:
+        """Count the spares that a group keeps."""
+        for host in self.keep(group):
+            domain = _find_domain(self._context.hosts[host])
+            self._held[group.model, domain] += 1
+
+    def _find_domains(self, group: Group) -> list[_Domain]:
+        entries = (self._context.hosts.get(host) for host in group.hosts)
+        found = {_find_domain(entry) for entry in entries if entry is not None}
+        return sorted(found)
+
+
 def grant_spares(context: ControlContext) -> Iterator[AppendRecord]:
     """Yield a grant for each serving group that lacks a spare."""
-    wanted = _find_wanted(context)
-    taken: set[str] = set()
     if not any(spec.get("spares", 0) for spec in context.models.values()):
         return
-    for group in context.region.groups.values():
+    pool = _Pool(context=context)
+    groups = list(context.region.groups.values())
+    for group in groups:
+        pool.count_held(group)
+    for group in groups:
         if not _may_hold(context, group):
             continue
-        spares = _choose(context, group, wanted | taken)
-        taken.update(spares)
+        spares = pool.choose(group)
         if spares == group.spares and (group.reserve or not spares):
             continue
         yield from _grant(context, group, spares)
@@ -70,35 +127,6 @@
     return all(context.checks_fence(host) for host in group.hosts)
 
 
-def _choose(
-    context: ControlContext, group: Group, excluded: set[str]
-) -> tuple[str, ...]:
-    """Return the spares of a group: those it has, and new ones."""
-    spec = context.models.get(group.model)
-    limit = spec.get("spares", 0) if spec else 0
-    domains = _find_domains(context, group)
-    held = sum(
-        len(other.spares)
-        for other in context.find_groups(group.model)
-        if domains & _find_domains(context, other)
-    )
-    found = [host for host in group.spares if _is_kept(context, group, host)]
-    held -= len(group.spares) - len(found)
-    for host in sorted(context.hosts):
-        if held >= limit:
-            break
-        if host in excluded or not _is_fit(context, host, domains):
-            continue
-        found.append(host)
-        held += 1
-    return tuple(found)
-
-
-def _find_domains(context: ControlContext, group: Group) -> set[str]:
-    entries = (context.hosts.get(host) for host in group.hosts)
-    return {entry["domain"] for entry in entries if entry is not None}
-
-
 def _is_kept(context: ControlContext, group: Group, host: str) -> bool:
     """Return whether a spare of a group can still replace a host."""
     entry = context.hosts.get(host)
@@ -110,12 +138,15 @@
     return context.presence.is_unchanged(group, host, context.now)
 
 
-def _is_fit(context: ControlContext, host: str, domains: set[str]) -> bool:
-    entry = context.hosts[host]
-    if entry["domain"] not in domains or entry["leaving"]:
+def _is_fit(context: ControlContext, host: str) -> bool:
+    """Return whether a host can become a spare."""
+    if context.hosts[host]["leaving"] or not context.region.is_free(host):
         return False
     evidence = context.find_evidence(host)
-    if evidence is None or not context.region.is_free(host):
+    if evidence is None or not context.checks_fence(host):
         return False
-    empty = evidence.phase == EnginePhase.EMPTY and evidence.shard is None
-    return empty and context.checks_fence(host)
+    return evidence.phase == EnginePhase.EMPTY and evidence.shard is None
+
+
+def _find_domain(entry: HostEntry) -> _Domain:
+    return _Domain(entry["data_centre"], entry["domain"])
