--- a/test/platform/test_log_client.py
+++ b/test/platform/test_log_client.py
@@ -16,6 +16,7 @@
 from chervilrock.platform.errors import PlatformErrorKind
 from chervilrock.platform.http import HttpLogService
 from chervilrock.standin.faults import FaultKind
+from chervilrock.standin.platform import PlatformOptions, PlatformStandIn
 
 STREAM = "region.north"
 FIRST = Record(RecordKind.CONTROLLER_RENEWED, RecordId("n1", 1), [3])
@@ -122,3 +123,21 @@
     platform.append(STREAM, (msgspec.Raw(record),))
     result = runner.run(log.read(STREAM, 1, 10, 0))
     assert_that(result.failure().kind, Equals(PlatformErrorKind.BAD_ANSWER))
+
+
+def test_append_rate_is_limited(runner, http, clock):
+    options = PlatformOptions(appends_per_s=2.0)
+    busy = PlatformStandIn(options=options, clock=clock)
+
+    async def append_four():
+        log = HttpLogService(http=http, address=await busy.start())
+        results = [await log.append(STREAM, (FIRST,)) for _ in range(3)]
+        clock.now = 0.5
+        results.append(await log.append(STREAM, (FIRST,)))
+        await busy.stop()
+        return results
+
+    results = runner.run(append_four())
+    assert_that(results[:2], Equals([Success((1,)), Success((2,))]))
+    assert_that(results[2].failure().kind, Equals(PlatformErrorKind.REFUSED))
+    assert_that(results[3], Equals(Success((3,))))
