Test the decisions of requests against an oracle

Generated histories of sends, events and tickets are held to the promises: runs of one request, outcome told, events in order. Six mutations are each noticed.

--- /dev/null
+++ b/test/decisions/requests/test_promises.py
@@ -0,0 +1,118 @@
+from hypothesis import given, Phase, settings
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals
+
+from chervilrock.decisions.requests import attempts, outcomes
+from chervilrock.decisions.requests.attempts import (
+    AttemptTracker,
+    SendMode,
+    SendReport,
+)
+from chervilrock.decisions.requests.outcomes import AttemptEnd
+from chervilrock.decisions.requests.positions import StreamPositions
+from chervilrock.generated.interfaces import Outcome
+from test.decisions.requests.worlds import Script, SCRIPTS, World
+
+EXAMPLES = 300
+
+
+@settings(
+    max_examples=EXAMPLES,
+    phases=(Phase.generate,),
+    report_multiple_bugs=False,
+)
+@given(SCRIPTS)
+def check_promises(script: Script) -> None:
+    World(script).play()
+
+
+def test_requests_keep_their_promises() -> None:
+    check_promises()
+
+
+def accept_everything(*_arguments: object) -> bool:
+    return True
+
+
+def pass_everything(_positions: StreamPositions, chunk: bytes) -> bytes:
+    return chunk
+
+
+def deny_every_run(_ends: object) -> Outcome:
+    return Outcome.NOT_RUN
+
+
+MUTATIONS = [
+    (AttemptTracker, "_may_send", accept_everything),
+    (AttemptTracker, "is_current", accept_everything),
+    (StreamPositions, "feed", pass_everything),
+    (outcomes, "judge_outcome", deny_every_run),
+    (outcomes, "PROVES_NOT_RUN", frozenset(AttemptEnd)),
+    (outcomes, "PROVES_ENDED", frozenset(AttemptEnd)),
+]
+
+
+@pytest.mark.parametrize(("place", "name", "mutant"), MUTATIONS)
+def test_oracle_notices_a_mutation(
+    monkeypatch: pytest.MonkeyPatch, place: object, name: str, mutant: object
+) -> None:
+    monkeypatch.setattr(place, name, mutant)
+    with pytest.raises((AssertionError, ValueError)):
+        check_promises()
+
+
+def test_resume_that_was_refused_does_not_hide_the_run_before() -> None:
+    tracker = AttemptTracker(request_id="r", idempotent=True, deadline=9.0)
+    send = tracker.begin("a", SendMode.START)
+    report = SendReport(
+        number=send.number,
+        end=AttemptEnd.BROKEN,
+        position=2,
+        target_serves=True,
+    )
+    assert tracker.finish(report, 0.0) == attempts.Resume("a", 2)
+    send = tracker.begin("a", SendMode.RESUME)
+    report = SendReport(number=send.number, end=AttemptEnd.REFUSED, position=2)
+    given_up = attempts.GiveUp(Outcome.FAILED, AttemptEnd.BROKEN, True)
+    assert tracker.finish(report, 0.0) == given_up
+
+
+def test_send_has_to_fit_what_the_caller_has() -> None:
+    tracker = AttemptTracker(request_id="r", idempotent=True, deadline=9.0)
+    with pytest.raises(ValueError, match="does not fit"):
+        tracker.begin("a", SendMode.RESUME)
+    tracker.begin("a", SendMode.START)
+    with pytest.raises(ValueError, match="on its way"):
+        tracker.begin("a", SendMode.START)
+
+
+ENGINE_ANSWERS = [
+    (200, False, "", AttemptEnd.COMPLETE),
+    (409, False, "not_leader", AttemptEnd.REFUSED),
+    (409, False, "", AttemptEnd.DENIED),
+    (429, False, "", AttemptEnd.REFUSED),
+    (503, True, "", AttemptEnd.REFUSED),
+    (503, False, "", AttemptEnd.ERROR),
+    (500, True, "", AttemptEnd.ERROR),
+    (400, False, "", AttemptEnd.DENIED),
+    (302, False, "", AttemptEnd.DENIED),
+]
+
+
+@pytest.mark.parametrize(("status", "header", "code", "end"), ENGINE_ANSWERS)
+def test_answers_of_engines(
+    status: int, header: bool, code: str, end: AttemptEnd
+) -> None:
+    judged = outcomes.judge_engine_answer(
+        status, not_run_header=header, code=code
+    )
+    assert judged is end
+
+
+def test_answers_of_plain_services_are_passed_on() -> None:
+    for status in (200, 409, 429, 500, 503):
+        judged = outcomes.judge_service_answer(status, not_run_header=False)
+        assert_that(judged, Equals(AttemptEnd.COMPLETE))
+    judged = outcomes.judge_service_answer(503, not_run_header=True)
+    assert_that(judged, Equals(AttemptEnd.REFUSED))
--- /dev/null
+++ b/test/decisions/requests/test_transcript.py
@@ -0,0 +1,68 @@
+from hypothesis import given
+from hypothesis import strategies as st
+import msgspec
+import pytest
+
+from chervilrock.decisions.requests.transcript import Kept, Transcript
+
+
+def make_event(number: int, data: object) -> bytes:
+    return b"id: r/%d\ndata: %b\n\n" % (number, msgspec.json.encode(data))
+
+
+def make_choice(text: str, *, chat: bool) -> dict[str, object]:
+    if chat:
+        return {"choices": [{"index": 0, "delta": {"content": text}}]}
+    return {"choices": [{"index": 0, "text": text}]}
+
+
+@given(
+    texts=st.lists(st.text(max_size=5), max_size=150),
+    chat=st.booleans(),
+    group=st.integers(1, 4),
+)
+def test_text_of_events(texts: list[str], chat: bool, group: int) -> None:
+    events = [
+        make_event(number, make_choice(text, chat=chat))
+        for number, text in enumerate(texts, start=1)
+    ]
+    transcript = Transcript()
+    for start in range(0, len(events), group):
+        transcript.add(b"".join(events[start : start + group]))
+    expected = Kept(text="".join(texts), finished=False)
+    assert transcript.read() == expected
+    assert transcript.read() == expected
+
+
+def test_end_of_the_text_is_noticed() -> None:
+    transcript = Transcript()
+    transcript.add(make_event(1, make_choice("a", chat=True)))
+    choice = {"index": 0, "delta": {}, "finish_reason": "stop"}
+    transcript.add(make_event(2, {"choices": [choice]}))
+    transcript.add(make_event(3, {"choices": [], "usage": {}}))
+    assert transcript.read() == Kept(text="a", finished=True)
+
+
+OTHERS = [
+    {"choices": [{"index": 1, "text": "b"}]},
+    {"choices": [{"delta": {"tool_calls": []}}]},
+    {"choices": [{"message": {"content": "b"}}]},
+    {"choices": "b"},
+    [],
+]
+
+
+@pytest.mark.parametrize("data", OTHERS)
+def test_other_than_one_text_cannot_go_on(data: object) -> None:
+    transcript = Transcript()
+    transcript.add(make_event(1, make_choice("a", chat=True)))
+    transcript.add(make_event(2, data))
+    assert transcript.read() is None
+
+
+@given(st.binary(max_size=200))
+def test_whatever_comes_is_taken(data: bytes) -> None:
+    transcript = Transcript()
+    transcript.add(b"id: r/1\ndata: " + data + b"\n\n")
+    kept = transcript.read()
+    assert kept is None or isinstance(kept.text, str)
