--- a/chervilrock/decisions/control/context.py
+++ b/chervilrock/decisions/control/context.py
@@ -50,6 +50,7 @@
       until: end of the lease
       timing: waiting times
       now: present time in seconds
+      wholes: answers of `is_whole` so far, by name and fencing number
     """
 
     region: RegionState
@@ -64,6 +65,7 @@
     until: float
     timing: ControlTiming
     now: float
+    wholes: dict[tuple[str, int], bool]
 
     def find_evidence(self, host: str) -> Evidence | None:
         """Return the evidence of a host within the age limit."""
@@ -82,7 +84,11 @@
 
     def is_whole(self, group: Group) -> bool:
         """Return whether all hosts of a group are present and ready."""
-        return self.presence.whole(group, self.now)
+        key = (group.name, group.fence)
+        known = self.wholes.get(key)
+        if known is None:
+            known = self.wholes[key] = self.presence.whole(group, self.now)
+        return known
 
     def is_serving(self, group: Group) -> bool:
         """Return whether a group serves requests now."""
--- a/chervilrock/decisions/controller.py
+++ b/chervilrock/decisions/controller.py
@@ -90,6 +90,7 @@
         until=lease.holder.until,
         timing=timing,
         now=now,
+        wholes={},
     )
     return tuple(_decide_all(context))
 
@@ -113,8 +114,9 @@
         else:
             yield from change_phase(context, group, GroupPhase.DISSOLVED)
     elif group.phase is GroupPhase.SERVING:
-        yield from adopt_reserve(context, group)
-        yield from reload_restarted(context, group)
+        if not context.is_whole(group):
+            yield from adopt_reserve(context, group)
+            yield from reload_restarted(context, group)
     elif group.phase is GroupPhase.DRAINING:
         yield from drain_group(context, group)
 
