--- /dev/null
+++ b/test/edges/raw.py
@@ -0,0 +1,33 @@
+"""Bytes to and from a server, without a client library."""
+
+import asyncio
+
+
+async def exchange(address: str, data: bytes) -> bytes:
+    """Sends bytes and returns all that comes until the server closes."""
+    host, port = address.split(":")
+    reader, writer = await asyncio.open_connection(host, port)
+    writer.write(data)
+    try:
+        return await reader.read()
+    except ConnectionError:
+        return b""
+    finally:
+        writer.close()
+
+
+def make_request(
+    path: str,
+    body: bytes = b"",
+    *,
+    method: str = "POST",
+    headers: tuple[str, ...] = (),
+    close: bool = True,
+) -> bytes:
+    """Returns a request, after whose answer the server closes."""
+    lines = [f"{method} {path} HTTP/1.1", "Host: n", *headers]
+    if body or method == "POST":
+        lines.append(f"Content-Length: {len(body)}")
+    if close:
+        lines.append("Connection: close")
+    return "\r\n".join(lines).encode("latin1") + b"\r\n\r\n" + body
