Hold a stream back while its caller reads slowly

The library completes only the future of the last write, so that a stream held back once was never resumed: it stood still until its deadline. Each write is watched now; a slow caller gets all of its answer, and one that reads nothing is cut.

--- a/chervilrock/edges/path.py
+++ b/chervilrock/edges/path.py
@@ -22,6 +22,15 @@
 class Run(abc.ABC):
     """A request in progress."""
 
+    @property
+    @abc.abstractmethod
+    def blocked(self) -> bool:
+        """Whether the run waits for its caller to read."""
+
+    @abc.abstractmethod
+    def count_tokens(self) -> int:
+        """Returns the tokens of the answer so far."""
+
     @abc.abstractmethod
     def check(self, now: float) -> None:
         """Looks whether the run still gets on."""
@@ -61,6 +70,10 @@
         """Number of requests in progress."""
         return len(self._runs)
 
+    def list_runs(self) -> tuple[Run, ...]:
+        """Returns the requests in progress."""
+        return tuple(self._runs)
+
     def make_request_id(self) -> str:
         """Returns an identity that no other request of any node has."""
         self._sequence += 1
@@ -109,7 +122,7 @@
         self._sweeping = False
         now = self.context.now()
         self.gate.sweep(now)
-        for run in list(self._runs):
+        for run in self.list_runs():
             run.check(now)
         if self._runs:
             self._sweep_later()
--- a/chervilrock/edges/runs.py
+++ b/chervilrock/edges/runs.py
@@ -98,6 +98,11 @@
         self._refusal = Refusal()
         self._left = False
 
+    @property
+    def blocked(self) -> bool:
+        """See base class."""
+        return self._sink.blocked_since is not None
+
     async def run(self) -> RunEnd:
         """Runs the request to its end."""
         began = self._context.now()
@@ -141,10 +146,6 @@
     async def run_admitted(self) -> RunEnd:
         """Sends the request until its answer is whole or it is given up."""
 
-    @abc.abstractmethod
-    def count_tokens(self) -> int:
-        """Returns the tokens of the answer so far."""
-
     async def _run_with_admission(self) -> RunEnd:
         rejected = await self._path.gate.enter(self.view)
         if rejected is not None:
--- a/chervilrock/edges/sinks.py
+++ b/chervilrock/edges/sinks.py
@@ -118,7 +118,6 @@
         self._transfer: Transfer | None = None
         self._events = False
         self._unsent = 0
-        self._watching = False
         self._closed = False
         self._blocked_since: float | None = None
         self._ended: asyncio.Future[None] | None = None
@@ -209,9 +208,9 @@
     def _count_unsent(self, size: int, flushed: "asyncio.Future[None]") -> None:
         """Holds the transfer back once too much waits for the caller."""
         self._unsent += size
-        if not self._watching:
-            self._watching = True
-            flushed.add_done_callback(self._note_flushed)
+        # The library completes only the future of the last write, and does so
+        # when any write before it is done.
+        flushed.add_done_callback(self._note_flushed)
         if self._unsent > MAX_UNSENT_BYTES and self._blocked_since is None:
             self._blocked_since = self._now()
             if self._transfer is not None:
@@ -219,12 +218,10 @@
 
     def _note_flushed(self, flushed: "asyncio.Future[None]") -> None:
         """Goes on with the transfer once all is written."""
-        self._watching = False
         if flushed.exception() is not None:
             self.close()
         elif self._stream.writing():
             if not self._closed:
-                self._watching = True
                 self._handler.flush().add_done_callback(self._note_flushed)
         else:
             self._release()
--- a/test/edges/sites.py
+++ b/test/edges/sites.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 import random
+import socket
 import time
 from typing import Any
 
@@ -46,6 +47,7 @@
 from test.standin.calls import Call, call
 
 GROUP_SIZE = 2
+SEND_BUFFER_BYTES = 16 * 1024
 MODEL = "m"
 ADAPTER = "a"
 SERVICE = "filing"
@@ -234,6 +236,11 @@
             **make_not_found_options(self.path),
         )
         sockets = bind_sockets(0, "127.0.0.1", reuse_port=False)
+        for listener in sockets:
+            # Small buffers, so that slow callers show early.
+            listener.setsockopt(
+                socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES
+            )
         self._server = HTTPServer(application)
         self._server.add_sockets(sockets)
         self.address = f"127.0.0.1:{sockets[0].getsockname()[1]}"
--- /dev/null
+++ b/test/edges/test_slow_callers.py
@@ -0,0 +1,81 @@
+import asyncio
+import socket
+
+import msgspec
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals
+
+from chervilrock.edges import runs, sinks
+from chervilrock.standin.text import expected_text
+from test.edges.raw import make_request
+from test.edges.sites import join_stream, Site
+
+TOKENS = 2_000
+BUFFER_BYTES = 4096
+
+
+async def open_slow_stream(
+    site: Site,
+) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    """Asks for a long stream and waits until too much of it is unread."""
+    host, port = site.address.split(":")
+    connection = socket.socket()
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER_BYTES)
+    connection.connect((host, int(port)))
+    reader, writer = await asyncio.open_connection(
+        sock=connection, limit=BUFFER_BYTES
+    )
+    body = {"model": "m", "prompt": "p", "max_tokens": TOKENS, "stream": True}
+    writer.write(make_request("/v1/completions", msgspec.json.encode(body)))
+    while not any(run.blocked for run in site.path.list_runs()):
+        await asyncio.sleep(0)
+    return reader, writer
+
+
+def remove_chunking(data: bytes) -> bytes:
+    """Returns the body of an answer in chunked encoding."""
+    rest = data.partition(b"\r\n\r\n")[2]
+    parts = []
+    start = 0
+    while size := int(rest[start : (end := rest.index(b"\r\n", start))], 16):
+        parts.append(rest[end + 2 : end + 2 + size])
+        start = end + 2 + size + 2
+    return b"".join(parts)
+
+
+@pytest.fixture(autouse=True)
+def small_bound(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(sinks, "MAX_UNSENT_BYTES", BUFFER_BYTES)
+
+
+def test_slow_caller_holds_the_stream_back_and_gets_all_of_it(
+    loop: asyncio.Runner, site: Site
+) -> None:
+    async def read_slowly() -> bytes:
+        reader, writer = await open_slow_stream(site)
+        for _ in range(2000):
+            await asyncio.sleep(0)
+        (run,) = site.path.list_runs()
+        assert run.blocked
+        assert run.count_tokens() < TOKENS
+        data = await reader.read()
+        writer.close()
+        return data
+
+    text = join_stream(remove_chunking(loop.run(read_slowly())))
+    assert_that(text, Equals("".join(expected_text("m", "p", TOKENS))))
+
+
+def test_caller_that_stops_reading_is_cut(
+    loop: asyncio.Runner, site: Site, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(runs, "CALLER_STALL_S", 0.0)
+
+    async def read_nothing() -> None:
+        _reader, writer = await open_slow_stream(site)
+        while site.path.in_flight or site.count_running():
+            await asyncio.sleep(0)
+        writer.close()
+
+    loop.run(read_nothing())
