Spread callers over nodes by chance and spare capacity

Cause: the answer was the same for all callers of a data centre, so those that always take the first address met at one node; an answer named all nodes, and none when no other node served. Change: the order is drawn for each answer in proportion to spare capacity, at most 16 addresses of several data centres; callers go elsewhere when their data centre has less than a fifth of its capacity to spare; an answer is never empty. The state dump lists the own entry no longer under peers.

--- a/chervilrock/decisions/membership/addresses.py
+++ b/chervilrock/decisions/membership/addresses.py
@@ -1,9 +1,15 @@
 """Which addresses callers should use.
 
-Callers cache the answer, so a node that leaves first disappears from it and
-then waits until cached answers have aged.
+Callers cache the answer, some for long, and many always take the first
+address. So the order is drawn anew for each answer, in proportion to spare
+capacity, and an answer names nodes of several data centres: a caller whose
+data centre is lost still knows where to go. A node that leaves first
+disappears from the answers and then waits until cached ones have aged.
 """
 
+import math
+from typing import TYPE_CHECKING
+
 from chervilrock.generated.interfaces import (
     AddressAnswer,
     AddressEntry,
@@ -11,10 +17,26 @@
     PeerNode,
 )
 
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+    import random
+
 FULL_WEIGHT = 100
 LEAST_WEIGHT = 1
 OVERLOAD = 1.0
 
+MAX_ADDRESSES = 16
+"""Greatest number of addresses in an answer."""
+
+MAX_NEAR = 12
+"""Addresses of the caller's data centre, when there are others too."""
+
+SPILL_SPARE = 0.2
+"""Mean spare capacity of a data centre below which callers go elsewhere."""
+
+REGION_DIVISOR = 20.0
+"""Nodes of another region are drawn so much more rarely."""
+
 
 def weigh_node(load: float) -> int:
     """Return the share of new callers for a node with this load."""
@@ -23,29 +45,72 @@
 
 
 def answer_addresses(
-    live: tuple[PeerNode, ...], *, data_centre: str, ttl_s: float
+    live: "Sequence[PeerNode]",
+    *,
+    own: PeerNode,
+    data_centre: str,
+    ttl_s: float,
+    generator: "random.Random",
 ) -> AddressAnswer:
-    """Return the addresses for a caller, nearest and least loaded first.
+    """Return the addresses for a caller, those to try first in front.
+
+    The answer is never empty: a node that knows of no serving node names
+    itself.
 
     Args:
       live: the nodes that live now
-      data_centre: data centre of the caller, empty when not known
+      own: entry of the answering node
+      data_centre: data centre of the caller
       ttl_s: time to live of the answer in seconds
+      generator: draws the order
     """
     serving = [peer for peer in live if peer.phase == NodePhase.SERVING]
-    serving.sort(
-        key=lambda peer: (
-            peer.data_centre != data_centre,
-            -weigh_node(peer.load),
-            peer.node,
-        )
-    )
+    near = [peer for peer in serving if peer.data_centre == data_centre]
+    far = [peer for peer in serving if peer.data_centre != data_centre]
+    region = near[0].region if near else own.region
+    share = _share_near(near)
+    near_first = generator.random() < share
+    near = _draw_order(near, region, generator)
+    far = _draw_order(far, region, generator)
+    chosen = _join(near, far) if near_first else _join(far, near)
     entries = tuple(
-        AddressEntry(
-            address=peer.address,
-            data_centre=peer.data_centre,
-            weight=weigh_node(peer.load),
-        )
-        for peer in serving
+        _make_entry(peer, 1.0 if peer.data_centre == data_centre else 1 - share)
+        for peer in chosen or [own]
     )
     return AddressAnswer(addresses=entries, ttl_s=ttl_s)
+
+
+def _share_near(near: "Sequence[PeerNode]") -> float:
+    """Return the share of callers that stay in their data centre, 0 to 1."""
+    if not near:
+        return 0.0
+    spare = sum(1.0 - min(max(peer.load, 0.0), OVERLOAD) for peer in near)
+    return min(1.0, spare / len(near) / SPILL_SPARE)
+
+
+def _draw_order(
+    peers: "Sequence[PeerNode]", region: str, generator: "random.Random"
+) -> list[PeerNode]:
+    """Draw an order where the first place goes by weight."""
+
+    def draw(peer: PeerNode) -> float:
+        divisor = 1.0 if peer.region == region else REGION_DIVISOR
+        uniform = 1.0 - generator.random()
+        return -math.log(uniform) * divisor / weigh_node(peer.load)
+
+    return sorted(peers, key=draw)
+
+
+def _join(first: list[PeerNode], rest: list[PeerNode]) -> list[PeerNode]:
+    """Join two lists; leave room for some of the second one."""
+    kept = first[: max(MAX_NEAR, MAX_ADDRESSES - len(rest))]
+    return [*kept, *rest][:MAX_ADDRESSES]
+
+
+def _make_entry(peer: PeerNode, share: float) -> AddressEntry:
+    """Return the entry; nodes that only stand by have the weight 0."""
+    return AddressEntry(
+        address=peer.address,
+        data_centre=peer.data_centre,
+        weight=round(weigh_node(peer.load) * share),
+    )
--- a/chervilrock/node/entry.py
+++ b/chervilrock/node/entry.py
@@ -177,6 +177,7 @@
             engine=self._engine,
             metrics=self.metrics,
             table=self._table,
+            generator=self._generator,
         )
         self._operations = NodeOperations(
             settings=settings,
@@ -257,6 +258,8 @@
         self._tasks.configuration.set_snapshot_duty(view.serving.holds_lease)
         # Parts of workspace bounds settle by time, also without requests.
         self._path.gate.sweep(self._clock())
+        self.metrics.in_flight_requests.set(self._path.in_flight)
+        self.metrics.queue_requests.set(self._path.gate.waiting)
         self._measure_peers()
 
     def _measure_peers(self) -> None:
--- a/chervilrock/node/operations.py
+++ b/chervilrock/node/operations.py
@@ -121,7 +121,9 @@
             "settings": self._settings._asdict(),
             "own": self._table.own._asdict(),
             "peers": [
-                peer._asdict() for peer, _ in self._table.known(self._clock())
+                peer._asdict()
+                for peer, _ in self._table.known(self._clock())
+                if peer.incarnation != self._table.own.incarnation
             ],
             "configuration": {
                 "revision": self._configuration.revision,
--- a/chervilrock/node/requests.py
+++ b/chervilrock/node/requests.py
@@ -1,5 +1,7 @@
 """The node as the handlers for callers see it."""
 
+from typing import TYPE_CHECKING
+
 from chervilrock.decisions.limits.admission import Admission
 from chervilrock.decisions.membership.addresses import answer_addresses
 from chervilrock.decisions.membership.table import MemberTable
@@ -17,6 +19,9 @@
 from chervilrock.platform.base import ModelEngine
 from chervilrock.tasks.clock import Clock
 
+if TYPE_CHECKING:
+    import random
+
 
 class NodeRequests(RequestContext):
     """Answers the questions of the handlers from the views of the node."""
@@ -33,6 +38,7 @@
         engine: ModelEngine,
         metrics: Metrics,
         table: MemberTable,
+        generator: "random.Random",
     ) -> None:
         """Take the parts of the node that requests need."""
         self._settings = settings
@@ -44,6 +50,7 @@
         self._engine = engine
         self._metrics = metrics
         self._table = table
+        self._generator = generator
         self._leaving = False
 
     @property
@@ -117,8 +124,10 @@
         """See base class."""
         return answer_addresses(
             self._table.live(now),
+            own=self._table.own,
             data_centre=data_centre or self._settings.data_centre,
             ttl_s=self._settings.address_ttl_s,
+            generator=self._generator,
         )
 
     def peer_address(self, incarnation: str) -> str | None:
