--- a/test/edges/test_completions.py
+++ b/test/edges/test_completions.py
@@ -1,5 +1,6 @@
 import asyncio
 from collections.abc import Callable
+import time
 
 import openai
 from openai.types.chat import ChatCompletionMessageParam
@@ -304,3 +305,27 @@
     )
     assert b'"outcome":"failed"' in answer.body
     assert_that(site.count_runs(), Equals(1))
+
+
+def test_stream_leaves_a_group_that_stands_still(
+    loop: asyncio.Runner, site: Site
+) -> None:
+    seen: list[bytes] = []
+    slow_down(site, 2.0)
+
+    def freeze_group(chunk: bytes) -> None:
+        seen.append(chunk)
+        if len(seen) != 5:
+            return
+        frozen = next(g for g in site.groups if g.leader.executions)
+        frozen.engines[1].faults.set_paused(True)
+        site.context.set_serving(
+            [e for e in site.context.serving if e.group != frozen.name]
+        )
+        site.context.clock = lambda: time.monotonic() + len(seen)
+
+    answer = loop.run(
+        site.complete(on_chunk=freeze_group, stream=True, max_tokens=TOKENS)
+    )
+    assert_that(join_stream(answer.body), Equals(EXPECTED))
+    assert_that(site.count_runs(), Equals(2))
