Weigh fewer nodes for an address answer

Change: at most 24 nodes of other data centres of the region, and as many of other regions, are weighed, instead of all.

--- a/chervilrock/decisions/membership/addresses.py
+++ b/chervilrock/decisions/membership/addresses.py
@@ -34,6 +34,9 @@
 SPILL_SPARE = 0.2
 """Mean spare capacity of a data centre below which callers go elsewhere."""
 
+MAX_DRAWN = 24
+"""Nodes elsewhere to draw from, in the region and in other regions."""
+
 REGION_DIVISOR = 20.0
 """Nodes of another region are drawn so much more rarely."""
 
@@ -66,8 +69,8 @@
     """
     serving = [peer for peer in live if peer.phase == NodePhase.SERVING]
     near = [peer for peer in serving if peer.data_centre == data_centre]
-    far = [peer for peer in serving if peer.data_centre != data_centre]
     region = near[0].region if near else own.region
+    far = _draw_far(serving, data_centre, region, generator)
     share = _share_near(near)
     near_first = generator.random() < share
     near = _draw_order(near, region, generator)
@@ -88,6 +91,28 @@
     return min(1.0, spare / len(near) / SPILL_SPARE)
 
 
+def _draw_far(
+    serving: "Sequence[PeerNode]",
+    data_centre: str,
+    region: str,
+    generator: "random.Random",
+) -> list[PeerNode]:
+    """Draw some nodes of other data centres, of the region and of others.
+
+    Weighing all of 400 nodes would cost more than the rest of an answer.
+    """
+    drawn = []
+    for same in (True, False):
+        peers = [
+            peer
+            for peer in serving
+            if peer.data_centre != data_centre
+            and (peer.region == region) is same
+        ]
+        drawn += generator.sample(peers, min(MAX_DRAWN, len(peers)))
+    return drawn
+
+
 def _draw_order(
     peers: "Sequence[PeerNode]", region: str, generator: "random.Random"
 ) -> list[PeerNode]:
