--- a/test/decisions/control/machine.py
+++ b/test/decisions/control/machine.py
@@ -163,6 +163,15 @@
         one.cut = False
         one.hidden.discard(engine)
 
+    @rule(rank=st.integers(0, 1), count=st.integers(20, 28))
+    def lose_host_in_outage(self, rank, count):
+        """Stop the host of a group for a while in which nobody has the log."""
+        for group in self.world.nodes[0].served()[:1]:
+            one = self.world.engines[group.hosts[rank]]
+            self.world.out = one.paused = True
+            self.steps(count)
+            self.world.out = one.paused = False
+
     @rule(node=NODES, version=VERSIONS)
     def hand_on_old(self, node, version):
         """Let a node that cannot read the log hand on what it has."""
--- a/test/decisions/control/test_safety.py
+++ b/test/decisions/control/test_safety.py
@@ -13,7 +13,7 @@
 from chervilrock.generated.interfaces import EnginePhase
 from test.decisions.control.machine import FaultMachine
 
-EXAMPLES = 50
+EXAMPLES = 120
 EXAMPLES_BROKEN = 150
 
 
