--- a/chervilrock/decisions/requests/tickets.py
+++ b/chervilrock/decisions/requests/tickets.py
@@ -7,11 +7,14 @@
 """
 
 import collections
-import enum
 from typing import NamedTuple
 
-import xxhash
-
+from chervilrock.decisions.requests import memory
+from chervilrock.decisions.requests.memory import (
+    Claim,
+    ClaimKind,
+    RecordedAnswer,
+)
 from chervilrock.generated.interfaces import Outcome
 
 TICKET_LIFE_S = 600.0
@@ -20,12 +23,6 @@
 MAX_ENTRIES = 20_000
 """Most tickets that are remembered one by one."""
 
-MAX_ANSWER_BYTES = 512 * 1024
-"""Greatest answer that is kept for repeats."""
-
-MAX_TOTAL_BYTES = 8 * 1024 * 1024
-"""Most bytes of answers that are kept for repeats."""
-
 _PREFIX = "tk"
 _SEPARATOR = "."
 _MAX_DIGITS = 15
@@ -65,75 +62,6 @@
     return TicketId(incarnation, int(number))
 
 
-def make_fingerprint(
-    workspace: str, method: str, target: str, body: bytes
-) -> int:
-    """Returns a number that tells two requests of callers apart."""
-    head = f"{workspace}\0{method}\0{target}\0{len(body)}\0"
-    return xxhash.xxh3_128_intdigest(head.encode() + body)
-
-
-class RecordedAnswer(NamedTuple):
-    """A whole answer that is kept for repeats.
-
-    Attributes:
-      status: HTTP status.
-      headers: names and values of the headers.
-      body: body.
-      events: whether the body is a stream of events.
-    """
-
-    status: int
-    headers: tuple[tuple[str, str], ...]
-    body: bytes
-    events: bool
-
-
-class ClaimKind(enum.StrEnum):
-    """What to do with a request that carries a ticket.
-
-    Attributes:
-      RUN: run it; it has never run with this ticket.
-      JOIN: wait for the run that is in progress.
-      REPLAY: answer as that run ended.
-      FORGOTTEN: it may have run.
-      MISMATCH: the ticket was used for another request; this one has not run.
-    """
-
-    RUN = "run"
-    JOIN = "join"
-    REPLAY = "replay"
-    FORGOTTEN = "forgotten"
-    MISMATCH = "mismatch"
-
-
-class Claim(NamedTuple):
-    """What to do with a request that carries a ticket.
-
-    Attributes:
-      kind: what to do.
-      answer: the whole answer of an earlier run, None when it got none or it
-        is kept no longer.
-      outcome: what is known of an earlier run without a kept answer.
-    """
-
-    kind: ClaimKind
-    answer: RecordedAnswer | None = None
-    outcome: Outcome = Outcome.UNKNOWN
-
-
-class _Entry:
-    """What is remembered of a ticket that was used."""
-
-    __slots__ = ("answer", "fingerprint", "outcome", "running")
-
-    def __init__(self, *, fingerprint: int) -> None:
-        self.fingerprint = fingerprint
-        self.running = True
-        self.answer: RecordedAnswer | None = None
-        self.outcome = Outcome.UNKNOWN
-
-
 class _Mark(NamedTuple):
     """The last ticket that was minted in an interval."""
 
@@ -145,8 +73,7 @@
     """The tickets of one incarnation of a node.
 
     Tickets up to the low-water mark may have been forgotten. Memory is
-    bounded: when there are too many entries the mark rises, and when the
-    answers grow too large the oldest ones are dropped.
+    bounded: the mark rises with time, and when there are too many entries.
     """
 
     def __init__(
@@ -154,8 +81,8 @@
         *,
         life_s: float = TICKET_LIFE_S,
         max_entries: int = MAX_ENTRIES,
-        max_answer_bytes: int = MAX_ANSWER_BYTES,
-        max_total_bytes: int = MAX_TOTAL_BYTES,
+        max_answer_bytes: int = memory.MAX_ANSWER_BYTES,
+        max_total_bytes: int = memory.MAX_TOTAL_BYTES,
     ) -> None:
         """Starts without tickets.
 
@@ -167,20 +94,16 @@
         """
         self._life_s = life_s
         self._max_entries = max_entries
-        self._max_answer_bytes = max_answer_bytes
-        self._max_total_bytes = max_total_bytes
         self._sequence = 0
         self._low_water = 0
         self._marks: collections.deque[_Mark] = collections.deque()
-        self._entries: dict[int, _Entry] = {}
-        self._kept: collections.OrderedDict[int, int] = (
-            collections.OrderedDict()
+        self._memory: memory.RunMemory[int] = memory.RunMemory(
+            max_answer_bytes=max_answer_bytes, max_total_bytes=max_total_bytes
         )
-        self._total_bytes = 0
 
     def __len__(self) -> int:
         """Returns the number of tickets that are remembered one by one."""
-        return len(self._entries)
+        return len(self._memory)
 
     @property
     def low_water(self) -> int:
@@ -190,7 +113,7 @@
     @property
     def total_bytes(self) -> int:
         """Bytes of the answers that are kept."""
-        return self._total_bytes
+        return self._memory.total_bytes
 
     def mint(self, now: float) -> int:
         """Returns the sequence number of a new ticket."""
@@ -212,14 +135,16 @@
           now: present time.
         """
         self.expire(now)
-        entry = self._entries.get(sequence)
-        if entry is None:
-            return self._claim_unused(sequence, fingerprint)
-        if entry.fingerprint != fingerprint:
-            return Claim(ClaimKind.MISMATCH)
-        if entry.running:
-            return Claim(ClaimKind.JOIN)
-        return Claim(ClaimKind.REPLAY, entry.answer, entry.outcome)
+        known = self._memory.find(sequence, fingerprint)
+        if known is not None:
+            return known
+        if len(self._memory) >= self._max_entries:
+            self._make_room()
+        is_unused = self._low_water < sequence <= self._sequence
+        if not is_unused or len(self._memory) >= self._max_entries:
+            return Claim(ClaimKind.FORGOTTEN)
+        self._memory.start(sequence, fingerprint)
+        return Claim(ClaimKind.RUN)
 
     def finish(
         self,
@@ -237,70 +162,25 @@
           answer: the whole answer, None when there is none or it is too
             large to keep.
         """
-        entry = self._entries.get(sequence)
-        if entry is None:
-            return
-        entry.running = False
-        unused = answer is None and outcome is Outcome.NOT_RUN
-        if unused or sequence <= self._low_water:
-            del self._entries[sequence]
-        else:
-            entry.outcome = outcome
-            if answer is not None:
-                entry.outcome = Outcome.UNKNOWN
-                self._keep(sequence, entry, answer)
+        self._memory.finish(sequence, outcome=outcome, answer=answer)
+        if sequence <= self._low_water:
+            self._memory.forget(sequence)
 
     def expire(self, now: float) -> None:
         """Forgets the tickets that are too old."""
         while self._marks and now - self._marks[0].minted_at > self._life_s:
             self._raise_low_water(self._marks.popleft().sequence)
 
-    def _claim_unused(self, sequence: int, fingerprint: int) -> Claim:
-        if not self._low_water < sequence <= self._sequence:
-            return Claim(ClaimKind.FORGOTTEN)
-        if len(self._entries) >= self._max_entries and not self._make_room():
-            return Claim(ClaimKind.FORGOTTEN)
-        if sequence <= self._low_water:
-            return Claim(ClaimKind.FORGOTTEN)
-        self._entries[sequence] = _Entry(fingerprint=fingerprint)
-        return Claim(ClaimKind.RUN)
-
-    def _make_room(self) -> bool:
-        """Forgets the oldest runs that have ended; False when none has."""
-        ended = [n for n, entry in self._entries.items() if not entry.running]
-        if not ended:
-            return False
-        self._raise_low_water(sorted(ended)[len(ended) // _FORGET_SHARE])
-        return True
+    def _make_room(self) -> None:
+        """Forgets the oldest runs that have ended."""
+        ended = sorted(self._memory.list_ended())
+        if ended:
+            self._raise_low_water(ended[len(ended) // _FORGET_SHARE])
 
     def _raise_low_water(self, sequence: int) -> None:
         if sequence <= self._low_water:
             return
         self._low_water = sequence
-        forgotten = [
-            number
-            for number, entry in self._entries.items()
-            if number <= sequence and not entry.running
-        ]
-        for number in forgotten:
-            self._drop_answer(number)
-            del self._entries[number]
-
-    def _keep(
-        self, sequence: int, entry: _Entry, answer: RecordedAnswer
-    ) -> None:
-        """Keeps an answer, and drops older ones when there are too many."""
-        size = len(answer.body)
-        if size > self._max_answer_bytes:
-            return
-        entry.answer = answer
-        self._kept[sequence] = size
-        self._total_bytes += size
-        while self._total_bytes > self._max_total_bytes:
-            self._drop_answer(next(iter(self._kept)))
-
-    def _drop_answer(self, sequence: int) -> None:
-        size = self._kept.pop(sequence, None)
-        if size is not None:
-            self._total_bytes -= size
-            self._entries[sequence].answer = None
+        for number in list(self._memory.list_ended()):
+            if number <= sequence:
+                self._memory.forget(number)
--- a/chervilrock/edges/callers.py
+++ b/chervilrock/edges/callers.py
@@ -6,7 +6,7 @@
 from tornado import routing, web
 
 from chervilrock.decisions.requests.tickets import parse_ticket
-from chervilrock.edges import dispatch, tickets
+from chervilrock.edges import dispatch, once
 from chervilrock.edges.context import RequestContext
 from chervilrock.edges.dispatch import CallerRequest, Prepared
 from chervilrock.edges.errors import CallerError, ErrorCode
@@ -111,7 +111,7 @@
     def post(self) -> None:
         """Answers with a new ticket."""
         if self.path.context.leaving:
-            self.refuse(tickets.LEAVING)
+            self.refuse(once.LEAVING)
             return
         self.write_json(self.state.tickets.mint())
 
@@ -216,7 +216,7 @@
             message = "the path and the header Idempotency-Key differ"
             self.refuse(CallerError(ErrorCode.BAD_REQUEST, message))
         elif not self.state.tickets.is_own(ticket):
-            self.refuse(tickets.FORGOTTEN)
+            self.refuse(once.FORGOTTEN)
         else:
             await self.answer(
                 headers.get(METHOD_HEADER, ""), headers.get(TARGET_HEADER, "")
--- a/chervilrock/edges/context.py
+++ b/chervilrock/edges/context.py
@@ -3,6 +3,7 @@
 import abc
 from typing import TYPE_CHECKING
 
+from chervilrock.decisions.requests.keys import KeyName, KeyVerdict
 from chervilrock.generated import configuration, interfaces
 
 if TYPE_CHECKING:
@@ -112,3 +113,24 @@
 
         None when that incarnation is gone or has not been heard of.
         """
+
+    async def claim_key(self, name: KeyName) -> KeyVerdict:
+        """Claims a key that a caller chose, in the log.
+
+        A node that claims no keys answers that the request is not run.
+
+        Returns:
+          Anything but `WAIT`. At most one caller of this node gets
+          `DISPATCH`; others that wait for the same key get it not.
+        """
+        del name
+        return KeyVerdict.NOT_RUN
+
+    def finish_key(self, name: KeyName, outcome: str) -> None:
+        """Tells the log how the request with a claimed key has ended.
+
+        Args:
+          name: the key.
+          outcome: `keys.COMPLETE` or a value of `Outcome`.
+        """
+        del name, outcome
--- /dev/null
+++ b/chervilrock/edges/once.py
@@ -0,0 +1,130 @@
+"""Runs that outlive their callers, and the repeats that join them."""
+
+import asyncio
+from collections.abc import Callable, Hashable
+from typing import Generic, TypeVar
+
+from chervilrock.decisions.requests.memory import (
+    Claim,
+    make_fingerprint,
+    RecordedAnswer,
+)
+from chervilrock.edges import recordings
+from chervilrock.edges.dispatch import CallerRequest, Prepared
+from chervilrock.edges.errors import CallerError, ErrorCode
+from chervilrock.edges.path import RequestPath
+from chervilrock.edges.recordings import RecordingSink
+from chervilrock.edges.sinks import AnswerSink
+from chervilrock.generated.interfaces import Outcome
+
+Name = TypeVar("Name", bound=Hashable)
+Finish = Callable[[Outcome, RecordedAnswer | None], None]
+
+FORGOTTEN = CallerError(
+    ErrorCode.TICKET_UNKNOWN,
+    "it may have run before, and what became of it is not known",
+    Outcome.UNKNOWN,
+)
+MISMATCH = CallerError(
+    ErrorCode.TICKET_MISMATCH,
+    "the ticket or key was used for another request; this one has not run",
+    Outcome.NOT_RUN,
+)
+STILL_RUNNING = CallerError(
+    ErrorCode.TICKET_RUNNING,
+    "the run with this ticket or key is still in progress",
+    Outcome.UNKNOWN,
+)
+FAILED = CallerError(
+    ErrorCode.ANSWER_BROKEN,
+    "it ran before and ended without a whole answer",
+    Outcome.FAILED,
+    0.0,
+)
+LEAVING = CallerError(ErrorCode.LEAVING, "this node is leaving")
+
+
+class OnceRuns(Generic[Name]):
+    """The runs in progress of requests that run only once."""
+
+    def __init__(self, *, path: RequestPath) -> None:
+        """Starts without runs.
+
+        Args:
+          path: request path of the node.
+        """
+        self._path = path
+        self._recordings: dict[Name, RecordingSink] = {}
+
+    def start(self, name: Name, prepared: Prepared, finish: Finish) -> None:
+        """Starts a run.
+
+        Args:
+          name: name under which it runs once.
+          prepared: the request, checked.
+          finish: is told what is known of the run at its end, and the whole
+            answer if it is kept.
+        """
+        recording = RecordingSink()
+        self._recordings[name] = recording
+        self._path.start_task(self._run(name, prepared, recording, finish))
+
+    async def follow(
+        self, name: Name, request: CallerRequest, sink: AnswerSink
+    ) -> None:
+        """Gives the answer of a run in progress to a caller."""
+        recording = self._recordings[name]
+        if not recording.follow(sink):
+            fail(sink, FORGOTTEN)
+            return
+        left = max(0.0, request.deadline - self._path.context.now())
+        try:
+            await asyncio.wait({recording.ended}, timeout=left)
+            if not recording.ended.done():
+                fail(sink, STILL_RUNNING)
+        finally:
+            recording.unfollow(sink)
+
+    async def _run(
+        self,
+        name: Name,
+        prepared: Prepared,
+        recording: RecordingSink,
+        finish: Finish,
+    ) -> None:
+        """Runs a request, whether or not its caller stays."""
+        outcome = Outcome.UNKNOWN
+        try:
+            end = await prepared.make_run(recording).run()
+            if end.error is not None:
+                outcome = end.error.outcome
+        finally:
+            if not recording.ended.done():
+                recording.fail(FORGOTTEN, may_repeat=False)
+            del self._recordings[name]
+            finish(outcome, recording.make_record())
+
+
+def fingerprint(request: CallerRequest) -> int:
+    """Returns a number that tells a request apart from others."""
+    return make_fingerprint(
+        request.parsed.workspace, request.method, request.target, request.body
+    )
+
+
+def replay(claim: Claim, sink: AnswerSink) -> None:
+    """Answers a repeat as the earlier run ended."""
+    if claim.answer is not None:
+        recordings.replay(claim.answer, sink)
+    elif claim.outcome is Outcome.FAILED:
+        fail(sink, FAILED)
+    else:
+        fail(sink, FORGOTTEN)
+
+
+def fail(sink: AnswerSink, error: CallerError) -> None:
+    """Tells a caller with a ticket or key what is known of its request.
+
+    A repeat with the same ticket or key is always safe.
+    """
+    sink.fail(error, may_repeat=error.delay_s > 0)
--- a/chervilrock/edges/recordings.py
+++ b/chervilrock/edges/recordings.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from chervilrock.decisions.requests.tickets import (
+from chervilrock.decisions.requests.memory import (
     MAX_ANSWER_BYTES,
     RecordedAnswer,
 )
--- a/chervilrock/edges/tickets.py
+++ b/chervilrock/edges/tickets.py
@@ -1,16 +1,13 @@
 """Requests that carry a ticket: run once, joined, replayed or passed on."""
 
-import asyncio
-
 from chervilrock.decisions.requests import tickets
-from chervilrock.decisions.requests.tickets import ClaimKind, TicketId
-from chervilrock.edges import recordings, servicecalls
+from chervilrock.decisions.requests.memory import ClaimKind, RecordedAnswer
+from chervilrock.decisions.requests.tickets import TicketId
+from chervilrock.edges import once, servicecalls
 from chervilrock.edges.dispatch import CallerRequest, Prepared
 from chervilrock.edges.errors import CallerError, ErrorCode
 from chervilrock.edges.path import RequestPath
-from chervilrock.edges.recordings import RecordingSink
 from chervilrock.edges.relay import BackendRequest, Transfer
-from chervilrock.edges.runs import RunEnd
 from chervilrock.edges.servicecalls import ServiceReceiver
 from chervilrock.edges.sinks import AnswerSink
 from chervilrock.generated.interfaces import Outcome, Ticket
@@ -24,28 +21,12 @@
 )
 _OWN_ANSWER_HEADERS = frozenset({"date", "server", "x-request-id", "x-node"})
 
-FORGOTTEN = CallerError(
-    ErrorCode.TICKET_UNKNOWN,
-    "the ticket may have been used, and what became of it is not known",
-    Outcome.UNKNOWN,
-)
-MISMATCH = CallerError(
-    ErrorCode.TICKET_MISMATCH,
-    "the ticket was used for another request; this one has not run",
-    Outcome.NOT_RUN,
-)
-STILL_RUNNING = CallerError(
-    ErrorCode.TICKET_RUNNING,
-    "the run with this ticket is still in progress",
-    Outcome.UNKNOWN,
-)
 UNREACHABLE = CallerError(
     ErrorCode.TICKET_UNKNOWN,
     "the node that minted the ticket did not give the whole answer",
     Outcome.UNKNOWN,
     1.0,
 )
-LEAVING = CallerError(ErrorCode.LEAVING, "this node is leaving")
 
 
 class TicketDesk:
@@ -60,7 +41,7 @@
         self._path = path
         self._context = path.context
         self._table = tickets.TicketTable()
-        self._recordings: dict[int, RecordingSink] = {}
+        self._runs: once.OnceRuns[int] = once.OnceRuns(path=path)
 
     @property
     def table(self) -> tickets.TicketTable:
@@ -95,80 +76,29 @@
           prepared: the request, checked.
           sink: takes the answer.
         """
-        fingerprint = tickets.make_fingerprint(
-            request.parsed.workspace,
-            request.method,
-            request.target,
-            request.body,
-        )
+        fingerprint = once.fingerprint(request)
         claim = self._table.claim(sequence, fingerprint, self._context.now())
         if claim.kind is ClaimKind.FORGOTTEN:
-            fail(sink, FORGOTTEN)
+            once.fail(sink, once.FORGOTTEN)
         elif claim.kind is ClaimKind.MISMATCH:
-            fail(sink, MISMATCH)
+            once.fail(sink, once.MISMATCH)
         elif claim.kind is ClaimKind.REPLAY:
-            self._replay(claim, sink)
-        else:
-            if claim.kind is ClaimKind.RUN and not self._start(
-                sequence, prepared
-            ):
-                fail(sink, LEAVING)
-                return
-            await self._follow(sequence, request, sink)
-
-    def _start(self, sequence: int, prepared: Prepared) -> bool:
-        """Starts the one run of a ticket; False when this node is leaving."""
-        if self._context.leaving:
+            once.replay(claim, sink)
+        elif claim.kind is ClaimKind.RUN and self._context.leaving:
             self._table.finish(sequence, outcome=Outcome.NOT_RUN)
-            return False
-        recording = RecordingSink()
-        self._recordings[sequence] = recording
-        self._path.start_task(self._run(sequence, prepared, recording))
-        return True
-
-    async def _run(
-        self, sequence: int, prepared: Prepared, recording: RecordingSink
-    ) -> None:
-        """Runs a request, whether or not its caller stays."""
-        outcome = Outcome.UNKNOWN
-        try:
-            end = await prepared.make_run(recording).run()
-            outcome = find_outcome(end)
-        finally:
-            if not recording.ended.done():
-                recording.fail(FORGOTTEN, may_repeat=False)
-            del self._recordings[sequence]
-            self._table.finish(
-                sequence, outcome=outcome, answer=recording.make_record()
-            )
-
-    async def _follow(
-        self, sequence: int, request: CallerRequest, sink: AnswerSink
-    ) -> None:
-        """Gives the answer of a run in progress to a caller."""
-        recording = self._recordings[sequence]
-        if not recording.follow(sink):
-            fail(sink, FORGOTTEN)
-            return
-        left = max(0.0, request.deadline - self._context.now())
-        try:
-            await asyncio.wait({recording.ended}, timeout=left)
-            if not recording.ended.done():
-                fail(sink, STILL_RUNNING)
-        finally:
-            recording.unfollow(sink)
-
-    def _replay(self, claim: tickets.Claim, sink: AnswerSink) -> None:
-        if claim.answer is not None:
-            recordings.replay(claim.answer, sink)
-        elif claim.outcome is Outcome.FAILED:
-            message = "the request ran and ended without a whole answer"
-            error = CallerError(
-                ErrorCode.ANSWER_BROKEN, message, Outcome.FAILED, 0.0
-            )
-            fail(sink, error)
+            once.fail(sink, once.LEAVING)
         else:
-            fail(sink, FORGOTTEN)
+            if claim.kind is ClaimKind.RUN:
+                self._start(sequence, prepared)
+            await self._runs.follow(sequence, request, sink)
+
+    def _start(self, sequence: int, prepared: Prepared) -> None:
+        """Starts the one run of a ticket."""
+
+        def finish(outcome: Outcome, answer: RecordedAnswer | None) -> None:
+            self._table.finish(sequence, outcome=outcome, answer=answer)
+
+        self._runs.start(sequence, prepared, finish)
 
     async def pass_on(
         self, ticket: TicketId, request: CallerRequest, sink: AnswerSink
@@ -185,7 +115,7 @@
         """
         address = self._context.peer_address(ticket.incarnation)
         if address is None:
-            fail(sink, FORGOTTEN)
+            once.fail(sink, once.FORGOTTEN)
             return
         receiver = ServiceReceiver(
             method="POST",
@@ -201,21 +131,11 @@
         end = await self._path.pool.run(transfer)
         sink.attach(None)
         if end.head is None or end.error:
-            fail(sink, UNREACHABLE)
+            once.fail(sink, UNREACHABLE)
         else:
             receiver.finish()
 
 
-def find_outcome(end: RunEnd) -> Outcome:
-    """Returns what is known of a run, if it gave no whole answer."""
-    return Outcome.UNKNOWN if end.error is None else end.error.outcome
-
-
-def fail(sink: AnswerSink, error: CallerError) -> None:
-    """Tells a caller with a ticket what is known of its request."""
-    sink.fail(error, may_repeat=error.delay_s > 0)
-
-
 def make_peer_request(
     address: str, ticket: TicketId, request: CallerRequest, now: float
 ) -> BackendRequest:
--- a/test/decisions/requests/test_tickets.py
+++ b/test/decisions/requests/test_tickets.py
@@ -11,12 +11,14 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
 
-from chervilrock.decisions.requests.tickets import (
+from chervilrock.decisions.requests.memory import (
     ClaimKind,
-    format_ticket,
     make_fingerprint,
-    parse_ticket,
     RecordedAnswer,
+)
+from chervilrock.decisions.requests.tickets import (
+    format_ticket,
+    parse_ticket,
     TicketId,
     TicketTable,
 )
