--- /dev/null
+++ b/test/decisions/requests/test_keys.py
@@ -0,0 +1,227 @@
+from hypothesis import Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    initialize,
+    rule,
+    RuleBasedStateMachine,
+    run_state_machine_as_test,
+)
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals
+
+from chervilrock.decisions.records import RecordWriter
+from chervilrock.decisions.requests import keys
+from chervilrock.decisions.requests.keys import (
+    COMPLETE,
+    KeyClaims,
+    KeyDecision,
+    KeyFold,
+    KeyName,
+    KeyVerdict,
+)
+from chervilrock.generated.interfaces import Outcome
+from chervilrock.generated.records import Record, StoredRecord
+
+NAMES = [KeyName("w", "k1"), KeyName("w", "k2")]
+NODES = 2
+WAIT_S = 2.0
+FATES = ["stored", "stored", "lost", "unanswered", "late"]
+
+
+class Node:
+    """One node with its claims and what it has in progress."""
+
+    def __init__(self, number: int) -> None:
+        writer = RecordWriter(node=f"n{number}", incarnation="i")
+        self.claims = KeyClaims(writer=writer, wait_s=WAIT_S)
+        self.read_upto = 0
+        self.batch: tuple[Record, ...] = ()
+        self.running: set[KeyName] = set()
+
+
+class Keys(RuleBasedStateMachine):
+    """Nodes that claim the same keys over a log that loses answers."""
+
+    @initialize()
+    def start(self) -> None:
+        self.nodes = [Node(number) for number in range(NODES)]
+        self.log: list[Record] = []
+        self.late: list[tuple[Record, ...]] = []
+        self.now = 0.0
+        self.may_have_run: set[KeyName] = set()
+
+    def _hear(self, node: Node, decision: KeyDecision | None) -> None:
+        if decision is None or decision.verdict is not KeyVerdict.DISPATCH:
+            return
+        name = decision.name
+        assert name not in self.may_have_run, "a second run"
+        for other in self.nodes:
+            assert name not in other.running, "two runs at once"
+        node.running.add(name)
+
+    @rule(number=st.integers(0, NODES - 1), name=st.sampled_from(NAMES))
+    def claim(self, number: int, name: KeyName) -> None:
+        node = self.nodes[number]
+        if name in node.running:
+            return
+        verdict = node.claims.claim(name, self.now)
+        assert verdict is not KeyVerdict.DISPATCH
+
+    @rule(number=st.integers(0, NODES - 1), fate=st.sampled_from(FATES))
+    def append(self, number: int, fate: str) -> None:
+        node = self.nodes[number]
+        batch = node.claims.take_batch()
+        if not batch:
+            return
+        if fate in ("stored", "unanswered"):
+            self.log += batch
+        if fate == "late":
+            self.late.append(batch)
+        node.claims.note_appended(ok=fate == "stored")
+
+    @rule(order=st.permutations(range(NODES)))
+    def settle(self, order: list[int]) -> None:
+        """Lets the log work for a while."""
+        for number in order:
+            self.append(number, "stored")
+        for number in order:
+            self.read(number, len(self.log))
+
+    @rule()
+    def store_late(self) -> None:
+        if self.late:
+            self.log += self.late.pop(0)
+
+    @rule(number=st.integers(0, NODES - 1), count=st.sampled_from([1, 100]))
+    def read(self, number: int, count: int) -> None:
+        node = self.nodes[number]
+        for record in self.log[node.read_upto : node.read_upto + count]:
+            node.read_upto += 1
+            stored = StoredRecord(node.read_upto, record)
+            self._hear(node, node.claims.take_record(stored))
+
+    @rule(seconds=st.sampled_from([0.5, 0.5, WAIT_S]))
+    def wait(self, seconds: float) -> None:
+        self.now += seconds
+        for node in self.nodes:
+            for decision in node.claims.expire(self.now):
+                assert decision.verdict is KeyVerdict.NOT_RUN
+
+    @rule(
+        number=st.integers(0, NODES - 1),
+        outcome=st.sampled_from([*Outcome, COMPLETE]),
+    )
+    def finish(self, number: int, outcome: str) -> None:
+        node = self.nodes[number]
+        if not node.running:
+            return
+        name = node.running.pop()
+        if outcome != Outcome.NOT_RUN:
+            self.may_have_run.add(name)
+        node.claims.finish(name, outcome)
+
+
+def check_keys() -> None:
+    run_state_machine_as_test(
+        Keys,
+        settings=settings(
+            max_examples=150,
+            stateful_step_count=40,
+            phases=(Phase.generate,),
+        ),
+    )
+
+
+def test_keys_run_once_whatever_the_log_does() -> None:
+    check_keys()
+
+
+def win_every_claim(*_arguments: object) -> bool:
+    return True
+
+
+def dispatch_unread(claims: KeyClaims, name: KeyName) -> KeyDecision:
+    del claims._open[name]
+    return KeyDecision(name, KeyVerdict.DISPATCH)
+
+
+MUTATIONS = [
+    (KeyFold, "_claim", win_every_claim),
+    (KeyClaims, "_lose", dispatch_unread),
+    (KeyClaims, "_give_up", dispatch_unread),
+]
+
+
+@pytest.mark.parametrize(("place", "name", "mutant"), MUTATIONS)
+def test_oracle_notices_a_mutation_of_keys(
+    monkeypatch: pytest.MonkeyPatch, place: object, name: str, mutant: object
+) -> None:
+    monkeypatch.setattr(place, name, mutant)
+    with pytest.raises(AssertionError):
+        check_keys()
+
+
+def test_reuse_needs_the_record_that_frees_a_key(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(KeyFold, "_finish", win_every_claim)
+    with pytest.raises(AssertionError):
+        check_reuse()
+
+
+def check_reuse() -> None:
+    """Claims a key again after it was given up."""
+    node = Node(0)
+    log: list[Record] = []
+    node.claims.claim(NAMES[0], 0.0)
+    log += node.claims.take_batch()
+    node.claims.note_appended(ok=False)
+    (decision,) = node.claims.expire(WAIT_S)
+    assert decision.verdict is KeyVerdict.NOT_RUN
+    node.claims.note_appended(ok=True)
+    assert node.claims.claim(NAMES[0], WAIT_S) is KeyVerdict.WAIT
+    log += node.claims.take_batch()
+    decisions = [
+        node.claims.take_record(StoredRecord(offset, record))
+        for offset, record in enumerate(log, start=1)
+    ]
+    wanted = KeyDecision(NAMES[0], KeyVerdict.DISPATCH)
+    assert decisions[-1] == wanted
+
+
+def test_key_that_was_given_up_can_be_claimed_again() -> None:
+    check_reuse()
+
+
+def test_claims_share_one_append() -> None:
+    node = Node(0)
+    for number in range(keys.MAX_BATCH + 1):
+        node.claims.claim(KeyName("w", str(number)), 0.0)
+    assert_that(len(node.claims.take_batch()), Equals(keys.MAX_BATCH))
+    assert node.claims.take_batch() == ()
+    node.claims.note_appended(ok=True)
+    assert_that(len(node.claims.take_batch()), Equals(1))
+
+
+def test_claim_during_an_outage_is_refused_at_once() -> None:
+    node = Node(0)
+    node.claims.claim(NAMES[0], 0.0)
+    node.claims.take_batch()
+    node.claims.note_appended(ok=False)
+    assert node.claims.claim(NAMES[1], 0.0) is KeyVerdict.NOT_RUN
+
+
+def test_claim_of_a_key_that_ended_is_told_at_once() -> None:
+    first, second = Node(0), Node(1)
+    first.claims.claim(NAMES[0], 0.0)
+    first.claims.claim(NAMES[1], 0.0)
+    log = list(first.claims.take_batch())
+    first.claims.note_appended(ok=True)
+    first.claims.finish(NAMES[0], COMPLETE)
+    first.claims.finish(NAMES[1], Outcome.FAILED)
+    log += first.claims.take_batch()
+    for offset, record in enumerate(log, start=1):
+        second.claims.take_record(StoredRecord(offset, record))
+    assert second.claims.claim(NAMES[0], 0.0) is KeyVerdict.TAKEN
+    assert second.claims.claim(NAMES[1], 0.0) is KeyVerdict.FAILED
