--- a/chervilrock/decisions/requests/keys.py
+++ b/chervilrock/decisions/requests/keys.py
@@ -248,15 +248,12 @@
         waiting = self._open.get(name)
         if waiting is None:
             return None
-        record_id = stored.record.record_id
-        if record_id == waiting.record.record_id:
-            if not accepted:
-                return self._lose(name)
-            del self._open[name]
-            return KeyDecision(name, KeyVerdict.DISPATCH)
-        if accepted and record_id.writer != self._writer.writer:
+        if stored.record.record_id != waiting.record.record_id:
+            return None
+        if not accepted:
             return self._lose(name)
-        return None
+        del self._open[name]
+        return KeyDecision(name, KeyVerdict.DISPATCH)
 
     def expire(self, now: float) -> tuple[KeyDecision, ...]:
         """Gives up claims that have waited too long, as in an outage."""
--- a/test/edges/conftest.py
+++ b/test/edges/conftest.py
@@ -6,8 +6,8 @@
 from test.edges.sites import Site
 
 
-async def make_site() -> Site:
-    site = Site()
+async def make_site(incarnation: str = "i1") -> Site:
+    site = Site(incarnation)
     await site.start()
     return site
 
--- a/test/edges/sites.py
+++ b/test/edges/sites.py
@@ -14,6 +14,14 @@
 from tornado.web import Application
 
 from chervilrock.decisions.limits.admission import Admission
+from chervilrock.decisions.records import RecordWriter
+from chervilrock.decisions.requests.keys import (
+    CLAIM_WAIT_S,
+    KeyClaims,
+    KeyDecision,
+    KeyName,
+    KeyVerdict,
+)
 from chervilrock.decisions.routing.base import Endpoint, RoutingPolicy
 from chervilrock.decisions.routing.baselines import LeastInFlight
 from chervilrock.edges.callers import (
@@ -37,6 +45,7 @@
     EngineShard,
     ServiceEntry,
 )
+from chervilrock.generated.records import Record, StoredRecord
 from chervilrock.metrics import Metrics
 from chervilrock.platform.base import ModelEngine
 from chervilrock.platform.http import HttpModelEngine
@@ -53,10 +62,23 @@
 SERVICE = "filing"
 
 
+class KeyLog:
+    """The log of the keys, without a service."""
+
+    def __init__(self) -> None:
+        self.records: list[Record] = []
+        self.works = True
+
+
 class StaticContext(RequestContext):
     """A node whose state a test sets."""
 
     def __init__(self, *, node_id: str = "n1", incarnation: str = "i1") -> None:
+        self.key_log = KeyLog()
+        self.claims = KeyClaims(
+            writer=RecordWriter(node=node_id, incarnation=incarnation)
+        )
+        self._keys_read = 0
         self._node_id = node_id
         self._incarnation = incarnation
         self._admission = Admission(node=node_id, limits=LimitSpec())
@@ -143,6 +165,30 @@
     def peer_address(self, incarnation: str) -> str | None:
         return self.peers.get(incarnation)
 
+    async def claim_key(self, name: KeyName) -> KeyVerdict:
+        verdict = self.claims.claim(name, self.now())
+        if verdict is not KeyVerdict.WAIT:
+            return verdict
+        if not self.key_log.works:
+            (decision,) = self.claims.expire(self.now() + CLAIM_WAIT_S)
+            return decision.verdict
+        decisions = self._settle_keys()
+        return {each.name: each.verdict for each in decisions}[name]
+
+    def finish_key(self, name: KeyName, outcome: str) -> None:
+        self.claims.finish(name, outcome)
+        self._settle_keys()
+
+    def _settle_keys(self) -> list[KeyDecision]:
+        self.key_log.records += self.claims.take_batch()
+        self.claims.note_appended(ok=True)
+        decisions = []
+        for record in self.key_log.records[self._keys_read :]:
+            self._keys_read += 1
+            stored = StoredRecord(self._keys_read, record)
+            decisions.append(self.claims.take_record(stored))
+        return [decision for decision in decisions if decision is not None]
+
     def set_serving(self, endpoints: list[Endpoint]) -> None:
         self.serving = endpoints
         backends = make_endpoints(self.backends)
