Test the whole path of a node and mend what it showed

Cause: nothing drove a whole node in a test. A fault in the control decisions no longer ends the node. More log events and metrics.

--- /dev/null
+++ b/chervilrock/platform/curlpool.py
@@ -0,0 +1,97 @@
+"""Curl clients of tornado that are made when they are needed.
+
+A curl client makes all its handles when it is made, each some kilobytes. A
+node needs few of them most of the time, and many for a moment.
+"""
+
+from collections.abc import Iterator
+import contextlib
+
+from tornado.curl_httpclient import CurlAsyncHTTPClient
+
+HANDLES = 4
+"""Handles of one client."""
+
+
+class QuietCurlClient(CurlAsyncHTTPClient):
+    """A curl client that may be closed while requests are under way.
+
+    Closing makes libcurl set a timer once more, which would later run into
+    the closed client. It also leaves the closed sockets registered with the
+    event loop, whose numbers then go to sockets of others.
+    """
+
+    def close(self) -> None:
+        """See base class."""
+        for descriptor in list(self._fds):
+            self.io_loop.remove_handler(descriptor)
+        self._fds.clear()
+        super().close()
+
+    def _handle_timeout(self) -> None:
+        if self._multi is not None:
+            super()._handle_timeout()
+
+
+class CurlPool:
+    """Clients with a few handles each, for the running event loop.
+
+    The first client with a free handle is taken, so that a small load stays
+    on one client and finds its connections open.
+    """
+
+    def __init__(
+        self, *, max_requests: int, max_body_size: int, handles: int = HANDLES
+    ) -> None:
+        """Make an empty pool.
+
+        Args:
+          max_requests: greatest number of requests at once; more of them wait
+            for a handle
+          max_body_size: greatest body of an answer in bytes
+          handles: handles of one client
+        """
+        self._handles = min(handles, max_requests)
+        self._max_clients = -(-max_requests // self._handles)
+        self._max_body_size = max_body_size
+        self._clients: list[QuietCurlClient] = []
+        self._running: list[int] = []
+
+    @property
+    def running(self) -> int:
+        """Number of requests under way."""
+        return sum(self._running)
+
+    @contextlib.contextmanager
+    def borrow(self) -> Iterator[CurlAsyncHTTPClient]:
+        """Lend a client for one request."""
+        index = self._choose()
+        self._running[index] += 1
+        try:
+            yield self._clients[index]
+        finally:
+            if self._running:
+                self._running[index] -= 1
+
+    def close(self) -> None:
+        """Close all connections."""
+        for client in self._clients:
+            client.close()
+        self._clients.clear()
+        self._running.clear()
+
+    def _choose(self) -> int:
+        """Return the number of a client, making one when all are busy."""
+        for index, running in enumerate(self._running):
+            if running < self._handles:
+                return index
+        if len(self._clients) >= self._max_clients:
+            return self._running.index(min(self._running))
+        client = QuietCurlClient(
+            force_instance=True,
+            max_clients=self._handles,
+            max_body_size=self._max_body_size,
+        )
+        self._clients.append(client)
+        self._running.append(0)
+        return len(self._clients) - 1
--- a/chervilrock/platform/http.py
+++ b/chervilrock/platform/http.py
@@ -1,11 +1,12 @@
 """Clients of the platform and of model engines over HTTP with JSON."""
 
-from typing import TypedDict
+from typing import Any, TypedDict
 from urllib.parse import quote
 
 import msgspec
 from returns.result import Failure, Result, Success
 
+from chervilrock.decisions.records import decode_stored
 from chervilrock.generated.interfaces import (
     EngineLoad,
     EngineOrder,
@@ -38,11 +39,18 @@
     next_offset: int
 
 
+class _LooseLogReadBody(TypedDict):
+    records: tuple[Any, ...]
+    first_offset: int
+    next_offset: int
+
+
 class _AttemptBody(TypedDict):
     phase: base.AttemptPhase
 
 
 _PAGE_DECODER = msgspec.json.Decoder(_LogReadBody)
+_LOOSE_PAGE_DECODER = msgspec.json.Decoder(_LooseLogReadBody)
 _APPENDED_DECODER = msgspec.json.Decoder(LogAppended)
 _HOST_LIST_DECODER = msgspec.json.Decoder(HostList)
 _CATALOGUE_DECODER = msgspec.json.Decoder(base.Catalogue)
@@ -102,9 +110,36 @@
             f"{self._format_url(stream)}?{query}",
             timeout_s=self._timeout_s + wait_ms / _MS_PER_S,
         )
-        return result.bind(
-            lambda answer: decode_success(_PAGE_DECODER, answer)
-        ).bind(lambda page: _check_page(page, start))
+        return result.bind(decode_page).bind(
+            lambda page: _check_page(page, start)
+        )
+
+
+def decode_page(answer: HttpAnswer) -> Result[_LogReadBody, PlatformError]:
+    """Decode a page, also one with records that this version cannot read."""
+    strict = decode_success(_PAGE_DECODER, answer)
+    if isinstance(strict, Success):
+        return strict
+    return decode_success(_LOOSE_PAGE_DECODER, answer).bind(_read_loose_page)
+
+
+def _read_loose_page(
+    body: _LooseLogReadBody,
+) -> Result[_LogReadBody, PlatformError]:
+    records = []
+    for raw in body["records"]:
+        stored = decode_stored(raw)
+        if stored is None:
+            message = "a record without an offset"
+            return Failure(PlatformError(PlatformErrorKind.BAD_ANSWER, message))
+        records.append(stored)
+    return Success(
+        _LogReadBody(
+            records=tuple(records),
+            first_offset=body["first_offset"],
+            next_offset=body["next_offset"],
+        )
+    )
 
 
 def _check_offsets(
--- a/chervilrock/platform/httpclient.py
+++ b/chervilrock/platform/httpclient.py
@@ -10,9 +10,10 @@
 import msgspec
 import pycurl
 from returns.result import Failure, Result, Success
-from tornado.curl_httpclient import CurlAsyncHTTPClient, CurlError
+from tornado.curl_httpclient import CurlError
 from tornado.httpclient import HTTPClientError, HTTPRequest
 
+from chervilrock.platform.curlpool import CurlPool
 from chervilrock.platform.errors import PlatformError, PlatformErrorKind
 from chervilrock.platform.sendguard import SendGuard
 
@@ -73,18 +74,6 @@
             self.not_run = value == b"true"
 
 
-class QuietCurlClient(CurlAsyncHTTPClient):
-    """A curl client that may be closed while requests are under way.
-
-    Closing makes libcurl set a timer once more, which would later run into
-    the closed client.
-    """
-
-    def _handle_timeout(self) -> None:
-        if self._multi is not None:
-            super()._handle_timeout()
-
-
 class HttpClient:
     """Client for short requests, shared by all clients of a process.
 
@@ -109,15 +98,13 @@
             without a timeout, so it has to be ample.
         """
         self._connect_timeout_s = connect_timeout_s
-        self._client = QuietCurlClient(
-            force_instance=True,
-            max_clients=max_clients,
-            max_body_size=MAX_ANSWER_BYTES,
+        self._pool = CurlPool(
+            max_requests=max_clients, max_body_size=MAX_ANSWER_BYTES
         )
 
     def close(self) -> None:
         """Closes all connections."""
-        self._client.close()
+        self._pool.close()
 
     async def request(
         self,
@@ -161,7 +148,8 @@
             prepare_curl_callback=prepare,
         )
         try:
-            response = await self._client.fetch(request, raise_error=False)
+            with self._pool.borrow() as client:
+                response = await client.fetch(request, raise_error=False)
         except HTTPClientError as error:
             return Failure(_describe_error(error, guard.sent, url))
         except UnicodeError as error:
--- a/chervilrock/tasks/configurations.py
+++ b/chervilrock/tasks/configurations.py
@@ -12,7 +12,7 @@
 from chervilrock.decisions.records import RecordWriter
 from chervilrock.decisions.snapshots import SnapshotSchedule, split_snapshot
 from chervilrock.decisions.streams import ReadResult, StreamReader
-from chervilrock.decisions.verdicts import VerdictKind
+from chervilrock.decisions.verdicts import Reason, Verdict, VerdictKind
 from chervilrock.generated.records import (
     ConfigurationApplied,
     RecordId,
@@ -190,6 +190,7 @@
         """Answer the operators whose records were read back."""
         for step in result.steps:
             record_id = step.stored.record.record_id
+            self._note_loss(step.verdict)
             if step.verdict.kind is VerdictKind.DOUBLED:
                 continue
             pending = self._pending.pop(record_id, None)
@@ -197,6 +198,21 @@
                 continue
             pending.command.reply.set_result(self._judge(step.verdict.accepted))
 
+    def _note_loss(self, verdict: Verdict) -> None:
+        """Log a configuration that another one came before."""
+        body = verdict.body
+        if verdict.reason is not Reason.STALE_BASE:
+            return
+        if not isinstance(body, ConfigurationApplied):
+            return
+        in_force = self.in_force
+        events.emit(
+            events.Event.CONFIGURATION_LOST,
+            operator=body.operator,
+            base_revision=body.base_revision,
+            winner="" if in_force is None else in_force.operator,
+        )
+
     def _judge(self, accepted: bool) -> ApplyResult:
         fold = self._reader.fold
         in_force = fold.in_force
--- a/chervilrock/tasks/region.py
+++ b/chervilrock/tasks/region.py
@@ -287,6 +287,7 @@
         if self._lease.may_act(now):
             epoch = self._lease.holder.epoch
             self._append(ControllerReleased(epoch=epoch), ports, now)
+            self._events.note_released(epoch)
         self._lease.holder.drop()
         message.done.set_result(None)
 
@@ -299,7 +300,7 @@
         self._metrics.lease_held.set(1 if holds else 0)
         if holds and now >= self._planned_at + PLAN_INTERVAL_S:
             self._planned_at = now
-            self._control(ports, now)
+            self._control_safely(ports, now)
         view = self._make_view(now)
         self._measure(view, holds, now)
         self._publish(view, ports)
@@ -333,6 +334,18 @@
         self._progress.note_appended(body, record.record_id, now)
         ports.appender.inbox.offer(record)
 
+    def _control_safely(self, ports: RegionPorts, now: float) -> None:
+        """Control the region; a fault in it must not stop the requests.
+
+        Each node would fail in turn, while the groups could go on serving.
+        """
+        try:
+            self._control(ports, now)
+        except Exception as error:  # noqa: BLE001
+            events.emit(
+                events.Event.TASK_FAILED, task="control", error=repr(error)
+            )
+
     def _control(self, ports: RegionPorts, now: float) -> None:
         if self._configuration is None or not self._reader.known:
             return
--- a/chervilrock/tasks/region_report.py
+++ b/chervilrock/tasks/region_report.py
@@ -13,6 +13,7 @@
     QuarantinedHost,
     StrandedHost,
 )
+from chervilrock.generated.records import GroupPhase
 
 
 class RegionReport(NamedTuple):
@@ -117,4 +118,6 @@
         return "owned by a group that is gone"
     if entry["host"] in group.spares:
         return f"spare of {group.name}"
+    if group.phase is GroupPhase.SERVING:
+        return f"group {group.name} is not whole"
     return f"group {group.name} is {group.phase.value}"
--- /dev/null
+++ b/test/node/conftest.py
@@ -0,0 +1,124 @@
+"""A small installation with one entry node, in one event loop."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import pytest
+
+from chervilrock.generated.interfaces import HostEntry, HostList, ServiceEntry
+from chervilrock.generated.settings import NodeSettings
+from chervilrock.node import EntryNode
+from chervilrock.platform.base import ModelEntry
+from chervilrock.platform.httpclient import HttpClient
+from chervilrock.standin.engine import EngineOptions
+from chervilrock.standin.installation import Installation
+
+REGION = "north"
+DATA_CENTRE = "north-1"
+MODEL = "writer"
+DOCUMENT = {
+    "name": "test",
+    "data_centres": [DATA_CENTRE],
+    "models": [
+        {
+            "name": MODEL,
+            "version": "1",
+            "groups": 1,
+            "hosts_per_group": 3,
+        }
+    ],
+    "services": [{"name": "slots", "idempotent_methods": ["GET"]}],
+}
+
+
+class Site:
+    """Stand-ins and entry nodes.
+
+    Attributes:
+      installation: the stand-ins
+      nodes: the entry nodes that were started
+      http: client of callers and operators
+    """
+
+    def __init__(self, *, hosts: int) -> None:
+        """Make stand-ins for some hosts in one fabric domain."""
+        listed = HostList(
+            hosts=tuple(make_host(number) for number in range(hosts)),
+            services=(
+                ServiceEntry(
+                    service="slots",
+                    address="127.0.0.1:0",
+                    data_centre=DATA_CENTRE,
+                    leaving=False,
+                ),
+            ),
+            age_ms=0,
+        )
+        entry = ModelEntry(versions=("1", "2"), adapters=(), bytes=1)
+        self.installation = Installation(
+            hosts=listed,
+            models={MODEL: entry},
+            engine_options=EngineOptions(),
+        )
+        self.nodes: list[EntryNode] = []
+        self.http = HttpClient()
+
+    async def add_node(self) -> EntryNode:
+        """Start one more entry node."""
+        settings = NodeSettings(
+            node=f"entry-{len(self.nodes)}",
+            listen="127.0.0.1:0",
+            region=REGION,
+            data_centre=DATA_CENTRE,
+            log_service=self.installation.platform.address,
+            peers=",".join(node.address for node in self.nodes),
+            lease_ms=600,
+            probe_interval_ms=100,
+            presence_limit_ms=1000,
+            exchange_interval_ms=100,
+            address_ttl_s=0.1,
+        )
+        node = EntryNode(settings=settings)
+        await node.start()
+        self.nodes.append(node)
+        return node
+
+    async def stop(self) -> None:
+        """Stop everything at once."""
+        for node in self.nodes:
+            await node.kill()
+        await self.installation.stop()
+        self.http.close()
+
+
+def make_host(number: int) -> HostEntry:
+    """Return a host of the list."""
+    return HostEntry(
+        host=f"host-{number}",
+        address="127.0.0.1:0",
+        data_centre=DATA_CENTRE,
+        domain="north-1-a",
+        region=REGION,
+        accelerators=8,
+        leaving=False,
+        checks_fence=number % 2 == 0,
+    )
+
+
+@pytest.fixture
+def run_site() -> Callable[..., None]:
+    """Run a test against a site, which is stopped in every case."""
+
+    def run(test: Callable[[Site], Awaitable[None]], hosts: int = 4) -> None:
+        async def run_all() -> None:
+            site = Site(hosts=hosts)
+            await site.installation.start()
+            try:
+                async with asyncio.timeout(15):
+                    await test(site)
+            finally:
+                await site.stop()
+
+        asyncio.run(run_all())
+
+    return run
