--- a/chervilrock/edges/errors.py
+++ b/chervilrock/edges/errors.py
@@ -34,7 +34,6 @@
     """
 
     BAD_REQUEST = "bad_request"
-    UNSUPPORTED = "unsupported"
     NOT_FOUND = "not_found"
     MODEL_NOT_FOUND = "model_not_found"
     METHOD_NOT_ALLOWED = "method_not_allowed"
@@ -85,7 +84,6 @@
 
 SPECS: dict[ErrorCode, ErrorSpec] = {
     ErrorCode.BAD_REQUEST: _INVALID,
-    ErrorCode.UNSUPPORTED: _INVALID,
     ErrorCode.NOT_FOUND: _MISSING,
     ErrorCode.MODEL_NOT_FOUND: _MISSING,
     ErrorCode.METHOD_NOT_ALLOWED: ErrorSpec(405, ErrorType.INVALID_REQUEST),
