Move streams off a lost group whatever the retry budget says

When a group with many streams is lost, the budget let only a few of them go on, though their load only moves. The budget still counts them. Heads, the fold of keys, progress and what policies learn get modules of their own.

--- a/bench/key_node.py
+++ b/bench/key_node.py
@@ -7,7 +7,8 @@
 
 from bench.relay_context import BenchContext
 from chervilrock.decisions.records import RecordWriter
-from chervilrock.decisions.requests.keys import KeyClaims, KeyName, KeyVerdict
+from chervilrock.decisions.requests.keyfold import KeyName
+from chervilrock.decisions.requests.keys import KeyClaims, KeyVerdict
 from chervilrock.platform.base import LogService
 
 STREAM = "keys.r1"
--- a/chervilrock/edges/completions.py
+++ b/chervilrock/edges/completions.py
@@ -5,29 +5,18 @@
 from chervilrock.decisions.requests.outcomes import AttemptEnd
 from chervilrock.decisions.requests.transcript import Kept, Transcript
 from chervilrock.decisions.routing.base import Endpoint, RequestView
-from chervilrock.edges import enginecalls
+from chervilrock.edges import enginecalls, progress
 from chervilrock.edges.bodies import CompletionCall
 from chervilrock.edges.enginecalls import (
     EngineReceiver,
     StreamReceiver,
     WholeReceiver,
 )
+from chervilrock.edges.observer import SendObserver
 from chervilrock.edges.path import RequestPath
 from chervilrock.edges.relay import Transfer
 from chervilrock.edges.runs import BackendRun, CANCELLED, COMPLETE, RunEnd
 from chervilrock.edges.sinks import AnswerHead, AnswerSink
-from chervilrock.events import emit, Event
-from chervilrock.metrics import RetryKind
-
-GROUP_LOST_S = 1.0
-"""Time without an event after which a request leaves a group that no longer
-serves."""
-
-STREAM_STALL_S = 15.0
-"""Time without an event after which a stream counts as broken."""
-
-TAIL_S = 1.0
-"""Time that an engine has to end its answer after the last event."""
 
 STREAM_HEAD = AnswerHead(
     status=200,
@@ -45,16 +34,6 @@
 _RUNNING_ENDS = frozenset(
     {AttemptEnd.LOST, AttemptEnd.BROKEN, AttemptEnd.FOREIGN}
 )
-_STATUS_TOO_MANY_REQUESTS = 429
-_RETRY_KINDS = {
-    SendMode.START: RetryKind.RETRY,
-    SendMode.RESUME: RetryKind.RESUME,
-    SendMode.CONTINUE: RetryKind.CONTINUE,
-}
-_RETRY_EVENTS = {
-    SendMode.RESUME: Event.STREAM_RESUMED,
-    SendMode.CONTINUE: Event.STREAM_CONTINUED,
-}
 
 
 class CompletionRun(BackendRun):
@@ -84,13 +63,11 @@
         self._transcript = (
             Transcript() if call.stream and view.idempotent else None
         )
-        self._arrived = path.context.now()
+        self._observer = SendObserver(context=path.context, view=view)
         self._endpoint: Endpoint | None = None
         self._receiver: EngineReceiver | None = None
-        self._sent_at = 0.0
         self._position = 0
-        self._seen_position = 0
-        self._seen_at = 0.0
+        self._progress = progress.Progress()
 
     def count_tokens(self) -> int:
         """See base class."""
@@ -98,21 +75,20 @@
 
     def check_transfer(self, transfer: Transfer, now: float) -> None:
         """See base class."""
-        if self._position != self._seen_position or transfer.paused:
-            self._seen_position = self._position
-            self._seen_at = now
-        elif self._is_stuck(now - max(self._seen_at, self._sent_at)):
+        silence = self._progress.measure_silence(
+            self._position, transfer.paused, now
+        )
+        if self._is_stuck(silence):
             transfer.abandon()
 
     def _is_stuck(self, silence: float) -> bool:
         """Tells whether a send without news for a while is given up."""
         receiver = self._receiver
         if isinstance(receiver, StreamReceiver):
-            if receiver.positions.done:
-                return silence > TAIL_S
-            if receiver.positions.position > 0 and silence > STREAM_STALL_S:
+            done = receiver.positions.done
+            if progress.is_broken(self._position, done, silence):
                 return True
-        if silence <= GROUP_LOST_S or self._endpoint is None:
+        if silence <= progress.GROUP_LOST_S or self._endpoint is None:
             return False
         return not self._serves(self._endpoint)
 
@@ -133,7 +109,8 @@
             if endpoint is None:
                 return self._give_up(self._tracker.give_up())
             mode = choose_mode(decision)
-            self._count_retry(mode, endpoint)
+            if self._tracker.sends:
+                self._observer.note_retry(mode, endpoint.group, self._position)
             send = self._tracker.begin(endpoint.group, mode)
             end = await self._send(endpoint, send)
             if self._left:
@@ -158,7 +135,7 @@
             )
         policy = self._context.policy
         chosen = policy.choose(view, endpoints, now, exclude=decision.exclude)
-        if chosen is None and view.idempotent and decision.exclude:
+        if chosen is None and decision.again:
             chosen = policy.choose(view, endpoints, now)
         return chosen
 
@@ -167,7 +144,7 @@
         now = self._context.now()
         self._endpoint = endpoint
         self._target = endpoint.group
-        self._sent_at = now
+        self._progress.restart(now)
         receiver = self._make_receiver(endpoint, send)
         transfer = Transfer(
             request=enginecalls.make_request(
@@ -182,10 +159,10 @@
             receiver=receiver,
         )
         self._receiver = receiver
-        self._context.policy.on_sent(self.view, endpoint, now)
+        self._observer.note_sent(endpoint, now)
         end = receiver.judge(await self._transmit(transfer))
         self._refusal = receiver.refusal
-        self._learn(endpoint, end)
+        self._observer.note_end(endpoint, end, self._refusal, self._position)
         return end
 
     def _make_receiver(self, endpoint: Endpoint, send: Send) -> EngineReceiver:
@@ -219,7 +196,8 @@
         """Passes whole events on; called from within libcurl."""
         if not self._sink.started:
             self._sink.start(STREAM_HEAD)
-            self._note_first_token()
+            assert self._endpoint is not None
+            self._observer.note_first_token(self._endpoint)
         receiver = self._receiver
         assert isinstance(receiver, StreamReceiver)
         self._position = receiver.positions.position
@@ -227,30 +205,6 @@
             self._transcript.add(events)
         self._sink.write(events)
 
-    def _note_first_token(self) -> None:
-        now = self._context.now()
-        waited = now - self._sent_at
-        assert self._endpoint is not None
-        self._context.policy.on_first_token(
-            self.view, self._endpoint, now, waited
-        )
-        self._context.admission.observe_first_token(
-            self.view.request_id, self._endpoint.group, waited, now
-        )
-        self._context.metrics.observe_first_token(
-            model=self.view.model, seconds=now - self._arrived
-        )
-
-    def _learn(self, endpoint: Endpoint, end: AttemptEnd) -> None:
-        """Tells the policies how a send ended."""
-        now = self._context.now()
-        ok = end is AttemptEnd.COMPLETE
-        self._context.policy.on_done(
-            self.view, endpoint, now, ok, self._position
-        )
-        if self._refusal.status == _STATUS_TOO_MANY_REQUESTS:
-            self._context.admission.observe_refusal(endpoint.group, now)
-
     def _decide(
         self, endpoint: Endpoint, send: Send, end: AttemptEnd
     ) -> attempts.Decision:
@@ -258,7 +212,7 @@
         if end is AttemptEnd.COMPLETE:
             self._finish_answer()
             return attempts.Deliver()
-        self._note_broken(endpoint, end)
+        self._observer.note_broken(endpoint, end, self._position)
         kept = self._read_kept() if self._position > 0 else None
         if kept is not None and self._finish_text(kept):
             return attempts.Deliver()
@@ -274,12 +228,19 @@
         if isinstance(decision, attempts.Resume):
             return decision
         self._cancel(endpoint, send, end)
-        if isinstance(decision, _NEW_RUNS) and not self._may_run_again(end):
-            return self._tracker.give_up()
+        if isinstance(decision, _NEW_RUNS):
+            may_retry = self._take_retry(end)
+            moves = self._position > 0 or not report.target_serves
+            if not may_retry and not moves:
+                return self._tracker.give_up()
         return decision
 
-    def _may_run_again(self, end: AttemptEnd) -> bool:
-        """Asks the retry budget; what never left costs a backend nothing."""
+    def _take_retry(self, end: AttemptEnd) -> bool:
+        """Asks the retry budget; what never left costs a backend nothing.
+
+        The budget counts all retries. It does not stop one that only moves
+        load from a lost group to another, such as the rest of a stream.
+        """
         if end is AttemptEnd.NOT_SENT:
             return True
         now = self._context.now()
@@ -306,30 +267,6 @@
         if end in _RUNNING_ENDS:
             self._path.cancel_attempt(endpoint.address, send.attempt)
 
-    def _note_broken(self, endpoint: Endpoint, end: AttemptEnd) -> None:
-        if self._position > 0:
-            emit(
-                Event.STREAM_BROKEN,
-                request_id=self.view.request_id,
-                group=endpoint.group,
-                position=self._position,
-                reason=end.value,
-            )
-
-    def _count_retry(self, mode: SendMode, endpoint: Endpoint) -> None:
-        """Records a send beyond the first one."""
-        if self._tracker.sends == 0:
-            return
-        self._context.metrics.count_retry(_RETRY_KINDS[mode])
-        event = _RETRY_EVENTS.get(mode)
-        if event is not None:
-            emit(
-                event,
-                request_id=self.view.request_id,
-                group=endpoint.group,
-                position=self._position,
-            )
-
 
 def choose_mode(decision: attempts.Decision) -> SendMode:
     """Returns what the next send asks for."""
--- a/chervilrock/edges/context.py
+++ b/chervilrock/edges/context.py
@@ -3,7 +3,8 @@
 import abc
 from typing import TYPE_CHECKING
 
-from chervilrock.decisions.requests.keys import KeyName, KeyVerdict
+from chervilrock.decisions.requests.keyfold import KeyName
+from chervilrock.decisions.requests.keys import KeyVerdict
 from chervilrock.generated import configuration, interfaces
 
 if TYPE_CHECKING:
--- a/chervilrock/edges/enginecalls.py
+++ b/chervilrock/edges/enginecalls.py
@@ -14,8 +14,9 @@
 )
 from chervilrock.decisions.routing.base import Endpoint, RequestView
 from chervilrock.edges.bodies import add_continuation
+from chervilrock.edges.heads import Head
 from chervilrock.edges.parsing import parse_count
-from chervilrock.edges.relay import BackendRequest, Head, Receiver, TransferEnd
+from chervilrock.edges.relay import BackendRequest, Receiver, TransferEnd
 from chervilrock.edges.runs import Refusal
 
 CHAT_PATH = "/v1/chat/completions"
--- /dev/null
+++ b/chervilrock/edges/heads.py
@@ -0,0 +1,83 @@
+"""Heads of HTTP messages to and from backend servers."""
+
+from collections.abc import Sequence
+from typing import NamedTuple
+
+_MIN_STATUS_PARTS = 2
+_STATUS_DIGITS = 3
+_STATUS_OK = 200
+
+
+class Head(NamedTuple):
+    """Status and headers of an answer.
+
+    Attributes:
+      status: HTTP status.
+      headers: names and values as they came.
+    """
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+
+    def find(self, name: str, default: str = "") -> str:
+        """Returns the last value of a header.
+
+        Args:
+          name: name in lower case.
+          default: value when the header is missing.
+        """
+        for other, value in reversed(self.headers):
+            if other.lower() == name:
+                return value
+        return default
+
+
+def format_headers(headers: Sequence[tuple[str, str]]) -> list[bytes]:
+    """Returns header lines for libcurl.
+
+    A header with an empty value keeps libcurl from adding its own.
+
+    Raises:
+      ValueError: a name or value would break out of its line.
+    """
+    lines = [f"{name}: {value}" for name, value in headers]
+    for line in lines:
+        if "\r" in line or "\n" in line or "\0" in line:
+            raise ValueError("a header holds a line break")
+    lines.append("Expect:")
+    return [line.encode("latin1") for line in lines]
+
+
+def parse_head(lines: Sequence[bytes]) -> Head | None:
+    """Parses the lines that libcurl gave as headers.
+
+    Args:
+      lines: all lines, also those of answers before the final one, such as
+        100 Continue.
+
+    Returns:
+      The final head, or None when there is none or it is malformed.
+    """
+    first = None
+    for index, line in enumerate(lines):
+        if line.startswith(b"HTTP/"):
+            first = index
+    if first is None:
+        return None
+    status = parse_status(lines[first])
+    if status is None or status < _STATUS_OK:
+        return None
+    pairs = []
+    for line in lines[first + 1 :]:
+        name, colon, value = line.decode("latin1").partition(":")
+        if colon:
+            pairs.append((name.strip(), value.strip()))
+    return Head(status=status, headers=tuple(pairs))
+
+
+def parse_status(line: bytes) -> int | None:
+    """Parses the status of a line such as `HTTP/1.1 200 OK`."""
+    parts = line.split(maxsplit=2)
+    if len(parts) < _MIN_STATUS_PARTS or not parts[1].isdigit():
+        return None
+    return int(parts[1]) if len(parts[1]) == _STATUS_DIGITS else None
--- a/chervilrock/edges/keys.py
+++ b/chervilrock/edges/keys.py
@@ -1,7 +1,8 @@
 """Requests with a key that the caller chose."""
 
 from chervilrock.decisions.requests import memory
-from chervilrock.decisions.requests.keys import COMPLETE, KeyName, KeyVerdict
+from chervilrock.decisions.requests.keyfold import KeyName
+from chervilrock.decisions.requests.keys import COMPLETE, KeyVerdict
 from chervilrock.decisions.requests.memory import (
     Claim,
     ClaimKind,
--- a/chervilrock/edges/relay.py
+++ b/chervilrock/edges/relay.py
@@ -7,7 +7,7 @@
 """
 
 import abc
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 import os
 import socket
 from typing import NamedTuple
@@ -16,6 +16,8 @@
 from tornado.curl_httpclient import CurlAsyncHTTPClient
 from tornado.httpclient import HTTPClientError, HTTPRequest
 
+from chervilrock.edges.heads import format_headers, Head, parse_head
+
 CLIENTS_PER_POOL = 256
 """Transfers of one curl multi handle; more of them get a further one."""
 
@@ -28,9 +30,6 @@
 _SEND_ABORT: int = pycurl.PREREQFUNC_ABORT
 _PAUSE: int = pycurl.WRITEFUNC_PAUSE
 _ABORT = -1
-_MIN_STATUS_PARTS = 2
-_STATUS_DIGITS = 3
-_STATUS_OK = 200
 _NO_SOCKET = -1
 
 
@@ -54,30 +53,6 @@
     send_once: bool
 
 
-class Head(NamedTuple):
-    """Status and headers of an answer.
-
-    Attributes:
-      status: HTTP status.
-      headers: names and values as they came.
-    """
-
-    status: int
-    headers: tuple[tuple[str, str], ...]
-
-    def find(self, name: str, default: str = "") -> str:
-        """Returns the last value of a header.
-
-        Args:
-          name: name in lower case.
-          default: value when the header is missing.
-        """
-        for other, value in reversed(self.headers):
-            if other.lower() == name:
-                return value
-        return default
-
-
 class Receiver(abc.ABC):
     """Takes an answer while it comes; called from within libcurl.
 
@@ -250,22 +225,6 @@
                 return
 
 
-def format_headers(headers: Sequence[tuple[str, str]]) -> list[bytes]:
-    """Returns header lines for libcurl.
-
-    A header with an empty value keeps libcurl from adding its own.
-
-    Raises:
-      ValueError: a name or value would break out of its line.
-    """
-    lines = [f"{name}: {value}" for name, value in headers]
-    for line in lines:
-        if "\r" in line or "\n" in line or "\0" in line:
-            raise ValueError("a header holds a line break")
-    lines.append("Expect:")
-    return [line.encode("latin1") for line in lines]
-
-
 def use_own_connection(curl: pycurl.Curl) -> None:
     """Keeps a transfer off connections that served another one.
 
@@ -276,41 +235,6 @@
     curl.setopt(pycurl.FORBID_REUSE, 1)
 
 
-def parse_head(lines: Sequence[bytes]) -> Head | None:
-    """Parses the lines that libcurl gave as headers.
-
-    Args:
-      lines: all lines, also those of answers before the final one, such as
-        100 Continue.
-
-    Returns:
-      The final head, or None when there is none or it is malformed.
-    """
-    first = None
-    for index, line in enumerate(lines):
-        if line.startswith(b"HTTP/"):
-            first = index
-    if first is None:
-        return None
-    status = parse_status(lines[first])
-    if status is None or status < _STATUS_OK:
-        return None
-    pairs = []
-    for line in lines[first + 1 :]:
-        name, colon, value = line.decode("latin1").partition(":")
-        if colon:
-            pairs.append((name.strip(), value.strip()))
-    return Head(status=status, headers=tuple(pairs))
-
-
-def parse_status(line: bytes) -> int | None:
-    """Parses the status of a line such as `HTTP/1.1 200 OK`."""
-    parts = line.split(maxsplit=2)
-    if len(parts) < _MIN_STATUS_PARTS or not parts[1].isdigit():
-        return None
-    return int(parts[1]) if len(parts[1]) == _STATUS_DIGITS else None
-
-
 class TransferPool:
     """Runs transfers; a pool of one node."""
 
--- a/chervilrock/edges/servicecalls.py
+++ b/chervilrock/edges/servicecalls.py
@@ -10,8 +10,9 @@
     judge_service_answer,
 )
 from chervilrock.decisions.routing.base import RequestView
+from chervilrock.edges.heads import Head
 from chervilrock.edges.parsing import parse_count
-from chervilrock.edges.relay import BackendRequest, Head, Receiver, TransferEnd
+from chervilrock.edges.relay import BackendRequest, Receiver, TransferEnd
 from chervilrock.edges.runs import Refusal
 from chervilrock.edges.sinks import AnswerHead, AnswerSink
 
--- a/test/decisions/requests/test_keys.py
+++ b/test/decisions/requests/test_keys.py
@@ -12,12 +12,11 @@
 
 from chervilrock.decisions.records import RecordWriter
 from chervilrock.decisions.requests import keys
+from chervilrock.decisions.requests.keyfold import KeyFold, KeyName
 from chervilrock.decisions.requests.keys import (
     COMPLETE,
     KeyClaims,
     KeyDecision,
-    KeyFold,
-    KeyName,
     KeyVerdict,
 )
 from chervilrock.generated.interfaces import Outcome
--- a/test/edges/sites.py
+++ b/test/edges/sites.py
@@ -15,11 +15,11 @@
 
 from chervilrock.decisions.limits.admission import Admission
 from chervilrock.decisions.records import RecordWriter
+from chervilrock.decisions.requests.keyfold import KeyName
 from chervilrock.decisions.requests.keys import (
     CLAIM_WAIT_S,
     KeyClaims,
     KeyDecision,
-    KeyName,
     KeyVerdict,
 )
 from chervilrock.decisions.routing.base import Endpoint, RoutingPolicy
--- a/test/edges/test_bad_input.py
+++ b/test/edges/test_bad_input.py
@@ -10,8 +10,8 @@
 from testtools.matchers import Equals
 
 from chervilrock.edges.bodies import add_continuation, parse_completion
+from chervilrock.edges.heads import format_headers, parse_head
 from chervilrock.edges.parsing import parse_count, parse_headers
-from chervilrock.edges.relay import format_headers, parse_head
 from chervilrock.edges.servicecalls import copy_headers
 from chervilrock.edges.state import BodyLimits
 from test.edges.raw import exchange, make_request
--- a/test/edges/test_completions.py
+++ b/test/edges/test_completions.py
@@ -329,3 +329,23 @@
     )
     assert_that(join_stream(answer.body), Equals(EXPECTED))
     assert_that(site.count_runs(), Equals(2))
+
+
+def test_streams_of_a_lost_group_all_go_on(
+    loop: asyncio.Runner, site: Site
+) -> None:
+    slow_down(site, 2.0)
+
+    async def lose_a_group() -> list[str]:
+        calls = [
+            asyncio.create_task(site.complete(stream=True, max_tokens=TOKENS))
+            for _ in range(8)
+        ]
+        while site.path.in_flight < len(calls):
+            await asyncio.sleep(0)
+        while any(run.count_tokens() < 3 for run in site.path.list_runs()):
+            await asyncio.sleep(0)
+        site.groups[0].leader.kill()
+        return [join_stream((await call).body) for call in calls]
+
+    assert_that(loop.run(lose_a_group()), Equals([EXPECTED] * 8))
