Lower the limits as soon as requests wait at an engine

One waiting request is now the threshold, the step follows the number of nodes, only limits of groups in use rise, and a share is compared with what runs instead of with the capacity, which an unused group had inflated. Two of twelve groups are kept for workspaces within their share.

--- a/bench/entry_model.py
+++ b/bench/entry_model.py
@@ -141,8 +141,10 @@
           arrivals: requests in the order of time.
           until: time at which reports end, in seconds.
         """
-        for node in range(len(self._policies)):
-            self._admissions[node].observe_groups(self._endpoints, 0.0)
+        names = [f"n{node}" for node in range(len(self._admissions))]
+        for admission in self._admissions:
+            admission.observe_members(names, 0.0)
+            admission.observe_groups(self._endpoints, 0.0)
         self._repeat(TICK_S, until, self._tick)
         self._repeat(REPORT_INTERVAL_S, until, self._report_loads)
         self._repeat(EVENT_INTERVAL_S, until, self._report_caches)
--- a/chervilrock/decisions/limits/admission.py
+++ b/chervilrock/decisions/limits/admission.py
@@ -42,6 +42,7 @@
 class _Running(NamedTuple):
     request: base.RequestView
     cost: float
+    group: str = ""
 
 
 class Admission:
@@ -62,6 +63,7 @@
           workspaces: workspaces of the configuration.
         """
         self._node = node
+        self._nodes = 1
         self._pools: dict[str, pools.Pool] = {}
         self._running: dict[str, _Running] = {}
         self._waiting: dict[str, base.RequestView] = {}
@@ -176,7 +178,7 @@
         if not self._in_flight[request.workspace]:
             del self._in_flight[request.workspace]
         pool = self._pools[request.model]
-        pool.finish(request, entry.cost, ok, tokens, now)
+        pool.finish(request, entry.group, entry.cost, ok, tokens, now)
         return self._admit_from(pool, now)
 
     def admit(self, now: float) -> tuple[str, ...]:
@@ -284,16 +286,18 @@
                 self._pools[model] = pools.Pool()
                 self._pools[model].set_shares(self._shares)
             maximum = self._maximums.get(model, concurrency.MAX_LIMIT)
-            self._pools[model].set_groups(tuple(names), maximum)
+            self._pools[model].set_groups(tuple(names), self._nodes, maximum)
 
     def observe_first_token(
         self, request_id: str, group: str, waited: float, now: float
     ) -> None:
         """Learn that the first token came `waited` seconds after sending."""
         entry = self._running.get(request_id)
-        if entry is not None:
-            pool = self._pools[entry.request.model]
-            pool.observe_first_token(entry.request, group, waited, now)
+        if entry is None or entry.group:
+            return
+        self._running[request_id] = entry._replace(group=group)
+        pool = self._pools[entry.request.model]
+        pool.observe_first_token(entry.request, group, waited, now)
 
     def observe_load(
         self, group: str, load: interfaces.EngineLoad, now: float
@@ -302,7 +306,7 @@
         del now
         limit = self._find_limit(group)
         if limit is not None:
-            limit.on_load(load["running"], load["waiting"])
+            limit.on_load(load["waiting"])
 
     def observe_refusal(self, group: str, now: float) -> None:
         """Learn that a group refused a request because of overload."""
@@ -314,7 +318,12 @@
     def observe_members(self, members: Iterable[str], now: float) -> None:
         """Learn all nodes that may run requests, reachable or not."""
         del now
+        members = frozenset(members) | {self._node}
         self._quota.observe_members(members)
+        self._nodes = len(members)
+        for model, pool in self._pools.items():
+            maximum = self._maximums.get(model, concurrency.MAX_LIMIT)
+            pool.set_groups(tuple(pool.group_limits), self._nodes, maximum)
 
     def observe_peer_shares(
         self, uses: Iterable[interfaces.NodeUse], now: float
--- a/chervilrock/decisions/limits/concurrency.py
+++ b/chervilrock/decisions/limits/concurrency.py
@@ -2,20 +2,26 @@
 
 Additive increase, multiplicative decrease. The sign of overload is a standing
 queue: within an interval even the least queueing time of a first token is
-above a target, or the load report shows more requests that wait than the
-batch will soon take. The least one is taken, since a long prompt or a prefix
-that is not cached delays single requests of an idle group as well.
+above a target, or a load report shows requests that wait. The least time is
+taken, since a long prompt or a prefix that is not cached delays single
+requests of an idle group as well.
 
 Every node sees the same standing queue, so all nodes lower their limits
-together and raise them by the same step, which evens them out.
+together and raise them by the same step, which evens them out. The step and
+the first limit are divided by the number of nodes, so that all together raise
+the load of a group at the same pace whatever their number.
 """
 
-INITIAL_LIMIT = 4.0
-MIN_LIMIT = 0.1
+INITIAL_LIMIT = 36.0
+"""Requests at a group that all nodes together allow at first."""
+
+INCREASE = 2.7
+"""Step of all nodes together in an interval."""
+
+MIN_LIMIT = 0.05
 """Less than one: a node among many has less than a place in each group."""
 
 MAX_LIMIT = 256.0
-INCREASE = 0.3
 DECREASE = 0.85
 INTERVAL_S = 1.0
 """Time over which evidence is gathered before the limit changes."""
@@ -24,24 +30,23 @@
 TARGET_QUEUEING_S = 0.2
 """Standing queue in seconds that is taken for overload."""
 
-WAITING_SHARE = 0.1
-"""Waiting requests for each running one that are taken for overload."""
+MAX_WAITING = 1
+"""Requests that may wait at the engine before it is taken for overload."""
 
 
 class GroupLimit:
     """Limit on the requests in flight from this node to one group."""
 
-    def __init__(
-        self, *, initial: float = INITIAL_LIMIT, maximum: float = MAX_LIMIT
-    ) -> None:
-        """Start with a limit.
+    def __init__(self, *, nodes: int, maximum: float = MAX_LIMIT) -> None:
+        """Start with an equal part of the first limit of all nodes.
 
         Args:
-          initial: requests in flight allowed at first.
-          maximum: requests in flight allowed at most.
+          nodes: number of nodes that send requests.
+          maximum: requests in flight allowed at most from all nodes.
         """
-        self._maximum = max(MIN_LIMIT, maximum)
-        self._limit = min(initial, self._maximum)
+        self._nodes = nodes
+        self._maximum = maximum
+        self._limit = min(INITIAL_LIMIT, maximum) / nodes
         self._interval_end = 0.0
         self._least = float("inf")
         self._samples = 0
@@ -53,19 +58,21 @@
         """Requests in flight allowed now; not a whole number."""
         return self._limit
 
-    def set_maximum(self, maximum: float) -> None:
-        """Set the most requests in flight that may ever be allowed."""
-        self._maximum = max(MIN_LIMIT, maximum)
-        self._limit = min(self._limit, self._maximum)
+    def set_bounds(self, nodes: int, maximum: float) -> None:
+        """Set the number of nodes and the maximum over all of them."""
+        self._limit *= self._nodes / nodes
+        self._nodes = nodes
+        self._maximum = maximum
+        self._limit = min(self._limit, maximum / nodes)
 
     def on_queueing(self, queueing: float) -> None:
         """Learn the time in seconds that a request waited at the engine."""
         self._least = min(self._least, queueing)
         self._samples += 1
 
-    def on_load(self, running: int, waiting: int) -> None:
-        """Learn from a load report how many requests run and wait."""
-        if waiting > 1 + running * WAITING_SHARE:
+    def on_load(self, waiting: int) -> None:
+        """Learn from a load report how many requests wait."""
+        if waiting > MAX_WAITING:
             self._overloaded = True
 
     def on_overload(self) -> None:
@@ -86,7 +93,8 @@
         if self._overloaded or standing:
             self._limit = max(MIN_LIMIT, self._limit * DECREASE)
         elif self._saturated:
-            self._limit = min(self._maximum, self._limit + INCREASE)
+            raised = self._limit + INCREASE / self._nodes
+            self._limit = min(self._maximum / self._nodes, raised)
         self._interval_end = now + INTERVAL_S
         self._least = float("inf")
         self._samples = 0
--- a/chervilrock/decisions/limits/pool.py
+++ b/chervilrock/decisions/limits/pool.py
@@ -15,10 +15,10 @@
 )
 from chervilrock.decisions.routing import base
 
-ACTIVE_S = 30.0
+ACTIVE_S = 300.0
 """Time for which a workspace counts as active after a request."""
 
-HEADROOM = 0.1
+HEADROOM = 0.15
 """Share of the places that only workspaces below their fair part may take.
 
 It lets a small workspace start at once beside one that takes all it can get.
@@ -27,6 +27,15 @@
 SATURATED_S = 5.0
 """Time for which a pool counts as saturated after a request found no place."""
 
+MIN_GROUPS_TO_RESERVE = 6
+"""With fewer groups the headroom is kept in places of all of them."""
+
+IN_USE = 0.6
+"""Share of the limit of a group from which it may be raised.
+
+Requests that have no first token yet are not counted, so it is below 1.
+"""
+
 STANDING_S = 5.0
 """Time of saturation after which the queue no longer takes up a burst."""
 
@@ -61,6 +70,7 @@
         self._releases = throughput.ReleaseRate()
         self._running: collections.Counter[str] = collections.Counter()
         self._total = 0
+        self._at_group: collections.Counter[str] = collections.Counter()
         self._starts: dict[str, throughput.ReleaseRate] = {}
         self._waiting_since: dict[str, float] = {}
         self._standing_since = float("-inf")
@@ -84,12 +94,22 @@
         """Tell whether there is no group and no request."""
         return not self._limits and not self._total and not self.queue
 
-    def set_groups(self, groups: tuple[str, ...], maximum: float) -> None:
-        """Set the groups that serve the model, and their greatest limit."""
+    def set_groups(
+        self, groups: tuple[str, ...], nodes: int, maximum: float
+    ) -> None:
+        """Set the groups that serve the model.
+
+        Args:
+          groups: names of the groups.
+          nodes: number of nodes that send requests.
+          maximum: requests allowed at a group from all nodes.
+        """
         limits = {}
         for group in groups:
-            limit = self._limits.get(group) or concurrency.GroupLimit()
-            limit.set_maximum(maximum)
+            limit = self._limits.get(group)
+            if limit is None:
+                limit = concurrency.GroupLimit(nodes=nodes, maximum=maximum)
+            limit.set_bounds(nodes, maximum)
             limits[group] = limit
         self._limits = limits
         self._reserved = _choose_reserved(groups)
@@ -129,14 +149,14 @@
         if self._total < int(capacity * (1.0 - self._headroom())):
             return True
         part = self._fair_part(workspace, now)
-        return part >= 1.0 or self._running[workspace] < part * capacity
+        return part >= 1.0 or self._running[workspace] < part * self._total
 
     def is_over_share(self, workspace: str, now: float) -> bool:
-        """Tell whether a workspace runs more than its part of the places."""
+        """Tell whether a workspace has more than its part of what runs."""
         part = self._fair_part(workspace, now)
         if part >= 1.0:
             return False
-        return self._running[workspace] > part * self.capacity()
+        return self._running[workspace] > part * self._total
 
     def engine_priority(self, request: base.RequestView, now: float) -> int:
         """Return the priority that the engine is told, 0 to 9.
@@ -186,6 +206,7 @@
     def finish(
         self,
         request: base.RequestView,
+        group: str,
         cost: float,
         ok: bool,
         tokens: int,
@@ -195,6 +216,7 @@
 
         Args:
           request: the request.
+          group: group of its first token, empty for none.
           cost: what its workspace was charged for it.
           ok: whether it got its whole answer.
           tokens: tokens of its answer.
@@ -203,6 +225,9 @@
         workspace = request.workspace
         self._running[workspace] -= 1
         self._total -= 1
+        self._at_group[group] -= 1
+        if self._at_group[group] <= 0:
+            del self._at_group[group]
         self._releases.on_release(now)
         if not ok:
             return
@@ -219,14 +244,23 @@
         queued = self._queueing.observe(tokens, waited, now)
         if group in self._limits:
             self._limits[group].on_queueing(queued)
+        self._at_group[group] += 1
 
     def note_saturated(self, now: float) -> None:
-        """Learn that a request found no place."""
+        """Learn that a request found no place.
+
+        Only groups that are in use may get more; groups are all taken to be
+        in use while no first token has told where requests run, as for plain
+        services.
+        """
         if now - self._saturated_at > STANDING_GAP_S:
             self._standing_since = now
         self._saturated_at = now
-        for limit in self._limits.values():
-            limit.on_saturated()
+        located = sum(self._at_group.values())
+        for group, limit in self._limits.items():
+            in_use = self._at_group[group] >= limit.limit * IN_USE
+            if in_use or not located:
+                limit.on_saturated()
 
     def adjust(self, now: float) -> None:
         """Adapt the limits of the groups, and forget idle workspaces."""
@@ -337,6 +371,8 @@
 
 def _choose_reserved(groups: tuple[str, ...]) -> frozenset[str]:
     """Choose the groups that make up the headroom, alike at all nodes."""
+    if len(groups) < MIN_GROUPS_TO_RESERVE:
+        return frozenset()
     count = round(len(groups) * HEADROOM)
     ordered = sorted(groups, key=_hash_name)
     return frozenset(ordered[:count])
--- a/test/decisions/limits/test_admission.py
+++ b/test/decisions/limits/test_admission.py
@@ -26,6 +26,7 @@
 from chervilrock.generated import configuration, interfaces
 
 BOUND = 3
+MEMBERS = [f"node{i}" for i in range(8)]
 LIMITS: configuration.LimitSpec = {
     "queue": 6,
     "queue_wait_ms": 2000,
@@ -66,6 +67,7 @@
 @pytest.fixture
 def admission():
     made = admissions.Admission(node="a", limits=LIMITS, workspaces=WORKSPACES)
+    made.observe_members(MEMBERS, 0.0)
     made.observe_groups(make_endpoints(1), 0.0)
     return made
 
@@ -96,6 +98,7 @@
 
     @initialize(count=st.integers(0, 3))
     def start(self, count):
+        self.admission.observe_members(MEMBERS, self.now)
         self.admission.observe_groups(make_endpoints(count), self.now)
 
     def end(self, request_id, how):
