--- a/chervilrock/edges/path.py
+++ b/chervilrock/edges/path.py
@@ -11,11 +11,21 @@
 from chervilrock.decisions.routing.baselines import LeastInFlight
 from chervilrock.edges.context import RequestContext
 from chervilrock.edges.gate import AdmissionGate
-from chervilrock.edges.relay import TransferPool
+from chervilrock.edges.relay import Transfer, TransferEnd
+from chervilrock.platform.curlpool import CurlPool
 
 SWEEP_INTERVAL_S = 0.25
 """Time between two looks at the requests in progress, in seconds."""
 
+HANDLES = 64
+"""Transfers of one curl client; more of them get a further client."""
+
+MAX_TRANSFERS = 1 << 16
+"""Bound of the library; the admission bounds the requests."""
+
+MAX_TRANSFER_BYTES = 1 << 40
+"""Bound of the library; bodies are bounded where they are kept."""
+
 _UNSAFE = re.compile(r"[^A-Za-z0-9_-]")
 
 
@@ -42,7 +52,6 @@
     Attributes:
       context: the node.
       gate: where requests wait for their admission.
-      pool: runs the transfers to backend servers.
       service_policy: chooses backend servers of plain services.
     """
 
@@ -54,7 +63,11 @@
         """
         self.context = context
         self.gate = AdmissionGate(context=context)
-        self.pool = TransferPool()
+        self._curls = CurlPool(
+            max_requests=MAX_TRANSFERS,
+            max_body_size=MAX_TRANSFER_BYTES,
+            handles=HANDLES,
+        )
         self.service_policy: RoutingPolicy = LeastInFlight(
             rng=random.Random(f"{context.node_id}/{context.incarnation}")
         )
@@ -107,9 +120,14 @@
             for other in serving
         )
 
+    async def transmit(self, transfer: Transfer) -> TransferEnd:
+        """Runs a transfer to its end."""
+        with self._curls.borrow() as client:
+            return await transfer.run(client)
+
     def close(self) -> None:
         """Closes all connections to backend servers."""
-        self.pool.close()
+        self._curls.close()
 
     def _sweep_later(self) -> None:
         if not self._sweeping:
--- a/chervilrock/edges/relay.py
+++ b/chervilrock/edges/relay.py
@@ -7,7 +7,6 @@
 """
 
 import abc
-from collections.abc import Callable
 import os
 import socket
 from typing import NamedTuple
@@ -18,12 +17,6 @@
 
 from chervilrock.edges.heads import format_headers, Head, parse_head
 
-CLIENTS_PER_POOL = 256
-"""Transfers of one curl multi handle; more of them get a further one."""
-
-MAX_TRANSFER_BYTES = 1 << 40
-"""Bound of the library; bodies are bounded where they are kept."""
-
 DEFAULT_CONNECT_TIMEOUT_S = 1.0
 
 _SEND_OK: int = pycurl.PREREQFUNC_OK
@@ -233,59 +226,3 @@
     """
     curl.setopt(pycurl.FRESH_CONNECT, 1)
     curl.setopt(pycurl.FORBID_REUSE, 1)
-
-
-class TransferPool:
-    """Runs transfers; a pool of one node."""
-
-    def __init__(
-        self,
-        *,
-        make_client: Callable[[], CurlAsyncHTTPClient] | None = None,
-    ) -> None:
-        """Makes an empty pool for the running event loop.
-
-        Args:
-          make_client: makes a client for `CLIENTS_PER_POOL` transfers.
-        """
-        self._make_client = make_client or _make_client
-        self._clients: list[CurlAsyncHTTPClient] = []
-        self._running: list[int] = []
-
-    async def run(self, transfer: Transfer) -> TransferEnd:
-        """Runs a transfer to its end."""
-        index = self._choose()
-        self._running[index] += 1
-        try:
-            return await transfer.run(self._clients[index])
-        finally:
-            self._running[index] -= 1
-
-    @property
-    def running(self) -> int:
-        """Number of transfers that run now."""
-        return sum(self._running)
-
-    def close(self) -> None:
-        """Closes all connections."""
-        for client in self._clients:
-            client.close()
-        self._clients.clear()
-        self._running.clear()
-
-    def _choose(self) -> int:
-        """Returns the first client with room, so that few stay in use."""
-        for index, running in enumerate(self._running):
-            if running < CLIENTS_PER_POOL:
-                return index
-        self._clients.append(self._make_client())
-        self._running.append(0)
-        return len(self._clients) - 1
-
-
-def _make_client() -> CurlAsyncHTTPClient:
-    return CurlAsyncHTTPClient(
-        force_instance=True,
-        max_clients=CLIENTS_PER_POOL,
-        max_body_size=MAX_TRANSFER_BYTES,
-    )
--- a/chervilrock/edges/runs.py
+++ b/chervilrock/edges/runs.py
@@ -165,7 +165,7 @@
         self._transfer = transfer
         self._sink.attach(transfer)
         try:
-            return await self._path.pool.run(transfer)
+            return await self._path.transmit(transfer)
         finally:
             self._transfer = None
             self._sink.attach(None)
--- a/chervilrock/edges/tickets.py
+++ b/chervilrock/edges/tickets.py
@@ -128,7 +128,7 @@
         )
         transfer = Transfer(request=peer_request, receiver=receiver)
         sink.attach(transfer)
-        end = await self._path.pool.run(transfer)
+        end = await self._path.transmit(transfer)
         sink.attach(None)
         if end.head is None or end.error:
             once.fail(sink, UNREACHABLE)
