--- a/test/tasks/test_mailbox.py
+++ b/test/tasks/test_mailbox.py
@@ -8,8 +8,8 @@
 
 def test_cancellation_together_with_a_message_ends_the_task():
     async def check():
-        mailbox = Mailbox()
-        rounds = []
+        mailbox: Mailbox[str] = Mailbox()
+        rounds: list[str | None] = []
 
         async def work():
             while True:
@@ -30,7 +30,7 @@
 
 def test_cancellation_right_after_a_message_was_taken_ends_the_task():
     async def check():
-        mailbox = Mailbox()
+        mailbox: Mailbox[str] = Mailbox()
 
         async def work():
             while True:
@@ -52,14 +52,15 @@
 
 def test_wait_without_a_message_ends_with_none():
     async def check():
-        assert_that(await Mailbox().receive_within(0), Is(None))
+        mailbox: Mailbox[str] = Mailbox()
+        assert_that(await mailbox.receive_within(0), Is(None))
 
     asyncio.run(check())
 
 
 def test_full_mailbox_drops_the_oldest_offered_message():
     async def check():
-        mailbox = Mailbox(size=2)
+        mailbox: Mailbox[int] = Mailbox(size=2)
         for number in range(3):
             mailbox.offer(number)
         assert_that(mailbox.receive_waiting(), Equals((1, 2)))
