Give the messages of the mailbox tests their types, all of them

Cause: three of them were still missing. Change: the same assertions with types that mypy can infer.

--- a/test/tasks/test_mailbox.py
+++ b/test/tasks/test_mailbox.py
@@ -1,7 +1,7 @@
 import asyncio
 
 from testtools.assertions import assert_that
-from testtools.matchers import Equals, Is
+from testtools.matchers import Equals
 
 from chervilrock.tasks.mailbox import Mailbox
 
@@ -22,7 +22,7 @@
         for _ in range(10):
             await asyncio.sleep(0)
         assert_that(task.done(), Equals(True))
-        assert_that(rounds, Equals([]))
+        assert_that(len(rounds), Equals(0))
         assert_that(await mailbox.receive(), Equals("message"))
 
     asyncio.run(check())
@@ -53,7 +53,8 @@
 def test_wait_without_a_message_ends_with_none():
     async def check():
         mailbox: Mailbox[str] = Mailbox()
-        assert_that(await mailbox.receive_within(0), Is(None))
+        message = await mailbox.receive_within(0)
+        assert_that(message is None, Equals(True))
 
     asyncio.run(check())
 
@@ -63,7 +64,7 @@
         mailbox: Mailbox[int] = Mailbox(size=2)
         for number in range(3):
             mailbox.offer(number)
-        assert_that(mailbox.receive_waiting(), Equals((1, 2)))
+        assert_that(list(mailbox.receive_waiting()), Equals([1, 2]))
         assert_that(mailbox.dropped, Equals(1))
 
     asyncio.run(check())
