--- /dev/null
+++ b/bench/control.py
@@ -0,0 +1,218 @@
+"""Processor time of planning, by the number of hosts.
+
+Fabric domains of 66 hosts stand in up to 15 data centres; groups of 16 hosts
+of four models fill them, so that each domain keeps two hosts to spare
+(`spares`) or none (`full`, domains of 64). For each number of hosts:
+
+* `plan_host_loss_ms`: an indexed planner is told of the loss of one host,
+  again and again for random hosts, each of which comes back afterwards; the
+  median and the worst, for `spares` and for `full`, where another group must
+  give up its hosts.
+* `replan_all_ms`: a full plan from a view, with the index built anew: to form
+  all groups (`form`), with nothing to do (`steady`), and after the loss of a
+  whole domain and of one host in a hundred (`faults`).
+
+The last result names the figures at 12,000 hosts.
+"""
+
+from collections.abc import Iterable
+import random
+import statistics
+import time
+from typing import NamedTuple
+
+from chervilrock.decisions.actions import (
+    FormGroup,
+    GroupView,
+    HostView,
+    PlanInput,
+    Prices,
+)
+from chervilrock.decisions.planner import plan, Planner
+from chervilrock.generated.configuration import ModelSpec
+from chervilrock.generated.records import GroupPhase
+
+SIZES = (50, 500, 3_000, 12_000)
+QUICK_SIZES = (50, 500)
+GROUP_HOSTS = 16
+DOMAIN_GROUPS = 4
+DOMAIN_SPARES = 2
+DATA_CENTRES = 15
+MODELS = 4
+LOSSES = 200
+QUICK_LOSSES = 20
+REPEATS = 3
+NOW_S = 10_000.0
+LATER_S = 1_000.0
+
+
+class Timing(NamedTuple):
+    """Processor times in milliseconds."""
+
+    median: float
+    worst: float
+
+
+def run(*, quick: bool) -> Iterable[dict[str, object]]:
+    """Yields the times for each number of hosts, and those at the greatest."""
+    losses = QUICK_LOSSES if quick else LOSSES
+    result: dict[str, object] = {}
+    for size in QUICK_SIZES if quick else SIZES:
+        result = _run_size(size, losses)
+        yield result
+    if not quick:
+        yield {
+            "plan_host_loss_ms_12000": result["plan_host_loss_ms_full_worst"],
+            "replan_all_ms_12000": max(
+                _to_float(result[f"replan_all_ms_{name}"])
+                for name in ("form", "steady", "faults")
+            ),
+        }
+
+
+def make_hosts(count: int, spares: int) -> tuple[HostView, ...]:
+    """Returns free hosts in fabric domains of the same size."""
+    size = DOMAIN_GROUPS * GROUP_HOSTS + spares
+    return tuple(
+        HostView(
+            host=f"host-{number}",
+            data_centre=f"dc-{number // size % DATA_CENTRES}",
+            domain=f"fabric-{number // size}",
+            accelerators=1,
+            checks_fence=True,
+            present=True,
+            leaving=False,
+            free=True,
+            loaded=None,
+        )
+        for number in range(count)
+    )
+
+
+def make_models(hosts: int, spares: int) -> tuple[ModelSpec, ...]:
+    """Returns models that together want all groups that fit."""
+    size = DOMAIN_GROUPS * GROUP_HOSTS + spares
+    groups = hosts // size * DOMAIN_GROUPS
+    groups += hosts % size // GROUP_HOSTS
+    return tuple(
+        ModelSpec(
+            name=f"model-{number}",
+            version="v1",
+            groups=len(range(number, groups, MODELS)),
+            hosts_per_group=GROUP_HOSTS,
+            weight=1.0 + number,
+        )
+        for number in range(MODELS)
+    )
+
+
+def make_serving(
+    models: tuple[ModelSpec, ...], hosts: tuple[HostView, ...]
+) -> PlanInput:
+    """Returns the view in which everything that was formed serves."""
+    view = PlanInput(models, Prices(), hosts, ())
+    groups = tuple(
+        GroupView(
+            name=f"group-{number}",
+            model=action.model,
+            version=action.version,
+            adapters=action.adapters,
+            hosts=action.hosts,
+            domain=action.domain,
+            fence=number + 1,
+            phase=GroupPhase.SERVING,
+            missing=(),
+            missing_since=None,
+        )
+        for number, action in enumerate(plan(view, NOW_S))
+        if isinstance(action, FormGroup)
+    )
+    owned = {name for group in groups for name in group.hosts}
+    seen = tuple(
+        host._replace(free=host.host not in owned) for host in view.hosts
+    )
+    return view._replace(hosts=seen, groups=groups)
+
+
+def _run_size(size: int, losses: int) -> dict[str, object]:
+    result: dict[str, object] = {"hosts": size}
+    for name, spares in (("spares", DOMAIN_SPARES), ("full", 0)):
+        models = make_models(size, spares)
+        hosts = make_hosts(size, spares)
+        timing = _time_losses(make_serving(models, hosts), losses)
+        result[f"plan_host_loss_ms_{name}"] = timing.median
+        result[f"plan_host_loss_ms_{name}_worst"] = timing.worst
+    models = make_models(size, DOMAIN_SPARES)
+    hosts = make_hosts(size, DOMAIN_SPARES)
+    serving = make_serving(models, hosts)
+    for name, view in (
+        ("form", PlanInput(models, Prices(), hosts, ())),
+        ("steady", serving),
+        ("faults", _break(serving)),
+    ):
+        result[f"replan_all_ms_{name}"] = _time_plan(view)
+    return result
+
+
+def _time_losses(view: PlanInput, losses: int) -> Timing:
+    """Times `lose_host`; the lost host is away for longer than a pause."""
+    generator = random.Random(1)
+    planner = Planner()
+    planner.plan(view, NOW_S)
+    owned = [name for group in view.groups for name in group.hosts]
+    by_name = {host.host: host for host in view.hosts}
+    groups = {name: group for group in view.groups for name in group.hosts}
+    taken: list[float] = []
+    for _ in range(losses):
+        name = generator.choice(owned)
+        group = groups[name]
+        planner.put_group(group._replace(missing_since=NOW_S - LATER_S))
+        begin = time.process_time()
+        planner.lose_host(name, NOW_S)
+        taken.append(time.process_time() - begin)
+        planner.gain_host(by_name[name], NOW_S)
+        planner.put_group(group)
+    return Timing(
+        round(1000 * statistics.median(taken), 3),
+        round(1000 * max(taken), 3),
+    )
+
+
+def _time_plan(view: PlanInput) -> float:
+    """Returns the median time of a full plan in milliseconds."""
+    taken: list[float] = []
+    for _ in range(REPEATS):
+        begin = time.process_time()
+        plan(view, NOW_S)
+        taken.append(time.process_time() - begin)
+    return round(1000 * statistics.median(taken), 1)
+
+
+def _break(view: PlanInput) -> PlanInput:
+    """Returns the view after the loss of a domain and of many hosts."""
+    generator = random.Random(2)
+    dark = view.hosts[0].domain
+    lost = {
+        host.host
+        for host in view.hosts
+        if host.domain == dark or generator.random() < 1 / 100
+    }
+    hosts = tuple(
+        host._replace(present=host.host not in lost) for host in view.hosts
+    )
+    return view._replace(
+        hosts=hosts,
+        groups=tuple(_break_group(group, lost) for group in view.groups),
+    )
+
+
+def _break_group(group: GroupView, lost: set[str]) -> GroupView:
+    missing = tuple(name for name in group.hosts if name in lost)
+    since = NOW_S - LATER_S if missing else None
+    return group._replace(missing=missing, missing_since=since)
+
+
+def _to_float(value: object) -> float:
+    if not isinstance(value, float):
+        raise TypeError(f"{value!r} is no time")
+    return value
--- a/chervilrock/decisions/planner/baselines.py
+++ b/chervilrock/decisions/planner/baselines.py
@@ -26,6 +26,7 @@
         """Returns the actions for a whole view."""
         del now
         draft = Draft(inventory=Inventory(view=view))
+        dissolve_unwanted(draft)
         for spec in view.models:
             dissolve_surplus(draft, spec)
         for spec in view.models:
@@ -34,7 +35,6 @@
             _form_first_fit(draft, spec)
         for spec in view.models:
             replace_outdated(draft, spec)
-        dissolve_unwanted(draft)
         return tuple(draft.actions)
 
 
--- a/chervilrock/decisions/planner/inventory.py
+++ b/chervilrock/decisions/planner/inventory.py
@@ -47,13 +47,14 @@
         self.owner: dict[str, str] = {}
         self.groups_of_model: dict[str, set[str]] = {}
         self.groups_in_domain: dict[Domain, set[str]] = {}
+        self._losses: dict[str, tuple[str, ...]] = {}
         self.set_configuration(view.models, view.prices)
         for host in view.hosts:
             self.hosts[host.host] = host
         for group in view.groups:
             self.put_group(group)
         for host in view.hosts:
-            self.put_host(host)
+            self._index_free(host)
         self.accelerators_per_host = self.count_accelerators()
 
     def set_configuration(
@@ -69,14 +70,15 @@
         if old is not None:
             _discard(self.free, domain_of(old), old.host)
         self.hosts[host.host] = host
-        if self._is_usable(host):
-            self.free.setdefault(domain_of(host), set()).add(host.host)
+        self._index_free(host)
+        self._index_losses(host.host)
 
     def remove_host(self, name: str) -> None:
-        """Forgets a host."""
+        """Forgets a host; a group that has it has lost it."""
         host = self.hosts.pop(name, None)
         if host is not None:
             _discard(self.free, domain_of(host), name)
+            self._index_losses(name)
 
     def put_group(self, group: GroupView) -> None:
         """Adds a group or replaces what is known of it."""
@@ -90,12 +92,14 @@
                 domain = domain_of(host)
                 _discard(self.free, domain, name)
                 self.groups_in_domain.setdefault(domain, set()).add(group.name)
+        self._losses[group.name] = self._find_losses(group)
 
     def remove_group(self, name: str) -> None:
         """Forgets a group; its hosts stay as their own views say."""
         group = self.groups.pop(name, None)
         if group is None:
             return
+        del self._losses[name]
         _discard(self.groups_of_model, group.model, name)
         for host_name in group.hosts:
             if self.owner.get(host_name) == name:
@@ -114,9 +118,7 @@
 
     def get_losses(self, group: GroupView) -> tuple[str, ...]:
         """Returns the hosts of a group that are missing or leaving."""
-        return tuple(
-            name for name in group.hosts if not self.is_healthy(group, name)
-        )
+        return self._losses[group.name]
 
     def is_serving(self, group: GroupView) -> bool:
         """Tells whether a group serves and has lost no host."""
@@ -141,6 +143,21 @@
         total = sum(host.accelerators for host in self.hosts.values())
         return total / len(self.hosts)
 
+    def _find_losses(self, group: GroupView) -> tuple[str, ...]:
+        return tuple(
+            name for name in group.hosts if not self.is_healthy(group, name)
+        )
+
+    def _index_losses(self, host: str) -> None:
+        """Finds again what the group of a host has lost."""
+        group = self.groups.get(self.owner.get(host, ""))
+        if group is not None:
+            self._losses[group.name] = self._find_losses(group)
+
+    def _index_free(self, host: HostView) -> None:
+        if self._is_usable(host):
+            self.free.setdefault(domain_of(host), set()).add(host.host)
+
     def _is_usable(self, host: HostView) -> bool:
         return (
             host.free
--- a/chervilrock/decisions/planner/policy.py
+++ b/chervilrock/decisions/planner/policy.py
@@ -19,7 +19,7 @@
     replace_outdated,
 )
 from chervilrock.decisions.planner.repair import list_broken, repair_group
-from chervilrock.decisions.planner.specs import may_stand_in
+from chervilrock.decisions.planner.specs import is_current, may_stand_in
 from chervilrock.generated.configuration import ModelSpec
 
 
@@ -38,6 +38,37 @@
         replace_outdated(draft, spec)
 
 
+def decide_group(
+    draft: Draft,
+    knowledge: Knowledge,
+    group: GroupView,
+    *,
+    rearranges: bool,
+) -> None:
+    """Adds the actions for one broken group to a draft."""
+    spec = draft.inventory.models.get(group.model)
+    if spec is None or not is_current(spec, group):
+        return
+    repair_broken(draft, knowledge, spec, only=group.name)
+    if draft.count_missing(spec) == 0:
+        return
+    form_groups(draft, list_missing(draft, knowledge))
+    domain = draft.inventory.find_domain(group)
+    if rearranges and domain is not None and draft.count_missing(spec):
+        _arrange_again(draft, knowledge, domain)
+
+
+def decide_domain(draft: Draft, knowledge: Knowledge, domain: Domain) -> None:
+    """Adds the actions that the free hosts of one domain allow to a draft."""
+    inventory = draft.inventory
+    for name in sorted(inventory.groups_in_domain.get(domain, ())):
+        group = inventory.groups[name]
+        spec = inventory.models.get(group.model)
+        if spec is not None and inventory.get_losses(group):
+            repair_broken(draft, knowledge, spec, only=name)
+    form_groups(draft, list_missing(draft, knowledge))
+
+
 def list_models(draft: Draft) -> list[ModelSpec]:
     """Returns the wanted models, the greatest worth of a host first."""
     return sorted(
@@ -49,9 +80,20 @@
     )
 
 
-def repair_broken(draft: Draft, knowledge: Knowledge, spec: ModelSpec) -> None:
-    """Repairs the broken groups of a model, or chooses to wait for hosts."""
+def repair_broken(
+    draft: Draft, knowledge: Knowledge, spec: ModelSpec, only: str = ""
+) -> None:
+    """Repairs the broken groups of a model, or chooses to wait for hosts.
+
+    Args:
+      draft: the plan so far.
+      knowledge: estimates.
+      spec: the model.
+      only: name of the one group to repair, empty for all.
+    """
     for group in list_broken(draft, spec):
+        if only not in ("", group.name):
+            continue
         if draft.count_missing(spec) == 0:
             return
         if knowledge.is_wait_better(draft, group):
