--- a/chervilrock/decisions/planner/baselines.py
+++ b/chervilrock/decisions/planner/baselines.py
@@ -3,7 +3,7 @@
 from chervilrock.decisions.actions import Action, HostView, PlanInput
 from chervilrock.decisions.planner.base import GroupPlanner
 from chervilrock.decisions.planner.draft import Draft
-from chervilrock.decisions.planner.inventory import Domain, Inventory
+from chervilrock.decisions.planner.inventory import Inventory
 from chervilrock.decisions.planner.planner import Planner
 from chervilrock.decisions.planner.removal import (
     dissolve_surplus,
@@ -11,7 +11,11 @@
     replace_outdated,
 )
 from chervilrock.decisions.planner.repair import list_broken
-from chervilrock.decisions.planner.specs import is_current, may_stand_in
+from chervilrock.decisions.planner.specs import (
+    Domain,
+    is_current,
+    may_stand_in,
+)
 from chervilrock.generated.configuration import ModelSpec
 
 
--- a/chervilrock/decisions/planner/draft.py
+++ b/chervilrock/decisions/planner/draft.py
@@ -8,12 +8,8 @@
     HostView,
     RepairGroup,
 )
-from chervilrock.decisions.planner.inventory import (
-    Domain,
-    domain_of,
-    Inventory,
-)
-from chervilrock.decisions.planner.specs import is_current, is_ending
+from chervilrock.decisions.planner.inventory import domain_of, Inventory
+from chervilrock.decisions.planner.specs import Domain, is_ending
 from chervilrock.generated.configuration import ModelSpec
 
 
@@ -38,6 +34,7 @@
         self.locked: set[Domain] = set()
         self._taken: dict[Domain, set[str]] = {}
         self._dissolved: set[str] = set()
+        self._changes: dict[str, int] = {}
 
     def list_free(self, domain: Domain) -> list[HostView]:
         """Returns the usable hosts of a domain that no action has taken."""
@@ -80,14 +77,21 @@
 
     def count_missing(self, spec: ModelSpec) -> int:
         """Returns how many wanted groups no action or hope accounts for."""
-        found = sum(
-            1
-            for group in self.list_groups(spec)
-            if is_current(spec, group)
-            and (self.is_whole(group) or group.name in self.waiting)
-        )
-        forming = self.forming.get(spec["name"], 0)
-        return max(0, spec["groups"] - found - forming)
+        name = spec["name"]
+        found = len(self.inventory.whole.get(name, ()))
+        found += self._changes.get(name, 0) + self.forming.get(name, 0)
+        return max(0, spec["groups"] - found)
+
+    def count_serving(self, spec: ModelSpec) -> int:
+        """Returns how many groups of a model serve and are left alone."""
+        names = self.inventory.serving.get(spec["name"], set())
+        return len(names) - sum(1 for name in self.touched if name in names)
+
+    def wait(self, group: GroupView) -> None:
+        """Notes that a broken group will get its hosts without more ado."""
+        if group.name not in self.waiting:
+            self.waiting.add(group.name)
+            self._change(group, +1)
 
     def form(
         self, spec: ModelSpec, hosts: tuple[HostView, ...], domain: str
@@ -121,6 +125,7 @@
         """
         self._take(tuple(substitutes.values()))
         self.touched.add(group.name)
+        self._change(group, +1)
         hosts = tuple(
             substitutes[name].host if name in substitutes else name
             for name in group.hosts
@@ -129,10 +134,17 @@
 
     def dissolve(self, group: GroupView, reason: str) -> None:
         """Adds the end of a group."""
+        if group.name in self.inventory.whole.get(group.model, ()):
+            self._change(group, -1)
         self.touched.add(group.name)
         self._dissolved.add(group.name)
         self.actions.append(DissolveGroup(group.name, group.fence, reason))
 
+    def _change(self, group: GroupView, count: int) -> None:
+        """Notes a change of the number of groups that are accounted for."""
+        known = self._changes.get(group.model, 0)
+        self._changes[group.model] = known + count
+
     def _take(self, hosts: tuple[HostView, ...]) -> None:
         for host in hosts:
             self._taken.setdefault(domain_of(host), set()).add(host.host)
--- a/chervilrock/decisions/planner/formation.py
+++ b/chervilrock/decisions/planner/formation.py
@@ -9,10 +9,9 @@
 
 from chervilrock.decisions.actions import HostView
 from chervilrock.decisions.planner.draft import Draft
-from chervilrock.decisions.planner.inventory import Domain
 from chervilrock.decisions.planner.knowledge import estimate_group_worth
 from chervilrock.decisions.planner.placement import caches_model, choose_hosts
-from chervilrock.decisions.planner.specs import may_cross, may_stand_in
+from chervilrock.decisions.planner.specs import Domain, may_cross, may_stand_in
 from chervilrock.generated.configuration import ModelSpec
 
 _MOST_TRIED = 64
--- a/chervilrock/decisions/planner/inventory.py
+++ b/chervilrock/decisions/planner/inventory.py
@@ -1,7 +1,7 @@
 """Index over the hosts, the groups and the wanted models of a region."""
 
 from collections.abc import Iterable
-from typing import NamedTuple, TypeVar
+from typing import TypeVar
 
 from chervilrock.decisions.actions import (
     GroupView,
@@ -9,19 +9,17 @@
     PlanInput,
     Prices,
 )
+from chervilrock.decisions.planner.specs import (
+    Domain,
+    is_current,
+    is_ending,
+)
 from chervilrock.generated.configuration import ModelSpec
 from chervilrock.generated.records import GroupPhase
 
 _Key = TypeVar("_Key")
 
 
-class Domain(NamedTuple):
-    """Identity of a fabric domain; names may repeat between data centres."""
-
-    data_centre: str
-    name: str
-
-
 class Inventory:
     """What is known of a region, indexed for decisions.
 
@@ -35,6 +33,11 @@
       owner: name of the group for each host that is in one.
       groups_of_model: names of the groups for each model that has any.
       groups_in_domain: names of the groups with a host in a domain.
+      serving: names of the groups that serve, for each model that has any.
+      whole: names of the groups of the wanted version that have all hosts and
+        do not end, for each model that has any.
+      broken: names of the groups of the wanted version that have lost a host,
+        for each model that has any.
       accelerators_per_host: accelerators of a host on average.
     """
 
@@ -47,6 +50,9 @@
         self.owner: dict[str, str] = {}
         self.groups_of_model: dict[str, set[str]] = {}
         self.groups_in_domain: dict[Domain, set[str]] = {}
+        self.serving: dict[str, set[str]] = {}
+        self.whole: dict[str, set[str]] = {}
+        self.broken: dict[str, set[str]] = {}
         self._losses: dict[str, tuple[str, ...]] = {}
         self.set_configuration(view.models, view.prices)
         for host in view.hosts:
@@ -63,6 +69,8 @@
         """Replaces the wanted models and the costs."""
         self.models = {spec["name"]: spec for spec in models}
         self.prices = costs
+        for group in self.groups.values():
+            self._index_state(group)
 
     def put_host(self, host: HostView) -> None:
         """Adds a host or replaces what is known of it."""
@@ -93,12 +101,14 @@
                 _discard(self.free, domain, name)
                 self.groups_in_domain.setdefault(domain, set()).add(group.name)
         self._losses[group.name] = self._find_losses(group)
+        self._index_state(group)
 
     def remove_group(self, name: str) -> None:
         """Forgets a group; its hosts stay as their own views say."""
         group = self.groups.pop(name, None)
         if group is None:
             return
+        self._unindex_state(group)
         del self._losses[name]
         _discard(self.groups_of_model, group.model, name)
         for host_name in group.hosts:
@@ -153,6 +163,32 @@
         group = self.groups.get(self.owner.get(host, ""))
         if group is not None:
             self._losses[group.name] = self._find_losses(group)
+            self._index_state(group)
+
+    def _index_state(self, group: GroupView) -> None:
+        """Enters a group into the indexes by state, and out of others."""
+        self._unindex_state(group)
+        losses = self._losses[group.name]
+        if self.is_serving(group):
+            self.serving.setdefault(group.model, set()).add(group.name)
+        if not self._is_current(group):
+            return
+        if losses:
+            self.broken.setdefault(group.model, set()).add(group.name)
+        elif not is_ending(group):
+            self.whole.setdefault(group.model, set()).add(group.name)
+
+    def _unindex_state(self, group: GroupView) -> None:
+        for index in (self.serving, self.whole, self.broken):
+            _discard(index, group.model, group.name)
+
+    def _is_current(self, group: GroupView) -> bool:
+        spec = self.models.get(group.model)
+        return (
+            spec is not None
+            and group.phase != GroupPhase.DISSOLVED
+            and is_current(spec, group)
+        )
 
     def _index_free(self, host: HostView) -> None:
         if self._is_usable(host):
--- a/chervilrock/decisions/planner/knowledge.py
+++ b/chervilrock/decisions/planner/knowledge.py
@@ -61,9 +61,9 @@
         that never stood is missing for a long time.
         """
         rests = [
-            self.estimate_rest(draft, group)
-            for group in draft.list_groups(spec)
-            if not draft.is_whole(group)
+            self.estimate_rest(draft, draft.inventory.groups[name])
+            for name in draft.inventory.broken.get(spec["name"], ())
+            if name not in draft.touched and name not in draft.waiting
         ]
         if len(rests) < draft.count_missing(spec):
             return _HORIZON_S
--- a/chervilrock/decisions/planner/policy.py
+++ b/chervilrock/decisions/planner/policy.py
@@ -3,7 +3,6 @@
 from chervilrock.decisions.actions import GroupView
 from chervilrock.decisions.planner.draft import Draft
 from chervilrock.decisions.planner.formation import form_groups
-from chervilrock.decisions.planner.inventory import Domain
 from chervilrock.decisions.planner.knowledge import (
     estimate_group_worth,
     Knowledge,
@@ -19,7 +18,7 @@
     replace_outdated,
 )
 from chervilrock.decisions.planner.repair import list_broken, repair_group
-from chervilrock.decisions.planner.specs import is_current, may_stand_in
+from chervilrock.decisions.planner.specs import Domain, is_current, may_stand_in
 from chervilrock.generated.configuration import ModelSpec
 
 
@@ -97,7 +96,7 @@
         if draft.count_missing(spec) == 0:
             return
         if knowledge.is_wait_better(draft, group):
-            draft.waiting.add(group.name)
+            draft.wait(group)
         else:
             repair_group(draft, spec, group)
 
--- a/chervilrock/decisions/planner/rearrangement.py
+++ b/chervilrock/decisions/planner/rearrangement.py
@@ -11,7 +11,6 @@
 from chervilrock.decisions.planner.draft import Draft
 from chervilrock.decisions.planner.estimates import estimate_load
 from chervilrock.decisions.planner.formation import has_room
-from chervilrock.decisions.planner.inventory import Domain
 from chervilrock.decisions.planner.knowledge import (
     estimate_group_worth,
     Knowledge,
@@ -20,6 +19,7 @@
 from chervilrock.decisions.planner.placement import choose_hosts
 from chervilrock.decisions.planner.repair import repair_group
 from chervilrock.decisions.planner.specs import (
+    Domain,
     is_current,
     is_ending,
     may_stand_in,
@@ -102,7 +102,7 @@
     for group in found.repaired:
         spec = draft.inventory.models[group.model]
         if not repair_group(draft, spec, group):
-            draft.waiting.add(group.name)
+            draft.wait(group)
             draft.locked.add(found.domain)
     for spec in found.formed:
         free = draft.list_free(found.domain)
@@ -270,11 +270,7 @@
             serving.setdefault(group.model, []).append(group)
     for model, here in serving.items():
         spec = inventory.models[model]
-        everywhere = sum(
-            1
-            for group in draft.list_groups(spec)
-            if inventory.is_serving(group) and group.name not in draft.touched
-        )
+        everywhere = draft.count_serving(spec)
         if everywhere <= len(here):
             kept.add(here[0].name)
     return kept
--- a/chervilrock/decisions/planner/repair.py
+++ b/chervilrock/decisions/planner/repair.py
@@ -2,16 +2,14 @@
 
 from chervilrock.decisions.actions import GroupView, HostView
 from chervilrock.decisions.planner.draft import Draft
-from chervilrock.decisions.planner.inventory import Domain
 from chervilrock.decisions.planner.placement import choose_substitutes
 from chervilrock.decisions.planner.specs import (
-    is_current,
+    Domain,
     is_ending,
     may_cross,
     may_stand_in,
 )
 from chervilrock.generated.configuration import ModelSpec
-from chervilrock.generated.records import GroupPhase
 
 
 def list_broken(draft: Draft, spec: ModelSpec) -> list[GroupView]:
@@ -20,15 +18,10 @@
     A group that drains since a host of it is leaving can still be repaired.
     """
     inventory = draft.inventory
-    names = inventory.groups_of_model.get(spec["name"], ())
-    groups = (inventory.groups[name] for name in names)
     broken = [
-        group
-        for group in groups
-        if group.name not in draft.touched
-        and group.phase != GroupPhase.DISSOLVED
-        and is_current(spec, group)
-        and inventory.get_losses(group)
+        inventory.groups[name]
+        for name in inventory.broken.get(spec["name"], ())
+        if name not in draft.touched
     ]
     broken.sort(
         key=lambda each: (
--- a/chervilrock/decisions/planner/specs.py
+++ b/chervilrock/decisions/planner/specs.py
@@ -1,7 +1,8 @@
 """Questions about the wanted models and their groups."""
 
+from typing import NamedTuple
+
 from chervilrock.decisions.actions import GroupView
-from chervilrock.decisions.planner.inventory import Domain
 from chervilrock.generated.configuration import ModelSpec
 from chervilrock.generated.records import GroupPhase
 
@@ -9,6 +10,13 @@
 _ENDING = (GroupPhase.DRAINING, GroupPhase.DISSOLVED)
 
 
+class Domain(NamedTuple):
+    """Identity of a fabric domain; names may repeat between data centres."""
+
+    data_centre: str
+    name: str
+
+
 def is_current(spec: ModelSpec, group: GroupView) -> bool:
     """Tells whether a group is what its model asks for today."""
     return (
