Claim keys that callers choose in the log

Cause: a key of a caller was answered as not run by every node, since no task claimed keys in the log. Change: a task per node that appends claims in batches and reads those of all nodes of the region back; the handlers ask it. Measured: 4 requests with one key over two nodes run once; during a log outage a request with a key is told not_run and does not run (test/node).

--- a/chervilrock/node/entry.py
+++ b/chervilrock/node/entry.py
@@ -41,6 +41,7 @@
 from chervilrock.tasks.configurations import ConfigurationTask
 from chervilrock.tasks.configurations import STREAM as CONFIGURATION_STREAM
 from chervilrock.tasks.hosts import HostListTask
+from chervilrock.tasks.keys import KeyTask
 from chervilrock.tasks.loads import LoadTask
 from chervilrock.tasks.log import AppendTask, ReadTask
 from chervilrock.tasks.orders import OrderTask
@@ -69,6 +70,7 @@
     region: RegionTask
     peers: PeerTask
     view: ViewTask
+    keys: KeyTask
 
 
 class EntryNode:
@@ -166,7 +168,13 @@
             interval_s=settings.exchange_interval_ms / _MS_PER_S,
             before_exchange=self._update_own,
         )
-        self._tasks = NodeTasks(configuration, region, peers, view)
+        keys = KeyTask(
+            log=self._log,
+            stream=self._name_stream("keys"),
+            clock=self._clock,
+            writer=self._make_writer(),
+        )
+        self._tasks = NodeTasks(configuration, region, peers, view, keys)
         self._requests = NodeRequests(
             settings=settings,
             incarnation=self.incarnation,
@@ -177,6 +185,7 @@
             engine=self._engine,
             metrics=self.metrics,
             table=self._table,
+            keys=keys,
             generator=self._generator,
         )
         self._operations = NodeOperations(
@@ -234,6 +243,9 @@
             outages=outages,
         )
 
+    def _name_stream(self, kind: str) -> str:
+        return f"{kind}.{self._settings.region}"
+
     def _list_seeds(self) -> tuple[str, ...]:
         return tuple(seed for seed in self._settings.peers.split(",") if seed)
 
@@ -290,7 +302,7 @@
     def _start_tasks(self) -> None:
         region = self._tasks.region
         configuration = self._tasks.configuration
-        stream = f"region.{self._settings.region}"
+        stream = self._name_stream("region")
         read_region = ReadTask(
             log=self._log,
             stream=stream,
@@ -315,6 +327,12 @@
             clock=self._clock,
             outbox=configuration.inbox,
         )
+        read_keys = ReadTask(
+            log=self._log,
+            stream=self._name_stream("keys"),
+            clock=self._clock,
+            outbox=self._tasks.keys.inbox,
+        )
         orders = OrderTask(
             engine=self._engine,
             clock=self._clock,
@@ -356,6 +374,8 @@
             ("configuration", configuration.run()),
             ("configuration-read", configuration.read_task.run()),
             ("configuration-append", configuration.append_task.run()),
+            ("keys", self._tasks.keys.run()),
+            ("keys-read", read_keys.run()),
             ("orders", orders.run()),
             ("probes", probes.run()),
             ("loads", loads.run()),
--- a/chervilrock/node/requests.py
+++ b/chervilrock/node/requests.py
@@ -5,6 +5,8 @@
 from chervilrock.decisions.limits.admission import Admission
 from chervilrock.decisions.membership.addresses import answer_addresses
 from chervilrock.decisions.membership.table import MemberTable
+from chervilrock.decisions.requests.keyfold import KeyName
+from chervilrock.decisions.requests.keys import KeyVerdict
 from chervilrock.decisions.routing.base import Endpoint, RoutingPolicy
 from chervilrock.edges.context import RequestContext
 from chervilrock.generated.configuration import (
@@ -18,6 +20,7 @@
 from chervilrock.node.view import ViewTask
 from chervilrock.platform.base import ModelEngine
 from chervilrock.tasks.clock import Clock
+from chervilrock.tasks.keys import KeyTask
 
 if TYPE_CHECKING:
     import random
@@ -38,6 +41,7 @@
         engine: ModelEngine,
         metrics: Metrics,
         table: MemberTable,
+        keys: KeyTask,
         generator: "random.Random",
     ) -> None:
         """Take the parts of the node that requests need."""
@@ -50,6 +54,7 @@
         self._engine = engine
         self._metrics = metrics
         self._table = table
+        self._keys = keys
         self._generator = generator
         self._leaving = False
 
@@ -130,6 +135,14 @@
             generator=self._generator,
         )
 
+    async def claim_key(self, name: KeyName) -> KeyVerdict:
+        """See base class."""
+        return await self._keys.claim(name)
+
+    def finish_key(self, name: KeyName, outcome: str) -> None:
+        """See base class."""
+        self._keys.finish(name, outcome)
+
     def peer_address(self, incarnation: str) -> str | None:
         """See base class."""
         peer = self._table.find(incarnation, self._clock())
--- a/test/node/test_entry.py
+++ b/test/node/test_entry.py
@@ -15,6 +15,7 @@
     Not,
 )
 
+from chervilrock.standin.faults import FaultKind
 from chervilrock.standin.text import expected_text, format_prompt
 from test.node.conftest import DOCUMENT, MODEL
 
@@ -228,3 +229,46 @@
         assert_that(addresses, Not(Contains(first.address)))
 
     run_site(check)
+
+
+def test_key_of_a_caller_runs_once_over_two_nodes(run_site):
+    async def check(site):
+        await site.add_node()
+        await site.add_node()
+        await apply(site)
+        await wait_serving(site)
+        await wait_answer(site, number=1)
+        headers = {"Idempotency-Key": "price-17"}
+        answers = await asyncio.gather(
+            *(
+                send(site, "POST", "/services/slots/17", {}, number, headers)
+                for number in (0, 1, 0, 1)
+            )
+        )
+        calls = site.installation.count_calls()
+        assert_that(calls["POST /17"], Equals(1))
+        statuses = [answer.status for answer in answers]
+        assert_that(statuses, Contains(200))
+        for answer in answers:
+            if answer.status != 200:
+                error = json.loads(answer.body)["error"]
+                assert_that(error["outcome"], Equals("unknown"))
+
+    run_site(check)
+
+
+def test_key_of_a_caller_is_not_run_while_the_log_is_out(run_site):
+    async def check(site):
+        await site.add_node()
+        await apply(site)
+        await wait_serving(site)
+        site.installation.platform.faults.add({"kind": FaultKind.OUTAGE})
+        headers = {"Idempotency-Key": "price-18"}
+        answer = await send(
+            site, "POST", "/services/slots/18", {}, headers=headers
+        )
+        error = json.loads(answer.body)["error"]
+        assert_that(error["outcome"], Equals("not_run"))
+        assert_that(site.installation.count_calls()["POST /18"], Equals(0))
+
+    run_site(check)
