--- a/chervilrock/edges/callers.py
+++ b/chervilrock/edges/callers.py
@@ -18,7 +18,7 @@
 )
 from chervilrock.edges.path import RequestPath
 from chervilrock.edges.runs import BackendRun
-from chervilrock.edges.sinks import CallerSink
+from chervilrock.edges.sinks import CallerSink, Headers
 from chervilrock.edges.state import BodyLimits, make_state
 from chervilrock.edges.tickets import METHOD_HEADER, TARGET_HEADER
 from chervilrock.generated.interfaces import Outcome
@@ -119,6 +119,7 @@
 class RunHandler(BodyHandler):
     """Answers a request that backend servers run."""
 
+    passes_headers = True
     _sink: CallerSink | None = None
     _run: BackendRun | None = None
 
@@ -148,7 +149,7 @@
             request_id=self.request_id,
             method=method,
             target=target,
-            headers=tuple(self.request.headers.get_all()),
+            headers=self._copy_headers(),
             parsed=self.headers,
             body=body,
             deadline=self.find_deadline(),
@@ -161,6 +162,12 @@
         await self._answer_prepared(request, prepared.unwrap(), self._sink)
         await self._sink.drain(DRAIN_TIMEOUT_S)
 
+    def _copy_headers(self) -> Headers:
+        """Returns the headers if they go on to another server."""
+        if self.passes_headers or self.headers.key:
+            return tuple(self.request.headers.get_all())
+        return ()
+
     async def _answer_prepared(
         self, request: CallerRequest, prepared: Prepared, sink: CallerSink
     ) -> None:
@@ -182,6 +189,8 @@
 class CompletionHandler(RunHandler):
     """Answers a completion or chat request."""
 
+    passes_headers = False
+
     async def post(self) -> None:
         """Runs the request and passes its answer on."""
         await self.answer("POST", self.request.path)
--- a/chervilrock/edges/dispatch.py
+++ b/chervilrock/edges/dispatch.py
@@ -32,7 +32,8 @@
       request_id: identity that this node gave it.
       method: HTTP method.
       target: path and query.
-      headers: all headers.
+      headers: all headers of a call of a plain service or with a key, else
+        none.
       parsed: what the headers for this system say.
       body: body.
       deadline: time in seconds until which the caller waits.
--- a/chervilrock/edges/handlers.py
+++ b/chervilrock/edges/handlers.py
@@ -1,6 +1,5 @@
 """Base of the handlers for callers."""
 
-import asyncio
 from typing import Any
 
 import msgspec
@@ -16,7 +15,7 @@
     parse_count,
     parse_headers,
 )
-from chervilrock.edges.path import RequestPath
+from chervilrock.edges.path import BodyReader, RequestPath
 from chervilrock.edges.sinks import CallerSink
 from chervilrock.edges.state import CallerState
 from chervilrock.generated.interfaces import Outcome
@@ -87,18 +86,10 @@
         """Returns what is known of the request after a fault of this node."""
         return Outcome.NOT_RUN
 
-    def options_allowed(self) -> str:
-        """Returns the methods that this handler knows."""
-        known = type(self).__dict__
-        names = [
-            name for name in self.SUPPORTED_METHODS if name.lower() in known
-        ]
-        return ", ".join([*names, "OPTIONS"])
-
     def options(self, *_args: str) -> None:
         """Tells which methods there are."""
-        self.set_status(204)
-        self.set_header("Allow", self.options_allowed())
+        self.set_status(_STATUS_NO_CONTENT)
+        self.set_header("Allow", self.allowed)
         self.finish()
 
 
@@ -122,7 +113,7 @@
 
 
 @web.stream_request_body
-class BodyHandler(CallerHandler):
+class BodyHandler(CallerHandler, BodyReader):
     """Reads the body of a request for a backend server within bounds."""
 
     allowed = "POST, OPTIONS"
@@ -132,7 +123,6 @@
         """Checks the head, before the body is read."""
         self._chunks: list[bytes] = []
         self._size = 0
-        self._timer: asyncio.TimerHandle | None = None
         self.arrived = self.path.context.now()
         self.headers = CallerHeaders("", 0, None, None, "")
         if self.request.method == "OPTIONS" and not self.relays_options:
@@ -144,10 +134,7 @@
         connection = self.request.connection
         assert isinstance(connection, HTTP1Connection)
         connection.set_max_body_size(self._find_longest_drain())
-        loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(
-            self.state.limits.timeout_s, self._refuse_late_body
-        )
+        self.path.await_body(self)
 
     def data_received(self, chunk: bytes) -> None:
         """Takes a part of the body."""
@@ -159,15 +146,15 @@
 
     def on_finish(self) -> None:
         """Forgets the body."""
-        self._stop_timer()
+        self.path.forget_body(self)
 
     def on_connection_close(self) -> None:
         """Takes note that the caller is gone."""
-        self._stop_timer()
+        self.path.forget_body(self)
 
     def take_body(self) -> bytes | None:
         """Returns the body, or None when the request has been refused."""
-        self._stop_timer()
+        self.path.forget_body(self)
         if self._finished:
             return None
         if self._size > self.state.limits.max_bytes:
@@ -218,14 +205,11 @@
         message = f"the body is greater than {longest} bytes"
         return CallerError(ErrorCode.BODY_TOO_LARGE, message)
 
-    def _refuse_late_body(self) -> None:
-        """Refuses a request whose body does not come."""
-        self._timer = None
+    def check_body(self, now: float) -> None:
+        """Refuses the request when its body does not come."""
+        if now - self.arrived < self.state.limits.timeout_s:
+            return
+        self.path.forget_body(self)
         if not self._finished:
             message = "the body did not come in time"
             self.refuse(CallerError(ErrorCode.BODY_TIMEOUT, message))
-
-    def _stop_timer(self) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
--- a/chervilrock/edges/path.py
+++ b/chervilrock/edges/path.py
@@ -46,6 +46,14 @@
         """Looks whether the run still gets on."""
 
 
+class BodyReader(abc.ABC):
+    """A request whose body is still on its way."""
+
+    @abc.abstractmethod
+    def check_body(self, now: float) -> None:
+        """Looks whether the body is late."""
+
+
 class RequestPath:
     """State of the request path of one node.
 
@@ -72,6 +80,7 @@
             rng=random.Random(f"{context.node_id}/{context.incarnation}")
         )
         self._runs: set[Run] = set()
+        self._bodies: set[BodyReader] = set()
         self._tasks: set[asyncio.Task[Any]] = set()
         self._sweeping = False
         self._sequence = 0
@@ -101,6 +110,15 @@
         """Stops looking after a run."""
         self._runs.discard(run)
 
+    def await_body(self, reader: BodyReader) -> None:
+        """Looks after a request until its body has come."""
+        self._bodies.add(reader)
+        self._sweep_later()
+
+    def forget_body(self, reader: BodyReader) -> None:
+        """Stops looking after the body of a request."""
+        self._bodies.discard(reader)
+
     def start_task(self, work: Coroutine[Any, Any, Any]) -> None:
         """Runs something that nobody waits for."""
         task = asyncio.get_running_loop().create_task(work)
@@ -142,5 +160,7 @@
         self.gate.sweep(now)
         for run in self.list_runs():
             run.check(now)
-        if self._runs:
+        for reader in tuple(self._bodies):
+            reader.check_body(now)
+        if self._runs or self._bodies:
             self._sweep_later()
