Count requests as in progress until their callers have the answer

A stop could cut the rest of an answer that a slow caller had yet to read, and tickets that were passed on to another node were not counted at all.

--- a/chervilrock/edges/callers.py
+++ b/chervilrock/edges/callers.py
@@ -159,8 +159,9 @@
             self.refuse(prepared.failure())
             return
         self._sink = self.make_sink()
-        await self._answer_prepared(request, prepared.unwrap(), self._sink)
-        await self._sink.drain(DRAIN_TIMEOUT_S)
+        with self.path.hold():
+            await self._answer_prepared(request, prepared.unwrap(), self._sink)
+            await self._sink.drain(DRAIN_TIMEOUT_S)
 
     def _copy_headers(self) -> Headers:
         """Returns the headers if they go on to another server."""
--- a/chervilrock/edges/once.py
+++ b/chervilrock/edges/once.py
@@ -95,7 +95,8 @@
         """Runs a request, whether or not its caller stays."""
         outcome = Outcome.UNKNOWN
         try:
-            end = await prepared.make_run(recording).run()
+            with self._path.hold():
+                end = await prepared.make_run(recording).run()
             if end.error is not None:
                 outcome = end.error.outcome
         finally:
--- a/chervilrock/edges/path.py
+++ b/chervilrock/edges/path.py
@@ -2,7 +2,8 @@
 
 import abc
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Coroutine, Iterator
+import contextlib
 import random
 import re
 from typing import Any
@@ -83,14 +84,27 @@
         self._bodies: set[BodyReader] = set()
         self._tasks: set[asyncio.Task[Any]] = set()
         self._sweeping = False
+        self._held = 0
         self._sequence = 0
         name = f"{context.node_id}-{context.incarnation}"
         self._id_start = _UNSAFE.sub("_", name)
 
     @property
     def in_flight(self) -> int:
-        """Number of requests in progress."""
-        return len(self._runs)
+        """Number of requests whose answer is not with its caller yet.
+
+        Runs that outlive their callers count as well.
+        """
+        return self._held
+
+    @contextlib.contextmanager
+    def hold(self) -> Iterator[None]:
+        """Counts a request as one in progress."""
+        self._held += 1
+        try:
+            yield
+        finally:
+            self._held -= 1
 
     def list_runs(self) -> tuple[Run, ...]:
         """Returns the requests in progress."""
@@ -156,11 +170,11 @@
     def _sweep(self) -> None:
         """Looks at all requests in progress."""
         self._sweeping = False
+        if self._runs or self._bodies:
+            self._sweep_later()
         now = self.context.now()
         self.gate.sweep(now)
         for run in self.list_runs():
             run.check(now)
         for reader in tuple(self._bodies):
             reader.check_body(now)
-        if self._runs or self._bodies:
-            self._sweep_later()
--- a/chervilrock/edges/sinks.py
+++ b/chervilrock/edges/sinks.py
@@ -121,6 +121,7 @@
         self._closed = False
         self._blocked_since: float | None = None
         self._ended: asyncio.Future[None] | None = None
+        self._gone: asyncio.Future[None] | None = None
 
     @property
     def blocked_since(self) -> float | None:
@@ -190,13 +191,21 @@
         """
         if self._ended is None or self._ended.done():
             return
-        await asyncio.wait({self._ended}, timeout=timeout_s)
+        # The library does not complete a write to a connection that closes.
+        self._gone = asyncio.get_running_loop().create_future()
+        await asyncio.wait(
+            {self._ended, self._gone},
+            timeout=timeout_s,
+            return_when=asyncio.FIRST_COMPLETED,
+        )
         if not self._ended.done():
             self.cut()
 
     def close(self) -> None:
         """Takes note that the caller is gone."""
         self._closed = True
+        if self._gone is not None and not self._gone.done():
+            self._gone.set_result(None)
         self._release()
 
     def attach(self, transfer: Transfer | None) -> None:
--- a/test/edges/test_slow_callers.py
+++ b/test/edges/test_slow_callers.py
@@ -79,3 +79,24 @@
         writer.close()
 
     loop.run(read_nothing())
+
+
+def test_unread_answer_counts_as_in_progress_until_its_caller_leaves(
+    loop: asyncio.Runner, site: Site
+) -> None:
+    async def leave_unread() -> None:
+        host, port = site.address.split(":")
+        connection = socket.socket()
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER_BYTES)
+        connection.connect((host, int(port)))
+        body = {"model": "m", "prompt": "p", "max_tokens": 20 * TOKENS}
+        request = make_request("/v1/completions", msgspec.json.encode(body))
+        connection.sendall(request)
+        while not site.count_runs() or site.path.list_runs():
+            await asyncio.sleep(0)
+        assert_that(site.path.in_flight, Equals(1))
+        connection.close()
+        while site.path.in_flight:
+            await asyncio.sleep(0)
+
+    loop.run(leave_unread())
