--- a/test/test_processes.py
+++ b/test/test_processes.py
@@ -104,14 +104,7 @@
         ]
         body = {"hosts": hosts, "services": [], "age_ms": 0}
         call("PUT", f"http://{store}/hosts", body)
-        identity = (
-            "--node",
-            "a",
-            "--region",
-            "east",
-            "--data-centre",
-            "east-1",
-        )
+        place = ("--region", "east", "--data-centre", "east-1")
         node = stack.enter_context(
             start(
                 "serve", "--node", "a", *local, *place, "--log-service", store
@@ -138,9 +131,7 @@
     url = f"http://{address}/v1/completions"
     limit = time.monotonic() + LIMIT_S
     while time.monotonic() < limit:
-        status, answer = call(
-            "POST", f"http://{address}/v1/completions", REQUEST
-        )
+        status, answer = call("POST", url, REQUEST)
         if status == 200:
             return answer
         assert_that(answer["error"]["outcome"], Equals("not_run"))
