Use granted spares while the log is out

Cause: decide_outage was called nowhere, so a host that died while the log service was out stayed lost until the end of the outage. The status did not tell a node that knows nothing from a region without groups. Change: the region task asks decide_outage once a planning interval while reads fail (out since the last read that succeeded), not while the node stops. What controls is a part of its own, made and imported when the lease is granted. The report of a group shows the hosts and the number that it has now; the status has region_known. Conclusion: a spare granted ahead is used in an outage and adopted by the log afterwards; groups with an engine that ignores fences are left alone.

--- a/chervilrock/decisions/presence.py
+++ b/chervilrock/decisions/presence.py
@@ -181,18 +181,28 @@
             return False
         return evidence.incarnation == group.find_incarnation(host)
 
+    def find_composition(self, group: Group, now: float) -> Group:
+        """Return a group with the hosts and the number that it has now.
+
+        They differ from those on record only for a serving group that was
+        repaired under its reserve fencing number and is whole.
+        """
+        if group.phase is not GroupPhase.SERVING or self.whole(group, now):
+            return group
+        repaired = self.compose_reserve(group, now)
+        if repaired is not None and self.whole(repaired, now):
+            return repaired
+        return group
+
     def _find_servable(
         self, region: RegionState, now: float
     ) -> Iterator[Group]:
         for group in region.groups.values():
             if group.phase is not GroupPhase.SERVING:
                 continue
-            if self.whole(group, now):
-                yield group
-                continue
-            repaired = self.compose_reserve(group, now)
-            if repaired is not None and self.whole(repaired, now):
-                yield repaired
+            composed = self.find_composition(group, now)
+            if composed is not group or self.whole(group, now):
+                yield composed
 
     def _is_fenced(self, group: Group, now: float) -> bool:
         found = (self.find(host, now) for host in group.hosts)
--- a/chervilrock/node/operations.py
+++ b/chervilrock/node/operations.py
@@ -105,6 +105,7 @@
             operator="" if accepted is None else accepted.operator,
             controller=report.controller,
             log_reachable=report.reachable,
+            region_known=report.known,
             nodes=tuple(
                 self._report_node(peer, alive)
                 for peer, alive in self._table.known(now)
--- a/chervilrock/tasks/region.py
+++ b/chervilrock/tasks/region.py
@@ -5,28 +5,21 @@
 by messages.
 """
 
-import asyncio
-from typing import NamedTuple
+from typing import TYPE_CHECKING
 
 from chervilrock import events
-from chervilrock.decisions.control.effects import AppendRecord, Effect
-from chervilrock.decisions.control.progress import Progress
-from chervilrock.decisions.controller import decide
 from chervilrock.decisions.lease import LeaseStep, LeaseView
 from chervilrock.decisions.ownership import Group
-from chervilrock.decisions.planner import Planner, prices
 from chervilrock.decisions.presence import PresenceTable
 from chervilrock.decisions.records import Body, RecordWriter
 from chervilrock.decisions.region import RegionState
-from chervilrock.decisions.snapshots import SnapshotSchedule, split_snapshot
+from chervilrock.decisions.snapshots import SnapshotSchedule
 from chervilrock.decisions.streams import FoldStep, ReadResult, StreamReader
 from chervilrock.decisions.verdicts import VerdictKind
 from chervilrock.decisions.views import (
     count_missing_groups,
     list_endpoints,
     list_stranded,
-    TimedEndpoint,
-    view_region,
 )
 from chervilrock.generated.configuration import Configuration, ModelSpec
 from chervilrock.generated.interfaces import HostEntry, ServiceEntry
@@ -37,11 +30,9 @@
     GroupPhase,
 )
 from chervilrock.metrics import Metrics
-from chervilrock.tasks.clock import Clock, read_day
-from chervilrock.tasks.idleness import IdleTable
+from chervilrock.tasks.clock import Clock
 from chervilrock.tasks.loads import GroupLoad, LoadTarget
-from chervilrock.tasks.log import AppendTask, ReadTask
-from chervilrock.tasks.mailbox import Mailbox, Outbox
+from chervilrock.tasks.mailbox import Mailbox
 from chervilrock.tasks.messages import (
     BatchAppended,
     ConfigurationInForce,
@@ -52,81 +43,32 @@
     ProbeTarget,
     ReadFailed,
 )
-from chervilrock.tasks.orders import OrderRequest, OrderTask
 from chervilrock.tasks.outages import OutageLog
 from chervilrock.tasks.region_events import RegionEvents
-from chervilrock.tasks.region_report import make_report, RegionReport
-
-TICK_S = 0.1
-PLAN_INTERVAL_S = 0.3
-_MS_PER_S = 1000
-
-
-class ReportWanted(NamedTuple):
-    """Somebody wants a report of the region."""
-
-    reply: "asyncio.Future[RegionReport]"
-
-
-class LeaseGivenUp(NamedTuple):
-    """The node stops, so it gives the lease up."""
-
-    done: "asyncio.Future[None]"
-
-
-Message = (
-    PageRead
-    | ReadFailed
-    | BatchAppended
-    | HostProbed
-    | HostsListed
-    | OrderAnswered
-    | ConfigurationInForce
-    | GroupLoad
-    | ReportWanted
-    | LeaseGivenUp
+from chervilrock.tasks.region_messages import (
+    LeaseGivenUp,
+    RegionFacts,
+    RegionIdentity,
+    RegionMessage,
+    RegionPorts,
+    ReportWanted,
+    ServingView,
 )
+from chervilrock.tasks.region_report import make_report, RegionReport
 
+if TYPE_CHECKING:
+    from chervilrock.tasks.region_control import RegionControl
 
-class ServingView(NamedTuple):
-    """What requests are routed by.
-
-    Attributes:
-      endpoints: groups that may get requests, each for a while
-      services: backend servers of plain services that are not leaving
-      known: whether the region stream is known to this node
-      holds_lease: whether this node controls the region
-    """
-
-    endpoints: tuple[TimedEndpoint, ...] = ()
-    services: tuple[ServiceEntry, ...] = ()
-    known: bool = False
-    holds_lease: bool = False
-
-
-class RegionIdentity(NamedTuple):
-    """Who this node is in its region."""
-
-    region: str
-    node: str
-    address: str
-    lease_ms: int
-
-    @property
-    def stream(self) -> str:
-        """Name of the stream of the region."""
-        return f"region.{self.region}"
-
-
-class RegionPorts(NamedTuple):
-    """The tasks and mailboxes that the region task writes to."""
+__all__ = [
+    "LeaseGivenUp",
+    "RegionIdentity",
+    "RegionPorts",
+    "RegionTask",
+    "ReportWanted",
+    "ServingView",
+]
 
-    reader: ReadTask
-    appender: AppendTask
-    orders: OrderTask
-    probes: Outbox[tuple[ProbeTarget, ...]]
-    loads: Outbox[tuple[LoadTarget, ...]]
-    views: tuple[Outbox[ServingView], ...]
+TICK_S = 0.1
 
 
 class RegionTask:
@@ -154,18 +96,16 @@
         self._metrics = metrics
         self._outages = outages
         self._reader = StreamReader(fold=RegionState())
-        self._progress = Progress()
-        self._planner = Planner()
-        self._idle = IdleTable()
+        self._control: RegionControl | None = None
         self._events = RegionEvents(region=identity.region)
         self._hosts: dict[str, HostEntry] = {}
         self._services: tuple[ServiceEntry, ...] = ()
         self._configuration: Configuration | None = None
         self._revision = 0
-        self._planned_at = 0.0
+        self._read_at: float | None = None
         self._measured_at: float | None = None
         self._stopping = False
-        self.inbox: Mailbox[Message] = Mailbox(size=4096)
+        self.inbox: Mailbox[RegionMessage] = Mailbox(size=4096)
 
     @property
     def _region(self) -> RegionState:
@@ -181,7 +121,9 @@
                     self._handle(message, ports, self._clock())
             self._step(ports, self._clock())
 
-    def _handle(self, message: Message, ports: RegionPorts, now: float) -> None:
+    def _handle(
+        self, message: RegionMessage, ports: RegionPorts, now: float
+    ) -> None:
         if isinstance(message, HostProbed):
             self._take_probe(message)
         elif isinstance(message, PageRead):
@@ -198,9 +140,11 @@
         elif isinstance(message, ConfigurationInForce):
             self._configuration = message.document
             self._revision = message.revision
-            self._planned_at = 0.0
+            if self._control is not None:
+                self._control.plan_soon()
         elif isinstance(message, GroupLoad):
-            self._idle.note_load(message)
+            if self._control is not None:
+                self._control.note_load(message)
         elif isinstance(message, ReportWanted):
             message.reply.set_result(self._make_report(now))
         else:
@@ -212,6 +156,7 @@
 
     def _take_page(self, message: PageRead, ports: RegionPorts) -> None:
         self._outages.note_success(self._identity.stream, message.read_at)
+        self._read_at = message.read_at
         was_known = self._reader.known
         result = self._reader.read(message.start, message.page)
         if result.position != message.start:
@@ -242,19 +187,17 @@
         if step.verdict.kind is VerdictKind.SKIPPED:
             return
         self._lease.read(record_id, step.verdict, now)
-        self._progress.note_read(record_id)
+        if self._control is not None:
+            self._control.note_read(record_id)
         if step.verdict.accepted:
             self._events.note_record(step.verdict.body, step.stored.offset)
 
     def _take_append(self, message: BatchAppended) -> None:
-        taken = message.ended_at - message.sent_at
         if message.error is None:
+            taken = message.ended_at - message.sent_at
             self._metrics.log_append_seconds.observe(taken)
-            return
-        if message.error.effect_possible:
-            return
-        for record in message.records:
-            self._progress.note_read(record.record_id)
+        if self._control is not None:
+            self._control.note_appended(message)
 
     def _take_hosts(self, message: HostsListed, ports: RegionPorts) -> None:
         self._hosts = {
@@ -272,9 +215,8 @@
         ports.probes.offer(targets)
 
     def _take_order(self, message: OrderAnswered) -> None:
-        self._progress.note_answered(
-            message.host, message.order, message.accepted, message.sent_at
-        )
+        if self._control is not None:
+            self._control.note_answered(message)
         if message.accepted is False and message.state is not None:
             self._events.note_refused(
                 message.host, message.order["fence"], message.state["fence"]
@@ -286,7 +228,8 @@
         self._stopping = True
         if self._lease.may_act(now):
             epoch = self._lease.holder.epoch
-            self._append(ControllerReleased(epoch=epoch), ports, now)
+            record = self._writer.prepare(ControllerReleased(epoch=epoch))
+            ports.appender.inbox.offer(record)
             self._events.note_released(epoch)
         self._lease.holder.drop()
         message.done.set_result(None)
@@ -298,9 +241,7 @@
         self._events.note_lease(self._lease.holder.epoch, now)
         holds = self._lease.may_act(now)
         self._metrics.lease_held.set(1 if holds else 0)
-        if holds and now >= self._planned_at + PLAN_INTERVAL_S:
-            self._planned_at = now
-            self._control_safely(ports, now)
+        self._control_safely(ports, now)
         view = self._make_view(now)
         self._measure(view, holds, now)
         self._publish(view, ports)
@@ -329,92 +270,59 @@
         self._lease.holder.note_sent(record.record_id, now)
         ports.appender.inbox.offer(record)
 
-    def _append(self, body: Body, ports: RegionPorts, now: float) -> None:
-        record = self._writer.prepare(body)
-        self._progress.note_appended(body, record.record_id, now)
-        ports.appender.inbox.offer(record)
-
     def _control_safely(self, ports: RegionPorts, now: float) -> None:
         """Control the region; a fault in it must not stop the requests.
 
         Each node would fail in turn, while the groups could go on serving.
         """
         try:
-            self._control(ports, now)
+            self._control_region(ports, now)
         except Exception as error:  # noqa: BLE001
             events.emit(
                 events.Event.TASK_FAILED, task="control", error=repr(error)
             )
 
-    def _control(self, ports: RegionPorts, now: float) -> None:
-        if self._configuration is None or not self._reader.known:
+    def _control_region(self, ports: RegionPorts, now: float) -> None:
+        """Control the region if this node was granted its epoch."""
+        if not self._lease.granted or self._configuration is None:
             return
-        for effect in self._decide(self._configuration, now):
-            self._perform(effect, ports, now)
-        self._write_snapshot(ports, now)
-        self._progress.retain(
-            self._hosts.keys() | self._region.owners.keys(),
-            set(self._region.groups),
-        )
-
-    def _decide(
-        self, configuration: Configuration, now: float
-    ) -> tuple[Effect, ...]:
-        view = view_region(
+        if self._stopping or not self._reader.known:
+            return
+        facts = RegionFacts(
             region=self._region,
+            lease=self._lease,
             presence=self._presence,
             hosts=self._hosts,
-            models=self._models(),
-            prices=prices(configuration.get("objective"), read_day()),
-            now=now,
-        )
-        return decide(
-            region=self._region,
-            wanted=configuration,
+            configuration=self._configuration,
             revision=self._revision,
-            presence=self._presence,
-            hosts=self._hosts.values(),
-            actions=self._planner.plan(view, now),
-            pending=self._progress,
-            lease=self._lease,
-            now=now,
-            idle=self._idle.find_idle(),
         )
+        control = self._find_control(ports)
+        control.control(facts, self._find_outage(), now)
+
+    def _find_control(self, ports: RegionPorts) -> "RegionControl":
+        """Return the part that controls, which is made when it is needed."""
+        if self._control is None:
+            from chervilrock.tasks.region_control import RegionControl
+
+            self._control = RegionControl(
+                stream=self._identity.stream,
+                writer=self._writer,
+                schedule=self._schedule,
+                ports=ports,
+            )
+        return self._control
+
+    def _find_outage(self) -> float | None:
+        """Return when the log was last read, if it cannot be read now."""
+        if self._outages.is_out(self._identity.stream):
+            return self._read_at
+        return None
 
     def _models(self) -> tuple[ModelSpec, ...]:
         if self._configuration is None:
             return ()
         return tuple(self._configuration["models"])
 
-    def _perform(self, effect: Effect, ports: RegionPorts, now: float) -> None:
-        if isinstance(effect, AppendRecord):
-            self._append(effect.body, ports, now)
-            return
-        self._progress.note_ordered(effect, now)
-        request = OrderRequest(
-            host=effect.host,
-            address=effect.address,
-            order=effect.order,
-            valid_until=effect.valid_until,
-        )
-        ports.orders.inbox.offer(request)
-
-    def _write_snapshot(self, ports: RegionPorts, now: float) -> None:
-        region = self._region
-        if not self._schedule.is_due(region.upto, now):
-            return
-        stream = self._identity.stream
-        name = f"{self._writer.writer}/{stream}/{region.upto}"
-        for part in split_snapshot(name, region.upto, region.export()):
-            ports.appender.inbox.offer(self._writer.prepare(part))
-        self._schedule.note_written(now)
-        events.emit(
-            events.Event.SNAPSHOT_WRITTEN,
-            snapshot=name,
-            stream=stream,
-            upto=region.upto,
-        )
-
     def _make_view(self, now: float) -> ServingView:
         known = self._reader.known
         endpoints = list_endpoints(
@@ -436,7 +344,6 @@
         groups = self._region.groups.values()
         targets = [self._find_leader(group) for group in groups]
         ports.loads.offer(tuple(t for t in targets if t is not None))
-        self._idle.retain(groups, self._clock())
 
     def _find_leader(self, group: Group) -> LoadTarget | None:
         entry = self._hosts.get(group.hosts[0])
--- /dev/null
+++ b/chervilrock/tasks/region_messages.py
@@ -0,0 +1,114 @@
+"""Messages of the region task, and what it is connected to."""
+
+import asyncio
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from chervilrock.decisions.lease import LeaseView
+from chervilrock.decisions.presence import PresenceTable
+from chervilrock.decisions.region import RegionState
+from chervilrock.decisions.views import TimedEndpoint
+from chervilrock.generated.configuration import Configuration
+from chervilrock.generated.interfaces import HostEntry, ServiceEntry
+from chervilrock.tasks.loads import GroupLoad, LoadTarget
+from chervilrock.tasks.log import AppendTask, ReadTask
+from chervilrock.tasks.mailbox import Outbox
+from chervilrock.tasks.messages import (
+    BatchAppended,
+    ConfigurationInForce,
+    HostProbed,
+    HostsListed,
+    OrderAnswered,
+    PageRead,
+    ProbeTarget,
+    ReadFailed,
+)
+from chervilrock.tasks.orders import OrderTask
+from chervilrock.tasks.region_report import RegionReport
+
+
+class ReportWanted(NamedTuple):
+    """Somebody wants a report of the region."""
+
+    reply: "asyncio.Future[RegionReport]"
+
+
+class LeaseGivenUp(NamedTuple):
+    """The node stops, so it gives the lease up."""
+
+    done: "asyncio.Future[None]"
+
+
+RegionMessage = (
+    PageRead
+    | ReadFailed
+    | BatchAppended
+    | HostProbed
+    | HostsListed
+    | OrderAnswered
+    | ConfigurationInForce
+    | GroupLoad
+    | ReportWanted
+    | LeaseGivenUp
+)
+
+
+class ServingView(NamedTuple):
+    """What requests are routed by.
+
+    Attributes:
+      endpoints: groups that may get requests, each for a while
+      services: backend servers of plain services that are not leaving
+      known: whether the region stream is known to this node
+      holds_lease: whether this node controls the region
+    """
+
+    endpoints: tuple[TimedEndpoint, ...] = ()
+    services: tuple[ServiceEntry, ...] = ()
+    known: bool = False
+    holds_lease: bool = False
+
+
+class RegionIdentity(NamedTuple):
+    """Who this node is in its region."""
+
+    region: str
+    node: str
+    address: str
+    lease_ms: int
+
+    @property
+    def stream(self) -> str:
+        """Name of the stream of the region."""
+        return f"region.{self.region}"
+
+
+class RegionPorts(NamedTuple):
+    """The tasks and mailboxes that the region task writes to."""
+
+    reader: ReadTask
+    appender: AppendTask
+    orders: OrderTask
+    probes: Outbox[tuple[ProbeTarget, ...]]
+    loads: Outbox[tuple[LoadTarget, ...]]
+    views: tuple[Outbox[ServingView], ...]
+
+
+class RegionFacts(NamedTuple):
+    """What a node knows of its region at one moment.
+
+    Attributes:
+      region: folded state of the region stream
+      lease: the lease as this node knows it
+      presence: evidence of the hosts
+      hosts: host list of the region, by name
+      configuration: configuration in force
+      revision: its revision
+    """
+
+    region: RegionState
+    lease: LeaseView
+    presence: PresenceTable
+    hosts: Mapping[str, HostEntry]
+    configuration: Configuration
+    revision: int
--- a/chervilrock/tasks/region_report.py
+++ b/chervilrock/tasks/region_report.py
@@ -80,6 +80,8 @@
 def _report_group(
     group: Group, presence: PresenceTable, now: float
 ) -> GroupStatus:
+    """Return the group as it is, also when a spare came in without the log."""
+    group = presence.find_composition(group, now)
     return GroupStatus(
         group=group.name,
         model=group.model,
--- a/chervilrock/ui/status.py
+++ b/chervilrock/ui/status.py
@@ -92,10 +92,13 @@
     revision = "none"
     if status["revision"]:
         revision = f"revision {status['revision']} of {status['operator']}"
+    region = status["region"]
+    if not status.get("region_known", True):
+        region += ", NOT KNOWN to this node: it serves no group yet"
     log = "reachable" if status["log_reachable"] else "NOT REACHABLE"
     lines = (
         f"configuration: {revision}",
-        f"region:        {status['region']}",
+        f"region:        {region}",
         f"controller:    {status['controller'] or 'none'}",
         f"log service:   {log} from node {status['node']}",
     )
--- /dev/null
+++ b/test/tasks/region_site.py
@@ -0,0 +1,161 @@
+"""A small installation whose nodes have a clock that a test can put forward."""
+
+import asyncio
+import json
+
+import msgspec
+
+from chervilrock.generated.interfaces import HostEntry, HostList
+from chervilrock.generated.settings import NodeSettings
+from chervilrock.node import EntryNode
+from chervilrock.platform.base import ModelEntry
+from chervilrock.platform.httpclient import HttpClient
+from chervilrock.standin.engine import EngineOptions
+from chervilrock.standin.faults import FaultKind, FaultRule
+from chervilrock.standin.installation import Installation
+from chervilrock.tasks.clock import read_clock
+
+MODEL = "writer"
+DOCUMENT = {
+    "name": "test",
+    "data_centres": ["north-1"],
+    "models": [
+        {
+            "name": MODEL,
+            "version": "1",
+            "groups": 1,
+            "hosts_per_group": 2,
+            "spares": 1,
+        }
+    ],
+}
+BODY = {
+    "model": MODEL,
+    "messages": [{"role": "user", "content": "a note"}],
+    "max_tokens": 2,
+}
+
+
+class ShiftedClock:
+    """The clock of the process, put forward by a test."""
+
+    def __init__(self):
+        self.shift = 0.0
+
+    def __call__(self):
+        return read_clock() + self.shift
+
+
+class RegionSite:
+    """Stand-ins, and entry nodes on one clock."""
+
+    def __init__(self, *, fenced):
+        self.clock = ShiftedClock()
+        self.http = HttpClient()
+        self.nodes: list[EntryNode] = []
+        hosts = tuple(make_host(*item) for item in enumerate(fenced))
+        self.installation = Installation(
+            hosts=HostList(hosts=hosts, services=(), age_ms=0),
+            models={MODEL: ModelEntry(versions=("1",), adapters=(), bytes=1)},
+            engine_options=EngineOptions(),
+        )
+
+    async def add_node(self):
+        settings = NodeSettings(
+            node=f"entry-{len(self.nodes)}",
+            listen="127.0.0.1:0",
+            region="north",
+            data_centre="north-1",
+            log_service=self.installation.platform.address,
+            peers=",".join(node.address for node in self.nodes),
+            lease_ms=600,
+            probe_interval_ms=50,
+            presence_limit_ms=1000,
+            exchange_interval_ms=100,
+            address_ttl_s=0.1,
+        )
+        node = EntryNode(settings=settings, clock=self.clock)
+        await node.start()
+        self.nodes.append(node)
+        return node
+
+    async def stop(self):
+        for node in self.nodes:
+            await node.kill()
+        await self.installation.stop()
+        self.http.close()
+
+    async def begin_outage(self):
+        """Let the log service fail, and wait until each node has noticed."""
+        fault = FaultRule(kind=FaultKind.OUTAGE, path="/log")
+        self.installation.platform.faults.add(fault)
+        for number in range(len(self.nodes)):
+            await self.wait_status(lambda one: not one["log_reachable"], number)
+
+    def end_outage(self):
+        self.installation.platform.faults.clear()
+
+    async def send(self, method, path, value=None, number=0):
+        """Return the status and the decoded body of an answer of a node."""
+        body = None if value is None else msgspec.json.encode(value)
+        url = f"http://{self.nodes[number].address}{path}"
+        result = await self.http.request(method, url, timeout_s=20, body=body)
+        answer = result.unwrap()
+        return answer.status, json.loads(answer.body)
+
+    async def apply(self):
+        request = {"base_revision": 0, "operator": "t", "document": DOCUMENT}
+        return await self.send("POST", "/admin/apply", request)
+
+    async def read_status(self, number=0):
+        _, status = await self.send("GET", "/admin/status", number=number)
+        return status
+
+    async def complete(self, number=0):
+        """Return the status of a completion request."""
+        path = "/v1/chat/completions"
+        status, _ = await self.send("POST", path, BODY, number)
+        return status
+
+    async def wait_status(self, fits, number=0):
+        """Return the first status of a node that fits."""
+        while not fits(status := await self.read_status(number)):
+            await asyncio.sleep(0)
+        return status
+
+    async def wait_answer(self, number=0):
+        """Wait until a request is answered."""
+        while await self.complete(number) != 200:
+            await asyncio.sleep(0)
+
+    async def wait_probes(self, host, count):
+        """Wait until the engine of a host got some more requests."""
+        engine = self.installation.engines[host]
+        wanted = engine.arrivals + count
+        while engine.arrivals < wanted:
+            await asyncio.sleep(0)
+
+    def find_shard(self, host):
+        """Return what the engine of a host holds."""
+        return self.installation.engines[host].shards.shard
+
+
+def make_host(number, fenced):
+    return HostEntry(
+        host=f"host-{number}",
+        address="127.0.0.1:0",
+        data_centre="north-1",
+        domain="north-1-a",
+        region="north",
+        accelerators=8,
+        leaving=False,
+        checks_fence=fenced,
+    )
+
+
+def is_serving(status):
+    """Return whether each group of a status serves and misses no host."""
+    groups = status["groups"]
+    return bool(groups) and all(
+        group["phase"] == "serving" and not group["missing"] for group in groups
+    )
--- a/test/ui/test_status_command.py
+++ b/test/ui/test_status_command.py
@@ -102,6 +102,14 @@
     assert_that(printed, Not(Contains("GROUP")))
 
 
+def test_status_of_a_node_that_does_not_know_its_region(
+    node: FakeNode, run: Run
+) -> None:
+    node.answer_status(region_known=False)
+    ended = run("status", "--node", node.address)
+    assert_that(ended.out, Contains("region:        r1, NOT KNOWN"))
+
+
 def test_dump_prints_the_state(node: FakeNode, run: Run) -> None:
     node.answer("/state", b'{"tasks":{"log":{"offset":4}}}')
     ended = run("dump", node.address)
