Show the planner what is under way and the spares as free

Cause: the region task had a view for the planner of its own. It left out the hosts in records under way, took unfit hosts for free ones and spares for owned ones, so a wanted group was never formed from spares, and a slow log could have brought a second group in place of one. Change: the task uses make_plan_input, and the other view is gone. That view now shows groups and repairs under way as if they were accepted. A fabric domain in which a host is being released gives no new spares: once spares counted as free, the planner asked for one, it was taken back, and another host of the domain became a spare before the first was free, without end. Conclusion: one view, and spares serve both wanted groups and outages.

--- a/chervilrock/decisions/control/progress.py
+++ b/chervilrock/decisions/control/progress.py
@@ -5,7 +5,7 @@
 again, and a wait starts anew.
 """
 
-from collections.abc import Hashable
+from collections.abc import Hashable, Iterator
 import enum
 from typing import NamedTuple
 
@@ -149,19 +149,30 @@
         pending = self._pending.get(find_key(body))
         return pending is not None and now < pending.since + self._pending_s
 
+    def list_compositions(
+        self, now: float
+    ) -> Iterator[GroupGranted | GroupRepaired]:
+        """Yield the records under way that give a group its hosts."""
+        for body in self._list_bodies(now):
+            if isinstance(body, GroupGranted | GroupRepaired):
+                yield body
+
     def find_claimed(self, now: float) -> set[str]:
         """Return the hosts that records under way give to a group."""
         claimed: set[str] = set()
-        for pending in self._pending.values():
-            body = pending.body
-            if now >= pending.since + self._pending_s:
-                continue
+        for body in self._list_bodies(now):
             if isinstance(body, GroupGranted | GroupRepaired):
                 claimed.update(body.hosts)
             elif isinstance(body, SparesGranted):
                 claimed.update(body.spares)
         return claimed
 
+    def _list_bodies(self, now: float) -> Iterator[Body]:
+        """Yield the bodies of the records that count as under way."""
+        for pending in self._pending.values():
+            if now < pending.since + self._pending_s:
+                yield pending.body
+
     def note_ordered(self, effect: SendOrder, now: float) -> None:
         """Note that an order is being sent."""
         last = self._orders.get(effect.host)
--- a/chervilrock/decisions/control/spares.py
+++ b/chervilrock/decisions/control/spares.py
@@ -33,9 +33,12 @@
         self._free: dict[_Domain, list[str]] = {}
         self._held: Counter[tuple[str, _Domain]] = Counter()
         wanted = _find_wanted(context)
+        releasing = _find_releasing(context)
         for host in sorted(context.hosts):
-            if host not in wanted and _is_fit(context, host):
-                domain = _find_domain(context.hosts[host])
+            domain = _find_domain(context.hosts[host])
+            if host in wanted or domain in releasing:
+                continue
+            if _is_fit(context, host):
                 self._free.setdefault(domain, []).append(host)
 
     def choose(self, group: Group) -> tuple[str, ...]:
@@ -121,6 +124,17 @@
     return wanted
 
 
+def _find_releasing(context: ControlContext) -> set[_Domain]:
+    """Return the domains in which a host will soon be free.
+
+    With it the planner may have enough hosts for a group. It could even have
+    asked for that host, and would ask for it again and again if another host
+    of the domain became a spare meanwhile.
+    """
+    entries = (context.hosts.get(host) for host in context.region.revoked)
+    return {_find_domain(entry) for entry in entries if entry is not None}
+
+
 def _may_hold(context: ControlContext, group: Group) -> bool:
     if not context.is_serving(group):
         return False
--- a/chervilrock/decisions/control/view.py
+++ b/chervilrock/decisions/control/view.py
@@ -14,7 +14,7 @@
 from chervilrock.decisions.region import RegionState
 from chervilrock.generated.configuration import Configuration
 from chervilrock.generated.interfaces import EnginePhase, HostEntry
-from chervilrock.generated.records import GroupPhase
+from chervilrock.generated.records import GroupGranted, GroupPhase
 
 
 def make_plan_input(
@@ -34,11 +34,12 @@
       wanted: configuration in force.
       presence: evidence of the hosts.
       hosts: host list, of this region.
-      pending: records under way, whose hosts are not free any more.
+      pending: records under way, which count as if they were accepted.
       prices: costs that hold now.
       now: present time in seconds.
     """
     claimed = pending.find_claimed(now)
+    groups = _list_groups(region, pending, now)
     spares = {host for group in region.groups.values() for host in group.spares}
     views = []
     for entry in hosts:
@@ -54,12 +55,50 @@
         hosts=tuple(views),
         groups=tuple(
             _view_group(group, presence, now)
-            for group in region.groups.values()
+            for group in groups.values()
             if group.phase is not GroupPhase.DISSOLVED
         ),
     )
 
 
+def _list_groups(
+    region: RegionState, pending: Progress, now: float
+) -> dict[str, Group]:
+    """Return the groups by name as they are once records under way are read.
+
+    Otherwise the planner would ask for a group a second time, with other
+    hosts, while the log is slow.
+    """
+    groups = dict(region.groups)
+    for body in pending.list_compositions(now):
+        group = groups.get(body.group)
+        if isinstance(body, GroupGranted):
+            groups.setdefault(body.group, _make_granted(body))
+        elif group is not None and group.fence == body.fence:
+            groups[body.group] = group._replace(
+                hosts=body.hosts,
+                domain=body.domain,
+                phase=GroupPhase.LOADING,
+                reserve=0,
+            )
+    return groups
+
+
+def _make_granted(body: GroupGranted) -> Group:
+    """Return a group whose grant is under way; it has no number yet."""
+    return Group(
+        name=body.group,
+        model=body.model,
+        version=body.version,
+        adapters=body.adapters,
+        hosts=body.hosts,
+        domain=body.domain,
+        fence=0,
+        phase=GroupPhase.LOADING,
+        revision=body.revision,
+    )
+
+
 def _view_host(
     entry: HostEntry, evidence: Evidence | None, unowned: bool
 ) -> HostView:
--- a/chervilrock/decisions/views.py
+++ b/chervilrock/decisions/views.py
@@ -1,80 +1,14 @@
-"""Views of a region: what the planner sees and what requests are routed by."""
+"""What requests are routed by, and figures of a region for operators."""
 
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
-from chervilrock.decisions.actions import (
-    GroupView,
-    HostView,
-    PlanInput,
-    Prices,
-)
 from chervilrock.decisions.ownership import Group
 from chervilrock.decisions.presence import PresenceTable
 from chervilrock.decisions.region import RegionState
 from chervilrock.decisions.routing.base import Endpoint
 from chervilrock.generated.configuration import ModelSpec
 from chervilrock.generated.interfaces import HostEntry
-from chervilrock.generated.records import GroupPhase
-
-
-def view_region(
-    *,
-    region: RegionState,
-    presence: PresenceTable,
-    hosts: Mapping[str, HostEntry],
-    models: tuple[ModelSpec, ...],
-    prices: Prices,
-    now: float,
-) -> PlanInput:
-    """Return what the planner sees of a region."""
-    return PlanInput(
-        models=models,
-        prices=prices,
-        hosts=tuple(
-            _view_host(region, presence, entry, now) for entry in hosts.values()
-        ),
-        groups=tuple(
-            _view_group(presence, group, now)
-            for group in region.groups.values()
-            if group.phase is not GroupPhase.DISSOLVED
-        ),
-    )
-
-
-def _view_host(
-    region: RegionState, presence: PresenceTable, entry: HostEntry, now: float
-) -> HostView:
-    evidence = presence.find(entry["host"], now)
-    return HostView(
-        host=entry["host"],
-        data_centre=entry["data_centre"],
-        domain=entry["domain"],
-        accelerators=entry["accelerators"],
-        checks_fence=entry["checks_fence"],
-        present=evidence is not None,
-        leaving=entry["leaving"],
-        free=region.is_free(entry["host"]),
-        loaded=None if evidence is None else evidence.shard,
-    )
-
-
-def _view_group(presence: PresenceTable, group: Group, now: float) -> GroupView:
-    missing = presence.missing(group, now)
-    since = [presence.missing_since(host, now) for host in missing]
-    known = [one for one in since if one is not None]
-    return GroupView(
-        name=group.name,
-        model=group.model,
-        version=group.version,
-        adapters=group.adapters,
-        hosts=group.hosts,
-        domain=group.domain,
-        fence=group.fence,
-        phase=group.phase,
-        missing=missing,
-        missing_since=min(known) if known else None,
-    )
 
 
 class TimedEndpoint(NamedTuple):
--- a/chervilrock/tasks/region.py
+++ b/chervilrock/tasks/region.py
@@ -115,11 +115,15 @@
         """Follow the region until cancelled."""
         while True:
             first = await self.inbox.receive_within(TICK_S)
-            messages = self.inbox.receive_waiting()
-            for message in (first, *messages):
-                if message is not None:
-                    self._handle(message, ports, self._clock())
-            self._step(ports, self._clock())
+            if first is not None:
+                self._handle(first, ports, self._clock())
+            self.advance(ports)
+
+    def advance(self, ports: RegionPorts) -> None:
+        """Take the messages that wait, and do what is due."""
+        for message in self.inbox.receive_waiting():
+            self._handle(message, ports, self._clock())
+        self._step(ports, self._clock())
 
     def _handle(
         self, message: RegionMessage, ports: RegionPorts, now: float
--- a/chervilrock/tasks/region_control.py
+++ b/chervilrock/tasks/region_control.py
@@ -7,13 +7,13 @@
 from chervilrock import events
 from chervilrock.decisions.control.effects import AppendRecord, Effect
 from chervilrock.decisions.control.progress import Progress
+from chervilrock.decisions.control.view import make_plan_input
 from chervilrock.decisions.controller import decide
 from chervilrock.decisions.outage import decide_outage
 from chervilrock.decisions.planner import Planner, prices
 from chervilrock.decisions.records import Body, RecordWriter
 from chervilrock.decisions.region import RegionState
 from chervilrock.decisions.snapshots import SnapshotSchedule, split_snapshot
-from chervilrock.decisions.views import view_region
 from chervilrock.generated.records import RecordId
 from chervilrock.tasks.clock import read_day
 from chervilrock.tasks.idleness import IdleTable
@@ -125,11 +125,12 @@
 
     def _decide(self, facts: RegionFacts, now: float) -> tuple[Effect, ...]:
         wanted = facts.configuration
-        view = view_region(
+        view = make_plan_input(
             region=facts.region,
+            wanted=wanted,
             presence=facts.presence,
-            hosts=facts.hosts,
-            models=tuple(wanted["models"]),
+            hosts=facts.hosts.values(),
+            pending=self._progress,
             prices=prices(wanted.get("objective"), read_day()),
             now=now,
         )
