--- a/chervilrock/edges/relay.py
+++ b/chervilrock/edges/relay.py
@@ -17,6 +17,9 @@
 
 from chervilrock.edges.heads import format_headers, Head, parse_head
 
+SEND_BUFFER_BYTES = 16 * 1024
+"""The least that libcurl takes; it holds the buffer for a whole transfer."""
+
 DEFAULT_CONNECT_TIMEOUT_S = 1.0
 
 _SEND_OK: int = pycurl.PREREQFUNC_OK
@@ -159,6 +162,7 @@
         self._curl = curl
         curl.setopt(pycurl.NOPROXY, "*")
         curl.setopt(pycurl.PATH_AS_IS, 1)
+        curl.setopt(pycurl.UPLOAD_BUFFERSIZE, SEND_BUFFER_BYTES)
         curl.setopt(pycurl.HTTPHEADER, format_headers(self._request.headers))
         curl.setopt(pycurl.PREREQFUNCTION, self._note_send)
         curl.setopt(pycurl.HEADERFUNCTION, self._lines.append)
