Arrange pairs of fabric domains, and learn how fast shards load

Two domains are now arranged together, exactly, so that a move counts its hosts; hosts that are being released are known to come (HostView.releasing); an arrangement that ends whole groups waits as long as a return of the missing hosts is the better bet; and all its loads count as sharing the weight store, whose rate is learnt from loads that ended.

--- /dev/null
+++ b/bench/group_optimum.py
@@ -0,0 +1,276 @@
+"""Cost of the policy against the exact optimum on small random cases.
+
+A case has two or three fabric domains of 4 to 9 hosts, and two or three models
+with groups of 2 to 5 hosts; groups stand where chance put them. Then up to four
+hosts, and in one case of five a whole domain, are lost for good. The cost of
+four hours is compared:
+
+* the policy runs in the replay, with all its rules and delays, after it has
+  learnt that hosts which go stay away for long;
+* the optimum is that of an integer program: which groups to keep, to repair
+  or to form in which domain, with the load times of the replay but without
+  drains and releases, so it is a lower bound. As for the policy, a model that
+  still serves after the loss never ceases to.
+
+The weight store is fast enough here for all loads at once.
+"""
+
+from collections.abc import Iterator
+import random
+from typing import NamedTuple
+
+import numpy as np
+from scipy.optimize import Bounds, LinearConstraint, milp
+
+from bench.group_history import Fault, FaultKind
+from bench.group_replay import HOST_RATE, Measure, Replay, Site, START_S
+from chervilrock.decisions.actions import (
+    Action,
+    FormGroup,
+    HostView,
+    PlanInput,
+    Prices,
+)
+from chervilrock.decisions.planner import GroupPlanner, Planner
+from chervilrock.generated.configuration import ModelSpec
+from chervilrock.generated.interfaces import HostEntry
+
+LOSS_S = 3_000.0
+WINDOW_S = 4 * 3_600.0
+LONG_S = 1e6
+LEARNT = 256
+SHARD_BYTES = 120e9
+FAST_STORE = 1e12
+
+
+class SmallCase(NamedTuple):
+    """A small case.
+
+    Attributes:
+      site: hosts, models and costs
+      formed: groups that stand before the loss
+      lost: hosts that are lost
+    """
+
+    site: Site
+    formed: tuple[FormGroup, ...]
+    lost: tuple[str, ...]
+
+
+def measure_gaps(cases: int) -> Iterator[float]:
+    """Yields the relative gap of the policy to the optimum, case by case."""
+    for seed in range(1, cases + 1):
+        case = make_case(seed)
+        policy = run_policy(case)
+        optimum = find_optimum(case)
+        yield (policy - optimum) / optimum
+
+
+def make_case(seed: int) -> SmallCase:
+    """Returns a random case."""
+    generator = random.Random(seed)
+    hosts = tuple(
+        _make_host(f"{domain}{number}", f"d{domain}")
+        for domain in "abc"[: generator.randint(2, 3)]
+        for number in range(generator.randint(4, 9))
+    )
+    models = tuple(
+        ModelSpec(
+            name=f"m{number}",
+            version="v1",
+            groups=generator.randint(1, 3),
+            hosts_per_group=generator.randint(2, 5),
+            weight=generator.choice((0.5, 1.0, 2.0, 4.0)),
+        )
+        for number in range(generator.randint(2, 3))
+    )
+    costs = Prices(
+        generator.choice((1.0, 4.0)), generator.choice((0.25, 1.0, 3.0))
+    )
+    sizes = {
+        spec["name"]: SHARD_BYTES * spec["hosts_per_group"] for spec in models
+    }
+    site = Site(models, hosts, sizes, costs, store_rate=FAST_STORE)
+    formed = tuple(_scatter(models, hosts, generator))
+    return SmallCase(site, formed, _choose_lost(hosts, generator))
+
+
+def run_policy(case: SmallCase) -> float:
+    """Returns the cost of the policy."""
+    history = [Fault(LOSS_S, FaultKind.DOWN, name) for name in case.lost]
+    planner = _Staged(formed=case.formed)
+    replay = Replay(site=case.site, planner=planner, history=history)
+    measure = replay.run(LOSS_S, LOSS_S + WINDOW_S)
+    return _get_cost(measure, case.site.prices)
+
+
+def find_optimum(case: SmallCase) -> float:
+    """Returns the least cost, by an integer program."""
+    program = _Program(case=case)
+    return program.solve()
+
+
+class _Staged(GroupPlanner):
+    """Forms given groups first, and follows the policy after the loss."""
+
+    def __init__(self, *, formed: tuple[FormGroup, ...]) -> None:
+        self._formed = formed
+        self._policy = Planner()
+        for number in range(LEARNT):
+            host = _view_host(f"past{number}")
+            self._policy.put_host(host._replace(present=False), -LONG_S)
+            self._policy.put_host(host, 0.0)
+
+    def plan(self, view: PlanInput, now: float) -> tuple[Action, ...]:
+        if now < LOSS_S:
+            formed, self._formed = self._formed, ()
+            return formed
+        return self._policy.plan(view, now)
+
+
+class _Program:
+    """The integer program of a case.
+
+    Its variables are 1 for each standing group that is kept or repaired, and
+    the number of new groups for each model and domain.
+    """
+
+    def __init__(self, *, case: SmallCase) -> None:
+        self._case = case
+        site = case.site
+        self._specs = {spec["name"]: spec for spec in site.models}
+        self._domains = sorted({host["domain"] for host in site.hosts})
+        self._pairs = [
+            (spec, domain) for spec in site.models for domain in self._domains
+        ]
+
+    def solve(self) -> float:
+        """Returns the least cost of the window."""
+        case = self._case
+        values = [self._value_group(group) for group in case.formed]
+        values += [self._value_new(spec) for spec, _ in self._pairs]
+        upper = [1.0] * len(case.formed) + [np.inf] * len(self._pairs)
+        result = milp(
+            -np.array(values),
+            integrality=np.ones(len(values), dtype=np.int64),
+            bounds=Bounds(0, np.array(upper)),
+            constraints=self._list_constraints(),
+        )
+        if not result.success:
+            raise ValueError(result.message)
+        return self._get_worst() + float(result.fun)
+
+    def _get_worst(self) -> float:
+        """Returns the cost of a window in which nothing serves."""
+        site = self._case.site
+        wanted = sum(
+            spec["groups"] * spec["hosts_per_group"] * spec.get("weight", 1.0)
+            for spec in site.models
+        )
+        powered = len(site.hosts) - len(self._case.lost)
+        rate = site.prices.downtime * wanted + site.prices.stranded * powered
+        return rate * WINDOW_S
+
+    def _get_worth(self, spec: ModelSpec) -> float:
+        costs = self._case.site.prices
+        rate = costs.downtime * spec.get("weight", 1.0) + costs.stranded
+        return rate * spec["hosts_per_group"]
+
+    def _value_group(self, group: FormGroup) -> float:
+        lost = any(name in self._case.lost for name in group.hosts)
+        away_s = SHARD_BYTES / HOST_RATE + START_S if lost else 0.0
+        return self._get_worth(self._specs[group.model]) * (WINDOW_S - away_s)
+
+    def _value_new(self, spec: ModelSpec) -> float:
+        away_s = SHARD_BYTES / HOST_RATE + START_S
+        return self._get_worth(spec) * (WINDOW_S - away_s)
+
+    def _list_constraints(self) -> list[LinearConstraint]:
+        case = self._case
+        formed = case.formed
+        constraints = []
+        for domain in self._domains:
+            usable = sum(
+                host["domain"] == domain and host["host"] not in case.lost
+                for host in case.site.hosts
+            )
+            row = [
+                len(group.hosts) * (group.domain == domain) for group in formed
+            ]
+            row += [
+                spec["hosts_per_group"] * (place == domain)
+                for spec, place in self._pairs
+            ]
+            constraints.append(LinearConstraint(np.array([row]), ub=usable))
+        for spec in case.site.models:
+            row = [int(group.model == spec["name"]) for group in formed]
+            row += [int(other is spec) for other, _ in self._pairs]
+            constraints.append(
+                LinearConstraint(
+                    np.array([row]),
+                    lb=int(self._is_served(spec)),
+                    ub=spec["groups"],
+                )
+            )
+        return constraints
+
+    def _is_served(self, spec: ModelSpec) -> bool:
+        """Tells whether a group of a model serves after the loss."""
+        return any(
+            group.model == spec["name"]
+            and not any(name in self._case.lost for name in group.hosts)
+            for group in self._case.formed
+        )
+
+
+def _scatter(
+    models: tuple[ModelSpec, ...],
+    hosts: tuple[HostEntry, ...],
+    generator: random.Random,
+) -> Iterator[FormGroup]:
+    """Yields groups of the models at random places."""
+    free: dict[str, list[str]] = {}
+    for host in hosts:
+        free.setdefault(host["domain"], []).append(host["host"])
+    wanted = [spec for spec in models for _ in range(spec["groups"])]
+    generator.shuffle(wanted)
+    for spec in wanted:
+        size = spec["hosts_per_group"]
+        places = [name for name in sorted(free) if len(free[name]) >= size]
+        if places:
+            domain = generator.choice(places)
+            members = tuple(free[domain][:size])
+            del free[domain][:size]
+            yield FormGroup(spec["name"], "v1", (), members, domain)
+
+
+def _choose_lost(
+    hosts: tuple[HostEntry, ...], generator: random.Random
+) -> tuple[str, ...]:
+    names = [host["host"] for host in hosts]
+    lost = set(generator.sample(names, generator.randint(1, 4)))
+    if generator.random() < 1 / 5:
+        dark = generator.choice(hosts)["domain"]
+        lost |= {host["host"] for host in hosts if host["domain"] == dark}
+    return tuple(sorted(lost))
+
+
+def _make_host(name: str, domain: str) -> HostEntry:
+    return HostEntry(
+        host=name,
+        address="",
+        data_centre="dc",
+        domain=domain,
+        region="region",
+        accelerators=1,
+        leaving=False,
+        checks_fence=True,
+    )
+
+
+def _view_host(name: str) -> HostView:
+    return HostView(name, "dc", "past", 1, True, True, False, True, None)
+
+
+def _get_cost(measure: Measure, costs: Prices) -> float:
+    return costs.downtime * measure.weighted + costs.stranded * measure.stranded
--- a/bench/group_replay.py
+++ b/bench/group_replay.py
@@ -50,6 +50,7 @@
       bytes: size of each model in the weight store
       prices: costs that the planner is given
       keeps_cache: whether a host keeps its shard when its group gives it up
+      store_rate: rate of the weight store in bytes a second
     """
 
     models: tuple[ModelSpec, ...]
@@ -57,6 +58,7 @@
     bytes: dict[str, float]
     prices: Prices
     keeps_cache: bool = False
+    store_rate: float = STORE_RATE
 
 
 class Measure(NamedTuple):
@@ -154,7 +156,7 @@
         if self._queue:
             time = min(time, self._queue[0][0])
         if loading:
-            rate = min(HOST_RATE, STORE_RATE / len(loading))
+            rate = self._get_rate(len(loading))
             least = min(host.remaining for host in loading)
             time = min(time, self._now + least / rate)
         return max(time, self._now)
@@ -166,7 +168,7 @@
             self._measure(elapsed)
         loading = [h for h in self._hosts.values() if h.is_loading]
         if loading:
-            rate = min(HOST_RATE, STORE_RATE / len(loading))
+            rate = self._get_rate(len(loading))
             for host in loading:
                 host.remaining -= rate * (time - self._now)
         self._now = time
@@ -174,6 +176,9 @@
             if host.remaining < FINISHED_BYTES:
                 self._finish_load(host)
 
+    def _get_rate(self, loads: int) -> float:
+        return min(HOST_RATE, self._site.store_rate / loads)
+
     def _finish_load(self, host: Host) -> None:
         host.remaining = 0.0
         host.shard = host.target
@@ -330,6 +335,7 @@
             leaving=host.leaving,
             free=host.free,
             loaded=host.shard,
+            releasing=not host.owner and not host.free,
         )
 
     def _view_group(self, group: GroupView) -> GroupView:
--- a/chervilrock/decisions/actions.py
+++ b/chervilrock/decisions/actions.py
@@ -77,6 +77,8 @@
       free: whether a group may get it: no group owns it, or it is only a
         spare for a log outage, and it is not quarantined
       loaded: shard that its engine still caches, None for nothing
+      releasing: whether its group gave it up and it will be free once it is
+        proved empty; it is not quarantined
     """
 
     host: str
@@ -88,6 +90,7 @@
     leaving: bool
     free: bool
     loaded: EngineShard | None
+    releasing: bool = False
 
 
 class GroupView(NamedTuple):
--- a/chervilrock/decisions/planner/draft.py
+++ b/chervilrock/decisions/planner/draft.py
@@ -20,7 +20,7 @@
       inventory: what is known of the region.
       actions: actions chosen so far.
       touched: names of the groups that an action changes already.
-      forming: number of new groups for each model.
+      forming: number of groups for each model that are or will be formed.
       waiting: names of the broken groups whose hosts may soon be back.
       locked: domains whose free hosts are meant for a later plan.
     """
@@ -51,11 +51,12 @@
         """Returns the number of hosts of a domain that will soon be free."""
         names = self.inventory.groups_in_domain.get(domain, ())
         groups = (self.inventory.groups[name] for name in names)
-        return sum(
+        ending = sum(
             self._count_healthy(group, domain)
             for group in groups
             if self.is_ending(group)
         )
+        return ending + len(self.inventory.releasing.get(domain, ()))
 
     def is_ending(self, group: GroupView) -> bool:
         """Tells whether a group ends, and is not repaired instead."""
@@ -110,6 +111,11 @@
             )
         )
 
+    def postpone(self, spec: ModelSpec) -> None:
+        """Notes that a group will be formed once hosts are free."""
+        name = spec["name"]
+        self.forming[name] = self.forming.get(name, 0) + 1
+
     def repair(
         self,
         group: GroupView,
--- a/chervilrock/decisions/planner/estimates.py
+++ b/chervilrock/decisions/planner/estimates.py
@@ -13,17 +13,20 @@
     Attributes:
       shard_s: time to load one shard when the weight store is idle, seconds
       parallel: shards that the weight store feeds at full speed at once
+      in_flight: shards that load already
     """
 
     shard_s: float = 180.0
-    parallel: int = 8
+    parallel: float = 8.0
+    in_flight: int = 0
 
 
 def estimate_load(times: LoadTimes, shards: int) -> float:
     """Returns the time to load some shards at once, in seconds."""
     if shards == 0:
         return 0.0
-    return times.shard_s * max(1.0, shards / times.parallel)
+    together = shards + times.in_flight
+    return times.shard_s * max(1.0, together / times.parallel)
 
 
 def estimate_worth(
--- a/chervilrock/decisions/planner/formation.py
+++ b/chervilrock/decisions/planner/formation.py
@@ -10,6 +10,7 @@
 from chervilrock.decisions.actions import HostView
 from chervilrock.decisions.planner.draft import Draft
 from chervilrock.decisions.planner.knowledge import estimate_group_worth
+from chervilrock.decisions.planner.packing import Option, pack
 from chervilrock.decisions.planner.placement import caches_model, choose_hosts
 from chervilrock.decisions.planner.specs import Domain, may_cross, may_stand_in
 from chervilrock.generated.configuration import ModelSpec
@@ -63,23 +64,12 @@
     outcomes = [
         _place(draft, trial, rule) for trial in trials for rule in rules
     ]
+    outcomes += [_place_packed(draft, wanted, sign) for sign in (1, -1)]
     best = max(outcomes, key=lambda each: _rate(draft, each))
     rank = {id(spec): index for index, spec in enumerate(wanted)}
     return sorted(best, key=lambda each: rank[id(each.spec)])
 
 
-def has_room(draft: Draft, spec: ModelSpec, but: Domain) -> bool:
-    """Tells whether a group could be formed outside of a domain."""
-    needed = spec["hosts_per_group"] + spec.get("spares", 0)
-    return any(
-        draft.count_free(domain) >= needed
-        for domain in draft.inventory.free
-        if domain != but
-        and domain not in draft.locked
-        and may_stand_in(spec, domain)
-    )
-
-
 def _place(
     draft: Draft, wanted: list[ModelSpec], rule: Rule
 ) -> list[Placement]:
@@ -103,6 +93,65 @@
     return placed
 
 
+def _place_packed(
+    draft: Draft, wanted: list[ModelSpec], sign: int
+) -> list[Placement]:
+    """Fills one domain after the other, each as well as can be.
+
+    Args:
+      draft: the plan so far.
+      wanted: model of each missing group.
+      sign: 1 to begin with the least free hosts, -1 with the most.
+    """
+    rest = list(wanted)
+    domains = [
+        domain for domain in draft.inventory.free if domain not in draft.locked
+    ]
+    domains.sort(key=lambda each: (sign * draft.count_free(each), each))
+    placed: list[Placement] = []
+    for domain in domains:
+        hosts = draft.count_free(domain)
+        offers = list_offers(rest, domain, hosts)
+        items = tuple(_list_options(draft, spec) for spec in offers)
+        packing = pack(items, (hosts,))
+        if packing is None:
+            continue
+        for spec, choice in zip(offers, packing.chosen, strict=True):
+            if choice:
+                placed.append(Placement(spec, domain))
+                rest.remove(spec)
+    return placed
+
+
+def list_offers(
+    wanted: list[ModelSpec], domain: Domain, hosts: int
+) -> list[ModelSpec]:
+    """Returns the wanted groups that could stand in a domain, one by one.
+
+    Args:
+      wanted: model of each missing group.
+      domain: the domain.
+      hosts: number of its hosts.
+    """
+    offers: list[ModelSpec] = []
+    room: dict[str, int] = {}
+    for spec in wanted:
+        name = spec["name"]
+        left = room.get(name, hosts) - spec["hosts_per_group"]
+        if left >= 0 and may_stand_in(spec, domain):
+            room[name] = left
+            offers.append(spec)
+    return offers
+
+
+def _list_options(draft: Draft, spec: ModelSpec) -> tuple[Option, ...]:
+    """Returns the options to leave a group or to form it."""
+    worth = estimate_group_worth(draft, spec)
+    size = spec["hosts_per_group"]
+    form = Option((size,), worth, spec.get("spares", 0))
+    return (Option((0,), 0.0), form)
+
+
 def _choose_domain(
     spec: ModelSpec, free: dict[Domain, int], rule: Rule
 ) -> Domain | None:
--- a/chervilrock/decisions/planner/inventory.py
+++ b/chervilrock/decisions/planner/inventory.py
@@ -30,6 +30,8 @@
       prices: costs that hold now.
       free: names of the hosts that may be used, for each fabric domain that
         has any.
+      releasing: names of the hosts that will soon be free, for each fabric
+        domain that has any.
       owner: name of the group for each host that is in one.
       groups_of_model: names of the groups for each model that has any.
       groups_in_domain: names of the groups with a host in a domain.
@@ -47,6 +49,7 @@
         self.models: dict[str, ModelSpec] = {}
         self.prices = view.prices
         self.free: dict[Domain, set[str]] = {}
+        self.releasing: dict[Domain, set[str]] = {}
         self.owner: dict[str, str] = {}
         self.groups_of_model: dict[str, set[str]] = {}
         self.groups_in_domain: dict[Domain, set[str]] = {}
@@ -77,6 +80,7 @@
         old = self.hosts.get(host.host)
         if old is not None:
             _discard(self.free, domain_of(old), old.host)
+            _discard(self.releasing, domain_of(old), old.host)
         self.hosts[host.host] = host
         self._index_free(host)
         self._index_losses(host.host)
@@ -86,6 +90,7 @@
         host = self.hosts.pop(name, None)
         if host is not None:
             _discard(self.free, domain_of(host), name)
+            _discard(self.releasing, domain_of(host), name)
             self._index_losses(name)
 
     def put_group(self, group: GroupView) -> None:
@@ -99,6 +104,7 @@
             if host is not None:
                 domain = domain_of(host)
                 _discard(self.free, domain, name)
+                _discard(self.releasing, domain, name)
                 self.groups_in_domain.setdefault(domain, set()).add(group.name)
         self._losses[group.name] = self._find_losses(group)
         self._index_state(group)
@@ -192,11 +198,13 @@
 
     def _index_free(self, host: HostView) -> None:
         if self._is_usable(host):
-            self.free.setdefault(domain_of(host), set()).add(host.host)
+            index = self.free if host.free else self.releasing
+            index.setdefault(domain_of(host), set()).add(host.host)
 
     def _is_usable(self, host: HostView) -> bool:
+        """Tells whether a host may be used, now or once it is released."""
         return (
-            host.free
+            (host.free or host.releasing)
             and host.present
             and not host.leaving
             and host.host not in self.owner
--- a/chervilrock/decisions/planner/knowledge.py
+++ b/chervilrock/decisions/planner/knowledge.py
@@ -29,16 +29,19 @@
     history: AbsenceHistory
     now: float
 
-    def estimate_rest(self, draft: Draft, group: GroupView) -> float:
-        """Returns the expected time until a broken group has its hosts back.
+    def get_age(self, group: GroupView) -> float:
+        """Returns how long a broken group has been without a host, seconds.
 
-        A host that leaves is expected to be away like one that was away for a
-        minute: it is no short pause.
+        A host that leaves counts like one that was away for a minute: it is no
+        short pause.
         """
-        age = _SHORTEST_S
-        if group.missing_since is not None:
-            age = max(0.0, self.now - group.missing_since)
-        rest = self.history.estimate_rest(age)
+        if group.missing_since is None:
+            return _SHORTEST_S
+        return max(0.0, self.now - group.missing_since)
+
+    def estimate_rest(self, group: GroupView) -> float:
+        """Returns the expected time until a broken group has its hosts back."""
+        rest = self.history.estimate_rest(self.get_age(group))
         return min(max(rest, _SHORTEST_S), _HORIZON_S)
 
     def is_wait_better(self, draft: Draft, group: GroupView) -> bool:
@@ -61,7 +64,7 @@
         that never stood is missing for a long time.
         """
         rests = [
-            self.estimate_rest(draft, draft.inventory.groups[name])
+            self.estimate_rest(draft.inventory.groups[name])
             for name in draft.inventory.broken.get(spec["name"], ())
             if name not in draft.touched and name not in draft.waiting
         ]
--- a/chervilrock/decisions/planner/packing.py
+++ b/chervilrock/decisions/planner/packing.py
@@ -1,4 +1,4 @@
-"""Exact choice of the groups that the hosts of one fabric domain carry."""
+"""Exact choice of the groups that the hosts of fabric domains carry."""
 
 from typing import NamedTuple
 
@@ -7,25 +7,13 @@
     """One way to treat an item.
 
     Attributes:
-      hosts: hosts that it takes
+      hosts: hosts that it takes in each of the domains
       value: what it is worth
+      reserve: hosts that must stay free in each domain where it takes any
     """
 
-    hosts: int
+    hosts: tuple[int, ...]
     value: float
-
-
-class Item(NamedTuple):
-    """A group that stands in the domain or could be formed there.
-
-    Attributes:
-      key: identity of the item
-      options: ways to treat it, of which one is chosen
-      reserve: hosts that must stay free when an option takes any
-    """
-
-    key: str
-    options: tuple[Option, ...]
     reserve: int = 0
 
 
@@ -41,41 +29,56 @@
     chosen: tuple[int, ...]
 
 
-def pack(items: tuple[Item, ...], hosts: int) -> Packing | None:
+_Used = tuple[int, ...]
+
+
+def pack(
+    items: tuple[tuple[Option, ...], ...], hosts: tuple[int, ...]
+) -> Packing | None:
     """Chooses one option for each item, of the greatest value together.
 
-    It is exact but for the reserves, which bind only the items after them;
+    It is exact but for the reserves, which bind only the items before them;
     items with a reserve belong at the end.
 
     Args:
-      items: the items; an item that may be left out has an option for that.
-      hosts: number of hosts.
+      items: the options of each item; an item that may be left out has an
+        option for that.
+      hosts: number of hosts in each domain.
 
     Returns:
       The best choice, None when the hosts do not suffice for any.
     """
-    best: dict[int, tuple[float, tuple[int, ...]]] = {0: (0.0, ())}
-    for item in items:
-        best = _extend(best, item, hosts)
-    if not best:
-        return None
-    value, chosen = max(best.values(), key=lambda each: each[0])
-    return Packing(value, chosen)
+    best: dict[_Used, Packing] = {(0,) * len(hosts): Packing(0.0, ())}
+    for options in items:
+        best = _extend(best, options, hosts)
+    return max(best.values(), key=lambda each: each.value, default=None)
 
 
 def _extend(
-    best: dict[int, tuple[float, tuple[int, ...]]], item: Item, hosts: int
-) -> dict[int, tuple[float, tuple[int, ...]]]:
-    """Returns the best choices by the number of hosts, with one more item."""
-    extended: dict[int, tuple[float, tuple[int, ...]]] = {}
-    for used, (value, chosen) in best.items():
-        for index, option in enumerate(item.options):
-            total = used + option.hosts
-            reserve = item.reserve if option.hosts else 0
-            if total + reserve > hosts:
+    best: dict[_Used, Packing],
+    options: tuple[Option, ...],
+    hosts: tuple[int, ...],
+) -> dict[_Used, Packing]:
+    """Returns the best choices by the hosts used, with one more item."""
+    extended: dict[_Used, Packing] = {}
+    for used, packing in best.items():
+        for index, option in enumerate(options):
+            total = _add(used, option, hosts)
+            if total is None:
                 continue
-            sum_value = value + option.value
+            value = packing.value + option.value
             known = extended.get(total)
-            if known is None or sum_value > known[0]:
-                extended[total] = (sum_value, (*chosen, index))
+            if known is None or value > known.value:
+                extended[total] = Packing(value, (*packing.chosen, index))
     return extended
+
+
+def _add(used: _Used, option: Option, hosts: tuple[int, ...]) -> _Used | None:
+    """Returns the hosts used with an option, None when there are too few."""
+    total: list[int] = []
+    for before, more, limit in zip(used, option.hosts, hosts, strict=True):
+        after = before + more
+        if more and after + option.reserve > limit:
+            return None
+        total.append(after)
+    return tuple(total)
--- a/chervilrock/decisions/planner/planner.py
+++ b/chervilrock/decisions/planner/planner.py
@@ -13,6 +13,7 @@
 from chervilrock.decisions.planner.estimates import LoadTimes
 from chervilrock.decisions.planner.inventory import domain_of, Inventory
 from chervilrock.decisions.planner.knowledge import Knowledge
+from chervilrock.decisions.planner.loads import LoadHistory
 from chervilrock.decisions.planner.policy import (
     decide,
     decide_domain,
@@ -50,11 +51,12 @@
         """Starts without a history.
 
         Args:
-          times: how fast shards load, None for an assumption.
+          times: how fast shards load, None to learn it.
           rearranges: whether groups may be dissolved for better ones.
         """
         self._rearranges = rearranges
-        self._times = times or LoadTimes()
+        self._times = times
+        self._loads = LoadHistory()
         self._history = AbsenceHistory()
         self._absent_since: dict[str, float] = {}
         self._inventory = Inventory(view=_EMPTY)
@@ -64,6 +66,7 @@
         self._inventory = Inventory(view=view)
         for host in view.hosts:
             self._learn(host, now)
+        self._loads.observe(view.groups, now)
         return self.replan(now)
 
     def replan(self, now: float) -> tuple[Action, ...]:
@@ -141,7 +144,10 @@
         self._inventory.remove_group(name)
 
     def _know(self, now: float) -> Knowledge:
-        return Knowledge(self._times, self._history, now)
+        times = self._times
+        if times is None:
+            times = self._loads.estimate(len(self._inventory.hosts))
+        return Knowledge(times, self._history, now)
 
     def _learn(self, host: HostView, now: float) -> None:
         """Notes when a host went, and for how long once it is back."""
--- a/chervilrock/decisions/planner/policy.py
+++ b/chervilrock/decisions/planner/policy.py
@@ -1,17 +1,17 @@
 """The order of decisions in a plan."""
 
+from collections.abc import Iterator, Sequence
+import itertools
+
 from chervilrock.decisions.actions import GroupView
+from chervilrock.decisions.planner.arrangement import arrange
 from chervilrock.decisions.planner.draft import Draft
 from chervilrock.decisions.planner.formation import form_groups
 from chervilrock.decisions.planner.knowledge import (
     estimate_group_worth,
     Knowledge,
 )
-from chervilrock.decisions.planner.rearrangement import (
-    arrange,
-    Arrangement,
-    find_arrangement,
-)
+from chervilrock.decisions.planner.rearrangement import find_arrangement
 from chervilrock.decisions.planner.removal import (
     dissolve_surplus,
     dissolve_unwanted,
@@ -21,6 +21,8 @@
 from chervilrock.decisions.planner.specs import Domain, is_current, may_stand_in
 from chervilrock.generated.configuration import ModelSpec
 
+_MOST_RICH = 12
+
 
 def decide(draft: Draft, knowledge: Knowledge, *, rearranges: bool) -> None:
     """Adds the actions of a full plan to a draft."""
@@ -30,6 +32,7 @@
         dissolve_surplus(draft, spec)
     for spec in models:
         repair_broken(draft, knowledge, spec)
+    await_hosts(draft, knowledge)
     form_groups(draft, list_missing(draft, knowledge))
     if rearranges:
         rearrange(draft, knowledge)
@@ -54,7 +57,7 @@
     form_groups(draft, list_missing(draft, knowledge))
     domain = draft.inventory.find_domain(group)
     if rearranges and domain is not None and draft.count_missing(spec):
-        _arrange_again(draft, knowledge, domain)
+        _arrange_again(draft, knowledge, (domain,))
 
 
 def decide_domain(draft: Draft, knowledge: Knowledge, domain: Domain) -> None:
@@ -114,27 +117,56 @@
     return missing
 
 
-def rearrange(draft: Draft, knowledge: Knowledge) -> None:
-    """Arranges domains anew, the greatest gain first.
+def await_hosts(draft: Draft, knowledge: Knowledge) -> None:
+    """Plans the use of hosts that groups which end will soon set free.
 
-    Arrangements that dissolve nothing come before all others: they finish
-    what an earlier plan began.
+    The domains are locked until then, so that free hosts are not taken for
+    less in the meantime.
     """
+    inventory = draft.inventory
+    for domain in sorted({*inventory.groups_in_domain, *inventory.releasing}):
+        if draft.count_coming(domain) == 0:
+            continue
+        missing = list_missing(draft, knowledge)
+        found = find_arrangement(
+            draft, knowledge, (domain,), missing, drops=False
+        )
+        if found is not None:
+            arrange(draft, found)
+
+
+def rearrange(draft: Draft, knowledge: Knowledge) -> None:
+    """Arranges domains anew, alone and then in pairs."""
+    missing = list_missing(draft, knowledge)
+    alone = [(domain,) for domain in _list_domains(draft, missing)]
+    _arrange_best(draft, knowledge, alone)
+    missing = list_missing(draft, knowledge)
+    _arrange_best(draft, knowledge, _list_pairs(draft, missing))
+
+
+def _arrange_best(
+    draft: Draft, knowledge: Knowledge, sites: Sequence[tuple[Domain, ...]]
+) -> None:
+    """Arranges domains that gain by it, the greatest gain first."""
     missing = list_missing(draft, knowledge)
     found = [
         arrangement
-        for domain in _list_domains(draft, missing)
-        if (arrangement := find_arrangement(draft, knowledge, domain, missing))
+        for domains in sites
+        if (arrangement := find_arrangement(draft, knowledge, domains, missing))
     ]
-    found.sort(key=_order)
+    found.sort(key=lambda each: (-each.gain, each.domains))
     for arrangement in found:
-        _arrange_again(draft, knowledge, arrangement.domain)
+        _arrange_again(draft, knowledge, arrangement.domains)
 
 
-def _arrange_again(draft: Draft, knowledge: Knowledge, domain: Domain) -> None:
-    """Arranges a domain with what earlier arrangements have left over."""
+def _arrange_again(
+    draft: Draft, knowledge: Knowledge, domains: tuple[Domain, ...]
+) -> None:
+    """Arranges domains with what earlier arrangements have left over."""
+    if not draft.locked.isdisjoint(domains):
+        return
     missing = list_missing(draft, knowledge)
-    found = find_arrangement(draft, knowledge, domain, missing)
+    found = find_arrangement(draft, knowledge, domains, missing)
     if found is not None:
         arrange(draft, found)
         form_groups(draft, list_missing(draft, knowledge))
@@ -143,12 +175,7 @@
 def _list_domains(draft: Draft, missing: list[ModelSpec]) -> list[Domain]:
     """Returns the domains where an arrangement may help."""
     inventory = draft.inventory
-    domains: set[Domain] = set()
-    for spec in inventory.models.values():
-        for group in list_broken(draft, spec):
-            domain = inventory.find_domain(group)
-            if domain is not None and not _waits(draft, group):
-                domains.add(domain)
+    domains = set(_list_broken_domains(draft))
     specs = {spec["name"]: spec for spec in missing}
     if specs:
         for domain in {*inventory.groups_in_domain, *inventory.free}:
@@ -157,9 +184,49 @@
     return sorted(domains - draft.locked)
 
 
-def _waits(draft: Draft, group: GroupView) -> bool:
-    return group.name in draft.waiting
+def _list_broken_domains(draft: Draft) -> Iterator[Domain]:
+    """Yields the domains of groups that nothing repairs yet."""
+    inventory = draft.inventory
+    for spec in inventory.models.values():
+        for group in list_broken(draft, spec):
+            domain = inventory.find_domain(group)
+            if domain is not None and group.name not in draft.waiting:
+                yield domain
+
+
+def _list_pairs(
+    draft: Draft, missing: list[ModelSpec]
+) -> list[tuple[Domain, ...]]:
+    """Returns the pairs of domains that have enough hosts left over together.
+
+    They are few at the most, those with the most hosts first.
+    """
+    needs = [spec["hosts_per_group"] for spec in missing]
+    needs += _list_losses(draft)
+    if not needs:
+        return []
+    inventory = draft.inventory
+    left = {
+        domain: draft.count_free(domain) + draft.count_coming(domain)
+        for domain in {*inventory.groups_in_domain, *inventory.free}
+        if domain not in draft.locked
+    }
+    rich = sorted(left, key=lambda domain: (-left[domain], domain))
+    pairs = [
+        (one, other)
+        for one, other in itertools.combinations(rich[:_MOST_RICH], 2)
+        if left[one] + left[other] >= min(needs)
+    ]
+    return sorted(
+        pairs, key=lambda pair: (-left[pair[0]] - left[pair[1]], pair)
+    )
 
 
-def _order(found: Arrangement) -> tuple[bool, float, Domain]:
-    return (bool(found.dropped), -found.gain, found.domain)
+def _list_losses(draft: Draft) -> list[int]:
+    """Returns how many hosts each group lacks that nothing repairs yet."""
+    return [
+        len(draft.inventory.get_losses(group))
+        for spec in draft.inventory.models.values()
+        for group in list_broken(draft, spec)
+        if group.name not in draft.waiting
+    ]
