Bound the bodies of requests by the settings

Cause: the settings for the greatest body and its longest time did not reach the handlers, and the server cut late bodies without an answer. Change: they are passed on; the server no longer has a time of its own.

--- a/chervilrock/node/entry.py
+++ b/chervilrock/node/entry.py
@@ -24,6 +24,7 @@
 from chervilrock.edges.operators import make_operator_routes
 from chervilrock.edges.path import RequestPath
 from chervilrock.edges.peers import make_peer_routes
+from chervilrock.edges.state import BodyLimits
 from chervilrock.generated.configuration import LimitSpec
 from chervilrock.generated.interfaces import NodePhase, PeerNode
 from chervilrock.generated.settings import NodeSettings
@@ -78,6 +79,7 @@
 
     Attributes:
       address: IP:port that others use, known after `start`
+      settings: settings of the node
       name: identifier from the settings
       running: whether it runs
       incarnation: name of this run
@@ -94,7 +96,7 @@
           settings: checked settings
           clock: clock of the process, in seconds
         """
-        self._settings = settings
+        self.settings = settings
         self._clock = clock
         self._generator = random.Random(settings.seed or None)
         self._running: list[asyncio.Task[None]] = []
@@ -116,23 +118,23 @@
         self.running = True
         events.emit(
             events.Event.NODE_STARTED,
-            node=self._settings.node,
+            node=self.settings.node,
             address=self.address,
         )
         return self.address
 
     def _bind(self) -> list[socket.socket]:
-        listen = parse_address(self._settings.listen)
+        listen = parse_address(self.settings.listen)
         if listen is None:
-            raise ValueError(f"{self._settings.listen!r} is not IP:port")
+            raise ValueError(f"{self.settings.listen!r} is not IP:port")
         sockets = netutil.bind_sockets(listen.port, listen.ip)
         port = sockets[0].getsockname()[1]
-        self.address = self._settings.advertise or f"{listen.ip}:{port}"
+        self.address = self.settings.advertise or f"{listen.ip}:{port}"
         return sockets
 
     def _build(self) -> None:
         """Make every part of the node."""
-        settings = self._settings
+        settings = self.settings
         outages = OutageLog(metrics=self.metrics)
         self._log = HttpLogService(
             http=self._http, address=settings.log_service
@@ -201,11 +203,11 @@
 
     def _make_own(self) -> PeerNode:
         return PeerNode(
-            node=self._settings.node,
+            node=self.settings.node,
             incarnation=self.incarnation,
             address=self.address,
-            data_centre=self._settings.data_centre,
-            region=self._settings.region,
+            data_centre=self.settings.data_centre,
+            region=self.settings.region,
             heartbeat=0,
             phase=NodePhase.STARTING,
             load=0.0,
@@ -214,11 +216,11 @@
 
     def _make_writer(self) -> RecordWriter:
         return RecordWriter(
-            node=self._settings.node, incarnation=self.incarnation
+            node=self.settings.node, incarnation=self.incarnation
         )
 
     def _make_region(self, outages: OutageLog) -> RegionTask:
-        settings = self._settings
+        settings = self.settings
         writer = self._make_writer()
         lease_s = settings.lease_ms / _MS_PER_S
         timing = LeaseTiming(lease_s=lease_s, drift=settings.drift)
@@ -244,10 +246,10 @@
         )
 
     def _name_stream(self, kind: str) -> str:
-        return f"{kind}.{self._settings.region}"
+        return f"{kind}.{self.settings.region}"
 
     def _list_seeds(self) -> tuple[str, ...]:
-        return tuple(seed for seed in self._settings.peers.split(",") if seed)
+        return tuple(seed for seed in self.settings.peers.split(",") if seed)
 
     def _update_own(self) -> None:
         """Bring what this node says of itself up to date."""
@@ -259,7 +261,7 @@
             phase = NodePhase.SERVING
             events.emit(
                 events.Event.NODE_READY,
-                node=self._settings.node,
+                node=self.settings.node,
                 revision=view.revision,
             )
         self._table.update_own(
@@ -282,8 +284,12 @@
 
     def _listen(self, sockets: list[socket.socket]) -> None:
         self._path = RequestPath(context=self._requests)
+        limits = BodyLimits(
+            max_bytes=self.settings.max_body_bytes,
+            timeout_s=self.settings.header_timeout_s,
+        )
         routes: list[routing.Rule] = [
-            *make_caller_routes(self._requests, path=self._path),
+            *make_caller_routes(self._requests, path=self._path, limits=limits),
             *make_operator_routes(self._operations),
             *make_peer_routes(self._operations),
         ]
@@ -293,8 +299,7 @@
         )
         self._server = httpserver.HTTPServer(
             application,
-            max_body_size=self._settings.max_body_bytes,
-            body_timeout=self._settings.header_timeout_s,
+            max_body_size=self.settings.max_body_bytes,
             idle_connection_timeout=3600.0,
         )
         self._server.add_sockets(sockets)
@@ -341,7 +346,7 @@
         probes = ProbeTask(
             engine=self._engine,
             clock=self._clock,
-            interval_s=self._settings.probe_interval_ms / _MS_PER_S,
+            interval_s=self.settings.probe_interval_ms / _MS_PER_S,
             outbox=region.inbox,
         )
         loads = LoadTask(
@@ -353,7 +358,7 @@
         hosts = HostListTask(
             source=HttpHostListSource(
                 http=self._http,
-                address=self._settings.host_list or self._settings.log_service,
+                address=self.settings.host_list or self.settings.log_service,
             ),
             clock=self._clock,
             interval_s=HOST_LIST_INTERVAL_S,
@@ -402,7 +407,7 @@
         have aged, refuses new requests as not run, and waits for those in
         progress.
         """
-        settings = self._settings
+        settings = self.settings
         events.emit(
             events.Event.NODE_LEAVING,
             node=settings.node,
--- a/test/node/test_entry.py
+++ b/test/node/test_entry.py
@@ -272,3 +272,17 @@
         assert_that(site.installation.count_calls()["POST /18"], Equals(0))
 
     run_site(check)
+
+
+def test_body_beyond_the_setting_is_refused(run_site):
+    async def check(site):
+        node = await site.add_node()
+        longest = node.settings.max_body_bytes
+        body = BODY | {"prompt": "x" * longest}
+        answer = await send(site, "POST", "/v1/chat/completions", body)
+        assert_that(answer.status, Equals(413))
+        error = json.loads(answer.body)["error"]
+        assert_that(error["code"], Equals("body_too_large"))
+        assert_that(error["outcome"], Equals("not_run"))
+
+    run_site(check)
