Choose the same surplus group as the controller

The controller drains surplus and outdated groups of its own accord, the newest and the oldest first. With another choice of the planner in the same decision both groups of a model were drained (seen in a trial with the model of the region when two groups became one). Ties now fall as in the controller, and tests run the planner under it.

--- a/chervilrock/decisions/planner/removal.py
+++ b/chervilrock/decisions/planner/removal.py
@@ -87,13 +87,18 @@
 
 def _rank(
     draft: Draft, spec: ModelSpec, group: GroupView
-) -> tuple[bool, bool, bool, int, str]:
-    """Orders the groups of a model, the least useful first."""
+) -> tuple[bool, bool, bool, int, int]:
+    """Orders the groups of a model, the least useful first.
+
+    Of equal ones, the newest of the wanted version goes first and the oldest
+    of an old version, as in the controller.
+    """
     inventory = draft.inventory
+    current = is_current(spec, group)
     return (
-        inventory.is_serving(group) and is_current(spec, group),
+        inventory.is_serving(group) and current,
         inventory.is_serving(group),
         bool(group.domain),
         -len(inventory.get_losses(group)),
-        group.name,
+        -group.fence if current else group.fence,
     )
--- /dev/null
+++ b/test/decisions/planner/test_with_controller.py
@@ -0,0 +1,84 @@
+"""The planner under the controller of a region: a model never ends."""
+
+from testtools.assertions import assert_that
+from testtools.matchers import Equals
+
+from chervilrock.decisions.actions import Prices
+from chervilrock.decisions.control.view import make_plan_input
+from chervilrock.decisions.planner import Planner
+from chervilrock.generated.records import GroupPhase
+from test.decisions.control.world import make_configuration, Node, World
+
+_SETTLE_STEPS = 60
+
+
+class PlannedNode(Node):
+    """A node that plans as the product does."""
+
+    def start(self):
+        super().start()
+        self.planner = Planner()
+
+    def plan(self, wanted, hosts):
+        view = make_plan_input(
+            region=self.region,
+            wanted=wanted,
+            presence=self.presence,
+            hosts=hosts,
+            pending=self.progress,
+            prices=Prices(),
+            now=self.now(),
+        )
+        return self.planner.plan(view, self.now())
+
+
+def _make_world(hosts):
+    world = World(checks=(True,) * hosts)
+    world.nodes = [PlannedNode(world, "a", 1.0)]
+    return world
+
+
+def _list_groups(world):
+    groups = world.nodes[0].region.groups.values()
+    return [
+        (group.version, group.phase)
+        for group in groups
+        if group.phase is not GroupPhase.DISSOLVED
+    ]
+
+
+def _run(world):
+    """Runs for a while; returns the least number of serving groups."""
+    least = len(world.engines)
+    for _ in range(_SETTLE_STEPS):
+        world.step()
+        phases = [phase for _, phase in _list_groups(world)]
+        least = min(least, phases.count(GroupPhase.SERVING))
+    return least
+
+
+def test_fewer_groups_leave_the_others_alone():
+    world = _make_world(hosts=6)
+    world.apply(make_configuration(groups=2, spares=0))
+    _run(world)
+    world.apply(make_configuration(groups=1, spares=0))
+    assert_that(_run(world), Equals(1))
+    assert_that(_list_groups(world), Equals([("v1", GroupPhase.SERVING)]))
+
+
+def test_new_version_comes_one_group_at_a_time_without_room():
+    world = _make_world(hosts=5)
+    world.apply(make_configuration(groups=2, spares=0))
+    _run(world)
+    world.apply(make_configuration("v2", groups=2, spares=0))
+    assert_that(_run(world), Equals(1))
+    assert_that(_list_groups(world), Equals([("v2", GroupPhase.SERVING)] * 2))
+
+
+def test_new_version_comes_up_before_the_old_goes():
+    world = _make_world(hosts=4)
+    world.apply(make_configuration(groups=1, spares=0))
+    _run(world)
+    world.apply(make_configuration("v2", groups=1, spares=0))
+    assert_that(_run(world), Equals(1))
+    assert_that(_list_groups(world), Equals([("v2", GroupPhase.SERVING)]))
