Split the assembly of a node by its jobs

Change: core (identity and tools), parts, work, server, and entry for the life alone. Conclusion: each module has one job; behaviour is the same.

--- /dev/null
+++ b/chervilrock/node/core.py
@@ -0,0 +1,46 @@
+"""What every part of a node needs."""
+
+import random
+from typing import NamedTuple
+
+from chervilrock.decisions.records import RecordWriter
+from chervilrock.generated.settings import NodeSettings
+from chervilrock.metrics import Metrics
+from chervilrock.platform.httpclient import HttpClient
+from chervilrock.tasks.clock import Clock
+
+MS_PER_S = 1000.0
+
+
+class NodeCore(NamedTuple):
+    """Identity and tools of one run of a node.
+
+    Attributes:
+      settings: checked settings
+      address: IP:port that others use
+      incarnation: name of this run
+      clock: clock of the process, in seconds
+      generator: source of all random choices
+      metrics: metrics of the node
+      http: client for the platform and for peers
+      probe_http: client for the control side of engines
+    """
+
+    settings: NodeSettings
+    address: str
+    incarnation: str
+    clock: Clock
+    generator: random.Random
+    metrics: Metrics
+    http: HttpClient
+    probe_http: HttpClient
+
+    def name_stream(self, kind: str) -> str:
+        """Return the name of a stream of the region of this node."""
+        return f"{kind}.{self.settings.region}"
+
+    def make_writer(self) -> RecordWriter:
+        """Return a writer of records for one stream."""
+        return RecordWriter(
+            node=self.settings.node, incarnation=self.incarnation
+        )
--- /dev/null
+++ b/chervilrock/node/server.py
@@ -0,0 +1,67 @@
+"""The HTTP server of a node."""
+
+import socket
+from typing import Any, NamedTuple
+
+from tornado import httpserver, netutil, routing, web
+
+from chervilrock.configuration.address import parse_address
+from chervilrock.edges.callers import (
+    make_caller_routes,
+    make_not_found_options,
+)
+from chervilrock.edges.operators import make_operator_routes
+from chervilrock.edges.path import RequestPath
+from chervilrock.edges.peers import make_peer_routes
+from chervilrock.edges.state import BodyLimits
+from chervilrock.generated.settings import NodeSettings
+from chervilrock.node.core import NodeCore
+from chervilrock.node.parts import NodeParts
+
+IDLE_CONNECTION_S = 3600.0
+
+
+class Binding(NamedTuple):
+    """Sockets that listen, and the address that others use."""
+
+    sockets: list[socket.socket]
+    address: str
+
+
+def bind(settings: NodeSettings) -> Binding:
+    """Listen as the settings say.
+
+    Raises:
+      ValueError: the setting is no IP:port
+      OSError: the port is taken
+    """
+    listen = parse_address(settings.listen)
+    if listen is None:
+        raise ValueError(f"{settings.listen!r} is not IP:port")
+    sockets = netutil.bind_sockets(listen.port, listen.ip)
+    port = sockets[0].getsockname()[1]
+    return Binding(sockets, settings.advertise or f"{listen.ip}:{port}")
+
+
+def make_server(
+    core: NodeCore, parts: NodeParts, path: RequestPath
+) -> httpserver.HTTPServer:
+    """Return the server with all handlers; it has no sockets yet."""
+    limits = BodyLimits(
+        max_bytes=core.settings.max_body_bytes,
+        timeout_s=core.settings.header_timeout_s,
+    )
+    routes: list[routing.Rule] = [
+        *make_caller_routes(parts.requests, path=path, limits=limits),
+        *make_operator_routes(parts.operations),
+        *make_peer_routes(parts.operations),
+    ]
+    options: dict[str, Any] = make_not_found_options(path)
+    application = web.Application(
+        routes, log_function=lambda _handler: None, **options
+    )
+    return httpserver.HTTPServer(
+        application,
+        max_body_size=core.settings.max_body_bytes,
+        idle_connection_timeout=IDLE_CONNECTION_S,
+    )
