Let the bench of keys use the tasks of the product

The node of the bench repeated the code that appends and reads claims. It now runs KeyTask and ReadTask themselves, so that the bench measures them.

--- a/bench/at_most_once.py
+++ b/bench/at_most_once.py
@@ -128,8 +128,8 @@
     node = KeyNode(upstream=upstream, now=time.monotonic, log=log)
     path = RequestPath(context=node)
     stack.callback(path.close)
-    for work in (node.append_claims, node.read_claims, node.expire_claims):
-        stack.callback(asyncio.create_task(work()).cancel)
+    for work in node.list_work():
+        stack.callback(asyncio.create_task(work).cancel)
     sockets = bind_sockets(0, "127.0.0.1", reuse_port=False)
     server = HTTPServer(Application(make_caller_routes(node, path=path)))
     server.add_sockets(sockets)
