Keep the load of recorded runs going during an outage of the log

Cause: callers repeated requests with keys of their own for as long as the log was out, until all of them did; a broken product went unseen in one of three runs, and the runs of the tests took up to 61.9 s. Change: callers give a key up after four tries, show every second ticket and key again, and the workers that carry the runs out import the product once. Measured: 58 passed, 2 xfailed in 25.9 s on the shared machine (load 9.9).

--- a/bench/history_callers.py
+++ b/bench/history_callers.py
@@ -33,6 +33,8 @@
 ASK_TIMEOUT_S = 1.5
 GIVE_UP_S = 45.0
 MAX_REPEATS = 4
+SHOWN_AGAIN = 2
+"""One of so many tickets and keys is shown again after its end."""
 
 _FINAL = frozenset({Told.WHOLE, Told.FOREIGN, Told.CUT})
 
@@ -91,8 +93,9 @@
             if self._is_final(operation, told, tries):
                 break
             await asyncio.sleep(judged.wait_s)
-        if key:
-            await self._show_again(operation, key)
+        if key and operation.number % SHOWN_AGAIN == 0:
+            # This must run nothing.
+            await self.send_try(operation, await self._choose(), key)
         self._shared.history.note(Ended(operation.number, told))
         return told
 
@@ -100,19 +103,15 @@
         if told in _FINAL:
             return True
         if told in (Told.NOT_RUN, Told.REFUSED):
-            return False
+            # Without the log no key can be claimed for a long time.
+            keyed = operation.kind.repeats is Repeats.WITH_KEY
+            return keyed and tries >= MAX_REPEATS
         if operation.kind.repeats is Repeats.FREELY:
             return False
         if operation.kind.repeats is Repeats.NEVER:
             return True
         return told is Told.FAILED or tries >= MAX_REPEATS
 
-    async def _show_again(self, operation: Operation, key: str) -> None:
-        """Show a ticket or key once more, which must run nothing."""
-        if self._shared.generator.random() < 1 / 4:
-            node = await self._choose()
-            await self.send_try(operation, node, key)
-
     async def _choose(self) -> str:
         if time.monotonic() >= self._until:
             await self._ask_addresses()
--- a/test/history/conftest.py
+++ b/test/history/conftest.py
@@ -7,7 +7,7 @@
 from chervilrock.standin.history import Entry
 from test.history.runs import BROKEN_RUNS, carry_out, RUNS
 
-WORKERS = 6
+WORKERS = 7
 """Each run has one event loop; so many run at a time, in processes."""
 
 GetHistory = Callable[[str], list[Entry]]
@@ -16,7 +16,8 @@
 @pytest.fixture(scope="session")
 def get_history() -> Iterator[GetHistory]:
     """Returns the history of a run by its name, once the run is over."""
-    context = multiprocessing.get_context("spawn")
+    context = multiprocessing.get_context("forkserver")
+    context.set_forkserver_preload(["test.history.runs"])
     with concurrent.futures.ProcessPoolExecutor(WORKERS, context) as pool:
         runs = {**RUNS, **BROKEN_RUNS}
         started = {name: pool.submit(carry_out, runs[name]) for name in runs}
