Find stragglers by the pace of their tokens, and weigh own streams

Others' load is taken against own counts of the time of the report, own streams weigh more than reported ones, which all nodes see alike and late, and full batches and memories cost.

--- a/bench/entry_model.py
+++ b/bench/entry_model.py
@@ -24,6 +24,7 @@
 REPORT_INTERVAL_S = 0.5
 REPORT_LAG_S = (0.3, 1.5)
 EVENT_INTERVAL_S = 1.0
+PROGRESS_INTERVAL_S = 0.5
 EVENT_LAG_S = (1.0, 3.0)
 EVENT_LOSS = 0.2
 LOSS_SEEN_S = 2.0
@@ -147,6 +148,7 @@
             admission.observe_groups(self._endpoints, 0.0)
         self._repeat(TICK_S, until, self._tick)
         self._repeat(REPORT_INTERVAL_S, until, self._report_loads)
+        self._repeat(PROGRESS_INTERVAL_S, until, self._report_progress)
         self._repeat(EVENT_INTERVAL_S, until, self._report_caches)
         for arrival in arrivals:
             while self._events and self._events[0][0] <= arrival.time:
@@ -266,6 +268,20 @@
 
         return hand
 
+    def _report_progress(self) -> None:
+        for number, engine in enumerate(self._engines):
+            if number in self._lost:
+                continue
+            for attempt, tokens in engine.progress():
+                request = self._requests.get(attempt)
+                if request is not None and attempt == request.winner:
+                    self._policies[request.arrival.node].on_progress(
+                        request.view,
+                        request.attempts[attempt],
+                        self._now,
+                        tokens,
+                    )
+
     def _report_caches(self) -> None:
         for number, engine in enumerate(self._engines):
             changes = [(block, True) for block in engine.cache.stored]
--- a/bench/queue_model.py
+++ b/bench/queue_model.py
@@ -122,6 +122,7 @@
         self._waiting: list[tuple[int, int, Job]] = []
         self._prefills: list[_Prefill] = []
         self._decoding: dict[int, Job] = {}
+        self._first_steps: dict[int, int] = {}
         self._finish_at: dict[int, list[int]] = {}
         self._reserved = 0
 
@@ -150,6 +151,13 @@
         prefills = [entry.job.attempt for entry in self._prefills]
         return waiting + prefills + list(self._decoding)
 
+    def progress(self) -> list[tuple[int, int]]:
+        """Return the attempts that get tokens, and how many they have."""
+        return [
+            (attempt, self._steps - self._first_steps[attempt] + 1)
+            for attempt in self._decoding
+        ]
+
     def submit(self, job: Job) -> None:
         """Add a request to the queue."""
         self._arrivals += 1
@@ -166,6 +174,7 @@
                 self._reserved -= _room(entry.job)
                 break
         job = self._decoding.pop(attempt, None)
+        self._first_steps.pop(attempt, None)
         if job is not None:
             self._reserved -= _room(job)
 
@@ -181,6 +190,7 @@
         ]
         decoding = len(self._decoding)
         for attempt in finished:
+            del self._first_steps[attempt]
             self._finish(self._decoding.pop(attempt))
         first = []
         for job in ready:
@@ -231,6 +241,7 @@
             self._finish(job)
             return True
         self._decoding[job.attempt] = job
+        self._first_steps[job.attempt] = self._steps
         last_step = self._steps + job.answer_tokens - 1
         self._finish_at.setdefault(last_step, []).append(job.attempt)
         return False
--- a/chervilrock/decisions/routing/affinity.py
+++ b/chervilrock/decisions/routing/affinity.py
@@ -26,12 +26,18 @@
 LOAD_SLACK = 2.0
 """A group may have this multiple of the mean load, plus the slack."""
 
-STREAM_TOKENS = 40.0
+STREAM_TOKENS = 20.0
 """Cost of a stream in progress, in prompt tokens."""
 
+OWN_TOKENS = 200.0
+"""Cost of an own stream in progress, in prompt tokens."""
+
 WAITING_TOKENS = 400.0
 """Cost of a request that waits at the engine, in prompt tokens."""
 
+FULL_TOKENS = 600.0
+"""Cost of a full batch or memory, in prompt tokens."""
+
 REMOTE_TOKENS = 15.0
 """Cost of another data centre, in prompt tokens (about a millisecond)."""
 
@@ -41,20 +47,30 @@
 It makes nodes that know nothing of a prefix choose the same group for it.
 """
 
-SUBSET = 12
-"""Groups that are weighed when there are more."""
+HOLDERS = 6
+"""Groups with about the longest cached prefix that are weighed."""
+
+OTHERS = 6
+"""Other groups that are weighed."""
+
+SIMILAR_BLOCKS = 4
+"""Blocks by which prefixes count as about equally long."""
 
 BASE_S = 0.03
 INITIAL_S_PER_TOKEN = 1e-4
 RATE_WEIGHT = 0.02
+MIN_TOKENS = 4
+"""Tokens from which the time between them is measured."""
+
 LONG_TOKENS = 4096
 """Length from which a prompt is too long for a probe."""
 
 
 class _Attempt(NamedTuple):
     group: str
-    tokens: float
-    first_at: float | None
+    uncached: float
+    progress_at: float | None
+    progress: int
 
 
 class PrefixAffinity(base.RoutingPolicy):
@@ -115,9 +131,9 @@
         tokens = _uncached_tokens(request, depths.get(group, 0))
         before = self._pending_tokens.get(group, 0.0)
         expected = BASE_S + self._s_per_token * (tokens + before)
-        self._loads.add(request.request_id, group)
+        self._loads.add(request.request_id, group, now)
         self._attempts[request.request_id, group] = _Attempt(
-            group, tokens, None
+            group, tokens, None, 0
         )
         self._pending_tokens[group] = before + tokens
         self._stragglers.on_sent(group, request.request_id, expected, now)
@@ -133,12 +149,12 @@
         """Learn how fast the group computes prompts."""
         key = (request.request_id, endpoint.group)
         attempt = self._attempts.get(key)
-        if attempt is None or attempt.first_at is not None:
+        if attempt is None or attempt.progress_at is not None:
             return
-        self._attempts[key] = attempt._replace(first_at=now)
+        self._attempts[key] = attempt._replace(progress_at=now, progress=1)
         self._discount(attempt)
-        if attempt.tokens > BLOCK_TOKENS:
-            seconds = max(0.0, waited - BASE_S) / attempt.tokens
+        if attempt.uncached > BLOCK_TOKENS:
+            seconds = max(0.0, waited - BASE_S) / attempt.uncached
             self._s_per_token += RATE_WEIGHT * (
                 min(seconds, 10.0 * self._s_per_token) - self._s_per_token
             )
@@ -159,16 +175,30 @@
         attempt = self._attempts.pop((request.request_id, group), None)
         if attempt is None:
             return
-        self._loads.discard(request.request_id, group)
-        if attempt.first_at is None:
+        self._loads.discard(request.request_id, group, now)
+        if attempt.progress_at is None:
             self._discount(attempt)
-        elif ok and tokens > 1:
-            seconds = (now - attempt.first_at) / (tokens - 1)
-            self._stragglers.on_decoded(group, seconds, now)
+        elif ok:
+            self._learn_decoding(attempt, tokens, now)
         self._stragglers.on_end(group, request.request_id, ok, now)
         if not ok:
             self._index.discard_group(group)
 
+    def on_progress(
+        self,
+        request: base.RequestView,
+        endpoint: base.Endpoint,
+        now: float,
+        tokens: int,
+    ) -> None:
+        """Learn how fast the tokens of an answer come."""
+        key = (request.request_id, endpoint.group)
+        attempt = self._attempts.get(key)
+        if attempt is None or tokens <= attempt.progress:
+            return
+        self._learn_decoding(attempt, tokens, now)
+        self._attempts[key] = attempt._replace(progress_at=now, progress=tokens)
+
     def on_load_report(
         self, group: str, load: interfaces.EngineLoad, now: float
     ) -> None:
@@ -218,15 +248,24 @@
     def _take_subset(
         self, candidates: list[base.Endpoint], depths: dict[str, int]
     ) -> list[base.Endpoint]:
-        """Keep the holders of the prefix and some random groups."""
-        if len(candidates) <= SUBSET:
-            return candidates
-        holders = [each for each in candidates if each.group in depths]
-        holders.sort(key=lambda each: depths[each.group], reverse=True)
-        holders = holders[: SUBSET // 2]
-        taken = {each.group for each in holders}
-        rest = [each for each in candidates if each.group not in taken]
-        return holders + self._rng.sample(rest, SUBSET - len(holders))
+        """Draw some of the groups with the longest prefix, and some others.
+
+        Load reports are old, and the same for all nodes. If every node took
+        the best of all groups, all would run to the same one until the next
+        report; a draw spreads them.
+        """
+        deepest = max(
+            (depths.get(each.group, 0) for each in candidates), default=0
+        )
+        near = deepest - SIMILAR_BLOCKS
+        holders = [
+            each for each in candidates if depths.get(each.group, 0) > near
+        ]
+        others = [
+            each for each in candidates if depths.get(each.group, 0) <= near
+        ]
+        drawn = self._rng.sample(holders, min(HOLDERS, len(holders)))
+        return drawn + self._rng.sample(others, min(OTHERS, len(others)))
 
     def _bound_load(
         self, candidates: list[base.Endpoint], now: float
@@ -263,8 +302,11 @@
             _uncached_tokens(request, depth)
             + self._pending_tokens.get(group, 0.0)
             + STREAM_TOKENS * streams
+            + OWN_TOKENS * self._loads.count(group)
             + WAITING_TOKENS * self._loads.waiting(group, now)
         )
+        if self._loads.is_full(group, now):
+            cost += FULL_TOKENS
         slowness = min(4.0, max(1.0, self._stragglers.slowness(group, now)))
         remote = endpoint.data_centre != self._data_centre
         return (
@@ -273,8 +315,17 @@
             + SPREAD_TOKENS * _spread(request, group)
         )
 
+    def _learn_decoding(
+        self, attempt: _Attempt, tokens: int, now: float
+    ) -> None:
+        count = tokens - attempt.progress
+        if attempt.progress_at is None or count < MIN_TOKENS:
+            return
+        seconds = (now - attempt.progress_at) / count
+        self._stragglers.on_decoded(attempt.group, seconds, now)
+
     def _discount(self, attempt: _Attempt) -> None:
-        left = self._pending_tokens.get(attempt.group, 0.0) - attempt.tokens
+        left = self._pending_tokens.get(attempt.group, 0.0) - attempt.uncached
         if left > 0.5:
             self._pending_tokens[attempt.group] = left
         else:
--- a/chervilrock/decisions/routing/base.py
+++ b/chervilrock/decisions/routing/base.py
@@ -16,6 +16,9 @@
 BLOCK_CHARS = 256
 """Characters of prompt text in a prefix block."""
 
+PROGRESS_TOKENS = 16
+"""Tokens of an answer between two calls of `RoutingPolicy.on_progress`."""
+
 MAX_BLOCKS = 64
 """Most prefix blocks that are hashed of a prompt."""
 
@@ -119,6 +122,20 @@
         """Learn that the first token came `waited` seconds after sending."""
         del request, endpoint, now, waited
 
+    def on_progress(
+        self,
+        request: RequestView,
+        endpoint: Endpoint,
+        now: float,
+        tokens: int,
+    ) -> None:
+        """Learn that `tokens` tokens of the answer have come so far.
+
+        It is enough to tell every `PROGRESS_TOKENS` tokens. Without it, a
+        group that turns slow is found only when its answers end.
+        """
+        del request, endpoint, now, tokens
+
     def on_done(
         self,
         request: RequestView,
--- a/chervilrock/decisions/routing/stragglers.py
+++ b/chervilrock/decisions/routing/stragglers.py
@@ -15,20 +15,32 @@
 import statistics
 from typing import NamedTuple
 
-WEIGHT = 0.2
-"""Weight of a new sample in a moving mean."""
+FIRST_TOKEN_WEIGHT = 0.2
+"""Weight of a new time to the first token in its moving mean."""
+
+DECODING_MEMORY_S = 3.0
+"""Time constant of the moving mean of the time between tokens.
+
+A single long prompt slows the tokens of its group for about a second.
+"""
 
 MIN_SAMPLES = 4
-SLOW_FIRST_TOKEN = 3.0
-SLOW_DECODING = 1.8
+SLOW_FIRST_TOKEN = 5.0
+SLOW_DECODING = 3.0
 """Ratios to the median of all groups from which a group is ejected."""
 
-FAST_AGAIN = 1.4
-"""Ratio to the median up to which a probe counts as fast."""
+FAST_FIRST_TOKEN = 1.4
+FAST_DECODING = 1.0
+"""Ratios to the median up to which a sample of a probe counts as fast.
 
-PROBES = 2
-"""Fast probes in a row that bring a group back."""
+An ejected group has few streams, and its tokens have to come faster than
+those of the others.
+"""
+
+PROBES = 3
+"""Fast samples in a row that bring a group back."""
 
+MIN_EXPECTED_S = 0.001
 SILENCE_S = 1.0
 SILENCE_FACTOR = 5.0
 """An attempt is silent after this time and this multiple of the expected."""
@@ -54,13 +66,19 @@
     def __init__(self) -> None:
         self.value = 0.0
         self.samples = 0
+        self._updated = 0.0
 
-    def observe(self, ratio: float) -> None:
-        sample = math.log(max(ratio, 1e-6))
+    def observe(self, sample: float, weight: float) -> None:
         self.samples += 1
-        weight = max(WEIGHT, 1.0 / self.samples)
+        weight = max(weight, 1.0 / self.samples)
         self.value += weight * (sample - self.value)
 
+    def age(self, now: float) -> float:
+        """Return the time since the last call in seconds."""
+        age = max(0.0, now - self._updated)
+        self._updated = now
+        return age
+
 
 class _Ejection(NamedTuple):
     next_probe: float
@@ -120,13 +138,30 @@
         state.failures = 0
         if pending is None:
             return
-        ratio = waited / max(pending.expected, 1e-3)
-        self._sample(state, state.first_token, ratio, SLOW_FIRST_TOKEN, now)
+        sample = _log(waited / max(pending.expected, MIN_EXPECTED_S))
+        self._refresh(state, now)
+        state.first_token.observe(sample, FIRST_TOKEN_WEIGHT)
+        difference = sample - self._median_first_token()
+        if state.ejection is not None:
+            self._judge_probe(state, difference, FAST_FIRST_TOKEN, now)
+        elif self._is_slow(
+            state.first_token, self._median_first_token(), SLOW_FIRST_TOKEN
+        ):
+            self._eject(state, now)
 
     def on_decoded(self, group: str, seconds: float, now: float) -> None:
-        """Learn the mean time between the tokens of an answer."""
+        """Learn the time between tokens, a mean over a part of an answer."""
         state = self._group(group)
-        self._sample(state, state.decoding, seconds, SLOW_DECODING, now)
+        sample = _log(seconds)
+        self._refresh(state, now)
+        age = state.decoding.age(now)
+        weight = 1.0 - math.exp(-age / DECODING_MEMORY_S)
+        state.decoding.observe(sample, weight)
+        median = self._median_decoding()
+        if state.ejection is not None:
+            self._judge_probe(state, sample - median, FAST_DECODING, now)
+        elif self._is_slow(state.decoding, median, SLOW_DECODING):
+            self._eject(state, now)
 
     def on_end(self, group: str, request_id: str, ok: bool, now: float) -> None:
         """Learn that an attempt ended."""
@@ -139,25 +174,28 @@
             self._eject(state, now)
 
     def slowness(self, group: str, now: float) -> float:
-        """Return the time to the first token over that of the median.
+        """Return how many times slower than the median a group is.
 
         It goes back to 1 while there are no new samples, or a group that was
         slow once would get no request that could show the contrary.
         """
         state = self._groups.get(group)
-        if state is None or state.first_token.samples < MIN_SAMPLES:
+        if state is None:
             return 1.0
-        median = self._median(
-            each.first_token for each in self._groups.values()
-        )
+        logarithm = 0.0
+        if state.first_token.samples >= MIN_SAMPLES:
+            logarithm = state.first_token.value - self._median_first_token()
+        if state.decoding.samples >= MIN_SAMPLES:
+            decoding = state.decoding.value - self._median_decoding()
+            logarithm = max(logarithm, decoding)
         age = max(0.0, now - state.sampled_at)
-        trust = math.exp(-age / SLOWNESS_MEMORY_S)
-        return math.exp((state.first_token.value - median) * trust)
+        return math.exp(logarithm * math.exp(-age / SLOWNESS_MEMORY_S))
 
     def check(self, now: float) -> None:
         """Eject the groups with a silent attempt."""
+        usual = math.exp(max(0.0, self._median_first_token()))
         for state in self._groups.values():
-            if state.ejection is None and _is_silent(state, now):
+            if state.ejection is None and _is_silent(state, usual, now):
                 self._eject(state, now)
 
     def ejected(self) -> frozenset[str]:
@@ -183,42 +221,29 @@
             self._groups[group] = _Group()
         return self._groups[group]
 
-    def _sample(
-        self,
-        state: _Group,
-        mean: _Mean,
-        ratio: float,
-        slow: float,
-        now: float,
-    ) -> None:
+    def _refresh(self, state: _Group, now: float) -> None:
+        """Start anew after a long time without samples."""
         if now - state.sampled_at > FORGET_S:
             state.first_token = _Mean()
             state.decoding = _Mean()
         state.sampled_at = now
-        mean.observe(ratio)
-        means = [
-            each.first_token if mean is state.first_token else each.decoding
-            for each in self._groups.values()
-        ]
-        median = self._median(means)
-        if state.ejection is not None:
-            self._judge_probe(state, math.log(max(ratio, 1e-6)) - median, now)
-        elif mean.samples >= MIN_SAMPLES and mean.value - median > math.log(
-            slow
-        ):
-            self._eject(state, now)
+
+    def _is_slow(self, mean: _Mean, median: float, ratio: float) -> bool:
+        if mean.samples < MIN_SAMPLES:
+            return False
+        return mean.value - median > math.log(ratio)
 
     def _judge_probe(
-        self, state: _Group, difference: float, now: float
+        self, state: _Group, difference: float, fast: float, now: float
     ) -> None:
         assert state.ejection is not None
-        if difference > math.log(FAST_AGAIN):
+        if difference > math.log(fast):
             interval = min(MAX_PROBE_S, state.ejection.interval * 2.0)
             state.ejection = _Ejection(now + interval, interval, 0)
             return
-        fast = state.ejection.fast_probes + 1
-        if fast < PROBES:
-            state.ejection = state.ejection._replace(fast_probes=fast)
+        probes = state.ejection.fast_probes + 1
+        if probes < PROBES:
+            state.ejection = state.ejection._replace(fast_probes=probes)
             return
         state.ejection = None
         state.first_token = _Mean()
@@ -234,14 +259,31 @@
             return
         state.ejection = _Ejection(now + FIRST_PROBE_S, FIRST_PROBE_S, 0)
 
+    def _median_first_token(self) -> float:
+        return self._median(each.first_token for each in self._groups.values())
+
+    def _median_decoding(self) -> float:
+        return self._median(each.decoding for each in self._groups.values())
+
     def _median(self, means: Iterable[_Mean]) -> float:
         values = [each.value for each in means if each.samples]
         return statistics.median(values) if values else 0.0
 
 
-def _is_silent(state: _Group, now: float) -> bool:
+def _is_silent(state: _Group, usual: float, now: float) -> bool:
+    """Tell whether an attempt waits for its first token for far too long.
+
+    Args:
+      state: the group.
+      usual: time to the first token over the expected one, at other groups.
+      now: present time.
+    """
     for pending in state.pending.values():
-        limit = max(SILENCE_S, SILENCE_FACTOR * pending.expected)
+        limit = max(SILENCE_S, SILENCE_FACTOR * usual * pending.expected)
         if now - pending.sent_at > limit:
             return True
     return False
+
+
+def _log(ratio: float) -> float:
+    return math.log(max(ratio, 1e-6))
