Tell a request that libcurl sent twice as unknown

Cause: libcurl sends an idempotent request again by itself when a reused connection closes without an answer. The engine may have begun the first one; when it refused the second one, the caller was told not_run. The history checks found it; ruled out there: the retries of the node, which count. Change: a transfer notes a second send; a refusal then proves nothing and the attempt counts as lost. The send itself stays, since it costs no retry. Conclusion: not_run is true again.

--- a/chervilrock/decisions/requests/outcomes.py
+++ b/chervilrock/decisions/requests/outcomes.py
@@ -71,6 +71,20 @@
     return Outcome.UNKNOWN
 
 
+def judge_sends(end: AttemptEnd, *, repeated: bool) -> AttemptEnd:
+    """Tells how an attempt ended whose request may have been sent twice.
+
+    A refusal proves nothing of an earlier send of the same attempt.
+
+    Args:
+      end: how the last send ended.
+      repeated: whether there was an earlier one.
+    """
+    if repeated and end in PROVES_NOT_RUN:
+        return AttemptEnd.LOST
+    return end
+
+
 def judge_engine_answer(
     status: int, *, not_run_header: bool, code: str
 ) -> AttemptEnd:
--- a/chervilrock/edges/enginecalls.py
+++ b/chervilrock/edges/enginecalls.py
@@ -152,11 +152,12 @@
         if self._head.status in _SUCCESSES:
             return AttemptEnd.FOREIGN
         self.refusal = parse_refusal(self._head, self._error_body)
-        return outcomes.judge_engine_answer(
+        judged = outcomes.judge_engine_answer(
             self._head.status,
             not_run_header=has_not_run_header(self._head),
             code=self.refusal.code,
         )
+        return outcomes.judge_sends(judged, repeated=end.repeated)
 
 
 class StreamReceiver(EngineReceiver):
--- a/chervilrock/edges/relay.py
+++ b/chervilrock/edges/relay.py
@@ -71,11 +71,14 @@
       sent: whether a byte of the request may have left.
       head: head of the answer, None when none came.
       error: why the answer is not whole, empty when it is.
+      repeated: whether libcurl sent the request more than once, so that the
+        answer is only that to the last send.
     """
 
     sent: bool
     head: Head | None
     error: str
+    repeated: bool = False
 
 
 class Transfer:
@@ -100,6 +103,7 @@
         self._paused = False
         self._abandoned = False
         self._in_callback = False
+        self._repeated = False
         self.sent = False
         self.head: Head | None = None
 
@@ -155,7 +159,12 @@
 
     def _end(self, error: str) -> TransferEnd:
         self._take_lines()
-        return TransferEnd(sent=self.sent, head=self.head, error=error)
+        return TransferEnd(
+            sent=self.sent,
+            head=self.head,
+            error=error,
+            repeated=self._repeated,
+        )
 
     def _prepare(self, curl: pycurl.Curl) -> None:
         """Sets the options that the client of tornado does not know."""
@@ -174,6 +183,7 @@
         """Called by libcurl right before it sends."""
         if self._abandoned or (self.sent and self._request.send_once):
             return _SEND_ABORT
+        self._repeated = self.sent
         self.sent = True
         return _SEND_OK
 
