Give the table of nodes its interval when it is made

Change: the interval of the settings goes to the table, which scales it with the number of nodes; the peer task has no interval of its own.

--- a/chervilrock/decisions/membership/table.py
+++ b/chervilrock/decisions/membership/table.py
@@ -91,11 +91,6 @@
             self._departures + self._near.departures + self._remotes.departures
         )
 
-    def set_interval(self, interval_s: float) -> None:
-        """Set the time between two exchanges in a small system."""
-        self._interval_s = interval_s
-        self.timing = make_timing(interval_s, self.size)
-
     def update_own(
         self, *, phase: NodePhase, load: float, revision: int
     ) -> None:
--- a/chervilrock/node/parts.py
+++ b/chervilrock/node/parts.py
@@ -63,7 +63,10 @@
     outages = OutageLog(metrics=core.metrics)
     log = HttpLogService(http=core.http, address=core.settings.log_service)
     engine = PolledModelEngine(http=core.probe_http, poller=core.poller)
-    table = MemberTable(own=_make_own(core))
+    table = MemberTable(
+        own=_make_own(core),
+        interval_s=core.settings.exchange_interval_ms / MS_PER_S,
+    )
     admission = Admission(node=core.settings.node, limits=LimitSpec())
     policy = PrefixAffinity(
         rng=core.generator, data_centre=core.settings.data_centre
@@ -96,7 +99,6 @@
         seeds=_list_seeds(core),
         clock=core.clock,
         generator=core.generator,
-        interval_s=core.settings.exchange_interval_ms / MS_PER_S,
         before_exchange=before_exchange,
     )
     return NodeParts(
--- a/chervilrock/tasks/peers.py
+++ b/chervilrock/tasks/peers.py
@@ -102,7 +102,6 @@
         seeds: tuple[str, ...],
         clock: Clock,
         generator: "random.Random",
-        interval_s: float,
         before_exchange: "Callable[[], None]",
     ) -> None:
         """Make the task.
@@ -115,10 +114,8 @@
           seeds: addresses of nodes from the settings
           clock: the clock of this process
           generator: chooses peers
-          interval_s: time between two exchanges in a small system
           before_exchange: brings the own entry of the table up to date
         """
-        table.set_interval(interval_s)
         self._table = table
         self._channel = channel
         self._clock = clock
