Split the policy and the admission into small modules

State that learns is apart from the calls that decide; costs, attempts, usage, saturation and settings have modules of their own. Groups that are gone are forgotten, so a long-running node does not grow.

--- a/chervilrock/decisions/limits/fairness.py
+++ b/chervilrock/decisions/limits/fairness.py
@@ -129,9 +129,34 @@
                 return entry
         return None
 
-    def last(self, workspace: str) -> Waiting:
-        """Return the request that a workspace would be served last."""
-        return self._waiting[workspace][-1]
+    def find_displaced(
+        self, request: base.RequestView, share_of: Callable[[str], float]
+    ) -> base.RequestView | None:
+        """Return the request that loses its place in a full queue.
+
+        It is the last one of the workspace with the longest queue for its
+        weight, or one of the same workspace with a lower priority, or None
+        when the new request has the least right to a place.
+
+        Args:
+          request: the new request.
+          share_of: gives the weight of a workspace.
+        """
+        own = request.workspace
+        lengths = {
+            name: len(queue) / share_of(name)
+            for name, queue in self._waiting.items()
+        }
+        if not lengths:
+            return None
+        longest = max(lengths, key=lengths.__getitem__)
+        own_length = (self.count(own) + 1) / share_of(own)
+        if longest != own and lengths[longest] > own_length:
+            return self._waiting[longest][-1].request
+        if own not in self._waiting:
+            return None
+        last = self._waiting[own][-1].request
+        return last if last.priority > request.priority else None
 
     def _start_time(self, workspace: str) -> float:
         return max(self._virtual_time, self._finish.get(workspace, 0.0))
--- a/chervilrock/decisions/limits/retries.py
+++ b/chervilrock/decisions/limits/retries.py
@@ -1,6 +1,5 @@
 """Budget that keeps retries to a share of the load."""
 
-DEFAULT_RATIO = 0.1
 INITIAL_TOKENS = 1.0
 MAX_TOKENS = 5.0
 """Retries that may follow each other after a long time without any."""
@@ -13,13 +12,9 @@
     attempts, plus what the bucket held before.
     """
 
-    def __init__(self, *, ratio: float = DEFAULT_RATIO) -> None:
-        """Start with a single token.
-
-        Args:
-          ratio: further attempts allowed for each first one.
-        """
-        self._ratio = ratio
+    def __init__(self) -> None:
+        """Start with a single token and no ratio."""
+        self._ratio = 0.0
         self._tokens = INITIAL_TOKENS
 
     @property
--- a/chervilrock/decisions/routing/loads.py
+++ b/chervilrock/decisions/routing/loads.py
@@ -101,17 +101,10 @@
         return self.count(group) + report.others >= self._batch - 1.0
 
     def forget(self, group: str) -> None:
-        """Forget the report of a group."""
+        """Forget the report and the old counts of a group."""
         self._reports.pop(group, None)
-
-    def keep_only(self, groups: frozenset[str]) -> None:
-        """Forget the reports and counts of all other groups."""
-        self._reports = {
-            name: each for name, each in self._reports.items() if name in groups
-        }
-        self._history = {
-            name: each for name, each in self._history.items() if name in groups
-        }
+        if not self.count(group):
+            self._history.pop(group, None)
 
     def _fresh(self, group: str, now: float) -> _Report | None:
         report = self._reports.get(group)
--- a/chervilrock/decisions/routing/prefixes.py
+++ b/chervilrock/decisions/routing/prefixes.py
@@ -9,20 +9,25 @@
 import collections
 from collections.abc import Sequence
 
-CAPACITY = 16_384
-"""Blocks that the index remembers."""
+CAPACITY = 8_192
+"""Blocks that the index remembers; it takes about 4 MB when it is full."""
 
 LIFETIME_S = 120.0
 """Time after which an entry that was not confirmed no longer counts."""
 
-STRIDE = 4
-"""Distance of the blocks of a prompt that are remembered.
+SAMPLING = 4
+"""One block in this many is remembered, chosen by its hash.
 
-The last block is remembered too, since the next turn of a conversation goes
-on from there.
+The last block of an own prompt is remembered as well, since the next turn of
+a conversation goes on from there, and the first one.
 """
 
 
+def is_sampled(block: int) -> bool:
+    """Tell whether a block is one of those that are remembered."""
+    return block % SAMPLING == 0
+
+
 class PrefixIndex:
     """Blocks and the groups that are believed to hold them."""
 
@@ -43,10 +48,10 @@
 
     def add_prompt(self, blocks: Sequence[int], group: str, now: float) -> None:
         """Learn that a group computes a prompt with these prefix blocks."""
-        for depth in range(STRIDE, len(blocks) + 1, STRIDE):
-            self.add(blocks[depth - 1], group, now)
-        if blocks:
-            self.add(blocks[-1], group, now)
+        last = len(blocks) - 1
+        for index, block in enumerate(blocks):
+            if index in (0, last) or is_sampled(block):
+                self.add(block, group, now)
 
     def add(self, block: int, group: str, now: float) -> None:
         """Learn that a group holds a block."""
--- a/chervilrock/decisions/routing/stragglers.py
+++ b/chervilrock/decisions/routing/stragglers.py
@@ -10,7 +10,7 @@
 back when its probes are as fast as the others.
 """
 
-from collections.abc import Collection, Iterable
+from collections.abc import Iterable
 import math
 import statistics
 from typing import NamedTuple
@@ -56,6 +56,8 @@
 SLOWNESS_MEMORY_S = 10.0
 """Time constant in which slowness that is not seen again is forgotten."""
 
+CHECK_INTERVAL_S = 0.1
+MEDIAN_INTERVAL_S = 0.1
 FORGET_S = 60.0
 """Time after which a group without samples counts as unknown."""
 
@@ -91,6 +93,12 @@
     expected: float
 
 
+class _Medians(NamedTuple):
+    time: float
+    first_token: float
+    decoding: float
+
+
 class _Group:
     def __init__(self) -> None:
         self.first_token = _Mean()
@@ -107,12 +115,8 @@
     def __init__(self) -> None:
         """Start with no group known."""
         self._groups: dict[str, _Group] = {}
-
-    def keep_only(self, groups: Collection[str]) -> None:
-        """Forget all other groups."""
-        for name in list(self._groups):
-            if name not in groups:
-                del self._groups[name]
+        self._known_medians = _Medians(float("-inf"), 0.0, 0.0)
+        self._checked_at = float("-inf")
 
     def forget(self, group: str) -> None:
         """Forget a group, such as after a repair."""
@@ -141,11 +145,11 @@
         sample = _log(waited / max(pending.expected, MIN_EXPECTED_S))
         self._refresh(state, now)
         state.first_token.observe(sample, FIRST_TOKEN_WEIGHT)
-        difference = sample - self._median_first_token()
+        difference = sample - self._medians(now).first_token
         if state.ejection is not None:
             self._judge_probe(state, difference, FAST_FIRST_TOKEN, now)
         elif self._is_slow(
-            state.first_token, self._median_first_token(), SLOW_FIRST_TOKEN
+            state.first_token, self._medians(now).first_token, SLOW_FIRST_TOKEN
         ):
             self._eject(state, now)
 
@@ -157,7 +161,7 @@
         age = state.decoding.age(now)
         weight = 1.0 - math.exp(-age / DECODING_MEMORY_S)
         state.decoding.observe(sample, weight)
-        median = self._median_decoding()
+        median = self._medians(now).decoding
         if state.ejection is not None:
             self._judge_probe(state, sample - median, FAST_DECODING, now)
         elif self._is_slow(state.decoding, median, SLOW_DECODING):
@@ -184,16 +188,19 @@
             return 1.0
         logarithm = 0.0
         if state.first_token.samples >= MIN_SAMPLES:
-            logarithm = state.first_token.value - self._median_first_token()
+            logarithm = state.first_token.value - self._medians(now).first_token
         if state.decoding.samples >= MIN_SAMPLES:
-            decoding = state.decoding.value - self._median_decoding()
+            decoding = state.decoding.value - self._medians(now).decoding
             logarithm = max(logarithm, decoding)
         age = max(0.0, now - state.sampled_at)
         return math.exp(logarithm * math.exp(-age / SLOWNESS_MEMORY_S))
 
     def check(self, now: float) -> None:
         """Eject the groups with a silent attempt."""
-        usual = math.exp(max(0.0, self._median_first_token()))
+        if now - self._checked_at < CHECK_INTERVAL_S:
+            return
+        self._checked_at = now
+        usual = math.exp(max(0.0, self._medians(now).first_token))
         for state in self._groups.values():
             if state.ejection is None and _is_silent(state, usual, now):
                 self._eject(state, now)
@@ -259,15 +266,22 @@
             return
         state.ejection = _Ejection(now + FIRST_PROBE_S, FIRST_PROBE_S, 0)
 
-    def _median_first_token(self) -> float:
-        return self._median(each.first_token for each in self._groups.values())
+    def _medians(self, now: float) -> _Medians:
+        """Return the medians over the groups, computed anew now and then."""
+        if now - self._known_medians.time < MEDIAN_INTERVAL_S:
+            return self._known_medians
+        groups = self._groups.values()
+        self._known_medians = _Medians(
+            time=now,
+            first_token=_median(each.first_token for each in groups),
+            decoding=_median(each.decoding for each in groups),
+        )
+        return self._known_medians
 
-    def _median_decoding(self) -> float:
-        return self._median(each.decoding for each in self._groups.values())
 
-    def _median(self, means: Iterable[_Mean]) -> float:
-        values = [each.value for each in means if each.samples]
-        return statistics.median(values) if values else 0.0
+def _median(means: Iterable[_Mean]) -> float:
+    values = [each.value for each in means if each.samples]
+    return statistics.median(values) if values else 0.0
 
 
 def _is_silent(state: _Group, usual: float, now: float) -> bool:
--- a/test/decisions/limits/test_admission.py
+++ b/test/decisions/limits/test_admission.py
@@ -21,7 +21,7 @@
 )
 
 from chervilrock.decisions.limits import admission as admissions
-from chervilrock.decisions.limits import verdicts
+from chervilrock.decisions.limits import state, verdicts
 from chervilrock.decisions.routing import base
 from chervilrock.generated import configuration, interfaces
 
@@ -350,4 +350,4 @@
         name = f"invented{number}"
         admission.offer(make_request(number, workspace=name), 0.0)
     running = admission.snapshot()["models"]["m"]["running"]
-    assert_that(list(running), Equals([admissions.UNLISTED]))
+    assert_that(list(running), Equals([state.UNLISTED]))
