Know hosts that are being released without being told

The view of the controller does not say which hosts its groups gave up; the planner then took the hosts for lost and dissolved further groups. It now remembers for 30 s which hosts left a group.

--- a/chervilrock/decisions/planner/planner.py
+++ b/chervilrock/decisions/planner/planner.py
@@ -20,6 +20,7 @@
     decide_domain,
     decide_group,
 )
+from chervilrock.decisions.planner.releases import ReleaseHistory
 from chervilrock.generated.configuration import ModelSpec
 
 _EMPTY = PlanInput((), Prices(), (), ())
@@ -58,13 +59,14 @@
         self._rearranges = rearranges
         self._times = times
         self._loads = LoadHistory()
+        self._releases = ReleaseHistory()
         self._history = AbsenceHistory()
         self._absent_since: dict[str, float] = {}
         self._inventory = Inventory(view=_EMPTY)
 
     def plan(self, view: PlanInput, now: float) -> tuple[Action, ...]:
         """Returns the actions for a whole view, the most urgent first."""
-        self._inventory = Inventory(view=view)
+        self._inventory = Inventory(view=self._releases.mark(view, now))
         for host in view.hosts:
             self._learn(host, now)
         self._loads.observe(view.groups, now)
