--- a/bench/routing.py
+++ b/bench/routing.py
@@ -22,11 +22,11 @@
 import heapq
 import itertools
 import random
-from typing import NamedTuple
 
 import numpy as np
 
-from bench import entry_model, open_admission, workload
+from bench import entry_model, entry_requests, open_admission, workload
+from bench import routing_figures as figures
 from chervilrock.decisions.limits import admission as admissions
 from chervilrock.decisions.routing import affinity, base, baselines
 
@@ -39,7 +39,6 @@
 SATURATION = 140.0
 """Requests a second that are far too many for the engines."""
 
-FIRST_TOKEN_LIMIT_S = 3.0
 LOADS = (0.5, 0.8, 1.0, 2.0)
 QUICK_LOADS = (0.8, 2.0)
 SEEDS = (1, 2, 3)
@@ -62,42 +61,6 @@
 OTHER_BLOCKS = 1 << 40
 
 
-class Scenario(NamedTuple):
-    """What the runs of a result have in common.
-
-    Attributes:
-      policy: name of the routing policy
-      load: offered load in capacities
-      rate: offered load in requests a second
-      faults: whether hosts are slow and lost
-      limits: whether the product's admission is on
-    """
-
-    policy: str
-    load: float
-    rate: float
-    faults: bool
-    limits: bool = True
-
-
-class Outcome(NamedTuple):
-    """What one run gave.
-
-    Attributes:
-      results: requests that arrived in the measured time
-      gaps: times between tokens with their counts, an array of two columns
-      cache_share: share of the prompt tokens that were cached
-      retry_share: retries and hedges for each first attempt
-      seconds: measured time
-    """
-
-    results: list[entry_model.Result]
-    gaps: np.ndarray
-    cache_share: float
-    retry_share: float
-    seconds: float
-
-
 def run(*, quick: bool) -> Iterable[dict[str, object]]:
     """Yield the results.
 
@@ -115,21 +78,28 @@
     }
     lines = []
     for scenario in _scenarios(quick, capacity):
-        line = _describe(scenario, _repeat(scenario, seeds, seconds))
+        line = figures.describe(scenario, _repeat(scenario, seeds, seconds))
         lines.append(line)
         yield line
     small = _measure_small_workspace(capacity, seeds, seconds)
     yield small
     own_goodput = [
-        _goodput(_repeat(Scenario(PRODUCT, x, x * own, False), seeds, seconds))
+        figures.measure_goodput(
+            _repeat(
+                figures.Scenario(PRODUCT, x, x * own, False), seeds, seconds
+            )
+        )
         for x in (1.0, 2.0)
     ]
-    yield _summarise(lines, small, own_goodput)
+    yield figures.summarise(PRODUCT, lines, small, own_goodput)
 
 
 def simulate(
-    scenario: Scenario, arrivals: list[workload.Arrival], seed: int, end: float
-) -> Outcome:
+    scenario: figures.Scenario,
+    arrivals: list[workload.Arrival],
+    seed: int,
+    end: float,
+) -> figures.Outcome:
     """Run one scenario and return what it gave.
 
     Args:
@@ -160,7 +130,7 @@
         if WARM_UP_S <= time < end and count
     ]
     further = cluster.retries + cluster.hedges
-    return Outcome(
+    return figures.Outcome(
         results=results,
         gaps=np.array(gaps),
         cache_share=cluster.cache_share(),
@@ -169,21 +139,21 @@
     )
 
 
-def _scenarios(quick: bool, capacity: float) -> Iterable[Scenario]:
+def _scenarios(quick: bool, capacity: float) -> Iterable[figures.Scenario]:
     loads = QUICK_LOADS if quick else LOADS
     policies = QUICK_POLICIES if quick else POLICIES
     for faults, load in itertools.product((False, True), loads):
         for policy in policies:
-            yield Scenario(policy, load, load * capacity, faults)
+            yield figures.Scenario(policy, load, load * capacity, faults)
     for load in loads[-2:]:
-        yield Scenario(
+        yield figures.Scenario(
             "least_in_flight", load, load * capacity, False, limits=False
         )
 
 
 def _repeat(
-    scenario: Scenario, seeds: Iterable[int], seconds: float
-) -> list[Outcome]:
+    scenario: figures.Scenario, seeds: Iterable[int], seconds: float
+) -> list[figures.Outcome]:
     end = WARM_UP_S + seconds
     return [
         simulate(scenario, _draw(scenario.rate, seed, end), seed, end)
@@ -211,7 +181,7 @@
         return baselines.TwoChoices(rng=rng)
     if name == "least_in_flight":
         return baselines.LeastInFlight(rng=rng)
-    data_centre = entry_model.data_centre_of(node, DATA_CENTRES)
+    data_centre = entry_requests.data_centre_of(node, DATA_CENTRES)
     return affinity.PrefixAffinity(rng=rng, data_centre=data_centre)
 
 
@@ -223,94 +193,32 @@
     )
 
 
-def _plan_faults(seed: int, end: float) -> list[entry_model.Fault]:
+def _plan_faults(seed: int, end: float) -> list[entry_requests.Fault]:
     engines = random.Random(seed).sample(range(ENGINES), 4)
     step = (end - WARM_UP_S) / 6.0
     starts = [WARM_UP_S + i * step for i in range(4)]
     slow = min(40.0, 2.0 * step)
     lost = min(20.0, step)
     return [
-        entry_model.Fault(engines[0], starts[0], starts[0] + slow, 4.0),
-        entry_model.Fault(engines[1], starts[1], starts[1] + lost, 0.0),
-        entry_model.Fault(engines[2], starts[2], starts[2] + slow, 3.0),
-        entry_model.Fault(engines[3], starts[3], starts[3] + lost, 0.0),
+        entry_requests.Fault(engines[0], starts[0], starts[0] + slow, 4.0),
+        entry_requests.Fault(engines[1], starts[1], starts[1] + lost, 0.0),
+        entry_requests.Fault(engines[2], starts[2], starts[2] + slow, 3.0),
+        entry_requests.Fault(engines[3], starts[3], starts[3] + lost, 0.0),
     ]
 
 
 def _measure_capacity(policy: str, seconds: float) -> float:
-    scenario = Scenario(policy, 0.0, SATURATION, False)
+    scenario = figures.Scenario(policy, 0.0, SATURATION, False)
     outcome = _repeat(scenario, (99,), seconds)[0]
     done = sum(1 for each in outcome.results if each.done_s is not None)
     return done / outcome.seconds
 
 
-def _first_tokens(outcomes: Iterable[Outcome]) -> np.ndarray:
-    return np.array(
-        [
-            result.first_s
-            for outcome in outcomes
-            for result in outcome.results
-            if result.first_s is not None
-        ]
-    )
-
-
-def _goodput(outcomes: list[Outcome]) -> float:
-    good = sum(
-        1
-        for outcome in outcomes
-        for result in outcome.results
-        if result.done_s is not None
-        and result.first_s is not None
-        and result.first_s <= FIRST_TOKEN_LIMIT_S
-    )
-    return good / sum(outcome.seconds for outcome in outcomes)
-
-
-def _weighted_percentile(pairs: np.ndarray, percent: float) -> float:
-    ordered = pairs[np.argsort(pairs[:, 0])]
-    counts = np.cumsum(ordered[:, 1])
-    place = np.searchsorted(counts, counts[-1] * percent / 100.0)
-    return float(ordered[place, 0])
-
-
-def _describe(scenario: Scenario, outcomes: list[Outcome]) -> dict[str, object]:
-    first = _first_tokens(outcomes)
-    results = [result for outcome in outcomes for result in outcome.results]
-    unfinished = [result for result in results if result.done_s is None]
-    failed = [
-        result
-        for result in unfinished
-        if result.code in ("failed", "caller_gone")
-    ]
-    gaps = np.concatenate([outcome.gaps for outcome in outcomes])
-    return {
-        "measure": "policy",
-        **scenario._asdict(),
-        "rate": round(scenario.rate, 2),
-        "seeds": len(outcomes),
-        "requests": len(results),
-        "first_token_p50_s": round(float(np.percentile(first, 50)), 4),
-        "first_token_p95_s": round(float(np.percentile(first, 95)), 4),
-        "first_token_p99_s": round(float(np.percentile(first, 99)), 4),
-        "token_gap_p95_s": round(_weighted_percentile(gaps, 95), 4),
-        "cache_share": round(
-            float(np.mean([each.cache_share for each in outcomes])), 4
-        ),
-        "goodput_per_s": round(_goodput(outcomes), 2),
-        "rejected_share": round(
-            (len(unfinished) - len(failed)) / len(results), 4
-        ),
-        "failed_share": round(len(failed) / len(results), 4),
-        "retry_share": round(max(each.retry_share for each in outcomes), 4),
-    }
-
-
 def _measure_small_workspace(
     capacity: float, seeds: Iterable[int], seconds: float
 ) -> dict[str, object]:
     end = WARM_UP_S + seconds
-    scenario = Scenario(PRODUCT, FLOOD, FLOOD * capacity, False)
+    scenario = figures.Scenario(PRODUCT, FLOOD, FLOOD * capacity, False)
     alone = []
     beside = []
     for seed in seeds:
@@ -329,8 +237,8 @@
         )
         for outcome in beside
     ]
-    p95_alone = float(np.percentile(_first_tokens(alone), 95))
-    p95_beside = float(np.percentile(_first_tokens(kept), 95))
+    p95_alone = float(np.percentile(figures.collect_first_tokens(alone), 95))
+    p95_beside = float(np.percentile(figures.collect_first_tokens(kept), 95))
     lost = [
         result
         for outcome in kept
@@ -371,35 +279,3 @@
             block + OTHER_BLOCKS for block in arrival.answer_blocks
         ),
     )
-
-
-def _summarise(
-    lines: list[dict[str, object]],
-    small: dict[str, object],
-    own_goodput: list[float],
-) -> dict[str, object]:
-    def find(policy: str, load: float, field: str) -> float:
-        for line in lines:
-            key = (line["policy"], line["load"], line["faults"])
-            if key == (policy, load, False) and line["limits"]:
-                return float(str(line[field]))
-        raise LookupError(f"no line for {policy} at {load}")
-
-    p95 = find(PRODUCT, 0.8, "first_token_p95_s")
-    shares = [
-        float(str(line["retry_share"]))
-        for line in lines
-        if line["policy"] == PRODUCT
-    ]
-    return {
-        "measure": "summary",
-        "p95_first_token_vs_least_in_flight": round(
-            p95 / find("least_in_flight", 0.8, "first_token_p95_s"), 4
-        ),
-        "p95_first_token_vs_two_choices": round(
-            p95 / find("two_choices", 0.8, "first_token_p95_s"), 4
-        ),
-        "goodput_2x_vs_1x": round(own_goodput[1] / own_goodput[0], 4),
-        "retry_share": max(shares),
-        "small_workspace_p95_vs_alone": small["small_workspace_p95_vs_alone"],
-    }
