Cut a controller off from the platform in a recorded run

Cause: no run had a partition; a frozen node and an outage for all are others. Change: each node of a site reaches the platform over a link of its own.

--- a/test/history/failures.py
+++ b/test/history/failures.py
@@ -240,3 +240,20 @@
     site.installation.add_faults(FaultKind.LOSE_ANSWER, **rule)
     await site.wait_progress(4 * STEP)
     site.installation.clear_faults()
+
+
+async def cut_off_controller(site: Site) -> None:
+    """Cut the controller off from the platform, and do not mend it.
+
+    What is applied afterwards reaches it only through its peers.
+    """
+    controller = await site.find_controller()
+    controller.link.cut()
+    await site.wait_controller_but(controller)
+    site.installation.kill_host((await site.find_group("beta"))[-1])
+    await site.wait_progress(STEP)
+    other = next(one for one in site.nodes if one is not controller)
+    base = await site.read_revision()
+    await site.operator.apply(other.address, name="far", base=base)
+    await site.wait_progress(STEP)
+    await site.installation.return_hosts()
--- a/test/history/nodes.py
+++ b/test/history/nodes.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from chervilrock.node.entry import EntryNode
+from test.history.links import Link
 from test.history.loops import Owner
 
 
@@ -25,10 +26,15 @@
 
 
 class Node(NamedTuple):
-    """An entry node and the owner of everything that it runs."""
+    """An entry node and the owner of everything that it runs.
+
+    Attributes:
+      link: leads from the node to the platform
+    """
 
     entry: EntryNode
     owner: Owner
+    link: Link
 
     @property
     def name(self) -> str:
--- a/test/history/runs.py
+++ b/test/history/runs.py
@@ -46,6 +46,7 @@
     "stops": Run(failures.stop_nodes, Options(seed=5)),
     "answers": Run(failures.spoil_answers, Options(seed=6)),
     "log": Run(failures.lose_log, Options(seed=7)),
+    "partition": Run(failures.cut_off_controller, Options(seed=14)),
     "operators": Run(failures.race_operators, Options(seed=9)),
 }
 
--- a/test/history/sites.py
+++ b/test/history/sites.py
@@ -28,6 +28,7 @@
     StopBegan,
     StopEnded,
 )
+from test.history.links import Link
 from test.history.loops import get_loop, Owner
 from test.history.nodes import Node, Options
 
@@ -52,6 +53,7 @@
             latency_ms=options.latency_ms,
         )
         self.nodes: list[Node] = []
+        self._links: list[Link] = []
         self._frozen: set[str] = set()
         self._client = CallerClient()
         self._seeds: list[str] = []
@@ -106,18 +108,23 @@
         get_loop().resume_all()
         for node in self.nodes:
             await node.entry.kill()
+        for link in self._links:
+            link.stop()
         await self.installation.stop()
         self._client.close()
 
     async def start_node(self) -> Node:
         """Start one more entry node."""
         number = next(self._numbers)
+        link = Link(target=self.installation.platform.address)
+        await link.start()
+        self._links.append(link)
         settings = NodeSettings(
             node=f"entry-{number}",
             listen="127.0.0.1:0",
             region=REGION,
             data_centre=DATA_CENTRES[number % len(DATA_CENTRES)],
-            log_service=self.installation.platform.address,
+            log_service=link.address,
             peers=",".join(node.address for node in self.nodes),
             lease_ms=LEASE_MS,
             probe_interval_ms=300,
@@ -127,7 +134,8 @@
             seed=self.options.seed * 1000 + number,
         )
         owner = Owner(f"{id(self)}/{number}")
-        node = Node(owner.call(EntryNode, settings=settings), owner)
+        entry = owner.call(EntryNode, settings=settings)
+        node = Node(entry, owner, link)
         await owner.run(node.entry.start())
         self.history.note(NodeStarted(node.address))
         self.nodes.append(node)
