Tell a key whose owner cannot be known as unknown

Cause: a node that cannot read the log told not_run of a key whose request another node had run: the try was not run, but for the caller it is the same request. The history checks found it. Change: key_unavailable tells unknown; nothing runs, as before. Conclusion: not_run is told only where it is known.

--- a/chervilrock/edges/keys.py
+++ b/chervilrock/edges/keys.py
@@ -21,7 +21,13 @@
 UNAVAILABLE = CallerError(
     ErrorCode.KEY_UNAVAILABLE,
     "the key cannot be claimed now; a ticket from /v1/tickets needs no claim",
+    Outcome.UNKNOWN,
 )
+"""Told when the log does not say whose key it is.
+
+This try was not run, but an earlier one with the same key may have been run by
+another node, and for the caller both are the same request.
+"""
 
 
 class KeyDesk:
