Judge the age of news by the heartbeat, and prove it by a state machine

Cause: a heartbeat was news whenever it was greater than the known one, so a delayed message could show a dead node as live for a while, and each node that handed news on made it look younger. Change: a heartbeat is the own clock of a node; its neighbours compare it with theirs and know how old news is. A node of the own data centre, or a data centre, of which news is late is asked itself before it counts as dead. A node that was paused reads no news until it has begun again. Digests are written in a module of their own.

--- a/chervilrock/decisions/membership/exchange.py
+++ b/chervilrock/decisions/membership/exchange.py
@@ -6,11 +6,9 @@
 exchange with the same node, only when one of the two lacks them.
 """
 
-from collections.abc import Mapping
-from typing import Any, NamedTuple, TYPE_CHECKING
-
-import msgspec
+from typing import NamedTuple, TYPE_CHECKING
 
+from chervilrock.decisions.membership.digests import add_wants, DigestWriter
 from chervilrock.decisions.membership.links import Peer, PeerLinks
 from chervilrock.decisions.membership.promptness import Promptness
 from chervilrock.decisions.membership.shelf import (
@@ -18,33 +16,23 @@
     ShareBook,
 )
 from chervilrock.decisions.membership.table import MemberTable
-from chervilrock.decisions.membership.wanting import ConfigurationWant
+from chervilrock.decisions.membership.wanting import (
+    ConfigurationWant,
+    read_configuration,
+)
 from chervilrock.generated.interfaces import (
     DataCentreReport,
-    NodeUse,
     PeerDigest,
-    Roster,
     RosterWant,
 )
-from chervilrock.generated.records import StoredRecord
 
 if TYPE_CHECKING:
     import random
 
-MAX_DATA_CENTRE_REPORTS = 16
-MAX_ROSTERS = 4
 MAX_FOLLOW_UPS = 6
 JITTER = (0.75, 1.25)
 """Bounds of a pause, in intervals."""
 
-MAX_SHARES = 16
-MAX_SHARING_NODES = 64
-"""Nodes above which shares are not told.
-
-Parts of a bound by demand need news of every node within seconds. More nodes
-than this take equal parts, which need none.
-"""
-
 
 class Message(NamedTuple):
     """A digest for a peer.
@@ -86,13 +74,16 @@
         self._shelf = shelf
         self._shares = shares
         self._generator = generator
+        self._writer = DigestWriter(table=table, shares=shares)
         self._want = ConfigurationWant(shelf=shelf)
         self._promptness = Promptness()
+        self._begun: float | None = None
 
     def begin(self, now: float) -> tuple[Message, ...]:
         """Return the digests to send at the end of an interval."""
+        self._begun = now
         self._table.beat(now)
-        self._shares.observe_members(self._table.list_names(), now)
+        self._shares.observe_members(self._table.list_names(now), now)
         chosen = (self._links.choose(now), self._links.choose_trial(now))
         return tuple(
             self._make_message(peer, now) for peer in chosen if peer is not None
@@ -135,9 +126,9 @@
                 report.data_centre: report.clock
                 for report in digest.get("data_centres", ())
             }
-            reply = self._make_full(sender.data_centre, told, now)
-        self._add_rosters(reply, digest.get("wants", ()), now)
-        self._add_wants(reply, wants)
+            reply = self._writer.write(sender.data_centre, told, now)
+        self._writer.add_rosters(reply, digest.get("wants", ()), now)
+        add_wants(reply, wants)
         self._add_configuration(reply, digest, now)
         return reply
 
@@ -158,8 +149,8 @@
             return None
         self._links.note_success(sent.address, sender.data_centre)
         reply = PeerDigest(sender=self._table.own)
-        self._add_rosters(reply, answer.get("wants", ()), now)
-        self._add_wants(reply, wants)
+        self._writer.add_rosters(reply, answer.get("wants", ()), now)
+        add_wants(reply, wants)
         self._add_configuration(reply, answer, now)
         self._promptness.note_exchange(
             was_useful=bool(answer.get("wants"))
@@ -178,6 +169,8 @@
         sender = digest["sender"]
         if sender.incarnation == self._table.own.incarnation:
             return []
+        if self._was_paused(now):
+            return []
         self._table.note_exchange(sender, now)
         self._want.note_revision(sender.revision, now)
         for roster in digest.get("rosters", ()):
@@ -194,6 +187,16 @@
         reports = digest.get("data_centres", ())
         return self._take_reports(reports, now, is_near)
 
+    def _was_paused(self, now: float) -> bool:
+        """Say whether this node did nothing lately.
+
+        Then the digests that it reads now may have waited for it all the
+        time, and what was news is none any more.
+        """
+        if self._begun is None:
+            return False
+        return now - self._begun > self._table.timing.overdue_s
+
     def _take_reports(
         self,
         reports: tuple[DataCentreReport, ...],
@@ -201,70 +204,14 @@
         is_near: bool,
     ) -> list[RosterWant]:
         wants = [
-            self._table.merge_data_centre(report, now, from_near=is_near)
+            self._table.merge_report(report, now, from_near=is_near)
             for report in reports
         ]
         return [want for want in wants if want is not None]
 
     def _make_message(self, peer: Peer, now: float) -> Message:
-        return Message(peer.address, self._make_full(peer.data_centre, {}, now))
-
-    def _make_full(
-        self, receiver: str, told: Mapping[str, int], now: float
-    ) -> PeerDigest:
-        """Return a digest with news for a node of a data centre.
-
-        Args:
-          receiver: data centre of the receiver, empty when not known
-          told: clocks that the receiver knows by data centre
-          now: present time
-        """
-        table = self._table
-        digest = PeerDigest(sender=table.own)
-        reports = table.report_remotes(
-            now, MAX_DATA_CENTRE_REPORTS, receiver, told
-        )
-        is_near = receiver == table.own.data_centre
-        if is_near:
-            digest["heartbeats"] = table.report_heartbeats(now)
-        if is_near or table.may_report(now):
-            reports = [table.report_own(now), *reports]
-        if reports:
-            digest["data_centres"] = tuple(reports)
-        shares = self._choose_shares(now)
-        if shares:
-            digest["shares"] = shares
-        return digest
-
-    def _choose_shares(self, now: float) -> tuple[NodeUse, ...]:
-        if self._table.size > MAX_SHARING_NODES:
-            return ()
-        used = [use for use in self._shares.shares(now) if use.uses]
-        used.sort(key=lambda use: use.age_ms)
-        return tuple(used[:MAX_SHARES])
-
-    def _add_rosters(
-        self, reply: PeerDigest, wants: tuple[RosterWant, ...], now: float
-    ) -> None:
-        """Add the members that the other asks for, and their reports."""
-        rosters: list[Roster] = []
-        reports: list[DataCentreReport] = []
-        for want in wants[:MAX_ROSTERS]:
-            roster = self._table.make_roster(want, now)
-            report = self._table.report_one(want.data_centre, now)
-            if roster is not None and report is not None:
-                rosters.append(roster)
-                reports.append(report)
-        if rosters:
-            reply["rosters"] = tuple(rosters)
-            reply["data_centres"] = (
-                *reply.get("data_centres", ()),
-                *reports,
-            )
-
-    def _add_wants(self, reply: PeerDigest, wants: list[RosterWant]) -> None:
-        if wants:
-            reply["wants"] = tuple(wants[:MAX_ROSTERS])
+        digest = self._writer.write(peer.data_centre, {}, now)
+        return Message(peer.address, digest)
 
     def _add_configuration(
         self, reply: PeerDigest, digest: PeerDigest, now: float
@@ -279,16 +226,6 @@
             reply["configuration"] = current
 
 
-def read_configuration(raw: Any) -> StoredRecord | None:
-    """Return the record that a digest carries, None when it is none."""
-    if raw is None:
-        return None
-    try:
-        return msgspec.convert(raw, StoredRecord)
-    except msgspec.ValidationError:
-        return None
-
-
 def _is_follow_up(digest: PeerDigest) -> bool:
     """Say whether a digest goes on with an exchange."""
     return bool(
--- a/chervilrock/decisions/membership/former.py
+++ b/chervilrock/decisions/membership/former.py
@@ -1,4 +1,4 @@
-"""Nodes that were dropped: to be tried again, and not to be revived."""
+"""Nodes of other data centres that were dropped, to be tried again."""
 
 from collections import OrderedDict
 from collections.abc import Iterable
@@ -16,16 +16,17 @@
 
 
 class FormerMembers:
-    """The nodes that were dropped last."""
+    """The nodes that were dropped last, by address."""
 
     def __init__(self) -> None:
+        """Remember no node."""
         self._dropped: OrderedDict[str, _Dropped] = OrderedDict()
 
     def add(self, peers: Iterable[PeerNode], now: float) -> None:
         """Remember nodes that are dropped now, and forget the oldest."""
         for peer in peers:
-            self._dropped[peer.incarnation] = _Dropped(peer, now)
-            self._dropped.move_to_end(peer.incarnation)
+            self._dropped[peer.address] = _Dropped(peer, now)
+            self._dropped.move_to_end(peer.address)
         while self._dropped:
             oldest = next(iter(self._dropped.values()))
             expired = now - oldest.dropped > KEEP_S
@@ -33,15 +34,6 @@
                 return
             self._dropped.popitem(last=False)
 
-    def admits(self, peer: PeerNode) -> bool:
-        """Say whether an entry is newer than when its node was dropped."""
-        known = self._dropped.get(peer.incarnation)
-        return known is None or peer.heartbeat > known.peer.heartbeat
-
-    def remove(self, incarnation: str) -> None:
-        """Forget a node, since it is known again."""
-        self._dropped.pop(incarnation, None)
-
     def peers(self) -> list[PeerNode]:
         """Return the nodes."""
         return [dropped.peer for dropped in self._dropped.values()]
--- a/chervilrock/decisions/membership/links.py
+++ b/chervilrock/decisions/membership/links.py
@@ -93,6 +93,7 @@
         """
         self._table = table
         self._seeds = seeds
+        self._controller = ""
         self._generator = generator
         self._max_links = max_links
         self._links: dict[str, str] = {}
@@ -106,6 +107,17 @@
         """Addresses of the links."""
         return tuple(self._links)
 
+    def note_controller(self, address: str) -> None:
+        """Take the address of the controller of the region as a seed.
+
+        The log tells it, so that nodes whose seeds are all gone find each
+        other.
+
+        Args:
+          address: IP:port, empty when the log names no controller
+        """
+        self._controller = address
+
     def choose(self, now: float) -> Peer | None:
         """Return the node to exchange with, None when none is known."""
         near = [
@@ -117,7 +129,7 @@
             return None
         overdue = self._list_overdue(near, now)
         if overdue:
-            return _to_peer(self._generator.choice(overdue))
+            return _to_peer(min(overdue, key=lambda member: member.heard))
         share = max(LEAST_NEAR, len(near) / (len(near) + len(self._links)))
         if near and (not self._links or self._generator.random() < share):
             return self._choose_near(near)
@@ -125,20 +137,20 @@
 
     def choose_trial(self, now: float) -> Peer | None:
         """Return a node to try besides, None at most intervals."""
+        late = self._table.find_late(now)
+        if late is not None:
+            return self._choose_late(late, now)
         if self._generator.random() >= self._trial_probability(now):
             return None
         places = []
-        for name, peers in self._list_distant(now).items():
-            untried = self._keep_untried(peers, now)
+        for name, candidates in self._list_distant(now).items():
+            untried = self._keep_untried(candidates, now)
             if untried:
                 places.append((name, untried))
         if not places:
             return None
         name, untried = self._generator.choice(places)
-        chosen = self._choose_untried(untried)
-        if not chosen.reachable and name != self._table.own.data_centre:
-            self._trials.add(chosen.address)
-        return Peer(chosen.address, name)
+        return self._note_choice(self._choose_untried(untried), name)
 
     def list_neighbours(self, now: float) -> list[Peer]:
         """Return all nodes that this node exchanges with."""
@@ -213,7 +225,9 @@
         near = self._table.near_live(now)
         known.update(member.entry.address for member in near)
         found[""] = [
-            _Candidate(seed, True) for seed in self._seeds if seed not in known
+            _Candidate(seed, True)
+            for seed in dict.fromkeys((*self._seeds, self._controller))
+            if seed and seed not in known
         ]
         return found
 
@@ -230,6 +244,22 @@
             and not self._is_paused(one.address, now)
         ]
 
+    def _choose_late(self, name: str, now: float) -> Peer | None:
+        """Return a node of a data centre of which no news comes."""
+        linked = [one for one, place in self._links.items() if place == name]
+        if linked:
+            return Peer(self._generator.choice(linked), name)
+        candidates = self._list_distant(now).get(name, [])
+        untried = self._keep_untried(candidates, now)
+        if not untried:
+            return None
+        return self._note_choice(self._choose_untried(untried), name)
+
+    def _note_choice(self, chosen: _Candidate, name: str) -> Peer:
+        if not chosen.reachable and name != self._table.own.data_centre:
+            self._trials.add(chosen.address)
+        return Peer(chosen.address, name)
+
     def _choose_untried(self, candidates: list[_Candidate]) -> _Candidate:
         reachable = [one for one in candidates if one.reachable]
         if reachable and self._generator.random() < TRY_REACHABLE:
--- a/chervilrock/decisions/membership/near.py
+++ b/chervilrock/decisions/membership/near.py
@@ -1,9 +1,11 @@
 """The nodes of the own data centre.
 
-Each node counts up a heartbeat that its neighbours hand on. A heartbeat that
-is not greater than the known one is no news, so neither a delayed message nor
-a node that was paused can make a dead node look alive. Phase and revision
-only ever go up, so the order in which news arrives does not matter.
+The heartbeat of a node is its own clock, which its neighbours hand on. A
+node compares it with its own clock: the least difference that it ever saw is
+that of news without delay. So it knows how old news is, however it came, and
+neither a delayed message nor a node that was paused can make a dead node look
+alive. Phase and revision only ever go up, so the order in which news arrives
+does not matter.
 """
 
 from collections.abc import Iterable
@@ -30,6 +32,12 @@
 
 MAX_MEMBERS = 1024
 MAX_HEARTBEAT = 2**53
+TICK_S = 0.1
+"""Unit of a heartbeat in seconds."""
+
+MAX_DRIFT = 0.001
+"""Greatest difference between the rates of two clocks."""
+
 PERCENT = 100
 
 
@@ -43,7 +51,8 @@
       load: its load
       revision: its greatest configuration revision
       reachable: whether a node of another data centre has reached it
-      heard: when its heartbeat last went up, in seconds of the local clock
+      heard: when it sent its greatest heartbeat, as far as is known, in
+        seconds of the local clock
     """
 
     __slots__ = (
@@ -54,6 +63,8 @@
         "revision",
         "reachable",
         "heard",
+        "_offset",
+        "_sampled",
     )
 
     def __init__(self, *, entry: PeerNode, heard: float) -> None:
@@ -65,6 +76,8 @@
         self.revision = entry.revision
         self.reachable = entry.reachable
         self.heard = heard
+        self._offset = heard - entry.heartbeat * TICK_S
+        self._sampled = heard
 
     @property
     def peer(self) -> PeerNode:
@@ -84,10 +97,14 @@
 
     def take_heartbeat(self, heartbeat: int, load: float, now: float) -> None:
         """Take a heartbeat and the load told with it, if it is news."""
-        if self.heartbeat < heartbeat < MAX_HEARTBEAT:
-            self.heartbeat = heartbeat
-            self.load = load
-            self.heard = now
+        if not self.heartbeat < heartbeat < MAX_HEARTBEAT:
+            return
+        drifted = self._offset + MAX_DRIFT * (now - self._sampled)
+        self._offset = min(drifted, now - heartbeat * TICK_S)
+        self._sampled = now
+        self.heartbeat = heartbeat
+        self.load = load
+        self.heard = heartbeat * TICK_S + self._offset
 
     def take_phase(self, phase: NodePhase) -> bool:
         """Take a phase, unless it is an earlier one.
@@ -126,6 +143,7 @@
         self.own = NearMember(entry=own, heard=math.inf)
         self.departures = 0
         self._others: dict[str, NearMember] = {}
+        self._started: float | None = None
         self._book = RosterBook(data_centre=own.data_centre)
         self._live: list[NearMember] = []
         self._traits: list[Trait] = []
@@ -165,11 +183,12 @@
     def merge_entry(self, peer: PeerNode, now: float) -> None:
         """Take what a node says of itself or another node knows of it."""
         if peer.incarnation == self.own.entry.incarnation:
-            self.raise_own(peer.heartbeat)
+            self._raise_own(peer.heartbeat)
             return
         known = self._others.get(peer.incarnation)
         if known is None:
-            if peer.phase != NodePhase.STOPPED and self._has_room(peer):
+            if peer.phase != NodePhase.STOPPED:
+                self._make_room()
                 member = NearMember(entry=peer, heard=now)
                 self._others[peer.incarnation] = member
             return
@@ -192,7 +211,7 @@
             if known is not None:
                 known.take_heartbeat(heartbeat, load / PERCENT, now)
             elif incarnation == own:
-                self.raise_own(heartbeat)
+                self._raise_own(heartbeat)
 
     def merge_holders(self, report: DataCentreReport) -> None:
         """Take which nodes have a configuration revision in force."""
@@ -204,27 +223,34 @@
             if known is not None:
                 known.revision = max(known.revision, report.revision)
 
-    def forget(self, now: float, after_s: float) -> list[PeerNode]:
-        """Drop nodes that have been silent for long, and return them."""
+    def beat(self, now: float) -> None:
+        """Bring the own heartbeat up to date."""
+        if self._started is None:
+            self._started = now - self.own.heartbeat * TICK_S
+        passed = int((now - self._started) / TICK_S)
+        self.own.heartbeat = max(passed, self.own.heartbeat)
+
+    def forget(self, now: float, after_s: float) -> None:
+        """Drop nodes that have been silent for long."""
         gone = [
-            member.peer
-            for member in self._others.values()
+            key
+            for key, member in self._others.items()
             if now - member.heard > after_s
         ]
-        for peer in gone:
-            del self._others[peer.incarnation]
-        return gone
+        for key in gone:
+            del self._others[key]
 
-    def raise_own(self, heartbeat: int) -> None:
+    def _raise_own(self, heartbeat: int) -> None:
         """Stay ahead of what others tell of this node."""
         if self.own.heartbeat < heartbeat < MAX_HEARTBEAT:
             self.own.heartbeat = heartbeat + 1
+            self._started = None
 
-    def _has_room(self, peer: PeerNode) -> bool:
-        return (
-            len(self._others) < MAX_MEMBERS
-            and 0 <= peer.heartbeat < MAX_HEARTBEAT
-        )
+    def _make_room(self) -> None:
+        """Drop the node that has been silent longest when there are many."""
+        if len(self._others) >= MAX_MEMBERS:
+            oldest = min(self._others, key=lambda key: self._others[key].heard)
+            del self._others[oldest]
 
 
 def to_members(near: Iterable[NearMember]) -> Members:
--- a/chervilrock/decisions/membership/remotes.py
+++ b/chervilrock/decisions/membership/remotes.py
@@ -108,6 +108,19 @@
             return 1.0
         return sum(peer.reachable for peer in entries) / len(entries)
 
+    def find_late(
+        self, now: float, late_s: float, lost_after_s: float
+    ) -> str | None:
+        """Return the data centre with the oldest report, if it is late."""
+        late = [
+            remote
+            for remote in self._remotes.values()
+            if late_s < now - remote.heard <= lost_after_s
+        ]
+        if not late:
+            return None
+        return min(late, key=lambda remote: remote.heard).name
+
     def has_lost(self, now: float, lost_after_s: float) -> bool:
         """Say whether a data centre is lost."""
         return any(
--- a/chervilrock/decisions/membership/table.py
+++ b/chervilrock/decisions/membership/table.py
@@ -8,16 +8,9 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
-from chervilrock.decisions.membership.contact import Contact
 from chervilrock.decisions.membership.former import FormerMembers
-from chervilrock.decisions.membership.near import (
-    MAX_HEARTBEAT,
-    NearMember,
-    NearMembers,
-    report_data_centre,
-    report_heartbeats,
-    to_members,
-)
+from chervilrock.decisions.membership.local import LocalDataCentre
+from chervilrock.decisions.membership.near import NearMember
 from chervilrock.decisions.membership.remotes import RemoteDataCentres
 from chervilrock.decisions.membership.rosters import is_departing
 from chervilrock.decisions.membership.timing import (
@@ -64,15 +57,12 @@
           own: entry of this node
           interval_s: time between two exchanges in a small system
         """
-        self._place = own.data_centre
         self._interval_s = interval_s
-        self._near = NearMembers(own=own)
+        self._local = LocalDataCentre(own=own)
+        self._near = self._local.near
         self._remotes = RemoteDataCentres()
         self._former = FormerMembers()
-        self._contact = Contact()
-        self._clock = 0
         self._departures = 0
-        self._seeks_near = False
         self._changes = 0
         self._snapshot = _Snapshot((own,), -1, 0.0)
         self.size = 1
@@ -104,16 +94,13 @@
         self._changes += 1
 
     def beat(self, now: float) -> None:
-        """Count up the own heartbeat, and drop nodes silent for long.
+        """Bring the own entry up to date, and drop nodes silent for long.
 
         It is called once an exchange interval.
         """
-        self._near.own.heartbeat += 1
-        self._clock += 1
+        self._local.beat(now)
+        self._former.add(self._remotes.forget(now, FORGET_AFTER_S), now)
         self._changes += 1
-        gone = self._near.forget(now, FORGET_AFTER_S)
-        gone += self._remotes.forget(now, FORGET_AFTER_S)
-        self._former.add(gone, now)
         self.size = 1 + len(self.near_live(now)) + len(self._remotes.entries())
         self.timing = make_timing(self._interval_s, self.size)
         self.share_reachable = self._remotes.share_reachable()
@@ -124,23 +111,17 @@
 
     def note_exchange(self, sender: PeerNode, now: float) -> None:
         """Note an exchange with a node and take what it says of itself."""
-        self._contact.note_exchange(now, self.timing.overdue_s)
-        self.merge_entry(sender, now)
-
-    def merge_entry(self, peer: PeerNode, now: float) -> None:
-        """Take the entry of a node, if it is of the own data centre."""
-        if peer.data_centre != self._place or not self._former.admits(peer):
-            return
-        self._former.remove(peer.incarnation)
-        self._near.merge_entry(peer, now)
-        self._changes += 1
+        self._local.contact.note_exchange(now, self.timing.overdue_s)
+        if sender.data_centre == self._local.name:
+            self._near.merge_entry(sender, now)
+            self._changes += 1
 
     def merge_heartbeats(self, report: HeartbeatReport, now: float) -> None:
         """Take news of the nodes of the own data centre."""
         self._near.merge_heartbeats(report, now)
         self._changes += 1
 
-    def merge_data_centre(
+    def merge_report(
         self, report: DataCentreReport, now: float, *, from_near: bool
     ) -> RosterWant | None:
         """Take the report of a data centre.
@@ -154,43 +135,37 @@
           What to ask the sender for, when it knows other members.
         """
         self._changes += 1
-        if report.data_centre == self._place:
-            return self._compare_own(report, now, from_near=from_near)
+        if report.data_centre == self._local.name:
+            return self._local.compare(
+                report, now, self.timing, from_near=from_near
+            )
         return self._remotes.take_report(report, now)
 
     def merge_roster(self, roster: Roster, now: float) -> None:
         """Take the members of a data centre."""
-        if roster.data_centre != self._place:
+        self._changes += 1
+        if roster.data_centre == self._local.name:
+            self._local.merge_roster(roster, now)
+        else:
             self._remotes.take_roster(roster)
-            return
-        for peer in roster.added:
-            self.merge_entry(peer, now)
-        self._near.book.read(roster)
 
     def make_roster(self, want: RosterWant, now: float) -> Roster | None:
         """Return the members that another node asks for, if known."""
-        if want.data_centre != self._place:
-            return self._remotes.make_roster(want)
-        view = self._near.view(now, self.timing.dead_after_s)
-        return self._near.book.make(to_members(view.members), want.base)
+        if want.data_centre == self._local.name:
+            return self._local.make_roster(want.base, now, self.timing)
+        return self._remotes.make_roster(want)
 
     def report_heartbeats(self, now: float) -> HeartbeatReport:
         """Return the news of the nodes of the own data centre."""
-        self._near.own.heartbeat += 1
-        return report_heartbeats(self._near.view(now, self.timing.dead_after_s))
+        return self._local.report_heartbeats(now, self.timing)
 
     def report_own(self, now: float) -> DataCentreReport:
         """Return the report of the own data centre."""
-        view = self._near.view(now, self.timing.dead_after_s)
-        return report_data_centre(view, self._place, self._clock)
+        return self._local.report(now, self.timing)
 
     def may_report(self, now: float) -> bool:
         """Say whether this node may speak for its data centre elsewhere."""
-        settle_s = self.timing.dead_after_s
-        if self._contact.is_settled(now, settle_s):
-            return True
-        alone = not any(self._near.others) and not self._seeks_near
-        return alone and self._contact.is_in_touch(now, settle_s)
+        return self._local.may_report(now, self.timing)
 
     def report_remotes(
         self, now: float, limit: int, receiver: str, told: Mapping[str, int]
@@ -215,7 +190,7 @@
         self, data_centre: str, now: float
     ) -> DataCentreReport | None:
         """Return the report of a data centre, None when there is none."""
-        if data_centre == self._place:
+        if data_centre == self._local.name:
             return self.report_own(now)
         return self._remotes.report_one(data_centre)
 
@@ -233,19 +208,19 @@
         return live
 
     def known(self, now: float) -> tuple[tuple[PeerNode, bool], ...]:
-        """Return every node that is known, and whether it lives."""
+        """Return every node that is listed, and whether it lives."""
         live = {peer.incarnation for peer in self.live(now)}
-        others = [member.peer for member in self._near.others]
+        others = [member.peer for member in self._list_near(now)]
         others += self._remotes.peers()
         return (
             (self.own, True),
             *((peer, peer.incarnation in live) for peer in sorted(others)),
         )
 
-    def list_names(self) -> list[str]:
-        """Return the names of all nodes that are known, live or not."""
+    def list_names(self, now: float) -> list[str]:
+        """Return the names of all nodes that are listed, live or not."""
         names = [self.own.node]
-        names += [member.entry.node for member in self._near.others]
+        names += [member.entry.node for member in self._list_near(now)]
         names += [peer.node for peer in self._remotes.entries()]
         return names
 
@@ -260,6 +235,11 @@
         """Return the other live nodes of the own data centre."""
         return self._near.live(now, self.timing.dead_after_s)
 
+    def find_late(self, now: float) -> str | None:
+        """Return the data centre that will soon count as lost, if any."""
+        timing = self.timing
+        return self._remotes.find_late(now, timing.late_s, timing.lost_after_s)
+
     def has_lost(self, now: float) -> bool:
         """Say whether a data centre is lost."""
         return self._remotes.has_lost(now, self.timing.lost_after_s)
@@ -282,18 +262,10 @@
                 found.setdefault(peer.data_centre, []).append(peer)
         return found
 
-    def _compare_own(
-        self, report: DataCentreReport, now: float, *, from_near: bool
-    ) -> RosterWant | None:
-        """Compare what another node says of the own data centre."""
-        if self._clock < report.clock < MAX_HEARTBEAT:
-            self._clock = report.clock
-        if from_near:
-            self._near.merge_holders(report)
-        own = self._near.view(now, self.timing.dead_after_s).key
-        if report.members == own and from_near:
-            self._contact.note_agreement(now)
-        self._seeks_near = report.members not in self._near.book
-        if not self._seeks_near:
-            return None
-        return RosterWant(data_centre=self._place, base=own)
+    def _list_near(self, now: float) -> list[NearMember]:
+        """Return the nodes of the own data centre that are listed."""
+        return [
+            member
+            for member in self._near.others
+            if now - member.heard <= FORGET_AFTER_S
+        ]
--- a/chervilrock/decisions/membership/timing.py
+++ b/chervilrock/decisions/membership/timing.py
@@ -11,10 +11,15 @@
 """Number of nodes that doubles the interval."""
 
 OVERDUE_INTERVALS = 3
-DEAD_INTERVALS = 6
-LOST_INTERVALS = 10
+DEAD_INTERVALS = 7
+LATE_INTERVALS = 4
+LOST_INTERVALS = 8
 FRESH_INTERVALS = 2
 FORGET_AFTER_S = 60.0
+"""Silence after which a node is no longer listed."""
+
+DROP_AFTER_S = 7200.0
+"""Silence after which a node of the own data centre is forgotten."""
 
 
 class PeerTiming(NamedTuple):
@@ -25,6 +30,8 @@
       overdue_s: age of the last heartbeat at which a node is asked itself
       dead_after_s: age of the last heartbeat at which a node of the own data
         centre is dead
+      late_s: age of the last report at which a node of a data centre is
+        asked itself
       lost_after_s: age of the last report at which a data centre is lost
       fresh_s: greatest age of news that is handed on
     """
@@ -32,6 +39,7 @@
     interval_s: float
     overdue_s: float
     dead_after_s: float
+    late_s: float
     lost_after_s: float
     fresh_s: float
 
@@ -48,6 +56,7 @@
         interval_s=interval,
         overdue_s=OVERDUE_INTERVALS * interval,
         dead_after_s=DEAD_INTERVALS * interval,
+        late_s=LATE_INTERVALS * interval,
         lost_after_s=LOST_INTERVALS * interval,
         fresh_s=FRESH_INTERVALS * interval,
     )
--- a/chervilrock/decisions/membership/wanting.py
+++ b/chervilrock/decisions/membership/wanting.py
@@ -5,7 +5,12 @@
 follows the log asks only when the log has not brought it for a while.
 """
 
+from typing import Any
+
+import msgspec
+
 from chervilrock.decisions.membership.shelf import ConfigurationShelf
+from chervilrock.generated.records import StoredRecord
 
 GRACE_S = 1.0
 """Time that a node leaves to the log, in seconds."""
@@ -33,3 +38,13 @@
         if not self._shelf.follows_log(now):
             return True
         return now - self._heard_at >= GRACE_S
+
+
+def read_configuration(raw: Any) -> StoredRecord | None:
+    """Return the record that a digest carries, None when it is none."""
+    if raw is None:
+        return None
+    try:
+        return msgspec.convert(raw, StoredRecord)
+    except msgspec.ValidationError:
+        return None
--- a/chervilrock/edges/peers.py
+++ b/chervilrock/edges/peers.py
@@ -29,9 +29,14 @@
         """Take the state that the handler works on."""
         self.context = context
 
+    def set_default_headers(self) -> None:
+        """Leave out headers that no peer reads, as exchanges are small."""
+        self.clear_header("Server")
+        self.clear_header("Date")
+
     def post(self) -> None:
         result = decode_digest(self.request.body)
-        self.set_header("Content-Type", "application/json; charset=UTF-8")
+        self.set_header("Content-Type", "application/json")
         if isinstance(result, Failure):
             self.set_status(_STATUS_BAD_REQUEST)
             self.finish(msgspec.json.encode({"error": result.failure()}))
--- /dev/null
+++ b/test/decisions/membership/peer_world.py
@@ -0,0 +1,222 @@
+"""Nodes that exchange digests under fake time, without a network."""
+
+import random
+
+import msgspec
+
+from chervilrock.decisions.membership.exchange import Message, PeerExchange
+from chervilrock.decisions.membership.links import PeerLinks
+from chervilrock.decisions.membership.shelf import ConfigurationShelf
+from chervilrock.decisions.membership.table import MemberTable
+from chervilrock.generated.interfaces import NodePhase, NodeUse, PeerDigest
+from chervilrock.generated.records import (
+    Record,
+    RecordId,
+    RecordKind,
+    StoredRecord,
+)
+from test.decisions.membership.peer_nodes import make_node
+
+INTERVAL_S = 0.5
+STEP_S = 0.5
+
+
+def make_stored(revision: int) -> StoredRecord:
+    """Returns a record that stands for a configuration."""
+    return StoredRecord(
+        offset=revision,
+        record=Record(
+            kind=RecordKind.CONFIGURATION_APPLIED,
+            record_id=RecordId(writer="w", sequence=revision),
+            body={},
+        ),
+    )
+
+
+class Shelf(ConfigurationShelf):
+    """A shelf that remembers what it was given."""
+
+    def __init__(self, *, follows: bool = False) -> None:
+        self.given: list[int] = []
+        self.follows = follows
+        self._stored: StoredRecord | None = None
+
+    @property
+    def revision(self) -> int:
+        return 0 if self._stored is None else self._stored.offset
+
+    def current(self) -> StoredRecord | None:
+        return self._stored
+
+    def adopt(self, stored: StoredRecord, now: float) -> None:
+        self.given.append(stored.offset)
+        if stored.offset > self.revision:
+            self._stored = stored
+
+    def follows_log(self, now: float) -> bool:
+        return self.follows
+
+
+class Shares:
+    """A share book that remembers which members it was told of."""
+
+    def __init__(self) -> None:
+        self.uses: tuple[NodeUse, ...] = ()
+        self.seen: list[NodeUse] = []
+        self.members: set[str] = set()
+
+    def shares(self, now: float) -> tuple[NodeUse, ...]:
+        return self.uses
+
+    def observe_peer_shares(self, uses: object, now: float) -> None:
+        self.seen += uses  # type: ignore[arg-type]
+
+    def observe_members(self, members: object, now: float) -> None:
+        self.members = set(members)  # type: ignore[call-overload]
+
+
+class SimNode:
+    """One node."""
+
+    def __init__(
+        self,
+        name: str,
+        *,
+        data_centre: str = "d1",
+        region: str = "r1",
+        start: int = 1,
+        seeds: tuple[str, ...] = (),
+        follows: bool = False,
+    ) -> None:
+        self.name = name
+        self.incarnation = f"{name}.{start}"
+        self.address = f"{name}:1"
+        self.shelf = Shelf(follows=follows)
+        self.shares = Shares()
+        self.paused = False
+        generator = random.Random(f"{name}.{start}")
+        self.table = MemberTable(
+            own=make_node(
+                name,
+                incarnation=self.incarnation,
+                data_centre=data_centre,
+                region=region,
+            ),
+            interval_s=INTERVAL_S,
+        )
+        self.links = PeerLinks(
+            table=self.table, seeds=seeds, generator=generator
+        )
+        self.exchange = PeerExchange(
+            table=self.table,
+            links=self.links,
+            shelf=self.shelf,
+            shares=self.shares,
+            generator=generator,
+        )
+
+    def update(self, phase: NodePhase | None = None) -> None:
+        own = self.table.own
+        self.table.update_own(
+            phase=phase or own.phase,
+            load=own.load,
+            revision=self.shelf.revision,
+        )
+
+    def see_live(self, now: float) -> set[str]:
+        """Returns the incarnations that this node takes for live."""
+        return {peer.incarnation for peer in self.table.live(now)}
+
+
+class World:
+    """Nodes that reach each other unless cut off from each other.
+
+    Attributes:
+      now: present time in seconds
+      nodes: running nodes by address, paused ones too
+      sides: sides of a partition by data centre, empty for no partition
+      carried: the digests of the last exchanges
+    """
+
+    def __init__(self) -> None:
+        self.now = 1000.0
+        self.nodes: dict[str, SimNode] = {}
+        self.sides: dict[str, int] = {}
+        self.carried: list[PeerDigest] = []
+
+    def add(self, node: SimNode) -> SimNode:
+        self.nodes[node.address] = node
+        return node
+
+    def remove(self, node: SimNode) -> None:
+        del self.nodes[node.address]
+
+    def active(self) -> list[SimNode]:
+        return [node for node in self.nodes.values() if not node.paused]
+
+    def run(self, seconds: float) -> None:
+        """Lets all nodes exchange for a time."""
+        end = self.now + seconds
+        while self.now < end:
+            self.now = min(end, self.now + STEP_S)
+            for node in self.active():
+                node.update()
+                for message in node.exchange.begin(self.now):
+                    self.carry(node, message)
+                self.run_prompt(node)
+
+    def run_prompt(self, node: SimNode) -> None:
+        """Lets a node tell its urgent news."""
+        for _ in range(12):
+            if not node.exchange.wants_prompt():
+                return
+            node.update()
+            message = node.exchange.begin_prompt(self.now)
+            if message is None:
+                return
+            self.carry(node, message)
+
+    def carry(self, node: SimNode, message: Message) -> None:
+        """Carries an exchange with its follow-ups, over the codec."""
+        following: Message | None = message
+        while following is not None:
+            target = self.nodes.get(following.address)
+            if target is None or target.paused or self.is_cut(node, target):
+                node.exchange.fail(following, self.now)
+                return
+            digest = copy_digest(following.digest)
+            target.update()
+            answer = copy_digest(target.exchange.answer(digest, self.now))
+            target.update()
+            self.carried += [digest, answer]
+            following = node.exchange.finish(following, answer, self.now)
+            node.update()
+
+    def is_cut(self, one: SimNode, other: SimNode) -> bool:
+        if not self.sides:
+            return False
+        places = (one.table.own.data_centre, other.table.own.data_centre)
+        return self.sides[places[0]] != self.sides[places[1]]
+
+    def agree(self) -> bool:
+        """Says whether every node takes just the running nodes for live."""
+        running = {node.incarnation for node in self.active()}
+        return all(node.see_live(self.now) == running for node in self.active())
+
+
+def copy_digest(digest: PeerDigest) -> PeerDigest:
+    return msgspec.json.decode(msgspec.json.encode(digest), type=PeerDigest)
+
+
+def make_world(layout: dict[str, int], seeds: int = 2) -> World:
+    """Returns a world; `layout` has the number of nodes by data centre."""
+    world = World()
+    names = [
+        (f"{data_centre}n{number}", data_centre)
+        for data_centre, count in layout.items()
+        for number in range(count)
+    ]
+    addresses = tuple(f"{name}:1" for name, _ in names[:seeds])
+    for name, data_centre in names:
+        world.add(SimNode(name, data_centre=data_centre, seeds=addresses))
+    return world
