Follow and control a region by what changes

Cause: ten times a second and after each message the region task judged every group, listed every stranded host and published a view; with the lease it planned everything three times a second. Change: a table of endpoints judges a group again when its record, the host list or the content of its evidence has changed and when its evidence gets too old; ends of validity are found anew six times in an age limit and are never too late, and requests check them as before. Views, load targets and probe targets are published when they differ. Metrics are taken at changes and once in 5 s (1 s at the controller), and count what held since the last time. The controller decides on a change or while something is under way, at least 0.3 s apart and within 1% of the time over half a second, else every 5 s; it plans on a change or every 60 s. Messages gather for 50 ms. The hosts of a group that loads or is not whole are probed four times an interval for 20 s, since otherwise each step of a repair waits for the next probe. The task is split by job: lease, views, meter, control, plan of the probes.

--- a/chervilrock/decisions/control/release.py
+++ b/chervilrock/decisions/control/release.py
@@ -64,11 +64,11 @@
         return
     claimed = context.progress.find_claimed(context.now)
     for host in context.hosts:
+        if host in claimed or not context.region.is_free(host):
+            continue
         evidence = context.find_evidence(host)
         if evidence is None or evidence.shard is None:
             continue
-        if host in claimed or not context.region.is_free(host):
-            continue
         if not context.checks_fence(host):
             shard = evidence.shard
             ownership = Ownership(shard["group"], 0, revoked=shard["fence"])
--- a/chervilrock/decisions/control/spares.py
+++ b/chervilrock/decisions/control/spares.py
@@ -34,24 +34,29 @@
         self._held: Counter[tuple[str, _Domain]] = Counter()
         wanted = _find_wanted(context)
         releasing = _find_releasing(context)
-        for host in sorted(context.hosts):
+        for host in sorted(_list_free(context) - wanted):
             domain = _find_domain(context.hosts[host])
-            if host in wanted or domain in releasing:
-                continue
-            if _is_fit(context, host):
+            if domain not in releasing and _is_fit(context, host):
                 self._free.setdefault(domain, []).append(host)
 
+    def may_change(self, group: Group) -> bool:
+        """Return whether a group may get other spares than it has."""
+        if tuple(self.keep(group)) != group.spares:
+            return True
+        if group.spares and not group.reserve:
+            return True
+        return any(
+            self._is_wanting(group, domain)
+            for domain in self._find_domains(group)
+        )
+
     def choose(self, group: Group) -> tuple[str, ...]:
         """Return the spares of a group: those it has, and new ones."""
-        spec = self._context.models.get(group.model)
-        limit = spec.get("spares", 0) if spec else 0
         chosen = self.keep(group)
         for domain in self._find_domains(group):
-            key = (group.model, domain)
-            free = self._free.get(domain, [])
-            while free and self._held[key] < limit:
-                chosen.append(free.pop(0))
-                self._held[key] += 1
+            while self._is_wanting(group, domain):
+                chosen.append(self._free[domain].pop(0))
+                self._held[group.model, domain] += 1
         return tuple(chosen)
 
     def keep(self, group: Group) -> list[str]:
@@ -68,8 +73,21 @@
             domain = _find_domain(self._context.hosts[host])
             self._held[group.model, domain] += 1
 
+    def _is_wanting(self, group: Group, domain: _Domain) -> bool:
+        """Return whether a domain has a host that a group lacks."""
+        if not self._free.get(domain):
+            return False
+        spec = self._context.models.get(group.model)
+        limit = spec.get("spares", 0) if spec else 0
+        return self._held[group.model, domain] < limit
+
     def _find_domains(self, group: Group) -> list[_Domain]:
-        entries = (self._context.hosts.get(host) for host in group.hosts)
+        """Return the domains of a group, as far as there are free hosts."""
+        if not self._free:
+            return []
+        entries = [self._context.hosts.get(host) for host in group.hosts]
+        if group.domain:
+            entries = entries[:1]
         found = {_find_domain(entry) for entry in entries if entry is not None}
         return sorted(found)
 
@@ -83,7 +101,7 @@
     for group in groups:
         pool.count_held(group)
     for group in groups:
-        if not _may_hold(context, group):
+        if not pool.may_change(group) or not _may_hold(context, group):
             continue
         spares = pool.choose(group)
         if spares == group.spares and (group.reserve or not spares):
@@ -124,6 +142,11 @@
     return wanted
 
 
+def _list_free(context: ControlContext) -> set[str]:
+    """Return the listed hosts that no group owns."""
+    return context.hosts.keys() - context.region.owners.keys()
+
+
 def _find_releasing(context: ControlContext) -> set[_Domain]:
     """Return the domains in which a host will soon be free.
 
@@ -153,8 +176,8 @@
 
 
 def _is_fit(context: ControlContext, host: str) -> bool:
-    """Return whether a host can become a spare."""
-    if context.hosts[host]["leaving"] or not context.region.is_free(host):
+    """Return whether a free host can become a spare."""
+    if context.hosts[host]["leaving"]:
         return False
     evidence = context.find_evidence(host)
     if evidence is None or not context.checks_fence(host):
--- a/chervilrock/decisions/controller.py
+++ b/chervilrock/decisions/controller.py
@@ -54,6 +54,7 @@
     lease: LeaseView,
     now: float,
     idle: frozenset[str] = frozenset(),
+    whole: Iterable[Group] = (),
     timing: ControlTiming = _DEFAULT_TIMING,
 ) -> tuple[Effect, ...]:
     """Return the records to append and the orders to send now.
@@ -70,6 +71,7 @@
       lease: the lease of the region as this process knows it.
       now: present time in seconds.
       idle: names of draining groups whose engines have no request left.
+      whole: groups that are known to be whole now, which saves finding out.
       timing: waiting times.
 
     Returns:
@@ -90,7 +92,7 @@
         until=lease.holder.until,
         timing=timing,
         now=now,
-        wholes={},
+        wholes={(group.name, group.fence): True for group in whole},
     )
     return tuple(_decide_all(context))
 
--- a/chervilrock/decisions/presence.py
+++ b/chervilrock/decisions/presence.py
@@ -4,7 +4,6 @@
 answer that was long under way is old when it comes.
 """
 
-from collections.abc import Iterator
 from typing import NamedTuple
 
 from chervilrock.decisions.ownership import Group
@@ -59,38 +58,81 @@
         self.created_at = now
         self._evidence: dict[str, Evidence] = {}
         self._ready: dict[str, ReadyEngine] = {}
-
-    def observe(self, host: str, state: EngineState, sent_at: float) -> None:
+        self._changed: set[str] = set()
+
+    def observe(
+        self,
+        host: str,
+        state: EngineState,
+        sent_at: float,
+        read_at: float | None = None,
+    ) -> None:
         """Note the answer to a probe.
 
         An answer to an earlier probe than the last one, and an answer that
         names another host, change nothing.
+
+        Args:
+          host: name of the host.
+          state: what its engine answered.
+          sent_at: when the probe was sent, in seconds.
+          read_at: when the answer was read, None for when it was sent.
         """
         last = self._evidence.get(host)
         if state["host"] != host or (last and last.sent_at > sent_at):
             return
         evidence = Evidence(
-            sent_at=sent_at,
-            incarnation=state["incarnation"],
-            phase=state["phase"],
-            fence=state["fence"],
-            checks_fence=state["checks_fence"],
-            shard=state.get("shard"),
+            sent_at,
+            state["incarnation"],
+            state["phase"],
+            state["fence"],
+            state["checks_fence"],
+            state.get("shard"),
         )
         self._evidence[host] = evidence
-        self._note_ready(host, evidence)
+        noted_at = sent_at if read_at is None else read_at
+        if (
+            last is None
+            or last[1:] != evidence[1:]
+            or noted_at >= last.sent_at + self.limit
+        ):
+            self._changed.add(host)
+            self._note_ready(host, evidence)
+
+    def take_changed(self) -> set[str]:
+        """Return the hosts whose evidence is another than at the last call.
+
+        A host whose evidence has only become younger is not among them, nor
+        is one whose evidence has become too old.
+        """
+        changed = self._changed
+        self._changed = set()
+        return changed
 
     def forget(self, host: str) -> None:
         """Drop the evidence of a host, as when it refused a connection."""
-        self._evidence.pop(host, None)
+        if self._evidence.pop(host, None) is not None:
+            self._changed.add(host)
 
     def retain(self, hosts: set[str]) -> None:
         """Drop all hosts but these, which are listed or owned."""
         for host in self._evidence.keys() - hosts:
-            del self._evidence[host]
+            self.forget(host)
         for host in self._ready.keys() - hosts:
             del self._ready[host]
 
+    def find_expiry(self, hosts: tuple[str, ...]) -> float:
+        """Return when the oldest evidence of some hosts gets too old.
+
+        Returns:
+          Negative infinity when there is none of a host.
+        """
+        evidence = self._evidence
+        try:
+            return min(evidence[host].sent_at for host in hosts) + self.limit
+        except KeyError:
+            return float("-inf")
+
     def find(self, host: str, now: float) -> Evidence | None:
         """Return the evidence of a host within the age limit."""
         return self._find(host, now, self.limit)
@@ -133,12 +175,11 @@
         return self._is_ready(group, rank, now, self.limit)
 
     def servable(self, region: RegionState, now: float) -> tuple[Group, ...]:
-        """Return the groups that may serve now.
-
-        A group that was repaired under its reserve fencing number while the
-        log was out comes with the hosts and the number that it has now.
-        """
-        return tuple(self._find_servable(region, now))
+        """Return the groups that may serve now, as `find_servable` does."""
+        found = (
+            self.find_servable(group, now) for group in region.groups.values()
+        )
+        return tuple(group for group in found if group is not None)
 
     def compose_reserve(self, group: Group, now: float) -> Group | None:
         """Return the group as ready under its reserve fencing number.
@@ -181,28 +222,23 @@
             return False
         return evidence.incarnation == group.find_incarnation(host)
 
-    def find_composition(self, group: Group, now: float) -> Group:
+    def find_servable(self, group: Group, now: float) -> Group | None:
         """Return a group with the hosts and the number that it has now.
 
-        They differ from those on record only for a serving group that was
-        repaired under its reserve fencing number and is whole.
+        They differ from those on record when the group was repaired under its
+        reserve fencing number while the log was out.
+
+        Returns:
+          None when the group may not serve now.
         """
-        if group.phase is not GroupPhase.SERVING or self.whole(group, now):
+        if group.phase is not GroupPhase.SERVING:
+            return None
+        if self.whole(group, now):
             return group
         repaired = self.compose_reserve(group, now)
         if repaired is not None and self.whole(repaired, now):
             return repaired
-        return group
-
-    def _find_servable(
-        self, region: RegionState, now: float
-    ) -> Iterator[Group]:
-        for group in region.groups.values():
-            if group.phase is not GroupPhase.SERVING:
-                continue
-            composed = self.find_composition(group, now)
-            if composed is not group or self.whole(group, now):
-                yield composed
+        return None
 
     def _is_fenced(self, group: Group, now: float) -> bool:
         found = (self.find(host, now) for host in group.hosts)
--- a/chervilrock/decisions/views.py
+++ b/chervilrock/decisions/views.py
@@ -1,6 +1,6 @@
 """What requests are routed by, and figures of a region for operators."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 from typing import NamedTuple
 
 from chervilrock.decisions.ownership import Group
@@ -9,6 +9,12 @@
 from chervilrock.decisions.routing.base import Endpoint
 from chervilrock.generated.configuration import ModelSpec
 from chervilrock.generated.interfaces import HostEntry
+from chervilrock.generated.records import GroupPhase
+
+REFRESHES_PER_LIMIT = 6
+"""How often the ends of validity are found anew in one age limit."""
+
+_NEVER = float("-inf")
 
 
 class TimedEndpoint(NamedTuple):
@@ -23,26 +29,185 @@
     until: float
 
 
-def list_endpoints(
-    *,
-    region: RegionState,
-    presence: PresenceTable,
-    hosts: Mapping[str, HostEntry],
-    now: float,
-) -> tuple[TimedEndpoint, ...]:
-    """Return the groups that may get requests, and until when.
+class Change(NamedTuple):
+    """What an update of the endpoints brought.
+
+    Attributes:
+      groups: whether other groups may get requests, or the same ones in
+        another form
+      ends: whether the ends of validity were found anew
+    """
+
+    groups: bool
+    ends: bool
+
+
+class _Entry:
+    """A group that serves by the log.
+
+    Attributes:
+      group: the group on record
+      servable: the group as it may serve, None when it may not
+      endpoint: what requests are routed to, None for nothing
+      until: end of the age limit of its oldest evidence
+    """
+
+    __slots__ = ("group", "servable", "endpoint", "until")
+
+    def __init__(self, group: Group) -> None:
+        self.group = group
+        self.servable: Group | None = None
+        self.endpoint: Endpoint | None = None
+        self.until = _NEVER
+
+
+class EndpointTable:
+    """The groups that may get requests, kept up to date by what changes.
+
+    A group is judged again when its record, the host list or the evidence of
+    one of its hosts has changed, and when its evidence gets too old. Evidence
+    that only becomes younger is looked at several times in an age limit, for
+    all groups at once. Until then the end of validity is too early, never too
+    late, and who routes by the endpoints checks it at each request.
 
-    A group with a leaving host is left out at once, before the controller
-    drains it. Each end of validity is that of the oldest evidence of the
-    hosts of the group.
+    Attributes:
+      endpoints: groups that may get requests, and until when
     """
-    found = []
-    for group in presence.servable(region, now):
-        entries = [hosts.get(host) for host in group.hosts]
+
+    def __init__(self, *, presence: PresenceTable) -> None:
+        """Start without groups."""
+        self.endpoints: tuple[TimedEndpoint, ...] = ()
+        self._presence = presence
+        self._entries: dict[str, _Entry] = {}
+        self._names: dict[str, tuple[str, ...]] = {}
+        self._hosts: Mapping[str, HostEntry] = {}
+        self._region: RegionState | None = None
+        self._upto = 0
+        self._refresh_at = _NEVER
+        self._expires_at = float("inf")
+        self._groups: tuple[Endpoint, ...] = ()
+
+    def update(
+        self,
+        region: RegionState,
+        hosts: Mapping[str, HostEntry],
+        changed: Iterable[str],
+        now: float,
+    ) -> Change:
+        """Bring the endpoints up to date.
+
+        Args:
+          region: folded state of the region.
+          hosts: host list by name; another object when it has changed.
+          changed: hosts whose evidence has changed since the last call.
+          now: present time in seconds.
+        """
+        stale = self._follow_groups(region)
+        for host in changed:
+            stale.update(self._names.get(host, ()))
+        if hosts is not self._hosts:
+            self._hosts = hosts
+            stale.update(self._entries)
+        due = now >= min(self._refresh_at, self._expires_at)
+        if due:
+            stale.update(self._refresh(now))
+        for name in stale & self._entries.keys():
+            self._judge(self._entries[name], now)
+        if not stale and not due:
+            return Change(groups=False, ends=False)
+        return Change(groups=self._collect(now), ends=due)
+
+    def list_servable(self) -> Iterator[Group]:
+        """Yield the groups that may serve, also those with a leaving host."""
+        for entry in self._entries.values():
+            if entry.servable is not None:
+                yield entry.servable
+
+    def list_broken(self) -> Iterator[Group]:
+        """Yield the serving groups that are not whole as they are on record."""
+        for entry in self._entries.values():
+            if entry.servable is not entry.group:
+                yield entry.group
+
+    def list_whole(self) -> Iterator[Group]:
+        """Yield the groups that are whole as they are on record."""
+        for entry in self._entries.values():
+            if entry.servable is entry.group:
+                yield entry.group
+
+    def _follow_groups(self, region: RegionState) -> set[str]:
+        """Take over the groups on record; return those that changed."""
+        if region is self._region and region.upto == self._upto:
+            return set()
+        self._region = region
+        self._upto = region.upto
+        serving = {
+            name: group
+            for name, group in region.groups.items()
+            if group.phase is GroupPhase.SERVING
+        }
+        changed = {
+            name
+            for name in self._entries.keys() | serving.keys()
+            if name not in self._entries
+            or self._entries[name].group is not serving.get(name)
+        }
+        for name in changed:
+            self._remove(name)
+            if name in serving:
+                self._add(serving[name])
+        return changed
+
+    def _add(self, group: Group) -> None:
+        self._entries[group.name] = _Entry(group)
+        names = (group.name,)
+        for host in (*group.hosts, *group.spares):
+            others = self._names.get(host)
+            self._names[host] = names if others is None else others + names
+
+    def _remove(self, name: str) -> None:
+        entry = self._entries.pop(name, None)
+        if entry is None:
+            return
+        for host in (*entry.group.hosts, *entry.group.spares):
+            names = self._names.pop(host, ())
+            others = tuple(one for one in names if one != name)
+            if others:
+                self._names[host] = others
+
+    def _refresh(self, now: float) -> set[str]:
+        """Find the ends of validity anew; return the groups to judge."""
+        self._refresh_at = now + self._presence.limit / REFRESHES_PER_LIMIT
+        stale: set[str] = set()
+        for name, entry in self._entries.items():
+            if entry.servable is not None:
+                entry.until = self._presence.find_expiry(entry.servable.hosts)
+            if entry.servable is None or entry.until <= now:
+                stale.add(name)
+        return stale
+
+    def _judge(self, entry: _Entry, now: float) -> None:
+        servable = self._presence.find_servable(entry.group, now)
+        entry.servable = servable
+        if servable is None:
+            entry.until = _NEVER
+            entry.endpoint = None
+            return
+        entry.until = self._presence.find_expiry(servable.hosts)
+        endpoint = self._make_endpoint(servable)
+        if endpoint != entry.endpoint:
+            entry.endpoint = endpoint
+
+    def _make_endpoint(self, group: Group) -> Endpoint | None:
+        """Return what requests are routed to.
+
+        A group with a leaving host gets none, before the controller drains it.
+        """
+        entries = [self._hosts.get(host) for host in group.hosts]
         leader = entries[0]
-        if leader is None or any(is_leaving(entry) for entry in entries):
-            continue
-        endpoint = Endpoint(
+        if leader is None or any(map(is_leaving, entries)):
+            return None
+        return Endpoint(
             group=group.name,
             fence=group.fence,
             model=group.model,
@@ -52,9 +217,26 @@
             data_centre=leader["data_centre"],
             size=len(group.hosts),
         )
-        until = find_expiry(presence, group, now)
-        found.append(TimedEndpoint(endpoint, until))
-    return tuple(found)
+
+    def _collect(self, now: float) -> bool:
+        """Put the endpoints together; return whether they are others."""
+        self._expires_at = min(
+            (
+                entry.until
+                for entry in self._entries.values()
+                if entry.servable is not None
+            ),
+            default=float("inf"),
+        )
+        self.endpoints = tuple(
+            TimedEndpoint(entry.endpoint, entry.until)
+            for entry in self._entries.values()
+            if entry.endpoint is not None and now < entry.until
+        )
+        groups = tuple(timed.endpoint for timed in self.endpoints)
+        changed = groups != self._groups
+        self._groups = groups
+        return changed
 
 
 def is_leaving(entry: HostEntry | None) -> bool:
@@ -62,13 +244,6 @@
     return entry is not None and entry["leaving"]
 
 
-def find_expiry(presence: PresenceTable, group: Group, now: float) -> float:
-    """Return when the oldest evidence of a group passes the age limit."""
-    found = [presence.find(host, now) for host in group.hosts]
-    oldest = min(one.sent_at if one else now - presence.limit for one in found)
-    return oldest + presence.limit
-
-
 def count_missing_groups(
     models: Iterable[ModelSpec], serving: Iterable[Endpoint]
 ) -> dict[str, int]:
@@ -81,15 +256,13 @@
 
 
 def list_stranded(
-    region: RegionState,
+    servable: Iterable[Group],
     presence: PresenceTable,
     hosts: Mapping[str, HostEntry],
     now: float,
 ) -> tuple[HostEntry, ...]:
-    """Return the present hosts that are in no serving group."""
-    serving = {
-        host for group in presence.servable(region, now) for host in group.hosts
-    }
+    """Return the present hosts that are in no group that may serve."""
+    serving = {host for group in servable for host in group.hosts}
     return tuple(
         entry
         for name, entry in hosts.items()
--- a/chervilrock/tasks/messages.py
+++ b/chervilrock/tasks/messages.py
@@ -119,10 +119,15 @@
 
 
 class ProbeTarget(NamedTuple):
-    """A model engine to probe."""
+    """A model engine to probe.
+
+    Attributes:
+      frequent: whether to probe it more often than others
+    """
 
     host: str
     address: str
+    frequent: bool = False
 
 
 class ServicesListed(NamedTuple):
--- a/chervilrock/tasks/probes.py
+++ b/chervilrock/tasks/probes.py
@@ -1,7 +1,8 @@
 """The task that asks model engines what they hold.
 
 Its answers are the evidence that a host is present. Each host is probed once
-an interval; the probes are spread over the interval.
+an interval, some of them in each part of it; the probes are spread over the
+interval.
 """
 
 import asyncio
@@ -49,8 +50,9 @@
         while True:
             for targets in self.inbox.receive_waiting():
                 self._targets = targets
-            for target in self._targets[slot::SLOTS]:
-                self._start(target)
+            for number, target in enumerate(self._targets):
+                if target.frequent or number % SLOTS == slot:
+                    self._start(target)
             slot = (slot + 1) % SLOTS
             await asyncio.sleep(self._slot_s)
 
--- a/chervilrock/tasks/region.py
+++ b/chervilrock/tasks/region.py
@@ -5,33 +5,27 @@
 by messages.
 """
 
+import asyncio
 from typing import TYPE_CHECKING
 
 from chervilrock import events
-from chervilrock.decisions.lease import LeaseStep, LeaseView
-from chervilrock.decisions.ownership import Group
+from chervilrock.decisions.lease import LeaseView
 from chervilrock.decisions.presence import PresenceTable
-from chervilrock.decisions.records import Body, RecordWriter
+from chervilrock.decisions.records import RecordWriter
 from chervilrock.decisions.region import RegionState
 from chervilrock.decisions.snapshots import SnapshotSchedule
 from chervilrock.decisions.streams import FoldStep, ReadResult, StreamReader
 from chervilrock.decisions.verdicts import VerdictKind
-from chervilrock.decisions.views import (
-    count_missing_groups,
-    list_endpoints,
-    list_stranded,
-)
-from chervilrock.generated.configuration import Configuration, ModelSpec
-from chervilrock.generated.interfaces import HostEntry, ServiceEntry
-from chervilrock.generated.records import (
-    ControllerClaimed,
-    ControllerReleased,
-    ControllerRenewed,
-    GroupPhase,
+from chervilrock.generated.configuration import Configuration
+from chervilrock.generated.interfaces import (
+    HostEntry,
+    HostList,
+    ServiceEntry,
 )
+from chervilrock.generated.records import RecordKind
 from chervilrock.metrics import Metrics
 from chervilrock.tasks.clock import Clock
-from chervilrock.tasks.loads import GroupLoad, LoadTarget
+from chervilrock.tasks.loads import GroupLoad
 from chervilrock.tasks.mailbox import Mailbox
 from chervilrock.tasks.messages import (
     BatchAppended,
@@ -40,11 +34,11 @@
     HostsListed,
     OrderAnswered,
     PageRead,
-    ProbeTarget,
     ReadFailed,
 )
 from chervilrock.tasks.outages import OutageLog
 from chervilrock.tasks.region_events import RegionEvents
+from chervilrock.tasks.region_lease import RegionLease
 from chervilrock.tasks.region_messages import (
     LeaseGivenUp,
     RegionFacts,
@@ -55,6 +49,7 @@
     ServingView,
 )
 from chervilrock.tasks.region_report import make_report, RegionReport
+from chervilrock.tasks.region_views import RegionPicture, RegionViews
 
 if TYPE_CHECKING:
     from chervilrock.tasks.region_control import RegionControl
@@ -69,6 +64,15 @@
 ]
 
 TICK_S = 0.1
+"""Longest wait for a message before the task looks at the time."""
+
+PACE_S = 0.05
+"""Time in which messages gather before they are taken together."""
+
+TURNS_PER_LEASE = 12
+"""Least number of times that the task looks at the time in a lease."""
+
+_MS_PER_S = 1000.0
 
 
 class RegionTask:
@@ -96,15 +100,23 @@
         self._metrics = metrics
         self._outages = outages
         self._reader = StreamReader(fold=RegionState())
-        self._control: RegionControl | None = None
         self._events = RegionEvents(region=identity.region)
+        self._keeper = RegionLease(
+            identity=identity, lease=lease, writer=writer, events=self._events
+        )
+        self._views = RegionViews(
+            presence=presence,
+            lease=lease,
+            metrics=metrics,
+            events=self._events,
+        )
+        self._control: RegionControl | None = None
+        self._listed: HostList | None = None
         self._hosts: dict[str, HostEntry] = {}
         self._services: tuple[ServiceEntry, ...] = ()
         self._configuration: Configuration | None = None
         self._revision = 0
         self._read_at: float | None = None
-        self._measured_at: float | None = None
-        self._stopping = False
         self.inbox: Mailbox[RegionMessage] = Mailbox(size=4096)
 
     @property
@@ -113,11 +125,14 @@
 
     async def run(self, ports: RegionPorts) -> None:
         """Follow the region until cancelled."""
+        lease_s = self._identity.lease_ms / _MS_PER_S
+        pace_s = min(PACE_S, lease_s / TURNS_PER_LEASE)
         while True:
             first = await self.inbox.receive_within(TICK_S)
             if first is not None:
                 self._handle(first, ports, self._clock())
             self.advance(ports)
+            await asyncio.sleep(pace_s)
 
     def advance(self, ports: RegionPorts) -> None:
         """Take the messages that wait, and do what is due."""
@@ -138,25 +153,25 @@
         elif isinstance(message, BatchAppended):
             self._take_append(message)
         elif isinstance(message, HostsListed):
-            self._take_hosts(message, ports)
+            self._take_hosts(message)
         elif isinstance(message, OrderAnswered):
             self._take_order(message)
         elif isinstance(message, ConfigurationInForce):
-            self._configuration = message.document
-            self._revision = message.revision
-            if self._control is not None:
-                self._control.plan_soon()
+            self._take_configuration(message, now)
         elif isinstance(message, GroupLoad):
             if self._control is not None:
                 self._control.note_load(message)
         elif isinstance(message, ReportWanted):
             message.reply.set_result(self._make_report(now))
         else:
-            self._give_up(message, ports, now)
+            self._keeper.give_up(ports.appender, now)
+            message.done.set_result(None)
 
     def _take_probe(self, message: HostProbed) -> None:
         if message.state is not None:
-            self._presence.observe(message.host, message.state, message.sent_at)
+            self._presence.observe(
+                message.host, message.state, message.sent_at, message.read_at
+            )
 
     def _take_page(self, message: PageRead, ports: RegionPorts) -> None:
         self._outages.note_success(self._identity.stream, message.read_at)
@@ -187,12 +202,14 @@
         self._lease.adopt(region.epoch, lease_s, now)
 
     def _follow_step(self, step: FoldStep, now: float) -> None:
-        record_id = step.stored.record.record_id
+        record = step.stored.record
         if step.verdict.kind is VerdictKind.SKIPPED:
             return
-        self._lease.read(record_id, step.verdict, now)
+        self._lease.read(record.record_id, step.verdict, now)
         if self._control is not None:
-            self._control.note_read(record_id)
+            self._control.note_read(record.record_id)
+            if record.kind is not RecordKind.CONTROLLER_RENEWED:
+                self._control.note_change()
         if step.verdict.accepted:
             self._events.note_record(step.verdict.body, step.stored.offset)
 
@@ -203,20 +220,24 @@
         if self._control is not None:
             self._control.note_appended(message)
 
-    def _take_hosts(self, message: HostsListed, ports: RegionPorts) -> None:
+    def _take_hosts(self, message: HostsListed) -> None:
+        """Take over a host list that is another than the last one."""
+        listed = message.hosts
+        if listed is self._listed or listed == self._listed:
+            return
+        self._listed = listed
         self._hosts = {
             entry["host"]: entry
-            for entry in message.hosts["hosts"]
+            for entry in listed["hosts"]
             if entry["region"] == self._identity.region
         }
-        self._services = message.hosts["services"]
+        self._services = tuple(
+            entry for entry in listed["services"] if not entry["leaving"]
+        )
         known = self._hosts.keys() | self._region.owners.keys()
         self._presence.retain(set(known))
-        targets = tuple(
-            ProbeTarget(name, entry["address"])
-            for name, entry in self._hosts.items()
-        )
-        ports.probes.offer(targets)
+        if self._control is not None:
+            self._control.note_change()
 
     def _take_order(self, message: OrderAnswered) -> None:
         if self._control is not None:
@@ -226,53 +247,36 @@
                 message.host, message.order["fence"], message.state["fence"]
             )
 
-    def _give_up(
-        self, message: LeaseGivenUp, ports: RegionPorts, now: float
+    def _take_configuration(
+        self, message: ConfigurationInForce, now: float
     ) -> None:
-        self._stopping = True
-        if self._lease.may_act(now):
-            epoch = self._lease.holder.epoch
-            record = self._writer.prepare(ControllerReleased(epoch=epoch))
-            ports.appender.inbox.offer(record)
-            self._events.note_released(epoch)
-        self._lease.holder.drop()
-        message.done.set_result(None)
+        self._configuration = message.document
+        self._revision = message.revision
+        self._views.measure(self._make_picture(), now)
+        if self._control is not None:
+            self._control.note_configuration()
 
     def _step(self, ports: RegionPorts, now: float) -> None:
         """Decide everything that is due."""
-        if not self._stopping:
-            self._keep_lease(ports, now)
-        self._events.note_lease(self._lease.holder.epoch, now)
-        holds = self._lease.may_act(now)
-        self._metrics.lease_held.set(1 if holds else 0)
+        self._keeper.keep(
+            self._region, ports.appender, now, known=self._reader.known
+        )
+        picture = self._make_picture()
+        changed = self._views.update(picture, now)
+        if changed and self._control is not None:
+            self._control.note_change()
         self._control_safely(ports, now)
-        view = self._make_view(now)
-        self._measure(view, holds, now)
-        self._publish(view, ports)
-
-    def _keep_lease(self, ports: RegionPorts, now: float) -> None:
-        decision = self._lease.decide(now, known=self._reader.known)
-        if decision.step is LeaseStep.CLAIM:
-            claim = ControllerClaimed(
-                node=self._identity.node,
-                address=self._identity.address,
-                replaces_epoch=self._region.epoch,
-                replaces_renewal=self._region.renewed,
-                lease_ms=self._identity.lease_ms,
-            )
-            self._append_for_lease(claim, ports, now)
-        elif decision.step is LeaseStep.RENEW:
-            epoch = self._lease.holder.epoch
-            self._append_for_lease(ControllerRenewed(epoch), ports, now)
-        elif decision.step is LeaseStep.STEP_DOWN:
-            self._lease.holder.drop()
-
-    def _append_for_lease(
-        self, body: Body, ports: RegionPorts, now: float
-    ) -> None:
-        record = self._writer.prepare(body)
-        self._lease.holder.note_sent(record.record_id, now)
-        ports.appender.inbox.offer(record)
+        self._views.publish(picture, ports, now)
+
+    def _make_picture(self) -> RegionPicture:
+        wanted = self._configuration
+        return RegionPicture(
+            region=self._region,
+            known=self._reader.known,
+            hosts=self._hosts,
+            services=self._services,
+            models=() if wanted is None else tuple(wanted["models"]),
+        )
 
     def _control_safely(self, ports: RegionPorts, now: float) -> None:
         """Control the region; a fault in it must not stop the requests.
@@ -290,12 +294,13 @@
         """Control the region if this node was granted its epoch."""
         if not self._lease.granted or self._configuration is None:
             return
-        if self._stopping or not self._reader.known:
+        if self._keeper.stopping or not self._reader.known:
             return
         facts = RegionFacts(
             region=self._region,
             lease=self._lease,
             presence=self._presence,
+            endpoints=self._views.endpoints,
             hosts=self._hosts,
             configuration=self._configuration,
             revision=self._revision,
@@ -313,6 +318,7 @@
                 writer=self._writer,
                 schedule=self._schedule,
                 ports=ports,
+                clock=self._clock,
             )
         return self._control
 
@@ -322,65 +328,6 @@
             return self._read_at
         return None
 
-    def _models(self) -> tuple[ModelSpec, ...]:
-        if self._configuration is None:
-            return ()
-        return tuple(self._configuration["models"])
-
-    def _make_view(self, now: float) -> ServingView:
-        known = self._reader.known
-        endpoints = list_endpoints(
-            region=self._region,
-            presence=self._presence,
-            hosts=self._hosts,
-            now=now,
-        )
-        return ServingView(
-            endpoints=endpoints if known else (),
-            services=tuple(s for s in self._services if not s["leaving"]),
-            known=known,
-            holds_lease=self._lease.may_act(now),
-        )
-
-    def _publish(self, view: ServingView, ports: RegionPorts) -> None:
-        for mailbox in ports.views:
-            mailbox.offer(view)
-        groups = self._region.groups.values()
-        targets = [self._find_leader(group) for group in groups]
-        ports.loads.offer(tuple(t for t in targets if t is not None))
-
-    def _find_leader(self, group: Group) -> LoadTarget | None:
-        entry = self._hosts.get(group.hosts[0])
-        if entry is None:
-            return None
-        if group.phase not in (GroupPhase.SERVING, GroupPhase.DRAINING):
-            return None
-        return LoadTarget(group.name, entry["address"])
-
-    def _measure(self, view: ServingView, holds: bool, now: float) -> None:
-        """Count group downtime and stranded accelerators since last time."""
-        elapsed = now - (self._measured_at or now)
-        self._measured_at = now
-        region = self._region
-        self._events.note_presence(region, self._presence, now)
-        counts = dict.fromkeys(GroupPhase, 0)
-        for group in region.groups.values():
-            counts[group.phase] += 1
-        self._metrics.set_groups(counts)
-        self._metrics.quarantined_hosts.set(len(region.quarantined))
-        stranded = sum(
-            entry["accelerators"]
-            for entry in list_stranded(region, self._presence, self._hosts, now)
-        )
-        self._metrics.stranded_accelerators.set(stranded)
-        if not holds:
-            return
-        self._metrics.stranded_accelerator_seconds.inc(stranded * elapsed)
-        serving = [one.endpoint for one in view.endpoints]
-        missing = count_missing_groups(self._models(), serving)
-        for model, count in missing.items():
-            self._metrics.count_downtime(model=model, seconds=count * elapsed)
-
     def _make_report(self, now: float) -> RegionReport:
         return make_report(
             region=self._region,
--- a/chervilrock/tasks/region_control.py
+++ b/chervilrock/tasks/region_control.py
@@ -5,6 +5,7 @@
 """
 
 from chervilrock import events
+from chervilrock.decisions.actions import Action
 from chervilrock.decisions.control.effects import AppendRecord, Effect
 from chervilrock.decisions.control.progress import Progress
 from chervilrock.decisions.control.view import make_plan_input
@@ -14,15 +15,17 @@
 from chervilrock.decisions.records import Body, RecordWriter
 from chervilrock.decisions.region import RegionState
 from chervilrock.decisions.snapshots import SnapshotSchedule, split_snapshot
-from chervilrock.generated.records import RecordId
-from chervilrock.tasks.clock import read_day
+from chervilrock.generated.records import GroupPhase, RecordId
+from chervilrock.tasks.clock import Clock, read_day
 from chervilrock.tasks.idleness import IdleTable
 from chervilrock.tasks.loads import GroupLoad
 from chervilrock.tasks.messages import BatchAppended, OrderAnswered
 from chervilrock.tasks.orders import OrderRequest
+from chervilrock.tasks.pace import Pace
 from chervilrock.tasks.region_messages import RegionFacts, RegionPorts
 
-PLAN_INTERVAL_S = 0.3
+REPLAN_S = 60.0
+"""Time after which the planner is asked again though nothing has changed."""
 
 
 class RegionControl:
@@ -35,6 +38,7 @@
         writer: RecordWriter,
         schedule: SnapshotSchedule,
         ports: RegionPorts,
+        clock: Clock,
     ) -> None:
         """Start with nothing under way.
 
@@ -43,6 +47,7 @@
           writer: gives records of this process their identity
           schedule: tells when a snapshot of the stream is due
           ports: where records and orders go
+          clock: measures what a decision takes
         """
         self._stream = stream
         self._writer = writer
@@ -51,11 +56,18 @@
         self._progress = Progress()
         self._planner = Planner()
         self._idle = IdleTable()
-        self._planned_at = 0.0
+        self._actions: tuple[Action, ...] = ()
+        self._planned_at = float("-inf")
+        self._clock = clock
+        self._pace = Pace()
 
-    def plan_soon(self) -> None:
-        """Decide at the next step."""
-        self._planned_at = 0.0
+    def note_configuration(self) -> None:
+        """Note that another configuration is in force."""
+        self._pace.hurry()
+
+    def note_change(self) -> None:
+        """Note that something in the region has changed."""
+        self._pace.note_change()
 
     def note_read(self, record_id: RecordId) -> None:
         """Note that a record was read back, whatever came of it."""
@@ -65,11 +77,13 @@
         """Note records that surely were not appended."""
         if message.error is None or message.error.effect_possible:
             return
+        self._pace.note_change()
         for record in message.records:
             self._progress.note_read(record.record_id)
 
     def note_answered(self, message: OrderAnswered) -> None:
         """Note the answer to an order."""
+        self._pace.note_change()
         self._progress.note_answered(
             message.host, message.order, message.accepted, message.sent_at
         )
@@ -81,31 +95,32 @@
     def control(
         self, facts: RegionFacts, out_since: float | None, now: float
     ) -> None:
-        """Append and order what is allowed now, once an interval.
+        """Append and order what is allowed now, if it is time to decide.
 
         Args:
           facts: what is known of the region.
           out_since: when the log was last read, None when it can be read.
           now: present time in seconds.
         """
-        if now < self._planned_at + PLAN_INTERVAL_S:
+        if not self._pace.is_due(now):
             return
-        self._planned_at = now
+        started_at = self._clock()
+        awaits = out_since is not None or is_awaiting(facts)
         if facts.lease.may_act(now):
-            self._control_leased(facts, now)
+            awaits |= self._control_leased(facts, now)
         if out_since is not None:
             self._control_outage(facts, out_since, now)
+        cost_s = self._clock() - started_at
+        self._pace.note_decided(now, cost_s=cost_s, awaits=awaits)
 
-    def _control_leased(self, facts: RegionFacts, now: float) -> None:
-        """Append and order what the lease allows."""
+    def _control_leased(self, facts: RegionFacts, now: float) -> bool:
+        """Append and order what the lease allows; return if there was any."""
         self._idle.retain(facts.region.groups.values(), now)
-        for effect in self._decide(facts, now):
+        effects = self._decide(facts, now)
+        for effect in effects:
             self._perform(effect, now)
         self._write_snapshot(facts.region, now)
-        self._progress.retain(
-            facts.hosts.keys() | facts.region.owners.keys(),
-            set(facts.region.groups),
-        )
+        return bool(effects)
 
     def _control_outage(
         self, facts: RegionFacts, out_since: float, now: float
@@ -123,7 +138,14 @@
         for order in orders:
             self._perform(order, now)
 
-    def _decide(self, facts: RegionFacts, now: float) -> tuple[Effect, ...]:
+    def _plan(self, facts: RegionFacts, now: float) -> tuple[Action, ...]:
+        """Return what the planner asks for.
+
+        While nothing changes it asks for the same, but for the costs of the
+        calendar, so it is asked once in a while only.
+        """
+        if not self._pace.awaits and now < self._planned_at + REPLAN_S:
+            return self._actions
         wanted = facts.configuration
         view = make_plan_input(
             region=facts.region,
@@ -134,17 +156,27 @@
             prices=prices(wanted.get("objective"), read_day()),
             now=now,
         )
+        self._progress.retain(
+            facts.hosts.keys() | facts.region.owners.keys(),
+            set(facts.region.groups),
+        )
+        self._planned_at = now
+        self._actions = self._planner.plan(view, now)
+        return self._actions
+
+    def _decide(self, facts: RegionFacts, now: float) -> tuple[Effect, ...]:
         return decide(
             region=facts.region,
-            wanted=wanted,
+            wanted=facts.configuration,
             revision=facts.revision,
             presence=facts.presence,
             hosts=facts.hosts.values(),
-            actions=self._planner.plan(view, now),
+            actions=self._plan(facts, now),
             pending=self._progress,
             lease=facts.lease,
             now=now,
             idle=self._idle.find_idle(),
+            whole=facts.endpoints.list_whole(),
         )
 
     def _perform(self, effect: Effect, now: float) -> None:
@@ -179,3 +211,14 @@
             stream=self._stream,
             upto=region.upto,
         )
+
+
+def is_awaiting(facts: RegionFacts) -> bool:
+    """Return whether a group or a host is on its way to another state."""
+    region = facts.region
+    if region.revoked or any(facts.endpoints.list_broken()):
+        return True
+    return any(
+        group.phase is not GroupPhase.SERVING
+        for group in region.groups.values()
+    )
--- a/chervilrock/tasks/region_events.py
+++ b/chervilrock/tasks/region_events.py
@@ -1,8 +1,10 @@
 """Log events about a region, each once."""
 
+from collections.abc import Iterable
+
+from chervilrock.decisions.ownership import Group
 from chervilrock.decisions.presence import PresenceTable
 from chervilrock.decisions.records import Body
-from chervilrock.decisions.region import RegionState
 from chervilrock.events import emit, Event
 from chervilrock.generated.records import (
     GroupGranted,
@@ -97,14 +99,20 @@
             emit(Event.GROUP_DISSOLVED, group=body.group)
 
     def note_presence(
-        self, region: RegionState, presence: PresenceTable, now: float
+        self, broken: Iterable[Group], presence: PresenceTable, now: float
     ) -> None:
-        """Log hosts of serving groups that went missing or came back."""
-        missing: dict[str, str] = {}
-        for group in region.groups.values():
-            if group.phase is GroupPhase.SERVING:
-                for host in presence.missing(group, now):
-                    missing[host] = group.name
+        """Log hosts of serving groups that went missing or came back.
+
+        Args:
+          broken: the serving groups that are not whole.
+          presence: evidence of the hosts.
+          now: present time in seconds.
+        """
+        missing = {
+            host: group.name
+            for group in broken
+            for host in presence.missing(group, now)
+        }
         for host, group_name in missing.items():
             if host not in self._missing:
                 since = presence.missing_since(host, now) or now
--- a/chervilrock/tasks/region_messages.py
+++ b/chervilrock/tasks/region_messages.py
@@ -7,7 +7,7 @@
 from chervilrock.decisions.lease import LeaseView
 from chervilrock.decisions.presence import PresenceTable
 from chervilrock.decisions.region import RegionState
-from chervilrock.decisions.views import TimedEndpoint
+from chervilrock.decisions.views import EndpointTable, TimedEndpoint
 from chervilrock.generated.configuration import Configuration
 from chervilrock.generated.interfaces import HostEntry, ServiceEntry
 from chervilrock.tasks.loads import GroupLoad, LoadTarget
@@ -61,12 +61,14 @@
       services: backend servers of plain services that are not leaving
       known: whether the region stream is known to this node
       holds_lease: whether this node controls the region
+      controller: IP:port of the controller that the log names, empty for none
     """
 
     endpoints: tuple[TimedEndpoint, ...] = ()
     services: tuple[ServiceEntry, ...] = ()
     known: bool = False
     holds_lease: bool = False
+    controller: str = ""
 
 
 class RegionIdentity(NamedTuple):
@@ -101,6 +103,7 @@
       region: folded state of the region stream
       lease: the lease as this node knows it
       presence: evidence of the hosts
+      endpoints: groups that may get requests
       hosts: host list of the region, by name
       configuration: configuration in force
       revision: its revision
@@ -109,6 +112,7 @@
     region: RegionState
     lease: LeaseView
     presence: PresenceTable
+    endpoints: EndpointTable
     hosts: Mapping[str, HostEntry]
     configuration: Configuration
     revision: int
--- a/chervilrock/tasks/region_report.py
+++ b/chervilrock/tasks/region_report.py
@@ -64,7 +64,9 @@
         ),
         stranded=tuple(
             _report_stranded(entry, region)
-            for entry in list_stranded(region, presence, hosts, now)
+            for entry in list_stranded(
+                presence.servable(region, now), presence, hosts, now
+            )
         ),
         quarantined=tuple(
             QuarantinedHost(
@@ -81,7 +83,7 @@
     group: Group, presence: PresenceTable, now: float
 ) -> GroupStatus:
     """Return the group as it is, also when a spare came in without the log."""
-    group = presence.find_composition(group, now)
+    group = presence.find_servable(group, now) or group
     return GroupStatus(
         group=group.name,
         model=group.model,
