Never drain two groups of a model in one decision

Cause: the controller and the planner each choose a surplus or outdated group; with unequal preferences both groups of a model were drained at once. Change: a decision drains at most one group of a model, and a drain that was appended and not read back counts as a change of that model. Measured: a planner that always prefers the other group took the serving groups of a model to 0 before; 1 stays now (test_with_controller). Conclusion: a model keeps a group whatever the two prefer.

--- a/chervilrock/decisions/control/rollout.py
+++ b/chervilrock/decisions/control/rollout.py
@@ -19,7 +19,7 @@
 from chervilrock.decisions.control.progress import Watch
 from chervilrock.decisions.ownership import Group
 from chervilrock.generated.configuration import ModelSpec
-from chervilrock.generated.records import GroupPhase
+from chervilrock.generated.records import GroupPhase, GroupPhaseChanged
 
 
 def is_outdated(spec: ModelSpec, group: Group) -> bool:
@@ -117,7 +117,15 @@
 
 
 def _is_changing(context: ControlContext, group: Group) -> bool:
-    return group.phase in (GroupPhase.LOADING, GroupPhase.DRAINING)
+    if group.phase in (GroupPhase.LOADING, GroupPhase.DRAINING):
+        return True
+    drain = GroupPhaseChanged(
+        epoch=context.region.epoch,
+        group=group.name,
+        fence=group.fence,
+        phase=GroupPhase.DRAINING,
+    )
+    return context.progress.is_pending(drain, context.now)
 
 
 def _is_forming(context: ControlContext, model: str) -> bool:
--- a/chervilrock/decisions/controller.py
+++ b/chervilrock/decisions/controller.py
@@ -11,7 +11,7 @@
 
 from chervilrock.decisions.actions import Action
 from chervilrock.decisions.control.context import ControlContext, ControlTiming
-from chervilrock.decisions.control.effects import Effect
+from chervilrock.decisions.control.effects import AppendRecord, Effect
 from chervilrock.decisions.control.loading import (
     adopt_reserve,
     change_phase,
@@ -37,7 +37,7 @@
 from chervilrock.decisions.region import RegionState
 from chervilrock.generated.configuration import Configuration
 from chervilrock.generated.interfaces import HostEntry
-from chervilrock.generated.records import GroupPhase
+from chervilrock.generated.records import GroupPhase, GroupPhaseChanged
 
 _DEFAULT_TIMING = ControlTiming()
 
@@ -100,12 +100,16 @@
 def _decide_all(context: ControlContext) -> Iterator[Effect]:
     for group in context.region.groups.values():
         yield from _advance_group(context, group)
+    drained: set[str] = set()
     for group in choose_drains(context):
+        drained.add(group.model)
         yield from change_phase(context, group, GroupPhase.DRAINING)
     yield from release_hosts(context)
     yield from clear_hosts(context)
     yield from empty_strays(context)
-    yield from perform_actions(context)
+    for effect in perform_actions(context):
+        if not _drains_second(context, effect, drained):
+            yield effect
     yield from grant_spares(context)
 
 
@@ -123,6 +127,27 @@
         yield from drain_group(context, group)
 
 
+def _drains_second(
+    context: ControlContext, effect: Effect, drained: set[str]
+) -> bool:
+    """Return whether a model would lose a second group in this decision.
+
+    Args:
+      context: state and input of the decision.
+      effect: what an action asks for.
+      drained: models that lose a group already; the model is added.
+    """
+    body = effect.body if isinstance(effect, AppendRecord) else None
+    if not isinstance(body, GroupPhaseChanged):
+        return False
+    if body.phase is not GroupPhase.DRAINING:
+        return False
+    model = context.region.groups[body.group].model
+    second = model in drained
+    drained.add(model)
+    return second
+
+
 def _is_wanted(context: ControlContext, group: Group) -> bool:
     spec = context.models.get(group.model)
     return spec is not None and not is_outdated(spec, group)
--- a/test/decisions/planner/test_with_controller.py
+++ b/test/decisions/planner/test_with_controller.py
@@ -3,7 +3,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
 
-from chervilrock.decisions.actions import Prices
+from chervilrock.decisions.actions import DissolveGroup, Prices
 from chervilrock.decisions.control.view import make_plan_input
 from chervilrock.decisions.planner import Planner
 from chervilrock.generated.records import GroupPhase
@@ -82,3 +82,29 @@
     world.apply(make_configuration("v2", groups=1, spares=0))
     assert_that(_run(world), Equals(1))
     assert_that(_list_groups(world), Equals([("v2", GroupPhase.SERVING)]))
+
+
+class ContraryNode(Node):
+    """A node whose planner wants another group gone than the controller."""
+
+    def plan(self, wanted, hosts):
+        serving = [
+            group
+            for group in self.region.groups.values()
+            if group.phase is GroupPhase.SERVING
+        ]
+        if len(serving) < 2:
+            return ()
+        oldest = min(serving, key=lambda one: one.fence)
+        return (DissolveGroup(oldest.name, oldest.fence, "contrary"),)
+
+
+def test_planner_and_controller_never_drain_both_groups_of_a_model():
+    world = _make_world(hosts=6)
+    world.apply(make_configuration(groups=2, spares=0))
+    _run(world)
+    node = world.nodes[0]
+    node.plan = ContraryNode.plan.__get__(node)
+    world.apply(make_configuration(groups=1, spares=0))
+    least = _run(world)
+    assert_that(least, Equals(1))
