Let nodes whose seeds are gone find each other by the log

Cause: a node knew others only by its settings and by exchanges. Ruled out: the detection of dead nodes, and the load of the machine, which only made it frequent. Change: the address of the controller, which the region stream names, is one more seed. Conclusion: nodes find each other as long as they read the log.

--- a/chervilrock/node/entry.py
+++ b/chervilrock/node/entry.py
@@ -110,6 +110,7 @@
             revision=configuration.revision,
         )
         configuration.set_snapshot_duty(view.serving.holds_lease)
+        self._parts.peers.note_controller(view.serving.controller)
         # Parts of workspace bounds settle by time, also without requests.
         self._path.gate.sweep(self._clock())
         self._measure()
--- a/chervilrock/tasks/peers.py
+++ b/chervilrock/tasks/peers.py
@@ -123,9 +123,10 @@
         self._losses = LossWatch()
         self._under_way: set[asyncio.Task[None]] = set()
         self._error: BaseException | None = None
+        self._links = PeerLinks(table=table, seeds=seeds, generator=generator)
         self._exchange = PeerExchange(
             table=table,
-            links=PeerLinks(table=table, seeds=seeds, generator=generator),
+            links=self._links,
             shelf=shelf,
             shares=shares,
             generator=generator,
@@ -141,6 +142,10 @@
             for task in self._under_way:
                 task.cancel()
 
+    def note_controller(self, address: str) -> None:
+        """Take the controller that the log names as one more seed."""
+        self._links.note_controller(address)
+
     def begin(self) -> None:
         """Begin the exchanges of an interval."""
         self._before_exchange()
--- a/test/node/conftest.py
+++ b/test/node/conftest.py
@@ -63,15 +63,16 @@
         self.nodes: list[EntryNode] = []
         self.http = HttpClient()
 
-    async def add_node(self) -> EntryNode:
-        """Start one more entry node."""
+    async def add_node(self, seeds: str | None = None) -> EntryNode:
+        """Start one more entry node, by default with all others as seeds."""
+        others = ",".join(node.address for node in self.nodes)
         settings = NodeSettings(
             node=f"entry-{len(self.nodes)}",
             listen="127.0.0.1:0",
             region=REGION,
             data_centre=DATA_CENTRE,
             log_service=self.installation.platform.address,
-            peers=",".join(node.address for node in self.nodes),
+            peers=others if seeds is None else seeds,
             lease_ms=600,
             probe_interval_ms=100,
             presence_limit_ms=1000,
--- a/test/node/test_entry.py
+++ b/test/node/test_entry.py
@@ -286,3 +286,22 @@
         assert_that(error["outcome"], Equals("not_run"))
 
     run_site(check)
+
+
+def test_nodes_whose_seeds_are_gone_find_each_other(run_site):
+    async def check(site):
+        first = await site.add_node()
+        await apply(site)
+        await first.kill()
+        # Both know only the address of the first node, which is dead.
+        await site.add_node(seeds=first.address)
+        await site.add_node(seeds=first.address)
+        for number in (1, 2):
+            while True:
+                status = await read_status(site, number)
+                alive = {one["node"] for one in status["nodes"] if one["alive"]}
+                if {"entry-1", "entry-2"} <= alive:
+                    break
+                await asyncio.sleep(0)
+
+    run_site(check)
