Bench the memory of a serving process

Cause: the bound of 45 MB for an idle node and 64 MB at the target had no command that measures them. Change: a bench that starts serve as a process and reads its resident memory, idle and with the state of hosts.

--- /dev/null
+++ b/bench/memory.py
@@ -0,0 +1,171 @@
+"""Resident memory of a serving process.
+
+A platform stand-in runs in this process, and `chervilrock serve` as a process
+of its own, started once before so that its compiled files are in place. VmRSS
+is read from the system: `mb_1024` counts in 1,024 times 1,024 bytes and `mb`
+in a million bytes. Results:
+
+* `idle`: a node that knows its region, with no host and no configuration.
+* `node_rss_mb_12000`: a node with the state of 12,000 hosts in one region: the
+  host list and the fold of the stream, which it reads of the platform, and the
+  evidence of each host, which it is handed (`bench/memory_node.py`). A node of
+  the target has a fourth of it, so this is an upper bound. Streams of callers
+  are not in it.
+"""
+
+import asyncio
+from collections.abc import Iterable
+import os
+import pathlib
+import statistics
+import subprocess
+import sys
+import time
+
+import msgspec
+
+from bench.region_model import make_layout, make_records, STREAM
+from chervilrock.standin.platform import PlatformStandIn
+
+STARTS = 3
+QUICK_STARTS = 1
+HOSTS = 12_000
+QUICK_HOSTS = 1_000
+MAX_IDLE_MB_1024 = 45.0
+MAX_MB_1024 = 64.0
+SETTLE_S = 4.0
+
+_KB = 1024
+_KB_PER_MB = 1024
+_BYTES_PER_MB = 1_000_000
+_SERVE = "from chervilrock.ui import main; raise SystemExit(main())"
+_ROOT = pathlib.Path(__file__).resolve().parent.parent
+
+
+def run(*, quick: bool) -> Iterable[dict[str, object]]:
+    """Yields the resident memory, idle and with the state of many hosts."""
+    return asyncio.run(_run(quick))
+
+
+async def _run(quick: bool) -> list[dict[str, object]]:
+    starts = QUICK_STARTS if quick else STARTS
+    hosts = QUICK_HOSTS if quick else HOSTS
+    empty = PlatformStandIn()
+    address = await empty.start()
+    await asyncio.to_thread(measure_idle, address)
+    idle = [
+        await asyncio.to_thread(measure_idle, address) for _ in range(starts)
+    ]
+    await empty.stop()
+    full = make_platform(hosts)
+    address = await full.start()
+    state_kb = await asyncio.to_thread(measure_state, address, hosts)
+    await full.stop()
+    idle_kb = statistics.median(idle)
+    return [
+        {
+            "result": "idle",
+            **_format(idle_kb),
+            "bound_mb_1024": MAX_IDLE_MB_1024,
+            "met": idle_kb / _KB_PER_MB <= MAX_IDLE_MB_1024,
+        },
+        {
+            "result": f"node_rss_mb_{hosts}",
+            **_format(state_kb),
+            "bound_mb_1024": MAX_MB_1024,
+            "met": state_kb / _KB_PER_MB <= MAX_MB_1024,
+            "bytes_per_host": round((state_kb - idle_kb) * _KB / hosts),
+        },
+    ]
+
+
+def _format(kilobytes: float) -> dict[str, object]:
+    return {
+        "mb_1024": round(kilobytes / _KB_PER_MB, 1),
+        "mb": round(kilobytes * _KB / _BYTES_PER_MB, 1),
+    }
+
+
+def measure_idle(platform: str) -> int:
+    """Returns the kilobytes of a node that has nothing to do.
+
+    Raises:
+      RuntimeError: The node did not come up.
+    """
+    with subprocess.Popen(
+        [
+            sys.executable,
+            "-c",
+            _SERVE,
+            "serve",
+            "--node=entry-0",
+            "--listen=127.0.0.1:0",
+            "--region=north",
+            "--data-centre=north-0",
+            f"--log-service={platform}",
+            "--log-format=json",
+        ],
+        cwd=_ROOT,
+        env=_make_environment(),
+        stderr=subprocess.PIPE,
+        text=True,
+    ) as process:
+        try:
+            _wait_started(process)
+            time.sleep(SETTLE_S)
+            return read_rss_kb(process.pid)
+        finally:
+            process.kill()
+
+
+def _make_environment() -> dict[str, str]:
+    """Returns the environment of a process that may write compiled files."""
+    kept = {
+        name: value
+        for name, value in os.environ.items()
+        if name != "PYTHONDONTWRITEBYTECODE"
+    }
+    return kept | {"PYTHONPATH": str(_ROOT)}
+
+
+def _wait_started(process: "subprocess.Popen[str]") -> None:
+    assert process.stderr is not None
+    for line in process.stderr:
+        if "node-started" in line:
+            return
+    raise RuntimeError("the node did not start")
+
+
+def make_platform(hosts: int) -> PlatformStandIn:
+    """Returns a platform whose log and host list hold a region."""
+    layout = make_layout(hosts)
+    platform = PlatformStandIn()
+    platform.set_hosts(layout.hosts)
+    records = tuple(
+        msgspec.Raw(msgspec.json.encode(stored.record))
+        for stored in make_records(layout)
+    )
+    platform.append(STREAM, records)
+    return platform
+
+
+def measure_state(platform: str, hosts: int) -> int:
+    """Returns the kilobytes of a node with the state of many hosts."""
+    ended = subprocess.run(
+        [sys.executable, "-m", "bench.memory_node", platform, str(hosts)],
+        cwd=_ROOT,
+        env=_make_environment(),
+        capture_output=True,
+        text=True,
+        check=True,
+    )
+    return int(ended.stdout)
+
+
+def read_rss_kb(process: int) -> int:
+    """Returns the resident memory of a process in kilobytes of 1,024 bytes."""
+    status = pathlib.Path(f"/proc/{process}/status").read_text(encoding="ascii")
+    for line in status.splitlines():
+        if line.startswith("VmRSS:"):
+            return int(line.split()[1])
+    raise RuntimeError("the system does not tell VmRSS")
