Let requests follow the reserved groups and the engine priority

Change: both are asked for each attempt; a request goes to a reserved group all the same when no other is left.

--- a/chervilrock/edges/completions.py
+++ b/chervilrock/edges/completions.py
@@ -134,7 +134,14 @@
                 if endpoint.version == self._endpoint.version
             )
         policy = self._context.policy
-        chosen = policy.choose(view, endpoints, now, exclude=decision.exclude)
+        reserved = self._context.admission.reserved_groups(view, now)
+        chosen = policy.choose(
+            view, endpoints, now, exclude=decision.exclude | reserved
+        )
+        if chosen is None and reserved:
+            chosen = policy.choose(
+                view, endpoints, now, exclude=decision.exclude
+            )
         if chosen is None and decision.again:
             chosen = policy.choose(view, endpoints, now)
         return chosen
@@ -150,6 +157,9 @@
             request=enginecalls.make_request(
                 view=self.view,
                 endpoint=endpoint,
+                priority=self._context.admission.engine_priority(
+                    self.view, now
+                ),
                 send=send,
                 path=self._engine_path,
                 body=self._call.body,
--- a/chervilrock/edges/enginecalls.py
+++ b/chervilrock/edges/enginecalls.py
@@ -55,6 +55,7 @@
     *,
     view: RequestView,
     endpoint: Endpoint,
+    priority: int,
     send: Send,
     path: str,
     body: bytes,
@@ -66,6 +67,7 @@
     Args:
       view: the request.
       endpoint: group that gets it.
+      priority: priority for the engine, 0 (first) to 9.
       send: what is asked for.
       path: path of the request.
       body: body of the caller.
@@ -77,7 +79,7 @@
         ("X-Request-Id", view.request_id),
         ("X-Attempt-Id", send.attempt),
         ("X-Fence", str(endpoint.fence)),
-        ("X-Priority", str(view.priority)),
+        ("X-Priority", str(priority)),
     ]
     if send.mode is SendMode.RESUME:
         headers.append(("Last-Event-ID", f"{view.request_id}/{send.after}"))
