Tell the age of reports of data centres by a shared clock

Cause: a longer trial of the state machine showed that a digest delivered 25 s late, with a report that its reader had missed, brought a lost data centre back; and a node whose clock stood still while its machine was suspended would have counted as dead for good. Change: the members of a data centre share a clock, so nodes elsewhere know the age of a report; a node or a data centre that lost its clock is told the value that others expect.

--- a/chervilrock/decisions/membership/exchange.py
+++ b/chervilrock/decisions/membership/exchange.py
@@ -127,6 +127,9 @@
                 for report in digest.get("data_centres", ())
             }
             reply = self._writer.write(sender.data_centre, told, now)
+        expected = self._table.expect_heartbeat(sender, now)
+        if expected:
+            reply["expected_heartbeat"] = expected
         self._writer.add_rosters(reply, digest.get("wants", ()), now)
         add_wants(reply, wants)
         self._add_configuration(reply, digest, now)
@@ -172,6 +175,7 @@
         if self._was_paused(now):
             return []
         self._table.note_exchange(sender, now)
+        self._table.advance_heartbeat(digest.get("expected_heartbeat", 0), now)
         self._want.note_revision(sender.revision, now)
         for roster in digest.get("rosters", ()):
             self._table.merge_roster(roster, now)
--- a/chervilrock/decisions/membership/local.py
+++ b/chervilrock/decisions/membership/local.py
@@ -1,8 +1,8 @@
 """The own data centre: its nodes, its clock, and who may speak for it."""
 
+from chervilrock.decisions.membership.clocks import Counter
 from chervilrock.decisions.membership.contact import Contact
 from chervilrock.decisions.membership.near import (
-    MAX_HEARTBEAT,
     NearMembers,
     report_data_centre,
     report_heartbeats,
@@ -35,19 +35,18 @@
         self.name = own.data_centre
         self.near = NearMembers(own=own)
         self.contact = Contact()
-        self._clock = 0
+        self._clock = Counter()
         self._seeks_members = False
 
     def beat(self, now: float) -> None:
-        """Advance the clocks and drop nodes silent for long."""
+        """Bring the heartbeat up to date and drop nodes silent for long."""
         self.near.beat(now)
         self.near.forget(now, DROP_AFTER_S)
-        self._clock += 1
 
     def report(self, now: float, timing: PeerTiming) -> DataCentreReport:
         """Return the report of the data centre."""
         view = self.near.view(now, timing.dead_after_s)
-        return report_data_centre(view, self.name, self._clock)
+        return report_data_centre(view, self.name, self._clock.read(now))
 
     def report_heartbeats(
         self, now: float, timing: PeerTiming
@@ -83,8 +82,7 @@
         Returns:
           What to ask it for, when it knows other members.
         """
-        if self._clock < report.clock < MAX_HEARTBEAT:
-            self._clock = report.clock
+        self._clock.advance(report.clock, now)
         if from_near:
             self.near.merge_holders(report)
         own = self.near.view(now, timing.dead_after_s).key
--- a/chervilrock/decisions/membership/near.py
+++ b/chervilrock/decisions/membership/near.py
@@ -1,17 +1,20 @@
 """The nodes of the own data centre.
 
-The heartbeat of a node is its own clock, which its neighbours hand on. A
-node compares it with its own clock: the least difference that it ever saw is
-that of news without delay. So it knows how old news is, however it came, and
-neither a delayed message nor a node that was paused can make a dead node look
-alive. Phase and revision only ever go up, so the order in which news arrives
-does not matter.
+The heartbeat of a node is its own clock, which its neighbours hand on. So they
+know how old news of it is, however it came, and neither a delayed message nor
+a node that was paused can make a dead node look alive. Phase and revision
+only ever go up, so the order in which news arrives does not matter.
 """
 
 from collections.abc import Iterable
 import math
 from typing import NamedTuple
 
+from chervilrock.decisions.membership.clocks import (
+    ClockEstimate,
+    Counter,
+    MAX_COUNTER,
+)
 from chervilrock.decisions.membership.rosters import (
     decode_holders,
     encode_holders,
@@ -31,13 +34,6 @@
 )
 
 MAX_MEMBERS = 1024
-MAX_HEARTBEAT = 2**53
-TICK_S = 0.1
-"""Unit of a heartbeat in seconds."""
-
-MAX_DRIFT = 0.001
-"""Greatest difference between the rates of two clocks."""
-
 PERCENT = 100
 
 
@@ -63,8 +59,7 @@
         "revision",
         "reachable",
         "heard",
-        "_offset",
-        "_sampled",
+        "_clock",
     )
 
     def __init__(self, *, entry: PeerNode, heard: float) -> None:
@@ -76,8 +71,7 @@
         self.revision = entry.revision
         self.reachable = entry.reachable
         self.heard = heard
-        self._offset = heard - entry.heartbeat * TICK_S
-        self._sampled = heard
+        self._clock = ClockEstimate(counter=entry.heartbeat, now=heard)
 
     @property
     def peer(self) -> PeerNode:
@@ -97,14 +91,14 @@
 
     def take_heartbeat(self, heartbeat: int, load: float, now: float) -> None:
         """Take a heartbeat and the load told with it, if it is news."""
-        if not self.heartbeat < heartbeat < MAX_HEARTBEAT:
-            return
-        drifted = self._offset + MAX_DRIFT * (now - self._sampled)
-        self._offset = min(drifted, now - heartbeat * TICK_S)
-        self._sampled = now
-        self.heartbeat = heartbeat
-        self.load = load
-        self.heard = heartbeat * TICK_S + self._offset
+        if self.heartbeat < heartbeat < MAX_COUNTER:
+            self.heartbeat = heartbeat
+            self.load = load
+            self.heard = self._clock.take(heartbeat, now)
+
+    def expect_heartbeat(self, now: float) -> int:
+        """Return the heartbeat that the node should have reached."""
+        return self._clock.expect(now)
 
     def take_phase(self, phase: NodePhase) -> bool:
         """Take a phase, unless it is an earlier one.
@@ -143,7 +137,7 @@
         self.own = NearMember(entry=own, heard=math.inf)
         self.departures = 0
         self._others: dict[str, NearMember] = {}
-        self._started: float | None = None
+        self._counter = Counter()
         self._book = RosterBook(data_centre=own.data_centre)
         self._live: list[NearMember] = []
         self._traits: list[Trait] = []
@@ -183,7 +177,7 @@
     def merge_entry(self, peer: PeerNode, now: float) -> None:
         """Take what a node says of itself or another node knows of it."""
         if peer.incarnation == self.own.entry.incarnation:
-            self._raise_own(peer.heartbeat)
+            self.advance_own(peer.heartbeat, now)
             return
         known = self._others.get(peer.incarnation)
         if known is None:
@@ -211,7 +205,7 @@
             if known is not None:
                 known.take_heartbeat(heartbeat, load / PERCENT, now)
             elif incarnation == own:
-                self._raise_own(heartbeat)
+                self.advance_own(heartbeat, now)
 
     def merge_holders(self, report: DataCentreReport) -> None:
         """Take which nodes have a configuration revision in force."""
@@ -225,10 +219,17 @@
 
     def beat(self, now: float) -> None:
         """Bring the own heartbeat up to date."""
-        if self._started is None:
-            self._started = now - self.own.heartbeat * TICK_S
-        passed = int((now - self._started) / TICK_S)
-        self.own.heartbeat = max(passed, self.own.heartbeat)
+        self.own.heartbeat = self._counter.read(now)
+
+    def advance_own(self, heartbeat: int, now: float) -> None:
+        """Catch up with the heartbeat that others expect of this node."""
+        self._counter.advance(heartbeat, now)
+        self.beat(now)
+
+    def expect_heartbeat(self, incarnation: str, now: float) -> int:
+        """Return the heartbeat that a node should have, 0 if unknown."""
+        known = self._others.get(incarnation)
+        return 0 if known is None else known.expect_heartbeat(now)
 
     def forget(self, now: float, after_s: float) -> None:
         """Drop nodes that have been silent for long."""
@@ -240,12 +241,6 @@
         for key in gone:
             del self._others[key]
 
-    def _raise_own(self, heartbeat: int) -> None:
-        """Stay ahead of what others tell of this node."""
-        if self.own.heartbeat < heartbeat < MAX_HEARTBEAT:
-            self.own.heartbeat = heartbeat + 1
-            self._started = None
-
     def _make_room(self) -> None:
         """Drop the node that has been silent longest when there are many."""
         if len(self._others) >= MAX_MEMBERS:
--- a/chervilrock/decisions/membership/remote.py
+++ b/chervilrock/decisions/membership/remote.py
@@ -1,14 +1,17 @@
 """What a node knows of another data centre.
 
 The members of a data centre say who they are; nodes elsewhere only hand that
-on. A data centre counts up a logical clock that all its members share, so
-that a report that is not newer than the known one is no news. A data centre
-of which no news comes is lost, with all its nodes.
+on. The members of a data centre share a clock, so that nodes elsewhere know
+how old a report is, however it came. A data centre of which no news comes is
+lost, with all its nodes.
 """
 
 from collections.abc import Iterable
 
-from chervilrock.decisions.membership.near import MAX_HEARTBEAT
+from chervilrock.decisions.membership.clocks import (
+    ClockEstimate,
+    MAX_COUNTER,
+)
 from chervilrock.decisions.membership.rosters import (
     decode_holders,
     is_departing,
@@ -33,7 +36,8 @@
 
     Attributes:
       name: name of the data centre
-      heard: when the last report was taken, in seconds of the local clock
+      heard: when the last report was sent, as far as is known, in seconds
+        of the local clock
       report: the last report taken, None before the first one
       departures: counts the nodes that were seen to leave or stop
     """
@@ -44,6 +48,7 @@
         self.heard = now
         self.report: DataCentreReport | None = None
         self.departures = 0
+        self._clock: ClockEstimate | None = None
         self._book = RosterBook(data_centre=name)
         self._members: Members = {}
         self._phases: dict[str, NodePhase] = {}
@@ -77,7 +82,7 @@
           What to ask for when its members are not known.
         """
         known = self.report
-        if report.clock >= MAX_HEARTBEAT:
+        if report.clock >= MAX_COUNTER:
             return None
         if known is not None and report.clock <= known.clock:
             return None
@@ -89,7 +94,7 @@
             self._replace_members(members)
         self._take_revision(report)
         self.report = report
-        self.heard = now
+        self.heard = self._estimate(report.clock, now)
         self._peers = None
         return None
 
@@ -100,6 +105,22 @@
         members = self._book.find(self.report.members)
         return None if members is None else self._book.make(members, base)
 
+    def report_to_members(self, now: float) -> DataCentreReport | None:
+        """Return the last report, with the clock that is expected now.
+
+        It is for the members, who may have lost their clock by a restart.
+        """
+        if self.report is None or self._clock is None:
+            return None
+        clock = max(self.report.clock, self._clock.expect(now))
+        return self.report._replace(clock=clock)
+
+    def _estimate(self, clock: int, now: float) -> float:
+        """Return when a report with a clock was sent."""
+        if self._clock is None:
+            self._clock = ClockEstimate(counter=clock, now=now)
+        return self._clock.take(clock, now)
+
     def _replace_members(self, members: Members) -> None:
         """Take other members; a phase never goes back."""
         phases = {}
--- a/chervilrock/decisions/membership/remotes.py
+++ b/chervilrock/decisions/membership/remotes.py
@@ -55,6 +55,13 @@
         remote = self._remotes.get(name)
         return None if remote is None else remote.report
 
+    def report_to_members(
+        self, name: str, now: float
+    ) -> DataCentreReport | None:
+        """Return the report of a data centre for its own members."""
+        remote = self._remotes.get(name)
+        return None if remote is None else remote.report_to_members(now)
+
     def report_fresh(
         self, now: float, fresh_s: float, limit: int, told: Mapping[str, int]
     ) -> list[DataCentreReport]:
--- a/chervilrock/decisions/membership/soundness.py
+++ b/chervilrock/decisions/membership/soundness.py
@@ -8,9 +8,9 @@
 import itertools
 import math
 
+from chervilrock.decisions.membership.clocks import MAX_COUNTER
 from chervilrock.generated.interfaces import PeerDigest, PeerNode
 
-MAX_COUNTER = 2**53
 MAX_LOAD = 10**6
 MAX_TEXT = 256
 MAX_LIST = 2048
@@ -63,6 +63,7 @@
         yield report.revision
     for use in digest.get("shares", ()):
         yield use.age_ms
+    yield digest.get("expected_heartbeat", 0)
     heartbeats = digest.get("heartbeats")
     if heartbeats is not None:
         yield from heartbeats.heartbeats
--- a/chervilrock/decisions/membership/table.py
+++ b/chervilrock/decisions/membership/table.py
@@ -8,6 +8,7 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
+from chervilrock.decisions.membership.clocks import TICK_S
 from chervilrock.decisions.membership.former import FormerMembers
 from chervilrock.decisions.membership.local import LocalDataCentre
 from chervilrock.decisions.membership.near import NearMember
@@ -116,6 +117,20 @@
             self._near.merge_entry(sender, now)
             self._changes += 1
 
+    def expect_heartbeat(self, peer: PeerNode, now: float) -> int:
+        """Return the heartbeat to tell a node whose clock stood still.
+
+        Returns:
+          0 when the node is not known here or its heartbeat is not late.
+        """
+        expected = self._near.expect_heartbeat(peer.incarnation, now)
+        late = (expected - peer.heartbeat) * TICK_S
+        return expected if late > self.timing.interval_s else 0
+
+    def advance_heartbeat(self, heartbeat: int, now: float) -> None:
+        """Take the heartbeat that another node expects of this one."""
+        self._near.advance_own(heartbeat, now)
+
     def merge_heartbeats(self, report: HeartbeatReport, now: float) -> None:
         """Take news of the nodes of the own data centre."""
         self._near.merge_heartbeats(report, now)
@@ -175,16 +190,17 @@
         Args:
           now: present time
           limit: greatest number of reports
-          receiver: data centre of the receiver; its report, which brings it
-            the clock, comes at any age
+          receiver: data centre of the receiver; its report comes at any
+            age, with the clock that is expected
           told: clocks that the receiver knows by data centre
         """
         fresh_s = self.timing.fresh_s
+        theirs = self._remotes.report_to_members(receiver, now)
+        if theirs is None:
+            return self._remotes.report_fresh(now, fresh_s, limit, told)
+        told = {**told, receiver: theirs.clock}
         reports = self._remotes.report_fresh(now, fresh_s, limit, told)
-        theirs = self._remotes.report_one(receiver)
-        if theirs is not None and theirs not in reports:
-            reports.append(theirs)
-        return reports
+        return [*reports, theirs]
 
     def report_one(
         self, data_centre: str, now: float
--- a/chervilrock/decisions/membership/timing.py
+++ b/chervilrock/decisions/membership/timing.py
@@ -14,7 +14,7 @@
 DEAD_INTERVALS = 7
 LATE_INTERVALS = 4
 LOST_INTERVALS = 8
-FRESH_INTERVALS = 2
+FRESH_INTERVALS = 4
 FORGET_AFTER_S = 60.0
 """Silence after which a node is no longer listed."""
 
