--- a/chervilrock/standin/enginehandlers.py
+++ b/chervilrock/standin/enginehandlers.py
@@ -102,6 +102,7 @@
     """Runs a completion request."""
 
     chat = False
+    _held_event = b""
     _decoder = msgspec.json.Decoder(CompletionRequest)
 
     async def post(self) -> None:
@@ -255,11 +256,23 @@
             event = answer.format_event(number)
             if self.strike(FaultKind.FOREIGN_EVENT):
                 chunks.append(format_foreign_event(number))
+            if self._hold_event(event, number, answer):
+                continue
             chunks.append(event)
+            chunks.append(self._held_event)
+            self._held_event = b""
             if self.strike(FaultKind.REPEAT_EVENT):
                 chunks.append(event)
         return b"".join(chunks)
 
+    def _hold_event(self, event: bytes, number: int, answer: Answer) -> bool:
+        """Keeps an event back until the next one, when a fault strikes."""
+        is_last = number > answer.event_count
+        if self._held_event or is_last or not self.strike(FaultKind.HOLD_EVENT):
+            return False
+        self._held_event = event
+        return True
+
 
 class ChatHandler(CompletionHandler):
     """Runs a chat request."""
--- a/chervilrock/standin/faults.py
+++ b/chervilrock/standin/faults.py
@@ -19,6 +19,7 @@
     BREAK_STREAM: close the connection of a stream after `after_events`.
     REPEAT_EVENT: send an event of a stream twice.
     FOREIGN_EVENT: send an event of another request within a stream.
+    HOLD_EVENT: send an event of a stream after the one that follows it.
     DROP_CACHE_EVENT: lose a cache event, which leaves a gap.
     IGNORE_FENCE: take old fencing numbers of orders and requests.
     SLOW_TOKEN: add `delay_ms` to each step of the batch.
@@ -33,6 +34,7 @@
     BREAK_STREAM = "break_stream"
     REPEAT_EVENT = "repeat_event"
     FOREIGN_EVENT = "foreign_event"
+    HOLD_EVENT = "hold_event"
     DROP_CACHE_EVENT = "drop_cache_event"
     IGNORE_FENCE = "ignore_fence"
     SLOW_TOKEN = "slow_token"
--- a/test/edges/test_completions.py
+++ b/test/edges/test_completions.py
@@ -74,6 +74,8 @@
 FAULTS_OF_EVENTS = [
     (FaultKind.REPEAT_EVENT, {}),
     (FaultKind.FOREIGN_EVENT, {}),
+    (FaultKind.HOLD_EVENT, {}),
+    (FaultKind.HOLD_EVENT, {"count": 1}),
     (FaultKind.BREAK_STREAM, {"after_events": 7, "count": 1}),
     (FaultKind.CLOSE_REUSED, {}),
     (FaultKind.SLOW_TOKEN, {"delay_ms": 1}),
