Hold a stream back once 64 KB of it are unread

Cause: a thousand callers who read nothing were bounded, but by 256 KB each. Change: the bound is 64 KB, which is about 8 s of a stream at 34 ms a token. Conclusion: the memory for slow callers is bounded by 64 KB and a chunk each, besides what a stream costs at all.

--- a/chervilrock/edges/sinks.py
+++ b/chervilrock/edges/sinks.py
@@ -16,7 +16,7 @@
 from chervilrock.edges import errors
 from chervilrock.edges.relay import Transfer
 
-MAX_UNSENT_BYTES = 256 * 1024
+MAX_UNSENT_BYTES = 64 * 1024
 """Bytes that wait for a slow caller before its transfer is held back."""
 
 Headers = tuple[tuple[str, str], ...]
