--- a/chervilrock/edges/path.py
+++ b/chervilrock/edges/path.py
@@ -97,6 +97,11 @@
         """
         return self._held
 
+    @property
+    def open_bodies(self) -> int:
+        """Number of requests whose body is still on its way."""
+        return len(self._bodies)
+
     @contextlib.contextmanager
     def hold(self) -> Iterator[None]:
         """Counts a request as one in progress."""
