Tell routing of each send what it gave, and only that

Cause: only the first event of a request was told as a first token. A send that went on elsewhere had none in the eyes of the policy, so that a sound group which took over a stream was ejected as silent after a second; its tokens were counted from the start of the answer. Nobody called on_progress. A caller who reads slowly made its group look slow. Whole answers counted as 0 tokens, which drew down the estimated cost of every request; streams counted one too many. What was held back for a caller says nothing of a pace. Whole answers tell the tokens that the engine counted. Conclusion: not mended here: an attempt without a stream gives no first token before its end, so the policy ejects its group as silent after a second; the policy has to be told whether an answer is streamed.

--- a/chervilrock/edges/completions.py
+++ b/chervilrock/edges/completions.py
@@ -67,14 +67,22 @@
         self._endpoint: Endpoint | None = None
         self._receiver: EngineReceiver | None = None
         self._position = 0
+        self._after = 0
         self._progress = progress.Progress()
 
     def count_tokens(self) -> int:
         """See base class."""
-        return self._position
+        receiver = self._receiver
+        if isinstance(receiver, WholeReceiver):
+            return receiver.tokens
+        done = isinstance(receiver, StreamReceiver) and receiver.positions.done
+        return self._position - int(done)
 
     def check_transfer(self, transfer: Transfer, now: float) -> None:
         """See base class."""
+        if self._endpoint is not None and not transfer.held_back:
+            tokens = self._position - self._after
+            self._observer.note_progress(self._endpoint, tokens, now)
         silence = self._progress.measure_silence(
             self._position, transfer.paused, now
         )
@@ -150,6 +158,7 @@
         """Sends the request once and waits for the end of the answer."""
         now = self._context.now()
         self._endpoint = endpoint
+        self._after = self._position
         self._target = endpoint.group
         self._progress.restart(now)
         receiver = self._make_receiver(endpoint, send)
@@ -172,7 +181,8 @@
         self._observer.note_sent(endpoint, now)
         end = receiver.judge(await self._transmit(transfer))
         self._refusal = receiver.refusal
-        self._observer.note_end(endpoint, end, self._refusal, self._position)
+        tokens = 0 if transfer.held_back else self._position - self._after
+        self._observer.note_end(endpoint, end, self._refusal, tokens)
         return end
 
     def _make_receiver(self, endpoint: Endpoint, send: Send) -> EngineReceiver:
@@ -206,6 +216,7 @@
         """Passes whole events on; called from within libcurl."""
         if not self._sink.started:
             self._sink.start(STREAM_HEAD)
+        if not self._observer.answered:
             assert self._endpoint is not None
             self._observer.note_first_token(self._endpoint)
         receiver = self._receiver
--- a/chervilrock/edges/enginecalls.py
+++ b/chervilrock/edges/enginecalls.py
@@ -2,6 +2,7 @@
 
 import abc
 from collections.abc import Callable
+from typing import Any
 
 import msgspec
 
@@ -42,9 +43,10 @@
 
 
 class _WholeBody(msgspec.Struct):
-    """The part of a whole answer that shows whose it is."""
+    """The part of a whole answer that shows whose it is, and its length."""
 
     id: str
+    usage: Any = None
 
 
 _ERROR_DECODER = msgspec.json.Decoder(_EngineErrorBody)
@@ -217,6 +219,8 @@
 
     Attributes:
       body: body of the answer.
+      tokens: tokens of the answer as the engine counts them, 0 when it does
+        not.
     """
 
     def __init__(
@@ -241,6 +245,7 @@
         self._chunks: list[bytes] = []
         self._size = 0
         self.body = b""
+        self.tokens = 0
 
     def take_answer(self, data: bytes) -> None:
         """See base class."""
@@ -260,9 +265,18 @@
             return AttemptEnd.BROKEN
         if answer.id != self._request_id:
             return AttemptEnd.FOREIGN
+        self.tokens = read_usage(answer.usage)
         return AttemptEnd.COMPLETE
 
 
+def read_usage(usage: Any) -> int:
+    """Returns the tokens of an answer as an engine counts them, else 0."""
+    if not isinstance(usage, dict):
+        return 0
+    tokens = usage.get("completion_tokens")
+    return tokens if type(tokens) is int and tokens > 0 else 0
+
+
 def parse_refusal(head: Head, body: bytes) -> Refusal:
     """Reads what an engine said instead of an answer."""
     code = ""
--- a/chervilrock/edges/observer.py
+++ b/chervilrock/edges/observer.py
@@ -2,7 +2,11 @@
 
 from chervilrock.decisions.requests.attempts import SendMode
 from chervilrock.decisions.requests.outcomes import AttemptEnd
-from chervilrock.decisions.routing.base import Endpoint, RequestView
+from chervilrock.decisions.routing.base import (
+    Endpoint,
+    PROGRESS_TOKENS,
+    RequestView,
+)
 from chervilrock.edges.context import RequestContext
 from chervilrock.edges.runs import Refusal
 from chervilrock.events import emit, Event
@@ -21,7 +25,11 @@
 
 
 class SendObserver:
-    """Hands on what happens to the sends of one completion."""
+    """Hands on what happens to the sends of one completion.
+
+    Attributes:
+      answered: whether the present send has given an event.
+    """
 
     def __init__(self, *, context: RequestContext, view: RequestView) -> None:
         """Starts when the request has arrived.
@@ -34,6 +42,9 @@
         self._view = view
         self._arrived = context.now()
         self._sent_at = self._arrived
+        self._first_seen = False
+        self._told_tokens = 0
+        self.answered = False
 
     def note_retry(self, mode: SendMode, group: str, position: int) -> None:
         """Tells of a send beyond the first one, before it is sent.
@@ -56,13 +67,19 @@
     def note_sent(self, endpoint: Endpoint, now: float) -> None:
         """Tells of a send to a group."""
         self._sent_at = now
+        self._told_tokens = 0
+        self.answered = False
         self._context.policy.on_sent(self._view, endpoint, now)
 
     def note_first_token(self, endpoint: Endpoint) -> None:
-        """Tells of the first event that the caller gets."""
+        """Tells of the first event of a send."""
+        self.answered = True
         now = self._context.now()
         waited = now - self._sent_at
         self._context.policy.on_first_token(self._view, endpoint, now, waited)
+        if self._first_seen:
+            return
+        self._first_seen = True
         self._context.admission.observe_first_token(
             self._view.request_id, endpoint.group, waited, now
         )
@@ -70,6 +87,15 @@
             model=self._view.model, seconds=now - self._arrived
         )
 
+    def note_progress(
+        self, endpoint: Endpoint, tokens: int, now: float
+    ) -> None:
+        """Tells how many tokens of a send have come, if these are enough."""
+        if tokens - self._told_tokens < PROGRESS_TOKENS:
+            return
+        self._told_tokens = tokens
+        self._context.policy.on_progress(self._view, endpoint, now, tokens)
+
     def note_end(
         self, endpoint: Endpoint, end: AttemptEnd, refusal: Refusal, tokens: int
     ) -> None:
@@ -79,7 +105,7 @@
           endpoint: group that had it.
           end: how it ended.
           refusal: what the engine said instead of an answer.
-          tokens: tokens of the answer so far.
+          tokens: tokens that this send gave, 0 when their pace says nothing.
         """
         now = self._context.now()
         ok = end is AttemptEnd.COMPLETE
--- a/chervilrock/edges/relay.py
+++ b/chervilrock/edges/relay.py
@@ -87,6 +87,8 @@
     Attributes:
       sent: whether a byte of the request may have left.
       head: head of the answer, None until it has come.
+      held_back: whether it was ever paused, so that its pace is not that of
+        the backend server.
     """
 
     def __init__(self, *, request: BackendRequest, receiver: Receiver) -> None:
@@ -106,6 +108,7 @@
         self._repeated = False
         self.sent = False
         self.head: Head | None = None
+        self.held_back = False
 
     async def run(self, client: CurlAsyncHTTPClient) -> TransferEnd:
         """Sends the request and waits for the end of its answer."""
@@ -139,6 +142,7 @@
     def pause(self) -> None:
         """Stops reading from the backend server until `resume`."""
         self._paused = True
+        self.held_back = True
 
     def resume(self) -> None:
         """Goes on reading from the backend server."""
