Let groups that drain finish the requests that they have

Cause: a request that was silent for a second left its group once that got no new requests. A whole answer is silent until its end, so each one in progress at a draining group, or at one with a leaving host, was sent a second time elsewhere; one that must run once was told unknown, although its group was whole. Change: the region task tells which groups are whole but get nothing new, as long as the evidence of their hosts is young enough, and a request leaves a group only when it is neither serving nor one of these.

--- a/bench/relay_context.py
+++ b/bench/relay_context.py
@@ -130,6 +130,10 @@
         """See base class."""
         return self._endpoints
 
+    def holds(self, endpoint: Endpoint, now: float) -> bool:
+        """See base class."""
+        return True
+
     def service_spec(self, name: str) -> ServiceSpec | None:
         """See base class."""
         return ServiceSpec(name=name) if name == SERVICE else None
--- a/chervilrock/decisions/requests/attempts.py
+++ b/chervilrock/decisions/requests/attempts.py
@@ -118,14 +118,14 @@
       number: number of the send.
       end: how it ended.
       position: events that the caller has now.
-      target_serves: whether the group of the send still serves.
+      target_holds: whether the group of the send still works on it.
       continuable: whether the answer so far is one plain text.
     """
 
     number: int
     end: AttemptEnd
     position: int = 0
-    target_serves: bool = False
+    target_holds: bool = False
     continuable: bool = False
 
 
@@ -276,7 +276,7 @@
         self.ends.append(end)
 
     def _may_resume(self, report: SendReport, progress: bool) -> bool:
-        if not report.target_serves:
+        if not report.target_holds:
             return False
         if report.end not in (AttemptEnd.BROKEN, AttemptEnd.LOST):
             return False
--- a/chervilrock/edges/completions.py
+++ b/chervilrock/edges/completions.py
@@ -98,11 +98,7 @@
                 return True
         if silence <= progress.GROUP_LOST_S or self._endpoint is None:
             return False
-        return not self._serves(self._endpoint)
-
-    def _serves(self, endpoint: Endpoint) -> bool:
-        view = self.view
-        return self._path.serves(endpoint, view.model, view.adapter)
+        return not self._path.holds(self._endpoint)
 
     async def run_admitted(self) -> RunEnd:
         """Sends the request until its answer is whole or it is given up."""
@@ -241,7 +237,7 @@
             number=send.number,
             end=end,
             position=self._position,
-            target_serves=self._serves(endpoint),
+            target_holds=self._path.holds(endpoint),
             continuable=kept is not None,
         )
         decision = self._tracker.finish(report, self._context.now())
@@ -251,7 +247,7 @@
         self._cancel(endpoint, send, end)
         if isinstance(decision, _NEW_RUNS):
             may_retry = self._take_retry(end)
-            moves = self._position > 0 or not report.target_serves
+            moves = self._position > 0 or not report.target_holds
             if not may_retry and not moves:
                 return self._tracker.give_up()
         return decision
--- a/chervilrock/edges/context.py
+++ b/chervilrock/edges/context.py
@@ -84,6 +84,18 @@
           proven present at `now`.
         """
 
+    @abc.abstractmethod
+    def holds(self, endpoint: "Endpoint", now: float) -> bool:
+        """Tells whether a group still works on what it was sent.
+
+        It does while it is whole under the same fencing number. It may get
+        nothing new all the same, as when it drains.
+
+        Args:
+          endpoint: the group as it was when it got a request.
+          now: present time.
+        """
+
     @abc.abstractmethod
     def service_spec(self, name: str) -> configuration.ServiceSpec | None:
         """Returns the configuration of a plain service, None if unknown."""
--- a/chervilrock/edges/path.py
+++ b/chervilrock/edges/path.py
@@ -148,14 +148,9 @@
         """Asks an engine to stop an attempt that nobody wants any more."""
         self.start_task(self.context.engine.cancel(address, attempt))
 
-    def serves(self, endpoint: Endpoint, model: str, adapter: str) -> bool:
-        """Tells whether a group may still serve under the same fence."""
-        now = self.context.now()
-        serving = self.context.endpoints(model, adapter, now)
-        return any(
-            other.group == endpoint.group and other.fence == endpoint.fence
-            for other in serving
-        )
+    def holds(self, endpoint: Endpoint) -> bool:
+        """Tells whether a group still works on what it was sent."""
+        return self.context.holds(endpoint, self.context.now())
 
     async def transmit(self, transfer: Transfer) -> TransferEnd:
         """Runs a transfer to its end."""
--- a/chervilrock/edges/progress.py
+++ b/chervilrock/edges/progress.py
@@ -1,8 +1,8 @@
 """Whether an answer of an engine still gets on."""
 
 GROUP_LOST_S = 1.0
-"""Time without an event after which a request leaves a group that no longer
-serves."""
+"""Time without an event after which a request leaves a group that is no longer
+whole under its fencing number."""
 
 STREAM_STALL_S = 15.0
 """Time without an event after which a stream counts as broken."""
--- a/chervilrock/node/requests.py
+++ b/chervilrock/node/requests.py
@@ -115,6 +115,10 @@
         """See base class."""
         return self._view.list_endpoints(model, adapter, now)
 
+    def holds(self, endpoint: Endpoint, now: float) -> bool:
+        """See base class."""
+        return self._view.holds(endpoint, now)
+
     def service_spec(self, name: str) -> ServiceSpec | None:
         """See base class."""
         return self._view.find_service(name)
--- a/chervilrock/node/view.py
+++ b/chervilrock/node/view.py
@@ -128,3 +128,16 @@
             and timed.endpoint.model == model
             and (not adapter or adapter in timed.endpoint.adapters)
         )
+
+    def holds(self, endpoint: Endpoint, now: float) -> bool:
+        """Return whether a group still works on what it was sent."""
+        for timed in self.serving.endpoints:
+            if timed.endpoint.group == endpoint.group:
+                same = timed.endpoint.fence == endpoint.fence
+                return same and now < timed.until
+        return any(
+            one.group == endpoint.group
+            and one.fence == endpoint.fence
+            and now < one.until
+            for one in self.serving.finishing
+        )
--- a/chervilrock/tasks/region_messages.py
+++ b/chervilrock/tasks/region_messages.py
@@ -4,6 +4,7 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
+from chervilrock.decisions.finishing import FinishingGroup
 from chervilrock.decisions.lease import LeaseView
 from chervilrock.decisions.presence import PresenceTable
 from chervilrock.decisions.region import RegionState
@@ -58,6 +59,7 @@
 
     Attributes:
       endpoints: groups that may get requests, each for a while
+      finishing: groups that get none and finish what they have
       services: backend servers of plain services that are not leaving
       known: whether the region stream is known to this node
       holds_lease: whether this node controls the region
@@ -65,6 +67,7 @@
     """
 
     endpoints: tuple[TimedEndpoint, ...] = ()
+    finishing: tuple[FinishingGroup, ...] = ()
     services: tuple[ServiceEntry, ...] = ()
     known: bool = False
     holds_lease: bool = False
--- a/chervilrock/tasks/region_views.py
+++ b/chervilrock/tasks/region_views.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
+from chervilrock.decisions.finishing import FinishingTable
 from chervilrock.decisions.lease import LeaseView
 from chervilrock.decisions.ownership import Group
 from chervilrock.decisions.presence import PresenceTable
@@ -61,6 +62,7 @@
           events: logs hosts that go and come
         """
         self.endpoints = EndpointTable(presence=presence)
+        self._finishing = FinishingTable(presence=presence)
         self._presence = presence
         self._lease = lease
         self._metrics = metrics
@@ -112,8 +114,10 @@
         )
         if wanted is not None:
             ports.probes.offer(wanted)
+        finishing = self._finishing.update(picture.region, picture.hosts, now)
         view = ServingView(
             endpoints=self.endpoints.endpoints if picture.known else (),
+            finishing=finishing if picture.known else (),
             services=picture.services,
             known=picture.known,
             holds_lease=self._lease.may_act(now),
--- a/test/decisions/requests/test_promises.py
+++ b/test/decisions/requests/test_promises.py
@@ -69,7 +69,7 @@
         number=send.number,
         end=AttemptEnd.BROKEN,
         position=2,
-        target_serves=True,
+        target_holds=True,
     )
     assert tracker.finish(report, 0.0) == attempts.Resume("a", 2)
     send = tracker.begin("a", SendMode.RESUME)
--- a/test/decisions/requests/worlds.py
+++ b/test/decisions/requests/worlds.py
@@ -122,7 +122,7 @@
             number=send.number,
             end=end,
             position=self._position(),
-            target_serves=step.serves,
+            target_holds=step.serves,
             continuable=self.script.continuable,
         )
         decided = self.tracker.finish(report, self.now)
--- a/test/edges/sites.py
+++ b/test/edges/sites.py
@@ -88,6 +88,7 @@
         self._engine = HttpModelEngine(http=self.http)
         self.is_leaving = False
         self.serving: list[Endpoint] = []
+        self.finishing: list[Endpoint] = []
         self.backends: list[ServiceEntry] = []
         self.idempotent_methods: tuple[str, ...] = ("GET", "HEAD")
         self.peers: dict[str, str] = {}
@@ -144,6 +145,9 @@
     ) -> tuple[Endpoint, ...]:
         return tuple(self.serving) if model == MODEL else ()
 
+    def holds(self, endpoint: Endpoint, now: float) -> bool:
+        return endpoint in self.serving or endpoint in self.finishing
+
     def service_spec(self, name: str) -> ServiceSpec | None:
         if name != SERVICE:
             return None
