--- a/chervilrock/tasks/peers.py
+++ b/chervilrock/tasks/peers.py
@@ -163,6 +163,11 @@
         if message is not None:
             self._start((message,))
 
+    def raise_error(self) -> None:
+        """Raise the error that ended an exchange, if there is one."""
+        if self._error is not None:
+            raise self._error
+
     async def settle(self) -> None:
         """Wait until no exchange is under way."""
         while self._under_way:
@@ -182,8 +187,7 @@
         """Wait for the next interval, looking out for urgent news."""
         while (left := until - self._clock()) > 0:
             await asyncio.sleep(min(left, PROMPT_POLL_S))
-            if self._error is not None:
-                raise self._error
+            self.raise_error()
             self.begin_prompt()
 
     def _start(self, messages: Iterable[Message]) -> None:
