Let the parts of a data centre find each other after a long cut

Cause: a node paused an address that failed for up to 60 s, and asked no node that others named as live while it was dead for itself. Change: the longest pause is 15 s, a silent node that another one names as live is asked, and a node without live neighbours tries silent ones.

The cost of the added trials was not measured.

--- a/bench/relay_servers.py
+++ b/bench/relay_servers.py
@@ -85,7 +85,7 @@
     loop = asyncio.get_running_loop()
 
     def obey() -> None:
-        if pipe.recv() is Order.STOP:
+        if _receive_order(pipe) is Order.STOP:
             loop.remove_reader(pipe.fileno())
             stopped.set()
         else:
@@ -95,6 +95,15 @@
     await stopped.wait()
 
 
+def _receive_order(pipe: Connection) -> Order:
+    """Returns the next order; a bench that is gone orders to stop."""
+    try:
+        order: Order = pipe.recv()
+    except EOFError:
+        order = Order.STOP
+    return order
+
+
 async def _start_upstream() -> int:
     server = await asyncio.start_server(_answer_requests, "127.0.0.1", 0)
     port: int = server.sockets[0].getsockname()[1]
--- a/chervilrock/decisions/membership/links.py
+++ b/chervilrock/decisions/membership/links.py
@@ -44,7 +44,7 @@
 """Nodes of the own data centre of which the one silent longest is asked."""
 
 FIRST_PAUSE_S = 2.0
-LONGEST_PAUSE_S = 60.0
+LONGEST_PAUSE_S = 15.0
 """Time for which an address that failed is not tried again."""
 
 MAX_FAILURES = 2048
@@ -137,9 +137,15 @@
 
     def choose_trial(self, now: float) -> Peer | None:
         """Return a node to try besides, None at most intervals."""
+        disputed = self._table.take_disputed()
+        if disputed is not None and not self._is_paused(disputed.address, now):
+            return Peer(disputed.address, disputed.data_centre)
         late = self._table.find_late(now)
         if late is not None:
             return self._choose_late(late, now)
+        silent = self._choose_silent(now)
+        if silent is not None:
+            return silent
         if self._generator.random() >= self._trial_probability(now):
             return None
         places = []
@@ -244,6 +250,20 @@
             and not self._is_paused(one.address, now)
         ]
 
+    def _choose_silent(self, now: float) -> Peer | None:
+        """Return a silent node of the own data centre when none lives.
+
+        More likely than all others it is this node that was silent.
+        """
+        if self._table.near_live(now):
+            return None
+        silent = [
+            member
+            for member in self._table.list_silent(now)
+            if not self._is_paused(member.entry.address, now)
+        ]
+        return _to_peer(self._generator.choice(silent)) if silent else None
+
     def _choose_late(self, name: str, now: float) -> Peer | None:
         """Return a node of a data centre of which no news comes."""
         linked = [one for one, place in self._links.items() if place == name]
--- a/chervilrock/decisions/membership/local.py
+++ b/chervilrock/decisions/membership/local.py
@@ -1,5 +1,7 @@
 """The own data centre: its nodes, its clock, and who may speak for it."""
 
+from collections.abc import Iterable
+
 from chervilrock.decisions.membership.clocks import Counter
 from chervilrock.decisions.membership.contact import Contact
 from chervilrock.decisions.membership.near import (
@@ -88,19 +90,45 @@
         own = self.near.view(now, timing.dead_after_s).key
         if report.members == own and from_near:
             self.contact.note_agreement(now)
-        self._seeks_members = report.members not in self.near.book
-        if not self._seeks_members:
+        named = self.near.book.find(report.members)
+        self._seeks_members = named is None
+        if named is not None:
+            self._dispute(named, now, timing)
             return None
         return RosterWant(data_centre=self.name, base=own)
 
-    def merge_roster(self, roster: Roster, now: float) -> None:
-        """Take members that another node knows."""
+    def merge_roster(
+        self, roster: Roster, now: float, timing: PeerTiming
+    ) -> None:
+        """Take members that another node knows, and note disputed ones."""
         for peer in roster.added:
             if peer.data_centre == self.name:
                 self.near.merge_entry(peer, now)
         self.near.book.read(roster)
+        named = [peer.incarnation for peer in roster.added]
+        self._dispute(named, now, timing)
+
+    def take_disputed(self) -> PeerNode | None:
+        """Return a node to ask whether it lives, each one once."""
+        disputed = self.near.disputed
+        for member in self.near.others:
+            if member.entry.incarnation in disputed:
+                disputed.remove(member.entry.incarnation)
+                return member.entry
+        return None
 
     def make_roster(self, base: str, now: float, timing: PeerTiming) -> Roster:
         """Return the members, as a difference to a set of members."""
         view = self.near.view(now, timing.dead_after_s)
         return self.near.book.make(to_members(view.members), base)
+
+    def _dispute(
+        self, named: Iterable[str], now: float, timing: PeerTiming
+    ) -> None:
+        """Note the silent ones of nodes that another node named as live."""
+        silent = {
+            member.entry.incarnation
+            for member in self.near.others
+            if now - member.heard > timing.dead_after_s
+        }
+        self.near.disputed = silent.intersection(named)
--- a/chervilrock/decisions/membership/near.py
+++ b/chervilrock/decisions/membership/near.py
@@ -130,12 +130,15 @@
     Attributes:
       own: this node
       departures: counts the nodes that were seen to leave or stop
+      disputed: incarnations of nodes that are dead for this node and that
+        another one named as live
     """
 
     def __init__(self, *, own: PeerNode) -> None:
         """Know only this node."""
         self.own = NearMember(entry=own, heard=math.inf)
         self.departures = 0
+        self.disputed: set[str] = set()
         self._others: dict[str, NearMember] = {}
         self._counter = Counter()
         self._book = RosterBook(data_centre=own.data_centre)
--- a/chervilrock/decisions/membership/table.py
+++ b/chervilrock/decisions/membership/table.py
@@ -160,7 +160,7 @@
         """Take the members of a data centre."""
         self._changes += 1
         if roster.data_centre == self._local.name:
-            self._local.merge_roster(roster, now)
+            self._local.merge_roster(roster, now, self.timing)
         else:
             self._remotes.take_roster(roster)
 
@@ -252,6 +252,15 @@
         """Return the other live nodes of the own data centre."""
         return self._near.live(now, self.timing.dead_after_s)
 
+    def list_silent(self, now: float) -> list[NearMember]:
+        """Return the nodes of the own data centre that do not live."""
+        limit = self.timing.dead_after_s
+        return [one for one in self._near.others if now - one.heard > limit]
+
+    def take_disputed(self) -> PeerNode | None:
+        """Return a silent node that another one named as live, if any."""
+        return self._local.take_disputed()
+
     def find_late(self, now: float) -> str | None:
         """Return the data centre that will soon count as lost, if any."""
         timing = self.timing
@@ -270,13 +279,11 @@
         Returns:
           Entries by data centre.
         """
-        live = {member.entry.incarnation for member in self.near_live(now)}
-        near = [member.entry for member in self._near.others]
+        near = [member.entry for member in self.list_silent(now)]
         former = self._former.peers()
         found: dict[str, list[PeerNode]] = {}
         for peer in (*near, *self._remotes.entries(), *former):
-            if peer.incarnation not in live:
-                found.setdefault(peer.data_centre, []).append(peer)
+            found.setdefault(peer.data_centre, []).append(peer)
         return found
 
     def _list_near(self, now: float) -> list[NearMember]:
--- a/test/decisions/membership/peer_world.py
+++ b/test/decisions/membership/peer_world.py
@@ -141,6 +141,7 @@
       now: present time in seconds
       nodes: running nodes by address, paused ones too
       sides: sides of a partition by data centre, empty for no partition
+      apart: names of nodes that cannot reach the others
       carried: the digests of the last exchanges
     """
 
@@ -148,6 +149,7 @@
         self.now = 1000.0
         self.nodes: dict[str, SimNode] = {}
         self.sides: dict[str, int] = {}
+        self.apart: set[str] = set()
         self.carried: list[PeerDigest] = []
 
     def add(self, node: SimNode) -> SimNode:
@@ -207,6 +209,8 @@
             node.update()
 
     def is_cut(self, one: SimNode, other: SimNode) -> bool:
+        if (one.name in self.apart) != (other.name in self.apart):
+            return True
         if not self.sides:
             return False
         places = (one.table.own.data_centre, other.table.own.data_centre)
--- a/test/decisions/membership/test_membership.py
+++ b/test/decisions/membership/test_membership.py
@@ -136,6 +136,28 @@
     assert_that(world.agree(), Equals(True))
 
 
+def test_a_paused_node_is_back_soon_in_a_large_data_centre() -> None:
+    world = make_world({"d1": 8, "d2": 2, "d3": 2})
+    world.run(SETTLE_S)
+    paused = world.nodes["d1n5:1"]
+    paused.paused = True
+    world.run(60.0)
+    paused.paused = False
+    world.run(4.0)
+    assert_that(world.agree(), Equals(True))
+
+
+@pytest.mark.parametrize("seconds", [30.0, 150.0])
+def test_parts_of_a_data_centre_find_each_other(seconds: float) -> None:
+    world = make_world({"d1": 6, "d2": 2})
+    world.run(SETTLE_S)
+    world.apart = {"d1n0", "d1n1", "d1n2"}
+    world.run(seconds)
+    world.apart = set()
+    world.run(20.0)
+    assert_that(world.agree(), Equals(True))
+
+
 def test_a_paused_node_brings_no_dead_node_back(world: World) -> None:
     paused, dead = world.nodes["d1n1:1"], world.nodes["d1n2:1"]
     paused.paused = True
