Call the layer of clients of the own interface clients

Cause: platform/ becomes the adapter to the users' platform, and what stood there are the base classes and clients of the product's own interface. Change: the folder and its tests are renamed, nothing else.

--- a/bench/at_most_once.py
+++ b/bench/at_most_once.py
@@ -27,11 +27,11 @@
 
 from bench.key_node import KeyNode
 from bench.relay_context import SERVICE
+from chervilrock.clients.http import HttpLogService
+from chervilrock.clients.httpclient import HttpClient
 from chervilrock.edges.callers import make_caller_routes
 from chervilrock.edges.path import RequestPath
 from chervilrock.events import configure_logging
-from chervilrock.platform.http import HttpLogService
-from chervilrock.platform.httpclient import HttpClient
 from chervilrock.standin.faults import FaultKind, FaultRule
 from chervilrock.standin.platform import PlatformOptions, PlatformStandIn
 from chervilrock.standin.service import ServiceStandIn
--- a/bench/control_fold.py
+++ b/bench/control_fold.py
@@ -35,11 +35,11 @@
     make_records,
     RegionModel,
 )
+from chervilrock.clients.http import decode_page
+from chervilrock.clients.httpclient import HttpAnswer
 from chervilrock.decisions.region import RegionState
 from chervilrock.decisions.streams import StreamReader
 from chervilrock.generated.records import Record, RecordKind, StoredRecord
-from chervilrock.platform.http import decode_page
-from chervilrock.platform.httpclient import HttpAnswer
 
 SIZES = (50, 500, 3_000, 12_000)
 QUICK_SIZES = (50, 500)
--- a/bench/history_installation.py
+++ b/bench/history_installation.py
@@ -4,9 +4,9 @@
 from typing import Any
 
 from bench.history_operations import Names
+from chervilrock.clients.base import ModelEntry
 from chervilrock.generated.configuration import Configuration
 from chervilrock.generated.interfaces import HostEntry, HostList, ServiceEntry
-from chervilrock.platform.base import ModelEntry
 from chervilrock.standin.engine import EngineOptions
 from chervilrock.standin.faults import FaultKind, FaultRule
 from chervilrock.standin.history import (
--- a/bench/key_node.py
+++ b/bench/key_node.py
@@ -4,10 +4,10 @@
 from typing import Any
 
 from bench.relay_context import BenchContext
+from chervilrock.clients.base import LogService
 from chervilrock.decisions.records import RecordWriter
 from chervilrock.decisions.requests.keyfold import KeyName
 from chervilrock.decisions.requests.keys import KeyVerdict
-from chervilrock.platform.base import LogService
 from chervilrock.tasks.keys import KeyTask
 from chervilrock.tasks.log import ReadTask
 
--- a/bench/memory_node.py
+++ b/bench/memory_node.py
@@ -15,14 +15,14 @@
 from returns.result import Failure
 
 from bench.region_model import decode_state, REGION
+from chervilrock.clients.errors import PlatformError, PlatformErrorKind
+from chervilrock.clients.polled import PolledModelEngine
 from chervilrock.decisions.ownership import Group
 from chervilrock.decisions.shards import make_shard
 from chervilrock.events import configure_logging
 from chervilrock.generated.interfaces import EnginePhase, EngineState
 from chervilrock.generated.settings import NodeSettings
 from chervilrock.node import EntryNode
-from chervilrock.platform.errors import PlatformError, PlatformErrorKind
-from chervilrock.platform.polled import PolledModelEngine
 from chervilrock.tasks.clock import read_clock
 from chervilrock.tasks.messages import HostProbed
 
--- a/bench/probes.py
+++ b/bench/probes.py
@@ -17,16 +17,16 @@
 import time
 from typing import NamedTuple
 
+from chervilrock.clients.base import ModelEngine
+from chervilrock.clients.http import HttpModelEngine
+from chervilrock.clients.httpclient import HttpClient
+from chervilrock.clients.polled import PolledModelEngine
+from chervilrock.clients.polling import Poller
 from chervilrock.generated.interfaces import (
     EngineOrder,
     EngineShard,
     HostEntry,
 )
-from chervilrock.platform.base import ModelEngine
-from chervilrock.platform.http import HttpModelEngine
-from chervilrock.platform.httpclient import HttpClient
-from chervilrock.platform.polled import PolledModelEngine
-from chervilrock.platform.polling import Poller
 from chervilrock.standin.engine import EngineOptions, EngineStandIn
 from chervilrock.tasks.clock import read_clock
 from chervilrock.tasks.mailbox import Mailbox
--- a/bench/region_model.py
+++ b/bench/region_model.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from chervilrock.clients.base import LogPage
 from chervilrock.decisions.lease import LeaseTiming, LeaseView
 from chervilrock.decisions.presence import PresenceTable
 from chervilrock.decisions.records import Body, RecordWriter
@@ -38,7 +39,6 @@
     StoredRecord,
 )
 from chervilrock.metrics import Metrics
-from chervilrock.platform.base import LogPage
 from chervilrock.tasks.loads import GroupLoad, LoadTarget
 from chervilrock.tasks.log import AppendTask, ReadTask
 from chervilrock.tasks.mailbox import Mailbox
--- a/bench/relay_context.py
+++ b/bench/relay_context.py
@@ -4,6 +4,9 @@
 import random
 
 from bench import open_admission
+from chervilrock.clients.base import ModelEngine
+from chervilrock.clients.http import HttpModelEngine
+from chervilrock.clients.httpclient import HttpClient
 from chervilrock.decisions.limits.admission import Admission
 from chervilrock.decisions.routing.affinity import PrefixAffinity
 from chervilrock.decisions.routing.base import Endpoint, RoutingPolicy
@@ -15,9 +18,6 @@
 )
 from chervilrock.generated.interfaces import AddressAnswer, ServiceEntry
 from chervilrock.metrics import Metrics
-from chervilrock.platform.base import ModelEngine
-from chervilrock.platform.http import HttpModelEngine
-from chervilrock.platform.httpclient import HttpClient
 
 MODEL = "m"
 SERVICE = "filing"
--- a/chervilrock/platform/base.py
+++ b/chervilrock/clients/base.py
@@ -11,6 +11,7 @@
 
 from returns.result import Result
 
+from chervilrock.clients.errors import PlatformError
 from chervilrock.generated.interfaces import (
     CacheEvent,
     EngineLoad,
@@ -19,7 +20,6 @@
     HostList,
 )
 from chervilrock.generated.records import Record, StoredRecord
-from chervilrock.platform.errors import PlatformError
 
 
 class LogPage(NamedTuple):
--- a/chervilrock/platform/http.py
+++ b/chervilrock/clients/http.py
@@ -6,6 +6,15 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from chervilrock.clients import base
+from chervilrock.clients.errors import PlatformError, PlatformErrorKind
+from chervilrock.clients.httpclient import (
+    check_status,
+    decode,
+    decode_success,
+    HttpAnswer,
+    HttpClient,
+)
 from chervilrock.decisions.records import decode_stored
 from chervilrock.generated.interfaces import (
     EngineLoad,
@@ -15,15 +24,6 @@
     LogAppended,
 )
 from chervilrock.generated.records import Record, StoredRecord
-from chervilrock.platform import base
-from chervilrock.platform.errors import PlatformError, PlatformErrorKind
-from chervilrock.platform.httpclient import (
-    check_status,
-    decode,
-    decode_success,
-    HttpAnswer,
-    HttpClient,
-)
 
 DEFAULT_TIMEOUT_S = 3.0
 DEFAULT_ENGINE_TIMEOUT_S = 1.0
--- a/chervilrock/platform/httpclient.py
+++ b/chervilrock/clients/httpclient.py
@@ -13,9 +13,9 @@
 from tornado.curl_httpclient import CurlError
 from tornado.httpclient import HTTPClientError, HTTPRequest
 
-from chervilrock.platform.curlpool import CurlPool
-from chervilrock.platform.errors import PlatformError, PlatformErrorKind
-from chervilrock.platform.sendguard import SendGuard
+from chervilrock.clients.curlpool import CurlPool
+from chervilrock.clients.errors import PlatformError, PlatformErrorKind
+from chervilrock.clients.sendguard import SendGuard
 
 DEFAULT_MAX_CLIENTS = 256
 DEFAULT_CONNECT_TIMEOUT_S = 1.0
--- a/chervilrock/platform/polled.py
+++ b/chervilrock/clients/polled.py
@@ -6,6 +6,15 @@
 import msgspec
 from returns.result import Result
 
+from chervilrock.clients.base import HostListSource
+from chervilrock.clients.errors import PlatformError
+from chervilrock.clients.http import (
+    DEFAULT_ENGINE_TIMEOUT_S,
+    DEFAULT_TIMEOUT_S,
+    HttpModelEngine,
+)
+from chervilrock.clients.httpclient import HttpClient
+from chervilrock.clients.polling import Poller
 from chervilrock.generated.interfaces import (
     EngineLoad,
     EngineState,
@@ -13,15 +22,6 @@
     HostList,
     ServiceEntry,
 )
-from chervilrock.platform.base import HostListSource
-from chervilrock.platform.errors import PlatformError
-from chervilrock.platform.http import (
-    DEFAULT_ENGINE_TIMEOUT_S,
-    DEFAULT_TIMEOUT_S,
-    HttpModelEngine,
-)
-from chervilrock.platform.httpclient import HttpClient
-from chervilrock.platform.polling import Poller
 
 _STATE_DECODER = msgspec.json.Decoder(EngineState)
 _LOAD_DECODER = msgspec.json.Decoder(EngineLoad)
--- a/chervilrock/platform/polling.py
+++ b/chervilrock/clients/polling.py
@@ -14,9 +14,9 @@
 import pycurl
 from returns.result import Failure, Result, Success
 
-from chervilrock.platform.curlloop import CurlLoop
-from chervilrock.platform.errors import PlatformError, PlatformErrorKind
-from chervilrock.platform.httpclient import check_status, HttpAnswer
+from chervilrock.clients.curlloop import CurlLoop
+from chervilrock.clients.errors import PlatformError, PlatformErrorKind
+from chervilrock.clients.httpclient import check_status, HttpAnswer
 
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 MAX_COMPARED_BYTES = 4096
--- a/chervilrock/edges/context.py
+++ b/chervilrock/edges/context.py
@@ -8,10 +8,10 @@
 from chervilrock.generated import configuration, interfaces
 
 if TYPE_CHECKING:
+    from chervilrock.clients.base import ModelEngine
     from chervilrock.decisions.limits.admission import Admission
     from chervilrock.decisions.routing.base import Endpoint, RoutingPolicy
     from chervilrock.metrics import Metrics
-    from chervilrock.platform.base import ModelEngine
 
 
 class RequestContext(abc.ABC):
--- a/chervilrock/edges/path.py
+++ b/chervilrock/edges/path.py
@@ -8,12 +8,12 @@
 import re
 from typing import Any
 
+from chervilrock.clients.curlpool import CurlPool
 from chervilrock.decisions.routing.base import Endpoint, RoutingPolicy
 from chervilrock.decisions.routing.baselines import LeastInFlight
 from chervilrock.edges.context import RequestContext
 from chervilrock.edges.gate import AdmissionGate
 from chervilrock.edges.relay import Transfer, TransferEnd
-from chervilrock.platform.curlpool import CurlPool
 
 SWEEP_INTERVAL_S = 0.25
 """Time between two looks at the requests in progress, in seconds."""
--- a/chervilrock/node/core.py
+++ b/chervilrock/node/core.py
@@ -3,11 +3,11 @@
 import random
 from typing import NamedTuple
 
+from chervilrock.clients.httpclient import HttpClient
+from chervilrock.clients.polling import Poller
 from chervilrock.decisions.records import RecordWriter
 from chervilrock.generated.settings import NodeSettings
 from chervilrock.metrics import Metrics
-from chervilrock.platform.httpclient import HttpClient
-from chervilrock.platform.polling import Poller
 from chervilrock.tasks.clock import Clock
 
 MS_PER_S = 1000.0
--- a/chervilrock/node/entry.py
+++ b/chervilrock/node/entry.py
@@ -5,6 +5,8 @@
 import random
 
 from chervilrock import events
+from chervilrock.clients.httpclient import HttpClient
+from chervilrock.clients.polling import Poller
 from chervilrock.edges.path import RequestPath
 from chervilrock.generated.interfaces import NodePhase
 from chervilrock.generated.settings import NodeSettings
@@ -13,8 +15,6 @@
 from chervilrock.node.parts import build_parts
 from chervilrock.node.server import bind, make_server
 from chervilrock.node.work import list_work
-from chervilrock.platform.httpclient import HttpClient
-from chervilrock.platform.polling import Poller
 from chervilrock.tasks.clock import Clock, read_clock
 from chervilrock.tasks.region import LeaseGivenUp
 
--- a/chervilrock/node/parts.py
+++ b/chervilrock/node/parts.py
@@ -3,6 +3,9 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from chervilrock.clients.base import LogService, ModelEngine
+from chervilrock.clients.http import HttpLogService
+from chervilrock.clients.polled import PolledModelEngine
 from chervilrock.decisions.lease import LeaseTiming, LeaseView
 from chervilrock.decisions.limits.admission import Admission
 from chervilrock.decisions.membership.table import MemberTable
@@ -16,9 +19,6 @@
 from chervilrock.node.operations import NodeOperations
 from chervilrock.node.requests import NodeRequests
 from chervilrock.node.view import ViewTask
-from chervilrock.platform.base import LogService, ModelEngine
-from chervilrock.platform.http import HttpLogService
-from chervilrock.platform.polled import PolledModelEngine
 from chervilrock.tasks.configurations import ConfigurationTask
 from chervilrock.tasks.keys import KeyTask
 from chervilrock.tasks.outages import OutageLog
--- a/chervilrock/node/requests.py
+++ b/chervilrock/node/requests.py
@@ -2,6 +2,7 @@
 
 from typing import TYPE_CHECKING
 
+from chervilrock.clients.base import ModelEngine
 from chervilrock.decisions.limits.admission import Admission
 from chervilrock.decisions.membership.addresses import answer_addresses
 from chervilrock.decisions.membership.table import MemberTable
@@ -18,7 +19,6 @@
 from chervilrock.generated.settings import NodeSettings
 from chervilrock.metrics import Metrics
 from chervilrock.node.view import ViewTask
-from chervilrock.platform.base import ModelEngine
 from chervilrock.tasks.clock import Clock
 from chervilrock.tasks.keys import KeyTask
 
--- a/chervilrock/node/work.py
+++ b/chervilrock/node/work.py
@@ -3,9 +3,9 @@
 from collections.abc import Coroutine
 from typing import Any
 
+from chervilrock.clients.polled import PolledHostListSource
 from chervilrock.node.core import MS_PER_S, NodeCore
 from chervilrock.node.parts import NodeParts
-from chervilrock.platform.polled import PolledHostListSource
 from chervilrock.tasks.configurations import STREAM as CONFIGURATION_STREAM
 from chervilrock.tasks.hosts import HostListTask
 from chervilrock.tasks.loads import LoadTask
--- a/chervilrock/standin/batch.py
+++ b/chervilrock/standin/batch.py
@@ -4,7 +4,7 @@
 import enum
 import heapq
 
-from chervilrock.platform.base import AttemptPhase
+from chervilrock.clients.base import AttemptPhase
 from chervilrock.standin.answers import Answer
 
 
--- a/chervilrock/standin/cache.py
+++ b/chervilrock/standin/cache.py
@@ -3,8 +3,8 @@
 import collections
 from typing import NamedTuple
 
+from chervilrock.clients.base import CacheEventPage
 from chervilrock.generated.interfaces import CacheEvent
-from chervilrock.platform.base import CacheEventPage
 
 _KEPT_EVENTS = 4096
 
--- a/chervilrock/standin/engine.py
+++ b/chervilrock/standin/engine.py
@@ -7,12 +7,12 @@
 import time
 from typing import NamedTuple
 
+from chervilrock.clients.base import AttemptPhase
 from chervilrock.generated.interfaces import (
     EngineLoad,
     EngineOrder,
     EngineState,
 )
-from chervilrock.platform.base import AttemptPhase
 from chervilrock.standin.answers import Answer
 from chervilrock.standin.batch import Attempt, Batch, Ending
 from chervilrock.standin.cache import PrefixCache
--- a/chervilrock/standin/installation.py
+++ b/chervilrock/standin/installation.py
@@ -7,8 +7,8 @@
 from collections import Counter
 from collections.abc import Mapping
 
+from chervilrock.clients.base import ModelEntry
 from chervilrock.generated.interfaces import HostEntry, HostList, ServiceEntry
-from chervilrock.platform.base import ModelEntry
 from chervilrock.standin.engine import EngineOptions, EngineStandIn
 from chervilrock.standin.fabric import Fabric
 from chervilrock.standin.platform import PlatformOptions, PlatformStandIn
--- a/chervilrock/standin/platform.py
+++ b/chervilrock/standin/platform.py
@@ -9,8 +9,8 @@
 
 import msgspec
 
+from chervilrock.clients.base import ModelEntry
 from chervilrock.generated.interfaces import HostEntry, HostList, ServiceEntry
-from chervilrock.platform.base import ModelEntry
 from chervilrock.standin.budget import Budget
 from chervilrock.standin.faults import Faults
 from chervilrock.standin.lag import LaggedValue
--- a/chervilrock/standin/process.py
+++ b/chervilrock/standin/process.py
@@ -7,9 +7,9 @@
 
 import msgspec
 
+from chervilrock.clients.base import ModelEntry
+from chervilrock.clients.httpclient import HttpClient
 from chervilrock.generated.interfaces import HostEntry, HostList, ServiceEntry
-from chervilrock.platform.base import ModelEntry
-from chervilrock.platform.httpclient import HttpClient
 from chervilrock.standin.engine import EngineOptions, EngineStandIn
 from chervilrock.standin.fabric import Fabric
 from chervilrock.standin.platform import PlatformOptions, PlatformStandIn
--- a/chervilrock/standin/shards.py
+++ b/chervilrock/standin/shards.py
@@ -5,12 +5,12 @@
 
 from returns.result import Success
 
+from chervilrock.clients.httpclient import HttpAnswer, HttpClient
 from chervilrock.generated.interfaces import (
     EngineOrder,
     EnginePhase,
     EngineShard,
 )
-from chervilrock.platform.httpclient import HttpAnswer, HttpClient
 from chervilrock.standin.fabric import Fabric, FabricMember, GroupCondition
 
 _FETCH_TIMEOUT_S = 30.0
--- a/chervilrock/tasks/hosts.py
+++ b/chervilrock/tasks/hosts.py
@@ -4,7 +4,7 @@
 
 from returns.result import Success
 
-from chervilrock.platform.base import HostListSource
+from chervilrock.clients.base import HostListSource
 from chervilrock.tasks.clock import Clock
 from chervilrock.tasks.mailbox import Outbox
 from chervilrock.tasks.messages import HostsListed
--- a/chervilrock/tasks/keys.py
+++ b/chervilrock/tasks/keys.py
@@ -5,6 +5,7 @@
 
 from returns.result import Success
 
+from chervilrock.clients.base import LogService
 from chervilrock.decisions.records import RecordWriter
 from chervilrock.decisions.requests.keyfold import KeyName
 from chervilrock.decisions.requests.keys import (
@@ -13,7 +14,6 @@
     KeyVerdict,
 )
 from chervilrock.generated.records import Record
-from chervilrock.platform.base import LogService
 from chervilrock.tasks.clock import Clock
 from chervilrock.tasks.mailbox import Mailbox
 from chervilrock.tasks.messages import PageRead, ReadFailed
--- a/chervilrock/tasks/log.py
+++ b/chervilrock/tasks/log.py
@@ -4,9 +4,9 @@
 
 from returns.result import Failure, Result
 
+from chervilrock.clients.base import LogPage, LogService
+from chervilrock.clients.errors import PlatformError
 from chervilrock.generated.records import Record
-from chervilrock.platform.base import LogPage, LogService
-from chervilrock.platform.errors import PlatformError
 from chervilrock.tasks.clock import Clock
 from chervilrock.tasks.mailbox import Mailbox, Outbox
 from chervilrock.tasks.messages import BatchAppended, PageRead, ReadFailed
--- a/chervilrock/tasks/messages.py
+++ b/chervilrock/tasks/messages.py
@@ -7,6 +7,8 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
+from chervilrock.clients.base import LogPage
+from chervilrock.clients.errors import PlatformError
 from chervilrock.generated.configuration import Configuration
 from chervilrock.generated.interfaces import (
     EngineOrder,
@@ -17,8 +19,6 @@
     ServiceEntry,
 )
 from chervilrock.generated.records import Record, StoredRecord
-from chervilrock.platform.base import LogPage
-from chervilrock.platform.errors import PlatformError
 
 
 class PageRead(NamedTuple):
--- a/chervilrock/tasks/orders.py
+++ b/chervilrock/tasks/orders.py
@@ -5,8 +5,8 @@
 
 from returns.result import Success
 
+from chervilrock.clients.base import ModelEngine
 from chervilrock.generated.interfaces import EngineOrder
-from chervilrock.platform.base import ModelEngine
 from chervilrock.tasks.clock import Clock
 from chervilrock.tasks.mailbox import Mailbox, Outbox
 from chervilrock.tasks.messages import OrderAnswered
--- a/chervilrock/tasks/peers.py
+++ b/chervilrock/tasks/peers.py
@@ -9,6 +9,8 @@
 from returns.result import Failure, Result, Success
 
 from chervilrock import events
+from chervilrock.clients.errors import PlatformError, PlatformErrorKind
+from chervilrock.clients.httpclient import check_status, HttpClient
 from chervilrock.decisions.membership.exchange import Message, PeerExchange
 from chervilrock.decisions.membership.links import PeerLinks
 from chervilrock.decisions.membership.losses import LossWatch
@@ -19,8 +21,6 @@
 from chervilrock.decisions.membership.soundness import is_sound
 from chervilrock.decisions.membership.table import MemberTable
 from chervilrock.generated.interfaces import PeerDigest
-from chervilrock.platform.errors import PlatformError, PlatformErrorKind
-from chervilrock.platform.httpclient import check_status, HttpClient
 from chervilrock.tasks.clock import Clock
 
 if TYPE_CHECKING:
--- a/chervilrock/tasks/probes.py
+++ b/chervilrock/tasks/probes.py
@@ -9,7 +9,7 @@
 
 from returns.result import Success
 
-from chervilrock.platform.base import ModelEngine
+from chervilrock.clients.base import ModelEngine
 from chervilrock.tasks.clock import Clock
 from chervilrock.tasks.mailbox import Mailbox, Outbox
 from chervilrock.tasks.messages import HostProbed, HostsToProbe
--- a/chervilrock/ui/apply.py
+++ b/chervilrock/ui/apply.py
@@ -7,6 +7,7 @@
 
 from returns.result import Failure
 
+from chervilrock.clients.httpclient import HttpClient
 from chervilrock.configuration.check import check
 from chervilrock.configuration.source import MAX_BYTES
 from chervilrock.generated.configuration import Configuration
@@ -16,7 +17,6 @@
     ApplyRequest,
     StatusAnswer,
 )
-from chervilrock.platform.httpclient import HttpClient
 from chervilrock.ui.check import InputError, read_bytes, render_name
 from chervilrock.ui.client import ClientError, OperatorClient
 from chervilrock.ui.codes import ExitCode
--- a/chervilrock/ui/client.py
+++ b/chervilrock/ui/client.py
@@ -5,14 +5,14 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from chervilrock.clients.errors import PlatformError
+from chervilrock.clients.httpclient import HttpAnswer, HttpClient
 from chervilrock.generated.interfaces import ErrorBody, Outcome
 from chervilrock.generated.operators import (
     ApplyAnswer,
     ApplyRequest,
     StatusAnswer,
 )
-from chervilrock.platform.errors import PlatformError
-from chervilrock.platform.httpclient import HttpAnswer, HttpClient
 
 READ_TIMEOUT_S = 10.0
 APPLY_TIMEOUT_S = 30.0
--- a/chervilrock/ui/demo.py
+++ b/chervilrock/ui/demo.py
@@ -7,7 +7,7 @@
 import time
 
 from chervilrock import events
-from chervilrock.platform.httpclient import HttpClient
+from chervilrock.clients.httpclient import HttpClient
 from chervilrock.ui.codes import ExitCode
 from chervilrock.ui.demonstration.caller import AddressBook, Caller
 from chervilrock.ui.demonstration.operations import (
--- a/chervilrock/ui/demonstration/caller.py
+++ b/chervilrock/ui/demonstration/caller.py
@@ -10,9 +10,9 @@
 import msgspec
 from returns.result import Failure
 
+from chervilrock.clients.errors import PlatformErrorKind
+from chervilrock.clients.httpclient import HttpAnswer, HttpClient
 from chervilrock.generated.interfaces import AddressAnswer, Outcome, Ticket
-from chervilrock.platform.errors import PlatformErrorKind
-from chervilrock.platform.httpclient import HttpAnswer, HttpClient
 from chervilrock.ui.demonstration.operations import (
     Ending,
     Operation,
--- a/chervilrock/ui/demonstration/site.py
+++ b/chervilrock/ui/demonstration/site.py
@@ -9,14 +9,14 @@
 import msgspec
 from returns.result import Failure
 
+from chervilrock.clients.base import Catalogue
+from chervilrock.clients.httpclient import HttpClient
 from chervilrock.configuration.check import check
 from chervilrock.generated.configuration import Configuration
 from chervilrock.generated.interfaces import HostList
 from chervilrock.generated.operators import ApplyRequest, StatusAnswer
 from chervilrock.generated.settings import NodeSettings
 from chervilrock.node import EntryNode
-from chervilrock.platform.base import Catalogue
-from chervilrock.platform.httpclient import HttpClient
 from chervilrock.standin.engine import EngineOptions
 from chervilrock.standin.installation import Installation
 from chervilrock.ui.client import OperatorClient
--- a/chervilrock/ui/platform_files.py
+++ b/chervilrock/ui/platform_files.py
@@ -2,8 +2,8 @@
 
 import pathlib
 
+from chervilrock.clients.base import Catalogue
 from chervilrock.generated.interfaces import HostList
-from chervilrock.platform.base import Catalogue
 from chervilrock.standin.platform import PlatformStandIn
 from chervilrock.ui.check import read_json
 
--- a/chervilrock/ui/status.py
+++ b/chervilrock/ui/status.py
@@ -4,13 +4,13 @@
 
 from returns.result import Failure
 
+from chervilrock.clients.httpclient import HttpClient
 from chervilrock.generated.interfaces import NodePhase
 from chervilrock.generated.operators import (
     GroupStatus,
     NodeStatus,
     StatusAnswer,
 )
-from chervilrock.platform.httpclient import HttpClient
 from chervilrock.ui.client import OperatorClient
 from chervilrock.ui.codes import ExitCode
 from chervilrock.ui.output import print_error, print_json, print_result
--- a/test/platform/conftest.py
+++ b/test/clients/conftest.py
@@ -3,8 +3,8 @@
 
 import pytest
 
-from chervilrock.platform.http import HttpLogService
-from chervilrock.platform.httpclient import HttpClient
+from chervilrock.clients.http import HttpLogService
+from chervilrock.clients.httpclient import HttpClient
 from chervilrock.standin.platform import PlatformOptions, PlatformStandIn
 
 
--- a/test/platform/test_curlpool.py
+++ b/test/clients/test_curlpool.py
@@ -3,7 +3,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
 
-from chervilrock.platform.curlpool import CurlPool
+from chervilrock.clients.curlpool import CurlPool
 
 
 def test_pool_makes_clients_when_they_are_needed():
--- a/test/platform/test_log_client.py
+++ b/test/clients/test_log_client.py
@@ -6,16 +6,16 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, MatchesStructure
 
+from chervilrock.clients.base import LogPage
+from chervilrock.clients.errors import PlatformErrorKind
+from chervilrock.clients.http import decode_page, HttpLogService
+from chervilrock.clients.httpclient import HttpAnswer
 from chervilrock.generated.records import (
     Record,
     RecordId,
     RecordKind,
     StoredRecord,
 )
-from chervilrock.platform.base import LogPage
-from chervilrock.platform.errors import PlatformErrorKind
-from chervilrock.platform.http import decode_page, HttpLogService
-from chervilrock.platform.httpclient import HttpAnswer
 from chervilrock.standin.faults import FaultKind
 from chervilrock.standin.platform import PlatformOptions, PlatformStandIn
 
--- a/test/platform/test_polling.py
+++ b/test/clients/test_polling.py
@@ -8,10 +8,10 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, Is, Not
 
+from chervilrock.clients.errors import PlatformErrorKind
+from chervilrock.clients.polled import RegionHostDecoder
+from chervilrock.clients.polling import Poller
 from chervilrock.generated.interfaces import EngineOrder, EngineState
-from chervilrock.platform.errors import PlatformErrorKind
-from chervilrock.platform.polled import RegionHostDecoder
-from chervilrock.platform.polling import Poller
 from chervilrock.standin.engine import EngineStandIn
 from chervilrock.standin.faults import FaultKind, FaultRule
 
--- a/test/platform/test_store_clients.py
+++ b/test/clients/test_store_clients.py
@@ -3,10 +3,10 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
 
+from chervilrock.clients.errors import PlatformErrorKind
+from chervilrock.clients.http import HttpHostListSource, HttpWeightStore
+from chervilrock.clients.httpclient import check_status, HttpAnswer
 from chervilrock.generated.interfaces import HostEntry, HostList, ServiceEntry
-from chervilrock.platform.errors import PlatformErrorKind
-from chervilrock.platform.http import HttpHostListSource, HttpWeightStore
-from chervilrock.platform.httpclient import check_status, HttpAnswer
 from chervilrock.standin.faults import FaultKind
 
 
--- a/test/decisions/control/fakes.py
+++ b/test/decisions/control/fakes.py
@@ -2,9 +2,9 @@
 
 from typing import Any
 
+from chervilrock.clients.base import LogPage
 from chervilrock.generated.interfaces import EnginePhase, EngineShard, HostEntry
 from chervilrock.generated.records import StoredRecord
-from chervilrock.platform.base import LogPage
 
 STEP = 0.5
 LOAD_S = 3.0
--- a/test/edges/sites.py
+++ b/test/edges/sites.py
@@ -13,6 +13,9 @@
 from tornado.netutil import bind_sockets
 from tornado.web import Application
 
+from chervilrock.clients.base import ModelEngine
+from chervilrock.clients.http import HttpModelEngine
+from chervilrock.clients.httpclient import HttpClient
 from chervilrock.decisions.limits.admission import Admission
 from chervilrock.decisions.records import RecordWriter
 from chervilrock.decisions.requests.keyfold import KeyName
@@ -47,9 +50,6 @@
 )
 from chervilrock.generated.records import Record, StoredRecord
 from chervilrock.metrics import Metrics
-from chervilrock.platform.base import ModelEngine
-from chervilrock.platform.http import HttpModelEngine
-from chervilrock.platform.httpclient import HttpClient
 from chervilrock.standin.engine import EngineOptions, EngineStandIn
 from chervilrock.standin.fabric import Fabric
 from chervilrock.standin.service import ServiceOptions, ServiceStandIn
--- a/test/node/conftest.py
+++ b/test/node/conftest.py
@@ -5,11 +5,11 @@
 
 import pytest
 
+from chervilrock.clients.base import ModelEntry
+from chervilrock.clients.httpclient import HttpClient
 from chervilrock.generated.interfaces import HostEntry, HostList, ServiceEntry
 from chervilrock.generated.settings import NodeSettings
 from chervilrock.node import EntryNode
-from chervilrock.platform.base import ModelEntry
-from chervilrock.platform.httpclient import HttpClient
 from chervilrock.standin.engine import EngineOptions
 from chervilrock.standin.installation import Installation
 
--- a/test/standin/conftest.py
+++ b/test/standin/conftest.py
@@ -3,9 +3,9 @@
 
 import pytest
 
+from chervilrock.clients.http import HttpModelEngine
+from chervilrock.clients.httpclient import HttpClient
 from chervilrock.generated.interfaces import EngineOrder
-from chervilrock.platform.http import HttpModelEngine
-from chervilrock.platform.httpclient import HttpClient
 from chervilrock.standin.engine import EngineOptions, EngineStandIn
 from chervilrock.standin.fabric import Fabric
 from test.standin.calls import GROUP_SIZE, make_shard, wait_ready
--- a/test/standin/test_completions.py
+++ b/test/standin/test_completions.py
@@ -16,9 +16,9 @@
     StartsWith,
 )
 
+from chervilrock.clients.base import AttemptPhase
+from chervilrock.clients.http import HttpModelEngine
 from chervilrock.generated.interfaces import EngineOrder
-from chervilrock.platform.base import AttemptPhase
-from chervilrock.platform.http import HttpModelEngine
 from chervilrock.standin.engine import EngineOptions, EngineStandIn
 from chervilrock.standin.faults import FaultKind
 from chervilrock.standin.text import expected_text, format_prompt
--- a/test/standin/test_control.py
+++ b/test/standin/test_control.py
@@ -4,9 +4,9 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, MatchesDict
 
+from chervilrock.clients.base import ModelEntry
+from chervilrock.clients.errors import PlatformErrorKind
 from chervilrock.generated.interfaces import EngineOrder, EnginePhase
-from chervilrock.platform.base import ModelEntry
-from chervilrock.platform.errors import PlatformErrorKind
 from chervilrock.standin.engine import EngineOptions, EngineStandIn
 from chervilrock.standin.faults import FaultKind
 from chervilrock.standin.platform import PlatformOptions, PlatformStandIn
--- a/test/standin/test_parts.py
+++ b/test/standin/test_parts.py
@@ -13,7 +13,7 @@
     LessThan,
 )
 
-from chervilrock.platform.base import AttemptPhase
+from chervilrock.clients.base import AttemptPhase
 from chervilrock.standin.batch import Attempt, Batch
 from chervilrock.standin.budget import Budget
 from chervilrock.standin.cache import PrefixCache
--- a/test/standin/test_process.py
+++ b/test/standin/test_process.py
@@ -3,8 +3,8 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
 
+from chervilrock.clients.http import HttpHostListSource
 from chervilrock.generated.interfaces import HostEntry, ServiceEntry
-from chervilrock.platform.http import HttpHostListSource
 from chervilrock.standin.engine import EngineOptions
 from chervilrock.standin.platform import PlatformOptions
 from chervilrock.standin.process import (
--- a/test/standin/test_second_send.py
+++ b/test/standin/test_second_send.py
@@ -6,7 +6,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
 
-from chervilrock.platform.sendguard import SendGuard
+from chervilrock.clients.sendguard import SendGuard
 from chervilrock.standin.faults import FaultKind
 from chervilrock.standin.service import ServiceStandIn
 from test.standin.calls import call, make_client
--- a/test/tasks/driven_region.py
+++ b/test/tasks/driven_region.py
@@ -3,13 +3,13 @@
 import random
 from typing import Any
 
+from chervilrock.clients.errors import PlatformError, PlatformErrorKind
 from chervilrock.decisions.lease import LeaseTiming, LeaseView
 from chervilrock.decisions.presence import PresenceTable
 from chervilrock.decisions.records import RecordWriter
 from chervilrock.decisions.snapshots import SnapshotPolicy, SnapshotSchedule
 from chervilrock.generated.interfaces import HostList
 from chervilrock.metrics import Metrics
-from chervilrock.platform.errors import PlatformError, PlatformErrorKind
 from chervilrock.tasks.log import AppendTask, ReadTask
 from chervilrock.tasks.mailbox import Mailbox
 from chervilrock.tasks.messages import (
--- a/test/tasks/region_site.py
+++ b/test/tasks/region_site.py
@@ -5,11 +5,11 @@
 
 import msgspec
 
+from chervilrock.clients.base import ModelEntry
+from chervilrock.clients.httpclient import HttpClient
 from chervilrock.generated.interfaces import HostEntry, HostList
 from chervilrock.generated.settings import NodeSettings
 from chervilrock.node import EntryNode
-from chervilrock.platform.base import ModelEntry
-from chervilrock.platform.httpclient import HttpClient
 from chervilrock.standin.engine import EngineOptions
 from chervilrock.standin.faults import FaultKind, FaultRule
 from chervilrock.standin.installation import Installation
--- a/test/tasks/test_peers.py
+++ b/test/tasks/test_peers.py
@@ -19,6 +19,7 @@
 from tornado.web import Application
 
 from chervilrock import events
+from chervilrock.clients.errors import PlatformError, PlatformErrorKind
 from chervilrock.decisions.membership.table import MemberTable
 from chervilrock.edges.peers import make_peer_routes, PeerContext
 from chervilrock.generated.interfaces import (
@@ -30,7 +31,6 @@
     Roster,
     RosterWant,
 )
-from chervilrock.platform.errors import PlatformError, PlatformErrorKind
 from chervilrock.tasks.peers import decode_digest, PeerChannel, PeerTask
 from test.decisions.membership.peer_nodes import make_node
 from test.decisions.membership.peer_world import make_stored, Shares, Shelf
