Take no host from a group before it has left, or its head is out

Ruled out: orders of an old leader (one leader gave all of them). Change: a host of a group that may be open is free only after its own confirmation, or that of the head; a gone host stays awaited while its group is taken apart.

--- a/chervilrock/decisions/serving/controller.py
+++ b/chervilrock/decisions/serving/controller.py
@@ -107,6 +107,7 @@
         self._former: dict[str, BackendServer] = {}
         self._groups: dict[str, ManagedGroup] = {}
         self._cleared: set[tuple[str, int]] = set()
+        self._left: set[tuple[str, int]] = set()
         self._loaded: dict[str, str] = {}
         self._dark: dict[str, float] = {}
         self._pending: dict[str, _Pending] = {}
@@ -172,7 +173,8 @@
                 self._note_leave(group, server, reply, now)
             case Close():
                 if reply in (OrderReply.STALE, OrderReply.MISDIRECTED):
-                    group.move(Phase.CLEARING, now)
+                    reason = f"its head refused to close: {reply.value}"
+                    self._clear(group, reason, now)
 
     def note_report(
         self, server: str, report: ServerReport | None, now: float
@@ -320,8 +322,9 @@
             self._dark[server] = now + DARK_S
         elif reply is not OrderReply.INVALID:
             # A conflict means that the server is not in this group.
-            group.joined.discard(server)
-            if server == group.head:
+            group.awaited.discard(server)
+            self._left.add((server, group.epoch))
+            if server == group.head and group.has_head:
                 group.head_out = True
 
     def _engine_of(self, group: ManagedGroup) -> EngineProfile | None:
@@ -336,7 +339,7 @@
             return
         group.doubted = now
         group.failures = {}
-        group.joined = set(group.members)
+        group.awaited = set(group.members)
         for server in group.members:
             self._asked.pop(server, None)
         self._note(Step.DOUBTED, group, reason)
@@ -347,7 +350,7 @@
             return
         group.move(Phase.CLEARING, now, reason)
         group.failures = {}
-        group.joined = set(group.members)
+        group.awaited = set(group.members)
         for server in group.members:
             self._retry.pop(server, None)
         self._note(Step.CLEARING, group, reason)
@@ -374,8 +377,8 @@
         elif membership.state is MemberState.BROKEN:
             self._clear(group, f"{server} reports it broken", now)
         else:
-            group.joined.discard(server)
-            if not group.joined:
+            group.awaited.discard(server)
+            if not group.awaited:
                 group.doubted = None
                 self._note(Step.CONFIRMED, group)
 
@@ -398,10 +401,9 @@
             membership = server.membership
             if membership is None:
                 continue
-            key = (membership.group, membership.epoch)
-            if membership.group in self._groups or key in self._cleared:
-                continue
-            found.setdefault(key, []).append(server)
+            if self._is_unknown_member(server):
+                key = (membership.group, membership.epoch)
+                found.setdefault(key, []).append(server)
         for key, servers in found.items():
             since = self._found.setdefault(key, now)
             if now - since >= ADOPT_S:
@@ -433,6 +435,7 @@
             phase=Phase.FORMING,
             now=now,
         )
+        group.may_be_open = not name.is_standby
         self._groups[group.name] = group
         self._note(Step.FOUND, group)
         for server in servers:
@@ -440,7 +443,7 @@
                 self._note_membership(server.server, server.membership)
         group.joined = set(group.members)
         if [rank for rank, _ in ranked] != list(range(size)):
-            group.head_out = ranked[0][0] != 0
+            group.has_head = ranked[0][0] == 0
             self._clear(group, "members are missing", now)
             return
         self._adopt_phase(group, now)
@@ -509,6 +512,7 @@
         if now - group.since > FORM_LIMIT_S:
             self._clear(group, "its head did not open", now)
             return []
+        group.may_be_open = True
         return self._command(group.head, Open(group.name, group.epoch), now)
 
     def _watch(self, group: ManagedGroup, now: float) -> list[Effect]:
@@ -530,7 +534,7 @@
         if group.doubted is None:
             return []
         effects: list[Effect] = []
-        for server in group.joined:
+        for server in group.awaited:
             effects += self._ask(server, ASK_S, now)
         return effects
 
@@ -558,26 +562,30 @@
         return self._ask(group.head, ASK_CLOSING_S, now)
 
     def _take_apart(self, group: ManagedGroup, now: float) -> list[Effect]:
-        """Get the head out, or all others when it does not answer."""
-        if group.is_standby or group.head_out or not group.joined:
+        """Get the head out, or each other member when it does not answer.
+
+        A host must not join another group while it may be a member of one
+        whose head may serve. It is free once the head is known to be out, or
+        once it has confirmed itself that it left. An order to leave without
+        an answer proves nothing, even if the host seems to be lost.
+        """
+        present = [one for one in group.awaited if one in self._servers]
+        is_free = group.head_out or not group.may_be_open
+        if is_free or not present:
             self._remove(group)
             return []
         leave = Leave(group.name, group.epoch)
-        effects: list[Effect] = []
-        if not group.failures.get(group.head):
+        is_head_lost = not group.has_head or group.failures.get(group.head)
+        if not is_head_lost and group.head in group.awaited:
             return self._command(group.head, leave, now)
-        for server in list(group.joined):
-            is_lost = (
-                server not in self._servers or self._dark.get(server, now) > now
-            )
-            if is_lost and group.failures.get(server):
-                group.joined.discard(server)
-            else:
-                effects += self._command(server, leave, now)
+        effects: list[Effect] = []
+        for server in sorted(group.awaited):
+            effects += self._command(server, leave, now)
         return effects
 
     def _remove(self, group: ManagedGroup) -> None:
-        self._cleared.add((group.name, group.epoch))
+        if group.head_out or not group.may_be_open:
+            self._cleared.add((group.name, group.epoch))
         self._groups.pop(group.name, None)
         self._note(Step.GONE, group, group.reason)
 
@@ -651,6 +659,8 @@
         for group in self._groups.values():
             if group.phase is Phase.STANDBY:
                 standby.update(group.members)
+            elif group.phase is Phase.CLEARING:
+                taken.update(group.awaited)
             else:
                 taken.update(group.members)
         free = []
@@ -672,9 +682,10 @@
         membership = host.membership
         if membership is None:
             return False
-        key = (membership.group, membership.epoch)
-        return membership.group not in self._groups and (
-            key not in self._cleared
+        return (
+            membership.group not in self._groups
+            and (membership.group, membership.epoch) not in self._cleared
+            and (host.server, membership.epoch) not in self._left
         )
 
     def _count_groups(
--- a/chervilrock/decisions/serving/groups.py
+++ b/chervilrock/decisions/serving/groups.py
@@ -39,11 +39,16 @@
       since: when the phase began.
       ready: members that were seen ready under this epoch.
       joined: members that have answered to the order to join.
+      awaited: members of a doubted group that have not confirmed their
+        membership, or of one that is cleared that may still be in it.
       due: when the members should be ready.
       doubted: when it was found to be silent, None when it was not.
       failures: unanswered questions to each member since it was doubted.
       reason: why it closes or is cleared.
       head_out: whether the head is known to be out of the group.
+      has_head: whether the first member is the head; a group that was found
+        may have lost it.
+      may_be_open: whether its head may have been told to open.
       served_at: when it began to serve.
     """
 
@@ -70,11 +75,14 @@
         self.since = now
         self.ready: set[str] = set()
         self.joined: set[str] = set()
+        self.awaited: set[str] = set()
         self.due = now
         self.doubted: float | None = None
         self.failures: dict[str, int] = {}
         self.reason = ""
         self.head_out = False
+        self.has_head = True
+        self.may_be_open = False
         self.served_at = now
 
     @property
--- /dev/null
+++ b/test/decisions/serving/fleet.py
@@ -0,0 +1,331 @@
+"""Backend servers that obey orders, lose answers, obey late, and die.
+
+The fleet checks two promises at each order, whoever gave it: no host joins
+another group while the head of its group serves, and a group opens only after
+all of its members were ready.
+"""
+
+import heapq
+import itertools
+import random
+from typing import NamedTuple
+
+from chervilrock.decisions.serving.controller import Controller
+from chervilrock.decisions.serving.effects import Command, Question
+from chervilrock.decisions.serving.orders import (
+    Close,
+    Join,
+    Leave,
+    Open,
+    Order,
+    OrderReply,
+    ServerReport,
+)
+from chervilrock.decisions.serving.site import (
+    BackendServer,
+    EngineProfile,
+    Limits,
+    Membership,
+    MemberState,
+    ModelShape,
+    Service,
+    SiteConfiguration,
+)
+
+SERVICE = "drafts"
+STEP_S = 0.05
+ENTRY_LAG_S = 0.3
+ANSWER_S = 0.003
+DARK_ANSWER_S = 0.5
+JOIN_S = 0.2
+
+LARGE = ModelShape("large", 4, 1.0, 0.67, 16.0, 1.6)
+SMALL = ModelShape("small", 2, 0.6, 0.33, 12.0, 1.1)
+
+ENGINE = EngineProfile(
+    slots=13,
+    step_s=0.006,
+    per_request_s=0.0005,
+    steps_per_pass=5,
+    prompt_tokens_per_s=46000.0,
+    prompt_chunk=2048,
+    form_s=0.3,
+    loads_per_s=4.0,
+    loads_at_once=6,
+    models={"large": LARGE, "small": SMALL},
+)
+
+CONFIGURATION = SiteConfiguration(
+    revision=1,
+    routes=(),
+    services={SERVICE: Service(SERVICE, ENGINE)},
+    keys=None,
+    limits=Limits(idle_s=15.0),
+)
+
+
+class Faults(NamedTuple):
+    """How orders go wrong.
+
+    Attributes:
+      lost: part of the orders that are obeyed without an answer.
+      late: part of the orders that are obeyed seconds later, unanswered.
+    """
+
+    lost: float = 0.0
+    late: float = 0.0
+
+
+class FakeServer:
+    """A server with one membership and a place for weights."""
+
+    def __init__(self, *, server: str, domain: str) -> None:
+        self.server = server
+        self.domain = domain
+        self.staged: tuple[str, ...] = ()
+        self.last_model = ""
+        self.membership: Membership | None = None
+        self.members: tuple[str, ...] = ()
+        self.ready_at = 0.0
+        self.highest = -1
+        self.is_dead = False
+        self.is_cut = False
+        self.is_leaving = False
+
+
+class Fleet:
+    """Servers, their entries in the store, and a controller before them."""
+
+    def __init__(
+        self, *, domains: int, hosts: int, seed: int, term: int = 1
+    ) -> None:
+        self.generator = random.Random(seed)
+        self.now = 100.0
+        self.faults = Faults()
+        self.violations: list[str] = []
+        self.opened: set[tuple[str, int]] = set()
+        self.servers: dict[str, FakeServer] = {}
+        self.was_ready: dict[tuple[str, int], set[str]] = {}
+        self._queue: list[tuple[float, int, object]] = []
+        self._numbers = itertools.count()
+        self.has_traffic = False
+        for domain in range(domains):
+            for host in range(hosts):
+                self.add(f"h{domain}-{host}", f"d{domain}")
+        self.controller = self.make_controller(term)
+
+    def add(self, name: str, domain: str) -> FakeServer:
+        """Add an empty server."""
+        server = FakeServer(server=name, domain=domain)
+        self.servers[name] = server
+        return server
+
+    def make_controller(self, term: int) -> Controller:
+        """Let a new leader take over with the entries as they are."""
+        controller = Controller(term=term)
+        controller.set_configuration(CONFIGURATION)
+        if self.has_traffic:
+            controller.note_traffic()
+        for server in self.servers.values():
+            if not server.is_dead:
+                controller.note_server(self.make_entry(server), self.now)
+        self.controller = controller
+        return controller
+
+    def start_traffic(self) -> None:
+        """Let loads take their full time from now on."""
+        self.has_traffic = True
+        self.controller.note_traffic()
+
+    def kill(self, name: str, entry_s: float = 2.5) -> None:
+        """Let a server go silent; its entry is removed later."""
+        self.servers[name].is_dead = True
+        self._put(entry_s, ("gone", name))
+
+    def run(self, seconds: float) -> None:
+        """Let time pass."""
+        end = self.now + seconds
+        while self.now < end:
+            self.now = round(self.now + STEP_S, 6)
+            self._deliver()
+            self._finish_joins()
+            for effect in self.controller.step(self.now):
+                self._take(effect)
+            if round(self.now / STEP_S) % 6 == 0:
+                self._tell_entries()
+
+    def serving(self) -> dict[str, int]:
+        """Return the number of groups of each model that take requests."""
+        counts: dict[str, int] = {}
+        for group in self.controller.list_groups(self.now):
+            counts[group.model] = counts.get(group.model, 0) + 1
+        return counts
+
+    def make_entry(self, server: FakeServer) -> BackendServer:
+        """Return the entry of a server."""
+        return BackendServer(
+            server=server.server,
+            service=SERVICE,
+            address=f"{server.server}:1",
+            data_centre="a",
+            domain=server.domain,
+            is_leaving=server.is_leaving,
+            slots=13,
+            staged=server.staged,
+            membership=server.membership,
+        )
+
+    def obey(self, name: str, order: Order) -> OrderReply:
+        """Carry an order out and check the promises."""
+        server = self.servers[name]
+        match order:
+            case Join():
+                return self._join(server, order)
+            case Open():
+                return self._open(server, order)
+            case Close():
+                return self._close(server, order)
+            case Leave():
+                return self._leave(server, order)
+
+    def _join(self, server: FakeServer, order: Join) -> OrderReply:
+        held = server.membership
+        if held is not None and held.epoch == order.epoch:
+            is_done = held.state is not MemberState.JOINING
+            return OrderReply.DONE if is_done else OrderReply.STARTED
+        if order.epoch < server.highest:
+            return OrderReply.STALE
+        self._check_head(server, order)
+        server.highest = order.epoch
+        server.members = order.members
+        rank = order.members.index(server.server)
+        server.membership = Membership(
+            order.group, order.epoch, rank, MemberState.JOINING
+        )
+        server.ready_at = self.now + self._find_join_s(server, order.model)
+        server.staged = (order.model,)
+        server.last_model = order.model
+        return OrderReply.STARTED
+
+    def _find_join_s(self, server: FakeServer, model: str) -> float:
+        if server.last_model == model:
+            return JOIN_S
+        shape = ENGINE.models[model]
+        if model in server.staged:
+            return shape.warm_s
+        return shape.load_s if self.has_traffic else shape.load_s / 10
+
+    def _check_head(self, server: FakeServer, order: Join) -> None:
+        """Note a host that is taken from a group whose head serves."""
+        held = server.membership
+        if held is None or not server.members or held.group == order.group:
+            return
+        head = self.servers.get(server.members[0])
+        if head is None or head.is_dead or head.membership is None:
+            return
+        serves = head.membership.state in (
+            MemberState.OPEN,
+            MemberState.CLOSING,
+        )
+        if head.membership.epoch == held.epoch and serves:
+            self.violations.append(
+                f"{server.server} joined {order.group} while the head "
+                f"{head.server} of {held.group} served"
+            )
+
+    def _open(self, server: FakeServer, order: Open) -> OrderReply:
+        held = server.membership
+        if held is None or held.epoch != order.epoch:
+            return OrderReply.CONFLICT
+        if held.state is MemberState.OPEN:
+            return OrderReply.DONE
+        if held.state is not MemberState.READY:
+            return OrderReply.CONFLICT
+        ready = self.was_ready.get((held.group, held.epoch), set())
+        if not ready.issuperset(server.members):
+            self.violations.append(f"{held.group} opened without its members")
+        server.membership = held._replace(state=MemberState.OPEN)
+        self.opened.add((held.group, held.epoch))
+        return OrderReply.STARTED
+
+    def _close(self, server: FakeServer, order: Close) -> OrderReply:
+        held = server.membership
+        if held is None or held.epoch != order.epoch:
+            return OrderReply.CONFLICT
+        server.membership = held._replace(state=MemberState.READY)
+        return OrderReply.STARTED
+
+    def _leave(self, server: FakeServer, order: Leave) -> OrderReply:
+        held = server.membership
+        if held is None or held.epoch != order.epoch:
+            return OrderReply.CONFLICT
+        server.membership = None
+        return OrderReply.DONE
+
+    def _take(self, effect: object) -> None:
+        if isinstance(effect, Command):
+            self._take_command(effect)
+        elif isinstance(effect, Question):
+            name = effect.server.server
+            server = self.servers[name]
+            is_lost = server.is_dead or server.is_cut
+            wait = 0.2 if is_lost else ANSWER_S
+            self._put(wait, ("report", name, is_lost))
+
+    def _take_command(self, command: Command) -> None:
+        name = command.server.server
+        server = self.servers[name]
+        draw = self.generator.random()
+        if server.is_dead or server.is_cut:
+            self._put(DARK_ANSWER_S, ("reply", name, command.order, None))
+        elif draw < self.faults.late:
+            wait = self.generator.uniform(2.0, 12.0)
+            self._put(wait, ("obey", name, command.order))
+            self._put(DARK_ANSWER_S, ("reply", name, command.order, None))
+        elif draw < self.faults.late + self.faults.lost:
+            self.obey(name, command.order)
+            self._put(DARK_ANSWER_S, ("reply", name, command.order, None))
+        else:
+            reply = self.obey(name, command.order)
+            self._put(ANSWER_S, ("reply", name, command.order, reply))
+
+    def _put(self, wait: float, event: object) -> None:
+        item = (self.now + wait, next(self._numbers), event)
+        heapq.heappush(self._queue, item)
+
+    def _deliver(self) -> None:
+        while self._queue and self._queue[0][0] <= self.now:
+            _, _, event = heapq.heappop(self._queue)
+            match event:
+                case ("gone", name):
+                    self.controller.note_gone(name)
+                case ("obey", name, order):
+                    if not self.servers[name].is_dead:
+                        self.obey(name, order)
+                case ("reply", name, order, reply):
+                    self.controller.note_reply(name, order, reply, self.now)
+                case ("report", name, is_lost):
+                    self._report(name, is_lost)
+
+    def _report(self, name: str, is_lost: bool) -> None:
+        server = self.servers[name]
+        report = None
+        if not is_lost:
+            report = ServerReport(server.membership, server.staged, 0, 0, 1.0)
+        self.controller.note_report(name, report, self.now)
+
+    def _finish_joins(self) -> None:
+        for server in self.servers.values():
+            held = server.membership
+            is_joining = held is not None and held.state is MemberState.JOINING
+            if held is None or not is_joining or server.is_dead:
+                continue
+            if self.now >= server.ready_at:
+                server.membership = held._replace(state=MemberState.READY)
+                key = (held.group, held.epoch)
+                self.was_ready.setdefault(key, set()).add(server.server)
+
+    def _tell_entries(self) -> None:
+        for server in self.servers.values():
+            if not server.is_dead:
+                self.controller.note_server(self.make_entry(server), self.now)
--- /dev/null
+++ b/test/decisions/serving/test_controller.py
@@ -0,0 +1,186 @@
+"""Tests of the leader's hand on groups, against servers that misbehave."""
+
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import (
+    Contains,
+    Equals,
+    GreaterThan,
+    HasLength,
+    LessThan,
+    MatchesDict,
+    Not,
+)
+
+from test.decisions.serving.fleet import Faults, Fleet
+
+
+@pytest.fixture
+def fleet() -> Fleet:
+    """Three domains of eight hosts whose groups serve."""
+    made = Fleet(domains=3, hosts=8, seed=1)
+    made.run(6.0)
+    made.start_traffic()
+    return made
+
+
+def find_group(fleet: Fleet, model: str) -> tuple[str, ...]:
+    """Return the members of a group of a model, the head first."""
+    group = next(
+        one
+        for one in fleet.controller.list_groups(fleet.now)
+        if one.model == model
+    )
+    return fleet.servers[group.server].members
+
+
+def run_until_served(fleet: Fleet, wanted: dict[str, int]) -> float:
+    """Return the seconds until the groups that are wanted serve."""
+    start = fleet.now
+    while fleet.serving() != wanted and fleet.now - start < 30.0:
+        fleet.run(0.05)
+    return fleet.now - start
+
+
+def test_all_domains_serve_both_models(fleet: Fleet) -> None:
+    assert_that(
+        fleet.serving(),
+        MatchesDict({"large": Equals(3), "small": Equals(3)}),
+    )
+    assert_that(fleet.violations, HasLength(0))
+
+
+def test_hosts_that_are_left_stand_by_with_weights(fleet: Fleet) -> None:
+    standby = [
+        server.last_model
+        for server in fleet.servers.values()
+        if server.membership is not None and len(server.members) == 1
+    ]
+    assert_that(sorted(standby), Equals(["large"] * 3 + ["small"] * 3))
+
+
+def test_a_silent_member_is_replaced_within_a_second_and_a_half(
+    fleet: Fleet,
+) -> None:
+    members = find_group(fleet, "large")
+    before = fleet.serving()
+    fleet.kill(members[2])
+    fleet.run(0.35)
+    fleet.controller.note_silent(members[0], fleet.now)
+    fleet.run(0.5)
+    assert_that(fleet.serving(), Not(Equals(before)))
+    assert_that(run_until_served(fleet, before), LessThan(1.0))
+    assert_that(fleet.violations, HasLength(0))
+
+
+def test_a_lost_head_is_replaced(fleet: Fleet) -> None:
+    members = find_group(fleet, "large")
+    before = fleet.serving()
+    fleet.kill(members[0])
+    fleet.run(3.0)
+    assert_that(run_until_served(fleet, before), LessThan(2.0))
+    assert_that(fleet.violations, HasLength(0))
+
+
+def test_a_member_that_gave_no_answer_is_not_taken_from_a_head_that_serves(
+    fleet: Fleet,
+) -> None:
+    members = find_group(fleet, "large")
+    for name in (members[0], members[2], members[3]):
+        fleet.servers[name].is_cut = True
+    fleet.controller.note_gone(members[0])
+    fleet.run(2.0)
+    for name in (members[2], members[3]):
+        fleet.servers[name].is_cut = False
+    fleet.run(8.0)
+    assert_that(fleet.violations, HasLength(0))
+
+
+def test_a_group_that_is_only_slow_is_kept(fleet: Fleet) -> None:
+    head = find_group(fleet, "small")[0]
+    before = fleet.controller.list_groups(fleet.now)
+    fleet.controller.note_silent(head, fleet.now)
+    fleet.run(2.0)
+    assert_that(fleet.controller.list_groups(fleet.now), Equals(before))
+
+
+def test_a_leaving_member_closes_its_group_first(fleet: Fleet) -> None:
+    members = find_group(fleet, "large")
+    before = fleet.serving()
+    fleet.servers[members[1]].is_leaving = True
+    fleet.run(1.0)
+    heads = [one.server for one in fleet.controller.list_groups(fleet.now)]
+    assert_that(heads, Not(Contains(members[0])))
+    assert_that(run_until_served(fleet, before), LessThan(3.0))
+    assert_that(fleet.violations, HasLength(0))
+
+
+def test_a_new_leader_keeps_the_groups_that_serve(fleet: Fleet) -> None:
+    before = {one.group for one in fleet.controller.list_groups(fleet.now)}
+    fleet.make_controller(term=2)
+    fleet.run(3.0)
+    after = {one.group for one in fleet.controller.list_groups(fleet.now)}
+    assert_that(after, Equals(before))
+
+
+def test_a_new_leader_finishes_what_was_under_way() -> None:
+    fleet = Fleet(domains=2, hosts=8, seed=3)
+    fleet.run(1.4)
+    fleet.make_controller(term=2)
+    fleet.run(8.0)
+    assert_that(
+        fleet.serving(),
+        MatchesDict({"large": Equals(2), "small": Equals(2)}),
+    )
+    assert_that(fleet.violations, HasLength(0))
+
+
+def test_new_empty_hosts_take_the_place_of_lost_ones(fleet: Fleet) -> None:
+    before = fleet.serving()
+    members = find_group(fleet, "large")
+    domain = fleet.servers[members[0]].domain
+    lost = [
+        name
+        for name, server in fleet.servers.items()
+        if server.domain == domain and server.last_model == "large"
+    ][:2]
+    for name in lost:
+        fleet.kill(name)
+    fleet.run(4.0)
+    fleet.add("new-1", domain)
+    fleet.run(20.0)
+    assert_that(fleet.serving(), Equals(before))
+    assert_that(fleet.violations, HasLength(0))
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_promises_hold_while_orders_go_wrong_and_leaders_change(
+    seed: int,
+) -> None:
+    fleet = Fleet(domains=3, hosts=8, seed=seed)
+    generator = fleet.generator
+    fleet.run(generator.uniform(0.5, 5.0))
+    fleet.start_traffic()
+    fleet.faults = Faults(lost=0.15, late=0.25)
+    for term in range(2, 8):
+        fleet.run(generator.uniform(0.3, 3.0))
+        alive = [s for s in fleet.servers.values() if not s.is_dead]
+        victim = generator.choice(alive)
+        action = generator.random()
+        if action < 0.5:
+            fleet.kill(victim.server)
+            fleet.controller.note_silent(victim.server, fleet.now)
+        elif action < 0.7:
+            victim.is_cut = True
+            fleet.controller.note_gone(victim.server)
+        elif action < 0.85:
+            victim.is_leaving = True
+        if generator.random() < 0.4:
+            fleet.make_controller(term=term)
+        for server in fleet.servers.values():
+            if server.is_cut and generator.random() < 0.4:
+                server.is_cut = False
+    fleet.faults = Faults()
+    fleet.run(25.0)
+    assert_that(fleet.violations, HasLength(0))
+    assert_that(sum(fleet.serving().values()), GreaterThan(0))
