--- a/chervilrock/decisions/serving/composition.py
+++ b/chervilrock/decisions/serving/composition.py
@@ -21,14 +21,25 @@
       models: models that are served.
       served: groups of each model in the other domains.
     """
-    best: dict[str, int] = {}
-    best_kinds = -1
-    for standby in range(len(models), -1, -1):
-        counts = _fill(hosts - standby, models, served)
-        kinds = sum(1 for count in counts.values() if count)
-        if kinds > best_kinds:
-            best, best_kinds = counts, kinds
-    return best
+    fills = [
+        _fill(hosts - standby, models, served)
+        for standby in range(len(models), -1, -1)
+    ]
+    return max(fills, key=lambda counts: _rate(hosts, models, counts))
+
+
+def _rate(
+    hosts: int, models: Sequence[ModelShape], counts: Mapping[str, int]
+) -> tuple[int, int]:
+    """Return what orders fills; of equal ones the first is taken.
+
+    The more models the better; then the fewer hosts beyond one standby host
+    for each model.
+    """
+    kinds = sum(1 for count in counts.values() if count)
+    used = sum(model.size * counts[model.name] for model in models)
+    idle = max(0, hosts - used - len(models))
+    return (kinds, -idle)
 
 
 def _fill(
--- a/chervilrock/decisions/serving/placement.py
+++ b/chervilrock/decisions/serving/placement.py
@@ -8,11 +8,13 @@
 """
 
 from collections.abc import Callable, Iterable
-import random
-from typing import Generic, NamedTuple, TypeVar
+from typing import Generic, NamedTuple, TYPE_CHECKING, TypeVar
 
 from chervilrock.decisions.serving.view import GroupEndpoint, ServerEndpoint
 
+if TYPE_CHECKING:
+    import random
+
 Endpoint = TypeVar("Endpoint", GroupEndpoint, ServerEndpoint)
 
 CROSSING_COST = 0.25
@@ -56,7 +58,7 @@
     data_centre: str,
     avoided: frozenset[str],
     limit: float,
-    generator: random.Random,
+    generator: "random.Random",
 ) -> Choice[Endpoint] | None:
     """Return the best endpoint with room, None when there is none.
 
--- a/chervilrock/decisions/serving/routes.py
+++ b/chervilrock/decisions/serving/routes.py
@@ -1,8 +1,7 @@
 """Which route a request takes, and whether its caller may use it."""
 
 import enum
-import random
-from typing import NamedTuple
+from typing import NamedTuple, TYPE_CHECKING
 
 from chervilrock.decisions.serving.site import (
     Route,
@@ -10,6 +9,9 @@
     Workspace,
 )
 
+if TYPE_CHECKING:
+    import random
+
 
 class Denial(enum.Enum):
     """Why a request gets no route; the values are HTTP statuses."""
@@ -75,7 +77,7 @@
         return None
 
 
-def choose_service(route: Route, generator: random.Random) -> str:
+def choose_service(route: Route, generator: "random.Random") -> str:
     """Return a service of a route, drawn by the weights."""
     services = route.services
     if len(services) == 1:
--- a/chervilrock/node/server.py
+++ b/chervilrock/node/server.py
@@ -1,9 +1,8 @@
 """The HTTP server of a node."""
 
-import socket
-from typing import Any, NamedTuple
+from typing import Any
 
-from tornado import httpserver, netutil, routing, web
+from tornado import httpserver, routing, web
 
 from chervilrock.configuration.address import parse_address
 from chervilrock.edges.callers import (
@@ -15,19 +14,13 @@
 from chervilrock.edges.peers import make_peer_routes
 from chervilrock.edges.state import BodyLimits
 from chervilrock.generated.settings import NodeSettings
+from chervilrock.node.binding import bind_address, Binding
 from chervilrock.node.core import NodeCore
 from chervilrock.node.parts import NodeParts
 
 IDLE_CONNECTION_S = 3600.0
 
 
-class Binding(NamedTuple):
-    """Sockets that listen, and the address that others use."""
-
-    sockets: list[socket.socket]
-    address: str
-
-
 def bind(settings: NodeSettings) -> Binding:
     """Listen as the settings say.
 
@@ -38,9 +31,7 @@
     listen = parse_address(settings.listen)
     if listen is None:
         raise ValueError(f"{settings.listen!r} is not IP:port")
-    sockets = netutil.bind_sockets(listen.port, listen.ip)
-    port = sockets[0].getsockname()[1]
-    return Binding(sockets, settings.advertise or f"{listen.ip}:{port}")
+    return bind_address(listen.ip, listen.port, settings.advertise)
 
 
 def make_server(
--- a/chervilrock/node/serving.py
+++ b/chervilrock/node/serving.py
@@ -3,12 +3,11 @@
 import asyncio
 import random
 import signal
-import socket
 from typing import Any
 import uuid
 
 import msgspec
-from tornado import httpserver, httputil, netutil
+from tornado import httpserver, httputil
 
 from chervilrock.clients.curlpool import CurlPool
 from chervilrock.clients.httpclient import HttpClient
@@ -22,6 +21,7 @@
 from chervilrock.edges.serving.exchange import Context
 from chervilrock.events import emit, Event
 from chervilrock.metrics import CONTENT_TYPE
+from chervilrock.node.binding import bind_address, Binding
 from chervilrock.platform import directory
 from chervilrock.platform.engines import HttpEngineControl
 from chervilrock.platform.operator import decode_configuration
@@ -35,9 +35,6 @@
 from chervilrock.tasks.serving.room import WaitingRoom
 from chervilrock.tasks.serving.state import RepeatBounds, ServingState
 
-METRICS_PORT = 9464
-"""Port for metrics and the dump of the state, on the host's own address."""
-
 MAX_REQUESTS = 1024
 """Requests to backend servers at once, far above the slots of all groups."""
 
@@ -67,13 +64,22 @@
     """Sockets, tasks and edges of one process."""
 
     def __init__(self, *, settings: NodeSettings) -> None:
-        """Make a node that does not listen yet."""
+        """Take the addresses of a node, which does not answer yet.
+
+        Raises:
+          OSError: an address is taken.
+        """
         self._settings = settings
+        ip = settings.ip
+        self._callers_binding = _bind(settings.callers_address)
+        self._ready_binding = _bind(settings.ready_address)
+        self._directory_binding = _bind(settings.directory_address)
+        self._peer_binding = _bind(f"{ip}:{settings.peer_port}")
         self._own = NodeEntry(
             node=settings.node,
             incarnation=uuid.uuid4().hex[:12],
-            peer_address=f"{settings.ip}:{settings.peer_port}",
-            callers_address=settings.callers_address,
+            peer_address=self._peer_binding.address,
+            callers_address=self._callers_binding.address,
             data_centre=settings.data_centre,
         )
         self._state = ServingState(
@@ -116,20 +122,47 @@
         self._running: list[asyncio.Task[None]] = []
         self.failed = asyncio.Event()
 
+    @property
+    def own(self) -> NodeEntry:
+        """Name and addresses of the node."""
+        return self._own
+
+    @property
+    def state(self) -> ServingState:
+        """What the node knows; for tests and the dump of the state."""
+        return self._state
+
+    @property
+    def leads(self) -> bool:
+        """Whether the node leads."""
+        return self._task.is_leader
+
+    @property
+    def directory_address(self) -> str:
+        """IP:port for the question which addresses to use."""
+        return self._directory_binding.address
+
+    @property
+    def ready_address(self) -> str:
+        """IP:port for the question whether the node is ready."""
+        return self._ready_binding.address
+
     def start(self) -> None:
         """Listen and begin to work.
 
         Raises:
-          OSError: an address is taken.
+          OSError: the address for metrics is taken.
         """
         settings = self._settings
         peers = SimpleEdge(answer=self._answer_peer)
         questions = SimpleEdge(answer=self._answer_platform)
-        self._listen(settings.callers_address, self._callers)
-        self._listen(settings.ready_address, questions)
-        self._listen(settings.directory_address, questions)
-        self._listen(self._own.peer_address, peers)
-        self._listen(f"{settings.ip}:{METRICS_PORT}", peers)
+        self._serve(self._callers_binding, self._callers)
+        self._serve(self._ready_binding, questions)
+        self._serve(self._directory_binding, questions)
+        self._serve(self._peer_binding, peers)
+        if settings.metrics_port:
+            metrics = _bind(f"{settings.ip}:{settings.metrics_port}")
+            self._serve(metrics, peers)
         for work in (self._task.run(), self._watch_groups()):
             task = asyncio.create_task(work)
             task.add_done_callback(self._note_end)
@@ -164,28 +197,32 @@
             cut=len(self._callers.exchanges),
             seconds=round(read_clock() - began, 3),
         )
-        for task in self._running:
-            task.cancel()
+        await self.close()
 
     def reload(self) -> None:
         """Note that the settings file has changed; it names no new peers."""
         emit(Event.SETTINGS_RELOADED, node=self._own.node)
 
-    def _listen(
-        self, address: str, edge: httputil.HTTPServerConnectionDelegate
+    def _serve(
+        self, binding: Binding, edge: httputil.HTTPServerConnectionDelegate
     ) -> None:
-        ip, _, port = address.rpartition(":")
-        sockets = netutil.bind_sockets(
-            int(port), ip, family=socket.AF_INET, backlog=512
-        )
         server = httpserver.HTTPServer(
             edge,
             max_body_size=MAX_BODY_BYTES,
             idle_connection_timeout=IDLE_S,
         )
-        server.add_sockets(sockets)
+        server.add_sockets(binding.sockets)
         self._servers.append(server)
 
+    async def close(self) -> None:
+        """Stop all work and close all connections."""
+        for task in self._running:
+            task.cancel()
+        for server in self._servers:
+            server.stop()
+            await server.close_all_connections()
+        self._client.close()
+
     def _note_end(self, task: "asyncio.Task[None]") -> None:
         """End the process when a task has failed; half a node serves nobody."""
         if task.cancelled():
@@ -294,6 +331,12 @@
 _ANNOUNCEMENT_DECODER = msgspec.json.Decoder(Announcement)
 
 
+def _bind(address: str) -> Binding:
+    """Listen on IP:port."""
+    ip, _, port = address.rpartition(":")
+    return bind_address(ip, int(port))
+
+
 async def run(settings: NodeSettings) -> int:
     """Run a node until SIGTERM or SIGINT and return the exit code."""
     node = ServingNode(settings=settings)
--- a/chervilrock/platform/settings.py
+++ b/chervilrock/platform/settings.py
@@ -31,6 +31,7 @@
       directory_address: IP:port for the question which addresses to use.
       peer_port: port for exchanges between nodes.
       store_address: IP:port of the store.
+      metrics_port: port for metrics and the dump of the state; 0 for none.
       region: region of the data centre.
       data_centres: data centres of the installation and their regions.
       repeat_ratio: repeats allowed for each request of a service.
@@ -49,6 +50,7 @@
     directory_address: str
     peer_port: int
     store_address: str
+    metrics_port: int
     region: str
     data_centres: Mapping[str, str]
     repeat_ratio: float
@@ -120,19 +122,24 @@
 
 
 def read_settings(
-    path: str,
+    path: str, *, metrics_port: int = 0
 ) -> Result[NodeSettings, tuple[SettingFinding, ...]]:
-    """Returns the settings in a file, or all that is wrong with them."""
+    """Returns the settings in a file, or all that is wrong with them.
+
+    Args:
+      path: path of the file.
+      metrics_port: port for metrics, which the file does not name.
+    """
     try:
         with open(path, "rb") as file:
             values = tomllib.load(file)
     except (OSError, tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
         return Failure((SettingFinding(field=path, reason=str(error)),))
-    return decode_settings(values)
+    return decode_settings(values, metrics_port=metrics_port)
 
 
 def decode_settings(
-    values: Mapping[str, Any],
+    values: Mapping[str, Any], *, metrics_port: int = 0
 ) -> Result[NodeSettings, tuple[SettingFinding, ...]]:
     """Returns the settings of a decoded file, or all that is wrong."""
     fields = _Fields(values=values)
@@ -145,6 +152,7 @@
         directory_address=fields.address("listen.directory"),
         peer_port=fields.first_number("internal_ports"),
         store_address=fields.address("provider.address"),
+        metrics_port=metrics_port,
         region=fields.text("region"),
         data_centres=fields.table("zones"),
         repeat_ratio=fields.number("bounds.retry_budget_ratio", 0.1),
--- /dev/null
+++ b/chervilrock/standin/site/servers.py
@@ -0,0 +1,327 @@
+"""Backend servers: model servers with groups, and plain ones."""
+
+import asyncio
+import enum
+from typing import NamedTuple
+import uuid
+
+import msgspec
+from tornado import httpserver, netutil, web
+from tornado.iostream import StreamClosedError
+
+from chervilrock.standin.site.store import SiteStore
+
+EVENT_S = 0.01
+"""Time between two events of a stream."""
+
+FORM_S = 0.02
+JOIN_S = 0.02
+
+
+class ServerFault(enum.Enum):
+    """How a server misbehaves.
+
+    Attributes:
+      NONE: it does not.
+      SILENT: streams make no events and new ones wait.
+      BREAK: streams end in the middle of an event.
+      FAIL: it answers each request with a failure of its own.
+      LOSE: it runs requests and closes the connection without an answer.
+      FOREIGN: it answers with the identifier of another request.
+      FULL: it turns each request away.
+    """
+
+    NONE = "none"
+    SILENT = "silent"
+    BREAK = "break"
+    FAIL = "fail"
+    LOSE = "lose"
+    FOREIGN = "foreign"
+    FULL = "full"
+
+
+class Run(NamedTuple):
+    """A request that a server began to work on."""
+
+    request_id: str
+    workspace: str
+    has_key: bool
+    deadline_ms: str
+    after: int
+
+
+class SiteServer:
+    """A server that registers in the store and answers over HTTP.
+
+    Attributes:
+      runs: requests that it began to work on.
+      left: requests whose caller closed the connection before the end.
+      orders: orders in the sequence of their arrival.
+      lost_orders: orders that are obeyed without an answer from now on.
+    """
+
+    def __init__(
+        self,
+        *,
+        store: SiteStore,
+        service: str,
+        domain: str = "",
+        data_centre: str = "a",
+    ) -> None:
+        """Make a server that does not listen yet."""
+        self.server = f"i-{uuid.uuid4().hex[:10]}"
+        self.service = service
+        self.domain = domain
+        self.data_centre = data_centre
+        self.fault = ServerFault.NONE
+        self.runs: list[Run] = []
+        self.left: list[str] = []
+        self.orders: list[dict[str, object]] = []
+        self.lost_orders = 0
+        self.is_leaving = False
+        self.staged: list[str] = []
+        self.group: dict[str, object] | None = None
+        self.highest = -1
+        self._store = store
+        self._http: httpserver.HTTPServer | None = None
+        self.address = ""
+
+    def start(self) -> None:
+        """Listen on loopback and register."""
+        options = {"server": self}
+        application = web.Application(
+            [
+                web.url(r"/report", _ReportHandler, options),
+                web.url(r"/order", _OrderHandler, options),
+                web.url(r"/.*", _RequestHandler, options),
+            ],
+            log_function=lambda _handler: None,
+        )
+        sockets = netutil.bind_sockets(0, "127.0.0.1")
+        port = sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{port}"
+        self._http = httpserver.HTTPServer(application)
+        self._http.add_sockets(sockets)
+        self.register()
+
+    async def stop(self) -> None:
+        """Close everything without a word, as a crash does."""
+        if self._http is not None:
+            self._http.stop()
+            await self._http.close_all_connections()
+
+    def register(self) -> None:
+        """Write the entry of this server."""
+        entry = {
+            "service": self.service,
+            "address": self.address,
+            "zone": self.data_centre,
+            "slots": 4,
+            "state": "draining" if self.is_leaving else "ready",
+            "staged": self.staged,
+        }
+        if self.domain:
+            entry["domain"] = self.domain
+            entry["group"] = self.group
+        value = msgspec.json.encode(entry)
+        self._store.topic("keyed.servers").append(self.server, value)
+
+    def unregister(self) -> None:
+        """Remove the entry of this server."""
+        self._store.topic("keyed.servers").append(self.server, b"")
+
+    def leave(self) -> None:
+        """Report that it takes no new work soon."""
+        self.is_leaving = True
+        self.register()
+
+    def obey(self, order: dict[str, object]) -> int:
+        """Carry an order out and return the status of the answer."""
+        self.orders.append(order)
+        kind = order.get("op")
+        epoch = order.get("epoch")
+        if not isinstance(epoch, int):
+            return 400
+        if kind == "join":
+            return self._join(order, epoch)
+        held = self.group
+        if held is None or held["epoch"] != epoch:
+            return 409
+        if kind == "leave":
+            self.group = None
+            self.register()
+            return 200
+        if kind == "close":
+            self.group = held | {"state": "ready"}
+            self.register()
+            return 200
+        if kind != "open":
+            return 400
+        if held["state"] == "open":
+            return 200
+        if held["state"] != "ready":
+            return 409
+        self.group = held | {"state": "open"}
+        self.register()
+        return 202
+
+    def _join(self, order: dict[str, object], epoch: int) -> int:
+        members = order.get("members")
+        if not isinstance(members, list) or self.server not in members:
+            return 400
+        held = self.group
+        if held is not None and held["epoch"] == epoch:
+            return 202 if held["state"] == "joining" else 200
+        if epoch < self.highest:
+            return 412
+        self.highest = epoch
+        self.staged = [str(order.get("model"))]
+        self.group = {
+            "name": order.get("group"),
+            "epoch": epoch,
+            "rank": members.index(self.server),
+            "state": "joining",
+        }
+        loop = asyncio.get_running_loop()
+        loop.call_later(JOIN_S, self._finish_join, epoch)
+        return 202
+
+    def _finish_join(self, epoch: int) -> None:
+        held = self.group
+        if held is not None and held["epoch"] == epoch:
+            self.group = held | {"state": "ready"}
+            self.register()
+
+
+class _Handler(web.RequestHandler):
+    def initialize(self, server: SiteServer) -> None:
+        """Serve a server."""
+        self.server = server
+
+    def is_misdirected(self) -> bool:
+        """Answer a request that is meant for another server."""
+        expected = self.request.headers.get("X-Expect-Instance", "")
+        if not expected or expected == self.server.server:
+            return False
+        self.set_status(421)
+        self.set_header("X-Instance-Id", self.server.server)
+        self.finish()
+        return True
+
+
+class _ReportHandler(_Handler):
+    def get(self) -> None:
+        """Answer with the state."""
+        server = self.server
+        self.finish(
+            {
+                "staged": server.staged,
+                "group": server.group,
+                "running": 0,
+                "waiting": 0,
+                "pace": 1.0,
+            }
+        )
+
+
+class _OrderHandler(_Handler):
+    def post(self) -> None:
+        """Obey an order."""
+        if self.is_misdirected():
+            return
+        status = self.server.obey(msgspec.json.decode(self.request.body))
+        if self.server.lost_orders > 0:
+            self.server.lost_orders -= 1
+            self.request.connection.stream.close()  # type: ignore[union-attr]
+            return
+        self.set_status(status)
+        self.finish()
+
+
+class _RequestHandler(_Handler):
+    _is_closed = False
+    _run_id = ""
+
+    def on_connection_close(self) -> None:
+        """Note that the caller has left."""
+        self._is_closed = True
+        if self._run_id:
+            self.server.left.append(self._run_id)
+
+    async def get(self) -> None:
+        """Run a request."""
+        if self.is_misdirected():
+            return
+        server = self.server
+        headers = self.request.headers
+        request_id = headers.get("X-Request-Id", "")
+        if server.fault is ServerFault.FULL:
+            self.set_status(503)
+            self.set_header("X-Not-Executed", "1")
+            self.finish()
+            return
+        run = Run(
+            request_id=request_id,
+            workspace=headers.get("X-Tenant", ""),
+            has_key="Api-Key" in headers,
+            deadline_ms=headers.get("X-Deadline-Ms", ""),
+            after=int(headers.get("Last-Event-Id", "0") or 0),
+        )
+        if server.fault is ServerFault.LOSE:
+            server.runs.append(run)
+            self.request.connection.stream.close()  # type: ignore[union-attr]
+            return
+        self.clear_header("Date")
+        self.set_header("X-Request-Id", request_id)
+        if server.fault is ServerFault.FOREIGN:
+            self.set_header("X-Request-Id", "ffff")
+        self.set_header("X-Server-Stamp", f"{server.server}.{request_id}")
+        if "X-Model" in headers:
+            await self._stream(run)
+        else:
+            await self._answer(run)
+
+    post = get
+
+    async def _answer(self, run: Run) -> None:
+        self.server.runs.append(run)
+        await asyncio.sleep(EVENT_S)
+        if self.server.fault is ServerFault.FAIL:
+            self.set_status(500)
+        self.finish(b"answer to " + run.request_id.encode())
+
+    async def _stream(self, run: Run) -> None:
+        server = self.server
+        if server.group is None or server.group["state"] != "open":
+            self.set_status(503)
+            self.set_header("X-Not-Executed", "1")
+            self.finish()
+            return
+        server.runs.append(run)
+        self._run_id = run.request_id
+        self.set_header("Content-Type", "text/event-stream")
+        events = int(
+            self.request.headers.get("X-Token-Count", "1,5").split(",")[1]
+        )
+        for number in range(run.after + 1, events + 1):
+            await self._wait_for_event()
+            if self._is_closed:
+                return
+            event = f"id: {number}\ndata: {run.request_id}-{number}\n\n"
+            if server.fault is ServerFault.BREAK and number > 2:
+                self.write(event[: len(event) // 2])
+                await self.flush()
+                self.request.connection.stream.close()  # type: ignore[union-attr]
+                return
+            self.write(event)
+            try:
+                await self.flush()
+            except StreamClosedError:
+                # The caller was faster.
+                return
+        self.finish()
+
+    async def _wait_for_event(self) -> None:
+        await asyncio.sleep(EVENT_S)
+        while self.server.fault is ServerFault.SILENT and not self._is_closed:
+            await asyncio.sleep(EVENT_S)
--- /dev/null
+++ b/chervilrock/standin/site/site.py
@@ -0,0 +1,195 @@
+"""A whole installation on loopback: store, servers, configuration."""
+
+from collections.abc import Mapping
+from typing import Any
+
+from tornado import httpserver, netutil
+
+from chervilrock.standin.site.servers import SiteServer
+from chervilrock.standin.site.store import SiteStore
+
+MODEL_SERVICE = "drafts"
+PLAIN_SERVICE = "desk"
+HOST = "site.example"
+KEY = "key-one"
+WORKSPACE = "brokers"
+LARGE = "large"
+SMALL = "small"
+
+
+def make_configuration(version: int = 1, **changes: Any) -> dict[str, Any]:
+    """Return a document of the operator.
+
+    Args:
+      version: its number.
+      **changes: fields that replace those of the document.
+    """
+    stream = {
+        "host": HOST,
+        "route_type": "streaming",
+        "timeout_ms": 4000,
+        "slo_target_ms": 500,
+        "gap_aim_ms": 300,
+        "priority": 1,
+        "service": MODEL_SERVICE,
+        "max_attempts": 2,
+        "stream_resume": True,
+    }
+    plain = {"host": HOST, "timeout_ms": 2000, "service": PLAIN_SERVICE}
+    document = {
+        "version": version,
+        "routes": [
+            stream | {"name": "draft", "path_prefix": "/draft/"},
+            plain
+            | {
+                "name": "book",
+                "path_prefix": "/book/",
+                "route_type": "non_idempotent",
+                "max_attempts": 1,
+            },
+            plain
+            | {
+                "name": "look",
+                "path_prefix": "/look/",
+                "route_type": "idempotent",
+                "max_attempts": 2,
+            },
+        ],
+        "services": [
+            {
+                "name": MODEL_SERVICE,
+                "health_path": "/health",
+                "engine": {
+                    "slots": 4,
+                    "step_ms": 2.0,
+                    "per_seq_ms": 0.2,
+                    "stride": 2,
+                    "read_per_s": 46000.0,
+                    "chunk": 2048,
+                    "form_ms": 20.0,
+                    "loads_per_s": 10.0,
+                    "loads_at_once": 6,
+                    "models": [_model(LARGE, 2), _model(SMALL, 1)],
+                },
+            },
+            {"name": PLAIN_SERVICE, "health_path": "/health"},
+        ],
+        "limits": {"idle_timeout_ms": 15000},
+        "tenants": [{"name": WORKSPACE, "api_keys": [KEY], "priority": 1}],
+    }
+    return document | changes
+
+
+def _model(name: str, size: int) -> dict[str, Any]:
+    return {
+        "name": name,
+        "size": size,
+        "share": 0.5,
+        "pace": 1.0,
+        "load_s": 0.1,
+        "warm_s": 0.05,
+    }
+
+
+class Site:
+    """Store and servers of an installation.
+
+    Attributes:
+      store: the store.
+      servers: all servers that were started.
+    """
+
+    def __init__(self) -> None:
+        """Make an installation that does not listen yet."""
+        self.store = SiteStore()
+        self.servers: list[SiteServer] = []
+        self._http: httpserver.HTTPServer | None = None
+        self.store_address = ""
+
+    def start(self, *, model_servers: int = 8, plain_servers: int = 2) -> None:
+        """Listen, configure and start the servers.
+
+        Args:
+          model_servers: hosts for groups, four to a domain.
+          plain_servers: servers of the plain service.
+        """
+        sockets = netutil.bind_sockets(0, "127.0.0.1")
+        port = sockets[0].getsockname()[1]
+        self.store_address = f"127.0.0.1:{port}"
+        self._http = httpserver.HTTPServer(self.store.make_application())
+        self._http.add_sockets(sockets)
+        self.store.write_configuration(make_configuration())
+        for number in range(model_servers):
+            self.add_model_server(f"d{number // 4}")
+        for _ in range(plain_servers):
+            self.add_server(SiteServer(store=self.store, service=PLAIN_SERVICE))
+
+    def add_model_server(self, domain: str) -> SiteServer:
+        """Start a host for groups."""
+        return self.add_server(
+            SiteServer(store=self.store, service=MODEL_SERVICE, domain=domain)
+        )
+
+    def add_server(self, server: SiteServer) -> SiteServer:
+        """Start a server."""
+        server.start()
+        self.servers.append(server)
+        return server
+
+    def list_heads(self, model: str) -> list[SiteServer]:
+        """Return the heads of the groups of a model that are open."""
+        return [
+            server
+            for server in self.servers
+            if server.group is not None
+            and server.group["state"] == "open"
+            and str(server.group["name"]).endswith(f".{model}")
+        ]
+
+    async def stop(self) -> None:
+        """Close everything."""
+        for server in self.servers:
+            await server.stop()
+        if self._http is not None:
+            self._http.stop()
+            await self._http.close_all_connections()
+
+
+def make_node_file(
+    *, node: str, store_address: str, ports: Mapping[str, int] | None = None
+) -> dict[str, Any]:
+    """Return the settings of a node as the platform writes them.
+
+    Args:
+      node: name of the node.
+      store_address: IP:port of the store.
+      ports: ports by name; 0, any free one, for those that are missing.
+    """
+    given = ports or {}
+
+    def place(name: str) -> str:
+        return f"127.0.0.1:{given.get(name, 0)}"
+
+    return {
+        "node_name": node,
+        "role": "node",
+        "ip": "127.0.0.1",
+        "zone": "a",
+        "region": "r",
+        "internal_ports": [given.get("peers", 0), given.get("peers", 0)],
+        "zones": {"a": "r"},
+        "listen": {
+            "front": place("callers"),
+            "ready": place("ready"),
+            "directory": place("directory"),
+        },
+        "bounds": {
+            "retry_budget_ratio": 0.2,
+            "retry_slack": 100,
+            "budget_window_s": 10,
+            "grace_s": 8,
+            "ttl_max_s": 5,
+            "stall_ms": 6000,
+        },
+        "provider": {"address": store_address},
+    }
--- /dev/null
+++ b/chervilrock/standin/site/store.py
@@ -0,0 +1,206 @@
+"""The store: keyed topics with offsets, conditional appends and long reads."""
+
+import asyncio
+import base64
+import enum
+import struct
+from typing import NamedTuple
+
+import msgspec
+from tornado import web
+
+_LENGTH = struct.Struct(">I")
+_OFFSETS = struct.Struct(">QQ")
+_MS_PER_S = 1000.0
+
+
+class StoreFault(enum.Enum):
+    """How the store misbehaves.
+
+    Attributes:
+      NONE: it does not.
+      DOWN: it answers nothing.
+      BUSY: it turns every call away.
+      LOSSY: appends take effect and are not answered.
+    """
+
+    NONE = "none"
+    DOWN = "down"
+    BUSY = "busy"
+    LOSSY = "lossy"
+
+
+class _Stored(NamedTuple):
+    offset: int
+    key: str
+    value: bytes
+
+
+class Topic:
+    """One partition of keyed records."""
+
+    def __init__(self) -> None:
+        """Start empty, at offset 0."""
+        self.records: list[_Stored] = []
+        self.first = 0
+        self.changed = asyncio.Event()
+
+    @property
+    def end(self) -> int:
+        """Offset of the next record."""
+        return self.first + len(self.records)
+
+    def append(self, key: str, value: bytes) -> int:
+        """Add a record and return its offset."""
+        offset = self.end
+        self.records.append(_Stored(offset, key, value))
+        self.changed.set()
+        self.changed = asyncio.Event()
+        return offset
+
+    def list_newest(self) -> list[_Stored]:
+        """Return the newest record of each key that has a value."""
+        newest = {record.key: record for record in self.records}
+        return [record for record in newest.values() if record.value]
+
+    def forget(self) -> None:
+        """Drop the history; the newest record of each key stays readable."""
+        kept = self.list_newest()
+        self.first = self.end
+        self.records = []
+        self.kept = kept
+
+    kept: list[_Stored] = []
+
+
+class SiteStore:
+    """Topics by name, and how calls are answered."""
+
+    def __init__(self) -> None:
+        """Start with no topics."""
+        self.topics: dict[str, Topic] = {}
+        self.fault = StoreFault.NONE
+        self.refused_nodes: set[str] = set()
+        self.calls = 0
+
+    def topic(self, name: str) -> Topic:
+        """Return a topic, which is made when it is first used."""
+        return self.topics.setdefault(name, Topic())
+
+    def write_configuration(self, document: dict[str, object]) -> None:
+        """Write a configuration as the operator."""
+        value = msgspec.json.encode(document)
+        self.topic("keyed.op").append("config", value)
+
+    def make_application(self) -> web.Application:
+        """Return the HTTP interface."""
+        options = {"store": self}
+        return web.Application(
+            [
+                web.url(r"/log-append", _AppendHandler, options),
+                web.url(r"/log-read", _ReadHandler, options),
+                web.url(r"/log-newest", _NewestHandler, options),
+            ],
+            log_function=lambda _handler: None,
+        )
+
+
+class _Handler(web.RequestHandler):
+    """What all calls share."""
+
+    def initialize(self, store: SiteStore) -> None:
+        """Serve a store."""
+        self.store = store
+
+    async def prepare(self) -> None:
+        """Apply the fault of the store."""
+        self.store.calls += 1
+        if self.store.fault is StoreFault.BUSY:
+            self.set_status(503)
+            self.finish()
+        elif self.store.fault is StoreFault.DOWN:
+            await self._hang()
+
+    async def _hang(self) -> None:
+        """Answer nothing until the caller gives up."""
+        while not self.request.connection.stream.closed():  # type: ignore[union-attr]
+            await asyncio.sleep(0.02)
+        raise web.Finish
+
+    def find_topic(self) -> Topic:
+        """Return the topic of the call."""
+        return self.store.topic(self.get_query_argument("topic"))
+
+
+class _AppendHandler(_Handler):
+    async def post(self) -> None:
+        """Append the records of the body."""
+        topic = self.find_topic()
+        expected = self.get_query_argument("at", "")
+        if expected and int(expected) != topic.end:
+            self.set_status(412)
+            self.finish({"end": topic.end})
+            return
+        offset = topic.end
+        for key, value in parse_records(self.request.body):
+            topic.append(key, value)
+        if self.store.fault is StoreFault.LOSSY:
+            await self._hang()
+        self.finish({"offset": offset, "end": topic.end})
+
+
+class _ReadHandler(_Handler):
+    async def get(self) -> None:
+        """Answer with records, or wait for one."""
+        topic = self.find_topic()
+        start = int(self.get_query_argument("from"))
+        wait_s = float(self.get_query_argument("wait_ms", "0")) / _MS_PER_S
+        if start < topic.first:
+            self.set_status(410)
+            self.finish({"first": topic.first})
+            return
+        if start >= topic.end and wait_s:
+            changed = topic.changed
+            try:
+                async with asyncio.timeout(wait_s):
+                    await changed.wait()
+            except TimeoutError:
+                pass
+        chunks = [_OFFSETS.pack(topic.end, topic.first)]
+        for record in topic.records[max(0, start - topic.first) :]:
+            name = record.key.encode()
+            content = bytes((len(name),)) + name + record.value
+            chunks.append(_LENGTH.pack(len(content)) + content)
+        self.finish(b"".join(chunks))
+
+
+class _NewestHandler(_Handler):
+    def get(self) -> None:
+        """Answer with the newest record of each key."""
+        topic = self.find_topic()
+        newest = {record.key: record for record in topic.kept}
+        newest |= {record.key: record for record in topic.records}
+        items = [
+            {
+                "key": record.key,
+                "value": base64.b64encode(record.value).decode(),
+                "offset": record.offset,
+            }
+            for record in newest.values()
+            if record.value
+        ]
+        self.finish({"items": items, "has_more": False, "end": topic.end})
+
+
+def parse_records(body: bytes) -> list[tuple[str, bytes]]:
+    """Split the body of an append into keys and values."""
+    records = []
+    position = 0
+    while position < len(body):
+        (length,) = _LENGTH.unpack_from(body, position)
+        position += _LENGTH.size
+        content = body[position : position + length]
+        position += length
+        size = content[0]
+        records.append((content[1 : 1 + size].decode(), content[1 + size :]))
+    return records
--- a/chervilrock/ui/node.py
+++ b/chervilrock/ui/node.py
@@ -17,30 +17,34 @@
 from chervilrock.ui.codes import ExitCode
 from chervilrock.ui.output import print_error
 
+METRICS_FLAG = "--metrics-port"
+
 USAGE = f"""\
-Usage: chervilrock node
+Usage: chervilrock node [{METRICS_FLAG} PORT]
 
 Serves on a platform that writes the settings of each process into a file;
-the environment variable {VARIABLE} holds its path."""
+the environment variable {VARIABLE} holds its path. Metrics and a
+dump of the state are served on PORT of the host when it is given."""
 
 
 def run_node(arguments: Sequence[str], environment: Mapping[str, str]) -> int:
     """Serve until told to stop.
 
     Args:
-      arguments: those after `node`; there should be none.
+      arguments: those after `node`.
       environment: all environment variables.
 
     Returns:
       The exit code.
     """
     path = environment.get(VARIABLE, "")
-    if arguments or not path:
+    metrics_port = parse_arguments(arguments)
+    if metrics_port is None or not path:
         print_error(USAGE)
         return ExitCode.USAGE
     output = BoundedOutput(descriptor=sys.stdout.fileno())
     events.configure_logging("json", "INFO", cast(TextIO, output))
-    result = read_settings(path)
+    result = read_settings(path, metrics_port=metrics_port)
     if isinstance(result, Failure):
         for finding in result.failure():
             events.emit(
@@ -52,3 +56,11 @@
     from chervilrock.node import serving
 
     return asyncio.run(serving.run(result.unwrap()))
+
+
+def parse_arguments(arguments: Sequence[str]) -> int | None:
+    """Return the port for metrics, 0 for none, None for wrong arguments."""
+    if not arguments:
+        return 0
+    is_flag = len(arguments) == 2 and arguments[0] == METRICS_FLAG
+    return int(arguments[1]) if is_flag and arguments[1].isdigit() else None
--- /dev/null
+++ b/test/decisions/serving/test_decisions.py
@@ -0,0 +1,409 @@
+"""Routes, attempts, streams, repeats, silence, leaders and plans."""
+
+import random
+from typing import Any
+
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, GreaterThan, Is, LessThan
+
+from chervilrock.decisions.serving import groupnames
+from chervilrock.decisions.serving.attempts import (
+    decide_next,
+    judge_answer,
+    Next,
+    Progress,
+    SendEnd,
+)
+from chervilrock.decisions.serving.composition import compose
+from chervilrock.decisions.serving.leadership import (
+    Claim,
+    Leadership,
+    SILENCE_S,
+    STEP_S,
+)
+from chervilrock.decisions.serving.messages import AnswerFacts
+from chervilrock.decisions.serving.plan import FreeHost, plan_domain
+from chervilrock.decisions.serving.repeats import RepeatBudget
+from chervilrock.decisions.serving.routes import (
+    Admission,
+    choose_service,
+    Denial,
+    RouteTable,
+)
+from chervilrock.decisions.serving.silence import bound_silence, GroupWatch
+from chervilrock.decisions.serving.site import (
+    Limits,
+    Route,
+    RouteKind,
+    SiteConfiguration,
+    WeightedService,
+    Workspace,
+)
+from chervilrock.decisions.serving.streams import EventSplitter
+from chervilrock.decisions.serving.view import LeaderEntry
+from chervilrock.decisions.serving.waiting import decide_patience, REPAIR_S
+from test.decisions.serving.fleet import ENGINE, LARGE, SMALL
+
+OWN = AnswerFacts(
+    status=200,
+    request_id="r",
+    has_receipt=True,
+    is_not_run=False,
+    is_encoded=False,
+    is_stream=False,
+)
+
+
+def make_route(prefix: str, **changes: Any) -> Route:
+    """Return a route of the host `h`."""
+    route = Route(
+        name=prefix,
+        host="h",
+        prefix=prefix,
+        kind=RouteKind.IDEMPOTENT,
+        services=(WeightedService("s", 1.0),),
+        timeout_s=1.0,
+        target_s=0.2,
+        longest_pause_s=0.0,
+        priority=3,
+        max_attempts=2,
+        is_public=False,
+        is_resumable=False,
+    )
+    return route._replace(**changes)
+
+
+@pytest.fixture
+def table() -> RouteTable:
+    """Three routes, one of them public, and one key."""
+    return RouteTable(
+        configuration=SiteConfiguration(
+            revision=1,
+            routes=(
+                make_route("/a/"),
+                make_route("/a/b/"),
+                make_route("/open/", is_public=True),
+            ),
+            services={},
+            keys={"k": Workspace("w", 1)},
+            limits=Limits(idle_s=15.0),
+        )
+    )
+
+
+@pytest.mark.parametrize(
+    ("host", "path", "name"),
+    [
+        ("h", "/a/x", "/a/"),
+        ("H:80", "/a/x", "/a/"),
+        ("h", "/a/b/", "/a/b/"),
+        ("h", "/a/b?c=/a/b/", "/a/"),
+        ("h", "/a", None),
+        ("h", "/A/x", None),
+        ("i", "/a/x", None),
+        ("h", "/x?/a/", None),
+    ],
+)
+def test_the_longest_prefix_of_the_host_wins(
+    table: RouteTable, host: str, path: str, name: str | None
+) -> None:
+    route = table.find(host, path)
+    assert_that(None if route is None else route.name, Equals(name))
+
+
+@pytest.mark.parametrize(
+    ("path", "key", "outcome"),
+    [
+        ("/a/x", "k", 1),
+        ("/a/x", "", Denial.UNKNOWN_KEY),
+        ("/a/x", "other", Denial.UNKNOWN_KEY),
+        ("/none/", "other", Denial.NO_ROUTE),
+        ("/open/x", "", 3),
+        ("/open/x", "k", 1),
+    ],
+)
+def test_a_key_opens_routes_and_sets_the_rank(
+    table: RouteTable, path: str, key: str, outcome: object
+) -> None:
+    admitted = table.admit("h", path, key)
+    is_admitted = isinstance(admitted, Admission)
+    found = admitted.priority if isinstance(admitted, Admission) else admitted
+    assert_that(found, Equals(outcome))
+    assert_that(is_admitted, Is(isinstance(outcome, int)))
+
+
+def test_services_are_drawn_by_their_weights() -> None:
+    services = (WeightedService("s", 90.0), WeightedService("t", 10.0))
+    route = make_route("/a/", services=services)
+    generator = random.Random(1)
+    drawn = [choose_service(route, generator) for _ in range(1000)]
+    assert_that(drawn.count("t"), GreaterThan(60))
+    assert_that(drawn.count("t"), LessThan(140))
+
+
+@pytest.mark.parametrize(
+    ("change", "is_whole", "end"),
+    [
+        ({}, True, SendEnd.COMPLETE),
+        ({"request_id": ""}, True, SendEnd.COMPLETE),
+        ({"request_id": "other"}, True, SendEnd.LOST),
+        ({"has_receipt": False}, True, SendEnd.LOST),
+        ({"is_encoded": True}, True, SendEnd.LOST),
+        ({}, False, SendEnd.LOST),
+        ({"status": 500}, True, SendEnd.FAILED),
+        ({"status": 404}, True, SendEnd.FAILED),
+        ({"status": 503, "is_not_run": True}, True, SendEnd.NOT_RUN),
+        ({"status": 503}, True, SendEnd.LOST),
+        ({"status": 429}, True, SendEnd.LOST),
+        ({"status": 408}, True, SendEnd.LOST),
+    ],
+)
+def test_an_answer_is_judged_by_what_it_proves(
+    change: dict[str, Any], is_whole: bool, end: SendEnd
+) -> None:
+    facts = OWN._replace(**change)
+    judged = judge_answer(facts, request_id="r", is_whole=is_whole)
+    assert_that(judged, Is(end))
+
+
+@pytest.mark.parametrize(
+    ("end", "status", "progress", "may_repeat", "following"),
+    [
+        (SendEnd.COMPLETE, 200, Progress(1, True), False, Next.FINISH),
+        (SendEnd.NOT_RUN, 503, Progress(1, False), False, Next.REPEAT),
+        (SendEnd.NOT_RUN, 503, Progress(2, False), False, Next.GIVE_UP),
+        (SendEnd.NOT_RUN, 503, Progress(1, True), False, Next.GIVE_UP),
+        (SendEnd.LOST, 0, Progress(1, True), False, Next.GIVE_UP),
+        (SendEnd.LOST, 0, Progress(1, True), True, Next.REPEAT),
+        (SendEnd.LOST, 0, Progress(2, True), True, Next.GIVE_UP),
+        (SendEnd.FAILED, 500, Progress(1, True), False, Next.FINISH),
+        (SendEnd.FAILED, 500, Progress(1, True), True, Next.REPEAT),
+        (SendEnd.FAILED, 404, Progress(1, True), True, Next.FINISH),
+        (SendEnd.FAILED, 500, Progress(2, True), True, Next.FINISH),
+        (SendEnd.SILENT, 0, Progress(1, True), True, Next.REPEAT),
+    ],
+)
+def test_only_what_may_be_repeated_is_sent_again(
+    end: SendEnd,
+    status: int,
+    progress: Progress,
+    may_repeat: bool,
+    following: Next,
+) -> None:
+    decided = decide_next(
+        end,
+        status=status,
+        progress=progress,
+        may_repeat=may_repeat,
+        max_attempts=2,
+    )
+    assert_that(decided, Is(following))
+
+
+@pytest.mark.parametrize("size", [1, 2, 3, 7, 1000])
+def test_events_come_whole_however_they_are_cut(size: int) -> None:
+    stream = b"".join(f"id: {n}\ndata: {n}\n\n".encode() for n in range(1, 9))
+    splitter = EventSplitter()
+    passed = b"".join(
+        splitter.feed(stream[start : start + size])
+        for start in range(0, len(stream), size)
+    )
+    assert_that(passed, Equals(stream))
+    assert_that(splitter.last_event, Equals("8"))
+    assert_that(splitter.has_rest, Is(False))
+
+
+def test_half_an_event_is_kept_back() -> None:
+    splitter = EventSplitter()
+    passed = splitter.feed(b"id: 1\ndata: a\n\nid: 2\nda")
+    assert_that(passed, Equals(b"id: 1\ndata: a\n\n"))
+    assert_that(splitter.last_event, Equals("1"))
+    assert_that(splitter.has_rest, Is(True))
+
+
+def test_an_event_that_the_caller_has_already_is_a_fault() -> None:
+    splitter = EventSplitter(last_event="4")
+    passed = splitter.feed(b"id: 5\n\nid: 5\n\nid: 6\n\n")
+    assert_that(passed, Equals(b"id: 5\n\n"))
+    assert_that(splitter.is_faulty, Is(True))
+
+
+def test_repeats_of_all_nodes_stay_within_the_shared_bound() -> None:
+    nodes = 9
+    budgets = [
+        RepeatBudget(ratio=0.2, slack=136.0, window_s=10.0)
+        for _ in range(nodes)
+    ]
+    generator = random.Random(2)
+    repeats: list[float] = []
+    requests: list[float] = []
+    for step in range(4000):
+        now = step * 0.01
+        budget = generator.choice(budgets)
+        budget.note_request(now)
+        requests.append(now)
+        for _ in range(3):
+            if generator.choice(budgets).take(nodes, now):
+                repeats.append(now)
+    for end in range(10, 40):
+        window = [one for one in repeats if end - 10 < one <= end]
+        asked = [one for one in requests if end - 10 < one <= end]
+        assert_that(len(window), LessThan(0.2 * len(asked) + 136 + 1))
+    assert_that(len(repeats), GreaterThan(400))
+
+
+def test_a_group_is_silent_when_none_of_its_streams_moves() -> None:
+    watch = GroupWatch()
+    watch.note_sent("a", 0.0)
+    watch.note_sent("b", 0.0)
+    watch.note_progress(0.1)
+    assert_that(watch.is_silent(0.2, 0.25), Is(False))
+    assert_that(watch.is_silent(0.2, 0.35), Is(True))
+    watch.note_progress(0.36)
+    assert_that(watch.is_silent(0.2, 0.4), Is(False))
+    watch.note_end("a")
+    watch.note_end("b")
+    assert_that(watch.is_silent(0.2, 9.0), Is(False))
+
+
+def test_an_idle_time_before_a_stream_is_no_silence() -> None:
+    watch = GroupWatch()
+    watch.note_sent("a", 0.0)
+    watch.note_progress(0.1)
+    watch.note_end("a")
+    watch.note_sent("b", 5.0)
+    assert_that(watch.is_silent(0.2, 5.1), Is(False))
+    assert_that(watch.is_silent(0.2, 5.6), Is(True))
+
+
+def test_the_bound_of_silence_leaves_time_within_the_longest_pause() -> None:
+    large = bound_silence(ENGINE, pace=LARGE.pace, running=6)
+    small = bound_silence(ENGINE, pace=SMALL.pace, running=6)
+    assert_that(large, LessThan(0.3))
+    assert_that(small, LessThan(0.2))
+    full = bound_silence(ENGINE, pace=1.0, running=99)
+    assert_that(full, GreaterThan(large))
+
+
+def test_one_node_claims_when_the_leader_is_silent() -> None:
+    nodes = [
+        Leadership(node=f"n{rank}", incarnation="i", now=0.0)
+        for rank in range(3)
+    ]
+    early = SILENCE_S + STEP_S / 2
+    claims = [one.should_claim(rank, early) for rank, one in enumerate(nodes)]
+    assert_that(claims, Equals([True, False, False]))
+    claim = Claim(term=5, entry=nodes[0].own_entry)
+    for node in nodes:
+        node.note_claim(claim, early)
+    assert_that([one.is_leader for one in nodes], Equals([True, False, False]))
+    later = early + SILENCE_S
+    assert_that(nodes[1].should_claim(0, later), Is(False))
+
+
+def test_a_claim_with_a_lower_term_is_passed_over() -> None:
+    leadership = Leadership(node="n", incarnation="i", now=0.0)
+    leadership.note_claim(Claim(7, LeaderEntry("m", "j")), 0.0)
+    is_new = leadership.note_claim(Claim(6, leadership.own_entry), 0.0)
+    assert_that(is_new, Is(False))
+    assert_that(leadership.is_leader, Is(False))
+
+
+def test_a_restarted_process_does_not_take_itself_for_the_leader() -> None:
+    leadership = Leadership(node="n", incarnation="new", now=0.0)
+    leadership.note_claim(Claim(7, LeaderEntry("n", "old")), 0.0)
+    assert_that(leadership.is_leader, Is(False))
+
+
+@pytest.mark.parametrize(
+    ("hosts", "groups"),
+    [
+        (8, {"large": 1, "small": 1}),
+        (7, {"large": 1, "small": 1}),
+        (6, {"large": 1, "small": 1}),
+        (5, {"large": 1, "small": 0}),
+        (3, {"large": 0, "small": 1}),
+        (1, {"large": 0, "small": 0}),
+    ],
+)
+def test_a_domain_serves_each_model_before_it_keeps_standby_hosts(
+    hosts: int, groups: dict[str, int]
+) -> None:
+    assert_that(compose(hosts, (LARGE, SMALL), {}), Equals(groups))
+
+
+def make_host(name: str, loaded: str = "", standby: bool = False) -> FreeHost:
+    staged = (loaded,) if loaded else ()
+    return FreeHost(name, loaded, staged, standby)
+
+
+def plan(free: list[FreeHost], **present: int):
+    return plan_domain(
+        free,
+        models=(LARGE, SMALL),
+        wanted={"large": 1, "small": 1},
+        present=present,
+        urgency={},
+        may_load=False,
+    )
+
+
+def test_survivors_and_a_standby_host_form_a_group_at_once() -> None:
+    free = [make_host(f"h{n}", "large") for n in range(3)]
+    free += [make_host("s", "large", True), make_host("t", "small", True)]
+    planned = plan(free, small=1)
+    (formation,) = planned.formations
+    assert_that(set(formation.members), Equals({"h0", "h1", "h2", "s"}))
+
+
+def test_survivors_without_a_standby_host_get_one_that_loads() -> None:
+    free = [make_host(f"h{n}", "large") for n in range(3)]
+    free.append(make_host("t", "small", True))
+    planned = plan(free, small=1)
+    assert_that(len(planned.formations), Equals(0))
+    loads = [one for one in planned.preparations if one.needs_load]
+    assert_that(
+        [(one.server, one.model) for one in loads], Equals([("t", "large")])
+    )
+
+
+def test_an_empty_host_completes_the_group_that_lacks_one() -> None:
+    free = [make_host(f"h{n}", "large") for n in range(3)] + [make_host("e")]
+    planned = plan(free, small=1)
+    loads = [one for one in planned.preparations if one.needs_load]
+    assert_that(
+        [(one.server, one.model) for one in loads], Equals([("e", "large")])
+    )
+
+
+def test_names_of_groups_tell_their_model() -> None:
+    epoch = groupnames.make_epoch(3, 12)
+    name = groupnames.make_name("m.x", epoch, is_standby=True)
+    parsed = groupnames.parse_name(name)
+    assert parsed is not None
+    assert_that((parsed.model, parsed.is_standby), Equals(("m.x", True)))
+    assert_that(groupnames.parse_name("other") is None, Is(True))
+    assert_that(groupnames.make_epoch(4, 0), GreaterThan(epoch))
+
+
+@pytest.mark.parametrize(
+    ("has_endpoints", "is_forming", "shortest", "longest"),
+    [
+        (True, False, 0.01, 0.3),
+        (False, True, 1.0, REPAIR_S),
+        (False, False, 0.0, 0.0),
+    ],
+)
+def test_a_request_waits_only_for_a_place_that_may_come(
+    has_endpoints: bool, is_forming: bool, shortest: float, longest: float
+) -> None:
+    patience = decide_patience(
+        limit_s=6.0,
+        target_s=0.5,
+        has_endpoints=has_endpoints,
+        is_forming=is_forming,
+    )
+    assert_that(patience.wait_s >= shortest, Is(True))
+    assert_that(patience.wait_s <= longest, Is(True))
+    assert_that(patience.retry_after_s, GreaterThan(0.0))
--- /dev/null
+++ b/test/node/serving_site.py
@@ -0,0 +1,167 @@
+"""An installation of the platform's stand-in with nodes, in one event loop."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any, NamedTuple
+
+from tornado.curl_httpclient import CurlError
+from tornado.httpclient import HTTPRequest
+
+from chervilrock.clients.curlpool import QuietCurlClient
+from chervilrock.node.serving import ServingNode
+from chervilrock.platform.settings import decode_settings
+from chervilrock.standin.site.servers import Run, SiteServer
+from chervilrock.standin.site.site import (
+    HOST,
+    KEY,
+    LARGE,
+    make_node_file,
+    Site,
+    SMALL,
+)
+
+WAIT_S = 20.0
+"""Longest wait for a condition; it is met much earlier."""
+
+
+CUT = 0
+"""Status of an answer that was cut off."""
+
+
+class Answer(NamedTuple):
+    """What a caller got."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+class World:
+    """Stand-ins, nodes and a caller."""
+
+    def __init__(self) -> None:
+        self.site = Site()
+        self.nodes: list[ServingNode] = []
+        self.client = QuietCurlClient(force_instance=True, max_clients=50)
+        self._number = 0
+
+    async def start(self, nodes: int = 1, **servers: int) -> None:
+        """Start everything and wait until both models are served."""
+        self.site.start(**servers)
+        for _ in range(nodes):
+            self.add_node()
+        await self.wait(self.serves_all, "all models served")
+
+    def add_node(self) -> ServingNode:
+        """Start a further node."""
+        settings = decode_settings(
+            make_node_file(
+                node=f"n{len(self.nodes)}",
+                store_address=self.site.store_address,
+            )
+        ).unwrap()
+        node = ServingNode(settings=settings)
+        node.start()
+        self.nodes.append(node)
+        return node
+
+    def serves_all(self) -> bool:
+        """Whether each node knows groups of both models."""
+        wanted = {LARGE, SMALL}
+        return all(
+            {group.model for group in node.state.view.groups} == wanted
+            for node in self.nodes
+        )
+
+    async def wait(self, condition: Callable[[], bool], what: str) -> None:
+        """Wait until a condition holds."""
+        for _ in range(int(WAIT_S / 0.02)):
+            if condition():
+                return
+            await asyncio.sleep(0.02)
+        raise AssertionError(f"never: {what}")
+
+    def make_headers(self, **changes: str) -> dict[str, str]:
+        """Return the headers of a request for a stream."""
+        self._number += 1
+        headers = {
+            "Host": HOST,
+            "X-Request-Id": f"{self._number:016x}",
+            "X-Deadline-Ms": "4000",
+            "Api-Key": KEY,
+            "X-Model": LARGE,
+            "X-Token-Count": "10,8",
+        }
+        headers.update(
+            {name.replace("_", "-"): text for name, text in changes.items()}
+        )
+        return {name: text for name, text in headers.items() if text}
+
+    async def call(
+        self,
+        path: str,
+        *,
+        node: int = 0,
+        method: str = "POST",
+        headers: dict[str, str] | None = None,
+    ) -> Answer:
+        """Send a request to a node and return the whole answer."""
+        address = self.nodes[node].own.callers_address
+        request = HTTPRequest(
+            f"http://{address}{path}",
+            method=method,
+            body=b"body" if method == "POST" else None,
+            headers=headers or self.make_headers(),
+            request_timeout=WAIT_S,
+            decompress_response=False,
+        )
+        try:
+            response = await self.client.fetch(request, raise_error=False)
+        except CurlError:
+            return Answer(CUT, {}, b"")
+        return Answer(
+            response.code, dict(response.headers.get_all()), response.body
+        )
+
+    def find_runs(self, request_id: str) -> list[tuple[SiteServer, Run]]:
+        """Return the runs of a request."""
+        return [
+            (server, run)
+            for server in self.site.servers
+            for run in server.runs
+            if run.request_id == request_id
+        ]
+
+    async def stop(self) -> None:
+        """Stop everything."""
+        self.client.close()
+        for node in self.nodes:
+            await node.close()
+        await self.site.stop()
+
+
+def run_world(
+    scenario: Callable[[World], Awaitable[Any]],
+    *,
+    nodes: int = 1,
+    **servers: int,
+) -> None:
+    """Run a scenario in an event loop of its own."""
+
+    async def run() -> None:
+        world = World()
+        try:
+            await world.start(nodes, **servers)
+            await scenario(world)
+        finally:
+            await world.stop()
+
+    asyncio.run(run())
+
+
+def make_events(request_id: str, count: int) -> bytes:
+    """Return the whole stream of a request."""
+    return b"".join(
+        f"id: {number}\ndata: {request_id}-{number}\n\n".encode()
+        for number in range(1, count + 1)
+    )
--- /dev/null
+++ b/test/node/test_serving.py
@@ -0,0 +1,398 @@
+"""A node on the platform, from the caller's to the servers' sockets."""
+
+import asyncio
+import json
+
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import (
+    Contains,
+    Equals,
+    GreaterThan,
+    HasLength,
+    Is,
+    LessThan,
+    Not,
+)
+
+from chervilrock.standin.site.servers import ServerFault
+from chervilrock.standin.site.site import (
+    KEY,
+    LARGE,
+    make_configuration,
+    PLAIN_SERVICE,
+    SMALL,
+    WORKSPACE,
+)
+from chervilrock.standin.site.store import StoreFault
+from test.edges.raw import exchange
+from test.node.serving_site import CUT, make_events, run_world, World
+
+
+def list_plain(world: World):
+    return [one for one in world.site.servers if one.service == PLAIN_SERVICE]
+
+
+def find_revision(world: World, node: int = 0) -> int:
+    """Return the revision in force on a node, -1 for none."""
+    routes = world.nodes[node].state.routes
+    return -1 if routes is None else routes.configuration.revision
+
+
+def test_a_stream_comes_whole_with_the_receipt_of_its_server() -> None:
+    async def scenario(world: World) -> None:
+        headers = world.make_headers()
+        answer = await world.call("/draft/x", headers=headers)
+        request_id = headers["X-Request-Id"]
+        assert_that(answer.status, Equals(200))
+        assert_that(answer.body, Equals(make_events(request_id, 8)))
+        assert_that(answer.headers["X-Request-Id"], Equals(request_id))
+        ((server, run),) = world.find_runs(request_id)
+        receipt = answer.headers["X-Server-Stamp"]
+        assert_that(receipt, Equals(f"{server.server}.{request_id}"))
+        assert_that(run.workspace, Equals(WORKSPACE))
+        assert_that(run.has_key, Is(False))
+        assert_that(int(run.deadline_ms), LessThan(4001))
+
+    run_world(scenario)
+
+
+def test_each_model_goes_to_a_head_of_its_own() -> None:
+    async def scenario(world: World) -> None:
+        for model in (LARGE, SMALL):
+            headers = world.make_headers(X_Model=model)
+            answer = await world.call("/draft/x", headers=headers)
+            assert_that(answer.status, Equals(200))
+            ((server, _),) = world.find_runs(headers["X-Request-Id"])
+            assert_that(world.site.list_heads(model), Contains(server))
+
+    run_world(scenario)
+
+
+@pytest.mark.parametrize(
+    ("path", "changes", "status"),
+    [
+        ("/nowhere/x", {}, 404),
+        ("/draft", {}, 404),
+        ("/draft/x", {"Api_Key": "other"}, 401),
+        ("/draft/x", {"Api_Key": ""}, 401),
+        ("/draft/x", {"Host": "other.example"}, 404),
+    ],
+)
+def test_what_the_configuration_does_not_allow_is_denied(
+    path: str, changes: dict[str, str], status: int
+) -> None:
+    async def scenario(world: World) -> None:
+        headers = world.make_headers(**changes)
+        answer = await world.call(path, headers=headers)
+        assert_that(answer.status, Equals(status))
+        assert_that(world.find_runs(headers["X-Request-Id"]), HasLength(0))
+
+    run_world(scenario)
+
+
+def test_headers_that_only_nodes_may_set_are_replaced() -> None:
+    async def scenario(world: World) -> None:
+        headers = world.make_headers(
+            X_Tenant="forged", X_Expect_Instance="i-forged"
+        )
+        answer = await world.call("/draft/x", headers=headers)
+        assert_that(answer.status, Equals(200))
+        ((_, run),) = world.find_runs(headers["X-Request-Id"])
+        assert_that(run.workspace, Equals(WORKSPACE))
+
+    run_world(scenario)
+
+
+def test_a_broken_stream_goes_on_at_another_group() -> None:
+    async def scenario(world: World) -> None:
+        heads = world.site.list_heads(LARGE)
+        heads[0].fault = ServerFault.BREAK
+        for _ in range(6):
+            headers = world.make_headers()
+            answer = await world.call("/draft/x", headers=headers)
+            request_id = headers["X-Request-Id"]
+            assert_that(answer.status, Equals(200))
+            assert_that(answer.body, Equals(make_events(request_id, 8)))
+        assert_that(len(heads[0].runs), GreaterThan(0))
+
+    run_world(scenario)
+
+
+def test_streams_of_a_silent_group_move_and_the_group_is_replaced() -> None:
+    async def scenario(world: World) -> None:
+        head = world.site.list_heads(LARGE)[0]
+        head.fault = ServerFault.SILENT
+        calls = []
+        for _ in range(8):
+            headers = world.make_headers()
+            calls.append((headers, world.call("/draft/x", headers=headers)))
+        answers = await asyncio.gather(*(call for _, call in calls))
+        for (headers, _), answer in zip(calls, answers, strict=True):
+            whole = make_events(headers["X-Request-Id"], 8)
+            assert_that(answer.body, Equals(whole))
+        assert_that(len(head.left), GreaterThan(0))
+
+    run_world(scenario)
+
+
+def test_a_request_that_is_not_idempotent_runs_once_at_most() -> None:
+    async def scenario(world: World) -> None:
+        for server in list_plain(world):
+            server.fault = ServerFault.LOSE
+        headers = world.make_headers(X_Model="")
+        answer = await world.call("/book/x", headers=headers)
+        assert_that(answer.status, Equals(502))
+        assert_that(world.find_runs(headers["X-Request-Id"]), HasLength(1))
+
+    run_world(scenario)
+
+
+def test_a_request_that_did_not_run_says_so_and_when_to_return() -> None:
+    async def scenario(world: World) -> None:
+        for server in list_plain(world):
+            server.fault = ServerFault.FULL
+        headers = world.make_headers(X_Model="")
+        answer = await world.call("/book/x", headers=headers)
+        assert_that(answer.status, Equals(503))
+        assert_that(float(answer.headers["Retry-After"]), GreaterThan(0.0))
+        assert_that(world.find_runs(headers["X-Request-Id"]), HasLength(0))
+
+    run_world(scenario)
+
+
+def test_an_idempotent_request_is_repeated_at_another_server() -> None:
+    async def scenario(world: World) -> None:
+        list_plain(world)[0].fault = ServerFault.LOSE
+        for _ in range(4):
+            headers = world.make_headers(X_Model="")
+            answer = await world.call("/look/x", method="GET", headers=headers)
+            assert_that(answer.status, Equals(200))
+
+    run_world(scenario)
+
+
+def test_an_answer_to_another_request_is_not_passed_on() -> None:
+    async def scenario(world: World) -> None:
+        for server in list_plain(world):
+            server.fault = ServerFault.FOREIGN
+        headers = world.make_headers(X_Model="")
+        answer = await world.call("/book/x", headers=headers)
+        assert_that(answer.status, Equals(502))
+        assert_that(answer.headers, Not(Contains("X-Server-Stamp")))
+
+    run_world(scenario)
+
+
+def test_a_failure_of_a_server_comes_with_its_receipt() -> None:
+    async def scenario(world: World) -> None:
+        for server in list_plain(world):
+            server.fault = ServerFault.FAIL
+        headers = world.make_headers(X_Model="")
+        answer = await world.call("/book/x", headers=headers)
+        assert_that(answer.status, Equals(500))
+        assert_that(answer.headers, Contains("X-Server-Stamp"))
+
+    run_world(scenario)
+
+
+def test_work_ends_when_its_caller_has_left() -> None:
+    async def scenario(world: World) -> None:
+        headers = world.make_headers(X_Token_Count="10,2000")
+        address = world.nodes[0].own.callers_address
+        host, port = address.split(":")
+        lines = "".join(
+            f"{name}: {value}\r\n" for name, value in headers.items()
+        )
+        reader, writer = await asyncio.open_connection(host, port)
+        writer.write(f"GET /draft/x HTTP/1.1\r\n{lines}\r\n".encode())
+        await reader.readuntil(b"id: 2")
+        writer.close()
+        request_id = headers["X-Request-Id"]
+
+        def is_over() -> bool:
+            return any(request_id in one.left for one in world.site.servers)
+
+        await world.wait(is_over, "the server saw its caller leave")
+        assert_that(len(world.nodes[0].state.own_loads), Equals(0))
+
+    run_world(scenario)
+
+
+def test_a_request_ends_at_the_time_limit_of_its_route() -> None:
+    async def scenario(world: World) -> None:
+        headers = world.make_headers(
+            X_Token_Count="10,5000", X_Deadline_Ms="300"
+        )
+        answer = await world.call("/draft/x", headers=headers)
+        request_id = headers["X-Request-Id"]
+        assert_that(answer.status, Equals(CUT))
+
+        def is_over() -> bool:
+            return any(request_id in one.left for one in world.site.servers)
+
+        await world.wait(is_over, "the server saw the request end")
+
+    run_world(scenario)
+
+
+def test_a_new_configuration_is_in_force_on_all_nodes() -> None:
+    async def scenario(world: World) -> None:
+        document = make_configuration(7, tenants=[])
+        world.site.store.write_configuration(document)
+        await world.wait(
+            lambda: all(find_revision(world, one) == 7 for one in range(2)),
+            "revision 7 in force",
+        )
+        for number in range(2):
+            answer = await world.call("/draft/x", node=number)
+            assert_that(answer.status, Equals(401))
+
+    run_world(scenario, nodes=2)
+
+
+def test_an_older_configuration_never_comes_back() -> None:
+    async def scenario(world: World) -> None:
+        store = world.site.store
+        store.write_configuration(make_configuration(7, tenants=[]))
+        store.write_configuration(make_configuration(5))
+        store.write_configuration(make_configuration(8, tenants=[]))
+        await world.wait(
+            lambda: find_revision(world) == 8,
+            "revision 8 in force",
+        )
+        answer = await world.call("/draft/x")
+        assert_that(answer.status, Equals(401))
+
+    run_world(scenario)
+
+
+def test_a_configuration_that_cannot_be_read_changes_nothing() -> None:
+    async def scenario(world: World) -> None:
+        store = world.site.store
+        broken = make_configuration(7, routes=[{"name": "half a route"}])
+        store.write_configuration(broken)
+        store.topic("keyed.op").append("config", b"no json")
+        store.topic("keyed.op").append("other", b"not ours")
+        store.topic("keyed.servers").append("i-odd", b"{}")
+        store.topic("keyed.chervilrock").append("node/odd", b"[1]")
+        answer = await world.call("/draft/x")
+        assert_that(answer.status, Equals(200))
+        store.write_configuration(make_configuration(8, tenants=[]))
+        await world.wait(
+            lambda: find_revision(world) == 8,
+            "revision 8 in force",
+        )
+
+    run_world(scenario)
+
+
+def test_groups_serve_on_while_the_store_is_away() -> None:
+    async def scenario(world: World) -> None:
+        world.site.store.fault = StoreFault.BUSY
+        for _ in range(5):
+            answer = await world.call("/draft/x")
+            assert_that(answer.status, Equals(200))
+
+    run_world(scenario)
+
+
+def test_a_leaving_server_gets_no_new_request() -> None:
+    async def scenario(world: World) -> None:
+        first, second = list_plain(world)
+        first.leave()
+        node = world.nodes[0]
+        await world.wait(
+            lambda: (
+                [one.server for one in node.state.view.servers]
+                == [second.server]
+            ),
+            "the leaving server out of the view",
+        )
+        first.runs.clear()
+        for _ in range(4):
+            await world.call("/look/x", headers=world.make_headers(X_Model=""))
+        assert_that(first.runs, HasLength(0))
+
+    run_world(scenario)
+
+
+def test_another_node_leads_when_the_leader_is_gone() -> None:
+    async def scenario(world: World) -> None:
+        leader = next(one for one in world.nodes if one.leads)
+        other = next(one for one in world.nodes if not one.leads)
+        await leader.close()
+        await world.wait(lambda: other.leads, "another node leads")
+        number = world.nodes.index(other)
+        answer = await world.call("/draft/x", node=number)
+        assert_that(answer.status, Equals(200))
+        head = world.site.list_heads(LARGE)[0]
+        await head.stop()
+        head.unregister()
+        await world.wait(
+            lambda: (
+                head.server
+                not in [one.server for one in other.state.view.groups]
+            ),
+            "the lost group out of the view",
+        )
+
+    run_world(scenario, nodes=2)
+
+
+def test_callers_are_told_the_nodes_that_take_them() -> None:
+    async def scenario(world: World) -> None:
+        node = world.nodes[0]
+        wanted = sorted(one.own.callers_address for one in world.nodes)
+
+        async def ask() -> dict[str, object]:
+            reply = await exchange(
+                node.directory_address,
+                b"GET /resolve?name=x&region=r&zone=a HTTP/1.1\r\n"
+                b"Host: x\r\nConnection: close\r\n\r\n",
+            )
+            head, _, body = reply.partition(b"\r\n\r\n")
+            assert_that(head, Contains(b" 200 "))
+            answer: dict[str, object] = json.loads(body)
+            return answer
+
+        answer = await ask()
+        while answer["addresses"] != wanted:
+            await asyncio.sleep(0.05)
+            answer = await ask()
+        assert_that(answer, Contains("ttl_s"))
+
+    run_world(scenario, nodes=3)
+
+
+def test_a_node_that_stops_finishes_what_it_has() -> None:
+    async def scenario(world: World) -> None:
+        headers = world.make_headers(X_Token_Count="10,40")
+        call = asyncio.ensure_future(world.call("/draft/x", headers=headers))
+        await world.wait(
+            lambda: bool(world.find_runs(headers["X-Request-Id"])), "it runs"
+        )
+        stopping = asyncio.ensure_future(world.nodes[0].stop())
+        ready = await exchange(
+            world.nodes[0].ready_address,
+            b"GET /ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n",
+        )
+        assert_that(ready, Contains(b" 503 "))
+        late = await world.call("/draft/x")
+        assert_that(late.headers, Contains("X-Server-Stamp"))
+        assert_that(late.headers["Connection"], Equals("close"))
+        answer = await call
+        whole = make_events(headers["X-Request-Id"], 40)
+        assert_that(answer.body, Equals(whole))
+        await stopping
+
+    run_world(scenario)
+
+
+def test_no_key_reaches_a_log_line(capsys: pytest.CaptureFixture[str]) -> None:
+    async def scenario(world: World) -> None:
+        await world.call("/draft/x")
+
+    run_world(scenario)
+    captured = capsys.readouterr()
+    assert_that(captured.out + captured.err, Not(Contains(KEY)))
--- /dev/null
+++ b/test/platform/test_adapter.py
@@ -0,0 +1,301 @@
+"""Settings, configuration, entries and headers, decoded and encoded."""
+
+from typing import Any
+
+import msgspec
+import pytest
+from returns.result import Failure, Success
+from testtools.assertions import assert_that
+from testtools.matchers import Contains, ContainsDict, Equals, Is, Not
+
+from chervilrock.decisions.serving.messages import Onward
+from chervilrock.decisions.serving.orders import Close, Join, Leave, Open
+from chervilrock.decisions.serving.site import (
+    Membership,
+    MemberState,
+    RouteKind,
+)
+from chervilrock.platform import directory
+from chervilrock.platform.engines import encode_order
+from chervilrock.platform.headers import (
+    make_caller_headers,
+    make_onward_headers,
+    read_answer,
+    read_request,
+)
+from chervilrock.platform.operator import decode_configuration
+from chervilrock.platform.servers import decode_server
+from chervilrock.platform.settings import decode_settings, read_settings
+from chervilrock.platform.store import encode_record, parse_page
+from chervilrock.standin.site.site import make_configuration, make_node_file
+
+
+@pytest.fixture
+def node_file() -> dict[str, Any]:
+    """A settings file as the platform writes it."""
+    return make_node_file(node="n1", store_address="127.0.0.1:1")
+
+
+def test_settings_are_decoded_into_seconds(node_file: dict[str, Any]) -> None:
+    settings = decode_settings(node_file, metrics_port=9).unwrap()
+    assert_that(settings.node, Equals("n1"))
+    assert_that(settings.stop_within_s, Equals(8.0))
+    assert_that(settings.stall_s, Equals(6.0))
+    assert_that(settings.metrics_port, Equals(9))
+
+
+def test_unknown_fields_are_passed_over(node_file: dict[str, Any]) -> None:
+    node_file["new_field"] = {"a": 1}
+    assert_that(isinstance(decode_settings(node_file), Success), Is(True))
+
+
+@pytest.mark.parametrize(
+    ("field", "value", "finding"),
+    [
+        ("node_name", 7, "node_name"),
+        ("ip", None, "ip"),
+        ("internal_ports", [], "internal_ports"),
+        ("zones", "a", "zones"),
+        ("listen", {"front": "no port"}, "listen.front"),
+        ("provider", {}, "provider.address"),
+        ("bounds", {"grace_s": -1}, "bounds.grace_s"),
+        ("bounds", {"grace_s": True}, "bounds.grace_s"),
+    ],
+)
+def test_each_wrong_setting_is_found_with_its_place(
+    node_file: dict[str, Any], field: str, value: object, finding: str
+) -> None:
+    node_file[field] = value
+    result = decode_settings(node_file)
+    assert isinstance(result, Failure)
+    assert_that([one.field for one in result.failure()], Contains(finding))
+
+
+def test_all_wrong_settings_are_found_together() -> None:
+    result = decode_settings({})
+    assert isinstance(result, Failure)
+    found = {one.field for one in result.failure()}
+    wanted = {"node_name", "zone", "ip", "listen.front", "provider.address"}
+    assert_that(found.issuperset(wanted), Is(True))
+
+
+def test_a_file_that_is_not_there_is_a_finding(tmp_path: Any) -> None:
+    path = str(tmp_path / "none.toml")
+    result = read_settings(path)
+    assert isinstance(result, Failure)
+    assert_that(result.failure()[0].field, Equals(path))
+
+
+def test_a_configuration_is_decoded() -> None:
+    document = msgspec.json.encode(make_configuration(9))
+    configuration = decode_configuration(document).unwrap()
+    draft, book, look = configuration.routes
+    assert_that(configuration.revision, Equals(9))
+    assert_that(draft.kind, Is(RouteKind.STREAM))
+    assert_that(draft.is_resumable, Is(True))
+    assert_that(draft.longest_pause_s, Equals(0.3))
+    assert_that(book.kind, Is(RouteKind.ONCE))
+    assert_that(book.may_repeat, Is(False))
+    assert_that(look.may_repeat, Is(True))
+    assert configuration.keys is not None
+    assert_that(configuration.keys["key-one"].name, Equals("brokers"))
+    engine = configuration.services["drafts"].engine
+    assert engine is not None
+    assert_that(engine.models["large"].size, Equals(2))
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"routes": [{"name": "half"}]},
+        {"version": "x"},
+        {
+            "routes": [
+                {
+                    "name": "a",
+                    "host": "h",
+                    "path_prefix": "/",
+                    "route_type": "odd",
+                    "timeout_ms": 1,
+                    "service": "s",
+                }
+            ]
+        },
+        {
+            "routes": [
+                {
+                    "name": "a",
+                    "host": "h",
+                    "path_prefix": "/",
+                    "route_type": "idempotent",
+                    "timeout_ms": 1,
+                }
+            ]
+        },
+    ],
+)
+def test_a_wrong_configuration_is_refused(change: dict[str, Any]) -> None:
+    document = msgspec.json.encode(make_configuration(9) | change)
+    assert_that(isinstance(decode_configuration(document), Failure), Is(True))
+
+
+def test_without_tenants_no_key_is_asked_for() -> None:
+    document = make_configuration(9)
+    del document["tenants"]
+    decoded = decode_configuration(msgspec.json.encode(document)).unwrap()
+    assert_that(decoded.keys is None, Is(True))
+
+
+def test_an_entry_of_a_member_is_decoded() -> None:
+    entry = {
+        "service": "s",
+        "address": "10.0.0.1:1",
+        "zone": "a",
+        "slots": 13,
+        "state": "draining",
+        "domain": 3,
+        "staged": ["m"],
+        "group": {"name": "g", "epoch": 7, "rank": 1, "state": "open"},
+    }
+    server = decode_server("i-1", msgspec.json.encode(entry)).unwrap()
+    assert_that(server.is_leaving, Is(True))
+    assert_that(server.domain, Equals("3"))
+    wanted = Membership("g", 7, 1, MemberState.OPEN)
+    assert_that(server.membership == wanted, Is(True))
+
+
+@pytest.mark.parametrize("entry", [b"", b"[]", b"{}", b'{"service": 1}'])
+def test_a_wrong_entry_is_refused(entry: bytes) -> None:
+    assert_that(isinstance(decode_server("i-1", entry), Failure), Is(True))
+
+
+def test_records_of_a_page_are_parsed() -> None:
+    records = encode_record("a", b"one") + encode_record("b", b"")
+    page = parse_page(bytes(16) + records, 40).unwrap()
+    assert page is not None
+    parsed = [(one.key, one.value, one.offset) for one in page.records]
+    assert_that(parsed, Equals([("a", b"one", 40), ("b", b"", 41)]))
+    assert_that(page.next_offset, Equals(42))
+
+
+@pytest.mark.parametrize("cut", range(1, 25))
+def test_a_page_that_is_cut_off_is_no_page(cut: int) -> None:
+    whole = bytes(16) + encode_record("key", b"value")
+    result = parse_page(whole[:-cut], 0)
+    is_empty = cut == len(whole) - 16
+    assert_that(isinstance(result, Failure), Is(not is_empty))
+
+
+def test_orders_are_encoded() -> None:
+    join = encode_order(Join("g", 3, "m", ("a", "b")))
+    assert_that(
+        join,
+        Equals(
+            {
+                "op": "join",
+                "group": "g",
+                "epoch": 3,
+                "model": "m",
+                "members": ("a", "b"),
+            }
+        ),
+    )
+    kinds = [
+        encode_order(order)["op"]
+        for order in (Open("g", 3), Close("g", 3), Leave("g", 3))
+    ]
+    assert_that(kinds, Equals(["open", "close", "leave"]))
+
+
+def test_headers_of_a_request_are_read() -> None:
+    facts = read_request(
+        [
+            ("X-Request-Id", "ab"),
+            ("api-key", " k "),
+            ("X-Deadline-Ms", "1500"),
+            ("X-Model", "m"),
+            ("X-Token-Count", "1460,80"),
+        ]
+    )
+    assert_that(facts.key, Equals("k"))
+    assert_that(facts.deadline_s == 1.5, Is(True))
+    assert_that((facts.prompt_tokens, facts.output_tokens), Equals((1460, 80)))
+
+
+@pytest.mark.parametrize("value", ["", "-5", "1e3", "x", "\u0663"])
+def test_a_malformed_deadline_is_none(value: str) -> None:
+    facts = read_request([("X-Deadline-Ms", value)])
+    assert_that(facts.deadline_s is None, Is(True))
+
+
+def test_headers_go_on_without_those_of_the_connection_and_the_key() -> None:
+    pairs = [
+        ("Host", "h"),
+        ("Connection", "keep-alive, X-Hop"),
+        ("X-Hop", "1"),
+        ("Transfer-Encoding", "chunked"),
+        ("Api-Key", "secret"),
+        ("X-Tenant", "forged"),
+        ("X-Model", "m"),
+        ("Last-Event-Id", "3"),
+    ]
+    onward = Onward("i-1", "brokers", 1.25, "7", 2)
+    sent = make_onward_headers(pairs, onward)
+    assert_that(
+        dict(sent),
+        Equals(
+            {
+                "Host": "h",
+                "X-Model": "m",
+                "X-Deadline-Ms": "1250",
+                "X-Expect-Instance": "i-1",
+                "X-Tenant": "brokers",
+                "Last-Event-Id": "7",
+                "X-Request-Urgency": "2",
+            }
+        ),
+    )
+    assert_that(len(sent), Equals(len(dict(sent))))
+
+
+def test_an_answer_is_read() -> None:
+    facts = read_answer(
+        200,
+        [
+            ("Content-Type", "text/event-stream"),
+            ("X-Server-Stamp", "s"),
+            ("X-Request-Id", "ab"),
+        ],
+    )
+    assert_that(facts.has_receipt, Is(True))
+    assert_that(facts.is_stream, Is(True))
+    assert_that(facts.is_not_run, Is(False))
+
+
+@pytest.mark.parametrize(
+    ("status", "pairs", "is_not_run"),
+    [
+        (503, [], False),
+        (503, [("X-Not-Executed", "1")], True),
+        (421, [], True),
+        (500, [], False),
+    ],
+)
+def test_only_a_proof_says_that_a_request_did_not_run(
+    status: int, pairs: list[tuple[str, str]], is_not_run: bool
+) -> None:
+    assert_that(read_answer(status, pairs).is_not_run, Is(is_not_run))
+
+
+def test_an_answer_goes_back_without_headers_of_its_connection() -> None:
+    pairs = [("Connection", "close"), ("Content-Length", "3"), ("A", "b")]
+    assert_that(list(make_caller_headers(pairs)), Equals([("A", "b")]))
+
+
+def test_addresses_are_bounded() -> None:
+    many = [f"10.0.0.{number}:1" for number in range(100)]
+    answer = msgspec.json.decode(directory.encode_addresses(many, 1.0))
+    assert_that(len(answer["addresses"]), Equals(directory.MAX_ADDRESSES))
+    assert_that(answer, ContainsDict({"ttl_s": Equals(1.0)}))
+    assert_that(directory.read_data_centre({"zone": "a"}), Equals("a"))
+    assert_that(directory.read_data_centre({}), Not(Equals("a")))
--- /dev/null
+++ b/test/platform/test_names.py
@@ -0,0 +1,68 @@
+"""Only the adapter and the stand-ins know the names of the platform."""
+
+import pathlib
+import re
+
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, HasLength
+
+PACKAGE = pathlib.Path(__file__).resolve().parents[2] / "chervilrock"
+KNOWING = ("platform", "standin")
+
+NAMES = (
+    "X-Server-Stamp",
+    "X-Expect-Instance",
+    "X-Expect-Version",
+    "X-Not-Executed",
+    "X-Prompt-Prefix",
+    "X-Token-Count",
+    "X-Tenant",
+    "X-Instance-Id",
+    "X-Weight-Versions",
+    "X-Request-Urgency",
+    "Api-Key",
+    "log-append",
+    "log-read",
+    "log-newest",
+    "log-join",
+    "keyed\\.",
+    "path_prefix",
+    "route_type",
+    "slo_target_ms",
+    "gap_aim_ms",
+    "auth_exempt",
+    "warmup_left_ms",
+    "heartbeat_ms",
+    "close_mode",
+    "kv_total",
+    "per_seq_ms",
+    "retry_budget_ratio",
+    "internal_ports",
+    "/resolve",
+)
+
+
+@pytest.fixture(scope="module")
+def sources() -> dict[str, str]:
+    """The modules that must not know the names."""
+    return {
+        str(path.relative_to(PACKAGE)): path.read_text(encoding="utf-8")
+        for path in sorted(PACKAGE.rglob("*.py"))
+        if path.relative_to(PACKAGE).parts[0] not in KNOWING
+    }
+
+
+@pytest.mark.parametrize("name", NAMES)
+def test_no_other_module_knows_a_name(
+    sources: dict[str, str], name: str
+) -> None:
+    pattern = re.compile(name, re.IGNORECASE)
+    found = [path for path, text in sources.items() if pattern.search(text)]
+    assert_that(found, HasLength(0))
+
+
+def test_the_modules_are_found(sources: dict[str, str]) -> None:
+    serving = [path for path in sources if "serving" in path]
+    assert_that(len(serving) > 20, Equals(True))
+    assert_that([p for p in sources if p.startswith("platform")], HasLength(0))
