Be back at once after all processes were killed

Standby hosts that a new leader found loading were taken apart after 6 s. Change: a new process in the place of the leader tells that the leader is gone; whole groups are found in the first step; hosts that load get the time of a load.

--- a/chervilrock/decisions/serving/controller.py
+++ b/chervilrock/decisions/serving/controller.py
@@ -56,9 +56,6 @@
 ADOPT_S = 0.3
 """Time for the entries of all members of a group that was found to come."""
 
-STEP_S = 0.1
-"""Longest time between two steps of the leader."""
-
 JOIN_S = 0.2
 """Time of a join when the weights are in memory."""
 
@@ -93,6 +90,9 @@
 """Part of the time that loads take before the first request."""
 
 
+REPORT_AGE_S = 0.6
+"""Greatest age of a report; servers tell some hundred milliseconds."""
+
 SURE_S = 1.0
 """Time for which a group that was found whole is not doubted again."""
 
@@ -117,6 +117,8 @@
         self._groups: dict[str, ManagedGroup] = {}
         self._cleared: set[tuple[str, int]] = set()
         self._left: set[tuple[str, int]] = set()
+        self._left_at: dict[str, float] = {}
+        self._obeyed: dict[str, int] = {}
         self._heard_of: set[str] = set()
         self._reported: dict[str, Membership | None] = {}
         self._loaded: dict[str, str] = {}
@@ -200,7 +202,7 @@
         self._asking.discard(server)
         if report is not None:
             self._answered = now
-            self._take_report(server, report)
+            self._take_report(server, report, now)
         for group in list(self._groups.values()):
             if server not in group.members:
                 continue
@@ -273,9 +275,10 @@
     def has_looked(self, now: float) -> bool:
         """Tell whether the groups of an earlier leader were found.
 
-        Until then the view of that leader is the better one.
+        Until then the view of that leader is the better one. Whole groups are
+        found in the first step after the entries were read.
         """
-        return now - self._began > ADOPT_S + STEP_S
+        return now > self._began
 
     def describe(self) -> list[dict[str, object]]:
         """Return the groups for a dump of the state."""
@@ -318,8 +321,16 @@
             return entry
         return entry._replace(membership=reported)
 
-    def _take_report(self, server: str, report: ServerReport) -> None:
+    def _take_report(
+        self, server: str, report: ServerReport, now: float
+    ) -> None:
         """Replace what the entry of a server says, which may be old."""
+        left_at = self._left_at.get(server)
+        if left_at is not None:
+            if report.membership is None:
+                self._obeyed[server] = report.obeyed
+            elif now - left_at > REPORT_AGE_S:
+                self._note_rejoined(server, report.membership, now)
         self._heard_of.add(server)
         self._reported[server] = report.membership
         entry = self._servers.get(server)
@@ -330,6 +341,17 @@
         if report.membership is not None:
             self._note_membership(server, report.membership)
 
+    def _note_rejoined(
+        self, server: str, membership: Membership, now: float
+    ) -> None:
+        """Take that a host obeyed a late order to join the group it left."""
+        self._left.discard((server, membership.epoch))
+        del self._left_at[server]
+        self._obeyed.pop(server, None)
+        for group in self._groups.values():
+            if group.phase is Phase.FORMING and server in group.members:
+                self._clear(group, f"{server} has joined another one", now)
+
     def _note_join(
         self,
         group: ManagedGroup,
@@ -337,12 +359,16 @@
         reply: OrderReply | None,
         now: float,
     ) -> None:
+        if reply is OrderReply.CONFLICT:
+            self._obeyed.pop(server, None)
         if reply is OrderReply.DONE:
             group.ready.add(server)
             self._loaded[server] = group.model
         if reply in (OrderReply.STARTED, OrderReply.DONE):
             group.joined.add(server)
             self._heard_of.add(server)
+            self._left_at.pop(server, None)
+            self._obeyed.pop(server, None)
             order = Join(group.name, group.epoch, group.model, group.members)
             until = max(group.due, now + ASK_S)
             self._retry[server] = _Pause(order, until)
@@ -380,8 +406,11 @@
             # A conflict means that the server is not in this group.
             group.awaited.discard(server)
             self._left.add((server, group.epoch))
+            self._left_at[server] = now
             if server == group.head and group.has_head:
                 group.head_out = True
+                for member in group.members:
+                    self._left_at.pop(member, None)
 
     def _engine_of(self, group: ManagedGroup) -> EngineProfile | None:
         if self._configuration is None:
@@ -477,10 +506,23 @@
                 found.setdefault(key, []).append(server)
         for key, servers in found.items():
             since = self._found.setdefault(key, now)
-            if now - since >= ADOPT_S:
+            if self._is_whole(servers) or now - since >= ADOPT_S:
                 del self._found[key]
                 self._adopt_group(key, servers, now)
 
+    def _is_whole(self, servers: list[BackendServer]) -> bool:
+        """Tell whether servers are all members of a group."""
+        memberships = [
+            one.membership for one in servers if one.membership is not None
+        ]
+        engine = self._find_engine(servers[0])
+        name = groupnames.parse_name(memberships[0].group)
+        if name is None or engine is None:
+            return False
+        shape = engine.models.get(name.model)
+        size = 1 if name.is_standby or shape is None else shape.size
+        return sorted(one.rank for one in memberships) == list(range(size))
+
     def _adopt_group(
         self, key: tuple[str, int], servers: list[BackendServer], now: float
     ) -> None:
@@ -494,8 +536,6 @@
             for server in servers
             if server.membership is not None
         )
-        shape = engine.models.get(name.model)
-        size = 1 if name.is_standby or shape is None else shape.size
         group = ManagedGroup(
             name=key[0],
             epoch=key[1],
@@ -513,7 +553,10 @@
             if server.membership is not None:
                 self._note_membership(server.server, server.membership)
         group.joined = set(group.members)
-        if [rank for rank, _ in ranked] != list(range(size)):
+        shape = engine.models.get(name.model)
+        if shape is not None:
+            group.due = now + shape.load_s
+        if not self._is_whole(servers):
             group.has_head = ranked[0][0] == 0
             self._clear(group, "members are missing", now)
             return
@@ -566,15 +609,32 @@
             group.move(phase, now)
             self._note(Step.READY, group)
             return self._move(group, now)
-        order = Join(group.name, group.epoch, group.model, group.members)
         effects: list[Effect] = []
         for server in group.members:
             if server not in group.ready:
-                # A server answers to a join that is done, which tells at once
-                # that it is ready; its report tells it 0.2 to 0.3 s later.
-                effects += self._command(server, order, now)
+                effects += self._order_join(group, server, now)
         return effects
 
+    def _order_join(
+        self, group: ManagedGroup, server: str, now: float
+    ) -> list[Effect]:
+        """Order a host to join, until it answers that this is done.
+
+        The answer to a join that is done tells at once that the host is
+        ready; its report tells it 0.2 to 0.3 s later.
+
+        A host that left a group whose head may still serve could obey a late
+        order to join that group once more. So it must have obeyed nothing
+        since it reported that it is in none.
+        """
+        join = Join(group.name, group.epoch, group.model, group.members)
+        if server not in self._left_at:
+            return self._command(server, join, now)
+        obeyed = self._obeyed.get(server)
+        if obeyed is None:
+            return self._ask(server, ASK_S, now)
+        return self._command(server, join._replace(expected=obeyed), now)
+
     def _open(self, group: ManagedGroup, now: float) -> list[Effect]:
         for server in group.members:
             entry = self._servers.get(server)
--- a/chervilrock/decisions/serving/leadership.py
+++ b/chervilrock/decisions/serving/leadership.py
@@ -73,7 +73,7 @@
         self._own = LeaderEntry(node=node, incarnation=incarnation)
         self._heard = now
         self._tried = float("-inf")
-        self._cut_since: float | None = None
+        self._lost_since: float | None = None
         self.claim: Claim | None = None
 
     @property
@@ -97,7 +97,7 @@
             return False
         self.claim = claim
         self._heard = now
-        self._cut_since = None
+        self._lost_since = None
         return True
 
     def note_announcement(self, term: int, *, is_cut: bool, now: float) -> None:
@@ -112,13 +112,26 @@
             return
         self._heard = now
         if not is_cut:
-            self._cut_since = None
-        elif self._cut_since is None:
-            self._cut_since = now
+            self._lost_since = None
+        else:
+            self.note_lost(now)
 
-    def note_lost(self) -> None:
-        """Note that the leader said that it stops."""
-        self._heard = float("-inf")
+    def note_lost(self, now: float) -> None:
+        """Note that the leader stops, or that its process was replaced."""
+        if self._lost_since is None:
+            self._lost_since = now
+
+    def note_node(self, entry: LeaderEntry, now: float) -> None:
+        """Note that a process of a node has registered.
+
+        A new process in the place of the leader tells that it is gone. After
+        all processes were killed this saves 0.75 s of silence.
+        """
+        claim = self.claim
+        if claim is None or entry.node != claim.entry.node:
+            return
+        if entry.incarnation != claim.entry.incarnation:
+            self.note_lost(now)
 
     def note_try(self, now: float) -> None:
         """Note that this node tried to claim."""
@@ -135,7 +148,7 @@
         if self.is_leader or now - self._tried < CLAIM_PAUSE_S:
             return False
         turn_s = min(rank, LAST_RANK) * STEP_S
-        if self._cut_since is not None and now - self._cut_since > turn_s:
+        if self._lost_since is not None and now - self._lost_since > turn_s:
             return True
         silence_s = SILENT_INTERVALS * find_interval(nodes)
         return now - self._heard > silence_s + turn_s
--- a/chervilrock/decisions/serving/orders.py
+++ b/chervilrock/decisions/serving/orders.py
@@ -15,12 +15,15 @@
         has seen.
       model: model of the group.
       members: identifiers of all members, the head first.
+      expected: number of orders that the server must have obeyed so far, None
+        for any.
     """
 
     group: str
     epoch: int
     model: str
     members: tuple[str, ...]
+    expected: int | None = None
 
 
 class Open(NamedTuple):
@@ -73,6 +76,7 @@
     Attributes:
       membership: its group, None when it is in none.
       staged: models whose weights are on the host.
+      obeyed: number of orders that it has obeyed since its start.
       running: requests that run.
       waiting: requests that wait.
       pace: how slow it is; 1 is the usual pace.
@@ -80,6 +84,7 @@
 
     membership: Membership | None
     staged: tuple[str, ...]
+    obeyed: int
     running: int
     waiting: int
     pace: float
--- a/chervilrock/platform/engines.py
+++ b/chervilrock/platform/engines.py
@@ -38,6 +38,7 @@
 class _Report(msgspec.Struct):
     group: GroupField | None = None
     staged: list[str] = []
+    sequence: int = 0  # of the orders obeyed, not of the reports
     running: int = 0
     waiting: int = 0
     pace: float = 1.0
@@ -86,7 +87,10 @@
     """Return the body of an order."""
     match order:
         case Join():
-            return {"op": "join", **order._asdict()}
+            body = {"op": "join", **order._asdict()}
+            if order.expected is None:
+                del body["expected"]
+            return body
         case Open():
             return {"op": "open", **order._asdict()}
         case Close():
@@ -107,6 +111,7 @@
     return ServerReport(
         membership=decode_membership(report.group),
         staged=tuple(report.staged),
+        obeyed=report.sequence,
         running=report.running,
         waiting=report.waiting,
         pace=report.pace,
--- a/chervilrock/tasks/serving/node.py
+++ b/chervilrock/tasks/serving/node.py
@@ -406,12 +406,21 @@
                 elif not record.value:
                     known.pop(name, None)
                 elif record.key.startswith(_NODE_PREFIX):
-                    known[name] = _NODE_DECODER.decode(record.value)
+                    self._take_node(_NODE_DECODER.decode(record.value), now)
             except (msgspec.DecodeError, UnicodeDecodeError) as error:
                 emit(Event.RECORD_UNREADABLE, key=record.key, reason=str(error))
+        # This process may have taken the place of the leader itself.
+        self._leadership.note_node(self._leadership.own_entry, now)
         self._end = read.page.next_offset
         self._has_nodes = True
 
+    def _take_node(self, entry: NodeEntry, now: float) -> None:
+        """Know a process that has registered."""
+        self._state.known_nodes[entry.node] = entry
+        self._leadership.note_node(
+            LeaderEntry(entry.node, entry.incarnation), now
+        )
+
     def _take_claim(self, claim: Claim, now: float) -> None:
         if not self._leadership.note_claim(claim, now):
             return
@@ -475,8 +484,7 @@
             return
         if acknowledgement.node.incarnation != answered.incarnation:
             # A new process has the address; its record may come later.
-            entry = acknowledgement.node
-            self._state.known_nodes[entry.node] = entry
+            self._take_node(acknowledgement.node, now)
             return
         was_live = peer.acknowledgement is not None and peer.is_live(
             self._interval_s, now
@@ -521,7 +529,7 @@
             document = base64.b64decode(announcement.configuration)
             self._take_document(document, announcement.leader.node, now)
         if announcement.is_stopping:
-            self._leadership.note_lost()
+            self._leadership.note_lost(now)
         self._room.notify()
 
     def _use_view(self, view: ServingView, now: float) -> None:
--- a/test/decisions/serving/test_decisions.py
+++ b/test/decisions/serving/test_decisions.py
@@ -324,6 +324,15 @@
     assert_that(nodes[1].should_claim(1, 3, 0.6), Is(False))
 
 
+def test_a_leader_whose_process_was_replaced_is_lost_at_once() -> None:
+    leadership = Leadership(node="n", incarnation="i", now=0.0)
+    leadership.note_claim(Claim(5, LeaderEntry("m", "old")), 0.0)
+    leadership.note_node(LeaderEntry("o", "new"), 0.01)
+    assert_that(leadership.should_claim(0, 3, 0.02), Is(False))
+    leadership.note_node(LeaderEntry("m", "new"), 0.02)
+    assert_that(leadership.should_claim(0, 3, 0.03), Is(True))
+
+
 def test_a_claim_with_a_lower_term_is_passed_over() -> None:
     leadership = Leadership(node="n", incarnation="i", now=0.0)
     leadership.note_claim(Claim(7, LeaderEntry("m", "j")), 0.0)
