--- a/chervilrock/metrics.py
+++ b/chervilrock/metrics.py
@@ -1,6 +1,6 @@
 """Metrics of a process in the form of Prometheus.
 
-`docs/operations.md` explains each metric to operators; a test holds that both
+`docs/OPERATIONS.md` explains each metric to operators; a test holds that both
 agree. Values of labels that come from outside are bounded in number, so that
 no caller can fill the memory of a node.
 """
--- a/chervilrock/tasks/serving/node.py
+++ b/chervilrock/tasks/serving/node.py
@@ -65,8 +65,8 @@
 
 FOLLOW_PACE = Pace(wait_s=10.0, pause_s=0.1)
 """How nodes follow the other nodes and the leader: a call each ten seconds when
-nothing changes. With pauses of 0.3 s it took 0.55 s instead of 0.2 s after all
-processes were killed until one of them knew that the leader was gone."""
+nothing changes. With pauses of 0.3 s it took 0.55 s instead of 0.3 s after all
+processes were killed until one of them led."""
 
 CONFIGURATION_PACE = Pace(wait_s=5.0, pause_s=0.1)
 """The same for the configuration; a connection that has gone silent is found
--- a/chervilrock/ui/codes.py
+++ b/chervilrock/ui/codes.py
@@ -1,4 +1,4 @@
-"""Exit codes of the commands; `docs/operations.md` lists them."""
+"""Exit codes of the commands; `docs/OPERATIONS.md` lists them."""
 
 import enum
 
--- a/test/test_metrics.py
+++ b/test/test_metrics.py
@@ -14,7 +14,7 @@
 from chervilrock.metrics import Metrics, RequestOutcome, RetryKind
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
-PAGE = ROOT / "docs" / "operations.md"
+PAGE = ROOT / "docs" / "OPERATIONS.md"
 ROW = re.compile(r"^\| `(chervilrock_\w+)` \| (\w+) \| (.*?) ?\| .+ \|$", re.M)
 
 
--- a/test/ui/test_command_line.py
+++ b/test/ui/test_command_line.py
@@ -87,7 +87,7 @@
 
 
 def test_exit_codes_are_documented(run: Run) -> None:
-    page = (ROOT / "docs" / "operations.md").read_text(encoding="utf-8")
+    page = (ROOT / "docs" / "OPERATIONS.md").read_text(encoding="utf-8")
     ended = run("--help")
     helped = ended.out.partition("Exit codes:")[2]
     defined = [str(code.value) for code in ExitCode]
