Test the node command as a process, and the bounded log

Cause: the command, its settings and the log output had no test; a taken address ended with a stack; two gauges were never set. Change: a taken address is one line with exit code 1; gauges for the revision and the dropped lines; tests.

--- a/chervilrock/node/serving.py
+++ b/chervilrock/node/serving.py
@@ -1,6 +1,7 @@
 """A node on the platform of the users, assembled from tasks and edges."""
 
 import asyncio
+from collections.abc import Callable
 import random
 import signal
 from typing import Any
@@ -63,13 +64,23 @@
 class ServingNode:
     """Sockets, tasks and edges of one process."""
 
-    def __init__(self, *, settings: NodeSettings) -> None:
+    def __init__(
+        self,
+        *,
+        settings: NodeSettings,
+        count_dropped_lines: Callable[[], int] = lambda: 0,
+    ) -> None:
         """Take the addresses of a node, which does not answer yet.
 
+        Args:
+          settings: its settings.
+          count_dropped_lines: returns the log lines that were dropped.
+
         Raises:
           OSError: an address is taken.
         """
         self._settings = settings
+        self._count_dropped_lines = count_dropped_lines
         ip = settings.ip
         self._callers_binding = _bind(settings.callers_address)
         self._ready_binding = _bind(settings.ready_address)
@@ -324,6 +335,10 @@
         metrics.running.set(len(self._callers.exchanges))
         metrics.waiting.set(len(self._room))
         metrics.leads.set(1 if self._task.is_leader else 0)
+        metrics.lines_dropped.set(self._count_dropped_lines())
+        routes = self._state.routes
+        if routes is not None:
+            metrics.revision.set(routes.configuration.revision)
         return Reply(
             status=200, body=metrics.render(), content_type=CONTENT_TYPE
         )
@@ -338,9 +353,13 @@
     return bind_address(ip, int(port))
 
 
-async def run(settings: NodeSettings) -> int:
+async def run(
+    settings: NodeSettings, count_dropped_lines: Callable[[], int]
+) -> int:
     """Run a node until SIGTERM or SIGINT and return the exit code."""
-    node = ServingNode(settings=settings)
+    node = ServingNode(
+        settings=settings, count_dropped_lines=count_dropped_lines
+    )
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
--- a/chervilrock/ui/node.py
+++ b/chervilrock/ui/node.py
@@ -55,7 +55,11 @@
         return ExitCode.FINDINGS
     from chervilrock.node import serving
 
-    return asyncio.run(serving.run(result.unwrap()))
+    try:
+        return asyncio.run(serving.run(result.unwrap(), lambda: output.dropped))
+    except OSError as error:
+        events.emit(Event.SETTING_REFUSED, setting="listen", reason=str(error))
+        return ExitCode.FINDINGS
 
 
 def parse_arguments(arguments: Sequence[str]) -> int | None:
--- a/test/test_metrics.py
+++ b/test/test_metrics.py
@@ -12,6 +12,7 @@
 from chervilrock.generated.interfaces import NodePhase
 from chervilrock.generated.records import GroupPhase
 from chervilrock.metrics import Metrics, RequestOutcome, RetryKind
+from chervilrock.serving_metrics import ServingMetrics
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 PAGE = ROOT / "docs" / "OPERATIONS.md"
@@ -109,17 +110,22 @@
 
 
 def test_page_agrees_with_the_metrics(metrics: Metrics) -> None:
+    serving = ServingMetrics()
     documented = {
         (name, kind, tuple(re.findall(r"`(\w+)`", labels)))
         for name, kind, labels in ROW.findall(PAGE.read_text(encoding="utf-8"))
     }
     wrappers = [
         value
-        for value in vars(metrics).values()
+        for value in (*vars(metrics).values(), *vars(serving).values())
         if isinstance(value, MetricWrapperBase)
     ]
     defined = {describe(wrapper) for wrapper in wrappers}
-    registered = {family.name for family in metrics.registry.collect()}
+    registered = {
+        family.name
+        for registry in (metrics.registry, serving.registry)
+        for family in registry.collect()
+    }
     named = {wrapper._name for wrapper in wrappers}
     strangers = {n for n in registered - named if n.startswith("chervilrock")}
     assert_that(documented, Equals(defined))
--- /dev/null
+++ b/test/ui/test_node_command.py
@@ -0,0 +1,112 @@
+"""The command `node` as a process."""
+
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Contains, Equals
+
+from chervilrock.platform.settings import VARIABLE
+from chervilrock.ui.node import parse_arguments
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+WAIT_S = 60.0
+
+SETTINGS = """
+node_name = "n1"
+zone = "a"
+ip = "127.0.0.1"
+region = "r"
+internal_ports = [0, 0]
+[zones]
+a = "r"
+[listen]
+front = "127.0.0.1:0"
+ready = "127.0.0.1:0"
+directory = "127.0.0.1:0"
+[provider]
+address = "127.0.0.1:1"
+"""
+
+
+def start(path: str, *arguments: str) -> "subprocess.Popen[str]":
+    """Start the command with a settings file."""
+    return subprocess.Popen(
+        [sys.executable, "-m", "chervilrock", "node", *arguments],
+        cwd=ROOT,
+        env=os.environ | {VARIABLE: path},
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+        text=True,
+    )
+
+
+def test_a_node_serves_until_it_is_told_to_stop(
+    tmp_path: pathlib.Path,
+) -> None:
+    path = tmp_path / "settings.toml"
+    path.write_text(SETTINGS)
+    process = start(str(path))
+    assert process.stdout is not None
+    first = json.loads(process.stdout.readline())
+    assert_that(first["event"], Equals("serving-started"))
+    process.send_signal(signal.SIGHUP)
+    line = json.loads(process.stdout.readline())
+    while line["event"] != "settings-reloaded":
+        line = json.loads(process.stdout.readline())
+    process.send_signal(signal.SIGTERM)
+    output, _ = process.communicate(timeout=WAIT_S)
+    assert_that(process.returncode, Equals(0))
+    events = [json.loads(one)["event"] for one in output.splitlines()]
+    assert_that(events[-1], Equals("serving-stopped"))
+
+
+def test_all_wrong_settings_are_told_and_the_process_ends(
+    tmp_path: pathlib.Path,
+) -> None:
+    path = tmp_path / "settings.toml"
+    path.write_text(SETTINGS.replace('"n1"', "7").replace(":1", ""))
+    process = start(str(path))
+    output, _ = process.communicate(timeout=WAIT_S)
+    assert_that(process.returncode, Equals(1))
+    found = [json.loads(line)["setting"] for line in output.splitlines()]
+    assert_that(sorted(found), Equals(["node_name", "provider.address"]))
+
+
+def test_a_taken_address_is_one_line(tmp_path: pathlib.Path) -> None:
+    path = tmp_path / "settings.toml"
+    path.write_text(SETTINGS.replace('front = "127', 'front = "203.0.113'))
+    process = start(str(path))
+    output, errors = process.communicate(timeout=WAIT_S)
+    assert_that(process.returncode, Equals(1))
+    (line,) = output.splitlines()
+    assert_that(json.loads(line)["event"], Equals("setting-refused"))
+    assert_that(errors, Equals(""))
+
+
+@pytest.mark.parametrize("arguments", [["x"], ["--metrics-port", "x"]])
+def test_wrong_arguments_are_told(
+    tmp_path: pathlib.Path, arguments: list[str]
+) -> None:
+    process = start(str(tmp_path / "none"), *arguments)
+    _, errors = process.communicate(timeout=WAIT_S)
+    assert_that(process.returncode, Equals(2))
+    assert_that(errors, Contains("Usage: chervilrock node"))
+
+
+@pytest.mark.parametrize(
+    ("arguments", "port"),
+    [
+        ([], 0),
+        (["--metrics-port", "9"], 9),
+        (["--metrics-port"], None),
+        (["x"], None),
+    ],
+)
+def test_arguments_are_parsed(arguments: list[str], port: int | None) -> None:
+    assert_that(parse_arguments(arguments) == port, Equals(True))
