Split what the leader knows of hosts and orders from its decisions

In the soak a leader that stopped was replaced only after 0.75 s: the announcements that it went on sending took back that it stops. Change: hosts.py holds entries and reports, dispatch.py what is under way. A leader says that it stops in each announcement.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -45,6 +45,9 @@
 CALLERS = 12
 TIMEOUT_S = 5.0
 EVENTS = 12
+PORTS = (16_000, 32_000)
+"""Range of the ports of nodes."""
+
 RESTART_S = 0.5
 """Time between two looks for processes that have ended."""
 
@@ -82,7 +85,7 @@
     """A node process and its settings, which keep their ports."""
 
     def __init__(self, *, folder: pathlib.Path, name: str, store: str) -> None:
-        ports = _find_ports()
+        ports = _find_ports(random.Random())
         self.address = f"127.0.0.1:{ports['callers']}"
         self._path = folder / f"{name}.toml"
         document = make_node_file(node=name, store_address=store, ports=ports)
@@ -358,18 +361,20 @@
     return link
 
 
-def _find_ports() -> dict[str, int]:
-    """Return free ports, so that a process that comes back keeps its own."""
-    held = []
-    for _ in range(4):
-        one = socket.socket()
-        one.bind(("127.0.0.1", 0))
-        held.append(one)
-    ports = [one.getsockname()[1] for one in held]
-    for one in held:
-        one.close()
-    names = ("callers", "ready", "directory", "peers")
-    return dict(zip(names, ports, strict=True))
+def _find_ports(generator: random.Random) -> dict[str, int]:
+    """Return free ports, so that a process that comes back keeps its own.
+
+    They lie below those that the kernel gives to outgoing connections, one of
+    which may take the port of a process that is down.
+    """
+    ports: dict[str, int] = {}
+    for name in ("callers", "ready", "directory", "peers"):
+        while name not in ports:
+            port = generator.randrange(*PORTS)
+            with contextlib.suppress(OSError), socket.socket() as trial:
+                trial.bind(("127.0.0.1", port))
+                ports[name] = port
+    return ports
 
 
 def _render(document: dict[str, object]) -> str:
--- a/chervilrock/decisions/serving/controller.py
+++ b/chervilrock/decisions/serving/controller.py
@@ -8,15 +8,13 @@
 """
 
 from collections.abc import Iterable, Mapping
-from typing import NamedTuple
 
 from chervilrock.decisions.serving import groupnames
 from chervilrock.decisions.serving.composition import compose
+from chervilrock.decisions.serving.dispatch import Dispatcher
 from chervilrock.decisions.serving.effects import (
-    Command,
     Effect,
     GroupNote,
-    Question,
     Step,
 )
 from chervilrock.decisions.serving.groups import (
@@ -24,6 +22,7 @@
     Phase,
     READY_STATES,
 )
+from chervilrock.decisions.serving.hosts import DARK_S, HostBook
 from chervilrock.decisions.serving.orders import (
     Close,
     Join,
@@ -83,35 +82,15 @@
 of the group are silent as well, one is enough: with two of them a repair took
 0.18 s longer."""
 
-DARK_S = 2.0
-"""Time for which a server that does not answer gets no new group."""
-
-SLOW_PACE = 2.0
-"""Factor on the times of a server from which it counts as slow. A group runs
-at the pace of its slowest host, and a group that is twice as slow misses the
-longest pause that counts as on time."""
-
-SLOW_S = 6.0
-"""Time for which a slow server gets no new group; then it is asked again."""
 
 WARM_UP_FACTOR = 0.1
 """Part of the time that loads take before the first request."""
 
 
-REPORT_AGE_S = 0.6
-"""Greatest age of a report; servers tell some hundred milliseconds."""
-
 SURE_S = 1.0
 """Time for which a group that was found whole is not doubted again."""
 
 
-class _Pause(NamedTuple):
-    """An order that is not given again until some time."""
-
-    order: Order
-    until: float
-
-
 class Controller:
     """Groups and servers as the leader knows them."""
 
@@ -120,27 +99,11 @@
         self._term = term
         self._number = 0
         self._configuration: SiteConfiguration | None = None
-        self._servers: dict[str, BackendServer] = {}
-        self._former: dict[str, BackendServer] = {}
+        self._hosts = HostBook()
+        self._dispatcher = Dispatcher()
         self._groups: dict[str, ManagedGroup] = {}
-        self._cleared: set[tuple[str, int]] = set()
-        self._left: set[tuple[str, int]] = set()
-        self._left_at: dict[str, float] = {}
-        self._obeyed: dict[str, int] = {}
-        self._heard_of: set[str] = set()
-        self._reported: dict[str, Membership | None] = {}
-        self._loaded: dict[str, str] = {}
-        self._dark: dict[str, float] = {}
-        self._slow: dict[str, float] = {}
-        self._pending: dict[str, Order] = {}
-        self._retry: dict[str, _Pause] = {}
-        self._asked: dict[str, float] = {}
-        self._asking: set[str] = set()
         self._needs_witness = False
         self._found: dict[tuple[str, int], float] = {}
-        self._began = float("inf")
-        self._answered = float("-inf")
-        self._last_new = float("-inf")
         self._last_load = float("-inf")
         self._has_traffic = False
         self._notes: list[GroupNote] = []
@@ -155,24 +118,13 @@
 
     def note_server(self, server: BackendServer, now: float) -> None:
         """Take the entry of a server."""
-        if server.server not in self._servers:
-            self._last_new = now
-        self._began = min(self._began, now)
-        server = self._correct(server)
-        self._servers[server.server] = server
-        membership = server.membership
-        if membership is None:
-            return
-        name = groupnames.parse_name(membership.group)
-        if name is not None and membership.state is not MemberState.JOINING:
-            self._loaded[server.server] = name.model
-        self._note_membership(server.server, membership)
+        membership = self._hosts.take_entry(server, now)
+        if membership is not None:
+            self._note_membership(server.server, membership)
 
     def note_gone(self, server: str) -> None:
         """Take that the entry of a server was removed."""
-        gone = self._servers.pop(server, None)
-        if gone is not None:
-            self._former[server] = gone
+        self._hosts.take_gone(server)
 
     def note_silent(self, name: str, now: float) -> None:
         """Take that the streams of a group have stopped."""
@@ -184,14 +136,12 @@
         self, server: str, order: Order, reply: OrderReply | None, now: float
     ) -> None:
         """Take the answer to an order, None when there was none."""
-        pending = self._pending.get(server)
-        if pending == order:
-            del self._pending[server]
+        self._dispatcher.note_reply(server, order)
         group = self._groups.get(order.group)
         if group is None or group.epoch != order.epoch:
             return
         wait = RESEND_S if reply is None else RETRY_S
-        self._retry[server] = _Pause(order, now + wait)
+        self._dispatcher.hold(server, order, now + wait)
         match order:
             case Join():
                 self._note_join(group, server, reply, now)
@@ -208,9 +158,8 @@
         self, server: str, report: ServerReport | None, now: float
     ) -> None:
         """Take the state of a server, None when it did not answer."""
-        self._asking.discard(server)
+        self._dispatcher.note_report(server)
         if report is not None:
-            self._answered = now
             self._take_report(server, report, now)
         for group in list(self._groups.values()):
             if server not in group.members:
@@ -240,7 +189,7 @@
         """Return the groups that take requests."""
         endpoints = []
         for group in self._groups.values():
-            head = self._servers.get(group.head)
+            head = self._hosts.servers.get(group.head)
             is_open = group.phase is Phase.SERVING and now >= group.served_at
             if not is_open or head is None or head.is_leaving:
                 continue
@@ -267,7 +216,7 @@
                 data_centre=server.data_centre,
                 slots=server.slots,
             )
-            for _, server in sorted(self._servers.items())
+            for _, server in sorted(self._hosts.servers.items())
             if not server.is_leaving and self._find_engine(server) is None
         )
 
@@ -287,7 +236,7 @@
         Until then the view of that leader is the better one. Whole groups are
         found in the first step after the entries were read.
         """
-        return now > self._began
+        return now > self._hosts.began
 
     def describe(self) -> list[dict[str, object]]:
         """Return the groups for a dump of the state."""
@@ -318,49 +267,17 @@
             return
         if server in group.members and membership.state in READY_STATES:
             group.ready.add(server)
-            self._loaded[server] = group.model
-
-    def _correct(self, entry: BackendServer) -> BackendServer:
-        """Put what a server reported itself in the place of older news."""
-        reported = self._reported.get(entry.server)
-        if reported is None:
-            return entry
-        told = entry.membership
-        if told is not None and told.epoch >= reported.epoch:
-            return entry
-        return entry._replace(membership=reported)
+            self._hosts.loaded[server] = group.model
 
     def _take_report(
         self, server: str, report: ServerReport, now: float
     ) -> None:
-        """Replace what the entry of a server says, which may be old."""
-        if report.pace >= SLOW_PACE:
-            self._slow[server] = now + SLOW_S
-        else:
-            self._slow.pop(server, None)
-        left_at = self._left_at.get(server)
-        if left_at is not None:
-            if report.membership is None:
-                self._obeyed[server] = report.obeyed
-            elif now - left_at > REPORT_AGE_S:
-                self._note_rejoined(server, report.membership, now)
-        self._heard_of.add(server)
-        self._reported[server] = report.membership
-        entry = self._servers.get(server)
-        if entry is not None:
-            self._servers[server] = entry._replace(
-                membership=report.membership, staged=report.staged
-            )
+        """Take the state of a server."""
+        has_rejoined = self._hosts.take_report(server, report, now)
         if report.membership is not None:
             self._note_membership(server, report.membership)
-
-    def _note_rejoined(
-        self, server: str, membership: Membership, now: float
-    ) -> None:
-        """Take that a host obeyed a late order to join the group it left."""
-        self._left.discard((server, membership.epoch))
-        del self._left_at[server]
-        self._obeyed.pop(server, None)
+        if not has_rejoined:
+            return
         for group in self._groups.values():
             if group.phase is Phase.FORMING and server in group.members:
                 self._clear(group, f"{server} has joined another one", now)
@@ -373,18 +290,16 @@
         now: float,
     ) -> None:
         if reply is OrderReply.CONFLICT:
-            self._obeyed.pop(server, None)
+            self._hosts.obeyed.pop(server, None)
         if reply is OrderReply.DONE:
             group.ready.add(server)
-            self._loaded[server] = group.model
+            self._hosts.loaded[server] = group.model
         if reply in (OrderReply.STARTED, OrderReply.DONE):
             group.joined.add(server)
-            self._heard_of.add(server)
-            self._left_at.pop(server, None)
-            self._obeyed.pop(server, None)
+            self._hosts.note_joined(server)
             order = Join(group.name, group.epoch, group.model, group.members)
             until = max(group.due, now + ASK_S)
-            self._retry[server] = _Pause(order, until)
+            self._dispatcher.hold(server, order, until)
         elif reply in (OrderReply.STALE, OrderReply.MISDIRECTED):
             reason = f"{server} refused to join: {reply.value}"
             self._clear(group, reason, now)
@@ -414,16 +329,14 @@
         if reply is None:
             failures = group.failures.get(server, 0) + 1
             group.failures[server] = failures
-            self._dark[server] = now + DARK_S
+            self._hosts.note_dark(server, now)
         elif reply is not OrderReply.INVALID:
             # A conflict means that the server is not in this group.
             group.awaited.discard(server)
-            self._left.add((server, group.epoch))
-            self._left_at[server] = now
+            self._hosts.note_left(server, group.epoch, now)
             if server == group.head and group.has_head:
                 group.head_out = True
-                for member in group.members:
-                    self._left_at.pop(member, None)
+                self._hosts.note_head_out(group.members)
 
     def _engine_of(self, group: ManagedGroup) -> EngineProfile | None:
         if self._configuration is None:
@@ -447,7 +360,7 @@
         group.failures_allowed = failures
         group.awaited = set(group.members)
         for server in group.members:
-            self._asked.pop(server, None)
+            self._dispatcher.forget_question(server)
         self._note(Step.DOUBTED, group, reason)
 
     def _clear(self, group: ManagedGroup, reason: str, now: float) -> None:
@@ -458,7 +371,7 @@
         group.failures = {}
         group.awaited = set(group.members)
         for server in group.members:
-            self._retry.pop(server, None)
+            self._dispatcher.release(server)
         self._note(Step.CLEARING, group, reason)
 
     def _judge_member(
@@ -470,17 +383,18 @@
     ) -> None:
         """Take the answer of a member of a doubted group."""
         if report is None:
-            if self._answered < self._asked.get(server, now):
+            asked = self._dispatcher.find_question(server, now)
+            if self._hosts.answered < asked:
                 # Nobody answered meanwhile, so it may be this node that is
                 # slow or cut off.
-                self._asked.pop(server, None)
+                self._dispatcher.forget_question(server)
                 self._needs_witness = True
                 return
             failures = group.failures.get(server, 0) + 1
             group.failures[server] = failures
-            self._asked.pop(server, None)
+            self._dispatcher.forget_question(server)
             if failures >= group.failures_allowed:
-                self._dark[server] = now + DARK_S
+                self._hosts.note_dark(server, now)
                 self._clear(group, f"{server} does not answer", now)
             return
         membership = report.membership
@@ -488,7 +402,7 @@
             self._clear(group, f"{server} is not a member", now)
         elif membership.state is MemberState.BROKEN:
             self._clear(group, f"{server} reports it broken", now)
-        elif self._is_slow(server, now) and self._has_standby(group, now):
+        elif self._hosts.is_slow(server, now) and self._has_standby(group, now):
             self._clear(group, f"{server} is slow", now)
         else:
             group.awaited.discard(server)
@@ -497,19 +411,16 @@
                 group.sure_until = now + SURE_S
                 self._note(Step.CONFIRMED, group)
 
-    def _is_slow(self, server: str, now: float) -> bool:
-        return self._slow.get(server, now) > now
-
     def _has_standby(self, group: ManagedGroup, now: float) -> bool:
         """Tell whether a host can take the place of one of a group."""
-        home = self._servers.get(group.head)
+        home = self._hosts.servers.get(group.head)
         for other in self._groups.values():
             if other.phase is not Phase.STANDBY or other.model != group.model:
                 continue
-            host = self._servers.get(other.head)
+            host = self._hosts.servers.get(other.head)
             if host is None or home is None or host.domain != home.domain:
                 continue
-            if not self._is_slow(other.head, now):
+            if not self._hosts.is_slow(other.head, now):
                 return True
         return False
 
@@ -528,7 +439,7 @@
     def _adopt(self, now: float) -> None:
         """Take the groups that an earlier leader has formed."""
         found: dict[tuple[str, int], list[BackendServer]] = {}
-        for server in self._servers.values():
+        for server in self._hosts.servers.values():
             membership = server.membership
             if membership is None:
                 continue
@@ -560,7 +471,7 @@
         name = groupnames.parse_name(key[0])
         engine = self._find_engine(servers[0])
         if name is None or engine is None:
-            self._cleared.add(key)
+            self._hosts.cleared.add(key)
             return
         ranked = sorted(
             (server.membership.rank, server)
@@ -595,7 +506,7 @@
 
     def _adopt_phase(self, group: ManagedGroup, now: float) -> None:
         """Find out where a group that was found whole stands."""
-        membership = self._servers[group.head].membership
+        membership = self._hosts.servers[group.head].membership
         state = MemberState.JOINING if membership is None else membership.state
         if group.is_standby:
             return
@@ -622,13 +533,13 @@
             case Phase.CLEARING:
                 return self._take_apart(group, now)
             case Phase.STANDBY:
-                if group.head not in self._servers:
+                if group.head not in self._hosts.servers:
                     self._remove(group)
                 return []
 
     def _form(self, group: ManagedGroup, now: float) -> list[Effect]:
         for server in group.members:
-            entry = self._servers.get(server)
+            entry = self._hosts.servers.get(server)
             if entry is None or entry.is_leaving:
                 self._clear(group, f"{server} is gone or leaves", now)
                 return []
@@ -659,16 +570,16 @@
         since it reported that it is in none.
         """
         join = Join(group.name, group.epoch, group.model, group.members)
-        if server not in self._left_at:
+        if not self._hosts.has_left_open_group(server):
             return self._command(server, join, now)
-        obeyed = self._obeyed.get(server)
+        obeyed = self._hosts.obeyed.get(server)
         if obeyed is None:
             return self._ask(server, ASK_S, now)
         return self._command(server, join._replace(expected=obeyed), now)
 
     def _open(self, group: ManagedGroup, now: float) -> list[Effect]:
         for server in group.members:
-            entry = self._servers.get(server)
+            entry = self._hosts.servers.get(server)
             if entry is None or entry.is_leaving:
                 self._clear(group, f"{server} is gone or leaves", now)
                 return []
@@ -680,12 +591,12 @@
 
     def _watch(self, group: ManagedGroup, now: float) -> list[Effect]:
         """Look after a group that serves."""
-        head = self._servers.get(group.head)
+        head = self._hosts.servers.get(group.head)
         if head is None:
             self._clear(group, "the entry of its head was removed", now)
             return []
         for server in group.members:
-            entry = self._servers.get(server)
+            entry = self._hosts.servers.get(server)
             if entry is None:
                 self._doubt(group, f"the entry of {server} was removed", now)
             elif entry.is_leaving:
@@ -726,7 +637,7 @@
         return membership.state is MemberState.BROKEN
 
     def _close(self, group: ManagedGroup, now: float) -> list[Effect]:
-        if group.head not in self._servers:
+        if group.head not in self._hosts.servers:
             self._clear(group, "the entry of its head was removed", now)
             return []
         if now - group.since > LONGEST_CLOSE_S:
@@ -745,7 +656,7 @@
         once it has confirmed itself that it left. An order to leave without
         an answer proves nothing, even if the host seems to be lost.
         """
-        present = [one for one in group.awaited if one in self._servers]
+        present = [one for one in group.awaited if one in self._hosts.servers]
         is_free = group.head_out or not group.may_be_open
         if is_free or not present:
             self._remove(group)
@@ -761,48 +672,31 @@
 
     def _remove(self, group: ManagedGroup) -> None:
         if group.head_out or not group.may_be_open:
-            self._cleared.add((group.name, group.epoch))
+            self._hosts.cleared.add((group.name, group.epoch))
         self._groups.pop(group.name, None)
         self._note(Step.GONE, group, group.reason)
 
     def _command(self, server: str, order: Order, now: float) -> list[Effect]:
-        """Give an order unless the last one is still under way."""
-        pending = self._pending.get(server)
-        if pending == order:
-            return []
-        pause = self._retry.get(server)
-        if pause is not None and pause.order == order and pause.until > now:
-            return []
-        entry = self._servers.get(server) or self._former.get(server)
-        if entry is None:
-            return []
-        self._pending[server] = order
-        return [Command(entry, order)]
+        return self._dispatcher.command(self._hosts.find(server), order, now)
 
-    def _ask(self, server: str, pause: float, now: float) -> list[Effect]:
-        """Ask a server for its state unless it was asked just now."""
-        entry = self._servers.get(server) or self._former.get(server)
-        if entry is None or server in self._asking:
-            return []
-        if now - self._asked.get(server, 0.0) < pause:
-            return []
-        self._asking.add(server)
-        self._asked[server] = now
-        return [Question(entry)]
+    def _ask(self, server: str, pause_s: float, now: float) -> list[Effect]:
+        return self._dispatcher.ask(self._hosts.find(server), pause_s, now)
 
     def _plan(
         self, service: str, engine: EngineProfile, now: float
     ) -> list[Effect]:
         """Form groups of free hosts, and prepare those that are left."""
         may_load = not self._has_traffic
-        if may_load and now - self._last_new < SETTLE_S:
+        if may_load and now - self._hosts.last_new < SETTLE_S:
             return []
         effects: list[Effect] = []
-        domains = self._list_domains(service, now)
+        domains = self._hosts.list_domains(service, now)
         models = tuple(engine.models.values())
         for domain, hosts in sorted(domains.items()):
             free = self._list_free(hosts)
-            unheard = [one for one in free if one.server not in self._heard_of]
+            unheard = [
+                one for one in free if not self._hosts.has_reported(one.server)
+            ]
             for host in unheard:
                 effects += self._ask(host.server, RESEND_S, now)
             if unheard or not free:
@@ -824,25 +718,6 @@
                 )
         return effects
 
-    def _list_domains(
-        self, service: str, now: float
-    ) -> dict[str, list[BackendServer]]:
-        """Return the hosts of each domain that may be in a group."""
-        domains: dict[str, list[BackendServer]] = {}
-        for name, server in self._servers.items():
-            if name in self._slow and not self._is_slow(name, now):
-                # It is asked again before it may be used.
-                del self._slow[name]
-                self._heard_of.discard(name)
-            is_out = (
-                server.is_leaving
-                or self._dark.get(name, now) > now
-                or self._is_slow(name, now)
-            )
-            if server.service == service and not is_out:
-                domains.setdefault(server.domain, []).append(server)
-        return domains
-
     def _list_free(self, hosts: Iterable[BackendServer]) -> list[FreeHost]:
         """Return the hosts that are in no group, or stand by."""
         taken: set[str] = set()
@@ -861,7 +736,7 @@
             free.append(
                 FreeHost(
                     server=host.server,
-                    loaded=self._loaded.get(host.server, ""),
+                    loaded=self._hosts.loaded.get(host.server, ""),
                     staged=host.staged,
                     is_standby=host.server in standby,
                 )
@@ -871,13 +746,9 @@
     def _is_unknown_member(self, host: BackendServer) -> bool:
         """Tell whether a host is in a group that was not looked at yet."""
         membership = host.membership
-        if membership is None:
+        if membership is None or membership.group in self._groups:
             return False
-        return (
-            membership.group not in self._groups
-            and (membership.group, membership.epoch) not in self._cleared
-            and (host.server, membership.epoch) not in self._left
-        )
+        return self._hosts.is_unknown_member(host)
 
     def _count_groups(
         self, service: str, domain: str
@@ -890,7 +761,7 @@
             is_counted = group.service == service and not group.is_standby
             if not is_counted or group.phase in passing:
                 continue
-            head = self._servers.get(group.head)
+            head = self._hosts.servers.get(group.head)
             is_here = head is not None and head.domain == domain
             counts = present if is_here else elsewhere
             counts[group.model] = counts.get(group.model, 0) + 1
@@ -973,7 +844,7 @@
         )
         group.due = now + expected
         for server in members:
-            self._loaded.pop(server, None)
+            self._hosts.loaded.pop(server, None)
         self._groups[group.name] = group
         self._note(Step.PLANNED, group, f"ready in {expected:.1f} s")
         return self._form(group, now)
@@ -991,8 +862,8 @@
         shape = engine.models[model]
         host = FreeHost(
             server=server,
-            loaded=self._loaded.get(server, ""),
-            staged=self._servers[server].staged,
+            loaded=self._hosts.loaded.get(server, ""),
+            staged=self._hosts.servers[server].staged,
             is_standby=False,
         )
         warmth = host.find_warmth(model)
--- /dev/null
+++ b/chervilrock/decisions/serving/hosts.py
@@ -0,0 +1,193 @@
+"""What the leader knows of the servers, from their entries and their reports.
+
+Entries may be old, so what a server reported itself outweighs an older entry,
+and nothing is done with a host that has not reported in this term.
+"""
+
+from chervilrock.decisions.serving import groupnames
+from chervilrock.decisions.serving.orders import ServerReport
+from chervilrock.decisions.serving.site import (
+    BackendServer,
+    Membership,
+    MemberState,
+)
+
+SLOW_PACE = 2.0
+"""Factor on the times of a server from which it counts as slow. A group runs
+at the pace of its slowest host, and a group that is twice as slow misses the
+longest pause that counts as on time."""
+
+SLOW_S = 6.0
+"""Time for which a slow server gets no new group; then it is asked again."""
+
+DARK_S = 2.0
+"""Time for which a server that does not answer gets no new group."""
+
+REPORT_AGE_S = 0.6
+"""Greatest age of a report; servers tell some hundred milliseconds."""
+
+
+class HostBook:
+    """Servers, what they hold, and which of them may join a group.
+
+    Attributes:
+      servers: servers whose entries are there.
+      loaded: model that each server has in memory, as far as it is known.
+      cleared: groups whose heads are out, by name and epoch.
+      obeyed: orders that a server had obeyed when it reported that it is in no
+        group, for those that left a group whose head may serve.
+      last_new: when the last new server came.
+      began: when the first entry came.
+      answered: when any server last reported.
+    """
+
+    def __init__(self) -> None:
+        """Know no server."""
+        self.servers: dict[str, BackendServer] = {}
+        self.loaded: dict[str, str] = {}
+        self.cleared: set[tuple[str, int]] = set()
+        self.obeyed: dict[str, int] = {}
+        self.last_new = float("-inf")
+        self.began = float("inf")
+        self.answered = float("-inf")
+        self._former: dict[str, BackendServer] = {}
+        self._heard_of: set[str] = set()
+        self._reported: dict[str, Membership | None] = {}
+        self._left: set[tuple[str, int]] = set()
+        self._left_at: dict[str, float] = {}
+        self._dark: dict[str, float] = {}
+        self._slow: dict[str, float] = {}
+
+    def find(self, server: str) -> BackendServer | None:
+        """Return a server, also one whose entry was removed."""
+        return self.servers.get(server) or self._former.get(server)
+
+    def take_entry(self, entry: BackendServer, now: float) -> Membership | None:
+        """Take the entry of a server and return its membership."""
+        if entry.server not in self.servers:
+            self.last_new = now
+        self.began = min(self.began, now)
+        corrected = self._correct(entry)
+        self.servers[entry.server] = corrected
+        membership = corrected.membership
+        if membership is None:
+            return None
+        name = groupnames.parse_name(membership.group)
+        if name is not None and membership.state is not MemberState.JOINING:
+            self.loaded[entry.server] = name.model
+        return membership
+
+    def take_gone(self, server: str) -> None:
+        """Take that the entry of a server was removed."""
+        gone = self.servers.pop(server, None)
+        if gone is not None:
+            self._former[server] = gone
+
+    def take_report(
+        self, server: str, report: ServerReport, now: float
+    ) -> bool:
+        """Take the state of a server.
+
+        Returns:
+          Whether the server is in a group again that it had left.
+        """
+        self.answered = now
+        if report.pace >= SLOW_PACE:
+            self._slow[server] = now + SLOW_S
+        else:
+            self._slow.pop(server, None)
+        self._heard_of.add(server)
+        self._reported[server] = report.membership
+        entry = self.servers.get(server)
+        if entry is not None:
+            self.servers[server] = entry._replace(
+                membership=report.membership, staged=report.staged
+            )
+        return self._has_rejoined(server, report, now)
+
+    def note_left(self, server: str, epoch: int, now: float) -> None:
+        """Note that a server has confirmed that it left a group."""
+        self._left.add((server, epoch))
+        self._left_at[server] = now
+
+    def note_head_out(self, members: tuple[str, ...]) -> None:
+        """Note that the head of a group is out; its members are free."""
+        for member in members:
+            self._left_at.pop(member, None)
+
+    def note_joined(self, server: str) -> None:
+        """Note that a server has obeyed an order to join."""
+        self._heard_of.add(server)
+        self._left_at.pop(server, None)
+        self.obeyed.pop(server, None)
+
+    def note_dark(self, server: str, now: float) -> None:
+        """Note that a server does not answer."""
+        self._dark[server] = now + DARK_S
+
+    def has_left_open_group(self, server: str) -> bool:
+        """Tell whether a server left a group whose head may still serve."""
+        return server in self._left_at
+
+    def has_reported(self, server: str) -> bool:
+        """Tell whether a server has told its state in this term."""
+        return server in self._heard_of
+
+    def is_slow(self, server: str, now: float) -> bool:
+        """Tell whether a server works much slower than others."""
+        return self._slow.get(server, now) > now
+
+    def is_unknown_member(self, host: BackendServer) -> bool:
+        """Tell whether a host is in a group that it may not be taken from."""
+        membership = host.membership
+        if membership is None:
+            return False
+        key = (membership.group, membership.epoch)
+        left = (host.server, membership.epoch)
+        return key not in self.cleared and left not in self._left
+
+    def list_domains(
+        self, service: str, now: float
+    ) -> dict[str, list[BackendServer]]:
+        """Return the hosts of each domain that may be in a group."""
+        domains: dict[str, list[BackendServer]] = {}
+        for name, server in self.servers.items():
+            if name in self._slow and not self.is_slow(name, now):
+                # It is asked again before it may be used.
+                del self._slow[name]
+                self._heard_of.discard(name)
+            is_out = (
+                server.is_leaving
+                or self._dark.get(name, now) > now
+                or self.is_slow(name, now)
+            )
+            if server.service == service and not is_out:
+                domains.setdefault(server.domain, []).append(server)
+        return domains
+
+    def _correct(self, entry: BackendServer) -> BackendServer:
+        """Put what a server reported itself in the place of older news."""
+        reported = self._reported.get(entry.server)
+        if reported is None:
+            return entry
+        told = entry.membership
+        if told is not None and told.epoch >= reported.epoch:
+            return entry
+        return entry._replace(membership=reported)
+
+    def _has_rejoined(
+        self, server: str, report: ServerReport, now: float
+    ) -> bool:
+        """Tell whether a late order let a server join what it had left."""
+        left_at = self._left_at.get(server)
+        if left_at is None:
+            return False
+        if report.membership is None:
+            self.obeyed[server] = report.obeyed
+            return False
+        if now - left_at <= REPORT_AGE_S:
+            return False
+        self._left.discard((server, report.membership.epoch))
+        del self._left_at[server]
+        self.obeyed.pop(server, None)
+        return True
--- a/chervilrock/tasks/serving/node.py
+++ b/chervilrock/tasks/serving/node.py
@@ -279,7 +279,7 @@
         if self._controller is None:
             return
         now = read_clock()
-        announcement = self._make_announcement(now, is_stopping=True)
+        announcement = self._make_announcement(now)
         live = [
             one
             for one in self._peers.values()
@@ -777,9 +777,7 @@
             now,
         )
 
-    def _make_announcement(
-        self, now: float, *, is_stopping: bool = False
-    ) -> Announcement:
+    def _make_announcement(self, now: float) -> Announcement:
         state = self._state
         return Announcement(
             term=self._term,
@@ -792,7 +790,7 @@
             revision=self._revision,
             configuration=None,
             has_traffic=state.has_traffic,
-            is_stopping=is_stopping,
+            is_stopping=state.is_stopping,
             is_cut_from_store=now - self._store.answered > STORE_SILENCE_S,
         )
 
--- a/test/node/test_serving.py
+++ b/test/node/test_serving.py
@@ -361,6 +361,17 @@
     run_world(scenario, nodes=2)
 
 
+def test_a_leader_that_stops_hands_over_while_it_still_runs() -> None:
+    async def scenario(world: World) -> None:
+        leader = next(one for one in world.nodes if one.leads)
+        other = next(one for one in world.nodes if not one.leads)
+        leader.state.is_stopping = True
+        await world.wait(lambda: other.leads, "the other node leads")
+        await world.wait(lambda: not leader.leads, "the leader gave way")
+
+    run_world(scenario, nodes=2)
+
+
 def test_callers_are_told_the_nodes_that_take_them() -> None:
     async def scenario(world: World) -> None:
         node = world.nodes[0]
