Split the calls of a node from what it believes; part soaks from each other

Change: outbound.py has the calls, dependency.py what is lost and back; each run of the soak has an IP number of loopback and request ids of its own.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -84,11 +84,15 @@
 class _Process:
     """A node process and its settings, which keep their ports."""
 
-    def __init__(self, *, folder: pathlib.Path, name: str, store: str) -> None:
-        ports = _find_ports(random.Random())
-        self.address = f"127.0.0.1:{ports['callers']}"
+    def __init__(
+        self, *, folder: pathlib.Path, name: str, store: str, ip: str
+    ) -> None:
+        ports = _find_ports(ip)
+        self.address = f"{ip}:{ports['callers']}"
         self._path = folder / f"{name}.toml"
-        document = make_node_file(node=name, store_address=store, ports=ports)
+        document = make_node_file(
+            node=name, store_address=store, ip=ip, ports=ports
+        )
         self._path.write_text(_render(document), encoding="utf-8")
         self._log = (folder / f"{name}.log").open("ab")
         self._process: subprocess.Popen[bytes] | None = None
@@ -120,7 +124,10 @@
 class _Callers:
     """Callers that check each answer."""
 
-    def __init__(self, *, site: Site, generator: random.Random) -> None:
+    def __init__(
+        self, *, site: Site, generator: random.Random, seed: int
+    ) -> None:
+        self._seed = seed
         self._site = site
         self._generator = generator
         self._client = QuietCurlClient(force_instance=True, max_clients=200)
@@ -139,7 +146,7 @@
     async def call(self, address: str) -> int:
         """Send a request and check its answer; return the status."""
         self._number += 1
-        request_id = f"{self._number:016x}"
+        request_id = f"{self._seed:08x}{self._number:08x}"
         kind = self._generator.choice(("draft", "draft", "book", "look"))
         headers = {
             "Host": HOST,
@@ -307,7 +314,7 @@
     site = Site()
     links: list[LinkProxy] = []
     nodes: list[_Process] = []
-    callers = _Callers(site=site, generator=generator)
+    callers = _Callers(site=site, generator=generator, seed=plan.seed)
     try:
         site.start(model_servers=12, plain_servers=3)
         for server in site.servers:
@@ -316,7 +323,12 @@
         await link.start()
         links.append(link)
         nodes += [
-            _Process(folder=folder, name=f"n{number}", store=link.address)
+            _Process(
+                folder=folder,
+                name=f"n{number}",
+                store=link.address,
+                ip=_find_ip(plan.seed),
+            )
             for number in range(NODES)
         ]
         supervisor = asyncio.create_task(_supervise(nodes))
@@ -361,7 +373,15 @@
     return link
 
 
-def _find_ports(generator: random.Random) -> dict[str, int]:
+def _find_ip(seed: int) -> str:
+    """Return an IP number of loopback for the nodes of a run.
+
+    Runs beside each other must not take the ports of nodes that are down.
+    """
+    return f"127.{1 + seed // 250 % 250}.{1 + seed % 250}.1"
+
+
+def _find_ports(ip: str) -> dict[str, int]:
     """Return free ports, so that a process that comes back keeps its own.
 
     They lie below those that the kernel gives to outgoing connections, one of
@@ -370,9 +390,9 @@
     ports: dict[str, int] = {}
     for name in ("callers", "ready", "directory", "peers"):
         while name not in ports:
-            port = generator.randrange(*PORTS)
+            port = random.randrange(*PORTS)
             with contextlib.suppress(OSError), socket.socket() as trial:
-                trial.bind(("127.0.0.1", port))
+                trial.bind((ip, port))
                 ports[name] = port
     return ports
 
--- a/chervilrock/node/serving.py
+++ b/chervilrock/node/serving.py
@@ -32,7 +32,8 @@
 from chervilrock.serving_metrics import ServingMetrics
 from chervilrock.tasks.clock import read_clock
 from chervilrock.tasks.serving.messages import SilenceSeen
-from chervilrock.tasks.serving.node import NodeTask, Ports
+from chervilrock.tasks.serving.node import NodeTask
+from chervilrock.tasks.serving.outbound import Ports
 from chervilrock.tasks.serving.room import WaitingRoom
 from chervilrock.tasks.serving.state import RepeatBounds, ServingState
 
--- a/chervilrock/standin/site/site.py
+++ b/chervilrock/standin/site/site.py
@@ -156,24 +156,29 @@
 
 
 def make_node_file(
-    *, node: str, store_address: str, ports: Mapping[str, int] | None = None
+    *,
+    node: str,
+    store_address: str,
+    ip: str = "127.0.0.1",
+    ports: Mapping[str, int] | None = None,
 ) -> dict[str, Any]:
     """Return the settings of a node as the platform writes them.
 
     Args:
       node: name of the node.
       store_address: IP:port of the store.
+      ip: IP number of the node, one of loopback.
       ports: ports by name; 0, any free one, for those that are missing.
     """
     given = ports or {}
 
     def place(name: str) -> str:
-        return f"127.0.0.1:{given.get(name, 0)}"
+        return f"{ip}:{given.get(name, 0)}"
 
     return {
         "node_name": node,
         "role": "node",
-        "ip": "127.0.0.1",
+        "ip": ip,
         "zone": "a",
         "region": "r",
         "internal_ports": [given.get("peers", 0), given.get("peers", 0)],
--- a/chervilrock/tasks/serving/messages.py
+++ b/chervilrock/tasks/serving/messages.py
@@ -59,12 +59,33 @@
     """The store answered to a claim to lead.
 
     Attributes:
-      offset: offset of the record, None when another record took it.
-      failure: why there was no answer, empty otherwise.
+      offset: offset of the record, None when another record took it or no
+        answer came.
     """
 
     offset: int | None
-    failure: str
+
+
+class RegistrationAnswered(NamedTuple):
+    """The store answered to the record of this node.
+
+    Attributes:
+      offset: offset of the record, None when no answer came.
+    """
+
+    offset: int | None
+
+
+class DocumentRead(NamedTuple):
+    """Another node gave its configuration.
+
+    Attributes:
+      document: as the operator wrote it.
+      source: name of the node.
+    """
+
+    document: bytes
+    source: str
 
 
 class SilenceSeen(NamedTuple):
@@ -80,5 +101,7 @@
     | ServerAnswered
     | PeerAnswered
     | ClaimAnswered
+    | RegistrationAnswered
+    | DocumentRead
     | SilenceSeen
 )
--- a/chervilrock/tasks/serving/node.py
+++ b/chervilrock/tasks/serving/node.py
@@ -6,15 +6,12 @@
 
 import asyncio
 import base64
-from collections.abc import Callable, Coroutine
-from typing import Any, NamedTuple
+from typing import Any
 
 import msgspec
-from returns.result import Failure, Result
+from returns.result import Failure
 
-from chervilrock.clients.errors import PlatformError
-from chervilrock.clients.httpclient import HttpAnswer, HttpClient
-from chervilrock.clients.serving import EngineControl, KeyedStore, Topic
+from chervilrock.clients.serving import Topic
 from chervilrock.decisions.serving.controller import Controller
 from chervilrock.decisions.serving.effects import (
     Command,
@@ -30,10 +27,6 @@
     STORE_SILENCE_S,
 )
 from chervilrock.decisions.serving.routes import RouteTable
-from chervilrock.decisions.serving.site import (
-    BackendServer,
-    SiteConfiguration,
-)
 from chervilrock.decisions.serving.view import (
     Acknowledgement,
     Announcement,
@@ -45,17 +38,26 @@
 from chervilrock.tasks.clock import read_clock
 from chervilrock.tasks.mailbox import Mailbox
 from chervilrock.tasks.serving import peers as peer_table
-from chervilrock.tasks.serving.follower import Pace, TopicFollower
+from chervilrock.tasks.serving.dependency import Dependency
+from chervilrock.tasks.serving.follower import Pace
 from chervilrock.tasks.serving.messages import (
     ClaimAnswered,
+    DocumentRead,
     Message,
     OrderAnswered,
     PeerAnswered,
     ReadFailed,
     RecordsRead,
+    RegistrationAnswered,
     ServerAnswered,
     SilenceSeen,
 )
+from chervilrock.tasks.serving.outbound import (
+    LEADER_KEY,
+    NODE_PREFIX,
+    Outbound,
+    Ports,
+)
 from chervilrock.tasks.serving.peers import Peer
 from chervilrock.tasks.serving.room import WaitingRoom
 from chervilrock.tasks.serving.state import ServingState
@@ -77,73 +79,14 @@
 and each call is paid for; a server that leaves must be known well within the
 two seconds after which it may get no requests."""
 
-ORDER_TIMEOUT_S = 0.5
-"""Longest time for the answer to an order; servers answer in some
-milliseconds, and orders without an answer are repeated."""
-
-REPORT_TIMEOUT_S = 0.2
-"""Longest time for a server's report; a lost packet takes longer, so two
-questions have to fail before a server counts as lost."""
-
 OUTAGE_GRACE_S = 2.3
 """Time after the store has come back for entries that lapsed meanwhile: they
 are back within two seconds, or their servers are gone."""
 
-_NODE_PREFIX = "node/"
-_LEADER_KEY = "leader"
 _CONFIGURATION_KEY = "config"
 
-Decode = Callable[[bytes], Result[SiteConfiguration, str]]
-DecodeServer = Callable[[str, bytes], Result[BackendServer, str]]
-
 _NODE_DECODER = msgspec.json.Decoder(NodeEntry)
 _LEADER_DECODER = msgspec.json.Decoder(LeaderEntry)
-_ACKNOWLEDGEMENT_DECODER = msgspec.json.Decoder(Acknowledgement)
-
-
-class Ports(NamedTuple):
-    """What a node reaches the outside by.
-
-    Attributes:
-      store: the store.
-      engines: backend servers.
-      client: client for other nodes.
-      decode_configuration: reads a document of the operator.
-      decode_server: reads the entry of a server.
-    """
-
-    store: KeyedStore
-    engines: EngineControl
-    client: HttpClient
-    decode_configuration: Decode
-    decode_server: DecodeServer
-
-
-class _Dependency:
-    """Whether something a node depends on answers."""
-
-    def __init__(self, *, name: str, now: float) -> None:
-        self.name = name
-        self.answered = now
-        self.lost_at: float | None = None
-        self.back_at = float("-inf")
-
-    def note_answer(self, now: float) -> None:
-        """Note an answer."""
-        self.answered = now
-        if self.lost_at is not None:
-            seconds = round(now - self.lost_at, 3)
-            emit(
-                Event.DEPENDENCY_REGAINED, dependency=self.name, seconds=seconds
-            )
-            self.lost_at = None
-            self.back_at = now
-
-    def note_failure(self, reason: str, now: float) -> None:
-        """Note that there was no answer."""
-        if self.lost_at is None:
-            self.lost_at = now
-            emit(Event.DEPENDENCY_LOST, dependency=self.name, reason=reason)
 
 
 class NodeTask:
@@ -182,22 +125,20 @@
         self._sequence = 0
         self._is_claiming = False
         self._registered = False
-        self._store = _Dependency(name="store", now=now)
+        self._store = Dependency(name="store", now=now)
         self._nodes_sequence = 0
         self._nodes_version = (-1, 0)
         self._loads: dict[str, int] = {}
         self._fetched = float("-inf")
         self._has_servers = False
         self._pending_removals: dict[str, float] = {}
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._outbound = Outbound(ports=ports, outbox=self.mailbox)
         self._servers_task: asyncio.Task[None] | None = None
 
     async def run(self) -> None:
         """Work until cancelled."""
-        followers = [
-            self._follow(Topic.CONFIGURATION, CONFIGURATION_PACE),
-            self._follow(Topic.NODES, FOLLOW_PACE),
-        ]
+        self._outbound.follow(Topic.CONFIGURATION, CONFIGURATION_PACE)
+        self._outbound.follow(Topic.NODES, FOLLOW_PACE)
         try:
             while True:
                 message = await self.mailbox.receive_within(TICK_S)
@@ -208,9 +149,8 @@
                     self._take(other, now)
                 self._act(now)
         finally:
-            for task in (*followers, *self._tasks):
-                task.cancel()
             self._stop_leading()
+            self._outbound.close()
 
     @property
     def is_leader(self) -> bool:
@@ -227,8 +167,7 @@
             return
         leader = self._find_leader()
         if leader is not None:
-            url = f"http://{leader.peer_address}/peer/silence/{group}"
-            self._start(self._tell_silence(url))
+            self._outbound.tell_silence(leader, group)
 
     def take_announcement(
         self, announcement: Announcement, now: float
@@ -286,7 +225,7 @@
             if one.is_live(self._interval_s, now)
         ]
         await asyncio.gather(
-            *(self._announce(one, announcement) for one in live)
+            *(self._outbound.announce(one.entry, announcement) for one in live)
         )
         self._stop_leading()
         emit(
@@ -309,21 +248,6 @@
         routes = self._state.routes
         return -1 if routes is None else routes.configuration.revision
 
-    def _start(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
-        task = asyncio.create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-        return task
-
-    def _follow(self, topic: Topic, pace: Pace) -> asyncio.Task[None]:
-        follower = TopicFollower(
-            store=self._ports.store,
-            topic=topic,
-            pace=pace,
-            outbox=self.mailbox,
-        )
-        return self._start(follower.run())
-
     def _find_leader(self) -> NodeEntry | None:
         claim = self._leadership.claim
         if claim is None:
@@ -353,10 +277,25 @@
                 self._take_acknowledgement(message, now)
             case ClaimAnswered():
                 self._is_claiming = False
+            case RegistrationAnswered():
+                self._take_registration(message)
+            case DocumentRead():
+                self._take_document(message.document, message.source, now)
             case SilenceSeen():
                 if self._controller is not None:
                     self._controller.note_silent(message.group, now)
 
+    def _take_registration(self, answered: RegistrationAnswered) -> None:
+        """Note that this node is known, or try again."""
+        if answered.offset is None:
+            self._registered = False
+            return
+        emit(
+            Event.NODE_REGISTERED,
+            node=self._own.node,
+            offset=answered.offset,
+        )
+
     def _take_records(self, read: RecordsRead, now: float) -> None:
         match read.topic:
             case Topic.CONFIGURATION:
@@ -399,14 +338,14 @@
         if read.is_snapshot:
             known.clear()
         for record in read.page.records:
-            name = record.key.removeprefix(_NODE_PREFIX)
+            name = record.key.removeprefix(NODE_PREFIX)
             try:
-                if record.key == _LEADER_KEY:
+                if record.key == LEADER_KEY:
                     entry = _LEADER_DECODER.decode(record.value)
                     self._take_claim(Claim(record.offset, entry), now)
                 elif not record.value:
                     known.pop(name, None)
-                elif record.key.startswith(_NODE_PREFIX):
+                elif record.key.startswith(NODE_PREFIX):
                     self._take_node(_NODE_DECODER.decode(record.value), now)
             except (msgspec.DecodeError, UnicodeDecodeError) as error:
                 emit(Event.RECORD_UNREADABLE, key=record.key, reason=str(error))
@@ -569,18 +508,7 @@
         if self._registered or not self._has_nodes:
             return
         self._registered = True
-        self._start(self._write_own_record())
-
-    async def _write_own_record(self) -> None:
-        key = f"{_NODE_PREFIX}{self._own.node}"
-        value = msgspec.json.encode(self._own)
-        result = await self._ports.store.append(Topic.NODES, key, value, None)
-        if isinstance(result, Failure):
-            # Registering twice does no harm; the record is the same.
-            await asyncio.sleep(STORE_SILENCE_S / 3)
-            self._registered = False
-            return
-        emit(Event.NODE_REGISTERED, node=self._own.node, offset=result.unwrap())
+        self._outbound.register(self._own)
 
     def _claim(self, now: float) -> None:
         """Claim to lead when nobody does."""
@@ -594,7 +522,7 @@
             return
         leadership.note_try(now)
         self._is_claiming = True
-        self._start(self._write_claim(self._end))
+        self._outbound.claim(leadership.own_entry, self._end)
 
     def _find_rank(self) -> int:
         """Return the place of this node in the order of claims.
@@ -612,18 +540,6 @@
         )
         return ranked.index(self._own)
 
-    async def _write_claim(self, end: int) -> None:
-        entry = LeaderEntry(self._own.node, self._own.incarnation)
-        result = await self._ports.store.append(
-            Topic.NODES, _LEADER_KEY, msgspec.json.encode(entry), end
-        )
-        if isinstance(result, Failure):
-            error = result.failure()
-            answer = ClaimAnswered(None, error.message)
-        else:
-            answer = ClaimAnswered(result.unwrap(), "")
-        await self.mailbox.send(answer)
-
     # Leading.
 
     def _lead(self, term: int, now: float) -> None:
@@ -637,7 +553,7 @@
         self._has_servers = False
         self._pending_removals = {}
         self._peers = {}
-        self._servers_task = self._follow(Topic.SERVERS, SERVERS_PACE)
+        self._servers_task = self._outbound.follow(Topic.SERVERS, SERVERS_PACE)
 
     def _stop_leading(self) -> None:
         self._controller = None
@@ -702,17 +618,7 @@
         if now - self._fetched < INTERVAL_S:
             return
         self._fetched = now
-        self._start(self._read_document(holder))
-
-    async def _read_document(self, holder: NodeEntry) -> None:
-        result = await self._ports.client.request(
-            "GET",
-            f"http://{holder.peer_address}/peer/configuration",
-            timeout_s=peer_table.TIMEOUT_S,
-        )
-        if not isinstance(result, Failure):
-            body = result.unwrap().body
-            self._take_document(body, holder.node, read_clock())
+        self._outbound.fetch_document(holder)
 
     def _carry_out(self, effect: Effect) -> None:
         match effect:
@@ -725,27 +631,9 @@
                     reason=effect.reason,
                 )
             case Command():
-                self._start(self._send_order(effect))
+                self._outbound.order(effect)
             case Question():
-                self._start(self._ask_server(effect.server))
-
-    async def _send_order(self, command: Command) -> None:
-        result = await self._ports.engines.send_order(
-            command.server, command.order, ORDER_TIMEOUT_S
-        )
-        failed = isinstance(result, Failure)
-        detail = result.failure().message if failed else ""
-        reply = None if failed else result.unwrap()
-        await self.mailbox.send(
-            OrderAnswered(command.server.server, command.order, reply, detail)
-        )
-
-    async def _ask_server(self, server: BackendServer) -> None:
-        result = await self._ports.engines.fetch_report(
-            server, REPORT_TIMEOUT_S
-        )
-        report = None if isinstance(result, Failure) else result.unwrap()
-        await self.mailbox.send(ServerAnswered(server.server, report))
+                self._outbound.ask(effect.server)
 
     def _renew_view(self, now: float) -> None:
         """Make a new view if anything that it tells has changed."""
@@ -822,40 +710,4 @@
                 )
             peer.is_asked = True
             peer.sent = now
-            self._start(self._announce(peer, announcement))
-
-    async def _announce(self, peer: Peer, announcement: Announcement) -> None:
-        result = await self._ports.client.request(
-            "POST",
-            f"http://{peer.entry.peer_address}/peer/announcement",
-            timeout_s=peer_table.TIMEOUT_S,
-            body=msgspec.json.encode(announcement),
-        )
-        acknowledgement = _decode_acknowledgement(result)
-        await self.mailbox.send(
-            PeerAnswered(peer.entry.incarnation, acknowledgement)
-        )
-
-    async def _tell_silence(self, url: str) -> None:
-        result = await self._ports.client.request(
-            "POST", url, timeout_s=peer_table.TIMEOUT_S, body=b"{}"
-        )
-        if isinstance(result, Failure):
-            # The next acknowledgement tells it again.
-            emit(
-                Event.PEER_UNREACHABLE,
-                address=url,
-                reason=result.failure().message,
-            )
-
-
-def _decode_acknowledgement(
-    result: Result[HttpAnswer, PlatformError],
-) -> Acknowledgement | None:
-    """Return the answer of a node, None when there is no usable one."""
-    if isinstance(result, Failure):
-        return None
-    try:
-        return _ACKNOWLEDGEMENT_DECODER.decode(result.unwrap().body)
-    except (msgspec.DecodeError, UnicodeDecodeError):
-        return None
+            self._outbound.announce(peer.entry, announcement)
--- /dev/null
+++ b/chervilrock/tasks/serving/outbound.py
@@ -0,0 +1,233 @@
+"""Calls of a node to the store, to servers and to other nodes.
+
+Each call is a task of its own; its end comes back as a message, so that the
+task that knows the installation never waits.
+"""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any, NamedTuple
+
+import msgspec
+from returns.result import Failure, Result
+
+from chervilrock.clients.errors import PlatformError
+from chervilrock.clients.httpclient import HttpAnswer, HttpClient
+from chervilrock.clients.serving import EngineControl, KeyedStore, Topic
+from chervilrock.decisions.serving.effects import Command
+from chervilrock.decisions.serving.site import (
+    BackendServer,
+    SiteConfiguration,
+)
+from chervilrock.decisions.serving.view import (
+    Acknowledgement,
+    Announcement,
+    LeaderEntry,
+    NodeEntry,
+)
+from chervilrock.events import emit, Event
+from chervilrock.tasks.mailbox import Outbox
+from chervilrock.tasks.serving.follower import Pace, TopicFollower
+from chervilrock.tasks.serving.messages import (
+    ClaimAnswered,
+    DocumentRead,
+    Message,
+    OrderAnswered,
+    PeerAnswered,
+    RegistrationAnswered,
+    ServerAnswered,
+)
+
+NODE_PREFIX = "node/"
+LEADER_KEY = "leader"
+
+ORDER_TIMEOUT_S = 0.5
+"""Longest time for the answer to an order; servers answer in some
+milliseconds, and orders without an answer are repeated."""
+
+REPORT_TIMEOUT_S = 0.2
+"""Longest time for a server's report; a sound server answers within some
+milliseconds, also when it is busy."""
+
+PEER_TIMEOUT_S = 0.6
+"""Longest time for the answer of another node."""
+
+REGISTER_RETRY_S = 0.5
+"""Pause after an attempt to register that failed."""
+
+Decode = Callable[[bytes], Result[SiteConfiguration, str]]
+DecodeServer = Callable[[str, bytes], Result[BackendServer, str]]
+
+_ACKNOWLEDGEMENT_DECODER = msgspec.json.Decoder(Acknowledgement)
+
+
+class Ports(NamedTuple):
+    """What a node reaches the outside by.
+
+    Attributes:
+      store: the store.
+      engines: backend servers.
+      client: client for other nodes.
+      decode_configuration: reads a document of the operator.
+      decode_server: reads the entry of a server.
+    """
+
+    store: KeyedStore
+    engines: EngineControl
+    client: HttpClient
+    decode_configuration: Decode
+    decode_server: DecodeServer
+
+
+class Outbound:
+    """Starts calls and sends what comes of them to a mailbox."""
+
+    def __init__(self, *, ports: Ports, outbox: Outbox[Message]) -> None:
+        """Call by some ports.
+
+        Args:
+          ports: store, servers and other nodes.
+          outbox: gets the ends of the calls.
+        """
+        self._ports = ports
+        self._outbox = outbox
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def close(self) -> None:
+        """Give all calls up."""
+        for task in self._tasks:
+            task.cancel()
+
+    def follow(self, topic: Topic, pace: Pace) -> "asyncio.Task[None]":
+        """Follow a topic of the store until the task is cancelled."""
+        follower = TopicFollower(
+            store=self._ports.store,
+            topic=topic,
+            pace=pace,
+            outbox=self._outbox,
+        )
+        return self._start(follower.run())
+
+    def register(self, own: NodeEntry) -> None:
+        """Write the record of this node."""
+        self._start(self._write_node(own))
+
+    def claim(self, entry: LeaderEntry, end: int) -> None:
+        """Claim to lead if nothing was written since an offset."""
+        self._start(self._write_claim(entry, end))
+
+    def order(self, command: Command) -> None:
+        """Give an order to a server."""
+        self._start(self._send_order(command))
+
+    def ask(self, server: BackendServer) -> None:
+        """Ask a server for its state."""
+        self._start(self._ask_server(server))
+
+    def announce(
+        self, entry: NodeEntry, announcement: Announcement
+    ) -> "asyncio.Task[None]":
+        """Tell a node what the leader knows."""
+        return self._start(self._announce(entry, announcement))
+
+    def tell_silence(self, leader: NodeEntry, group: str) -> None:
+        """Tell the leader that the streams of a group have stopped."""
+        self._start(self._tell_silence(leader, group))
+
+    def fetch_document(self, holder: NodeEntry) -> None:
+        """Get the configuration of another node."""
+        self._start(self._read_document(holder))
+
+    def _start(self, work: Coroutine[Any, Any, None]) -> "asyncio.Task[None]":
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    async def _write_node(self, own: NodeEntry) -> None:
+        key = f"{NODE_PREFIX}{own.node}"
+        value = msgspec.json.encode(own)
+        result = await self._ports.store.append(Topic.NODES, key, value, None)
+        offset = None if isinstance(result, Failure) else result.unwrap()
+        if offset is None:
+            # Registering twice does no harm; the record is the same.
+            await asyncio.sleep(REGISTER_RETRY_S)
+        await self._outbox.send(RegistrationAnswered(offset))
+
+    async def _write_claim(self, entry: LeaderEntry, end: int) -> None:
+        value = msgspec.json.encode(entry)
+        result = await self._ports.store.append(
+            Topic.NODES, LEADER_KEY, value, end
+        )
+        # Who leads is only believed when it is read back.
+        offset = None if isinstance(result, Failure) else result.unwrap()
+        await self._outbox.send(ClaimAnswered(offset))
+
+    async def _send_order(self, command: Command) -> None:
+        result = await self._ports.engines.send_order(
+            command.server, command.order, ORDER_TIMEOUT_S
+        )
+        failed = isinstance(result, Failure)
+        detail = result.failure().message if failed else ""
+        reply = None if failed else result.unwrap()
+        await self._outbox.send(
+            OrderAnswered(command.server.server, command.order, reply, detail)
+        )
+
+    async def _ask_server(self, server: BackendServer) -> None:
+        result = await self._ports.engines.fetch_report(
+            server, REPORT_TIMEOUT_S
+        )
+        report = None if isinstance(result, Failure) else result.unwrap()
+        await self._outbox.send(ServerAnswered(server.server, report))
+
+    async def _announce(
+        self, entry: NodeEntry, announcement: Announcement
+    ) -> None:
+        result = await self._ports.client.request(
+            "POST",
+            f"http://{entry.peer_address}/peer/announcement",
+            timeout_s=PEER_TIMEOUT_S,
+            body=msgspec.json.encode(announcement),
+        )
+        acknowledgement = _decode_acknowledgement(result)
+        await self._outbox.send(
+            PeerAnswered(entry.incarnation, acknowledgement)
+        )
+
+    async def _tell_silence(self, leader: NodeEntry, group: str) -> None:
+        result = await self._ports.client.request(
+            "POST",
+            f"http://{leader.peer_address}/peer/silence/{group}",
+            timeout_s=PEER_TIMEOUT_S,
+            body=b"{}",
+        )
+        if isinstance(result, Failure):
+            # The next acknowledgement tells it again.
+            emit(
+                Event.PEER_UNREACHABLE,
+                address=leader.peer_address,
+                reason=result.failure().message,
+            )
+
+    async def _read_document(self, holder: NodeEntry) -> None:
+        result = await self._ports.client.request(
+            "GET",
+            f"http://{holder.peer_address}/peer/configuration",
+            timeout_s=PEER_TIMEOUT_S,
+        )
+        if not isinstance(result, Failure):
+            document = result.unwrap().body
+            await self._outbox.send(DocumentRead(document, holder.node))
+
+
+def _decode_acknowledgement(
+    result: Result[HttpAnswer, PlatformError],
+) -> Acknowledgement | None:
+    """Return the answer of a node, None when there is no usable one."""
+    if isinstance(result, Failure):
+        return None
+    try:
+        return _ACKNOWLEDGEMENT_DECODER.decode(result.unwrap().body)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return None
--- a/chervilrock/tasks/serving/peers.py
+++ b/chervilrock/tasks/serving/peers.py
@@ -12,9 +12,6 @@
 """Intervals after the last answer for which a node counts as live: three
 announcements may be lost."""
 
-TIMEOUT_S = 0.6
-"""Longest time for an answer to an announcement."""
-
 FORGET_S = 30.0
 """Time without an answer after which a node is no longer spoken to."""
 
