Split the log lines and the answer of a send from the exchange

Change: receiver.py takes an answer and judges it, exchangelog.py writes the lines, callerrequest.py has the request; endpoints know their own name.

--- a/chervilrock/decisions/serving/view.py
+++ b/chervilrock/decisions/serving/view.py
@@ -25,6 +25,11 @@
     address: str
     data_centre: str
 
+    @property
+    def name(self) -> str:
+        """Name by which it is doubted and logged."""
+        return self.group
+
 
 class ServerEndpoint(NamedTuple):
     """A server of a plain service that takes requests.
@@ -43,6 +48,11 @@
     data_centre: str
     slots: int
 
+    @property
+    def name(self) -> str:
+        """Name by which it is doubted and logged."""
+        return self.server
+
 
 class ServingView(NamedTuple):
     """What takes requests, in one version.
--- a/chervilrock/edges/serving/callers.py
+++ b/chervilrock/edges/serving/callers.py
@@ -8,12 +8,9 @@
 from tornado import httputil
 from tornado.http1connection import HTTP1Connection
 
+from chervilrock.edges.serving.callerrequest import CallerRequest
 from chervilrock.edges.serving.connection import CallerConnection
-from chervilrock.edges.serving.exchange import (
-    CallerRequest,
-    Context,
-    Exchange,
-)
+from chervilrock.edges.serving.exchange import Context, Exchange
 from chervilrock.platform import headers as names
 from chervilrock.tasks.clock import read_clock
 
--- a/chervilrock/edges/serving/exchange.py
+++ b/chervilrock/edges/serving/exchange.py
@@ -1,21 +1,17 @@
 """One request of a caller, from its route to the last byte of its answer."""
 
 import asyncio
-from collections.abc import Callable
 from typing import Any, NamedTuple
 
 from chervilrock.clients.curlpool import CurlPool
 from chervilrock.decisions.serving.attempts import (
     decide_next,
-    judge_answer,
     Next,
     Progress,
     SendEnd,
 )
 from chervilrock.decisions.serving.messages import (
-    AnswerFacts,
     Onward,
-    RequestFacts,
 )
 from chervilrock.decisions.serving.placement import (
     Bound,
@@ -28,20 +24,21 @@
     choose_service,
     Denial,
 )
-from chervilrock.decisions.serving.streams import EventSplitter
 from chervilrock.decisions.serving.view import GroupEndpoint, ServerEndpoint
 from chervilrock.decisions.serving.waiting import decide_patience
 from chervilrock.edges.heads import Head
 from chervilrock.edges.relay import (
     BackendRequest,
-    Receiver,
     Transfer,
     TransferEnd,
 )
+from chervilrock.edges.serving import exchangelog
+from chervilrock.edges.serving.callerrequest import CallerRequest
 from chervilrock.edges.serving.connection import CallerConnection
+from chervilrock.edges.serving.receiver import AnswerReceiver
 from chervilrock.events import emit, Event
 from chervilrock.platform import headers as names
-from chervilrock.serving_metrics import RequestEnd, ServingMetrics
+from chervilrock.serving_metrics import ServingMetrics
 from chervilrock.tasks.clock import read_clock
 from chervilrock.tasks.serving.room import WaitingRoom
 from chervilrock.tasks.serving.state import ServingState
@@ -50,9 +47,6 @@
 """Longest time to connect to a server; it takes some milliseconds, and a
 packet that was lost is sent again after 0.2 s."""
 
-MAX_BODY_BYTES = 16 * 1024 * 1024
-"""Greatest answer that is kept until it is whole."""
-
 LEAST_REMAINING_S = 0.05
 """Time that must be left to send a request to a server."""
 
@@ -63,28 +57,6 @@
 Endpoint = GroupEndpoint | ServerEndpoint
 
 
-class CallerRequest(NamedTuple):
-    """A request as it came.
-
-    Attributes:
-      method: HTTP method.
-      target: path and query, as they came.
-      host: value of the header Host.
-      headers: all headers.
-      body: the body.
-      facts: what the headers tell.
-      arrived: when its head had come.
-    """
-
-    method: str
-    target: str
-    host: str
-    headers: tuple[tuple[str, str], ...]
-    body: bytes
-    facts: RequestFacts
-    arrived: float
-
-
 class Context(NamedTuple):
     """What all requests of a node share."""
 
@@ -94,53 +66,6 @@
     metrics: ServingMetrics
 
 
-class _Receiver(Receiver):
-    """Takes the answer of one send.
-
-    Events of a stream of this very request go on as they come; all other
-    bodies are kept until they are whole.
-    """
-
-    def __init__(
-        self,
-        *,
-        request_id: str,
-        last_event: str,
-        deliver: Callable[[Head, bytes], None],
-        progress: Callable[[], None],
-    ) -> None:
-        self._request_id = request_id
-        self._deliver = deliver
-        self._progress = progress
-        self.splitter = EventSplitter(last_event=last_event)
-        self.facts: AnswerFacts | None = None
-        self.body = bytearray()
-        self.is_relayed = False
-        self.is_too_long = False
-
-    def take_head(self, head: Head) -> None:
-        """See base class."""
-        self._head = head
-        self.facts = names.read_answer(head.status, head.headers)
-        judged = judge_answer(
-            self.facts, request_id=self._request_id, is_whole=True
-        )
-        self.is_relayed = judged is SendEnd.COMPLETE and self.facts.is_stream
-        self._progress()
-
-    def take_data(self, data: bytes) -> None:
-        """See base class."""
-        self._progress()
-        if not self.is_relayed:
-            self.is_too_long = len(self.body) + len(data) > MAX_BODY_BYTES
-            if not self.is_too_long:
-                self.body += data
-            return
-        events = self.splitter.feed(data)
-        if events:
-            self._deliver(self._head, events)
-
-
 class Exchange:
     """Finds a place for a request, sends it, and answers the caller.
 
@@ -406,8 +331,8 @@
             return SendEnd.NOT_RUN, 0
         now = read_clock()
         endpoint = place.endpoint
-        self._log_send(admission, endpoint, place, now)
-        receiver = _Receiver(
+        self._log_send(admission, place, now)
+        receiver = AnswerReceiver(
             request_id=self.request_id,
             last_event=self._last_event,
             deliver=self._deliver,
@@ -509,7 +434,7 @@
     def _judge(
         self,
         transfer: Transfer,
-        receiver: _Receiver,
+        receiver: AnswerReceiver,
         end: TransferEnd | SendEnd,
         endpoint: Endpoint,
     ) -> tuple[SendEnd, int]:
@@ -519,22 +444,7 @@
         if transfer.sent:
             sends = self._progress.sends + 1
             self._progress = self._progress._replace(sends=sends)
-        if isinstance(end, SendEnd):
-            judged = end
-        elif not transfer.sent:
-            judged = SendEnd.NOT_RUN
-        elif facts is None:
-            judged = SendEnd.LOST
-        else:
-            is_whole = not (
-                end.error
-                or receiver.splitter.has_rest
-                or receiver.splitter.is_faulty
-                or receiver.is_too_long
-            )
-            judged = judge_answer(
-                facts, request_id=self.request_id, is_whole=is_whole
-            )
+        judged = receiver.judge(transfer, end)
         if transfer.sent and judged is not SendEnd.NOT_RUN:
             self._progress = self._progress._replace(may_have_run=True)
         self._doubt_after(judged, endpoint)
@@ -546,9 +456,11 @@
         now = read_clock()
         is_failure = end in (SendEnd.NOT_RUN, SendEnd.LOST, SendEnd.SILENT)
         if is_failure and not self._has_left and now < self._expires:
-            self._state.doubt(_name(endpoint), now)
+            self._state.doubt(endpoint.name, now)
 
-    def _keep_answer(self, transfer: Transfer, receiver: _Receiver) -> None:
+    def _keep_answer(
+        self, transfer: Transfer, receiver: AnswerReceiver
+    ) -> None:
         if transfer.head is not None and not receiver.is_relayed:
             self._answer = bytes(receiver.body)
             self._answer_head = transfer.head
@@ -604,60 +516,38 @@
         self._connection.answer(status, pairs, body)
         self._log_end(f"refused: {reason}", status)
 
-    # Logs.
-
     def _log_send(
         self,
         admission: Admission,
-        endpoint: Endpoint,
         place: Choice[GroupEndpoint] | Choice[ServerEndpoint],
         now: float,
     ) -> None:
-        state = self._state
-        emit(
-            Event.REQUEST_SENT,
-            request_id=self.request_id,
-            route=admission.route.name,
-            endpoint=_name(endpoint),
-            server=endpoint.server,
-            own=place.load.own,
-            others=place.load.others,
-            view=f"{state.view.term}.{state.view.sequence}",
-            view_age_ms=round((now - state.view_time) * 1000),
+        """Log why the request goes where it goes."""
+        exchangelog.log_send(
+            self.request_id,
+            admission.route.name,
+            place,
+            self._state,
             after=self._last_event,
+            now=now,
         )
 
     def _log_end(self, reason: str, status: int) -> None:
-        now = read_clock()
-        admission = self._admission
-        route = "" if admission is None else admission.route.name
-        workspace = None if admission is None else admission.workspace
-        first = self._first_event
-        arrived = self._request.arrived
-        emit(
-            Event.REQUEST_ENDED,
-            request_id=self.request_id,
-            route=route,
-            workspace="" if workspace is None else workspace.name,
-            status=status,
-            reason=reason,
-            sends=self._progress.sends,
-            waited_ms=round(self._waited_s * 1000),
-            first_event_ms=None
-            if first is None
-            else round((first - arrived) * 1000),
-            total_ms=round((now - arrived) * 1000),
-            revision=-1
-            if self._state.routes is None
-            else self._state.routes.configuration.revision,
-        )
+        """Log and count how the request ended."""
         self._context.metrics.count_request(
-            RequestEnd(
-                service=self._service,
-                status=status,
-                seconds=now - arrived,
-                first_event_s=None if first is None else first - arrived,
-                waited_s=self._waited_s,
+            exchangelog.log_end(
+                exchangelog.Ended(
+                    request=self._request,
+                    admission=self._admission,
+                    service=self._service,
+                    status=status,
+                    reason=reason,
+                    sends=self._progress.sends,
+                    waited_s=self._waited_s,
+                    first_event=self._first_event,
+                    state=self._state,
+                    now=read_clock(),
+                )
             )
         )
 
@@ -666,13 +556,6 @@
 """Transfers that end by themselves after they were given up."""
 
 
-def _name(endpoint: Endpoint) -> str:
-    """Return the name by which an endpoint is doubted and logged."""
-    if isinstance(endpoint, GroupEndpoint):
-        return endpoint.group
-    return endpoint.server
-
-
 def _has_body(request: CallerRequest) -> bool:
     """Tell whether a body goes along; libcurl takes none for some methods."""
     return bool(request.body) or request.method in ("POST", "PUT", "PATCH")
--- /dev/null
+++ b/chervilrock/edges/serving/receiver.py
@@ -0,0 +1,98 @@
+"""Takes the answer of one send while it comes."""
+
+from collections.abc import Callable
+
+from chervilrock.decisions.serving.attempts import judge_answer, SendEnd
+from chervilrock.decisions.serving.messages import AnswerFacts
+from chervilrock.decisions.serving.streams import EventSplitter
+from chervilrock.edges.heads import Head
+from chervilrock.edges.relay import Receiver, Transfer, TransferEnd
+from chervilrock.platform import headers as names
+
+MAX_BODY_BYTES = 16 * 1024 * 1024
+"""Greatest answer that is kept until it is whole."""
+
+
+class AnswerReceiver(Receiver):
+    """Takes the answer of one send.
+
+    Events of a stream of this very request go on as they come; all other
+    bodies are kept until they are whole.
+
+    Attributes:
+      splitter: events of the stream.
+      facts: what the head tells, None before it came.
+      body: the body, when it is kept.
+      is_relayed: whether events go on as they come.
+      is_too_long: whether the body is longer than what is kept.
+    """
+
+    def __init__(
+        self,
+        *,
+        request_id: str,
+        last_event: str,
+        deliver: Callable[[Head, bytes], None],
+        progress: Callable[[], None],
+    ) -> None:
+        """Wait for an answer.
+
+        Args:
+          request_id: identifier of the request.
+          last_event: last event that the caller has, empty for none.
+          deliver: takes whole events for the caller.
+          progress: is called when anything comes.
+        """
+        self._request_id = request_id
+        self._deliver = deliver
+        self._progress = progress
+        self.splitter = EventSplitter(last_event=last_event)
+        self.facts: AnswerFacts | None = None
+        self.body = bytearray()
+        self.is_relayed = False
+        self.is_too_long = False
+
+    def take_head(self, head: Head) -> None:
+        """See base class."""
+        self._head = head
+        self.facts = names.read_answer(head.status, head.headers)
+        judged = judge_answer(
+            self.facts, request_id=self._request_id, is_whole=True
+        )
+        self.is_relayed = judged is SendEnd.COMPLETE and self.facts.is_stream
+        self._progress()
+
+    def take_data(self, data: bytes) -> None:
+        """See base class."""
+        self._progress()
+        if not self.is_relayed:
+            self.is_too_long = len(self.body) + len(data) > MAX_BODY_BYTES
+            if not self.is_too_long:
+                self.body += data
+            return
+        events = self.splitter.feed(data)
+        if events:
+            self._deliver(self._head, events)
+
+    def judge(self, transfer: Transfer, end: TransferEnd | SendEnd) -> SendEnd:
+        """Return how the send ended.
+
+        Args:
+          transfer: the transfer of the send.
+          end: its end, or why it was given up.
+        """
+        if isinstance(end, SendEnd):
+            return end
+        if not transfer.sent:
+            return SendEnd.NOT_RUN
+        if self.facts is None:
+            return SendEnd.LOST
+        is_whole = not (
+            end.error
+            or self.splitter.has_rest
+            or self.splitter.is_faulty
+            or self.is_too_long
+        )
+        return judge_answer(
+            self.facts, request_id=self._request_id, is_whole=is_whole
+        )
