--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,7 @@
 export PIP_DISABLE_PIP_VERSION_CHECK = 1
 
 .DEFAULT_GOAL := help
-.PHONY: help venv demo test bench format format-check lint imports types \
+.PHONY: help venv demo demo-platform test bench format format-check lint imports types \
 	unit generate lock binary binary-check clean
 
 help:  ## List the targets.
@@ -36,6 +36,9 @@
 demo: $(STAMP)  ## Run the demonstration on this machine.
 	$(BIN)/chervilrock demo
 
+demo-platform: $(STAMP)  ## Run nodes before a stand-in of the platform.
+	$(BIN)/python -m bench.soak --seeds 1 --seconds 10
+
 test: format-check lint imports types unit  ## Run every check and test.
 
 bench: $(STAMP)  ## Run the benches: JSON lines on stdout.
