Log which node relays to a data centre

Cause: a relay is a belief of the leader that decides when a node hears of a change, and no log line told of it. E7205 is written when a leader chooses one.

--- a/chervilrock/catalogue.py
+++ b/chervilrock/catalogue.py
@@ -218,6 +218,9 @@
     PEER_UNREACHABLE = EventSpec(
         7204, Level.WARNING, "{address} cannot be reached: {reason}"
     )
+    RELAY_CHOSEN = EventSpec(
+        7205, Level.INFO, "{node} relays to the nodes of {data_centre}"
+    )
     GROUP_CHANGED = EventSpec(
         7301, Level.INFO, "group {group} of {members}: {step} ({reason})"
     )
--- a/chervilrock/tasks/serving/leading.py
+++ b/chervilrock/tasks/serving/leading.py
@@ -168,7 +168,9 @@
             for one in self._state.known_nodes.values()
             if one.incarnation != self._state.own.incarnation
         ]
+        former = self._circle.relays
         self._circle = self._relays.choose(others, now)
+        self._note_relays(former)
         self._peers.sync(self._circle.nodes, now)
         self._sum_up(now)
         for effect in self._controller.step(now):
@@ -193,6 +195,16 @@
             self._controller.note_gone(server)
         self._pending_removals.clear()
 
+    def _note_relays(self, former: frozenset[str]) -> None:
+        """Log the relays that were not so before."""
+        for node in self._circle.nodes:
+            if node.incarnation in self._circle.relays - former:
+                emit(
+                    Event.RELAY_CHOSEN,
+                    node=node.node,
+                    data_centre=node.data_centre,
+                )
+
     def _sum_up(self, now: float) -> None:
         """Take what the nodes have answered together."""
         state = self._state
