Forget what a server held before it started again; ask during storms

Servers that start again under their identifier: entries and reports tell when the server was born. What was known of its former start is forgotten, its former group is taken apart without asking it, and news of the former start is passed over. Before, the membership that it had reported was put over its first new entry, since an entry without a group never outweighed it.

Entries of other writers: an entry that lacks a field, has one of another type, an unknown state or an address that is none names no server; a record whose key cannot be read no longer fails its whole page (the follower would have read the same offset for ever) but is counted and logged.

Revisions: a node that hears of newer and newer revisions, and gets none from the store, asks another node 0.4 s after the first of them; the wait began anew with each. Replay of one change each 0.24 s for 5 s: never asked within the storm before, after 0.4 s now.

Lost hosts: a host that did not answer is used again only after it reported, and a host that does not answer holds up the others of its domain for 0.3 s at most.

Staging: each host puts a second model on itself, so that it serves either within two seconds.

--- a/chervilrock/catalogue.py
+++ b/chervilrock/catalogue.py
@@ -238,6 +238,9 @@
         "group {group} at {server} made no event within {limit_ms} ms: "
         "{moved} of {streams} streams go on elsewhere",
     )
+    STAGING_ANSWERED = EventSpec(
+        7305, Level.INFO, "server {server} to stage {model}: {outcome}"
+    )
     REQUEST_SENT = EventSpec(
         7401,
         Level.INFO,
--- a/chervilrock/clients/serving.py
+++ b/chervilrock/clients/serving.py
@@ -46,10 +46,13 @@
     Attributes:
       records: the records.
       next_offset: where to read on.
+      unreadable: offsets of records that could not be read; any writer may
+        put such a one between the others.
     """
 
     records: tuple[KeyedRecord, ...]
     next_offset: int
+    unreadable: tuple[int, ...] = ()
 
 
 class KeyedStore(abc.ABC):
--- a/chervilrock/decisions/serving/controller.py
+++ b/chervilrock/decisions/serving/controller.py
@@ -7,12 +7,10 @@
 order finds a higher epoch and is refused by the server.
 """
 
-from collections.abc import Iterable, Mapping
-
 from chervilrock.decisions.serving import groupnames
-from chervilrock.decisions.serving.composition import compose
 from chervilrock.decisions.serving.dispatch import Dispatcher
 from chervilrock.decisions.serving.effects import (
+    Command,
     Effect,
     GroupNote,
     Step,
@@ -22,7 +20,7 @@
     Phase,
     READY_STATES,
 )
-from chervilrock.decisions.serving.hosts import DARK_S, HostBook
+from chervilrock.decisions.serving.hosts import DARK_S, HostBook, Life
 from chervilrock.decisions.serving.orders import (
     Close,
     Join,
@@ -31,14 +29,15 @@
     Order,
     OrderReply,
     ServerReport,
+    Stage,
 )
 from chervilrock.decisions.serving.plan import (
     Formation,
     FreeHost,
-    plan_domain,
     Preparation,
     Warmth,
 )
+from chervilrock.decisions.serving.planning import Planner, Staging
 from chervilrock.decisions.serving.site import (
     BackendServer,
     EngineProfile,
@@ -48,10 +47,6 @@
 )
 from chervilrock.decisions.serving.view import GroupEndpoint, ServerEndpoint
 
-SETTLE_S = 1.0
-"""Time without a new server after which the first plan is made: servers
-register one by one within some seconds of their start."""
-
 ADOPT_S = 0.3
 """Time for the entries of all members of a group that was found to come."""
 
@@ -67,6 +62,10 @@
 ASK_S = 0.1
 """Time between two questions whether a member is ready, or still there."""
 
+ASK_LOST_S = 1.0
+"""Time between two questions to a free host that did not answer the last one;
+each of them is paid for, and its entry goes within some seconds."""
+
 ASK_CLOSING_S = 0.25
 """Time between two questions whether a head has finished its requests."""
 
@@ -83,10 +82,6 @@
 0.18 s longer."""
 
 
-WARM_UP_FACTOR = 0.1
-"""Part of the time that loads take before the first request."""
-
-
 SURE_S = 1.0
 """Time for which a group that was found whole is not doubted again."""
 
@@ -104,8 +99,7 @@
         self._groups: dict[str, ManagedGroup] = {}
         self._needs_witness = False
         self._found: dict[tuple[str, int], float] = {}
-        self._last_load = float("-inf")
-        self._has_traffic = False
+        self._planner = Planner(hosts=self._hosts, groups=self._groups)
         self._notes: list[GroupNote] = []
 
     def set_configuration(self, configuration: SiteConfiguration) -> None:
@@ -114,10 +108,12 @@
 
     def note_traffic(self) -> None:
         """Note that callers have begun to send requests."""
-        self._has_traffic = True
+        self._planner.has_traffic = True
 
     def note_server(self, server: BackendServer, now: float) -> None:
         """Take the entry of a server."""
+        if self._is_former(server.server, server.born, now):
+            return
         membership = self._hosts.take_entry(server, now)
         if membership is not None:
             self._note_membership(server.server, membership)
@@ -136,6 +132,9 @@
         self, server: str, order: Order, reply: OrderReply | None, now: float
     ) -> None:
         """Take the answer to an order, None when there was none."""
+        if isinstance(order, Stage):
+            self._planner.note_staging_reply(server, order, reply, now)
+            return
         self._dispatcher.note_reply(server, order)
         group = self._groups.get(order.group)
         if group is None or group.epoch != order.epoch:
@@ -160,7 +159,11 @@
         """Take the state of a server, None when it did not answer."""
         self._dispatcher.note_report(server)
         if report is not None:
+            if self._is_former(server, report.born, now):
+                return
             self._take_report(server, report, now)
+        else:
+            self._hosts.note_unanswered(server)
         for group in list(self._groups.values()):
             if server not in group.members:
                 continue
@@ -169,6 +172,29 @@
             elif group.phase is Phase.CLOSING and server == group.head:
                 self._judge_closing(group, report, now)
 
+    def _is_former(self, server: str, born: int, now: float) -> bool:
+        """Tell whether something is of an earlier start of a server.
+
+        One that has started again is in no group, so its former one is taken
+        apart without asking it: its head is out if it was the head.
+        """
+        life = self._hosts.note_life(server, born)
+        if life is not Life.NEW:
+            return life is Life.FORMER
+        self._planner.forget(server)
+        self._dispatcher.forget(server)
+        for group in list(self._groups.values()):
+            if server not in group.members:
+                continue
+            self._clear(group, f"{server} has started again", now)
+            group.awaited.discard(server)
+            if server == group.head and group.has_head:
+                group.head_out = True
+            elif group.may_be_open:
+                # A late order could let it join its former group once more.
+                self._hosts.note_left(server, group.epoch, now)
+        return False
+
     def step(self, now: float) -> list[Effect]:
         """Return what to do now."""
         configuration = self._configuration
@@ -438,7 +464,7 @@
             membership = server.membership
             if membership is None:
                 continue
-            if self._is_unknown_member(server):
+            if self._planner.is_unknown_member(server):
                 key = (membership.group, membership.epoch)
                 found.setdefault(key, []).append(server)
         for key, servers in found.items():
@@ -684,99 +710,29 @@
         self, service: str, engine: EngineProfile, now: float
     ) -> list[Effect]:
         """Form groups of free hosts, and prepare those that are left."""
-        may_load = not self._has_traffic
-        if may_load and now - self._hosts.last_new < SETTLE_S:
-            return []
+        plan = self._planner.plan(service, engine, now)
         effects: list[Effect] = []
-        domains = self._hosts.list_domains(service, now)
-        models = tuple(engine.models.values())
-        for domain, hosts in sorted(domains.items()):
-            free = self._list_free(hosts)
-            unheard = [
-                one for one in free if not self._hosts.has_reported(one.server)
-            ]
-            for host in unheard:
-                effects += self._ask(host.server, RESEND_S, now)
-            if unheard or not free:
-                continue
-            present, elsewhere = self._count_groups(service, domain)
-            plan = plan_domain(
-                free,
-                models=models,
-                wanted=compose(len(hosts), models, elsewhere),
-                present=present,
-                urgency=self._rate_models(engine, present, elsewhere),
-                may_load=may_load,
-            )
-            for formation in plan.formations:
-                effects += self._start_group(service, engine, formation, now)
-            for preparation in plan.preparations:
-                effects += self._start_standby(
-                    service, engine, preparation, now
-                )
+        for host in plan.unheard:
+            is_answering = self._hosts.is_answering(host.server)
+            pause_s = RESEND_S if is_answering else ASK_LOST_S
+            effects += self._ask(host.server, pause_s, now)
+        for formation in plan.formations:
+            effects += self._start_group(service, engine, formation, now)
+        for preparation in plan.preparations:
+            effects += self._start_standby(service, engine, preparation, now)
+        for staging in plan.stagings:
+            effects += self._stage(engine, staging, now)
         return effects
 
-    def _list_free(self, hosts: Iterable[BackendServer]) -> list[FreeHost]:
-        """Return the hosts that are in no group, or stand by."""
-        taken: set[str] = set()
-        standby: set[str] = set()
-        for group in self._groups.values():
-            if group.phase is Phase.STANDBY:
-                standby.update(group.members)
-            elif group.phase is Phase.CLEARING:
-                taken.update(group.awaited)
-            else:
-                taken.update(group.members)
-        free = []
-        for host in hosts:
-            if host.server in taken or self._is_unknown_member(host):
-                continue
-            free.append(
-                FreeHost(
-                    server=host.server,
-                    loaded=self._hosts.loaded.get(host.server, ""),
-                    staged=host.staged,
-                    is_standby=host.server in standby,
-                )
-            )
-        return free
-
-    def _is_unknown_member(self, host: BackendServer) -> bool:
-        """Tell whether a host is in a group that was not looked at yet."""
-        membership = host.membership
-        if membership is None or membership.group in self._groups:
-            return False
-        return self._hosts.is_unknown_member(host)
-
-    def _count_groups(
-        self, service: str, domain: str
-    ) -> tuple[dict[str, int], dict[str, int]]:
-        """Return the groups of each model in a domain and in all others."""
-        present: dict[str, int] = {}
-        elsewhere: dict[str, int] = {}
-        passing = (Phase.CLOSING, Phase.CLEARING, Phase.STANDBY)
-        for group in self._groups.values():
-            is_counted = group.service == service and not group.is_standby
-            if not is_counted or group.phase in passing:
-                continue
-            head = self._hosts.servers.get(group.head)
-            is_here = head is not None and head.domain == domain
-            counts = present if is_here else elsewhere
-            counts[group.model] = counts.get(group.model, 0) + 1
-        return present, elsewhere
-
-    def _rate_models(
-        self,
-        engine: EngineProfile,
-        present: Mapping[str, int],
-        elsewhere: Mapping[str, int],
-    ) -> dict[str, float]:
-        """Return what orders the models: groups in relation to their share."""
-        rates = {}
-        for name, model in engine.models.items():
-            groups = present.get(name, 0) + elsewhere.get(name, 0)
-            rates[name] = groups / max(model.share, 0.01)
-        return rates
+    def _stage(
+        self, engine: EngineProfile, staging: Staging, now: float
+    ) -> list[Effect]:
+        """Let a host stage a second model, as the weight store allows."""
+        server = self._hosts.find(staging.server)
+        if server is None or not self._planner.take_load(engine, now):
+            return []
+        self._planner.note_staging(staging, engine, now)
+        return [Command(server, staging.order)]
 
     def _start_group(
         self,
@@ -797,18 +753,8 @@
         now: float,
     ) -> list[Effect]:
         """Let a host load a model, as the weight store allows."""
-        if preparation.needs_load and self._has_traffic:
-            loading = sum(
-                1
-                for group in self._groups.values()
-                if group.is_standby and group.phase is Phase.FORMING
-            )
-            pause = 1.0 / max(engine.loads_per_s, 0.1)
-            if loading >= engine.loads_at_once:
-                return []
-            if now - self._last_load < pause:
-                return []
-            self._last_load = now
+        if preparation.needs_load and not self._planner.take_load(engine, now):
+            return []
         members = (preparation.server,)
         model = preparation.model
         return self._start(service, engine, model, members, True, now)
@@ -869,5 +815,4 @@
             return JOIN_S
         if warmth is Warmth.ON_HOST:
             return shape.warm_s
-        factor = 1.0 if self._has_traffic else WARM_UP_FACTOR
-        return factor * shape.load_s
+        return self._planner.expect_load(shape)
--- a/chervilrock/decisions/serving/dispatch.py
+++ b/chervilrock/decisions/serving/dispatch.py
@@ -65,6 +65,12 @@
         """Let the next order to a server leave at once."""
         self._pauses.pop(server, None)
 
+    def forget(self, server: str) -> None:
+        """Forget what a server was told, since it has started again."""
+        self._pending.pop(server, None)
+        self._pauses.pop(server, None)
+        self._asked.pop(server, None)
+
     def forget_question(self, server: str) -> None:
         """Let the next question to a server leave at once."""
         self._asked.pop(server, None)
--- a/chervilrock/decisions/serving/hosts.py
+++ b/chervilrock/decisions/serving/hosts.py
@@ -4,6 +4,8 @@
 and nothing is done with a host that has not reported in this term.
 """
 
+import enum
+
 from chervilrock.decisions.serving import groupnames
 from chervilrock.decisions.serving.orders import ServerReport
 from chervilrock.decisions.serving.site import (
@@ -27,6 +29,20 @@
 """Greatest age of a report; servers tell some hundred milliseconds."""
 
 
+class Life(enum.Enum):
+    """Which start of a server something tells of.
+
+    Attributes:
+      SAME: the one that is known.
+      NEW: a later one.
+      FORMER: an earlier one, so that it says nothing of the server now.
+    """
+
+    SAME = "same"
+    NEW = "new"
+    FORMER = "former"
+
+
 class HostBook:
     """Servers, what they hold, and which of them may join a group.
 
@@ -57,6 +73,39 @@
         self._left_at: dict[str, float] = {}
         self._dark: dict[str, float] = {}
         self._slow: dict[str, float] = {}
+        self._born: dict[str, int] = {}
+        self._unanswered: set[str] = set()
+
+    def note_life(self, server: str, born: int) -> "Life":
+        """Note which start of a server something tells of.
+
+        A server that starts again under its identifier holds nothing, so all
+        that was known of it is forgotten. What it told before was taken for
+        newer than its first entry, and it was counted as a member of a group
+        that it no longer knew.
+        """
+        known = self._born.setdefault(server, born)
+        if born == known:
+            return Life.SAME
+        if born < known:
+            return Life.FORMER
+        self._born[server] = born
+        self._forget(server)
+        return Life.NEW
+
+    def _forget(self, server: str) -> None:
+        """Know nothing of a server but that it exists."""
+        self._heard_of.discard(server)
+        self.loaded.pop(server, None)
+        self.obeyed.pop(server, None)
+        self._unanswered.discard(server)
+        for times in (self._left_at, self._dark, self._slow):
+            times.pop(server, None)
+        self._reported.pop(server, None)
+        self._left = {one for one in self._left if one[0] != server}
+        entry = self.servers.get(server)
+        if entry is not None:
+            self.servers[server] = entry._replace(membership=None)
 
     def find(self, server: str) -> BackendServer | None:
         """Return a server, also one whose entry was removed."""
@@ -92,6 +141,7 @@
           Whether the server is in a group again that it had left.
         """
         self.answered = now
+        self._unanswered.discard(server)
         if report.pace >= SLOW_PACE:
             self._slow[server] = now + SLOW_S
         else:
@@ -122,8 +172,22 @@
         self.obeyed.pop(server, None)
 
     def note_dark(self, server: str, now: float) -> None:
-        """Note that a server does not answer."""
+        """Note that a server is lost; it is used again once it has reported.
+
+        Its entry stays for some seconds, and a group that it was put into
+        after a while had to be cleared again.
+        """
         self._dark[server] = now + DARK_S
+        self._heard_of.discard(server)
+        self._unanswered.add(server)
+
+    def note_unanswered(self, server: str) -> None:
+        """Note that a server gave no answer to a question."""
+        self._unanswered.add(server)
+
+    def is_answering(self, server: str) -> bool:
+        """Tell whether a server answered when it was last asked, if ever."""
+        return server not in self._unanswered
 
     def has_left_open_group(self, server: str) -> bool:
         """Tell whether a server left a group whose head may still serve."""
--- a/chervilrock/decisions/serving/orders.py
+++ b/chervilrock/decisions/serving/orders.py
@@ -47,7 +47,16 @@
     epoch: int
 
 
-Order = Join | Open | Close | Leave
+class Stage(NamedTuple):
+    """Put the weights of a model on the host, beside all other work."""
+
+    model: str
+
+
+GroupOrder = Join | Open | Close | Leave
+"""Orders that concern a membership."""
+
+Order = GroupOrder | Stage
 
 
 class OrderReply(enum.Enum):
@@ -80,6 +89,8 @@
       running: requests that run.
       waiting: requests that wait.
       pace: how slow it is; 1 is the usual pace.
+      born: when it started, in milliseconds since the epoch; 0 when it does
+        not tell.
     """
 
     membership: Membership | None
@@ -88,3 +99,4 @@
     running: int
     waiting: int
     pace: float
+    born: int = 0
--- a/chervilrock/decisions/serving/revisions.py
+++ b/chervilrock/decisions/serving/revisions.py
@@ -33,15 +33,32 @@
     def __init__(self) -> None:
         """Know of none."""
         self._told = NOTHING
-        self._told_at = 0.0
+        self._own = NOTHING
+        self._stuck_since = float("inf")
         self._tried = float("-inf")
         self._tries = 0
 
-    def note_told(self, revision: int, now: float) -> None:
-        """Note that another node told of a revision."""
-        if revision > self._told:
-            self._told = revision
-            self._told_at = now
+    def note_told(self, revision: int, own: int, now: float) -> None:
+        """Note that another node told of a revision.
+
+        The wait for the store runs from the first newer revision that the
+        node heard of since its own last changed. When it began anew with each
+        of them, a node that the store gave nothing waited as long as changes
+        came closer together than the wait: in a replay of one change each
+        0.24 s for 5 s, 5.4 s instead of 0.4 s.
+
+        Args:
+          revision: what the other node has in force.
+          own: revision in force here.
+          now: present time.
+        """
+        has_moved = own != self._own
+        self._own = own
+        self._told = max(self._told, revision)
+        if self._told <= own:
+            self._stuck_since = float("inf")
+        elif has_moved or self._stuck_since == float("inf"):
+            self._stuck_since = now
             self._tries = 0
 
     def is_due(self, own: int, now: float) -> bool:
@@ -54,7 +71,7 @@
         """
         if self._told <= own or now - self._tried < PAUSE_S:
             return False
-        return own == NOTHING or now - self._told_at >= PATIENCE_S
+        return own == NOTHING or now - self._stuck_since >= PATIENCE_S
 
     def choose_source(
         self,
--- a/chervilrock/decisions/serving/site.py
+++ b/chervilrock/decisions/serving/site.py
@@ -109,6 +109,8 @@
       form_s: time from the order to open until a group serves, in seconds.
       loads_per_s: loads from the weight store that may start a second.
       loads_at_once: loads at once that do not slow each other.
+      staged_models: models whose weights a host keeps, beside the one that its
+        server has in memory.
       models: models by name.
     """
 
@@ -122,6 +124,7 @@
     form_s: float
     loads_per_s: float
     loads_at_once: int
+    staged_models: int
     models: Mapping[str, ModelShape]
 
 
@@ -195,7 +198,7 @@
     """A backend server as its entry in the store tells.
 
     Attributes:
-      server: identifier of this start of the server.
+      server: identifier of the server.
       service: service that it belongs to.
       address: IP:port.
       data_centre: where it stands.
@@ -204,6 +207,9 @@
       slots: requests that it runs at once.
       staged: models whose weights are on the host.
       membership: its group, None when it is in none.
+      born: when it started, in milliseconds since the epoch; 0 when it does
+        not tell. A server may start again under its identifier, and then
+        holds and knows nothing of before.
     """
 
     server: str
@@ -215,3 +221,4 @@
     slots: int
     staged: tuple[str, ...]
     membership: Membership | None
+    born: int = 0
--- a/chervilrock/platform/engines.py
+++ b/chervilrock/platform/engines.py
@@ -20,6 +20,7 @@
     Order,
     OrderReply,
     ServerReport,
+    Stage,
 )
 from chervilrock.decisions.serving.site import BackendServer
 from chervilrock.platform.headers import EXPECTED_SERVER
@@ -42,6 +43,7 @@
     running: int = 0
     waiting: int = 0
     pace: float = 1.0
+    born: int = 0  # Unix milliseconds of its start
 
 
 _REPORT_DECODER = msgspec.json.Decoder(_Report)
@@ -97,6 +99,8 @@
             return {"op": "close", "close_mode": "queue", **order._asdict()}
         case Leave():
             return {"op": "leave", **order._asdict()}
+        case Stage():
+            return {"op": "stage", **order._asdict()}
 
 
 def _decode_reply(answer: HttpAnswer) -> Result[OrderReply, PlatformError]:
@@ -115,4 +119,5 @@
         running=report.running,
         waiting=report.waiting,
         pace=report.pace,
+        born=report.born,
     )
--- a/chervilrock/platform/operator.py
+++ b/chervilrock/platform/operator.py
@@ -72,6 +72,7 @@
     loads_per_s: float = 1.0
     loads_at_once: int = 1
     form_ms: float = 0.0
+    keeps: int = 1  # models whose weights stay on a host
 
 
 class _Service(msgspec.Struct):
@@ -170,6 +171,7 @@
             form_s=engine.form_ms / _MS_PER_S,
             loads_per_s=engine.loads_per_s,
             loads_at_once=engine.loads_at_once,
+            staged_models=engine.keeps,
             models={one.name: _make_model(one) for one in engine.models},
         ),
     )
--- a/chervilrock/platform/store.py
+++ b/chervilrock/platform/store.py
@@ -80,6 +80,7 @@
     ) -> Result[KeyedPage, PlatformError]:
         """See base class."""
         records: list[KeyedRecord] = []
+        unreadable: list[int] = []
         after = ""
         end: int | None = None
         while True:
@@ -90,16 +91,16 @@
             # Pages are no snapshot: what changes while they are read is read
             # again from the end that the first of them told.
             end = newest.end if end is None else end
-            records += [
-                KeyedRecord(
-                    key=item.key,
-                    value=base64.b64decode(item.value),
-                    offset=item.offset,
-                )
-                for item in newest.items
-            ]
+            for item in newest.items:
+                record = _read_item(item)
+                if record is None:
+                    unreadable.append(item.offset)
+                else:
+                    records.append(record)
             if not newest.has_more or not newest.items:
-                return Success(KeyedPage(tuple(records), end))
+                return Success(
+                    KeyedPage(tuple(records), end, tuple(unreadable))
+                )
             after = newest.items[-1].key
 
     async def _fetch_page(
@@ -189,14 +190,28 @@
     """Parse the answer to a read that began at an offset."""
     try:
         page = _split(body)
-        records = tuple(
-            _parse_record(content, start + index)
-            for index, content in enumerate(page.records)
-        )
-    except (struct.error, IndexError, UnicodeDecodeError) as error:
+    except struct.error as error:
         message = f"malformed page: {error}"
         return Failure(PlatformError(PlatformErrorKind.BAD_ANSWER, message))
-    return Success(KeyedPage(records, start + len(records)))
+    records: list[KeyedRecord] = []
+    unreadable: list[int] = []
+    for offset, content in enumerate(page.records, start):
+        try:
+            records.append(_parse_record(content, offset))
+        except (IndexError, UnicodeDecodeError):
+            # The others hold; failing the page stopped all reading for good.
+            unreadable.append(offset)
+    next_offset = start + len(page.records)
+    return Success(KeyedPage(tuple(records), next_offset, tuple(unreadable)))
+
+
+def _read_item(item: _Item) -> KeyedRecord | None:
+    """Return a newest record, None when its value is no base64."""
+    try:
+        value = base64.b64decode(item.value, validate=True)
+    except ValueError:
+        return None
+    return KeyedRecord(key=item.key, value=value, offset=item.offset)
 
 
 def _split(body: bytes) -> _RawPage:
@@ -223,6 +238,7 @@
 
     Raises:
       IndexError: it is shorter than its key.
+      UnicodeDecodeError: its key is no text.
     """
     length = content[0]
     if len(content) < 1 + length:
--- a/chervilrock/standin/site/servers.py
+++ b/chervilrock/standin/site/servers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import enum
+import itertools
 from typing import NamedTuple
 import uuid
 
@@ -82,6 +83,8 @@
         self.staged: list[str] = []
         self.group: dict[str, object] | None = None
         self.highest = -1
+        self.born = 1_700_000_000_000
+        self._sequence = itertools.count(1)
         self._store = store
         self._http: httpserver.HTTPServer | None = None
         self.address = ""
@@ -117,7 +120,11 @@
             "address": self.address,
             "zone": self.data_centre,
             "slots": 4,
+            "version": "v1",
             "state": "draining" if self.is_leaving else "ready",
+            "sequence": next(self._sequence),
+            "warmup_left_ms": 0,
+            "born": self.born,
             "staged": self.staged,
         }
         if self.domain:
@@ -139,6 +146,8 @@
         """Carry an order out and return the status of the answer."""
         self.orders.append(order)
         kind = order.get("op")
+        if kind == "stage":
+            return self._stage(str(order.get("model")))
         epoch = order.get("epoch")
         if not isinstance(epoch, int):
             return 400
@@ -165,6 +174,13 @@
         self.register()
         return 202
 
+    def _stage(self, model: str) -> int:
+        if model in self.staged:
+            return 200
+        self.staged = [model]
+        self.register()
+        return 202
+
     def _join(self, order: dict[str, object], epoch: int) -> int:
         members = order.get("members")
         if not isinstance(members, list) or self.server not in members:
@@ -215,6 +231,7 @@
         server = self.server
         self.finish(
             {
+                "born": server.born,
                 "staged": server.staged,
                 "group": server.group,
                 "running": 0,
--- a/chervilrock/tasks/serving/node.py
+++ b/chervilrock/tasks/serving/node.py
@@ -10,6 +10,7 @@
 
 from chervilrock.clients.serving import Topic
 from chervilrock.decisions.serving.leadership import Claim, Leadership
+from chervilrock.decisions.serving.orders import Stage
 from chervilrock.decisions.serving.revisions import RevisionWatch
 from chervilrock.decisions.serving.routes import RouteTable
 from chervilrock.decisions.serving.view import (
@@ -328,6 +329,12 @@
         )
 
     def _take_records(self, read: RecordsRead, now: float) -> None:
+        for offset in read.page.unreadable:
+            emit(
+                Event.RECORD_UNREADABLE,
+                key=f"at {offset} of {read.topic.value}",
+                reason="no key or value",
+            )
         match read.topic:
             case Topic.CONFIGURATION:
                 for record in read.page.records:
@@ -409,14 +416,24 @@
 
     def _take_reply(self, answered: OrderAnswered, now: float) -> None:
         reply = answered.reply
-        emit(
-            Event.ORDER_ANSWERED,
-            server=answered.server,
-            order=type(answered.order).__name__.lower(),
-            group=answered.order.group,
-            epoch=answered.order.epoch,
-            outcome=answered.detail if reply is None else reply.value,
-        )
+        outcome = answered.detail if reply is None else reply.value
+        order = answered.order
+        if isinstance(order, Stage):
+            emit(
+                Event.STAGING_ANSWERED,
+                server=answered.server,
+                model=order.model,
+                outcome=outcome,
+            )
+        else:
+            emit(
+                Event.ORDER_ANSWERED,
+                server=answered.server,
+                order=type(order).__name__.lower(),
+                group=order.group,
+                epoch=order.epoch,
+                outcome=outcome,
+            )
         if self._leading is not None:
             self._leading.note_reply(answered, now)
 
@@ -465,7 +482,7 @@
             state.use_view(view, now)
         if state.view.version == (announcement.term, announcement.sequence):
             state.view_time = now
-        self._revisions.note_told(announcement.revision, now)
+        self._revisions.note_told(announcement.revision, state.revision, now)
         self._teller = announcement.leader
         self._room.notify()
 
@@ -489,7 +506,7 @@
         holder = self._teller
         if self._leading is not None:
             summary = self._leading.summary
-            self._revisions.note_told(summary.revision, now)
+            self._revisions.note_told(summary.revision, state.revision, now)
             holder = summary.holder
         if not self._revisions.is_due(state.revision, now):
             return
--- a/test/decisions/serving/fleet.py
+++ b/test/decisions/serving/fleet.py
@@ -20,6 +20,7 @@
     Order,
     OrderReply,
     ServerReport,
+    Stage,
 )
 from chervilrock.decisions.serving.site import (
     BackendServer,
@@ -53,6 +54,7 @@
     form_s=0.3,
     loads_per_s=4.0,
     loads_at_once=6,
+    staged_models=1,
     models={"large": LARGE, "small": SMALL},
 )
 
@@ -91,6 +93,7 @@
         self.highest = -1
         self.obeyed = 0
         self.pace = 1.0
+        self.born = 1
         self.is_dead = False
         self.is_cut = False
         self.is_leaving = False
@@ -146,6 +149,16 @@
         self.servers[name].is_dead = True
         self._put(entry_s, ("gone", name))
 
+    def restart(self, name: str) -> None:
+        """Let a server start again under its name; its host keeps weights."""
+        server = self.servers[name]
+        server.born += 1
+        server.last_model = ""
+        server.membership = None
+        server.members = ()
+        server.highest = -1
+        server.obeyed = 0
+
     def run(self, seconds: float) -> None:
         """Let time pass."""
         end = self.now + seconds
@@ -179,6 +192,7 @@
             slots=13,
             staged=server.staged,
             membership=server.membership,
+            born=server.born,
         )
 
     def obey(self, name: str, order: Order) -> OrderReply:
@@ -193,6 +207,8 @@
                 return self._close(server, order)
             case Leave():
                 return self._leave(server, order)
+            case Stage():
+                return self._stage(server, order)
 
     def _join(self, server: FakeServer, order: Join) -> OrderReply:
         held = server.membership
@@ -212,10 +228,22 @@
             order.group, order.epoch, rank, MemberState.JOINING
         )
         server.ready_at = self.now + self._find_join_s(server, order.model)
-        server.staged = (order.model,)
+        if server.last_model != order.model:
+            server.staged = (order.model,)
         server.last_model = order.model
         return OrderReply.STARTED
 
+    def _stage(self, server: FakeServer, order: Stage) -> OrderReply:
+        if order.model in server.staged:
+            return OrderReply.DONE
+        server.obeyed += 1
+        load_s = ENGINE.models[order.model].load_s
+        self._put(
+            load_s if self.has_traffic else load_s / 10,
+            ("staged", server.server, order.model),
+        )
+        return OrderReply.STARTED
+
     def _find_join_s(self, server: FakeServer, model: str) -> float:
         if server.last_model == model:
             return JOIN_S
@@ -316,6 +344,8 @@
                         self.obey(name, order)
                 case ("reply", name, order, reply):
                     self.controller.note_reply(name, order, reply, self.now)
+                case ("staged", name, model):
+                    self.servers[name].staged = (model,)
                 case ("report", name, is_lost):
                     self._report(name, is_lost)
 
@@ -330,6 +360,7 @@
                 0,
                 0,
                 server.pace,
+                server.born,
             )
         self.controller.note_report(name, report, self.now)
 
--- a/test/decisions/serving/test_controller.py
+++ b/test/decisions/serving/test_controller.py
@@ -303,3 +303,92 @@
     fleet.run(25.0)
     assert_that(fleet.violations, HasLength(0))
     assert_that(sum(fleet.serving().values()), GreaterThan(0))
+
+
+@pytest.mark.parametrize("rank", [0, 2])
+def test_a_member_that_started_again_is_in_no_group(
+    fleet: Fleet, rank: int
+) -> None:
+    before = fleet.serving()
+    members = find_group(fleet, "large")
+    name = find_name(fleet, members[0])
+    fleet.restart(members[rank])
+    fleet.run(0.4)
+    groups = [one.group for one in fleet.controller.list_groups(fleet.now)]
+    assert_that(groups, Not(Contains(name)))
+    assert_that(run_until_served(fleet, before), LessThan(3.0))
+    assert_that(fleet.violations, HasLength(0))
+
+
+def test_a_server_that_started_again_is_not_taken_for_its_former_start(
+    fleet: Fleet,
+) -> None:
+    # Its former entry is read once more after the new one.
+    members = find_group(fleet, "large")
+    former = fleet.make_entry(fleet.servers[members[1]])
+    fleet.restart(members[1])
+    fleet.run(0.4)
+    fleet.controller.note_server(former, fleet.now)
+    fleet.run(6.0)
+    assert_that(fleet.serving(), Equals({"large": 3, "small": 3}))
+    assert_that(fleet.violations, HasLength(0))
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_promises_hold_while_servers_start_again(seed: int) -> None:
+    fleet = Fleet(domains=3, hosts=8, seed=seed)
+    generator = fleet.generator
+    fleet.run(generator.uniform(2.0, 5.0))
+    fleet.start_traffic()
+    fleet.faults = Faults(lost=0.15, late=0.25)
+    for term in range(2, 8):
+        fleet.run(generator.uniform(0.1, 2.0))
+        fleet.restart(generator.choice(sorted(fleet.servers)))
+        if generator.random() < 0.3:
+            fleet.make_controller(term=term)
+    fleet.faults = Faults()
+    fleet.run(25.0)
+    assert_that(fleet.violations, HasLength(0))
+    assert_that(sum(fleet.serving().values()), GreaterThan(0))
+
+
+def test_a_lost_host_that_does_not_answer_joins_no_group(
+    fleet: Fleet,
+) -> None:
+    # Its entry stays for five seconds after it went silent.
+    members = find_group(fleet, "large")
+    fleet.kill(members[2], entry_s=5.0)
+    fleet.controller.note_silent(find_name(fleet, members[0]), fleet.now)
+    fleet.run(1.5)
+    epoch = max(one.highest for one in fleet.servers.values())
+    fleet.run(3.0)
+    later = [
+        one.server
+        for one in fleet.servers.values()
+        if one.highest > epoch and members[2] in one.members
+    ]
+    assert_that(later, HasLength(0))
+    assert_that(fleet.violations, HasLength(0))
+
+
+def test_a_host_that_does_not_answer_holds_up_no_other(fleet: Fleet) -> None:
+    # A standby host falls silent; its domain loses a member of a group later.
+    standby = [
+        name
+        for name, server in fleet.servers.items()
+        if len(server.members) == 1 and server.last_model == "small"
+    ][0]
+    domain = fleet.servers[standby].domain
+    before = fleet.serving()
+    fleet.make_controller(term=2)
+    fleet.servers[standby].is_cut = True
+    fleet.run(1.0)
+    members = [
+        fleet.servers[one.server].members
+        for one in fleet.controller.list_groups(fleet.now)
+        if one.model == "large" and fleet.servers[one.server].domain == domain
+    ][0]
+    fleet.kill(members[1])
+    fleet.controller.note_silent(find_name(fleet, members[0]), fleet.now)
+    fleet.run(0.3)
+    assert_that(run_until_served(fleet, before), LessThan(1.5))
--- a/test/platform/test_adapter.py
+++ b/test/platform/test_adapter.py
@@ -146,29 +146,103 @@
     assert_that(decoded.keys is None, Is(True))
 
 
+ENTRY: dict[str, Any] = {
+    "service": "s",
+    "address": "10.0.0.1:1",
+    "zone": "a",
+    "version": "v1",
+    "slots": 13,
+    "state": "draining",
+    "sequence": 4,
+    "warmup_left_ms": 0,
+    "born": 1_700_000_000_123,
+    "domain": 3,
+    "staged": ["m"],
+    "group": {"name": "g", "epoch": 7, "rank": 1, "state": "open"},
+}
+"""Entry of a server as the platform describes it."""
+
+
 def test_an_entry_of_a_member_is_decoded() -> None:
-    entry = {
-        "service": "s",
-        "address": "10.0.0.1:1",
-        "zone": "a",
-        "slots": 13,
-        "state": "draining",
-        "domain": 3,
-        "staged": ["m"],
-        "group": {"name": "g", "epoch": 7, "rank": 1, "state": "open"},
-    }
+    entry = ENTRY
     server = decode_server("i-1", msgspec.json.encode(entry)).unwrap()
     assert_that(server.is_leaving, Is(True))
     assert_that(server.domain, Equals("3"))
     wanted = Membership("g", 7, 1, MemberState.OPEN)
     assert_that(server.membership == wanted, Is(True))
+    assert_that(server.born, Equals(1_700_000_000_123))
 
 
-@pytest.mark.parametrize("entry", [b"", b"[]", b"{}", b'{"service": 1}'])
+@pytest.mark.parametrize(
+    "entry", [b"", b"[]", b"{}", b'{"service": 1}', b"\xff\xfe", b'"x"']
+)
 def test_a_wrong_entry_is_refused(entry: bytes) -> None:
     assert_that(isinstance(decode_server("i-1", entry), Failure), Is(True))
 
 
+@pytest.mark.parametrize(
+    "field",
+    [
+        "service",
+        "address",
+        "zone",
+        "version",
+        "slots",
+        "state",
+        "sequence",
+        "warmup_left_ms",
+    ],
+)
+def test_an_entry_without_a_field_names_no_server(field: str) -> None:
+    entry = {name: ENTRY[name] for name in ENTRY if name != field}
+    result = decode_server("i-1", msgspec.json.encode(entry))
+    assert_that(isinstance(result, Failure), Is(True))
+
+
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        ("state", "retired"),
+        ("state", 1),
+        ("slots", "13"),
+        ("sequence", "4"),
+        ("born", 1.5),
+        ("born", "1"),
+        ("staged", "m"),
+        ("staged", [1]),
+        ("domain", [3]),
+        ("group", "g"),
+        ("group", {"name": "g", "epoch": 7, "rank": 1, "state": "odd"}),
+        ("group", {"name": "g", "epoch": "7", "rank": 1, "state": "open"}),
+        ("address", ""),
+        ("address", "10.0.0.1"),
+        ("address", "10.0.0.1:x"),
+        ("address", "10.0.0.1:70000"),
+        ("address", "host:1"),
+    ],
+)
+def test_an_entry_that_is_not_understood_names_no_server(
+    field: str, value: object
+) -> None:
+    entry = ENTRY | {field: value}
+    result = decode_server("i-1", msgspec.json.encode(entry))
+    assert_that(isinstance(result, Failure), Is(True))
+
+
+@pytest.mark.parametrize(
+    "content", [b"", b"\x09key", b"\x02\xff\xfe" + b"value"]
+)
+def test_a_record_that_cannot_be_read_hides_no_other(content: bytes) -> None:
+    odd = len(content).to_bytes(4, "big") + content
+    records = encode_record("a", b"one") + odd + encode_record("b", b"two")
+    page = parse_page(bytes(16) + records, 40).unwrap()
+    assert page is not None
+    parsed = [(one.key, one.offset) for one in page.records]
+    assert_that(parsed, Equals([("a", 40), ("b", 42)]))
+    assert_that(page.unreadable, Equals((41,)))
+    assert_that(page.next_offset, Equals(43))
+
+
 def test_records_of_a_page_are_parsed() -> None:
     records = encode_record("a", b"one") + encode_record("b", b"")
     page = parse_page(bytes(16) + records, 40).unwrap()
