Let hosts follow the demand, and cut streams and new requests go first

Hypothesis: what is short is groups, not hosts.

Change: which groups are formed is decided over all domains at once, for the model that lacks most groups for the demand seen; a group of a model that can spare it is closed, its streams whole, when another one is pressed. Each host keeps a second model on its disk.

--- a/chervilrock/decisions/serving/controller.py
+++ b/chervilrock/decisions/serving/controller.py
@@ -7,6 +7,8 @@
 order finds a higher epoch and is refused by the server.
 """
 
+from collections.abc import Mapping
+
 from chervilrock.decisions.serving import groupnames
 from chervilrock.decisions.serving.dispatch import Dispatcher
 from chervilrock.decisions.serving.effects import (
@@ -34,6 +36,7 @@
 from chervilrock.decisions.serving.plan import (
     Formation,
     FreeHost,
+    Move,
     Preparation,
     Warmth,
 )
@@ -110,6 +113,16 @@
         """Note that callers have begun to send requests."""
         self._planner.has_traffic = True
 
+    def note_requests(self, requests: Mapping[str, int], now: float) -> None:
+        """Take the requests of all nodes at each head."""
+        if self._configuration is None:
+            return
+        for service in self._configuration.services.values():
+            if service.engine is not None:
+                self._planner.note_requests(
+                    requests, service.engine, service.name, now
+                )
+
     def note_server(self, server: BackendServer, now: float) -> None:
         """Take the entry of a server."""
         if self._is_former(server.server, server.born, now):
@@ -720,10 +733,23 @@
             effects += self._start_group(service, engine, formation, now)
         for preparation in plan.preparations:
             effects += self._start_standby(service, engine, preparation, now)
+        for move in plan.moves:
+            effects += self._close_for(move, now)
         for staging in plan.stagings:
             effects += self._stage(engine, staging, now)
         return effects
 
+    def _close_for(self, move: Move, now: float) -> list[Effect]:
+        """Let groups finish, since their hosts are needed for another model."""
+        effects: list[Effect] = []
+        for name in move.groups:
+            group = self._groups[name]
+            reason = f"its hosts are needed for {move.model}"
+            group.move(Phase.CLOSING, now, reason)
+            self._note(Step.CLOSING, group, reason)
+            effects += self._close(group, now)
+        return effects
+
     def _stage(
         self, engine: EngineProfile, staging: Staging, now: float
     ) -> list[Effect]:
--- a/chervilrock/decisions/serving/placement.py
+++ b/chervilrock/decisions/serving/placement.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable, Iterable
 from typing import Generic, NamedTuple, TYPE_CHECKING, TypeVar
 
+from chervilrock.decisions.serving.lateness import Standing
 from chervilrock.decisions.serving.view import GroupEndpoint, ServerEndpoint
 
 if TYPE_CHECKING:
@@ -143,17 +144,24 @@
 milliseconds, and a short queue keeps the slots busy."""
 
 
-def find_group_bound(waited_s: float, target_s: float, nodes: int) -> Bound:
+BEGUN_BOUND = Bound(total=1.25, own=1.25)
+"""For streams that were cut: their callers give up after a gap of two seconds,
+and the engine admits them first. Held to the part for late requests, a stream
+of a lost group waited 2.1 s while all groups were half full."""
+
+
+def find_group_bound(standing: Standing, nodes: int) -> Bound:
     """Return how full a group may be that takes a request.
 
     A node that has just started knows the requests of the others only some
     tenths of a second later, so that its late ones keep to its share.
 
     Args:
-      waited_s: time since the request came, in seconds.
-      target_s: time to the first event that counts as on time.
+      standing: how the request stands.
       nodes: number of nodes that send to the same groups.
     """
-    if waited_s < target_s:
+    if standing is Standing.BEGUN:
+        return BEGUN_BOUND
+    if standing is Standing.ON_TIME:
         return GROUP_BOUND
     return Bound(total=LATE_PART, own=LATE_PART / max(1, nodes))
--- a/chervilrock/decisions/serving/planning.py
+++ b/chervilrock/decisions/serving/planning.py
@@ -4,18 +4,21 @@
 the controller carries it out.
 """
 
+from collections import Counter
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
-from chervilrock.decisions.serving.composition import compose
+from chervilrock.decisions.serving.demand import Demand
 from chervilrock.decisions.serving.groups import ManagedGroup, Phase
 from chervilrock.decisions.serving.hosts import HostBook
 from chervilrock.decisions.serving.orders import OrderReply, Stage
 from chervilrock.decisions.serving.plan import (
-    DomainPlan,
+    DomainHosts,
     Formation,
     FreeHost,
-    plan_domain,
+    Move,
+    PlacedGroup,
+    plan_service,
     Preparation,
 )
 from chervilrock.decisions.serving.site import (
@@ -38,6 +41,15 @@
 """Part of the time that loads take before the first request."""
 
 
+SETTLED_S = 1.0
+"""Time for which a group has to serve before it may be taken apart."""
+
+MOVE_S = 8.0
+"""Time for which the free hosts of a domain wait for those of a group that is
+taken apart: its requests end within 5 s, and its hosts leave and load within
+2 s."""
+
+
 class Staging(NamedTuple):
     """A model that a host should stage."""
 
@@ -52,15 +64,24 @@
       unheard: free hosts that have to tell their state first.
       formations: groups to form.
       preparations: hosts that should stand by.
+      moves: groups to take apart for another model.
       stagings: hosts that should stage a second model.
     """
 
     unheard: tuple[BackendServer, ...] = ()
     formations: tuple[Formation, ...] = ()
     preparations: tuple[Preparation, ...] = ()
+    moves: tuple[Move, ...] = ()
     stagings: tuple[Staging, ...] = ()
 
 
+class _Promise(NamedTuple):
+    """A model for which a domain takes groups apart."""
+
+    model: str
+    until: float
+
+
 class Planner:
     """Plans over the hosts and groups that the leader knows.
 
@@ -83,6 +104,9 @@
         self._stagings = StagingBook()
         self._last_load = float("-inf")
         self._unheard: dict[str, float] = {}
+        self._demand = Demand()
+        self._requests: Mapping[str, int] = {}
+        self._promises: dict[str, _Promise] = {}
         self.has_traffic = False
 
     def plan(self, service: str, engine: EngineProfile, now: float) -> Plan:
@@ -93,7 +117,8 @@
         for server in list(self._unheard):
             if self._hosts.has_reported(server):
                 del self._unheard[server]
-        plan = Plan()
+        asked: list[BackendServer] = []
+        placed: list[DomainHosts] = []
         for domain, hosts in sorted(domains.items()):
             free = self._list_free(hosts)
             unheard = [
@@ -101,20 +126,51 @@
                 for one in free
                 if not self._hosts.has_reported(one.server)
             ]
-            asked = tuple(self._hosts.servers[one] for one in unheard)
-            plan = plan._replace(unheard=plan.unheard + asked)
-            free = [one for one in free if one.server not in unheard]
-            if not free or self._waits_for(unheard, now):
-                continue
-            part = self._plan_domain(service, engine, domain, len(hosts), free)
-            plan = plan._replace(
-                formations=plan.formations + part.formations,
-                preparations=plan.preparations + part.preparations,
+            asked += [self._hosts.servers[one] for one in unheard]
+            heard = [one for one in free if one.server not in unheard]
+            placed.append(
+                DomainHosts(
+                    domain=domain,
+                    free=() if self._waits_for(unheard, now) else tuple(heard),
+                    groups=self._list_groups(service, domain, now),
+                    promised=self._find_promise(domain, now),
+                )
             )
-        return plan._replace(
-            stagings=self._choose_stagings(service, engine, domains, now)
+        if not self.has_traffic and self._waits_for_any(asked, now):
+            # One plan over all domains; a domain that was planned before the
+            # others had reported got more groups than its part.
+            return Plan(unheard=tuple(asked))
+        total = sum(len(hosts) for hosts in domains.values())
+        return self._plan(service, engine, placed, total, now)._replace(
+            unheard=tuple(asked),
+            stagings=self._choose_stagings(engine, domains, placed, now),
         )
 
+    def note_requests(
+        self,
+        requests: Mapping[str, int],
+        engine: EngineProfile,
+        service: str,
+        now: float,
+    ) -> None:
+        """Take the requests of all nodes at each head.
+
+        Args:
+          requests: requests by head.
+          engine: how the engines of the service work.
+          service: the service.
+          now: present time.
+        """
+        self._requests = requests
+        running: Counter[str] = Counter()
+        places: Counter[str] = Counter()
+        running.update(dict.fromkeys(engine.models, 0))
+        for group in self._groups.values():
+            if group.service == service and group.phase is Phase.SERVING:
+                running[group.model] += requests.get(group.head, 0)
+                places[group.model] += engine.slots
+        self._demand.note(running, places, now)
+
     def take_load(self, engine: EngineProfile, now: float) -> bool:
         """Count a load if the weight store takes one more now."""
         if not self.has_traffic:
@@ -153,24 +209,79 @@
         """Forget what a server was told, since it has started again."""
         self._stagings.forget(server)
 
-    def _plan_domain(
+    def _plan(
         self,
         service: str,
         engine: EngineProfile,
-        domain: str,
+        domains: list[DomainHosts],
         hosts: int,
-        free: list[FreeHost],
-    ) -> DomainPlan:
-        """Return what to do with the free hosts of a domain."""
-        models = tuple(engine.models.values())
-        present, elsewhere = self._count_groups(service, domain)
-        return plan_domain(
-            free,
-            models=models,
-            wanted=compose(hosts, models, elsewhere),
-            present=present,
-            urgency=self._rate_models(engine, present, elsewhere),
+        now: float,
+    ) -> Plan:
+        """Return formations, preparations and moves."""
+        counts = _count_groups(domains)
+        planned = plan_service(
+            domains,
+            models=tuple(engine.models.values()),
+            needs=self._demand.find_needs(engine, counts, hosts, now),
             may_load=not self.has_traffic,
+            pressed=self._demand.list_pressed(now),
+        )
+        for move in planned.moves:
+            self._promises[move.domain] = _Promise(move.model, now + MOVE_S)
+        for formation in planned.formations:
+            domain = self._hosts.servers[formation.members[0]].domain
+            if self._find_promise(domain, now) == formation.model:
+                del self._promises[domain]
+        return Plan(
+            formations=planned.formations,
+            preparations=planned.preparations,
+            moves=planned.moves,
+        )
+
+    def _find_promise(self, domain: str, now: float) -> str:
+        """Return the model that a domain takes groups apart for."""
+        promise = self._promises.get(domain)
+        if promise is None or promise.until <= now:
+            return ""
+        return promise.model
+
+    def _list_groups(
+        self, service: str, domain: str, now: float
+    ) -> tuple[PlacedGroup, ...]:
+        """Return the groups of a domain that serve or form."""
+        passing = (Phase.CLOSING, Phase.CLEARING, Phase.STANDBY)
+        placed = []
+        for group in self._groups.values():
+            head = self._hosts.servers.get(group.head)
+            is_here = head is not None and head.domain == domain
+            if group.service != service or not is_here or group.is_standby:
+                continue
+            if group.phase in passing:
+                continue
+            has_settled = now - group.served_at >= SETTLED_S
+            is_serving = group.phase is Phase.SERVING and has_settled
+            placed.append(
+                PlacedGroup(
+                    group=group.name,
+                    model=group.model,
+                    members=tuple(
+                        self._describe(one, is_standby=False)
+                        for one in group.members
+                    ),
+                    requests=self._requests.get(group.head, 0),
+                    may_move=is_serving and group.doubted is None,
+                )
+            )
+        return tuple(placed)
+
+    def _describe(self, server: str, *, is_standby: bool) -> FreeHost:
+        """Return what a host holds."""
+        entry = self._hosts.servers.get(server)
+        return FreeHost(
+            server=server,
+            loaded=self._hosts.loaded.get(server, ""),
+            staged=() if entry is None else entry.staged,
+            is_standby=is_standby,
         )
 
     def _waits_for(self, unheard: Iterable[str], now: float) -> bool:
@@ -186,6 +297,9 @@
             waits = waits or (is_new and self._hosts.is_answering(server))
         return waits
 
+    def _waits_for_any(self, asked: list[BackendServer], now: float) -> bool:
+        return self._waits_for([one.server for one in asked], now)
+
     def _list_free(self, hosts: Iterable[BackendServer]) -> list[FreeHost]:
         """Return the hosts that are in no group, or stand by."""
         taken: set[str] = set()
@@ -201,14 +315,8 @@
         for host in hosts:
             if host.server in taken or self.is_unknown_member(host):
                 continue
-            free.append(
-                FreeHost(
-                    server=host.server,
-                    loaded=self._hosts.loaded.get(host.server, ""),
-                    staged=host.staged,
-                    is_standby=host.server in standby,
-                )
-            )
+            is_standby = host.server in standby
+            free.append(self._describe(host.server, is_standby=is_standby))
         return free
 
     def is_unknown_member(self, host: BackendServer) -> bool:
@@ -218,46 +326,18 @@
             return False
         return self._hosts.is_unknown_member(host)
 
-    def _count_groups(
-        self, service: str, domain: str
-    ) -> tuple[dict[str, int], dict[str, int]]:
-        """Return the groups of each model in a domain and in all others."""
-        present: dict[str, int] = {}
-        elsewhere: dict[str, int] = {}
-        passing = (Phase.CLOSING, Phase.CLEARING, Phase.STANDBY)
-        for group in self._groups.values():
-            is_counted = group.service == service and not group.is_standby
-            if not is_counted or group.phase in passing:
-                continue
-            head = self._hosts.servers.get(group.head)
-            is_here = head is not None and head.domain == domain
-            counts = present if is_here else elsewhere
-            counts[group.model] = counts.get(group.model, 0) + 1
-        return present, elsewhere
-
-    def _rate_models(
-        self,
-        engine: EngineProfile,
-        present: Mapping[str, int],
-        elsewhere: Mapping[str, int],
-    ) -> dict[str, float]:
-        """Return what orders the models: groups in relation to their share."""
-        rates = {}
-        for name, model in engine.models.items():
-            groups = present.get(name, 0) + elsewhere.get(name, 0)
-            rates[name] = groups / max(model.share, 0.01)
-        return rates
-
     def _choose_stagings(
         self,
-        service: str,
         engine: EngineProfile,
         domains: Mapping[str, list[BackendServer]],
+        placed: list[DomainHosts],
         now: float,
     ) -> tuple[Staging, ...]:
         """Return which hosts stage a second model, the most wanted first."""
-        present, elsewhere = self._count_groups(service, "")
-        rates = self._rate_models(engine, present, elsewhere)
+        counts = _count_groups(placed)
+        hosts_known = sum(len(servers) for servers in domains.values())
+        needs = self._demand.find_needs(engine, counts, hosts_known, now)
+        rates = {name: counts[name] / needs[name] for name in engine.models}
         hosts = [
             HostWeights(
                 host.server, self._hosts.loaded[host.server], host.staged
@@ -276,3 +356,8 @@
             membership is not None and membership.state is MemberState.JOINING
         )
         return host.server in self._hosts.loaded and not is_joining
+
+
+def _count_groups(domains: Iterable[DomainHosts]) -> Counter[str]:
+    """Return the groups of each model that serve or form."""
+    return Counter(group.model for domain in domains for group in domain.groups)
--- a/chervilrock/decisions/serving/waiting.py
+++ b/chervilrock/decisions/serving/waiting.py
@@ -9,6 +9,8 @@
 
 from typing import NamedTuple
 
+from chervilrock.decisions.serving.lateness import Standing
+
 REPAIR_S = 1.5
 """Usual time until a lost group serves again: it is known after 0.4 s, its
 hosts join within 0.2 s to 0.6 s and open in 0.3 s."""
@@ -21,6 +23,14 @@
 """Part of the target for which a request waits for a place in full groups; a
 place comes free within some tens of milliseconds unless they stay full."""
 
+LATE_WAIT_PART = 0.6
+"""Part of its time limit for which a late request waits. It has come back once
+mostly, and its caller does not come again; an answer takes a quarter of the
+limit."""
+
+BEGUN_WAIT_S = 2.0
+"""Longest wait of a stream that was cut; callers give it up then."""
+
 RETRY_AFTER_S = 0.8
 """Time after which a refused caller is asked back, a little more than half
 of a repair. Callers wait up to a third of the time that they have left."""
@@ -44,7 +54,7 @@
     target_s: float,
     has_endpoints: bool,
     is_forming: bool,
-    is_late: bool = False,
+    standing: Standing = Standing.ON_TIME,
 ) -> Patience:
     """Return how long a request without a place waits.
 
@@ -53,15 +63,15 @@
       target_s: time to the first event that counts as on time.
       has_endpoints: whether any endpoint serves what is asked for.
       is_forming: whether one is about to.
-      is_late: whether it can no longer be on time; it waits for a group that
-        is less than half full.
+      standing: how the request stands; a late one waits for a group that is
+        less than half full.
     """
+    if not has_endpoints and not is_forming:
+        return Patience(0.0, REPAIR_S)
+    if standing is Standing.BEGUN:
+        return Patience(min(BEGUN_WAIT_S, limit_s), RETRY_AFTER_S)
+    if standing is Standing.LATE:
+        return Patience(LATE_WAIT_PART * limit_s, RETRY_AFTER_S)
     longest = LONGEST_WAIT_PART * limit_s
-    if has_endpoints and is_late:
-        return Patience(longest, RETRY_AFTER_S)
-    if has_endpoints:
-        wait_s = min(FULL_WAIT_PART * target_s, longest)
-        return Patience(wait_s, RETRY_AFTER_S)
-    if is_forming:
-        return Patience(min(REPAIR_S, longest), RETRY_AFTER_S)
-    return Patience(0.0, REPAIR_S)
+    wait_s = FULL_WAIT_PART * target_s if has_endpoints else REPAIR_S
+    return Patience(min(wait_s, longest), RETRY_AFTER_S)
--- a/chervilrock/edges/serving/exchange.py
+++ b/chervilrock/edges/serving/exchange.py
@@ -10,6 +10,7 @@
     Progress,
     SendEnd,
 )
+from chervilrock.decisions.serving.lateness import judge_standing, Standing
 from chervilrock.decisions.serving.messages import (
     Onward,
 )
@@ -50,6 +51,9 @@
 LEAST_REMAINING_S = 0.05
 """Time that must be left to send a request to a server."""
 
+LEAST_URGENT = 9
+"""Greatest rank that engines know; 0 goes first."""
+
 UNAVAILABLE = 503
 BAD_GATEWAY = 502
 GATEWAY_TIMEOUT = 504
@@ -98,6 +102,7 @@
         self._has_left = False
         self._first_event: float | None = None
         self._waited_s = 0.0
+        self._waited_before_s = 0.0
         self._takes_any_place = False
         self._admission: Admission | None = None
         self._service = ""
@@ -119,6 +124,7 @@
             return
         self._admission = admitted
         self._expires = self._find_expiry(admitted)
+        self._waited_before_s = self._estimate_wait(admitted)
         self._service = choose_service(admitted.route, self._state.generator)
         self._state.budget(self._service).note_request(self._request.arrived)
         try:
@@ -168,6 +174,25 @@
             limit = min(limit, deadline)
         return self._request.arrived + limit
 
+    def _estimate_wait(self, admission: Admission) -> float:
+        """Return how long the caller has waited before it came here."""
+        limit_s = self._request.facts.deadline_s
+        if limit_s is None:
+            return 0.0
+        route = admission.route
+        usual = self._state.usual_limits
+        waited_s = usual.estimate_wait(route.name, limit_s, route.timeout_s)
+        usual.note(route.name, limit_s)
+        return waited_s
+
+    def _judge_standing(self, admission: Admission, now: float) -> Standing:
+        """Return how the request stands."""
+        return judge_standing(
+            has_begun=self._connection.has_begun,
+            waited_s=self._waited_before_s + now - self._request.arrived,
+            target_s=admission.route.target_s,
+        )
+
     async def _serve(self, admission: Admission) -> None:
         """Send the request until it is answered or given up."""
         while await self._find_place(admission):
@@ -231,19 +256,19 @@
         if self._try_place():
             return True
         now = read_clock()
-        route = admission.route
+        standing = self._judge_standing(admission, now)
         endpoints, is_forming = self._list_endpoints()
         patience = decide_patience(
             limit_s=self._expires - now,
-            target_s=route.target_s,
+            target_s=admission.route.target_s,
             has_endpoints=bool(endpoints),
             is_forming=is_forming,
-            is_late=now - self._request.arrived >= route.target_s,
+            standing=standing,
         )
         if patience.wait_s > 0:
             is_placed = await self._context.room.wait(
                 self._try_place,
-                priority=admission.priority,
+                rank=(admission.priority, int(standing)),
                 until=now + patience.wait_s,
             )
             self._waited_s += read_clock() - now
@@ -296,8 +321,7 @@
         if self._admission is None or self._takes_any_place:
             return GROUP_BOUND
         return find_group_bound(
-            now - self._request.arrived,
-            self._admission.route.target_s,
+            self._judge_standing(self._admission, now),
             self._state.count_nodes(),
         )
 
@@ -398,7 +422,7 @@
             workspace="" if workspace is None else workspace.name,
             remaining_s=remaining,
             last_event=self._last_event,
-            urgency=min(9, admission.priority) if is_group else None,
+            urgency=self._find_urgency(admission) if is_group else None,
         )
         pairs = names.make_onward_headers(request.headers, onward)
         if not any(name.lower() == "content-type" for name, _ in pairs):
@@ -414,6 +438,12 @@
             connect_timeout_s=CONNECT_TIMEOUT_S,
         )
 
+    def _find_urgency(self, admission: Admission) -> int:
+        """Return the rank for the engine; streams that were cut go first."""
+        if self._connection.has_begun:
+            return 0
+        return min(LEAST_URGENT, 1 + admission.priority)
+
     def _note_progress(self, endpoint: Endpoint) -> None:
         if isinstance(endpoint, GroupEndpoint):
             self._state.watch(endpoint.group).note_progress(read_clock())
--- a/chervilrock/tasks/serving/leading.py
+++ b/chervilrock/tasks/serving/leading.py
@@ -173,6 +173,7 @@
         self._note_relays(former)
         self._peers.sync(self._circle.nodes, now)
         self._sum_up(now)
+        self._controller.note_requests(self._loads, now)
         for effect in self._controller.step(now):
             self._carry_out(effect)
         self._renew_view(now)
--- a/chervilrock/tasks/serving/room.py
+++ b/chervilrock/tasks/serving/room.py
@@ -13,7 +13,7 @@
 class _Waiter:
     """A request that waits."""
 
-    def __init__(self, *, order: tuple[int, int], attempt: Try) -> None:
+    def __init__(self, *, order: tuple[int, ...], attempt: Try) -> None:
         self.order = order
         self.attempt = attempt
         self.place: asyncio.Future[bool] = (
@@ -22,7 +22,7 @@
 
 
 class WaitingRoom:
-    """Lets requests wait, the most urgent first, then in order of arrival."""
+    """Lets requests wait, by rank and then in order of arrival."""
 
     def __init__(self) -> None:
         """Start with an empty room."""
@@ -32,15 +32,17 @@
     def __len__(self) -> int:
         return len(self._waiters)
 
-    async def wait(self, attempt: Try, *, priority: int, until: float) -> bool:
+    async def wait(
+        self, attempt: Try, *, rank: tuple[int, ...], until: float
+    ) -> bool:
         """Wait for a place; tell whether one was taken in time.
 
         Args:
           attempt: tries to take a place.
-          priority: rank of the request, 0 is the highest.
+          rank: what orders the requests; the smallest goes first.
           until: when the wait ends at the latest.
         """
-        order = (priority, next(self._numbers))
+        order = (*rank, next(self._numbers))
         waiter = _Waiter(order=order, attempt=attempt)
         self._waiters.append(waiter)
         self._waiters.sort(key=lambda one: one.order)
--- a/chervilrock/tasks/serving/state.py
+++ b/chervilrock/tasks/serving/state.py
@@ -8,6 +8,7 @@
 from typing import NamedTuple
 
 from chervilrock.decisions.serving import placement
+from chervilrock.decisions.serving.lateness import UsualLimits
 from chervilrock.decisions.serving.placement import Bound, Choice, Load
 from chervilrock.decisions.serving.repeats import RepeatBudget
 from chervilrock.decisions.serving.routes import RouteTable
@@ -48,6 +49,8 @@
       known_nodes: all nodes that registered.
       is_stopping: whether the node is about to stop.
       has_traffic: whether a request of a caller came to any node.
+      usual_limits: time limits of the callers of each route.
+      watches: progress of the streams of this node at each group.
     """
 
     def __init__(
@@ -73,6 +76,7 @@
         self._own_loads: dict[str, int] = {}
         self._other_loads: Mapping[str, int] = {}
         self._doubts: dict[str, float] = {}
+        self.usual_limits = UsualLimits()
         self.watches: dict[str, GroupWatch] = {}
 
     @property
--- a/test/decisions/serving/test_decisions.py
+++ b/test/decisions/serving/test_decisions.py
@@ -15,7 +15,6 @@
     Progress,
     SendEnd,
 )
-from chervilrock.decisions.serving.composition import compose
 from chervilrock.decisions.serving.leadership import (
     Claim,
     find_interval,
@@ -24,7 +23,6 @@
     STEP_S,
 )
 from chervilrock.decisions.serving.messages import AnswerFacts
-from chervilrock.decisions.serving.plan import FreeHost, plan_domain
 from chervilrock.decisions.serving.repeats import RepeatBudget
 from chervilrock.decisions.serving.routes import (
     Admission,
@@ -380,67 +378,6 @@
     assert_that(leadership.is_leader, Is(False))
 
 
-@pytest.mark.parametrize(
-    ("hosts", "groups"),
-    [
-        (8, {"large": 1, "small": 1}),
-        (7, {"large": 1, "small": 1}),
-        (6, {"large": 1, "small": 1}),
-        (5, {"large": 1, "small": 0}),
-        (3, {"large": 0, "small": 1}),
-        (1, {"large": 0, "small": 0}),
-    ],
-)
-def test_a_domain_serves_each_model_before_it_keeps_standby_hosts(
-    hosts: int, groups: dict[str, int]
-) -> None:
-    assert_that(compose(hosts, (LARGE, SMALL), {}), Equals(groups))
-
-
-def make_host(name: str, loaded: str = "", standby: bool = False) -> FreeHost:
-    staged = (loaded,) if loaded else ()
-    return FreeHost(name, loaded, staged, standby)
-
-
-def plan(free: list[FreeHost], **present: int):
-    return plan_domain(
-        free,
-        models=(LARGE, SMALL),
-        wanted={"large": 1, "small": 1},
-        present=present,
-        urgency={},
-        may_load=False,
-    )
-
-
-def test_survivors_and_a_standby_host_form_a_group_at_once() -> None:
-    free = [make_host(f"h{n}", "large") for n in range(3)]
-    free += [make_host("s", "large", True), make_host("t", "small", True)]
-    planned = plan(free, small=1)
-    (formation,) = planned.formations
-    assert_that(set(formation.members), Equals({"h0", "h1", "h2", "s"}))
-
-
-def test_survivors_without_a_standby_host_get_one_that_loads() -> None:
-    free = [make_host(f"h{n}", "large") for n in range(3)]
-    free.append(make_host("t", "small", True))
-    planned = plan(free, small=1)
-    assert_that(len(planned.formations), Equals(0))
-    loads = [one for one in planned.preparations if one.needs_load]
-    assert_that(
-        [(one.server, one.model) for one in loads], Equals([("t", "large")])
-    )
-
-
-def test_an_empty_host_completes_the_group_that_lacks_one() -> None:
-    free = [make_host(f"h{n}", "large") for n in range(3)] + [make_host("e")]
-    planned = plan(free, small=1)
-    loads = [one for one in planned.preparations if one.needs_load]
-    assert_that(
-        [(one.server, one.model) for one in loads], Equals([("e", "large")])
-    )
-
-
 def test_names_of_groups_tell_their_model() -> None:
     epoch = groupnames.make_epoch(3, 12)
     name = groupnames.make_name("m.x", epoch, is_standby=True)
--- a/test/platform/test_adapter.py
+++ b/test/platform/test_adapter.py
@@ -239,7 +239,7 @@
     assert page is not None
     parsed = [(one.key, one.offset) for one in page.records]
     assert_that(parsed, Equals([("a", 40), ("b", 42)]))
-    assert_that(page.unreadable, Equals((41,)))
+    assert_that(list(page.unreadable), Equals([41]))
     assert_that(page.next_offset, Equals(43))
 
 
