--- a/chervilrock/decisions/serving/waiting.py
+++ b/chervilrock/decisions/serving/waiting.py
@@ -19,7 +19,7 @@
 """Part of the time limit for which a request waits at most, so that enough
 is left to serve it: the longest answers take about half of their limit."""
 
-FULL_WAIT_PART = 2.0
+FULL_WAIT_PART = 0.5
 """Part of the target for which a request waits for a place in full groups; a
 place comes free within some tens of milliseconds unless they stay full."""
 
--- a/test/decisions/serving/fleet.py
+++ b/test/decisions/serving/fleet.py
@@ -116,6 +116,7 @@
         self._queue: list[tuple[float, int, Any]] = []
         self._numbers = itertools.count()
         self.has_traffic = False
+        self.demand: dict[str, int] = {}
         for domain in range(domains):
             for host in range(hosts):
                 self.add(f"h{domain}-{host}", f"d{domain}")
@@ -166,6 +167,8 @@
             self.now = round(self.now + STEP_S, 6)
             self._deliver()
             self._finish_joins()
+            if self.demand:
+                self.controller.note_requests(self._spread(), self.now)
             for effect in self.controller.step(self.now):
                 self._take(effect)
             if round(self.now / STEP_S) % 6 == 0:
@@ -178,6 +181,17 @@
             counts[group.model] = counts.get(group.model, 0) + 1
         return counts
 
+    def _spread(self) -> dict[str, int]:
+        """Return the requests at each head when they are spread evenly."""
+        groups = self.controller.list_groups(self.now)
+        requests = {}
+        for model, demand in self.demand.items():
+            heads = [one.server for one in groups if one.model == model]
+            for number, head in enumerate(heads):
+                share = (demand + number) // len(heads)
+                requests[head] = min(ENGINE.slots, share)
+        return requests
+
     def make_entry(self, server: FakeServer) -> BackendServer:
         """Return the entry of a server, which may be an old one."""
         if server.old_entry is not None:
--- /dev/null
+++ b/test/decisions/serving/test_lateness.py
@@ -0,0 +1,124 @@
+"""How requests stand after their callers have waited."""
+
+import random
+
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, GreaterThan, Is
+
+from chervilrock.decisions.serving.lateness import (
+    judge_standing,
+    Standing,
+    UsualLimits,
+)
+from chervilrock.decisions.serving.placement import (
+    BEGUN_BOUND,
+    find_group_bound,
+    GROUP_BOUND,
+    LATE_PATIENCE_PART,
+    Load,
+)
+from chervilrock.decisions.serving.waiting import decide_patience
+
+LIMIT_S = 6.0
+
+
+def make_limits(count: int) -> list[float]:
+    """Return time limits of callers who come first; they differ somewhat."""
+    generator = random.Random(2)
+    return [generator.uniform(0.85, 1.0) * LIMIT_S for _ in range(count)]
+
+
+@pytest.mark.parametrize(
+    ("has_begun", "waited_s", "standing"),
+    [
+        (False, 0.1, Standing.ON_TIME),
+        (False, 0.3, Standing.LATE),
+        (True, 3.0, Standing.BEGUN),
+    ],
+)
+def test_a_request_stands_by_what_its_caller_has(
+    has_begun: bool, waited_s: float, standing: Standing
+) -> None:
+    judged = judge_standing(
+        has_begun=has_begun, waited_s=waited_s, target_s=0.3
+    )
+    assert_that(judged, Is(standing))
+
+
+@pytest.mark.parametrize("known", [0, 4, 64])
+def test_callers_who_come_first_have_not_waited(known: int) -> None:
+    usual = UsualLimits()
+    for limit_s in make_limits(known):
+        usual.note("r", limit_s)
+    waits = [
+        usual.estimate_wait("r", limit_s, LIMIT_S)
+        for limit_s in make_limits(300)
+    ]
+    assert_that(max(waits), Equals(0.0))
+
+
+def test_callers_who_come_back_after_an_outage_are_known() -> None:
+    # They were away for two seconds, and a node has just started.
+    usual = UsualLimits()
+    late = 0
+    for limit_s in make_limits(100):
+        left_s = limit_s - 2.0
+        waited_s = usual.estimate_wait("r", left_s, LIMIT_S)
+        late += waited_s > 0.3
+    assert_that(late, Equals(100))
+
+
+def test_limits_of_one_route_say_nothing_of_another() -> None:
+    usual = UsualLimits()
+    for _ in range(64):
+        usual.note("long", 60.0)
+    assert_that(usual.estimate_wait("short", 5.5, LIMIT_S), Equals(0.0))
+
+
+def test_a_cut_stream_takes_a_place_that_a_new_request_does_not() -> None:
+    # All groups of a model run as many requests as they have slots.
+    full = Load(own=2, others=7, slots=9, is_doubtful=False)
+    cut = find_group_bound(Standing.BEGUN, nodes=7)
+    assert_that(cut == BEGUN_BOUND, Is(True))
+    assert_that(cut.allows(full), Is(True))
+    assert_that(GROUP_BOUND.allows(full), Is(False))
+
+
+def test_a_late_request_takes_any_place_after_a_while() -> None:
+    filled = Load(own=0, others=8, slots=9, is_doubtful=False)
+    early = find_group_bound(Standing.LATE, nodes=7)
+    later = find_group_bound(
+        Standing.LATE, nodes=7, waited_part=LATE_PATIENCE_PART
+    )
+    assert_that(early.allows(filled), Is(False))
+    assert_that(later.allows(filled), Is(True))
+
+
+def test_a_late_request_waits_longer_than_a_new_one() -> None:
+    def find_wait(standing: Standing) -> float:
+        return decide_patience(
+            limit_s=4.0,
+            target_s=0.3,
+            has_endpoints=True,
+            is_forming=False,
+            standing=standing,
+        ).wait_s
+
+    late = find_wait(Standing.LATE)
+    assert_that(late, GreaterThan(find_wait(Standing.ON_TIME)))
+    assert_that(find_wait(Standing.BEGUN), GreaterThan(1.0))
+
+
+def test_nothing_waits_for_a_model_that_no_group_will_serve() -> None:
+    waits = [
+        decide_patience(
+            limit_s=4.0,
+            target_s=0.3,
+            has_endpoints=False,
+            is_forming=False,
+            standing=standing,
+        ).wait_s
+        for standing in Standing
+    ]
+    assert_that(waits, Equals([0.0, 0.0, 0.0]))
