Split the controller into a board, doubts, forming and adoption

Behaviour unchanged; the test whether a host is a member of a group that nobody looked at stood twice, now on the board.

--- a/chervilrock/decisions/serving/planning.py
+++ b/chervilrock/decisions/serving/planning.py
@@ -9,8 +9,8 @@
 from typing import NamedTuple
 
 from chervilrock.decisions.serving.demand import Demand
-from chervilrock.decisions.serving.groups import ManagedGroup, Phase
-from chervilrock.decisions.serving.hosts import HostBook
+from chervilrock.decisions.serving.groupboard import GroupBoard
+from chervilrock.decisions.serving.groups import Phase
 from chervilrock.decisions.serving.orders import OrderReply, Stage
 from chervilrock.decisions.serving.plan import (
     DomainHosts,
@@ -90,17 +90,11 @@
         loads take their full time.
     """
 
-    def __init__(
-        self, *, hosts: HostBook, groups: Mapping[str, ManagedGroup]
-    ) -> None:
-        """Plan over what others keep current.
-
-        Args:
-          hosts: what is known of the hosts.
-          groups: groups by name.
-        """
-        self._hosts = hosts
-        self._groups = groups
+    def __init__(self, *, board: GroupBoard) -> None:
+        """Plan over what others keep current on a board."""
+        self._board = board
+        self._hosts = board.hosts
+        self._groups = board.groups
         self._stagings = StagingBook()
         self._last_load = float("-inf")
         self._unheard: dict[str, float] = {}
@@ -328,19 +322,12 @@
                 taken.update(group.members)
         free = []
         for host in hosts:
-            if host.server in taken or self.is_unknown_member(host):
+            if host.server in taken or self._board.is_unknown_member(host):
                 continue
             is_standby = host.server in standby
             free.append(self._describe(host.server, is_standby=is_standby))
         return free
 
-    def is_unknown_member(self, host: BackendServer) -> bool:
-        """Tell whether a host is in a group that was not looked at yet."""
-        membership = host.membership
-        if membership is None or membership.group in self._groups:
-            return False
-        return self._hosts.is_unknown_member(host)
-
     def _choose_stagings(
         self,
         engine: EngineProfile,
