Count what hosts do, by model; compare three groups of each kind

Which model was short, and what its hosts and the free ones did, could be told only by folding all changes of groups; now E7306 says it once a second on the leader, and three gauges show it.

--- a/chervilrock/catalogue.py
+++ b/chervilrock/catalogue.py
@@ -241,6 +241,12 @@
     STAGING_ANSWERED = EventSpec(
         7305, Level.INFO, "server {server} to stage {model}: {outcome}"
     )
+    HOSTS_COUNTED = EventSpec(
+        7306,
+        Level.INFO,
+        "model {model} of {service}: {groups} groups of {needed} that it "
+        "needs (short: {is_short}); hosts {hosts}; by place {places}",
+    )
     REQUEST_SENT = EventSpec(
         7401,
         Level.INFO,
--- a/chervilrock/decisions/serving/controller.py
+++ b/chervilrock/decisions/serving/controller.py
@@ -10,6 +10,7 @@
 from collections.abc import Mapping
 
 from chervilrock.decisions.serving.adoption import Adoption
+from chervilrock.decisions.serving.census import count_hosts, ModelCount
 from chervilrock.decisions.serving.doubts import ASK_S, Doubts
 from chervilrock.decisions.serving.effects import Command, Effect, Step
 from chervilrock.decisions.serving.forming import Forming
@@ -205,6 +206,19 @@
             )
         return tuple(sorted(endpoints))
 
+    def count_hosts(self, now: float) -> tuple[ModelCount, ...]:
+        """Return what the hosts do, by model."""
+        configuration = self._board.configuration
+        if configuration is None:
+            return ()
+        counts: tuple[ModelCount, ...] = ()
+        for name, service in configuration.services.items():
+            engine = service.engine
+            if engine is not None:
+                needs = self._planner.find_needs(name, engine, now)
+                counts += count_hosts(self._board, name, engine, needs)
+        return counts
+
     def list_servers(self) -> tuple[ServerEndpoint, ...]:
         """Return the servers of plain services that take requests."""
         return tuple(
--- a/chervilrock/decisions/serving/placement.py
+++ b/chervilrock/decisions/serving/placement.py
@@ -18,10 +18,10 @@
 
 Endpoint = TypeVar("Endpoint", GroupEndpoint, ServerEndpoint)
 
-NEAR_SAMPLE = 2
-FAR_SAMPLE = 2
-"""Endpoints of the own and of other data centres that are compared. Of two
-drawn at random the emptier one is nearly as good as the emptiest of all, and
+NEAR_SAMPLE = 3
+FAR_SAMPLE = 3
+"""Endpoints of the own and of other data centres that are compared. Of a few
+drawn at random the emptiest one is nearly as good as the emptiest of all, and
 77 nodes with news of the same age do not all run to the same group."""
 
 CROSSING_COST = 0.25
--- a/chervilrock/decisions/serving/planning.py
+++ b/chervilrock/decisions/serving/planning.py
@@ -166,6 +166,22 @@
                 places[group.model] += engine.slots
         self._demand.note(running, places, now)
 
+    def find_needs(
+        self, service: str, engine: EngineProfile, now: float
+    ) -> dict[str, float]:
+        """Return the groups that each model of a service needs."""
+        serving = Counter(
+            group.model
+            for group in self._groups.values()
+            if group.service == service and group.phase is Phase.SERVING
+        )
+        hosts = sum(
+            1
+            for server in self._hosts.servers.values()
+            if server.service == service
+        )
+        return self._demand.find_needs(engine, serving, hosts, now)
+
     def take_load(self, engine: EngineProfile, now: float) -> bool:
         """Count a load if the weight store takes one more now."""
         if not self.has_traffic:
--- a/chervilrock/node/serving.py
+++ b/chervilrock/node/serving.py
@@ -347,6 +347,7 @@
         metrics.running.set(len(self._callers.exchanges))
         metrics.waiting.set(len(self._room))
         metrics.leads.set(1 if self._task.is_leader else 0)
+        metrics.show_hosts(self._task.counts)
         metrics.lines_dropped.set(self._count_dropped_lines())
         routes = self._state.routes
         if routes is not None:
--- a/chervilrock/serving_metrics.py
+++ b/chervilrock/serving_metrics.py
@@ -1,10 +1,12 @@
 """Metrics of a node that serves on the platform of its users."""
 
+from collections.abc import Iterable
 from typing import NamedTuple
 
 import prometheus_client
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
+from chervilrock.decisions.serving.census import ModelCount
 from chervilrock.metrics import (
     FIRST_TOKEN_BUCKETS,
     LabelValues,
@@ -62,6 +64,15 @@
         self.waiting = self._gauge("served_waiting", "Requests that wait")
         self.leads = self._gauge("leads", "1 while this node leads")
         self.revision = self._gauge("served_revision", "Revision in force")
+        self._hosts = self._labelled(
+            "hosts", "Hosts by what they do, on the leader", "model", "state"
+        )
+        self._groups = self._labelled(
+            "groups_serving", "Groups that serve, on the leader", "model"
+        )
+        self._needed = self._labelled(
+            "groups_needed", "Groups that the demand needs", "model"
+        )
         self.view_age = self._gauge("view_age_seconds", "Age of the view")
         self.lines_dropped = self._gauge(
             "log_lines_dropped", "Log lines that were dropped"
@@ -80,6 +91,17 @@
         """Count a send beyond the first one of a request."""
         self._repeats.labels(reason).inc()
 
+    def show_hosts(self, counts: Iterable[ModelCount]) -> None:
+        """Show what the hosts do; nothing on a node that does not lead."""
+        for gauge in (self._hosts, self._groups, self._needed):
+            gauge.clear()
+        for one in counts:
+            for state, number in one.hosts.items():
+                self._hosts.labels(one.model, state.value).set(number)
+            if one.model:
+                self._groups.labels(one.model).set(one.groups)
+                self._needed.labels(one.model).set(one.needed)
+
     def render(self) -> bytes:
         """Return the text of all metrics."""
         return prometheus_client.generate_latest(self.registry)
@@ -91,6 +113,10 @@
     def _gauge(self, name: str, text: str) -> Gauge:
         return Gauge(f"chervilrock_{name}", text, registry=self.registry)
 
+    def _labelled(self, name: str, text: str, *labels: str) -> Gauge:
+        full = f"chervilrock_{name}"
+        return Gauge(full, text, labels, registry=self.registry)
+
     def _histogram(
         self, name: str, text: str, buckets: tuple[float, ...]
     ) -> Histogram:
--- a/chervilrock/tasks/serving/leading.py
+++ b/chervilrock/tasks/serving/leading.py
@@ -6,6 +6,7 @@
 from returns.result import Failure
 
 from chervilrock.clients.serving import Topic
+from chervilrock.decisions.serving.census import INTERVAL_S, ModelCount
 from chervilrock.decisions.serving.controller import Controller
 from chervilrock.decisions.serving.effects import (
     Command,
@@ -51,7 +52,12 @@
 
 
 class Leading:
-    """One term of this node as the leader."""
+    """One term of this node as the leader.
+
+    Attributes:
+      term: offset of the claim.
+      counts: what the hosts do, as it was last counted.
+    """
 
     def __init__(
         self,
@@ -87,6 +93,8 @@
         self._sequence = 0
         self._nodes_sequence = 0
         self._has_servers = False
+        self._counted = float("-inf")
+        self.counts: tuple[ModelCount, ...] = ()
         self._pending_removals: dict[str, float] = {}
         self._follower = outbound.follow(Topic.SERVERS, lambda: SERVERS_PACE)
 
@@ -177,6 +185,7 @@
         self._controller.note_requests(self._loads, now)
         for effect in self._controller.step(now):
             self._carry_out(effect)
+        self._count_hosts(now)
         self._renew_view(now)
         news = self._make_news(now)
         self._peers.announce(news, find_pause(len(self._peers)), now)
@@ -257,6 +266,29 @@
             case Question():
                 self._outbound.ask(effect.server)
 
+    def _count_hosts(self, now: float) -> None:
+        """Count and log what the hosts do, once in a while."""
+        if now - self._counted < INTERVAL_S:
+            return
+        self._counted = now
+        self.counts = self._controller.count_hosts(now)
+        for one in self.counts:
+            emit(
+                Event.HOSTS_COUNTED,
+                service=one.service,
+                model=one.model,
+                groups=one.groups,
+                needed=round(one.needed, 1),
+                is_short=one.is_short,
+                hosts={state.value: n for state, n in one.hosts.items()},
+                places={
+                    f"{place} {state.value}": number
+                    for (place, state), number in sorted(
+                        one.places.items(), key=lambda item: item[0][0]
+                    )
+                },
+            )
+
     def _renew_view(self, now: float) -> None:
         """Make a new view if anything that it tells has changed."""
         controller = self._controller
--- a/chervilrock/tasks/serving/node.py
+++ b/chervilrock/tasks/serving/node.py
@@ -9,6 +9,7 @@
 from returns.result import Failure
 
 from chervilrock.clients.serving import Topic
+from chervilrock.decisions.serving.census import ModelCount
 from chervilrock.decisions.serving.leadership import Claim, Leadership
 from chervilrock.decisions.serving.orders import Stage
 from chervilrock.decisions.serving.revisions import RevisionWatch
@@ -162,6 +163,11 @@
         """Whether this node leads."""
         return self._leading is not None
 
+    @property
+    def counts(self) -> tuple[ModelCount, ...]:
+        """What the hosts do, as the leader counts it; empty elsewhere."""
+        return () if self._leading is None else self._leading.counts
+
     @property
     def is_needed(self) -> bool:
         """Whether other nodes have no other leader yet."""
--- a/test/decisions/serving/test_controller.py
+++ b/test/decisions/serving/test_controller.py
@@ -13,6 +13,7 @@
     Not,
 )
 
+from chervilrock.decisions.serving.census import HostState
 from test.decisions.serving.fleet import Faults, Fleet
 
 
@@ -433,3 +434,22 @@
     fleet.controller.note_silent(find_name(fleet, members[0]), fleet.now)
     fleet.run(0.3)
     assert_that(run_until_served(fleet, before), LessThan(1.5))
+
+
+def test_the_leader_counts_what_hosts_do(fleet: Fleet) -> None:
+    members = find_group(fleet, "large")
+    before = {one.model: one for one in fleet.controller.count_hosts(fleet.now)}
+    assert_that(before["large"].hosts[HostState.SERVING], Equals(12))
+    assert_that(before["large"].hosts[HostState.STANDBY], Equals(3))
+    assert_that(before["small"].groups, Equals(3))
+    assert_that(before["large"].is_short, Is(False))
+    assert_that(
+        sum(sum(one.hosts.values()) for one in before.values()), Equals(24)
+    )
+    fleet.kill(members[2])
+    fleet.controller.note_silent(find_name(fleet, members[0]), fleet.now)
+    fleet.run(0.3)
+    after = {one.model: one for one in fleet.controller.count_hosts(fleet.now)}
+    assert_that(after["large"].groups, Equals(2))
+    assert_that(after["large"].is_short, Is(True))
+    assert_that(after["large"].places[("a", HostState.SERVING)], Equals(8))
