Let a member leave once more that joined its former group late

Ruled out: staging orders (they only make the guard refuse), a restart. Change: the group awaits the member again. test_controller.py: 89 passed, the new test failed before ('h0-1 joined g.100014.large while the head h0-0 of g.100001.large served').

--- a/chervilrock/decisions/serving/controller.py
+++ b/chervilrock/decisions/serving/controller.py
@@ -32,6 +32,7 @@
 from chervilrock.decisions.serving.site import (
     BackendServer,
     EngineProfile,
+    Membership,
     MemberState,
     SiteConfiguration,
 )
@@ -270,15 +271,30 @@
     ) -> None:
         """Take the state of a server."""
         has_rejoined = self._board.hosts.take_report(server, report, now)
-        if report.membership is not None:
-            self._board.note_membership(server, report.membership)
-        if not has_rejoined:
+        membership = report.membership
+        if membership is None:
             return
+        self._board.note_membership(server, membership)
+        if has_rejoined:
+            self._note_rejoined(server, membership, now)
+
+    def _note_rejoined(
+        self, server: str, membership: Membership, now: float
+    ) -> None:
+        """Let a server leave once more that joined its former group late.
+
+        Its group may still be taken apart, as its head has not answered. When
+        the server counted as out of it all the same, it was given another
+        group while that head served.
+        """
         for group in self._board.groups.values():
             if group.phase is Phase.FORMING and server in group.members:
                 self._board.clear(
                     group, f"{server} has joined another one", now
                 )
+        former = self._board.groups.get(membership.group)
+        if former is not None and former.epoch == membership.epoch:
+            former.awaited.add(server)
 
     def _note_leave(
         self,
--- a/test/decisions/serving/test_controller.py
+++ b/test/decisions/serving/test_controller.py
@@ -14,6 +14,7 @@
 )
 
 from chervilrock.decisions.serving.census import HostState
+from chervilrock.decisions.serving.orders import Join
 from test.decisions.serving.fleet import Faults, Fleet
 
 
@@ -376,6 +377,29 @@
     assert_that(fleet.violations, HasLength(0))
 
 
+def test_a_member_that_joins_its_former_group_late_is_taken_out_again(
+    fleet: Fleet,
+) -> None:
+    # The head does not answer; a member has left, and then obeys a late order
+    # to join the group once more, before it could join another one.
+    members = find_group(fleet, "large")
+    name = find_name(fleet, members[0])
+    epoch = fleet.servers[members[0]].highest
+    fleet.servers[members[0]].is_cut = True
+    fleet.controller.note_silent(name, fleet.now)
+    while fleet.servers[members[1]].membership is not None:
+        fleet.run(0.05)
+    fleet.obey(members[1], Join(name, epoch, "large", members))
+    fleet.run(8.0)
+    assert_that(fleet.violations, HasLength(0))
+    fleet.servers[members[0]].is_cut = False
+    fleet.run(8.0)
+    held = fleet.servers[members[1]].membership
+    assert held is not None
+    assert_that(held.epoch, GreaterThan(epoch))
+    assert_that(fleet.violations, HasLength(0))
+
+
 @pytest.mark.parametrize("seed", range(20))
 def test_promises_hold_while_servers_start_again(seed: int) -> None:
     fleet = Fleet(domains=3, hosts=8, seed=seed)
