--- a/chervilrock/decisions/serving/planning.py
+++ b/chervilrock/decisions/serving/planning.py
@@ -98,9 +98,9 @@
         self._stagings = StagingBook()
         self._last_load = float("-inf")
         self._unheard: dict[str, float] = {}
-        self._demand = Demand()
+        self._demands: dict[str, Demand] = {}
         self._requests: Mapping[str, int] = {}
-        self._promises: dict[str, _Promise] = {}
+        self._promises: dict[tuple[str, str], _Promise] = {}
         self.has_traffic = False
 
     def plan(self, service: str, engine: EngineProfile, now: float) -> Plan:
@@ -111,7 +111,7 @@
         for server in list(self._unheard):
             if self._hosts.has_reported(server):
                 del self._unheard[server]
-        asked: list[BackendServer] = []
+        asked: list[str] = []
         placed: list[DomainHosts] = []
         for domain, hosts in sorted(domains.items()):
             free = self._list_free(hosts)
@@ -120,25 +120,29 @@
                 for one in free
                 if not self._hosts.has_reported(one.server)
             ]
-            asked += [self._hosts.servers[one] for one in unheard]
+            asked += unheard
             heard = [one for one in free if one.server not in unheard]
             placed.append(
                 DomainHosts(
                     domain=domain,
                     free=() if self._waits_for(unheard, now) else tuple(heard),
                     groups=self._list_groups(service, domain, now),
-                    promised=self._find_promise(domain, now),
+                    promised=self._find_promise(service, domain, now),
                 )
             )
-        if not self.has_traffic and self._waits_for_any(asked, now):
+        servers = tuple(self._hosts.servers[one] for one in asked)
+        if not self.has_traffic and self._waits_for(asked, now):
             # One plan over all domains; a domain that was planned before the
             # others had reported got more groups than its part.
-            return Plan(unheard=tuple(asked))
+            return Plan(unheard=servers)
         total = sum(len(hosts) for hosts in domains.values())
-        plan = self._plan(engine, placed, total, now)
+        needs = self._find_demand(service).find_needs(
+            engine, _count_groups(placed), total, now
+        )
+        plan = self._plan(service, engine, placed, needs, now)
         return plan._replace(
-            unheard=(*asked, *plan.unheard),
-            stagings=self._choose_stagings(engine, domains, placed, now),
+            unheard=(*servers, *plan.unheard),
+            stagings=self._choose_stagings(engine, domains, placed, needs, now),
         )
 
     def note_requests(
@@ -164,7 +168,7 @@
             if group.service == service and group.phase is Phase.SERVING:
                 running[group.model] += requests.get(group.head, 0)
                 places[group.model] += engine.slots
-        self._demand.note(running, places, now)
+        self._find_demand(service).note(running, places, now)
 
     def find_needs(
         self, service: str, engine: EngineProfile, now: float
@@ -180,7 +184,12 @@
             for server in self._hosts.servers.values()
             if server.service == service
         )
-        return self._demand.find_needs(engine, serving, hosts, now)
+        demand = self._find_demand(service)
+        return demand.find_needs(engine, serving, hosts, now)
+
+    def _find_demand(self, service: str) -> Demand:
+        """Return the requests of a service, as they were seen lately."""
+        return self._demands.setdefault(service, Demand())
 
     def take_load(self, engine: EngineProfile, now: float) -> bool:
         """Count a load if the weight store takes one more now."""
@@ -222,22 +231,23 @@
 
     def _plan(
         self,
+        service: str,
         engine: EngineProfile,
         domains: list[DomainHosts],
-        hosts: int,
+        needs: Mapping[str, float],
         now: float,
     ) -> Plan:
         """Return formations, preparations and moves."""
-        counts = _count_groups(domains)
         planned = plan_service(
             domains,
             models=tuple(engine.models.values()),
-            needs=self._demand.find_needs(engine, counts, hosts, now),
+            needs=needs,
             may_load=not self.has_traffic,
-            pressed=self._demand.list_pressed(now),
+            pressed=self._find_demand(service).list_pressed(now),
         )
         for move in planned.moves:
-            self._promises[move.domain] = _Promise(move.model, now + MOVE_S)
+            promise = _Promise(move.model, now + MOVE_S)
+            self._promises[service, move.domain] = promise
         formations = []
         unheard: list[BackendServer] = []
         for formation in planned.formations:
@@ -249,7 +259,7 @@
             unheard += stale
             if not stale:
                 formations.append(formation)
-                self._keep_promise(formation, now)
+                self._keep_promise(service, formation, now)
         return Plan(
             unheard=tuple(unheard),
             formations=tuple(formations),
@@ -257,15 +267,17 @@
             moves=planned.moves,
         )
 
-    def _keep_promise(self, formation: Formation, now: float) -> None:
+    def _keep_promise(
+        self, service: str, formation: Formation, now: float
+    ) -> None:
         """Note that a group is formed for which others were taken apart."""
         domain = self._hosts.servers[formation.members[0]].domain
-        if self._find_promise(domain, now) == formation.model:
-            del self._promises[domain]
+        if self._find_promise(service, domain, now) == formation.model:
+            del self._promises[service, domain]
 
-    def _find_promise(self, domain: str, now: float) -> str:
+    def _find_promise(self, service: str, domain: str, now: float) -> str:
         """Return the model that a domain takes groups apart for."""
-        promise = self._promises.get(domain)
+        promise = self._promises.get((service, domain))
         if promise is None or promise.until <= now:
             return ""
         return promise.model
@@ -322,9 +334,6 @@
             waits = waits or (is_new and self._hosts.is_answering(server))
         return waits
 
-    def _waits_for_any(self, asked: list[BackendServer], now: float) -> bool:
-        return self._waits_for([one.server for one in asked], now)
-
     def _list_free(self, hosts: Iterable[BackendServer]) -> list[FreeHost]:
         """Return the hosts that are in no group, or stand by."""
         taken: set[str] = set()
@@ -349,12 +358,11 @@
         engine: EngineProfile,
         domains: Mapping[str, list[BackendServer]],
         placed: list[DomainHosts],
+        needs: Mapping[str, float],
         now: float,
     ) -> tuple[Staging, ...]:
         """Return which hosts stage a second model, the most wanted first."""
         counts = _count_groups(placed)
-        hosts_known = sum(len(servers) for servers in domains.values())
-        needs = self._demand.find_needs(engine, counts, hosts_known, now)
         rates = {name: counts[name] / needs[name] for name in engine.models}
         hosts = [
             HostWeights(
