Tell which topic of the store a node does not get

Cause: E7005 and E7006 named one dependency, the store, for three topics. In the incident the leader logged that the store answers again at 36.35 s while its read of the configuration waited until 37.13 s.

Change: a dependency a topic in E7005 and E7006; three metrics, the time since the store answered by topic, the age of the revision in force, and the time for which another node has had a newer one. What calls to the store come to, whatever the topic, is decided apart (storewatch.py). No change of behaviour. Test: the metrics and the line name the topics.

Conclusion: the next time, the lines alone tell which read is deaf.

--- a/chervilrock/decisions/serving/revisions.py
+++ b/chervilrock/decisions/serving/revisions.py
@@ -61,6 +61,17 @@
             self._stuck_since = now
             self._tries = 0
 
+    def find_lag(self, own: int, now: float) -> float:
+        """Return the seconds for which a newer revision has been known.
+
+        Args:
+          own: revision in force here.
+          now: present time.
+        """
+        if self._told <= own or self._stuck_since == float("inf"):
+            return 0.0
+        return now - self._stuck_since
+
     def is_due(self, own: int, now: float) -> bool:
         """Tell whether to ask another node now.
 
--- a/chervilrock/node/serving.py
+++ b/chervilrock/node/serving.py
@@ -332,7 +332,7 @@
             dump = msgspec.json.encode(self._task.describe(now), enc_hook=str)
             return Reply(status=200, body=dump)
         if path == "/metrics":
-            return self._answer_metrics()
+            return self._answer_metrics(now)
         return Reply(status=404)
 
     def _answer_announcement(self, body: bytes, now: float) -> Reply:
@@ -342,12 +342,15 @@
         answer = self._task.take_announcement(announcement, now)
         return Reply(status=200, body=msgspec.json.encode(answer))
 
-    def _answer_metrics(self) -> Reply:
+    def _answer_metrics(self, now: float) -> Reply:
         metrics = self._metrics
         metrics.running.set(len(self._callers.exchanges))
         metrics.waiting.set(len(self._room))
         metrics.leads.set(1 if self._task.is_leader else 0)
         metrics.show_hosts(self._task.counts)
+        metrics.show_store_ages(self._task.list_store_ages(now))
+        metrics.revision_age.set(self._task.find_revision_age(now))
+        metrics.revision_lag.set(self._task.find_revision_lag(now))
         metrics.lines_dropped.set(self._count_dropped_lines())
         routes = self._state.routes
         if routes is not None:
--- a/chervilrock/serving_metrics.py
+++ b/chervilrock/serving_metrics.py
@@ -1,6 +1,6 @@
 """Metrics of a node that serves on the platform of its users."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
 import prometheus_client
@@ -64,6 +64,18 @@
         self.waiting = self._gauge("served_waiting", "Requests that wait")
         self.leads = self._gauge("leads", "1 while this node leads")
         self.revision = self._gauge("served_revision", "Revision in force")
+        self.revision_age = self._gauge(
+            "revision_age_seconds", "Time since the revision came in force"
+        )
+        self.revision_lag = self._gauge(
+            "revision_lag_seconds",
+            "Time for which another node has had a newer revision",
+        )
+        self._store_ages = self._labelled(
+            "store_answer_age_seconds",
+            "Time since the store answered to a read",
+            "topic",
+        )
         self._hosts = self._labelled(
             "hosts", "Hosts by what they do, on the leader", "model", "state"
         )
@@ -91,6 +103,12 @@
         """Count a send beyond the first one of a request."""
         self._repeats.labels(reason).inc()
 
+    def show_store_ages(self, ages: Mapping[str, float]) -> None:
+        """Show the seconds since the store answered, by topic."""
+        self._store_ages.clear()
+        for topic, age in ages.items():
+            self._store_ages.labels(topic).set(age)
+
     def show_hosts(self, counts: Iterable[ModelCount]) -> None:
         """Show what the hosts do; nothing on a node that does not lead."""
         for gauge in (self._hosts, self._groups, self._needed):
--- a/chervilrock/tasks/serving/leading.py
+++ b/chervilrock/tasks/serving/leading.py
@@ -22,6 +22,7 @@
 )
 from chervilrock.decisions.serving.relays import Circle, RelayTable
 from chervilrock.decisions.serving.site import SiteConfiguration
+from chervilrock.decisions.serving.storewatch import StoreWatch
 from chervilrock.decisions.serving.view import (
     add_up,
     Announcement,
@@ -29,7 +30,6 @@
     Summary,
 )
 from chervilrock.events import emit, Event
-from chervilrock.tasks.serving.dependency import Dependency
 from chervilrock.tasks.serving.follower import Pace
 from chervilrock.tasks.serving.messages import (
     OrderAnswered,
@@ -64,7 +64,7 @@
         *,
         term: int,
         state: ServingState,
-        store: Dependency,
+        store: StoreWatch,
         outbound: Outbound,
         decode_server: DecodeServer,
     ) -> None:
--- a/chervilrock/tasks/serving/node.py
+++ b/chervilrock/tasks/serving/node.py
@@ -14,6 +14,7 @@
 from chervilrock.decisions.serving.orders import Stage
 from chervilrock.decisions.serving.revisions import RevisionWatch
 from chervilrock.decisions.serving.routes import RouteTable
+from chervilrock.decisions.serving.storewatch import StoreWatch
 from chervilrock.decisions.serving.view import (
     Acknowledgement,
     Announcement,
@@ -133,9 +134,12 @@
         self._tried_end = NO_END
         self._has_nodes = False
         self._document: bytes = b""
+        self._document_taken = now
         self._is_claiming = False
         self._registered = False
-        self._store = Dependency(name="store", now=now)
+        self._store = StoreWatch(now=now)
+        # By topic, since one may be answered while another one is not.
+        self._topics = {topic: _make_dependency(topic, now) for topic in Topic}
         self._outbound = Outbound(ports=ports, outbox=self.mailbox)
         self._relay = Relay(state=state, outbound=self._outbound)
 
@@ -217,6 +221,22 @@
         """Return the document of the configuration in force."""
         return self._document
 
+    def list_store_ages(self, now: float) -> dict[str, float]:
+        """Return the seconds since the store answered, by followed topic."""
+        return {
+            topic.value: now - dependency.answered
+            for topic, dependency in self._topics.items()
+            if topic is not Topic.SERVERS or self.is_leader
+        }
+
+    def find_revision_age(self, now: float) -> float:
+        """Return the seconds since the revision came in force here."""
+        return now - self._document_taken
+
+    def find_revision_lag(self, now: float) -> float:
+        """Return for how long another node has had a newer revision."""
+        return self._revisions.find_lag(self._state.revision, now)
+
     def describe(self, now: float) -> dict[str, Any]:
         """Return what the node believes, for a dump of its state."""
         state = self._state
@@ -228,6 +248,12 @@
             "relays": self.is_relay,
             "leader": self._leadership.claim,
             "revision": state.revision,
+            "revision_age_s": round(self.find_revision_age(now), 3),
+            "revision_lag_s": round(self.find_revision_lag(now), 3),
+            "store_ages_s": {
+                topic: round(age, 3)
+                for topic, age in self.list_store_ages(now).items()
+            },
             "view": state.view,
             "view_age_s": round(now - state.view_time, 3),
             "nodes": state.nodes,
@@ -297,10 +323,11 @@
     def _take(self, message: Message, now: float) -> None:
         match message:
             case RecordsRead():
-                self._store.note_answer(now)
+                self._note_store_answer(message.topic, now)
                 self._take_records(message, now)
             case ReadFailed():
-                self._store.note_failure(message.reason, now)
+                self._store.note_failure(now)
+                self._topics[message.topic].note_failure(message.reason, now)
             case OrderAnswered():
                 self._take_reply(message, now)
             case ServerAnswered():
@@ -323,6 +350,11 @@
                 if self._leading is not None:
                     self._leading.note_silent(message.group, now)
 
+    def _note_store_answer(self, topic: Topic, now: float) -> None:
+        """Note that the store answered to a read of a topic."""
+        self._store.note_answer(now)
+        self._topics[topic].note_answer(now)
+
     def _take_registration(self, answered: RegistrationAnswered) -> None:
         """Note that this node is known, or try again."""
         if answered.offset is None:
@@ -366,6 +398,7 @@
             return
         self._state.routes = RouteTable(configuration=configuration)
         self._document = document
+        self._document_taken = now
         if self._leading is not None:
             self._leading.set_configuration(configuration)
         keys = configuration.keys
@@ -572,6 +605,7 @@
     def _lead(self, term: int, now: float) -> None:
         """Begin to lead."""
         self._stop_leading()
+        self._topics[Topic.SERVERS] = _make_dependency(Topic.SERVERS, now)
         self._leading = Leading(
             term=term,
             state=self._state,
@@ -584,3 +618,7 @@
         if self._leading is not None:
             self._leading.close()
             self._leading = None
+
+
+def _make_dependency(topic: Topic, now: float) -> Dependency:
+    return Dependency(name=f"store topic {topic.value}", now=now)
--- a/test/node/test_serving.py
+++ b/test/node/test_serving.py
@@ -1,8 +1,10 @@
 """A node on the platform, from the caller's to the servers' sockets."""
 
 import asyncio
+from collections.abc import Iterator
 import json
 
+from loguru import logger
 import pytest
 from testtools.assertions import assert_that
 from testtools.matchers import (
@@ -375,6 +377,37 @@
     run_world(scenario)
 
 
+@pytest.fixture
+def log_lines() -> Iterator[list[str]]:
+    """Lines that are logged during a test."""
+    lines: list[str] = []
+    sink = logger.add(lines.append, format="{message}")
+    yield lines
+    logger.remove(sink)
+
+
+def test_operators_see_which_reads_of_the_store_are_answered(
+    log_lines: list[str],
+) -> None:
+    async def scenario(world: World) -> None:
+        world.site.store.door.fault = StoreFault.BUSY
+        await world.wait(
+            lambda: any("store topic servers" in one for one in log_lines),
+            "a line that names the topic",
+        )
+        address = world.nodes[0].own.peer_address
+        answer = await world.client.fetch(f"http://{address}/metrics")
+        lines = answer.body.decode().splitlines()
+        names = [line.partition(" ")[0] for line in lines]
+        for topic in ("configuration", "nodes", "servers"):
+            name = f'chervilrock_store_answer_age_seconds{{topic="{topic}"}}'
+            assert_that(names, Contains(name))
+        assert_that(names, Contains("chervilrock_revision_age_seconds"))
+        assert_that(lines, Contains("chervilrock_revision_lag_seconds 0.0"))
+
+    run_world(scenario)
+
+
 def test_a_leaving_server_gets_no_new_request() -> None:
     async def scenario(world: World) -> None:
         first, second = list_plain(world)
