Keep the handle of a request that nobody waits for any more

Cause: a call whose caller is cancelled goes on in libcurl, but its handle counted as free at once, so that the next request was queued behind it. With reads of the store that are given up that could be 26 s.

Change: the pool counts a request until it has ended. Test: four calls that a server does not answer are cancelled, the fifth is answered; before, it was not within 10 s.

Conclusion: reads can be given up without harm to other calls.

--- a/chervilrock/clients/curlpool.py
+++ b/chervilrock/clients/curlpool.py
@@ -4,10 +4,12 @@
 node needs few of them most of the time, and many for a moment.
 """
 
+import asyncio
 from collections.abc import Iterator
 import contextlib
 
 from tornado.curl_httpclient import CurlAsyncHTTPClient
+from tornado.httpclient import HTTPRequest, HTTPResponse
 
 HANDLES = 4
 """Handles of one client."""
@@ -57,13 +59,23 @@
     @contextlib.contextmanager
     def borrow(self) -> Iterator[CurlAsyncHTTPClient]:
         """Lend a client for one request."""
-        index = self._choose()
-        self._running[index] += 1
+        index = self._take()
         try:
             yield self._clients[index]
         finally:
-            if self._running:
-                self._running[index] -= 1
+            self._give_back(index)
+
+    def fetch(self, request: HTTPRequest) -> "asyncio.Future[HTTPResponse]":
+        """Send a request; its handle is taken until it has ended.
+
+        A handle that counted as free as soon as nobody waited any more was
+        given to the next request, which then waited for the end of the first:
+        for up to 26 s behind a read that the store never answers.
+        """
+        index = self._take()
+        ended = self._clients[index].fetch(request, raise_error=False)
+        ended.add_done_callback(lambda _: self._give_back(index))
+        return ended
 
     def close(self) -> None:
         """Close all connections."""
@@ -72,6 +84,17 @@
         self._clients.clear()
         self._running.clear()
 
+    def _take(self) -> int:
+        """Count a request at a client and return its number."""
+        index = self._choose()
+        self._running[index] += 1
+        return index
+
+    def _give_back(self, index: int) -> None:
+        """Count a request as ended, unless all clients are closed."""
+        if self._running:
+            self._running[index] -= 1
+
     def _choose(self) -> int:
         """Return the number of a client, making one when all are busy."""
         for index, running in enumerate(self._running):
--- a/chervilrock/clients/httpclient.py
+++ b/chervilrock/clients/httpclient.py
@@ -4,6 +4,7 @@
 side: libcurl calls back once a connection stands and right before it sends.
 """
 
+import asyncio
 from collections.abc import Mapping
 from typing import NamedTuple, TypeVar
 
@@ -150,8 +151,8 @@
             prepare_curl_callback=prepare,
         )
         try:
-            with self._pool.borrow() as client:
-                response = await client.fetch(request, raise_error=False)
+            # It goes on, and keeps its handle, when the caller is cancelled.
+            response = await asyncio.shield(self._pool.fetch(request))
         except HTTPClientError as error:
             return Failure(_describe_error(error, guard.sent, url))
         except UnicodeError as error:
--- a/test/clients/test_curlpool.py
+++ b/test/clients/test_curlpool.py
@@ -3,7 +3,11 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
 
-from chervilrock.clients.curlpool import CurlPool
+from chervilrock.clients.curlpool import CurlPool, HANDLES
+from chervilrock.clients.httpclient import HttpClient
+
+LONG_S = 20.0
+"""Timeout of a request that is not answered."""
 
 
 def test_pool_makes_clients_when_they_are_needed():
@@ -21,3 +25,42 @@
         assert_that(pool.running, Equals(0))
 
     asyncio.run(check())
+
+
+def test_a_request_that_nobody_waits_for_keeps_its_handle():
+    # A server answers none of the first requests; their callers are cancelled
+    # while all handles of the first client are taken.
+    async def check():
+        arrived = asyncio.Semaphore(0)
+        connections = []
+
+        async def serve(reader, writer):
+            connections.append(writer)
+            await reader.readuntil(b"\r\n\r\n")
+            arrived.release()
+            if len(connections) > HANDLES:
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        client = HttpClient()
+
+        def send():
+            url = f"http://127.0.0.1:{port}/"
+            return client.request("GET", url, timeout_s=LONG_S)
+
+        held = [asyncio.ensure_future(send()) for _ in range(HANDLES)]
+        for _ in held:
+            await arrived.acquire()
+        for one in held:
+            one.cancel()
+        await asyncio.gather(*held, return_exceptions=True)
+        async with asyncio.timeout(LONG_S / 2):
+            answer = await send()
+        assert_that(answer.unwrap().status, Equals(200))
+        client.close()
+        for one in connections:
+            one.close()
+        server.close()
+
+    asyncio.run(check())
