Give calls up without a word, and none after the client is closed

Cause: when the caller of a call is cancelled and the call then fails, tornado logs 'Exception after Future was cancelled'. A task that wakes in the very step in which its process closes its client made a client anew, whose failure came after the last line of the log: a library-message in place of serving-stopped, as it was seen once beside load.

Ruled out: a future whose failure is not fetched, which asyncio does on waking.

Change: the pool takes the failure of a call that nobody waits for; a closed client answers that it is closed.

--- a/chervilrock/clients/curlpool.py
+++ b/chervilrock/clients/curlpool.py
@@ -32,6 +32,9 @@
 
     The first client with a free handle is taken, so that a small load stays
     on one client and finds its connections open.
+
+    Attributes:
+      is_closed: whether no more requests may be sent.
     """
 
     def __init__(
@@ -50,6 +53,7 @@
         self._max_body_size = max_body_size
         self._clients: list[QuietCurlClient] = []
         self._running: list[int] = []
+        self.is_closed = False
 
     @property
     def running(self) -> int:
@@ -74,11 +78,12 @@
         """
         index = self._take()
         ended = self._clients[index].fetch(request, raise_error=False)
-        ended.add_done_callback(lambda _: self._give_back(index))
+        ended.add_done_callback(lambda one: self._note_end(index, one))
         return ended
 
     def close(self) -> None:
-        """Close all connections."""
+        """Close all connections, and make no more."""
+        self.is_closed = True
         for client in self._clients:
             client.close()
         self._clients.clear()
@@ -90,6 +95,15 @@
         self._running[index] += 1
         return index
 
+    def _note_end(
+        self, index: int, ended: "asyncio.Future[HTTPResponse]"
+    ) -> None:
+        """Count a request as ended, whether or not somebody waits for it."""
+        self._give_back(index)
+        if not ended.cancelled():
+            # Else a failure that nobody waits for is logged as a fault.
+            ended.exception()
+
     def _give_back(self, index: int) -> None:
         """Count a request as ended, unless all clients are closed."""
         if self._running:
--- a/chervilrock/clients/httpclient.py
+++ b/chervilrock/clients/httpclient.py
@@ -132,6 +132,9 @@
         Returns:
           The answer, whatever its status, or why there was none.
         """
+        if self._pool.is_closed:
+            # Calls that are under way while a process ends come here last.
+            return Failure(PlatformError(PlatformErrorKind.REFUSED, "closed"))
         guard = SendGuard(once=send_once)
         answer_headers = _Headers()
 
--- a/test/clients/test_curlpool.py
+++ b/test/clients/test_curlpool.py
@@ -1,4 +1,5 @@
 import asyncio
+import gc
 
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
@@ -6,6 +7,9 @@
 from chervilrock.clients.curlpool import CurlPool, HANDLES
 from chervilrock.clients.httpclient import HttpClient
 
+REFUSING = "http://127.0.0.1:1/"
+"""An address at which nobody listens."""
+
 LONG_S = 20.0
 """Timeout of a request that is not answered."""
 
@@ -64,3 +68,37 @@
         server.close()
 
     asyncio.run(check())
+
+
+def test_a_call_that_was_given_up_fails_without_a_word(caplog):
+    # Its failure was logged as one that nobody waited for, at times after the
+    # last line of a process that stopped.
+    async def check():
+        client = HttpClient()
+        call = asyncio.ensure_future(
+            client.request("GET", REFUSING, timeout_s=LONG_S)
+        )
+        await asyncio.sleep(0)
+        call.cancel()
+        await asyncio.gather(call, return_exceptions=True)
+        # The failure of a second call comes after that of the first.
+        await client.request("GET", REFUSING, timeout_s=LONG_S)
+        await client.request("GET", REFUSING, timeout_s=LONG_S)
+        client.close()
+
+    asyncio.run(check())
+    gc.collect()
+    assert_that([one.getMessage() for one in caplog.records], Equals([]))
+
+
+def test_a_closed_client_makes_no_connection(caplog):
+    # A task that wakes while its process ends made a client that was never
+    # closed, and its failure came after the last line of the log.
+    async def check():
+        client = HttpClient()
+        client.close()
+        answer = await client.request("GET", REFUSING, timeout_s=LONG_S)
+        assert_that(answer.failure().message, Equals("closed"))
+
+    asyncio.run(check())
+    assert_that([one.getMessage() for one in caplog.records], Equals([]))
