Choose paces apart from the task; log when reads begin anew

The log did not tell on which grounds a node began its reads anew.

Change: paces.py chooses from what a node is (leader, follower, without the store); E7008 tells that reads begin anew, and why. No other change of behaviour. Tests: holds by size, the leader's reads end within the two seconds of a configuration, nothing is held while the store is away, who tries often.

--- a/chervilrock/catalogue.py
+++ b/chervilrock/catalogue.py
@@ -191,6 +191,9 @@
     NODE_REGISTERED = EventSpec(
         7007, Level.INFO, "node {node} is registered by record {offset}"
     )
+    READS_RENEWED = EventSpec(
+        7008, Level.INFO, "reads of the store begin anew: {reason}"
+    )
     REVISION_IN_FORCE = EventSpec(
         7101,
         Level.INFO,
--- a/chervilrock/decisions/serving/storewatch.py
+++ b/chervilrock/decisions/serving/storewatch.py
@@ -15,7 +15,6 @@
 between them, and nodes that began their reads anew each time would double
 their calls."""
 
-
 LONGEST_READ_S = 30.0
 """Time after which all reads have ended that were begun before the store came
 back: it holds none for longer."""
--- a/chervilrock/tasks/serving/follower.py
+++ b/chervilrock/tasks/serving/follower.py
@@ -2,12 +2,13 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine
-from typing import Any, NamedTuple
+from typing import Any
 
 from returns.result import Failure
 
 from chervilrock.clients.errors import PlatformError, PlatformErrorKind
 from chervilrock.clients.serving import KeyedPage, KeyedStore, Topic
+from chervilrock.decisions.serving.paces import Pace
 from chervilrock.tasks.mailbox import Outbox
 from chervilrock.tasks.serving.messages import Message, ReadFailed, RecordsRead
 
@@ -15,20 +16,6 @@
 """Pause after the first failed call; each further one takes twice as long."""
 
 
-class Pace(NamedTuple):
-    """How often a topic is read.
-
-    Attributes:
-      pause_s: time between two reads.
-      retry_s: longest time between two attempts while the store is away.
-      wait_s: time for which the store holds a read without news.
-    """
-
-    pause_s: float
-    retry_s: float = 0.5
-    wait_s: float = 0.0
-
-
 class TopicFollower:
     """Reads a topic from its newest records on, and tells each change.
 
--- a/chervilrock/tasks/serving/leading.py
+++ b/chervilrock/tasks/serving/leading.py
@@ -20,6 +20,7 @@
     SILENT_INTERVALS,
     STORE_SILENCE_S,
 )
+from chervilrock.decisions.serving.paces import SERVERS_PACE
 from chervilrock.decisions.serving.relays import Circle, RelayTable
 from chervilrock.decisions.serving.site import SiteConfiguration
 from chervilrock.decisions.serving.storewatch import StoreWatch
@@ -30,7 +31,6 @@
     Summary,
 )
 from chervilrock.events import emit, Event
-from chervilrock.tasks.serving.follower import Pace
 from chervilrock.tasks.serving.messages import (
     OrderAnswered,
     PeerAnswered,
@@ -41,13 +41,6 @@
 from chervilrock.tasks.serving.peers import News, Peers
 from chervilrock.tasks.serving.state import ServingState
 
-SERVERS_PACE = Pace(pause_s=0.25, retry_s=0.25, wait_s=0.5)
-"""How the leader follows the servers: they write some forty records a second,
-and each call is paid for; a server that leaves must be known well within the
-two seconds after which it may get no requests. The answer also tells all nodes
-that the store is back: a call that gets none ends after 1.5 s, and later ones
-after 1 s, 0.25 s apart."""
-
 OUTAGE_GRACE_S = 2.3
 """Time after the store has come back for entries that lapsed meanwhile: they
 are back within two seconds, or their servers are gone."""
--- a/chervilrock/tasks/serving/node.py
+++ b/chervilrock/tasks/serving/node.py
@@ -12,6 +12,11 @@
 from chervilrock.decisions.serving.census import ModelCount
 from chervilrock.decisions.serving.leadership import Claim, Leadership
 from chervilrock.decisions.serving.orders import Stage
+from chervilrock.decisions.serving.paces import (
+    choose_configuration_pace,
+    choose_nodes_pace,
+    Reader,
+)
 from chervilrock.decisions.serving.revisions import RevisionWatch
 from chervilrock.decisions.serving.routes import RouteTable
 from chervilrock.decisions.serving.storewatch import StoreNews, StoreWatch
@@ -25,7 +30,7 @@
 from chervilrock.tasks.clock import read_clock
 from chervilrock.tasks.mailbox import Mailbox
 from chervilrock.tasks.serving.dependency import Dependency
-from chervilrock.tasks.serving.follower import Following, Pace
+from chervilrock.tasks.serving.follower import Following
 from chervilrock.tasks.serving.leading import Leading
 from chervilrock.tasks.serving.messages import (
     ClaimAnswered,
@@ -52,49 +57,6 @@
 TICK_S = 0.05
 """Longest time between two looks at what is due."""
 
-QUICK_PACE = Pace(pause_s=0.1)
-"""How a node follows nodes and leaders while it hears no leader, or leads. With
-pauses of 0.3 s it took 0.55 s instead of 0.3 s after all processes were killed
-until one of them led."""
-
-CANDIDATES = 3
-"""Nodes that claim first."""
-
-CANDIDATE_PACE = Pace(pause_s=0.01, retry_s=0.25)
-"""How these follow nodes and leaders meanwhile. A claim counts only if nothing
-was written since its node has read, and when all nodes start at once, each of
-their records overtakes it. With pauses of 0.1 s, and of 0.5 s after a claim
-that was overtaken, it took 0.6 s from the first start until 12 nodes had a
-leader, now 0.1 s."""
-
-LEADER_CONFIGURATION_WAIT_S = 0.8
-"""Time for which the store holds a read of the configuration of the leader. It
-finds a connection that has gone silent within two seconds, and other nodes hear
-from it what they lack."""
-
-LEAST_WAIT_S = 20.0
-"""Time for which the store holds a read of any other node in a small
-installation. The leader tells when such reads have become useless, so that
-they may be long: six nodes make fewer calls than with 5 and 10 s, though the
-leader makes more."""
-
-WAIT_PER_NODE_S = 0.3
-"""Least wait for each node of the installation: the more nodes follow the
-store, the sooner one of them tells of a change."""
-
-LONGEST_WAIT_S = 25.0
-"""Longest wait, below the bound of the store."""
-
-CALM_PAUSE_S = 1.0
-"""Pause after a read of nodes and leaders while the leader is heard, which
-tells the same, or while there is no configuration, so that nobody can lead: 77
-nodes that start within a second would wake each other ten times otherwise."""
-
-CALM_RETRY_S = 2.0
-"""Longest time between two attempts to reach the store while the leader is
-heard, which tries twice a second and tells what is new. With 0.5 s at all nodes
-an outage of 8 s cost 77 nodes some 2,400 calls, 3 hundredths of a day."""
-
 NO_END = -1
 """Stands for no offset of a topic."""
 
@@ -152,11 +114,14 @@
     async def run(self) -> None:
         """Work until cancelled."""
         self._followings = {
-            topic: self._outbound.follow(topic, choose_pace)
-            for topic, choose_pace in (
-                (Topic.CONFIGURATION, self._choose_configuration_pace),
-                (Topic.NODES, self._choose_nodes_pace),
-            )
+            Topic.CONFIGURATION: self._outbound.follow(
+                Topic.CONFIGURATION,
+                lambda: choose_configuration_pace(self._describe_reader()),
+            ),
+            Topic.NODES: self._outbound.follow(
+                Topic.NODES,
+                lambda: choose_nodes_pace(self._describe_reader()),
+            ),
         }
         try:
             while True:
@@ -290,43 +255,19 @@
         emit(Event.LEADER_STEPPED_DOWN, term=self._leading.term, reason=reason)
         self._stop_leading()
 
-    def _choose_configuration_pace(self) -> Pace:
-        """Return how to follow the configuration."""
-        is_heard = self._leadership.is_heard(read_clock())
-        wait_s = self._find_wait()
-        if self.is_leader:
-            wait_s = min(wait_s, LEADER_CONFIGURATION_WAIT_S)
-        return Pace(
-            wait_s=wait_s,
-            pause_s=QUICK_PACE.pause_s,
-            retry_s=CALM_RETRY_S if is_heard else QUICK_PACE.retry_s,
-        )
-
-    def _choose_nodes_pace(self) -> Pace:
-        """Return how to follow the nodes and the leader."""
+    def _describe_reader(self) -> Reader:
+        """Return what this node is, for the choice of its paces."""
         now = read_clock()
-        wait_s = self._find_wait()
-        is_alone = not self._leadership.is_followed(now)
-        may_lead = self._state.routes is not None
-        if may_lead and is_alone and self._find_rank() < CANDIDATES:
-            return CANDIDATE_PACE._replace(wait_s=wait_s)
-        if self.is_leader or (may_lead and is_alone):
-            return QUICK_PACE._replace(wait_s=wait_s)
-        is_heard = self._leadership.is_heard(now)
-        return Pace(
-            wait_s=wait_s,
-            pause_s=CALM_PAUSE_S,
-            retry_s=CALM_RETRY_S if is_heard else QUICK_PACE.retry_s,
+        return Reader(
+            is_leader=self.is_leader,
+            may_lead=self._state.routes is not None,
+            is_following=self._leadership.is_followed(now),
+            is_hearing=self._leadership.is_heard(now),
+            rank=self._find_rank(),
+            nodes=len(self._state.known_nodes),
+            misses_store=self._store.lost_at is not None,
         )
 
-    def _find_wait(self) -> float:
-        """Return how long the store may hold a read without news."""
-        if self._store.lost_at is not None:
-            # A held read tells only after that time that there is no answer.
-            return 0.0
-        nodes = len(self._state.known_nodes)
-        return min(max(LEAST_WAIT_S, WAIT_PER_NODE_S * nodes), LONGEST_WAIT_S)
-
     def _find_leader(self) -> NodeEntry | None:
         claim = self._leadership.claim
         if claim is None:
@@ -366,7 +307,7 @@
         """Note that the store answered to a call of a topic."""
         self._topics[topic].note_answer(now)
         if self._store.note_answer(topic.value, now):
-            self._renew_reads(topic)
+            self._renew_reads("the store answers again", topic)
 
     def _note_store_failure(self, failed: ReadFailed, now: float) -> None:
         """Note that a topic could not be read."""
@@ -375,12 +316,14 @@
             failed.topic.value, now, is_silent=failed.is_silent
         )
 
-    def _renew_reads(self, answered: Topic | None = None) -> None:
+    def _renew_reads(self, reason: str, answered: Topic | None = None) -> None:
         """Begin all reads anew but that of the topic that was answered.
 
-        After a silence of 8 s, reads that had been begun in it kept six nodes
-        without configurations for 5.9 s at the worst; begun anew, for 1.4 s.
+        After silences of 0.2 to 13 s, reads that had been begun in them kept
+        six nodes without configurations for 5.9 s at the worst; begun anew,
+        for 1.4 s.
         """
+        emit(Event.READS_RENEWED, reason=reason)
         for topic, following in self._followings.items():
             if topic is not answered:
                 following.renew()
@@ -571,7 +514,7 @@
             self._store.note_doubt(now)
         news = StoreNews(announcement.term, announcement.store_returns)
         if self._store.note_news(news):
-            self._renew_reads()
+            self._renew_reads("the leader tells that the store is back")
         self._revisions.note_told(announcement.revision, state.revision, now)
         self._teller = announcement.leader
         self._room.notify()
--- a/chervilrock/tasks/serving/outbound.py
+++ b/chervilrock/tasks/serving/outbound.py
@@ -15,6 +15,7 @@
 from chervilrock.clients.httpclient import HttpAnswer, HttpClient
 from chervilrock.clients.serving import EngineControl, KeyedStore, Topic
 from chervilrock.decisions.serving.effects import Command
+from chervilrock.decisions.serving.paces import Pace
 from chervilrock.decisions.serving.site import (
     BackendServer,
     SiteConfiguration,
@@ -26,11 +27,7 @@
 )
 from chervilrock.events import emit, Event
 from chervilrock.tasks.mailbox import Outbox
-from chervilrock.tasks.serving.follower import (
-    Following,
-    Pace,
-    TopicFollower,
-)
+from chervilrock.tasks.serving.follower import Following, TopicFollower
 from chervilrock.tasks.serving.messages import (
     ClaimAnswered,
     DocumentRead,
--- /dev/null
+++ b/test/decisions/serving/test_paces.py
@@ -0,0 +1,72 @@
+"""How often, and for how long, nodes read the store."""
+
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, LessThan
+
+from chervilrock.decisions.serving.paces import (
+    CALM_RETRY_S,
+    CANDIDATES,
+    choose_configuration_pace,
+    choose_nodes_pace,
+    EAGER_RETRY_S,
+    LEADER_WAIT_S,
+    LEAST_WAIT_S,
+    LONGEST_WAIT_S,
+    Reader,
+    RETRY_S,
+    SERVERS_PACE,
+)
+from chervilrock.decisions.serving.storewatch import LONGEST_READ_S
+from chervilrock.platform.store import TIMEOUT_S
+
+CALM = Reader(
+    is_leader=False,
+    may_lead=True,
+    is_following=True,
+    is_hearing=True,
+    rank=5,
+    nodes=9,
+    misses_store=False,
+)
+ALONE = CALM._replace(is_following=False, is_hearing=False)
+
+
+@pytest.mark.parametrize(
+    ("nodes", "wait_s"), [(1, LEAST_WAIT_S), (77, 23.1), (400, LONGEST_WAIT_S)]
+)
+def test_reads_are_held_longer_in_larger_installations(nodes, wait_s):
+    reader = CALM._replace(nodes=nodes)
+    for choose in (choose_configuration_pace, choose_nodes_pace):
+        assert_that(round(choose(reader).wait_s, 3), Equals(wait_s))
+
+
+def test_the_leader_reads_the_configuration_often():
+    # With the timeout of the answer and a pause it finds a connection that
+    # has gone silent within the two seconds of a configuration.
+    pace = choose_configuration_pace(CALM._replace(is_leader=True))
+    assert_that(pace.wait_s, Equals(LEADER_WAIT_S))
+    assert_that(pace.wait_s + TIMEOUT_S + pace.pause_s, LessThan(2.0))
+
+
+@pytest.mark.parametrize("reader", [CALM, ALONE, ALONE._replace(rank=0)])
+def test_no_call_is_held_while_the_store_does_not_answer(reader):
+    missing = reader._replace(misses_store=True)
+    for choose in (choose_configuration_pace, choose_nodes_pace):
+        assert_that(choose(missing).wait_s, Equals(0.0))
+
+
+def test_only_those_whose_answer_tells_all_try_often():
+    # The leader gives way, since it misses the store, and is heard.
+    giving_way = CALM._replace(is_following=False, misses_store=True)
+    first = choose_nodes_pace(giving_way._replace(rank=CANDIDATES - 1))
+    assert_that(first.retry_s, Equals(EAGER_RETRY_S))
+    assert_that(SERVERS_PACE.retry_s, Equals(EAGER_RETRY_S))
+    others = choose_configuration_pace(giving_way)
+    assert_that(others.retry_s, Equals(CALM_RETRY_S))
+    lost = choose_configuration_pace(ALONE._replace(misses_store=True))
+    assert_that(lost.retry_s, Equals(RETRY_S))
+
+
+def test_no_read_outlasts_the_time_for_which_a_silence_counts():
+    assert_that(LONGEST_WAIT_S + TIMEOUT_S, LessThan(LONGEST_READ_S))
