Tell of the refused caller only what the log shows

Cause: the opening of the test said that the refused key was a new one, which the log does not show: E7403 names an unknown key and revision 51. Change: these two lines. No assertion and no code is changed; the formatter and the linter are clean, the 25 cases of the file pass.

--- a/test/tasks/test_store_outages.py
+++ b/test/tasks/test_store_outages.py
@@ -6,7 +6,8 @@
 5 s and given up after 6 s: "timed out after 6001 ms", on all nodes at 31.03 s
 and again at 37.13 s. Until then no node had anything newer, so that no node
 could ask another one, and all put the five revisions in force at 37.34 s. A
-caller with a new key got 401 meanwhile, 2.7 s after it was confirmed.
+caller got 401 for a key that its node did not know, 2.7 s after a revision that
+changed the keys of a workspace was confirmed.
 """
 
 import asyncio
