Show that a status question that was given up ends a task

A node that is frozen, or slow, answers a status question after the asker has given it up (2 s), and sets the result of a future that is cancelled.

--- a/test/tasks/test_region_task.py
+++ b/test/tasks/test_region_task.py
@@ -1,10 +1,13 @@
 """The region task: what it publishes and measures."""
 
+import asyncio
+
 import pytest
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, HasLength
 
 from chervilrock.tasks.probe_plan import FREQUENT_S
+from chervilrock.tasks.region_messages import LeaseGivenUp, ReportWanted
 from test.tasks.driven_region import DrivenRegion, LIMIT_S
 from test.tasks.test_region_control import make_document
 
@@ -73,3 +76,19 @@
     region.run(int(FREQUENT_S / 0.5) + 2)
     wanted = region.ports.probes.receive_waiting()[-1]
     assert_that(wanted.frequent, HasLength(0))
+
+
+@pytest.mark.parametrize("question", [ReportWanted, LeaseGivenUp])
+def test_a_question_whose_asker_gave_up_harms_nothing(region, question):
+    # An operator asked a node for its status while its process stood still,
+    # and gave up after two seconds; the node answered when it went on.
+    loop = asyncio.new_event_loop()
+    given_up = loop.create_future()
+    given_up.cancel()
+    region.task.inbox.offer(question(given_up))
+    region.turn()
+    waiting = loop.create_future()
+    region.task.inbox.offer(ReportWanted(waiting))
+    region.turn()
+    assert_that(waiting.done(), Equals(True))
+    loop.close()
