Answer only those status questions that are still awaited

Cause: the region task set the result of a future that the asker's timeout of 2 s had cancelled; InvalidStateError ended the task and with it the node. A node that was frozen, paused or slow for longer than that ended by itself as soon as it went on, if somebody had asked for its status meanwhile.

Ruled out: replies of configurations and keys, which are checked already.

Change: the reply to a status question and to a lease that is given up is set only while it is awaited.

--- a/chervilrock/tasks/region.py
+++ b/chervilrock/tasks/region.py
@@ -162,10 +162,13 @@
             if self._control is not None:
                 self._control.note_load(message)
         elif isinstance(message, ReportWanted):
-            message.reply.set_result(self._make_report(now))
+            # Whoever asked may have given up while this process stood still.
+            if not message.reply.done():
+                message.reply.set_result(self._make_report(now))
         else:
             self._keeper.give_up(ports.appender, now)
-            message.done.set_result(None)
+            if not message.done.done():
+                message.done.set_result(None)
 
     def _take_probe(self, message: HostProbed) -> None:
         if message.state is not None:
