Let two nodes of a large data centre read the store for the others

Ruled out: longer holds (the store holds none for more than 30 s); reading less while no leader is heard (a lost leader has to be replaced as before).

Change: a node of a data centre with more than eight nodes that hears its leader and is not one of the two strongest there, nor the relay, reads nothing. It hears of a newer revision from the leader and gets it from one of the two, or from the leader; it reads by itself when it has no configuration, is not yet recorded, hears no leader, lacks a leader for 1 s or lacks a revision for 1 s. Nodes behind rank 20, which claim last, read nodes and leaders once a second, not ten times, while nobody leads. A claim needs a read that was answered after the pause.

--- a/chervilrock/decisions/serving/leadership.py
+++ b/chervilrock/decisions/serving/leadership.py
@@ -170,6 +170,15 @@
         silence_s = self._lost_after_s
         return silence_s is not None and now - self._heard <= silence_s
 
+    def find_unled(self, now: float) -> float:
+        """Return the seconds without a leader that reaches the store."""
+        begins = []
+        if self._lost_since is not None:
+            begins.append(self._lost_since)
+        if not self.is_heard(now):
+            begins.append(self._heard + (self._lost_after_s or 0.0))
+        return now - min(begins) if begins else 0.0
+
     def should_claim(self, rank: int, nodes: int, now: float) -> bool:
         """Tell whether this node should claim to lead.
 
--- a/chervilrock/decisions/serving/paces.py
+++ b/chervilrock/decisions/serving/paces.py
@@ -2,11 +2,20 @@
 
 Each call is paid for, and a change has to be known everywhere within two
 seconds. So one node, the leader, reads often, and tells the others what they
-lack; these have their reads held for long.
+lack; these have their reads held for long. In large data centres only a few
+nodes read at all while a leader is heard: the others hear from it that there is
+a newer configuration, and get it from those. Reads of all 195 nodes of an
+installation, held for as long as the store may hold them, and ended by each
+change, were most of its calls.
 """
 
+from collections.abc import Iterable
 from typing import NamedTuple
 
+from chervilrock.decisions.serving.leadership import LAST_RANK
+from chervilrock.decisions.serving.relays import LEAST_RELAYED
+from chervilrock.decisions.serving.view import NodeEntry
+
 QUICK_PAUSE_S = 0.1
 """Pause between two reads of nodes and leaders while a node hears no leader, or
 leads. With 0.3 s it took 0.55 s instead of 0.3 s after all processes were
@@ -49,8 +58,9 @@
 
 CALM_PAUSE_S = 1.0
 """Pause after a read of nodes and leaders while the leader is heard, which
-tells the same, or while there is no configuration, so that nobody can lead: 77
-nodes that start within a second would wake each other ten times otherwise."""
+tells the same, while there is no configuration, so that nobody can lead, and
+for nodes that claim last: 77 nodes that start within a second would wake each
+other ten times otherwise."""
 
 CALM_RETRY_S = 2.0
 """Longest time between two attempts to reach the store while the leader is
@@ -73,6 +83,18 @@
     wait_s: float
 
 
+DESIGNATED = 2
+"""Nodes of a large data centre that read the store for the others: one may be
+lost."""
+
+LATE_S = 1.0
+"""Time for which a node lacks a revision that it was told of until it reads the
+store itself."""
+
+UNLED_S = 1.0
+"""Time without a leader after which also those nodes read who leads that need
+not claim: designated ones claim first, mostly within half a second."""
+
 SERVERS_PACE = Pace(pause_s=0.25, retry_s=EAGER_RETRY_S, wait_s=0.5)
 """How the leader follows the servers: they write some forty records a second,
 and each call is paid for; a server that leaves must be known well within the
@@ -92,6 +114,10 @@
       rank: its place in the order of claims.
       nodes: nodes of the installation.
       misses_store: whether the store does not answer it.
+      is_designated: whether it reads for others.
+      is_registered: whether the store has its record.
+      unled_s: time for which it has no leader that reaches the store.
+      lag_s: time for which it has known of a revision that it lacks.
     """
 
     is_leader: bool
@@ -101,6 +127,51 @@
     rank: int
     nodes: int
     misses_store: bool
+    is_designated: bool
+    is_registered: bool
+    unled_s: float
+    lag_s: float
+
+
+def is_designated(own: NodeEntry, nodes: Iterable[NodeEntry]) -> bool:
+    """Tell whether a node reads the store for others.
+
+    In small data centres each node does. In others these are the strongest
+    ones, of which one passes the leader's announcements on.
+
+    Args:
+      own: the node.
+      nodes: all nodes that live.
+    """
+    return own in list_designated(own.data_centre, nodes)
+
+
+def list_designated(
+    data_centre: str, nodes: Iterable[NodeEntry]
+) -> list[NodeEntry]:
+    """Return the nodes of a data centre that read the store."""
+    near = [one for one in nodes if one.data_centre == data_centre]
+    if len(near) <= LEAST_RELAYED:
+        return near
+    near.sort(key=lambda one: (-one.cores, one.node))
+    return near[:DESIGNATED]
+
+
+def reads_configuration(reader: Reader) -> bool:
+    """Tell whether a node follows the configuration in the store now."""
+    is_lost = not reader.is_hearing or reader.lag_s > LATE_S
+    return _reads_for_itself(reader) or is_lost
+
+
+def reads_nodes(reader: Reader) -> bool:
+    """Tell whether a node follows nodes and leaders in the store now."""
+    return _reads_for_itself(reader) or reader.unled_s > UNLED_S
+
+
+def _reads_for_itself(reader: Reader) -> bool:
+    """Tell whether a node reads, whatever others tell it."""
+    is_new = not (reader.may_lead and reader.is_registered)
+    return is_new or reader.is_leader or reader.is_designated
 
 
 def choose_configuration_pace(reader: Reader) -> Pace:
@@ -119,7 +190,7 @@
     is_alone = reader.may_lead and not reader.is_following
     if is_alone and reader.rank < CANDIDATES:
         return Pace(CANDIDATE_PAUSE_S, EAGER_RETRY_S, wait_s)
-    if reader.is_leader or is_alone:
+    if reader.is_leader or (is_alone and reader.rank < LAST_RANK):
         return Pace(QUICK_PAUSE_S, RETRY_S, wait_s)
     return Pace(CALM_PAUSE_S, _find_retry(reader), wait_s)
 
--- a/chervilrock/decisions/serving/revisions.py
+++ b/chervilrock/decisions/serving/revisions.py
@@ -72,17 +72,21 @@
             return 0.0
         return now - self._stuck_since
 
-    def is_due(self, own: int, now: float) -> bool:
+    def is_due(self, own: int, now: float, *, is_reading: bool = True) -> bool:
         """Tell whether to ask another node now.
 
         Args:
           own: revision in force here, `NOTHING` for none; such a node can
             serve nobody and asks at once.
           now: present time.
+          is_reading: whether the store may give it to this node; else the
+            node asks at once as well.
         """
         if self._told <= own or now - self._tried < PAUSE_S:
             return False
-        return own == NOTHING or now - self._stuck_since >= PATIENCE_S
+        if own == NOTHING or not is_reading:
+            return True
+        return now - self._stuck_since >= PATIENCE_S
 
     def choose_source(
         self,
--- a/chervilrock/tasks/serving/follower.py
+++ b/chervilrock/tasks/serving/follower.py
@@ -21,6 +21,7 @@
 
     Attributes:
       is_lost: whether the last call has failed.
+      is_behind: whether nothing was read since the reads were paused.
     """
 
     def __init__(
@@ -46,6 +47,7 @@
         self._choose_pace = choose_pace
         self._position: int | None = None
         self.is_lost = False
+        self.is_behind = True
 
     async def run(self) -> None:
         """Read until cancelled; a later run goes on behind the last page."""
@@ -68,7 +70,8 @@
         """Read what came since, or wait for it."""
         # A call that the store may hold tells only after that time that there
         # is no answer; one that it may not hold tells within a second.
-        wait_s = 0.0 if self.is_lost else self._choose_pace().wait_s
+        is_held = not (self.is_lost or self.is_behind)
+        wait_s = self._choose_pace().wait_s if is_held else 0.0
         result = await self._store.read(self._topic, position, wait_s)
         if isinstance(result, Failure):
             await self._note_failure(result.failure())
@@ -85,6 +88,7 @@
         """Tell what came, and read on behind it."""
         self._retry_s = FIRST_RETRY_S
         self.is_lost = False
+        self.is_behind = False
         await self._outbox.send(RecordsRead(self._topic, page, is_snapshot))
         self._position = page.next_offset
 
@@ -115,18 +119,38 @@
         """
         self._follower = follower
         self._start = start
-        self._task = start(follower.run())
+        self._task: asyncio.Task[None] | None = start(follower.run())
 
     @property
-    def is_lost(self) -> bool:
-        """Whether the last call has failed."""
-        return self._follower.is_lost
+    def is_current(self) -> bool:
+        """Whether the topic is read, and the last call was answered."""
+        follower = self._follower
+        is_read = self._task is not None
+        return is_read and not (follower.is_lost or follower.is_behind)
+
+    @property
+    def is_paused(self) -> bool:
+        """Whether the topic is not read now."""
+        return self._task is None
 
     def renew(self) -> None:
         """Give the call under way up and make it anew at once."""
-        self._task.cancel()
-        self._task = self._start(self._follower.run())
+        if self._task is not None:
+            self._task.cancel()
+            self._task = self._start(self._follower.run())
+
+    def pause(self) -> None:
+        """Read no more until `resume`."""
+        if self._task is not None:
+            self._task.cancel()
+            self._task = None
+
+    def resume(self) -> None:
+        """Read on, beginning with what came meanwhile."""
+        if self._task is None:
+            self._follower.is_behind = True
+            self._task = self._start(self._follower.run())
 
     def cancel(self) -> None:
         """Follow no more."""
-        self._task.cancel()
+        self.pause()
--- a/chervilrock/tasks/serving/node.py
+++ b/chervilrock/tasks/serving/node.py
@@ -16,7 +16,11 @@
 from chervilrock.decisions.serving.paces import (
     choose_configuration_pace,
     choose_nodes_pace,
+    is_designated,
+    list_designated,
     Reader,
+    reads_configuration,
+    reads_nodes,
 )
 from chervilrock.decisions.serving.revisions import RevisionWatch
 from chervilrock.decisions.serving.routes import RouteTable
@@ -100,6 +104,7 @@
         self._revisions = RevisionWatch()
         self._teller: NodeEntry | None = None
         self._told_loads = ToldLoads()
+        self._is_designated = True
         self._end = 0
         self._tried_end = NO_END
         self._has_nodes = False
@@ -107,6 +112,7 @@
         self._document_taken = now
         self._is_claiming = False
         self._registered = False
+        self._is_recorded = False
         self._store = StoreWatch(now=now)
         # By topic, since one may be answered while another one is not.
         self._topics = {topic: _make_dependency(topic, now) for topic in Topic}
@@ -216,9 +222,16 @@
         return {
             topic.value: now - dependency.answered
             for topic, dependency in self._topics.items()
-            if topic is not Topic.SERVERS or self.is_leader
+            if self._is_read(topic)
         }
 
+    def _is_read(self, topic: Topic) -> bool:
+        """Tell whether this node follows a topic of the store now."""
+        if topic is Topic.SERVERS:
+            return self.is_leader
+        following = self._followings.get(topic)
+        return following is not None and not following.is_paused
+
     def find_revision_age(self, now: float) -> float:
         """Return the seconds since the revision came in force here."""
         return now - self._document_taken
@@ -282,8 +295,17 @@
             rank=self._find_rank(),
             nodes=len(self._state.known_nodes),
             misses_store=self._store.lost_at is not None,
+            is_designated=self._is_designated or self.is_relay,
+            is_registered=self._is_recorded,
+            unled_s=self._leadership.find_unled(now),
+            lag_s=self.find_revision_lag(now),
         )
 
+    @property
+    def _is_known(self) -> bool:
+        """Whether the record of this node was read back."""
+        return self._state.known_nodes.get(self._own.node) == self._own
+
     def _find_leader(self) -> NodeEntry | None:
         claim = self._leadership.claim
         if claim is None:
@@ -365,6 +387,7 @@
         if answered.offset is None:
             self._registered = False
             return
+        self._is_recorded = True
         emit(
             Event.NODE_REGISTERED,
             node=self._own.node,
@@ -444,6 +467,13 @@
             LeaderEntry(entry.node, entry.incarnation), now
         )
 
+    def _note_nodes(self, nodes: Iterable[NodeEntry], now: float) -> None:
+        """Know the nodes that a leader tells of, read or not."""
+        for entry in nodes:
+            if self._state.known_nodes.get(entry.node) != entry:
+                self._take_node(entry, now)
+        self._is_designated = is_designated(self._own, nodes)
+
     def _take_claim(self, claim: Claim, now: float) -> None:
         if not self._leadership.note_claim(claim, now):
             return
@@ -515,6 +545,7 @@
         )
         if announcement.nodes is not None:
             state.nodes = announcement.nodes
+            self._note_nodes(announcement.nodes, now)
             state.nodes_version = (
                 announcement.term,
                 announcement.nodes_sequence,
@@ -543,6 +574,7 @@
     def _act(self, now: float) -> None:
         """Do what is due."""
         self._register(now)
+        self._choose_reads()
         self._claim(now)
         self._catch_up(now)
         if self._leading is None:
@@ -560,12 +592,15 @@
             summary = self._leading.summary
             self._revisions.note_told(summary.revision, state.revision, now)
             holder = summary.holder
-        if not self._revisions.is_due(state.revision, now):
+        is_reading = not self._followings[Topic.CONFIGURATION].is_paused
+        if not self._revisions.is_due(
+            state.revision, now, is_reading=is_reading
+        ):
             return
         near = tuple(
             one
-            for one in state.nodes
-            if one.data_centre == self._own.data_centre and one != self._own
+            for one in list_designated(self._own.data_centre, state.nodes)
+            if one != self._own
         )
         source = self._revisions.choose_source(
             near, holder, state.generator, now
@@ -573,6 +608,19 @@
         if source is not None:
             self._outbound.fetch_document(source)
 
+    def _choose_reads(self) -> None:
+        """Read those topics that this node has to read by itself."""
+        reader = self._describe_reader()
+        for topic, is_read in (
+            (Topic.CONFIGURATION, reads_configuration(reader)),
+            (Topic.NODES, reads_nodes(reader)),
+        ):
+            following = self._followings[topic]
+            if is_read:
+                following.resume()
+            else:
+                following.pause()
+
     def _register(self, now: float) -> None:
         """Write the record of this node, once in its life."""
         if self._registered or not self._has_nodes:
@@ -584,11 +632,10 @@
         """Claim to lead when nobody does."""
         leadership = self._leadership
         state = self._state
-        # Before that, the own record would overtake the claim.
-        is_known = state.known_nodes.get(self._own.node) == self._own
-        is_able = is_known and state.routes is not None
+        # Before its record is known, that would overtake the claim.
+        is_able = self._is_known and state.routes is not None
         # While reads fail, a claim would be a call that is paid for in vain.
-        is_able = is_able and not self._followings[Topic.NODES].is_lost
+        is_able = is_able and self._followings[Topic.NODES].is_current
         if not is_able or self._is_claiming or state.is_stopping:
             return
         if self._end == self._tried_end:
@@ -610,12 +657,13 @@
         """
         claim = self._leadership.claim
         last = None if claim is None else claim.entry.incarnation
-        nodes = self._state.known_nodes | {self._own.node: self._own}
-        ranked = sorted(
-            nodes.values(),
-            key=lambda one: (one.incarnation == last, -one.cores, one),
-        )
-        return ranked.index(self._own)
+
+        def rank(one: NodeEntry) -> tuple[bool, float, NodeEntry]:
+            return (one.incarnation == last, -one.cores, one)
+
+        own = rank(self._own)
+        others = self._state.known_nodes.values()
+        return sum(rank(one) < own for one in others if one != self._own)
 
     def _lead(self, term: int, now: float) -> None:
         """Begin to lead."""
--- a/test/decisions/serving/test_paces.py
+++ b/test/decisions/serving/test_paces.py
@@ -10,14 +10,22 @@
     choose_configuration_pace,
     choose_nodes_pace,
     EAGER_RETRY_S,
+    is_designated,
+    LATE_S,
     LEADER_WAIT_S,
     LEAST_WAIT_S,
+    list_designated,
     LONGEST_WAIT_S,
     Reader,
+    reads_configuration,
+    reads_nodes,
     RETRY_S,
     SERVERS_PACE,
+    UNLED_S,
 )
+from chervilrock.decisions.serving.relays import LEAST_RELAYED
 from chervilrock.decisions.serving.storewatch import LONGEST_READ_S
+from chervilrock.decisions.serving.view import NodeEntry
 from chervilrock.platform.store import TIMEOUT_S
 
 CALM = Reader(
@@ -28,8 +36,13 @@
     rank=5,
     nodes=9,
     misses_store=False,
+    is_designated=True,
+    is_registered=True,
+    unled_s=0.0,
+    lag_s=0.0,
 )
-ALONE = CALM._replace(is_following=False, is_hearing=False)
+ALONE = CALM._replace(is_following=False, is_hearing=False, unled_s=0.1)
+RESTING = CALM._replace(is_designated=False)
 
 
 @pytest.mark.parametrize(
@@ -70,3 +83,49 @@
 
 def test_no_read_outlasts_the_time_for_which_a_silence_counts():
     assert_that(LONGEST_WAIT_S + TIMEOUT_S, LessThan(LONGEST_READ_S))
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"is_leader": True},
+        {"is_designated": True},
+        {"may_lead": False},
+        {"is_registered": False},
+    ],
+)
+def test_nodes_that_others_or_they_themselves_depend_on_read(change):
+    reader = RESTING._replace(**change)
+    assert_that(reads_configuration(reader), Equals(True))
+    assert_that(reads_nodes(reader), Equals(True))
+
+
+def test_other_nodes_read_nothing_while_a_leader_is_heard():
+    for heard in (RESTING, RESTING._replace(is_following=False, unled_s=0.5)):
+        assert_that(reads_configuration(heard), Equals(False))
+        assert_that(reads_nodes(heard), Equals(False))
+
+
+def test_other_nodes_read_when_nobody_tells_them_in_time():
+    lost = RESTING._replace(is_following=False, is_hearing=False, unled_s=0.1)
+    assert_that(reads_configuration(lost), Equals(True))
+    assert_that(reads_nodes(lost), Equals(False))
+    unled = lost._replace(unled_s=UNLED_S + 0.1)
+    assert_that(reads_nodes(unled), Equals(True))
+    late = RESTING._replace(lag_s=LATE_S + 0.1)
+    assert_that(reads_configuration(late), Equals(True))
+
+
+def test_the_strongest_nodes_of_a_large_data_centre_read_for_it():
+    def make(number, place):
+        cores = 2.0 if number == 5 else 0.5
+        return NodeEntry(
+            f"{place}{number}", f"i{number}", "p", "c", place, cores
+        )
+
+    nodes = [make(number, "a") for number in range(LEAST_RELAYED + 1)]
+    nodes += [make(number, "b") for number in range(LEAST_RELAYED)]
+    names = [one.node for one in list_designated("a", nodes)]
+    assert_that(names, Equals(["a5", "a0"]))
+    small = [one for one in nodes if one.data_centre == "b"]
+    assert_that(all(is_designated(one, nodes) for one in small), Equals(True))
--- a/test/decisions/serving/test_revisions.py
+++ b/test/decisions/serving/test_revisions.py
@@ -93,3 +93,10 @@
         watch.note_told(40 + int(now / 0.24), own, now)
         asked += watch.is_due(own, now)
     assert_that(asked, Equals(0))
+
+
+def test_a_node_that_does_not_read_the_store_asks_at_once() -> None:
+    watch = RevisionWatch()
+    watch.note_told(7, 6, 1.0)
+    assert_that(watch.is_due(6, 1.0, is_reading=True), Is(False))
+    assert_that(watch.is_due(6, 1.0, is_reading=False), Is(True))
--- a/test/tasks/installation.py
+++ b/test/tasks/installation.py
@@ -253,7 +253,7 @@
         """Start nodes one upon another and wait until one of them leads."""
         self.change(1)
         for number in range(nodes):
-            self._add(f"n{number:02}", f"p{number % places}")
+            self.add(f"n{number:02}", f"p{number % places}")
             await asyncio.sleep(self.generator.uniform(0.0, 0.02))
         await asyncio.sleep(5.0)
         assert self.find_leader() is not None
@@ -333,7 +333,8 @@
         if not running.cancelled():
             self.failures.append(running.exception())
 
-    def _add(self, name: str, place: str) -> None:
+    def add(self, name: str, place: str) -> None:
+        """Start a node."""
         own = NodeEntry(name, f"{name}-1", name, f"{name}:callers", place)
         state = ServingState(
             own=own,
