Keep what a node reads of the store apart from what it believes

Cause: node.py had grown to 690 lines, a sixth of them about which topics are read, how often and whether they are answered.

Change: reads.py owns the reads, the watch over the store and the log lines of each topic; the dump of the state lists what a node reads. No other change of behaviour.

--- a/chervilrock/tasks/serving/node.py
+++ b/chervilrock/tasks/serving/node.py
@@ -14,17 +14,13 @@
 from chervilrock.decisions.serving.leadership import Claim, Leadership
 from chervilrock.decisions.serving.orders import Stage
 from chervilrock.decisions.serving.paces import (
-    choose_configuration_pace,
-    choose_nodes_pace,
     is_designated,
     list_designated,
     Reader,
-    reads_configuration,
-    reads_nodes,
 )
 from chervilrock.decisions.serving.revisions import RevisionWatch
 from chervilrock.decisions.serving.routes import RouteTable
-from chervilrock.decisions.serving.storewatch import StoreNews, StoreWatch
+from chervilrock.decisions.serving.storewatch import StoreNews
 from chervilrock.decisions.serving.toldloads import ToldLoads
 from chervilrock.decisions.serving.view import (
     Acknowledgement,
@@ -35,8 +31,6 @@
 from chervilrock.events import emit, Event
 from chervilrock.tasks.clock import read_clock
 from chervilrock.tasks.mailbox import Mailbox
-from chervilrock.tasks.serving.dependency import Dependency
-from chervilrock.tasks.serving.follower import Following
 from chervilrock.tasks.serving.leading import Leading
 from chervilrock.tasks.serving.messages import (
     ClaimAnswered,
@@ -56,6 +50,7 @@
     Outbound,
     Ports,
 )
+from chervilrock.tasks.serving.reads import StoreReads
 from chervilrock.tasks.serving.relay import Relay
 from chervilrock.tasks.serving.room import WaitingRoom
 from chervilrock.tasks.serving.state import ServingState
@@ -113,25 +108,17 @@
         self._is_claiming = False
         self._registered = False
         self._is_recorded = False
-        self._store = StoreWatch(now=now)
-        # By topic, since one may be answered while another one is not.
-        self._topics = {topic: _make_dependency(topic, now) for topic in Topic}
-        self._followings: dict[Topic, Following] = {}
         self._outbound = Outbound(ports=ports, outbox=self.mailbox)
+        self._reads = StoreReads(
+            outbound=self._outbound,
+            describe_reader=self._describe_reader,
+            now=now,
+        )
         self._relay = Relay(state=state, outbound=self._outbound)
 
     async def run(self) -> None:
         """Work until cancelled."""
-        self._followings = {
-            Topic.CONFIGURATION: self._outbound.follow(
-                Topic.CONFIGURATION,
-                lambda: choose_configuration_pace(self._describe_reader()),
-            ),
-            Topic.NODES: self._outbound.follow(
-                Topic.NODES,
-                lambda: choose_nodes_pace(self._describe_reader()),
-            ),
-        }
+        self._reads.start()
         try:
             while True:
                 message = await self.mailbox.receive_within(TICK_S)
@@ -220,8 +207,8 @@
     def list_store_ages(self, now: float) -> dict[str, float]:
         """Return the seconds since the store answered, by followed topic."""
         return {
-            topic.value: now - dependency.answered
-            for topic, dependency in self._topics.items()
+            topic.value: self._reads.find_age(topic, now)
+            for topic in Topic
             if self._is_read(topic)
         }
 
@@ -229,8 +216,7 @@
         """Tell whether this node follows a topic of the store now."""
         if topic is Topic.SERVERS:
             return self.is_leader
-        following = self._followings.get(topic)
-        return following is not None and not following.is_paused
+        return self._reads.is_read(topic)
 
     def find_revision_age(self, now: float) -> float:
         """Return the seconds since the revision came in force here."""
@@ -257,6 +243,7 @@
                 topic: round(age, 3)
                 for topic, age in self.list_store_ages(now).items()
             },
+            "reads": [one.value for one in Topic if self._is_read(one)],
             "view": state.view,
             "view_age_s": round(now - state.view_time, 3),
             "nodes": state.nodes,
@@ -294,7 +281,7 @@
             is_hearing=self._leadership.is_heard(now),
             rank=self._find_rank(),
             nodes=len(self._state.known_nodes),
-            misses_store=self._store.lost_at is not None,
+            misses_store=self._reads.store.lost_at is not None,
             is_designated=self._is_designated or self.is_relay,
             is_registered=self._is_recorded,
             unled_s=self._leadership.find_unled(now),
@@ -323,7 +310,7 @@
                 self._note_store_answer(message.topic, now)
                 self._take_records(message, now)
             case ReadFailed():
-                self._note_store_failure(message, now)
+                self._reads.note_failure(message, now)
             case OrderAnswered():
                 self._take_reply(message, now)
             case ServerAnswered():
@@ -343,28 +330,12 @@
 
     def _note_store_answer(self, topic: Topic, now: float) -> None:
         """Note that the store answered to a call of a topic."""
-        self._topics[topic].note_answer(now)
-        if self._store.note_answer(topic.value, now):
+        if self._reads.note_answer(topic, now):
             self._renew_reads("the store answers again", topic)
 
-    def _note_store_failure(self, failed: ReadFailed, now: float) -> None:
-        """Note that a topic could not be read."""
-        self._topics[failed.topic].note_failure(failed.reason, now)
-        self._store.note_failure(
-            failed.topic.value, now, is_silent=failed.is_silent
-        )
-
     def _renew_reads(self, reason: str, answered: Topic | None = None) -> None:
-        """Begin all reads anew but that of the topic that was answered.
-
-        After silences of 0.2 to 13 s, reads that had been begun in them kept
-        six nodes without configurations for 5.9 s at the worst; begun anew,
-        for 1.4 s.
-        """
-        emit(Event.READS_RENEWED, reason=reason)
-        for topic, following in self._followings.items():
-            if topic is not answered:
-                following.renew()
+        """Begin all reads anew but that of the topic that was answered."""
+        self._reads.renew_all(reason, answered)
         if self._leading is not None and answered is not Topic.SERVERS:
             self._leading.renew_reads()
 
@@ -373,14 +344,16 @@
         self._is_claiming = False
         if not answered.is_answered:
             self._tried_end = NO_END
-            self._store.note_failure(Topic.NODES.value, now, is_silent=True)
+            self._reads.store.note_failure(
+                Topic.NODES.value, now, is_silent=True
+            )
         elif answered.is_overtaken:
             # Whatever was written meanwhile has to be read first.
             self._leadership.note_overtaken()
         else:
             self._tried_end = NO_END
         # A read that is held could be one that is never answered.
-        self._followings[Topic.NODES].renew()
+        self._reads.renew(Topic.NODES)
 
     def _take_registration(self, answered: RegistrationAnswered) -> None:
         """Note that this node is known, or try again."""
@@ -561,9 +534,9 @@
         if state.view.version == (announcement.term, announcement.sequence):
             state.view_time = now
         if announcement.is_cut_from_store:
-            self._store.note_doubt(now)
+            self._reads.store.note_doubt(now)
         news = StoreNews(announcement.term, announcement.store_returns)
-        if self._store.note_news(news):
+        if self._reads.store.note_news(news):
             self._renew_reads("the leader tells that the store is back")
         self._revisions.note_told(announcement.revision, state.revision, now)
         self._teller = announcement.leader
@@ -574,7 +547,7 @@
     def _act(self, now: float) -> None:
         """Do what is due."""
         self._register(now)
-        self._choose_reads()
+        self._reads.choose()
         self._claim(now)
         self._catch_up(now)
         if self._leading is None:
@@ -592,7 +565,7 @@
             summary = self._leading.summary
             self._revisions.note_told(summary.revision, state.revision, now)
             holder = summary.holder
-        is_reading = not self._followings[Topic.CONFIGURATION].is_paused
+        is_reading = self._is_read(Topic.CONFIGURATION)
         if not self._revisions.is_due(
             state.revision, now, is_reading=is_reading
         ):
@@ -608,19 +581,6 @@
         if source is not None:
             self._outbound.fetch_document(source)
 
-    def _choose_reads(self) -> None:
-        """Read those topics that this node has to read by itself."""
-        reader = self._describe_reader()
-        for topic, is_read in (
-            (Topic.CONFIGURATION, reads_configuration(reader)),
-            (Topic.NODES, reads_nodes(reader)),
-        ):
-            following = self._followings[topic]
-            if is_read:
-                following.resume()
-            else:
-                following.pause()
-
     def _register(self, now: float) -> None:
         """Write the record of this node, once in its life."""
         if self._registered or not self._has_nodes:
@@ -635,7 +595,7 @@
         # Before its record is known, that would overtake the claim.
         is_able = self._is_known and state.routes is not None
         # While reads fail, a claim would be a call that is paid for in vain.
-        is_able = is_able and self._followings[Topic.NODES].is_current
+        is_able = is_able and self._reads.is_current(Topic.NODES)
         if not is_able or self._is_claiming or state.is_stopping:
             return
         if self._end == self._tried_end:
@@ -668,22 +628,16 @@
     def _lead(self, term: int, now: float) -> None:
         """Begin to lead."""
         self._stop_leading()
-        self._topics[Topic.SERVERS] = _make_dependency(Topic.SERVERS, now)
         self._leading = Leading(
             term=term,
             state=self._state,
-            store=self._store,
+            store=self._reads.store,
             outbound=self._outbound,
             decode_server=self._ports.decode_server,
         )
-        self._store.begin_term(now)
-        self._followings[Topic.CONFIGURATION].renew()
+        self._reads.begin_term(now)
 
     def _stop_leading(self) -> None:
         if self._leading is not None:
             self._leading.close()
             self._leading = None
-
-
-def _make_dependency(topic: Topic, now: float) -> Dependency:
-    return Dependency(name=f"store topic {topic.value}", now=now)
--- a/test/decisions/serving/test_decisions.py
+++ b/test/decisions/serving/test_decisions.py
@@ -408,3 +408,23 @@
     assert_that(patience.wait_s >= shortest, Is(True))
     assert_that(patience.wait_s <= longest, Is(True))
     assert_that(patience.retry_after_s, GreaterThan(0.0))
+
+
+def test_the_time_without_a_leader_counts_from_its_silence_or_notice() -> None:
+    leadership = Leadership(node="n", incarnation="i", now=0.0)
+    claim = Claim(5, LeaderEntry("m", "j"))
+    leadership.note_claim(claim, 1.0)
+
+    def hear(now: float, *, is_ending: bool) -> None:
+        leadership.note_announcement(
+            5, lost_after_s=0.75, is_ending=is_ending, now=now
+        )
+
+    hear(2.0, is_ending=False)
+    assert_that(leadership.find_unled(2.7), Equals(0.0))
+    assert_that(leadership.find_unled(3.0), Equals(0.25))
+    hear(3.0, is_ending=True)
+    hear(3.5, is_ending=True)
+    assert_that(leadership.find_unled(3.6), Equals(3.6 - 3.0))
+    hear(4.0, is_ending=False)
+    assert_that(leadership.find_unled(4.1), Equals(0.0))
