Name no address that can only refuse

Cause: a node without a configuration that knows no other node named itself to callers that asked where to connect. After all nodes were lost, a node that the store turns away is one of these until the store serves it, and callers that had asked it got 503 from it again and again.

Change: such a node answers 503 to the question for addresses, so that callers ask another node.

--- a/chervilrock/node/serving.py
+++ b/chervilrock/node/serving.py
@@ -307,7 +307,11 @@
             return Reply(status=200 if is_ready else 503)
         if path == directory.ADDRESSES_PATH:
             place = directory.read_data_centre(query)
-            addresses = self._task.list_callers_addresses(place, read_clock())
+            addresses = list(
+                self._task.list_callers_addresses(place, read_clock())
+            )
+            if not addresses:
+                return Reply(status=503)
             return Reply(
                 status=200,
                 body=directory.encode_addresses(addresses, KEEP_ADDRESSES_S),
--- a/chervilrock/tasks/serving/state.py
+++ b/chervilrock/tasks/serving/state.py
@@ -248,6 +248,10 @@
     ) -> Iterable[str]:
         """Return the addresses that callers should use.
 
+        A node without a configuration that knows no other node, as one that
+        the store turns away after all nodes were lost, names none: callers
+        then ask another node, where they would be refused here.
+
         Args:
           data_centre: where the caller stands.
           leader: name of the node that leads, None while it is not heard.
@@ -256,7 +260,7 @@
         nodes = self.nodes or tuple(self.known_nodes.values())
         if self.is_stopping:
             nodes = tuple(one for one in nodes if one.node != self.own.node)
-        elif not nodes:
+        elif not nodes and self.routes is not None:
             nodes = (self.own,)
         chosen = self._active_nodes.choose(
             nodes,
