--- a/chervilrock/decisions/serving/paces.py
+++ b/chervilrock/decisions/serving/paces.py
@@ -143,7 +143,9 @@
       own: the node.
       nodes: all nodes that live.
     """
-    return own in list_designated(own.data_centre, nodes)
+    near = [one for one in nodes if one.data_centre == own.data_centre]
+    # In a small one also a node that the list does not name yet.
+    return len(near) <= LEAST_RELAYED or own in _choose_strongest(near)
 
 
 def list_designated(
@@ -151,10 +153,12 @@
 ) -> list[NodeEntry]:
     """Return the nodes of a data centre that read the store."""
     near = [one for one in nodes if one.data_centre == data_centre]
-    if len(near) <= LEAST_RELAYED:
-        return near
-    near.sort(key=lambda one: (-one.cores, one.node))
-    return near[:DESIGNATED]
+    return near if len(near) <= LEAST_RELAYED else _choose_strongest(near)
+
+
+def _choose_strongest(near: list[NodeEntry]) -> list[NodeEntry]:
+    ranked = sorted(near, key=lambda one: (-one.cores, one.node))
+    return ranked[:DESIGNATED]
 
 
 def reads_configuration(reader: Reader) -> bool:
--- a/test/decisions/serving/test_paces.py
+++ b/test/decisions/serving/test_paces.py
@@ -129,6 +129,9 @@
     assert_that(names, Equals(["a5", "a0"]))
     small = [one for one in nodes if one.data_centre == "b"]
     assert_that(all(is_designated(one, nodes) for one in small), Equals(True))
+    for listed in (nodes, small[:2]):
+        assert_that(is_designated(make(99, "b"), listed), Equals(True))
+    assert_that(is_designated(make(99, "a"), nodes), Equals(False))
 
 
 def test_a_node_without_a_configuration_asks_a_lost_store_for_it_alone():
