Notice the return of a topic though another one was answered before

Cause: a leader whose read of the configuration got no answer noted the store as lost at its timeout; the next answer to its read of the servers, 0.25 s apart, noted it as there again, without a return, since that topic had not been silent. The answer to the configuration then found nothing lost, so that the others were not told to begin their reads anew; they heard of the revision and waited 0.4 s before they asked a node.

Change: the return of a topic that was silent counts also when the store counts as there.

--- a/chervilrock/decisions/serving/storewatch.py
+++ b/chervilrock/decisions/serving/storewatch.py
@@ -62,9 +62,12 @@
         """
         gap_s = now - self.answered
         self.answered = now
-        if self.lost_at is None:
+        # An answer to another topic may have told before that the store is
+        # there, which says nothing of the reads of this one.
+        was_silent = topic in self._silent
+        if self.lost_at is None and not was_silent:
             return False
-        is_back = topic in self._silent or gap_s >= RETURN_GAP_S
+        is_back = was_silent or gap_s >= RETURN_GAP_S
         self.lost_at = None
         self.back_at = now
         if is_back:
