--- a/chervilrock/tasks/serving/node.py
+++ b/chervilrock/tasks/serving/node.py
@@ -111,7 +111,7 @@
         self._document: bytes = b""
         self._document_taken = now
         self._is_claiming = False
-        self._registered = False
+        self._is_registering = False
         self._is_recorded = False
         self._outbound = Outbound(ports=ports, outbox=self.mailbox)
         self._reads = StoreReads(
@@ -363,7 +363,7 @@
     def _take_registration(self, answered: RegistrationAnswered) -> None:
         """Note that this node is known, or try again."""
         if answered.offset is None:
-            self._registered = False
+            self._is_registering = False
             return
         self._is_recorded = True
         emit(
@@ -589,8 +589,8 @@
             self._outbound.fetch_document(source)
 
     def _register(self, now: float) -> None:
-        """Write the record of this node, once in its life."""
-        if self._registered or self._first_read is None:
+        """Write the record of this node, once in its life, when it is time."""
+        if self._is_registering or self._first_read is None:
             return
         leadership = self._leadership
         claim = leadership.claim
@@ -602,14 +602,14 @@
             waited_s=now - self._first_read,
         ):
             return
-        self._registered = True
+        self._is_registering = True
         self._outbound.register(self._own)
 
     def _claim(self, now: float) -> None:
         """Claim to lead when nobody does."""
         leadership = self._leadership
         state = self._state
-        # Before its record is known, that would overtake the claim.
+        # Else the record of this node would overtake its claim.
         is_able = self._is_known and state.routes is not None
         # While reads fail, a claim would be a call that is paid for in vain.
         is_able = is_able and self._reads.is_current(Topic.NODES)
