--- a/chervilrock/decisions/serving/leadership.py
+++ b/chervilrock/decisions/serving/leadership.py
@@ -80,9 +80,9 @@
 
     A claim counts only if nothing was written since its node has read, and the
     store appends one record after the other, so that the records of many nodes
-    that start at once overtake each claim: 232 nodes that had all lost power had
-    no leader until the last of them had registered, 1.1 s after the store was
-    back. Those that need not claim wait for a leader, but not for long.
+    that start at once overtake each claim: 232 nodes that had all lost power
+    had no leader until the last of them had registered, 1.1 s after the store
+    was back. Those that need not claim wait for a leader, but not for long.
 
     Args:
       rank: place of the node in the order of claims.
