--- a/test/tasks/test_stale_loads.py
+++ b/test/tasks/test_stale_loads.py
@@ -10,8 +10,8 @@
 PLAY_S = 20.0
 
 AIM = 0.01
-"""Part of the requests that may find their group full: under one in 100 sends is
-to come back unrun."""
+"""Part of the requests that may find their group full: under one in 100 sends
+is to come back unrun."""
 
 NEWS = Load(pause_s=0.15, lag=2)
 """A relay passes the news on, so that they are two answers old."""
