--- a/chervilrock/catalogue.py
+++ b/chervilrock/catalogue.py
@@ -270,6 +270,13 @@
         "after {total_ms} ms ({reason}): {sends} sends, waited {waited_ms} ms, "
         "first event {first_event_ms} ms, revision {revision}",
     )
+    SEND_BROKEN = EventSpec(
+        7404,
+        Level.INFO,
+        "the connection of request {request_id} with content {content} to "
+        "{server} broke {ran_ms} ms after the head of the answer with status "
+        "{status}: {error}",
+    )
     EVENT_MALFORMED = EventSpec(
         9001, Level.ERROR, "event {event_name} has wrong fields: {difference}"
     )
--- /dev/null
+++ b/chervilrock/decisions/serving/contents.py
@@ -0,0 +1,26 @@
+"""What makes two attempts of callers the same request."""
+
+import xxhash
+
+
+def identify_content(
+    *, method: str, host: str, target: str, workspace: str, body: bytes
+) -> str:
+    """Return a short name for what a caller asks for.
+
+    It is equal for all attempts with the same content, whichever identifier
+    they bear. The workspace is part of it in plain, so that no caller can make
+    a request that is taken for one of another workspace.
+
+    Args:
+      method: HTTP method.
+      host: host that the request names.
+      target: path and query.
+      workspace: customer, empty when none is known.
+      body: the whole body.
+    """
+    state = xxhash.xxh3_64()
+    # No field of the head can hold a line break.
+    state.update(f"{method}\n{host}\n{target}\n".encode())
+    state.update(body)
+    return f"{workspace}/{state.hexdigest()}"
--- a/chervilrock/edges/relay.py
+++ b/chervilrock/edges/relay.py
@@ -12,7 +12,7 @@
 from typing import NamedTuple
 
 import pycurl
-from tornado.curl_httpclient import CurlAsyncHTTPClient
+from tornado.curl_httpclient import CurlAsyncHTTPClient, CurlError
 from tornado.httpclient import HTTPClientError, HTTPRequest
 
 from chervilrock.edges.heads import format_headers, Head, parse_head
@@ -26,6 +26,16 @@
 _SEND_ABORT: int = pycurl.PREREQFUNC_ABORT
 _PAUSE: int = pycurl.WRITEFUNC_PAUSE
 _ABORT = -1
+_BROKEN = frozenset(
+    {
+        pycurl.E_GOT_NOTHING,
+        pycurl.E_PARTIAL_FILE,
+        pycurl.E_RECV_ERROR,
+        pycurl.E_SEND_ERROR,
+    }
+)
+"""Errors of a connection that ended before the whole answer had come."""
+
 _NO_SOCKET = -1
 
 
@@ -75,12 +85,15 @@
       error: why the answer is not whole, empty when it is.
       repeated: whether libcurl sent the request more than once, so that the
         answer is only that to the last send.
+      is_broken: whether the backend server, or its host, ended the connection
+        before the whole answer had come.
     """
 
     sent: bool
     head: Head | None
     error: str
     repeated: bool = False
+    is_broken: bool = False
 
 
 class Transfer:
@@ -130,6 +143,9 @@
                 prepare_curl_callback=self._prepare,
             )
             await client.fetch(http_request, raise_error=False)
+        except CurlError as error:
+            is_broken = error.errno in _BROKEN and not self._abandoned
+            return self._end(str(error), is_broken=is_broken)
         except (HTTPClientError, ValueError) as error:
             return self._end(str(error) or type(error).__name__)
         finally:
@@ -163,13 +179,14 @@
             self._shut_down(self._curl)
             self._unpause(self._curl)
 
-    def _end(self, error: str) -> TransferEnd:
+    def _end(self, error: str, *, is_broken: bool = False) -> TransferEnd:
         self._take_lines()
         return TransferEnd(
             sent=self.sent,
             head=self.head,
             error=error,
             repeated=self._repeated,
+            is_broken=is_broken,
         )
 
     def _prepare(self, curl: pycurl.Curl) -> None:
--- a/chervilrock/edges/serving/exchange.py
+++ b/chervilrock/edges/serving/exchange.py
@@ -1,6 +1,7 @@
 """One request of a caller, from its route to the last byte of its answer."""
 
 import asyncio
+import functools
 from typing import Any, NamedTuple
 
 from chervilrock.clients.curlpool import CurlPool
@@ -10,6 +11,7 @@
     Progress,
     SendEnd,
 )
+from chervilrock.decisions.serving.contents import identify_content
 from chervilrock.decisions.serving.lateness import judge_standing, Standing
 from chervilrock.decisions.serving.messages import (
     Onward,
@@ -57,6 +59,8 @@
 LEAST_URGENT = 9
 """Greatest rank that engines know; 0 goes first."""
 
+_MS_PER_S = 1000
+
 UNAVAILABLE = 503
 BAD_GATEWAY = 502
 GATEWAY_TIMEOUT = 504
@@ -376,8 +380,39 @@
         end = await self._run_transfer(transfer, endpoint, now)
         self._avoided.add(endpoint.server)
         self._give_place_back()
+        if isinstance(end, TransferEnd) and end.is_broken:
+            self._note_broken(receiver, end, endpoint)
         return self._judge(transfer, receiver, end, endpoint)
 
+    def _note_broken(
+        self, receiver: AnswerReceiver, end: TransferEnd, endpoint: Endpoint
+    ) -> None:
+        """Log that the connection of a send has ended too early."""
+        ran_s = receiver.find_duration(read_clock())
+        emit(
+            Event.SEND_BROKEN,
+            request_id=self.request_id,
+            content=self._content,
+            server=endpoint.server,
+            status=0 if end.head is None else end.head.status,
+            ran_ms=None if ran_s is None else round(ran_s * _MS_PER_S),
+            error=end.error,
+        )
+
+    @functools.cached_property
+    def _content(self) -> str:
+        """What the request asks for, the same for all its attempts."""
+        request = self._request
+        admission = self._admission
+        workspace = None if admission is None else admission.workspace
+        return identify_content(
+            method=request.method,
+            host=request.host,
+            target=request.target,
+            workspace="" if workspace is None else workspace.name,
+            body=request.body,
+        )
+
     async def _run_transfer(
         self, transfer: Transfer, endpoint: Endpoint, now: float
     ) -> TransferEnd | SendEnd:
--- a/chervilrock/edges/serving/receiver.py
+++ b/chervilrock/edges/serving/receiver.py
@@ -8,6 +8,7 @@
 from chervilrock.edges.heads import Head
 from chervilrock.edges.relay import Receiver, Transfer, TransferEnd
 from chervilrock.platform import headers as names
+from chervilrock.tasks.clock import read_clock
 
 MAX_BODY_BYTES = 16 * 1024 * 1024
 """Greatest answer that is kept until it is whole."""
@@ -51,10 +52,16 @@
         self.body = bytearray()
         self.is_relayed = False
         self.is_too_long = False
+        self._head_at: float | None = None
+
+    def find_duration(self, now: float) -> float | None:
+        """Return the time since the head came in seconds, None without one."""
+        return None if self._head_at is None else now - self._head_at
 
     def take_head(self, head: Head) -> None:
         """See base class."""
         self._head = head
+        self._head_at = read_clock()
         self.facts = names.read_answer(head.status, head.headers)
         judged = judge_answer(
             self.facts, request_id=self._request_id, is_whole=True
