--- a/chervilrock/standin/site/servers.py
+++ b/chervilrock/standin/site/servers.py
@@ -1,6 +1,7 @@
 """Backend servers: model servers with groups, and plain ones."""
 
 import asyncio
+from collections.abc import Collection
 import enum
 import itertools
 from typing import NamedTuple
@@ -18,6 +19,12 @@
 FORM_S = 0.02
 JOIN_S = 0.02
 
+CRASH_S = 0.03
+"""Time for which a request runs that crashes its server."""
+
+DOWN_S = 0.5
+"""Time until a server that has crashed starts again."""
+
 
 class ServerFault(enum.Enum):
     """How a server misbehaves.
@@ -51,14 +58,26 @@
     after: int
 
 
+class Crash(NamedTuple):
+    """The end of a server under a request."""
+
+    server: str
+    body: bytes
+    companions: int
+
+
 class SiteServer:
     """A server that registers in the store and answers over HTTP.
 
     Attributes:
       runs: requests that it began to work on.
       left: requests whose caller closed the connection before the end.
+      running: requests that it works on.
       orders: orders in the sequence of their arrival.
       lost_orders: orders that are obeyed without an answer from now on.
+      crashing_bodies: bodies of requests that crash whichever server begins
+        to run them.
+      crashes: the bodies that crashed it, with the identifier it had then.
     """
 
     def __init__(
@@ -68,6 +87,7 @@
         service: str,
         domain: str = "",
         data_centre: str = "a",
+        crashing_bodies: Collection[bytes] = (),
     ) -> None:
         """Make a server that does not listen yet."""
         self.server = f"i-{uuid.uuid4().hex[:10]}"
@@ -75,6 +95,8 @@
         self.domain = domain
         self.data_centre = data_centre
         self.fault = ServerFault.NONE
+        self.crashing_bodies = crashing_bodies
+        self.crashes: list[Crash] = []
         self.runs: list[Run] = []
         self.left: list[str] = []
         self.orders: list[dict[str, object]] = []
@@ -87,10 +109,18 @@
         self._sequence = itertools.count(1)
         self._store = store
         self._http: httpserver.HTTPServer | None = None
+        self._port = 0
+        self._is_down = False
+        self._restart: asyncio.Task[None] | None = None
+        self.running = 0
         self.address = ""
 
     def start(self) -> None:
         """Listen on loopback and register."""
+        self._listen(0)
+        self.register()
+
+    def _listen(self, port: int) -> None:
         options = {"server": self}
         application = web.Application(
             [
@@ -100,19 +130,46 @@
             ],
             log_function=lambda _handler: None,
         )
-        sockets = netutil.bind_sockets(0, "127.0.0.1")
-        port = sockets[0].getsockname()[1]
-        self.address = f"127.0.0.1:{port}"
+        sockets = netutil.bind_sockets(port, "127.0.0.1")
+        self._port = sockets[0].getsockname()[1]
+        if not self.address:
+            self.address = f"127.0.0.1:{self._port}"
         self._http = httpserver.HTTPServer(application)
         self._http.add_sockets(sockets)
-        self.register()
 
     async def stop(self) -> None:
         """Close everything without a word, as a crash does."""
+        restart = self._restart
+        if restart is not None and restart is not asyncio.current_task():
+            restart.cancel()
         if self._http is not None:
             self._http.stop()
             await self._http.close_all_connections()
 
+    def crash(self, body: bytes) -> None:
+        """End at once, and start again some time later as another server."""
+        if self._is_down:
+            return
+        self._is_down = True
+        companions = self.running - 1
+        self.crashes.append(Crash(self.server, body, companions))
+        self._restart = asyncio.get_running_loop().create_task(
+            self._stop_and_start()
+        )
+
+    async def _stop_and_start(self) -> None:
+        await self.stop()
+        await asyncio.sleep(DOWN_S)
+        self.unregister()
+        self.server = f"i-{uuid.uuid4().hex[:10]}"
+        self.group = None
+        self.highest = -1
+        self.staged = []
+        self.fault = ServerFault.NONE
+        self._is_down = False
+        self._listen(self._port)
+        self.register()
+
     def register(self) -> None:
         """Write the entry of this server."""
         entry = {
@@ -293,16 +350,23 @@
         if server.fault is ServerFault.FOREIGN:
             self.set_header("X-Request-Id", "ffff")
         self.set_header("X-Server-Stamp", f"{server.server}.{request_id}")
-        if "X-Model" in headers:
-            await self._stream(run)
-        else:
-            await self._answer(run)
+        server.running += 1
+        try:
+            if "X-Model" in headers:
+                await self._stream(run)
+            else:
+                await self._answer(run)
+        finally:
+            server.running -= 1
 
     post = get
 
     async def _answer(self, run: Run) -> None:
         self.server.runs.append(run)
         await asyncio.sleep(EVENT_S)
+        if self._crashes_server():
+            await self._crash()
+            return
         if self.server.fault is ServerFault.FAIL:
             self.set_status(500)
         self.finish(b"answer to " + run.request_id.encode())
@@ -317,6 +381,10 @@
         server.runs.append(run)
         self._run_id = run.request_id
         self.set_header("Content-Type", "text/event-stream")
+        if self._crashes_server():
+            await self.flush()
+            await self._crash()
+            return
         events = int(
             self.request.headers.get("X-Token-Count", "1,5").split(",")[1]
         )
@@ -338,6 +406,15 @@
                 return
         self.finish()
 
+    def _crashes_server(self) -> bool:
+        return self.request.body in self.server.crashing_bodies
+
+    async def _crash(self) -> None:
+        await asyncio.sleep(CRASH_S)
+        self.server.crash(self.request.body)
+        while not self._is_closed:
+            await asyncio.sleep(EVENT_S)
+
     async def _wait_for_event(self) -> None:
         await asyncio.sleep(EVENT_S)
         while self.server.fault is ServerFault.SILENT and not self._is_closed:
--- a/chervilrock/standin/site/site.py
+++ b/chervilrock/standin/site/site.py
@@ -5,7 +5,7 @@
 
 from tornado import httpserver, netutil
 
-from chervilrock.standin.site.servers import SiteServer
+from chervilrock.standin.site.servers import Crash, SiteServer
 from chervilrock.standin.site.store import SiteStore, StoreDoor
 
 MODEL_SERVICE = "drafts"
@@ -97,12 +97,14 @@
     Attributes:
       store: the store.
       servers: all servers that were started.
+      crashing_bodies: bodies of requests that crash the servers.
     """
 
     def __init__(self) -> None:
         """Make an installation that does not listen yet."""
         self.store = SiteStore()
         self.servers: list[SiteServer] = []
+        self.crashing_bodies: set[bytes] = set()
         self._doors: list[httpserver.HTTPServer] = []
         self.store_address = ""
 
@@ -118,7 +120,13 @@
         for number in range(model_servers):
             self.add_model_server(f"d{number // 4}")
         for _ in range(plain_servers):
-            self.add_server(SiteServer(store=self.store, service=PLAIN_SERVICE))
+            self.add_server(
+                SiteServer(
+                    store=self.store,
+                    service=PLAIN_SERVICE,
+                    crashing_bodies=self.crashing_bodies,
+                )
+            )
 
     def open_door(self, door: StoreDoor) -> str:
         """Listen at one more address of the store and return its IP:port."""
@@ -131,7 +139,12 @@
     def add_model_server(self, domain: str) -> SiteServer:
         """Start a host for groups."""
         return self.add_server(
-            SiteServer(store=self.store, service=MODEL_SERVICE, domain=domain)
+            SiteServer(
+                store=self.store,
+                service=MODEL_SERVICE,
+                domain=domain,
+                crashing_bodies=self.crashing_bodies,
+            )
         )
 
     def add_server(self, server: SiteServer) -> SiteServer:
@@ -140,6 +153,15 @@
         self.servers.append(server)
         return server
 
+    def list_crashes(self, body: bytes) -> list[Crash]:
+        """Return the ends of servers under requests with a body."""
+        return [
+            crash
+            for server in self.servers
+            for crash in server.crashes
+            if crash.body == body
+        ]
+
     def list_heads(self, model: str) -> list[SiteServer]:
         """Return the heads of the groups of a model that are open."""
         return [
--- a/test/node/serving_site.py
+++ b/test/node/serving_site.py
@@ -128,13 +128,14 @@
         node: int = 0,
         method: str = "POST",
         headers: dict[str, str] | None = None,
+        body: bytes = b"body",
     ) -> Answer:
         """Send a request to a node and return the whole answer."""
         address = self.nodes[node].own.callers_address
         request = HTTPRequest(
             f"http://{address}{path}",
             method=method,
-            body=b"body" if method == "POST" else None,
+            body=body if method == "POST" else None,
             headers=headers or self.make_headers(),
             request_timeout=WAIT_S,
             decompress_response=False,
