--- a/chervilrock/decisions/serving/suspects.py
+++ b/chervilrock/decisions/serving/suspects.py
@@ -69,6 +69,16 @@
     ends: tuple[ServerEnd, ...]
     is_withheld: bool
 
+    @property
+    def servers(self) -> str:
+        """The ended servers, for a log line."""
+        return ",".join(end.server for end in self.ends)
+
+    @property
+    def nodes(self) -> str:
+        """The nodes that saw it, for a log line."""
+        return ",".join(sorted({end.node for end in self.ends}))
+
 
 class EndReport(NamedTuple):
     """What one node tells another of requests and ended servers.
@@ -246,10 +256,9 @@
         self.version = (-1, 0)
         self.told: tuple[Suspect, ...] = ()
         self._withheld: dict[str, Suspect] = {}
-        self._known: set[str] = set()
 
     def __bool__(self) -> bool:
-        return bool(self._known)
+        return bool(self._withheld)
 
     def use(
         self, told: Iterable[Suspect], own: Iterable[Suspect]
@@ -261,7 +270,6 @@
         """
         both = (*told, *own)
         former = self._withheld
-        self._known = {one.content for one in both}
         self._withheld = {
             one.content: one for one in reversed(both) if one.is_withheld
         }
@@ -276,9 +284,11 @@
         """Return why a request is withheld, None when it is not."""
         return self._withheld.get(content)
 
-    def is_known(self, content: str) -> bool:
-        """Tell whether servers have ended under a request."""
-        return content in self._known
+    def is_told_withheld(self, content: str) -> bool:
+        """Tell whether the leader withholds a request."""
+        return any(
+            one.content == content and one.is_withheld for one in self.told
+        )
 
     def count_withheld(self) -> int:
         """Return how many requests are withheld."""
--- a/chervilrock/edges/serving/exchange.py
+++ b/chervilrock/edges/serving/exchange.py
@@ -62,13 +62,6 @@
 LEAST_REMAINING_S = 0.05
 """Time that must be left to send a request to a server."""
 
-VERDICT_S = 0.35
-"""Longest wait for the verdict on a request under which several servers have
-ended; it takes less than a tenth of a second while a leader is heard."""
-
-VERDICT_STEP_S = 0.01
-"""Time between two looks for it."""
-
 WITHHELD_RETRY_AFTER_S = 30.0
 """Time after which a caller may ask again for what is withheld: longer than one
 call goes on trying, and short for one that was withheld by mistake."""
@@ -292,20 +285,10 @@
         return suspects.find_withheld(self._content)
 
     async def _await_verdict(self, ends: int) -> None:
-        """Wait whether the request is to be withheld, if it may be.
-
-        Without the wait, the node that sees the third server end would send
-        the request to a fourth one before the leader has judged.
-
-        Args:
-          ends: ended servers from which on to wait.
-        """
+        """Wait for a verdict when so many servers have ended under it."""
         suspicion = self._context.suspicion
-        if suspicion.is_empty() or suspicion.count_ends(self._content) < ends:
-            return
-        until = min(self._expires, read_clock() + VERDICT_S)
-        while read_clock() < until and self._find_suspect() is None:
-            await asyncio.sleep(VERDICT_STEP_S)
+        if not suspicion.is_empty():
+            await suspicion.wait_for_verdict(self._content, ends, self._expires)
 
     def _turn_away(self, suspect: Suspect) -> None:
         """Tell the caller that its request is withheld.
--- a/chervilrock/edges/serving/exchangelog.py
+++ b/chervilrock/edges/serving/exchangelog.py
@@ -73,8 +73,8 @@
         Event.REQUEST_WITHHELD,
         request_id=request_id,
         content=suspect.content,
-        servers=",".join(end.server for end in suspect.ends),
-        nodes=",".join(sorted({end.node for end in suspect.ends})),
+        servers=suspect.servers,
+        nodes=suspect.nodes,
     )
 
 
--- a/chervilrock/tasks/serving/outbound.py
+++ b/chervilrock/tasks/serving/outbound.py
@@ -66,6 +66,10 @@
 PEER_TIMEOUT_S = 0.6
 """Longest time for the answer of another node."""
 
+ENDS_TIMEOUT_S = 0.3
+"""Longest time for the leader to take a report of ended servers: until then
+nobody else knows of them."""
+
 DOCUMENT_TIMEOUT_S = 2.0
 """Longest time for another node's configuration, which can be large."""
 
@@ -253,7 +257,7 @@
         result = await self._ports.client.request(
             "POST",
             f"http://{entry.peer_address}/peer/ends",
-            timeout_s=PEER_TIMEOUT_S,
+            timeout_s=ENDS_TIMEOUT_S,
             body=msgspec.json.encode(report),
         )
         if isinstance(result, Failure):
--- a/chervilrock/tasks/serving/suspicion.py
+++ b/chervilrock/tasks/serving/suspicion.py
@@ -1,12 +1,12 @@
 """What a node does about requests that crash backend servers.
 
 A send whose connection broke is looked into: only a server that takes no
-connections any more has ended. The node tells the leader at once, and all
-nodes when the leader cannot be reached. The leader judges and tells with its
-announcements; every node judges by what it knows itself as well, so that a
-request is withheld also while nobody leads.
+connections any more has ended. The leader judges by what all nodes saw and
+tells it with its announcements. Every node judges by what it knows itself as
+well, so that a request is withheld also while nobody leads.
 """
 
+import asyncio
 from collections.abc import Iterable
 from typing import NamedTuple
 
@@ -22,6 +22,8 @@
 )
 from chervilrock.decisions.serving.view import NodeEntry
 from chervilrock.events import emit, Event
+from chervilrock.tasks.clock import read_clock
+from chervilrock.tasks.serving.endreports import EndReports
 from chervilrock.tasks.serving.messages import (
     EndsAnswered,
     ServerChecked,
@@ -34,28 +36,23 @@
 """Time for the verdict of a leader, before a node goes by what it knows
 itself."""
 
-JUDGE_S = 1.0
-"""Time between two judgements when nothing is new, for what has expired."""
-
-RETRY_S = 0.2
-"""Pause after a report that the leader did not take."""
+VERDICT_S = 0.35
+"""Longest wait of a request for a verdict; while a leader is heard it takes
+less than a tenth of a second."""
 
-MAX_REPORTED = 64
-"""Ends in one report."""
+VERDICT_STEP_S = 0.01
+"""Time between two looks for it."""
 
-MAX_OWN = 256
-"""Own ends that are told to each new leader."""
+JUDGE_S = 1.0
+"""Time between two judgements when nothing is new, for what has expired."""
 
 CHECKED_S = 1.0
-"""Time for which it is remembered that a server lives or has ended."""
+"""Time for which it is remembered whether a server lives."""
 
 _MS_PER_S = 1000
 
 _SUSPECT = msgspec.json.Decoder(Suspect)
 
-Key = tuple[str, str]
-"""A request and a server that ended under it."""
-
 
 class BrokenSend(NamedTuple):
     """A send whose connection broke.
@@ -83,15 +80,10 @@
         self._state = state
         self._outbound = outbound
         self._ledger = SuspectLedger()
+        self._reports = EndReports(state=state, outbound=outbound)
         self._checks: dict[str, list[BrokenSend]] = {}
         self._checked: dict[str, tuple[bool, float]] = {}
-        self._own: dict[Key, ServerEnd] = {}
-        self._unsent: dict[Key, ServerEnd] = {}
-        self._unsent_cleared: list[str] = []
-        self._flooded: set[Key] = set()
-        self._leader = ""
-        self._is_telling = False
-        self._retry_at = float("-inf")
+        self._is_leading = False
         self._judge_at = float("inf")
         self._kept: set[str] = set()
         self._writing: set[str] = set()
@@ -100,34 +92,52 @@
 
     def is_empty(self) -> bool:
         """Tell whether no request is suspected at all."""
-        return not len(self._ledger) and not self._state.suspects
+        return not len(self._ledger)
 
     def count_ends(self, content: str) -> int:
         """Return the servers that are known to have ended under a request."""
         return self._ledger.count_ends(content)
 
+    async def wait_for_verdict(
+        self, content: str, ends: int, until: float
+    ) -> None:
+        """Wait whether a request is to be withheld, if it may be.
+
+        Without the wait, the node that sees the third server end would send
+        the request to a fourth one before the leader has judged.
+
+        Args:
+          content: name of what the request asks for.
+          ends: ended servers from which on to wait.
+          until: when to go on at the latest.
+        """
+        if self._ledger.count_ends(content) < ends:
+            return
+        until = min(until, read_clock() + VERDICT_S)
+        while read_clock() < until:
+            if self._state.suspects.find_withheld(content) is not None:
+                return
+            await asyncio.sleep(VERDICT_STEP_S)
+
     def note_broken(self, broken: BrokenSend, now: float) -> None:
         """Look into a send whose connection broke."""
-        for server, (_, at) in list(self._checked.items()):
-            if now - at > CHECKED_S:
+        for server, (_, checked) in list(self._checked.items()):
+            if now - checked > CHECKED_S:
                 del self._checked[server]
-        waiting = self._checks.get(broken.server)
         if broken.server in self._checked:
             is_alive, _ = self._checked[broken.server]
             self._take_check((broken,), is_alive=is_alive, now=now)
-        elif waiting is not None:
-            waiting.append(broken)
+        elif broken.server in self._checks:
+            self._checks[broken.server].append(broken)
         else:
             self._checks[broken.server] = [broken]
             self._outbound.check_server(broken.server, broken.address)
 
     def note_clean(self, content: str) -> None:
         """Note that a request ran to the end of its answer."""
-        if not self._ledger.clear(content):
-            return
-        self._drop_own(content)
-        self._unsent_cleared.append(content)
-        self._judge_at = float("-inf")
+        if self._ledger.clear(content):
+            self._reports.note_clean(content)
+            self._judge_at = float("-inf")
 
     def note_checked(self, checked: ServerChecked, now: float) -> None:
         """Take what the look at a server found."""
@@ -154,22 +164,14 @@
                 served_ms=round(one.served_s * _MS_PER_S),
                 sent_ms=round(one.sent_s * _MS_PER_S),
             )
-            key = (one.content, one.server)
-            while len(self._own) >= MAX_OWN:
-                del self._own[next(iter(self._own))]
-            self._own[key] = end
-            self._unsent[key] = end
+            self._reports.note_end(one.content, end)
             self._note_end(one.content, end, now)
 
     def _note_end(self, content: str, end: ServerEnd, now: float) -> None:
-        if self._ledger.note_end(content, end, now, settle_s=self._settle_s):
+        settle_s = SETTLE_S if self._is_leading else OWN_SETTLE_S
+        if self._ledger.note_end(content, end, now, settle_s=settle_s):
             self._judge_at = float("-inf")
 
-    def _drop_own(self, content: str) -> None:
-        for ends in (self._own, self._unsent):
-            for key in [one for one in ends if one[0] == content]:
-                del ends[key]
-
     # Other nodes.
 
     def note_report(self, report: EndReport, now: float) -> None:
@@ -178,6 +180,9 @@
             self._note_end(content, end, now)
         for content in report.cleared:
             self._clear(content)
+        if not self._is_leading:
+            # Nobody adds up what the nodes saw, so each of them has to know.
+            self._reports.spread(content for content, _ in report.ends)
 
     def note_told(
         self, version: tuple[int, int], told: tuple[Suspect, ...], now: float
@@ -199,24 +204,12 @@
     def _clear(self, content: str) -> None:
         """Forget a request that another node saw run clean."""
         self._ledger.clear(content)
-        self._drop_own(content)
+        self._reports.drop(content)
         self._judge_at = float("-inf")
 
     def note_answered(self, answered: EndsAnswered, now: float) -> None:
-        """Take what came of a report to the leader."""
-        if answered.incarnation != self._leader:
-            return
-        self._is_telling = False
-        if answered.is_taken:
-            for content, end in answered.report.ends:
-                self._unsent.pop((content, end.server), None)
-            done = set(answered.report.cleared)
-            self._unsent_cleared = [
-                one for one in self._unsent_cleared if one not in done
-            ]
-        else:
-            self._retry_at = now + RETRY_S
-            self._flood()
+        """Take what came of a report of this node."""
+        self._reports.note_answered(answered, now)
 
     # The store.
 
@@ -269,83 +262,53 @@
         Returns:
           Whether requests are withheld, or let go, that were not before.
         """
+        self._is_leading = term is not None
         if term is None:
-            self._tell(leader, now)
+            self._reports.tell(leader, now)
         else:
-            self._unsent.clear()
-            self._unsent_cleared.clear()
+            self._reports.keep_to_itself()
         is_changed = self._judge(now, term)
         if term is not None and reaches_store:
             self._keep()
         return is_changed
 
-    @property
-    def _settle_s(self) -> float:
-        return SETTLE_S if self._is_leading else OWN_SETTLE_S
-
-    _is_leading = False
-
-    def _tell(self, leader: NodeEntry | None, now: float) -> None:
-        """Tell the leader, or all nodes when none is heard."""
-        if leader is not None and leader.incarnation != self._leader:
-            # A new leader knows only what nodes tell it.
-            self._leader = leader.incarnation
-            self._is_telling = False
-            self._retry_at = now
-            self._unsent = dict(self._own)
-        if not self._unsent and not self._unsent_cleared:
-            return
-        if leader is None:
-            self._flood()
-        elif not self._is_telling and now >= self._retry_at:
-            self._is_telling = True
-            self._outbound.tell_ends(leader, self._make_report(self._unsent))
-
-    def _make_report(self, keys: Iterable[Key]) -> EndReport:
-        chosen = list(keys)[:MAX_REPORTED]
-        return EndReport(
-            ends=tuple((key[0], self._unsent[key]) for key in chosen),
-            cleared=tuple(self._unsent_cleared[:MAX_REPORTED]),
-        )
-
-    def _flood(self) -> None:
-        """Tell all other nodes, once, what the leader has not taken."""
-        fresh = [key for key in self._unsent if key not in self._flooded]
-        if not fresh:
-            return
-        report = self._make_report(fresh)
-        self._flooded = {key for key in self._flooded if key in self._own}
-        self._flooded.update(
-            (content, end.server) for content, end in report.ends
-        )
-        for entry in self._state.known_nodes.values():
-            is_own = entry.incarnation == self._state.own.incarnation
-            if not is_own and entry.incarnation != self._leader:
-                self._outbound.tell_ends(entry, report)
-
     def _judge(self, now: float, term: int | None) -> bool:
         """Find anew what is withheld; tell whether that changed."""
         table = self._state.suspects
         is_new_term = term is not None and table.version[0] != term
-        self._is_leading = term is not None
         if now < self._judge_at and not is_new_term:
             return False
-        self._judge_at = now + (JUDGE_S if len(self._ledger) else float("inf"))
         found = self._ledger.judge(now)
-        settling = self._ledger.find_settling(now)
-        if settling is not None:
-            self._judge_at = min(self._judge_at, settling)
-        if term is not None and (is_new_term or found != table.told):
+        self._judge_at = self._find_next(now)
+        if term is None:
+            self._reports.spread(
+                one.content
+                for one in found
+                if one.is_withheld and not table.is_told_withheld(one.content)
+            )
+        elif is_new_term or found != table.told:
             number = 0 if is_new_term else table.version[1] + 1
             table.version = (term, number)
             table.told = found
         begun, ended = table.use(table.told, found)
         for suspect in begun:
-            _log_withheld(suspect)
+            emit(
+                Event.CONTENT_WITHHELD,
+                content=suspect.content,
+                servers=suspect.servers,
+                nodes=suspect.nodes,
+            )
         for content in ended:
             emit(Event.CONTENT_RELEASED, content=content)
         return bool(begun or ended)
 
+    def _find_next(self, now: float) -> float:
+        """Return when to judge again if nothing new comes."""
+        if not len(self._ledger):
+            return float("inf")
+        settling = self._ledger.find_settling(now)
+        return now + JUDGE_S if settling is None else settling
+
     def _keep(self) -> None:
         """Write to the store what is withheld, for the next leader."""
         withheld = {
@@ -357,12 +320,3 @@
         for content in self._kept - withheld.keys() - self._writing:
             self._writing.add(content)
             self._outbound.write_suspect(content, None)
-
-
-def _log_withheld(suspect: Suspect) -> None:
-    emit(
-        Event.CONTENT_WITHHELD,
-        content=suspect.content,
-        servers=",".join(end.server for end in suspect.ends),
-        nodes=",".join(sorted({end.node for end in suspect.ends})),
-    )
--- a/test/tasks/installation.py
+++ b/test/tasks/installation.py
@@ -21,6 +21,7 @@
     KeyedPage,
     KeyedRecord,
     KeyedStore,
+    ServerLiveness,
     Topic,
 )
 from chervilrock.decisions.serving.site import (
@@ -32,9 +33,13 @@
 from chervilrock.decisions.serving.view import NodeEntry
 from chervilrock.platform.store import TIMEOUT_S
 from chervilrock.tasks.serving import node as node_module
+from chervilrock.tasks.serving import suspicion as suspicion_module
 from chervilrock.tasks.serving.node import NodeTask
 from chervilrock.tasks.serving.outbound import Ports
-from chervilrock.tasks.serving.peermessages import decode_announcement
+from chervilrock.tasks.serving.peermessages import (
+    decode_announcement,
+    decode_ends,
+)
 from chervilrock.tasks.serving.room import WaitingRoom
 from chervilrock.tasks.serving.state import RepeatBounds, ServingState
 
@@ -204,20 +209,30 @@
 class PeerClient:
     """Calls other nodes; one that is gone does not answer."""
 
-    def __init__(self, *, members: dict[str, Member], own: str) -> None:
+    def __init__(
+        self, *, members: dict[str, Member], own: str, parted: set[str]
+    ) -> None:
         self._members = members
         self._own = own
+        self._parted = parted
 
     async def request(self, method: str, url: str, **options: Any) -> Any:
         del method
         address, _, path = url.removeprefix("http://").partition("/")
         await asyncio.sleep(LINK_S)
         member = self._members.get(address)
-        if member is None or self._own not in self._members:
+        is_parted = (address in self._parted) != (self._own in self._parted)
+        if member is None or self._own not in self._members or is_parted:
             await asyncio.sleep(options["timeout_s"])
             return _fail(PlatformErrorKind.TIMEOUT, "no answer")
         if path == "peer/configuration":
             body = member.task.get_document()
+        elif path == "peer/ends":
+            report = decode_ends(options["body"])
+            assert report is not None
+            now = asyncio.get_running_loop().time()
+            member.task.suspicion.note_report(report, now)
+            body = b""
         else:
             announcement = decode_announcement(gzip.decompress(options["body"]))
             assert announcement is not None
@@ -228,10 +243,23 @@
         return Success(HttpAnswer(200, body, 0.0, False))
 
 
+class Liveness(ServerLiveness):
+    """Knows which servers have ended, by their addresses."""
+
+    def __init__(self, *, ended: set[str]) -> None:
+        self._ended = ended
+
+    async def is_alive(self, address: str) -> bool:
+        await asyncio.sleep(2 * LINK_S)
+        return address not in self._ended
+
+
 class Installation:
     """Nodes, a store and an operator.
 
     Attributes:
+      ended: addresses of servers that have ended.
+      parted: addresses of nodes that only reach each other.
       members: the nodes that run, by address.
       failures: how nodes have ended by themselves.
     """
@@ -239,6 +267,9 @@
     def __init__(self, *, monkeypatch: Any, seed: int) -> None:
         self.loop = asyncio.get_running_loop()
         monkeypatch.setattr(node_module, "read_clock", self.loop.time)
+        monkeypatch.setattr(suspicion_module, "read_clock", self.loop.time)
+        self.ended: set[str] = set()
+        self.parted: set[str] = set()
         self.store = Store()
         self.members: dict[str, Member] = {}
         self.failures: list[BaseException | None] = []
@@ -348,7 +379,9 @@
             generator=random.Random(self.generator.random()),
         )
         line = Line(store=self.store)
-        client: Any = PeerClient(members=self.members, own=name)
+        client: Any = PeerClient(
+            members=self.members, own=name, parted=self.parted
+        )
         unused: Any = None
         task = NodeTask(
             own=own,
@@ -358,7 +391,7 @@
                 client=client,
                 decode_configuration=_decode_configuration,
                 decode_server=_decode_server,
-                liveness=unused,
+                liveness=Liveness(ended=self.ended),
             ),
             state=state,
             room=WaitingRoom(),
