--- a/bench/soak.py
+++ b/bench/soak.py
@@ -61,6 +61,9 @@
 MOST_COMES = 8
 """Greatest number of times that such a request comes back in a row."""
 
+MOST_COPY_AGE_S = 10.0
+"""Greatest age of a copy from which the store comes back."""
+
 MOST_ENDS = 3
 """Servers that such a request may end in the calm time: all nodes that knew of
 it may have been killed before."""
@@ -288,6 +291,7 @@
             self._disturb_server,
             self._reconfigure,
             self._crash_servers,
+            self._restore_store,
         )
         async with asyncio.TaskGroup() as group:
             while True:
@@ -327,6 +331,18 @@
         await asyncio.sleep(self._generator.uniform(0.2, 2.0))
         server.fault = ServerFault.NONE
 
+    async def _restore_store(self) -> None:
+        """Let the store be away and come back from a copy."""
+        store = self._site.store
+        store.door.fault = self._generator.choice(
+            (StoreFault.DOWN, StoreFault.BUSY)
+        )
+        await asyncio.sleep(self._generator.uniform(0.1, 1.0))
+        store.restore(self._generator.uniform(0.0, MOST_COPY_AGE_S))
+        store.door.fault = StoreFault.NONE
+        await asyncio.sleep(self._generator.uniform(0.0, 1.0))
+        self._site.write_again()
+
     async def _crash_servers(self) -> None:
         """Let a request come back that crashes the servers that run it."""
         kind = self._generator.choice(("draft", "draft", "book"))
--- a/chervilrock/catalogue.py
+++ b/chervilrock/catalogue.py
@@ -194,6 +194,12 @@
     READS_RENEWED = EventSpec(
         7008, Level.INFO, "reads of the store begin anew: {reason}"
     )
+    STORE_RESTORED = EventSpec(
+        7009,
+        Level.WARNING,
+        "the store came back from a copy: era {era} after {former}; nodes "
+        "read all anew and write again what is gone",
+    )
     REVISION_IN_FORCE = EventSpec(
         7101,
         Level.INFO,
--- a/chervilrock/clients/httpclient.py
+++ b/chervilrock/clients/httpclient.py
@@ -42,12 +42,15 @@
       retry_after_s: value of the header Retry-After in seconds, 0 when it is
         missing or a date.
       not_run: whether the remote side proved that it did nothing.
+      header: value of the header that was asked for, empty when it is
+        missing.
     """
 
     status: int
     body: bytes
     retry_after_s: float
     not_run: bool
+    header: str = ""
 
 
 class _Headers:
@@ -57,14 +60,19 @@
     of a request.
     """
 
-    __slots__ = ("retry_after_s", "not_run")
+    __slots__ = ("retry_after_s", "not_run", "value", "_wanted")
 
-    def __init__(self) -> None:
+    def __init__(self, wanted: str) -> None:
         self.retry_after_s = 0.0
         self.not_run = False
+        self.value = ""
+        self._wanted = wanted.lower().encode()
 
     def note_line(self, line: bytes) -> None:
         """Callback of libcurl for each line of the header."""
+        wanted = self._wanted
+        if wanted and line[: len(wanted) + 1].lower() == wanted + b":":
+            self.value = line[len(wanted) + 1 :].strip().decode("latin-1")
         if line[:1] not in _HEADER_INITIALS:
             return
         name, _, value = line.partition(b":")
@@ -117,6 +125,7 @@
         headers: Mapping[str, str] | None = None,
         send_once: bool = False,
         decompress: bool = False,
+        wanted_header: str = "",
     ) -> Result[HttpAnswer, PlatformError]:
         """Sends a request and waits for its whole answer.
 
@@ -128,6 +137,7 @@
           headers: more headers.
           send_once: whether to fail rather than to send a second time.
           decompress: whether the remote side may compress its answer.
+          wanted_header: name of a header of the answer to return, or empty.
 
         Returns:
           The answer, whatever its status, or why there was none.
@@ -136,7 +146,7 @@
             # Calls that are under way while a process ends come here last.
             return Failure(PlatformError(PlatformErrorKind.REFUSED, "closed"))
         guard = SendGuard(once=send_once)
-        answer_headers = _Headers()
+        answer_headers = _Headers(wanted_header)
 
         def prepare(curl: pycurl.Curl) -> None:
             guard.prepare(curl)
@@ -166,6 +176,7 @@
                 body=response.body,
                 retry_after_s=answer_headers.retry_after_s,
                 not_run=answer_headers.not_run,
+                header=answer_headers.value,
             )
         )
 
--- a/chervilrock/clients/serving.py
+++ b/chervilrock/clients/serving.py
@@ -48,11 +48,14 @@
       next_offset: where to read on.
       unreadable: offsets of records that could not be read; any writer may
         put such a one between the others.
+      era: how often the store has come back from a copy. Offsets of one era
+        tell nothing of those of another one.
     """
 
     records: tuple[KeyedRecord, ...]
     next_offset: int
     unreadable: tuple[int, ...] = ()
+    era: int = 0
 
 
 class KeyedStore(abc.ABC):
--- a/chervilrock/decisions/serving/site.py
+++ b/chervilrock/decisions/serving/site.py
@@ -210,6 +210,7 @@
       born: when it started, in milliseconds since the epoch; 0 when it does
         not tell. A server may start again under its identifier, and then
         holds and knows nothing of before.
+      writes: how often it has written its entry since its start.
     """
 
     server: str
@@ -222,3 +223,4 @@
     staged: tuple[str, ...]
     membership: Membership | None
     born: int = 0
+    writes: int = 0
--- a/chervilrock/decisions/serving/storewatch.py
+++ b/chervilrock/decisions/serving/storewatch.py
@@ -90,6 +90,16 @@
         if self.lost_at is None:
             self.lost_at = now
 
+    def note_copy(self, now: float) -> None:
+        """Note that the store has come back from a copy.
+
+        A read that it held then waits for an offset that may be far ahead.
+        """
+        self.returns += 1
+        self.back_at = now
+        self._doubted_at = now
+        self._silent.clear()
+
     def note_doubt(self, now: float) -> None:
         """Note that the leader gets no answer of the store."""
         self._doubted_at = now
--- a/chervilrock/platform/servers.py
+++ b/chervilrock/platform/servers.py
@@ -75,6 +75,7 @@
             slots=max(1, decoded.slots),
             staged=tuple(decoded.staged),
             membership=decode_membership(decoded.group),
+            writes=decoded.sequence,
             born=decoded.born,
         )
     )
--- a/chervilrock/platform/store.py
+++ b/chervilrock/platform/store.py
@@ -35,6 +35,7 @@
     Topic.SERVERS: servers.TOPIC,
     Topic.NODES: "keyed.chervilrock",
 }
+_ERA = "Store-Era"  # rises whenever the store comes back from a copy
 _GONE = 410
 _END_DIFFERS = 412
 _MS_PER_S = 1000
@@ -58,6 +59,11 @@
     offset: int
 
 
+class _NewestPage(NamedTuple):
+    newest: _Newest
+    era: int
+
+
 class _RawPage(NamedTuple):
     records: tuple[bytes, ...]
     end: int
@@ -74,6 +80,7 @@
         """Use a client for the store at an address."""
         self._client = client
         self._base = f"http://{address}"
+        self._era: int | None = None
 
     async def fetch_newest(
         self, topic: Topic
@@ -83,11 +90,18 @@
         unreadable: list[int] = []
         after = ""
         end: int | None = None
+        first_era: int | None = None
         while True:
             page = await self._fetch_page(topic, after)
             if isinstance(page, Failure):
                 return page
-            newest = page.unwrap()
+            newest, era = page.unwrap()
+            first_era = era if first_era is None else first_era
+            if era != first_era:
+                message = "the store came back from a copy between two pages"
+                return Failure(
+                    PlatformError(PlatformErrorKind.BAD_ANSWER, message)
+                )
             # Pages are no snapshot: what changes while they are read is read
             # again from the end that the first of them told.
             end = newest.end if end is None else end
@@ -99,18 +113,21 @@
                     records.append(record)
             if not newest.has_more or not newest.items:
                 return Success(
-                    KeyedPage(tuple(records), end, tuple(unreadable))
+                    KeyedPage(tuple(records), end, tuple(unreadable), era)
                 )
             after = newest.items[-1].key
 
     async def _fetch_page(
         self, topic: Topic, after: str
-    ) -> Result[_Newest, PlatformError]:
+    ) -> Result[_NewestPage, PlatformError]:
         query = {"topic": _NAMES[topic], "part": "0"}
         if after:
             query["after"] = after
         answer = await self._call("GET", "/log-newest", query, TIMEOUT_S)
-        return answer.bind(lambda one: decode_success(_NEWEST_DECODER, one))
+        era = self._era or 0
+        return answer.bind(
+            lambda one: decode_success(_NEWEST_DECODER, one)
+        ).map(lambda newest: _NewestPage(newest, era))
 
     async def read(
         self, topic: Topic, start: int, wait_s: float
@@ -126,13 +143,14 @@
         answer = await self._call("GET", "/log-read", query, TIMEOUT_S + wait_s)
         if isinstance(answer, Failure):
             return answer
+        era = self._era or 0
         whole = answer.unwrap()
         if whole.status == _GONE:
             return Success(None)
         checked = check_status(whole)
         if isinstance(checked, Failure):
             return checked
-        return parse_page(whole.body, start)
+        return parse_page(whole.body, start, era)
 
     async def append(
         self, topic: Topic, key: str, value: bytes, expected_end: int | None
@@ -166,7 +184,7 @@
         body: bytes | None = None,
     ) -> Result[HttpAnswer, PlatformError]:
         url = f"{self._base}{path}?{urllib.parse.urlencode(query)}"
-        return await self._client.request(
+        answer = await self._client.request(
             method,
             url,
             timeout_s=timeout_s,
@@ -174,7 +192,26 @@
             headers={"Content-Type": "application/octet-stream"}
             if body is not None
             else None,
+            wanted_header=_ERA,
         )
+        return answer.bind(self._check_era)
+
+    def _check_era(
+        self, answer: HttpAnswer
+    ) -> Result[HttpAnswer, PlatformError]:
+        """Take the era of an answer; one without an era cannot be trusted.
+
+        A store that has never told any has not come back from a copy.
+        """
+        text = answer.header
+        if not text and self._era is None:
+            return Success(answer)
+        era = int(text) if text.isascii() and text.isdigit() else -1
+        if era < (self._era or 0):
+            message = f"era {text!r} after {self._era}"
+            return Failure(PlatformError(PlatformErrorKind.BAD_ANSWER, message))
+        self._era = era
+        return Success(answer)
 
 
 def encode_record(key: str, value: bytes) -> bytes:
@@ -185,9 +222,9 @@
 
 
 def parse_page(
-    body: bytes, start: int
+    body: bytes, start: int, era: int = 0
 ) -> Result[KeyedPage | None, PlatformError]:
-    """Parse the answer to a read that began at an offset."""
+    """Parse the answer to a read that began at an offset, and its era."""
     try:
         page = _split(body)
     except struct.error as error:
@@ -202,7 +239,9 @@
             # The others hold; failing the page stopped all reading for good.
             unreadable.append(offset)
     next_offset = start + len(page.records)
-    return Success(KeyedPage(tuple(records), next_offset, tuple(unreadable)))
+    return Success(
+        KeyedPage(tuple(records), next_offset, tuple(unreadable), era)
+    )
 
 
 def _read_item(item: _Item) -> KeyedRecord | None:
--- a/chervilrock/standin/site/site.py
+++ b/chervilrock/standin/site/site.py
@@ -153,6 +153,12 @@
         self.servers.append(server)
         return server
 
+    def write_again(self) -> None:
+        """Let the operator and the servers write what a copy may lack."""
+        self.store.write_configuration(self.store.configuration)
+        for server in self.servers:
+            server.register()
+
     def list_crashes(self, body: bytes) -> list[Crash]:
         """Return the ends of servers under requests with a body."""
         return [
--- a/chervilrock/standin/site/store.py
+++ b/chervilrock/standin/site/store.py
@@ -4,6 +4,7 @@
 import base64
 import enum
 import struct
+import time
 from typing import NamedTuple
 
 import msgspec
@@ -42,6 +43,7 @@
 
     def __init__(self) -> None:
         """Start empty, at offset 0."""
+        self._times: list[float] = []
         self.records: list[_Stored] = []
         self.first = 0
         self.changed = asyncio.Event()
@@ -55,6 +57,7 @@
         """Add a record and return its offset."""
         offset = self.end
         self.records.append(_Stored(offset, key, value))
+        self._times.append(time.monotonic())
         self.changed.set()
         self.changed = asyncio.Event()
         return offset
@@ -69,8 +72,15 @@
         kept = self.list_newest()
         self.first = self.end
         self.records = []
+        self._times = []
         self.kept = kept
 
+    def restore(self, limit: float) -> None:
+        """Drop the records that were appended after a time."""
+        kept = sum(one <= limit for one in self._times)
+        del self._times[kept:]
+        del self.records[kept:]
+
     kept: list[_Stored] = []
 
 
@@ -105,6 +115,8 @@
     Attributes:
       door: the address that nodes use unless they are given another one.
       overtaken: appends that came too late for their condition.
+      era: how often it came back from a copy.
+      configuration: what the operator wrote last.
     """
 
     def __init__(self) -> None:
@@ -112,6 +124,15 @@
         self.topics: dict[str, Topic] = {}
         self.door = StoreDoor()
         self.overtaken = 0
+        self.era = 0
+        self.configuration: dict[str, object] = {}
+
+    def restore(self, age_s: float) -> None:
+        """Come back from a copy of an age; offsets are given out again."""
+        limit = time.monotonic() - age_s
+        self.era += 1
+        for topic in self.topics.values():
+            topic.restore(limit)
 
     def topic(self, name: str) -> Topic:
         """Return a topic, which is made when it is first used."""
@@ -119,6 +140,7 @@
 
     def write_configuration(self, document: dict[str, object]) -> None:
         """Write a configuration as the operator."""
+        self.configuration = document
         value = msgspec.json.encode(document)
         self.topic("keyed.op").append("config", value)
 
@@ -145,6 +167,7 @@
 
     async def prepare(self) -> None:
         """Apply the fault of the store."""
+        self.set_header("Store-Era", str(self.store.era))
         self.door.calls += 1
         if self.door.fault is StoreFault.BUSY:
             self.set_status(503)
@@ -187,9 +210,7 @@
         topic = self.find_topic()
         start = int(self.get_query_argument("from"))
         wait_s = float(self.get_query_argument("wait_ms", "0")) / _MS_PER_S
-        if start < topic.first:
-            self.set_status(410)
-            self.finish({"first": topic.first})
+        if self._is_gone(topic, start):
             return
         silences = self.door.silences
         if start >= topic.end and wait_s:
@@ -201,6 +222,9 @@
                 pass
         if self.door.silences > silences:
             await self._hang()
+        self.set_header("Store-Era", str(self.store.era))
+        if self._is_gone(topic, start):
+            return
         chunks = [_OFFSETS.pack(topic.end, topic.first)]
         for record in topic.records[max(0, start - topic.first) :]:
             name = record.key.encode()
@@ -208,6 +232,14 @@
             chunks.append(_LENGTH.pack(len(content)) + content)
         self.finish(b"".join(chunks))
 
+    def _is_gone(self, topic: Topic, start: int) -> bool:
+        """Answer a read from an offset that the store does not have."""
+        if topic.first <= start <= topic.end:
+            return False
+        self.set_status(410)
+        self.finish({"first": topic.first})
+        return True
+
 
 class _NewestHandler(_Handler):
     def get(self) -> None:
--- a/chervilrock/tasks/serving/follower.py
+++ b/chervilrock/tasks/serving/follower.py
@@ -46,6 +46,7 @@
         self._retry_s = FIRST_RETRY_S
         self._choose_pace = choose_pace
         self._position: int | None = None
+        self._era = 0
         self.is_lost = False
         self.is_behind = True
 
@@ -77,7 +78,8 @@
             await self._note_failure(result.failure())
             return
         page = result.unwrap()
-        if page is None:
+        if page is None or page.era != self._era:
+            # The offsets of a copy may have been given out for other records.
             self._position = None
             return
         await self._take(page, is_snapshot=False)
@@ -91,6 +93,7 @@
         self.is_behind = False
         await self._outbox.send(RecordsRead(self._topic, page, is_snapshot))
         self._position = page.next_offset
+        self._era = page.era
 
     async def _note_failure(self, error: PlatformError) -> None:
         """Tell the failure and wait a while."""
@@ -134,8 +137,13 @@
         return self._task is None
 
     def renew(self) -> None:
-        """Give the call under way up and make it anew at once."""
+        """Give the call under way up and make it anew at once.
+
+        It is not held: a store that came back from a copy may hold a read
+        from an offset that is yet to come, and only its answer tells so.
+        """
         if self._task is not None:
+            self._follower.is_behind = True
             self._task.cancel()
             self._task = self._start(self._follower.run())
 
--- a/chervilrock/tasks/serving/leading.py
+++ b/chervilrock/tasks/serving/leading.py
@@ -14,6 +14,7 @@
     GroupNote,
     Question,
 )
+from chervilrock.decisions.serving.entries import NewestEntries
 from chervilrock.decisions.serving.leadership import (
     find_interval,
     find_pause,
@@ -62,6 +63,7 @@
         store: StoreWatch,
         outbound: Outbound,
         decode_server: DecodeServer,
+        entries: NewestEntries,
     ) -> None:
         """Begin to lead: read the servers and speak to the nodes.
 
@@ -71,7 +73,10 @@
           store: whether the store answers.
           outbound: makes calls.
           decode_server: reads the entry of a server.
+          entries: newest entries that this process has read.
         """
+        self._entries = entries
+        self._servers_era: int | None = None
         self.term = term
         self._state = state
         self._store = store
@@ -136,6 +141,7 @@
     def note_servers(self, read: RecordsRead, now: float) -> None:
         """Take the entries of servers."""
         self._has_servers = self._has_servers or read.is_snapshot
+        self._note_copy(read, now)
         for record in read.page.records:
             if not record.value:
                 self._pending_removals.setdefault(record.key, now)
@@ -146,7 +152,26 @@
                 reason = decoded.failure()
                 emit(Event.RECORD_UNREADABLE, key=record.key, reason=reason)
                 continue
-            self._controller.note_server(decoded.unwrap(), now)
+            entry = self._entries.take(decoded.unwrap())
+            self._controller.note_server(entry, now)
+
+    def take_over(self, now: float) -> None:
+        """Go on with the servers that this process knew in its last term.
+
+        The store came back from a copy, in which some of them are missing.
+        """
+        for entry in self._entries.list_present():
+            self._controller.note_server(entry, now)
+            self._pending_removals.setdefault(entry.server, now)
+
+    def _note_copy(self, read: RecordsRead, now: float) -> None:
+        """Count servers that a copy lacks as gone, unless they write soon."""
+        former_era = self._servers_era
+        self._servers_era = read.page.era
+        if former_era is None or read.page.era == former_era:
+            return
+        for entry in self._entries.list_present():
+            self._pending_removals.setdefault(entry.server, now)
 
     def note_answered(self, answered: PeerAnswered, now: float) -> None:
         """Note what came of an announcement."""
@@ -202,6 +227,7 @@
             return
         for server in self._pending_removals:
             emit(Event.SERVER_GONE, server=server)
+            self._entries.note_gone(server)
             self._controller.note_gone(server)
         self._pending_removals.clear()
 
--- a/chervilrock/tasks/serving/node.py
+++ b/chervilrock/tasks/serving/node.py
@@ -11,6 +11,7 @@
 
 from chervilrock.clients.serving import Topic
 from chervilrock.decisions.serving.census import ModelCount
+from chervilrock.decisions.serving.entries import NewestEntries
 from chervilrock.decisions.serving.leadership import (
     Claim,
     Leadership,
@@ -25,6 +26,7 @@
 from chervilrock.decisions.serving.revisions import RevisionWatch
 from chervilrock.decisions.serving.routes import RouteTable
 from chervilrock.decisions.serving.storewatch import StoreNews
+from chervilrock.decisions.serving.terms import make_term
 from chervilrock.decisions.serving.toldloads import ToldLoads
 from chervilrock.decisions.serving.view import (
     Acknowledgement,
@@ -105,10 +107,13 @@
             node=own.node, incarnation=own.incarnation, now=now
         )
         self._leading: Leading | None = None
+        self._entries = NewestEntries()
         self._revisions = RevisionWatch()
         self._teller: NodeEntry | None = None
         self._told_loads = ToldLoads()
         self._is_designated = True
+        self._era: int | None = None
+        self._nodes_era: int | None = None
         self._end = 0
         self._tried_end = NO_END
         self._first_read: float | None = None
@@ -322,6 +327,7 @@
         match message:
             case RecordsRead():
                 self._note_store_answer(message.topic, now)
+                self._note_era(message, now)
                 self._take_records(message, now)
             case ReadFailed():
                 self._reads.note_failure(message, now)
@@ -353,6 +359,20 @@
         if self._reads.note_answer(topic, now):
             self._renew_reads("the store answers again", topic)
 
+    def _note_era(self, read: RecordsRead, now: float) -> None:
+        """Read all anew when the store came back from a copy."""
+        if self._era is None:
+            self._era = read.page.era
+        if read.page.era <= self._era:
+            return
+        emit(Event.STORE_RESTORED, era=read.page.era, former=self._era)
+        self._era = read.page.era
+        # The offset of a claim that was tried may be given out again.
+        self._tried_end = NO_END
+        self._entries.note_copy()
+        self._reads.store.note_copy(now)
+        self._renew_reads("the store came back from a copy", read.topic)
+
     def _renew_reads(self, reason: str, answered: Topic | None = None) -> None:
         """Begin all reads anew but that of the topic that was answered."""
         self._reads.renew_all(reason, answered)
@@ -434,15 +454,20 @@
     def _take_nodes(self, read: RecordsRead, now: float) -> None:
         """Take the records of nodes and of claims to lead."""
         known = self._state.known_nodes
+        former_era = self._nodes_era
+        is_copy = former_era is not None and read.page.era > former_era
         if read.is_snapshot:
-            known.clear()
+            self._nodes_era = read.page.era
             self.suspicion.forget_kept()
+        if read.is_snapshot and not is_copy:
+            known.clear()
         for record in read.page.records:
             name = record.key.removeprefix(NODE_PREFIX)
             try:
                 if record.key == LEADER_KEY:
                     entry = _LEADER_DECODER.decode(record.value)
-                    self._take_claim(Claim(record.offset, entry), now)
+                    term = make_term(read.page.era, record.offset)
+                    self._take_claim(Claim(term, entry), now)
                 elif record.key.startswith(SUSPECT_PREFIX):
                     content = record.key.removeprefix(SUSPECT_PREFIX)
                     self.suspicion.note_kept(content, record.value, now)
@@ -452,6 +477,9 @@
                     self._take_node(_NODE_DECODER.decode(record.value), now)
             except (msgspec.DecodeError, UnicodeDecodeError) as error:
                 emit(Event.RECORD_UNREADABLE, key=record.key, reason=str(error))
+        if is_copy and not self._is_recorded_in(read):
+            self._is_registering = False
+            self._is_recorded = False
         # This process may have taken the place of the leader itself.
         self._leadership.note_node(self._leadership.own_entry, now)
         self._end = read.page.next_offset
@@ -459,6 +487,15 @@
             self._first_read = now
             self._first_term = self._leadership.term
 
+    def _is_recorded_in(self, read: RecordsRead) -> bool:
+        """Tell whether the record of this process is among those read."""
+        value = msgspec.json.encode(self._own)
+        return any(
+            record.key == f"{NODE_PREFIX}{self._own.node}"
+            and record.value == value
+            for record in read.page.records
+        )
+
     def _take_node(self, entry: NodeEntry, now: float) -> None:
         """Know a process that has registered."""
         self._state.known_nodes[entry.node] = entry
@@ -684,7 +721,8 @@
         )
 
     def _lead(self, term: int, now: float) -> None:
-        """Begin to lead."""
+        """Begin to lead, or to lead in a term of a later era."""
+        was_leading = self._leading is not None
         self._stop_leading()
         self._leading = Leading(
             term=term,
@@ -692,7 +730,10 @@
             store=self._reads.store,
             outbound=self._outbound,
             decode_server=self._ports.decode_server,
+            entries=self._entries,
         )
+        if was_leading:
+            self._leading.take_over(now)
         self._reads.begin_term(now)
 
     def _stop_leading(self) -> None:
--- a/test/platform/test_adapter.py
+++ b/test/platform/test_adapter.py
@@ -1,5 +1,6 @@
 """Settings, configuration, entries and headers, decoded and encoded."""
 
+import asyncio
 from typing import Any
 
 import msgspec
@@ -8,6 +9,8 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Contains, ContainsDict, Equals, Is, Not
 
+from chervilrock.clients.httpclient import HttpAnswer
+from chervilrock.clients.serving import Topic
 from chervilrock.decisions.serving.messages import Onward
 from chervilrock.decisions.serving.orders import Close, Join, Leave, Open
 from chervilrock.decisions.serving.site import (
@@ -26,7 +29,11 @@
 from chervilrock.platform.operator import decode_configuration
 from chervilrock.platform.servers import decode_server
 from chervilrock.platform.settings import decode_settings, read_settings
-from chervilrock.platform.store import encode_record, parse_page
+from chervilrock.platform.store import (
+    encode_record,
+    parse_page,
+    StoreClient,
+)
 from chervilrock.standin.site.site import make_configuration, make_node_file
 
 
@@ -373,3 +380,51 @@
     assert_that(answer, ContainsDict({"ttl_s": Equals(1.0)}))
     assert_that(directory.read_data_centre({"zone": "a"}), Equals("a"))
     assert_that(directory.read_data_centre({}), Not(Equals("a")))
+
+
+class EraClient:
+    """Answers to calls of the store with chosen eras."""
+
+    def __init__(self, eras: list[str]) -> None:
+        self._eras = iter(eras)
+
+    async def request(self, method: str, url: str, **options: Any) -> Any:
+        del method, url
+        assert_that(options["wanted_header"], Equals("Store-Era"))
+        body = b'{"items":[],"end":3}'
+        return Success(HttpAnswer(200, body, 0.0, False, next(self._eras)))
+
+
+def list_eras(eras: list[str]) -> list[int | str]:
+    """Return the era of each answer, or why it was not taken."""
+
+    async def fetch() -> list[int | str]:
+        client: Any = EraClient(eras)
+        store = StoreClient(client=client, address="127.0.0.1:1")
+        taken: list[int | str] = []
+        for _ in eras:
+            result = await store.fetch_newest(Topic.NODES)
+            if isinstance(result, Failure):
+                taken.append(result.failure().kind.value)
+            else:
+                taken.append(result.unwrap().era)
+        return taken
+
+    return asyncio.run(fetch())
+
+
+@pytest.mark.parametrize(
+    ("eras", "taken"),
+    [
+        (["", ""], [0, 0]),
+        (["4", "4", "5"], [4, 4, 5]),
+        (["4", "3", "4"], [4, "bad_answer", 4]),
+        (["4", "", "4"], [4, "bad_answer", 4]),
+        (["4", "five", "5"], [4, "bad_answer", 5]),
+        (["", "1", "-2"], [0, 1, "bad_answer"]),
+    ],
+)
+def test_an_era_that_falls_or_is_missing_is_not_trusted(
+    eras: list[str], taken: list[int | str]
+) -> None:
+    assert_that(list_eras(eras), Equals(taken))
--- a/test/tasks/installation.py
+++ b/test/tasks/installation.py
@@ -80,9 +80,15 @@
 
 
 class Store:
-    """Topics that all nodes share."""
+    """Topics that all nodes share.
+
+    Attributes:
+      era: how often it came back from a copy.
+    """
 
     def __init__(self) -> None:
+        self.era = 0
+        self._times: dict[Topic, list[float]] = {topic: [] for topic in Topic}
         self.topics: dict[Topic, list[KeyedRecord]] = {
             topic: [] for topic in Topic
         }
@@ -92,10 +98,20 @@
     def append(self, topic: Topic, key: str, value: bytes) -> int:
         records = self.topics[topic]
         records.append(KeyedRecord(key, value, len(records)))
+        self._times[topic].append(asyncio.get_running_loop().time())
         self.changed[topic].set()
         self.changed[topic] = asyncio.Event()
         return len(records) - 1
 
+    def restore(self, age_s: float) -> None:
+        """Come back from a copy: later records are gone."""
+        limit = asyncio.get_running_loop().time() - age_s
+        self.era += 1
+        for topic, times in self._times.items():
+            kept = sum(one <= limit for one in times)
+            del times[kept:]
+            del self.topics[topic][kept:]
+
 
 class Line(KeyedStore):
     """The store as one node reaches it.
@@ -166,20 +182,28 @@
         await asyncio.sleep(STORE_S)
         records = self._store.topics[topic]
         newest = {one.key: one for one in records}
-        return KeyedPage(tuple(newest.values()), len(records))
+        return KeyedPage(
+            tuple(newest.values()), len(records), era=self._store.era
+        )
 
     async def _wait_for(
         self, topic: Topic, start: int, wait_s: float
-    ) -> KeyedPage:
+    ) -> KeyedPage | None:
         await asyncio.sleep(STORE_S)
         records = self._store.topics[topic]
+        if len(records) < start:
+            return None
         if len(records) <= start and wait_s:
             changed = self._store.changed[topic]
             waiting = asyncio.ensure_future(changed.wait())
             await asyncio.wait({waiting}, timeout=wait_s)
             waiting.cancel()
             await asyncio.sleep(STORE_S)
-        return KeyedPage(tuple(records[start:]), len(records))
+        if len(records) < start:
+            return None
+        return KeyedPage(
+            tuple(records[start:]), len(records), era=self._store.era
+        )
 
     async def _append(
         self, topic: Topic, key: str, value: bytes, expected_end: int | None
