--- a/chervilrock/decisions/serving/contents.py
+++ b/chervilrock/decisions/serving/contents.py
@@ -17,13 +17,14 @@
 
     Args:
       method: HTTP method.
-      host: host that the request names.
+      host: host that the request names, with or without a port.
       target: path and query.
       workspace: customer, empty when none is known.
       body: the whole body.
     """
     state = xxhash.xxh3_64()
+    name = host.partition(":")[0].lower()
     # No field of the head can hold a line break.
-    state.update(f"{method}\n{host}\n{target}\n{workspace}\n".encode())
+    state.update(f"{method}\n{name}\n{target}\n{workspace}\n".encode())
     state.update(body)
     return f"{workspace[:MAX_SHOWN]}/{state.hexdigest()}"
--- a/chervilrock/edges/serving/exchange.py
+++ b/chervilrock/edges/serving/exchange.py
@@ -1,7 +1,6 @@
 """One request of a caller, from its route to the last byte of its answer."""
 
 import asyncio
-import functools
 from typing import Any, NamedTuple
 
 from chervilrock.clients.curlpool import CurlPool
@@ -11,7 +10,6 @@
     Progress,
     SendEnd,
 )
-from chervilrock.decisions.serving.contents import identify_content
 from chervilrock.decisions.serving.lateness import judge_standing, Standing
 from chervilrock.decisions.serving.messages import (
     Onward,
@@ -27,11 +25,7 @@
     choose_service,
     Denial,
 )
-from chervilrock.decisions.serving.suspects import (
-    LEAST_TOLD,
-    MAX_ENDS,
-    Suspect,
-)
+from chervilrock.decisions.serving.suspects import Suspect
 from chervilrock.decisions.serving.view import GroupEndpoint, ServerEndpoint
 from chervilrock.decisions.serving.waiting import (
     decide_patience,
@@ -47,13 +41,14 @@
 from chervilrock.edges.serving.callerrequest import CallerRequest
 from chervilrock.edges.serving.connection import CallerConnection
 from chervilrock.edges.serving.receiver import AnswerReceiver
+from chervilrock.edges.serving.suspectcheck import SuspectCheck
 from chervilrock.events import emit, Event
 from chervilrock.platform import headers as names
 from chervilrock.serving_metrics import ServingMetrics
 from chervilrock.tasks.clock import read_clock
 from chervilrock.tasks.serving.room import WaitingRoom
 from chervilrock.tasks.serving.state import ServingState
-from chervilrock.tasks.serving.suspicion import BrokenSend, Suspicion
+from chervilrock.tasks.serving.suspicion import Suspicion
 
 CONNECT_TIMEOUT_S = 0.4
 """Longest time to connect to a server; it takes some milliseconds, and a
@@ -69,8 +64,6 @@
 LEAST_URGENT = 9
 """Greatest rank that engines know; 0 goes first."""
 
-_MS_PER_S = 1000
-
 UNAVAILABLE = 503
 BAD_GATEWAY = 502
 GATEWAY_TIMEOUT = 504
@@ -122,7 +115,11 @@
         self._waited_s = 0.0
         self._waited_before_s = 0.0
         self._takes_any_place = False
-        self._is_broken = False
+        self._check = SuspectCheck(
+            state=context.state,
+            suspicion=context.suspicion,
+            request=request,
+        )
         self._admission: Admission | None = None
         self._service = ""
 
@@ -144,6 +141,7 @@
             self._refuse(admitted.value, admitted.name.lower(), None)
             return
         self._admission = admitted
+        self._check.admit(admitted.workspace)
         self._expires = self._find_expiry(admitted)
         self._waited_before_s = self._estimate_wait(admitted)
         self._service = choose_service(admitted.route, self._state.generator)
@@ -216,13 +214,12 @@
 
     async def _serve(self, admission: Admission) -> None:
         """Send the request until it is answered or given up."""
-        await self._await_verdict(MAX_ENDS)
+        await self._check.wait_for_verdict(self._expires)
         while await self._find_place(admission):
             end, status = await self._send(admission)
             if not self._goes_on(admission, end, status):
                 return
-            if self._is_broken:
-                await self._await_verdict(LEAST_TOLD)
+            await self._check.wait_for_verdict(self._expires)
 
     def _goes_on(self, admission: Admission, end: SendEnd, status: int) -> bool:
         """Tell whether to send again; else the caller has its answer."""
@@ -243,7 +240,7 @@
         )
         if following is Next.FINISH:
             if end is SendEnd.COMPLETE:
-                self._note_clean()
+                self._check.note_clean()
             self._finish(status, end)
             return False
         is_paid = end is SendEnd.SILENT
@@ -277,19 +274,6 @@
 
     # Requests that crash servers.
 
-    def _find_suspect(self) -> Suspect | None:
-        """Return why the request is withheld, None when it is not."""
-        suspects = self._state.suspects
-        if not suspects:
-            return None
-        return suspects.find_withheld(self._content)
-
-    async def _await_verdict(self, ends: int) -> None:
-        """Wait for a verdict when so many servers have ended under it."""
-        suspicion = self._context.suspicion
-        if not suspicion.is_empty():
-            await suspicion.wait_for_verdict(self._content, ends, self._expires)
-
     def _turn_away(self, suspect: Suspect) -> None:
         """Tell the caller that its request is withheld.
 
@@ -304,12 +288,6 @@
         else:
             self._refuse(UNAVAILABLE, reason, WITHHELD_RETRY_AFTER_S)
 
-    def _note_clean(self) -> None:
-        """Clear the request, whose whole answer came."""
-        suspicion = self._context.suspicion
-        if not suspicion.is_empty() and suspicion.count_ends(self._content):
-            suspicion.note_clean(self._content)
-
     # Places.
 
     async def _find_place(self, admission: Admission) -> bool:
@@ -349,7 +327,7 @@
 
     def _may_send(self) -> bool:
         """Tell whether servers may get it; else the caller has its answer."""
-        suspect = self._find_suspect()
+        suspect = self._check.find_withheld()
         if suspect is None:
             return True
         self._give_place_back()
@@ -373,7 +351,7 @@
         """
         if self._has_left or self._place is not None:
             return False
-        if self._find_suspect() is not None:
+        if self._check.find_withheld() is not None:
             return True
         self._place = self._choose(read_clock())
         if self._place is None:
@@ -447,53 +425,10 @@
         end = await self._run_transfer(transfer, endpoint, now)
         self._avoided.add(endpoint.server)
         self._give_place_back()
-        self._is_broken = isinstance(end, TransferEnd) and end.is_broken
-        if isinstance(end, TransferEnd) and end.is_broken:
-            self._note_broken(receiver, end, endpoint, now)
+        transfer_end = end if isinstance(end, TransferEnd) else None
+        self._check.note_end(receiver, transfer_end, endpoint, sent=now)
         return self._judge(transfer, receiver, end, endpoint)
 
-    def _note_broken(
-        self,
-        receiver: AnswerReceiver,
-        end: TransferEnd,
-        endpoint: Endpoint,
-        sent: float,
-    ) -> None:
-        """Have it looked into that a connection has ended too early."""
-        now = read_clock()
-        ran_s = receiver.find_duration(now)
-        broken = BrokenSend(
-            content=self._content,
-            server=endpoint.server,
-            address=endpoint.address,
-            served_s=ran_s or 0.0,
-            sent_s=now - sent,
-        )
-        self._context.suspicion.note_broken(broken, now)
-        emit(
-            Event.SEND_BROKEN,
-            request_id=self.request_id,
-            content=self._content,
-            server=endpoint.server,
-            status=0 if end.head is None else end.head.status,
-            ran_ms=None if ran_s is None else round(ran_s * _MS_PER_S),
-            error=end.error,
-        )
-
-    @functools.cached_property
-    def _content(self) -> str:
-        """What the request asks for, the same for all its attempts."""
-        request = self._request
-        admission = self._admission
-        workspace = None if admission is None else admission.workspace
-        return identify_content(
-            method=request.method,
-            host=request.host,
-            target=request.target,
-            workspace="" if workspace is None else workspace.name,
-            body=request.body,
-        )
-
     async def _run_transfer(
         self, transfer: Transfer, endpoint: Endpoint, now: float
     ) -> TransferEnd | SendEnd:
--- a/chervilrock/edges/serving/exchangelog.py
+++ b/chervilrock/edges/serving/exchangelog.py
@@ -6,10 +6,12 @@
 from chervilrock.decisions.serving.routes import Admission
 from chervilrock.decisions.serving.suspects import Suspect
 from chervilrock.decisions.serving.view import GroupEndpoint, ServerEndpoint
+from chervilrock.edges.relay import TransferEnd
 from chervilrock.edges.serving.callerrequest import CallerRequest
 from chervilrock.events import emit, Event
 from chervilrock.serving_metrics import RequestEnd
 from chervilrock.tasks.serving.state import ServingState
+from chervilrock.tasks.serving.suspicion import BrokenSend
 
 _MS_PER_S = 1000
 
@@ -67,6 +69,24 @@
     )
 
 
+def log_broken(
+    request_id: str,
+    broken: BrokenSend,
+    end: TransferEnd,
+    served_s: float | None,
+) -> None:
+    """Log that the connection of a send broke, and how far it had come."""
+    emit(
+        Event.SEND_BROKEN,
+        request_id=request_id,
+        content=broken.content,
+        server=broken.server,
+        status=0 if end.head is None else end.head.status,
+        ran_ms=None if served_s is None else round(served_s * _MS_PER_S),
+        error=end.error,
+    )
+
+
 def log_withheld(request_id: str, suspect: Suspect) -> None:
     """Log that a request was kept from the servers, and why."""
     emit(
--- a/test/decisions/serving/test_suspects.py
+++ b/test/decisions/serving/test_suspects.py
@@ -211,6 +211,10 @@
     assert_that(identify(**changes), Not(Equals(identify())))
 
 
+def test_the_port_of_a_host_does_not_count() -> None:
+    assert_that(identify(host="Site.example:8227"), Equals(identify()))
+
+
 def test_long_names_of_workspaces_stay_apart() -> None:
     long = "w" * 300
     name = identify(workspace=long)
