--- a/chervilrock/decisions/serving/controller.py
+++ b/chervilrock/decisions/serving/controller.py
@@ -112,6 +112,9 @@
             self._planner.note_staging_reply(server, order, reply, now)
             return
         self._board.dispatcher.note_reply(server, order)
+        if reply is OrderReply.MISDIRECTED:
+            # Its entry stays until it lapses, and it would be planned anew.
+            self._board.hosts.note_dark(server, now)
         group = self._board.groups.get(order.group)
         if group is None or group.epoch != order.epoch:
             return
--- a/chervilrock/standin/site/site.py
+++ b/chervilrock/standin/site/site.py
@@ -154,8 +154,17 @@
         return server
 
     def write_again(self) -> None:
-        """Let the operator and the servers write what a copy may lack."""
+        """Let the operator and the servers write what a copy may lack.
+
+        Entries in it of servers that are gone lapse.
+        """
         self.store.write_configuration(self.store.configuration)
+        living = {server.server for server in self.servers}
+        topic = self.store.topic("keyed.servers")
+        for record in topic.list_newest():
+            if record.key not in living:
+                # Nobody renews it, so that it lapses.
+                topic.append(record.key, b"")
         for server in self.servers:
             server.register()
 
--- a/test/decisions/serving/test_controller.py
+++ b/test/decisions/serving/test_controller.py
@@ -15,7 +15,7 @@
 
 from chervilrock.decisions.serving.census import HostState
 from chervilrock.decisions.serving.hosts import HostBook, Life
-from chervilrock.decisions.serving.orders import Join
+from chervilrock.decisions.serving.orders import Join, Order, OrderReply
 from test.decisions.serving.fleet import Faults, Fleet
 
 
@@ -489,3 +489,23 @@
     assert_that(after["large"].groups, Equals(2))
     assert_that(after["large"].is_short, Is(True))
     assert_that(after["large"].places[("a", HostState.SERVING)], Equals(8))
+
+
+def test_a_host_whose_address_another_server_took_is_left_alone(
+    fleet: Fleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    orders: list[Join] = []
+    obey = fleet.obey
+
+    def answer(name: str, order: Order) -> OrderReply:
+        if name != "new":
+            return obey(name, order)
+        if isinstance(order, Join):
+            orders.append(order)
+        return OrderReply.MISDIRECTED
+
+    monkeypatch.setattr(fleet, "obey", answer)
+    fleet.add("new", "d0")
+    fleet.run(3.0)
+    # Its entry stays until it lapses, some seconds later.
+    assert_that(len(orders), LessThan(4))
