--- a/test/node/test_crashing_requests.py
+++ b/test/node/test_crashing_requests.py
@@ -7,10 +7,10 @@
 itself: the lines of one attempt never show more than its two sends, and nothing
 related it to the one before.
 
-    45.3968 E7401 request-sent request_id=16a7b57e server=i-d4a7e8dd09
-    45.6208 E7402 request-sent-again request_id=16a7b57e reason=lost sends=1
-    45.6210 E7401 request-sent request_id=16a7b57e server=i-a919c5e9ce
-    45.8723 E7403 request-ended request_id=16a7b57e status=502 sends=2
+    45.3968 E7401 request-sent request_id=R server=i-d4a7e8dd09
+    45.6208 E7402 request-sent-again request_id=R reason=lost sends=1
+    45.6210 E7401 request-sent request_id=R server=i-a919c5e9ce
+    45.8723 E7403 request-ended request_id=R status=502 sends=2
 """
 
 import asyncio
