--- a/chervilrock/decisions/serving/suspects.py
+++ b/chervilrock/decisions/serving/suspects.py
@@ -29,6 +29,10 @@
 """Time for the reports of other nodes on the same end: they take some
 milliseconds, and without them a companion may look like the cause."""
 
+RIVAL_SETTLE_S = 0.25
+"""The same while a likelier request had all of these ends but one: the report
+of its last end may be late where nodes are busy."""
+
 MAX_CONTENTS = 1024
 """Requests that are kept at once; a flood of different ones drives out those
 with the fewest ends first."""
@@ -101,13 +105,6 @@
         self.settled = float("inf")
         self.is_withheld = False
 
-    def find_survived(self) -> float:
-        """Return for how long servers outlived the start of its answer."""
-        return sum(one.served_s for one in self.ends.values())
-
-    def find_sent(self) -> float:
-        return sum(one.sent_s for one in self.ends.values())
-
 
 class SuspectLedger:
     """Ends of servers by the requests that they had."""
@@ -185,7 +182,7 @@
         for record in suspects.values():
             record.is_withheld = False
         for record in sorted(suspects.values(), key=_rank):
-            if now < record.settled:
+            if now < self._find_due(record, suspects.values()):
                 continue
             open_ends = [
                 end
@@ -203,12 +200,24 @@
     def find_settling(self, now: float) -> float | None:
         """Return when the next request is due to be judged, None for none."""
         times = [
-            record.settled
+            time
             for record in self._records.values()
-            if now < record.settled < float("inf")
+            for time in (record.settled, _find_latest(record))
+            if now < time < float("inf")
         ]
         return min(times, default=None)
 
+    def _find_due(self, record: _Record, suspects: Iterable[_Record]) -> float:
+        """Return when a request may be withheld, as far as is known now."""
+        for rival in suspects:
+            shared = record.ends.keys() & rival.ends.keys()
+            is_behind = len(rival.ends) < len(record.ends)
+            if not is_behind or len(shared) < len(record.ends) - 1:
+                continue
+            if _weigh(rival, shared) < _weigh(record, shared):
+                return _find_latest(record)
+        return record.settled
+
     def _list(self, suspects: dict[str, _Record]) -> tuple[Suspect, ...]:
         """Return suspects to tell of, withheld ones and late ones first."""
         listed = [
@@ -234,13 +243,27 @@
         del self._records[fewest]
 
 
+def _find_latest(record: _Record) -> float:
+    """Return when no report of a rival is waited for any more."""
+    return record.settled + RIVAL_SETTLE_S
+
+
+def _weigh(record: _Record, servers: Iterable[str]) -> tuple[float, float]:
+    """Return how unlikely a request is the cause of some ends."""
+    ends = [record.ends[server] for server in servers]
+    return (
+        sum(end.served_s for end in ends),
+        -sum(end.sent_s for end in ends),
+    )
+
+
 def _rank(record: _Record) -> tuple[int, float, float]:
     """Return what orders records by how likely they are the cause.
 
     Of those that no server had answered yet, the one that was there longest
     is the likeliest to have begun.
     """
-    return (-len(record.ends), record.find_survived(), -record.find_sent())
+    return (-len(record.ends), *_weigh(record, record.ends))
 
 
 class SuspectTable:
--- a/test/decisions/serving/test_suspects.py
+++ b/test/decisions/serving/test_suspects.py
@@ -10,6 +10,7 @@
     MAX_CONTENTS,
     MAX_ENDS,
     MAX_TOLD,
+    RIVAL_SETTLE_S,
     ServerEnd,
     SETTLE_S,
     Suspect,
@@ -70,6 +71,26 @@
     assert_that(list_withheld(ledger), Equals([CAUSE]))
 
 
+def test_a_late_report_on_the_cause_is_waited_for(
+    ledger: SuspectLedger,
+) -> None:
+    note_ends(ledger, CAUSE, "AB")
+    note_ends(ledger, COMPANION, "ABC", served_s=0.1)
+    assert_that(list_withheld(ledger), HasLength(0))
+    note_ends(ledger, CAUSE, "C")
+    assert_that(list_withheld(ledger), Equals([CAUSE]))
+
+
+def test_a_report_that_does_not_come_is_not_waited_for_long(
+    ledger: SuspectLedger,
+) -> None:
+    note_ends(ledger, COMPANION, "AB")
+    note_ends(ledger, CAUSE, "ABC", served_s=0.1)
+    due = NOW + SETTLE_S + RIVAL_SETTLE_S
+    assert_that(list_withheld(ledger, due - 0.01), HasLength(0))
+    assert_that(list_withheld(ledger, due), Equals([CAUSE]))
+
+
 def test_a_companion_that_ended_with_the_cause_each_time_is_free(
     ledger: SuspectLedger,
 ) -> None:
