--- a/bench/soak.py
+++ b/bench/soak.py
@@ -362,6 +362,9 @@
     def calm(self) -> None:
         """Take all faults back."""
         self._site.store.door.fault = StoreFault.NONE
+        # The end of the run may have cut off what follows a return of the
+        # store.
+        self._site.write_again()
         for server in self._site.servers:
             server.fault = ServerFault.NONE
         for link in self._links:
