--- a/test/tasks/crashing_requests.py
+++ b/test/tasks/crashing_requests.py
@@ -58,10 +58,11 @@
             if member.state.suspects.find_withheld(self.content) is not None:
                 self.turned_away += 1
                 return
-            await self._send(address)
+            await self.send(address)
             ends = LEAST_TOLD
 
-    async def _send(self, address: str) -> None:
+    async def send(self, address: str) -> None:
+        """Let a node send it to one more server, which ends."""
         loop = self._site.loop
         began = loop.time()
         await asyncio.sleep(RUN_S)
@@ -80,6 +81,11 @@
         )
         member.task.suspicion.note_broken(broken, loop.time())
 
+    async def come_everywhere(self) -> None:
+        """Let an attempt come to each node at once."""
+        members = list(self._site.members)
+        await asyncio.gather(*(self.come(one) for one in members))
+
     def count_needless(self) -> int:
         """Return the sends that began after the third end."""
         ends = sorted(one.ended for one in self.sends)
--- a/test/tasks/test_suspects_at_size.py
+++ b/test/tasks/test_suspects_at_size.py
@@ -67,7 +67,7 @@
         await asyncio.gather(*(request.come(one) for one in seers))
         running = len(request.sends)
         await asyncio.sleep(0.5)
-        await asyncio.gather(*(request.come(one) for one in site.members))
+        await request.come_everywhere()
         await site.stop()
         assert_that(len(request.sends), Equals(running))
         return request
@@ -93,12 +93,12 @@
         for number in range(MAX_ENDS):
             if number == before:
                 site.kill(leader)
-            await request._send(generator.choice(others))
+            await request.send(generator.choice(others))
             await asyncio.sleep(0.01)
         if before == MAX_ENDS:
             site.kill(leader)
         await asyncio.sleep(BOUND_S)
-        await asyncio.gather(*(request.come(one) for one in site.members))
+        await request.come_everywhere()
         await site.stop()
         return request
 
@@ -115,9 +115,9 @@
                 site.kill(address)
         generator = random.Random(1)
         for _ in range(MAX_ENDS):
-            await request._send(generator.choice(sorted(site.members)))
+            await request.send(generator.choice(sorted(site.members)))
         await asyncio.sleep(BOUND_S)
-        await asyncio.gather(*(request.come(one) for one in site.members))
+        await request.come_everywhere()
         await site.stop()
         return request
 
@@ -136,7 +136,7 @@
         await asyncio.sleep(1.0)
         whole = [one for one in site.members if one not in parted]
         for one in whole[:MAX_ENDS]:
-            await request._send(one)
+            await request.send(one)
         await asyncio.sleep(1.0)
         site.parted.clear()
         await asyncio.sleep(BOUND_S)
@@ -154,7 +154,7 @@
         site = await start(monkeypatch, nodes)
         request = CrashingRequest(site=site, content=CONTENT)
         for one in list(site.members)[:MAX_ENDS]:
-            await request._send(one)
+            await request.send(one)
         site.add("late", "p0")
         late = site.members["late"].state
         await site.wait(lambda: late.view.sequence > 0, 5.0)
@@ -172,7 +172,7 @@
         site = await start(monkeypatch, nodes)
         request = CrashingRequest(site=site, content=CONTENT)
         for one in list(site.members)[:MAX_ENDS]:
-            await request._send(one)
+            await request.send(one)
         await asyncio.sleep(0.5)
         for one in list(site.members):
             site.kill(one)
@@ -182,7 +182,7 @@
         await site.wait(
             lambda: all(one.view.sequence > 0 for one in states), 10.0
         )
-        await asyncio.gather(*(request.come(one) for one in site.members))
+        await request.come_everywhere()
         await site.stop()
         return request
 
@@ -195,8 +195,8 @@
     async def play() -> CrashingRequest:
         site = await start(monkeypatch, 9)
         request = CrashingRequest(site=site, content=CONTENT)
-        await asyncio.gather(*(request.come(one) for one in site.members))
-        await asyncio.gather(*(request.come(one) for one in site.members))
+        await request.come_everywhere()
+        await request.come_everywhere()
         await site.stop()
         return request
 
@@ -239,7 +239,7 @@
         request = CrashingRequest(site=site, content=CONTENT)
         nodes = list(site.members)
         for one in nodes[:2]:
-            await request._send(one)
+            await request.send(one)
         await asyncio.sleep(0.5)
         members = site.members.values()
         suspicions = [member.task.suspicion for member in members]
