Show that a new leader takes hosts which its predecessor has just used

The test brings the same about: hosts report that they stand by, a leader that does not know yet that it was replaced forms and opens a group of them, their entries in the store are old, and the new leader needs one of them.

--- a/test/decisions/serving/test_controller.py
+++ b/test/decisions/serving/test_controller.py
@@ -13,9 +13,15 @@
     Not,
 )
 
+from chervilrock.decisions.serving import groupnames
 from chervilrock.decisions.serving.census import HostState
 from chervilrock.decisions.serving.hosts import HostBook, Life
-from chervilrock.decisions.serving.orders import Join, Order, OrderReply
+from chervilrock.decisions.serving.orders import (
+    Join,
+    Open,
+    Order,
+    OrderReply,
+)
 from test.decisions.serving.fleet import Faults, Fleet
 
 
@@ -410,6 +416,40 @@
     assert_that(fleet.violations, HasLength(0))
 
 
+def test_a_host_that_a_former_leader_took_meanwhile_is_not_taken_again(
+    fleet: Fleet,
+) -> None:
+    # A leader was replaced and did not know it yet. Two hosts that stood by had
+    # told the new leader so; then the former one formed a group of them and
+    # opened it, which their entries in the store, seconds old, did not show.
+    # The new leader let a member join another group while the head was open.
+    standby = sorted(
+        name
+        for name, server in fleet.servers.items()
+        if len(server.members) == 1 and server.domain == "d0"
+    )
+    fleet.make_controller(term=2)
+    for name in standby:
+        fleet.servers[name].old_entry = fleet.make_entry(fleet.servers[name])
+        fleet.servers[name].last_model = "small"
+    fleet.run(1.0)
+    epoch = groupnames.make_epoch(1, 999)
+    group = groupnames.make_name("small", epoch, is_standby=False)
+    for name in standby:
+        fleet.obey(name, Join(group, epoch, "small", tuple(standby)))
+    fleet.run(0.3)
+    fleet.obey(standby[0], Open(group, epoch))
+    lost = next(
+        one.server
+        for one in fleet.controller.list_groups(fleet.now)
+        if one.model == "small" and fleet.servers[one.server].domain == "d0"
+    )
+    fleet.kill(fleet.servers[lost].members[1])
+    fleet.controller.note_silent(find_name(fleet, lost), fleet.now)
+    fleet.run(5.0)
+    assert_that(fleet.violations, HasLength(0))
+
+
 @pytest.mark.parametrize("seed", range(20))
 def test_promises_hold_while_servers_start_again(seed: int) -> None:
     fleet = Fleet(domains=3, hosts=8, seed=seed)
