Let a host join its first group of a term only if it has obeyed nothing since

Callers saw a group that stood still: its members were taken from it while its head served. Cause: a host was free for a new leader once it had reported in this term, but an order of the former leader, which did not know yet that it was replaced, may reach it after that report. Epochs do not help here, since the later join has the greater one. Ruled out: old entries (the host is asked in each term) and a group that was found with some of its members only (its hosts stay in it until they have left).

The first join of a host in a term now names the number of orders that it had obeyed when it reported, as the join of a host that left an open group did already, so that the server refuses it when anything came in between; then it is asked again, and a formation is given up when the host tells of a group that is not known to be over. After that first join the server refuses all orders of earlier terms by itself.

test_a_host_that_a_former_leader_took_meanwhile_is_not_taken_again fails before and holds now; the 107 tests of controller, staging and worn fleets pass.

--- a/chervilrock/decisions/serving/controller.py
+++ b/chervilrock/decisions/serving/controller.py
@@ -108,6 +108,8 @@
         self, server: str, order: Order, reply: OrderReply | None, now: float
     ) -> None:
         """Take the answer to an order, None when there was none."""
+        if not isinstance(order, Join):
+            self._board.hosts.note_ordered(server)
         if isinstance(order, Stage):
             self._planner.note_staging_reply(server, order, reply, now)
             return
--- a/chervilrock/decisions/serving/forming.py
+++ b/chervilrock/decisions/serving/forming.py
@@ -100,14 +100,22 @@
         return effects
 
     def _clear_unless_present(self, group: ManagedGroup, now: float) -> bool:
-        """Take a group apart that misses a member; tell whether it does."""
+        """Take a group apart that cannot have a member; tell whether it is."""
         for server in group.members:
             entry = self._board.hosts.servers.get(server)
             if entry is None or entry.is_leaving:
                 self._board.clear(group, f"{server} is gone or leaves", now)
                 return True
+            if server not in group.joined and self._is_taken(group, server):
+                self._board.clear(group, f"{server} is in another group", now)
+                return True
         return False
 
+    def _is_taken(self, group: ManagedGroup, server: str) -> bool:
+        """Tell whether a server has told that it is in another group."""
+        reported = self._board.hosts.find_reported(server)
+        return reported is not None and reported.epoch != group.epoch
+
     def _order_join(
         self, group: ManagedGroup, server: str, now: float
     ) -> list[Effect]:
@@ -116,12 +124,12 @@
         The answer to a join that is done tells at once that the host is
         ready; its report tells it 0.2 to 0.3 s later.
 
-        A host that left a group whose head may still serve could obey a late
-        order to join that group once more. So it must have obeyed nothing
-        since it reported that it is in none.
+        A host may have obeyed an order of a former leader since its report,
+        or a late one to join its former group, whose head then serves with
+        it. So its first join holds only if it has obeyed nothing since.
         """
         join = Join(group.name, group.epoch, group.model, group.members)
-        if not self._board.hosts.has_left_open_group(server):
+        if not self._board.hosts.must_be_unchanged(server):
             return self._board.command(server, join, now)
         obeyed = self._board.hosts.obeyed.get(server)
         if obeyed is None:
--- a/chervilrock/decisions/serving/hosts.py
+++ b/chervilrock/decisions/serving/hosts.py
@@ -56,8 +56,8 @@
       servers: servers whose entries are there.
       loaded: model that each server has in memory, as far as it is known.
       cleared: groups whose heads are out, by name and epoch.
-      obeyed: orders that a server had obeyed when it reported that it is in no
-        group, for those that left a group whose head may serve.
+      obeyed: orders that a server had obeyed when it last reported, unless it
+        was told anything since.
       last_new: when the last new server came.
       began: when the first entry came.
       answered: when any server last reported.
@@ -74,6 +74,7 @@
         self.answered = float("-inf")
         self._former: dict[str, BackendServer] = {}
         self._heard_of: set[str] = set()
+        self._joined: set[str] = set()
         self._reported: dict[str, Membership | None] = {}
         self._left: set[tuple[str, int]] = set()
         self._left_at: dict[str, float] = {}
@@ -107,6 +108,7 @@
     def _forget(self, server: str) -> None:
         """Know nothing of a server but that it exists."""
         self._heard_of.discard(server)
+        self._joined.discard(server)
         self.loaded.pop(server, None)
         self.obeyed.pop(server, None)
         self._unanswered.discard(server)
@@ -181,9 +183,23 @@
     def note_joined(self, server: str) -> None:
         """Note that a server has obeyed an order to join."""
         self._heard_of.add(server)
+        self._joined.add(server)
         self._left_at.pop(server, None)
         self.obeyed.pop(server, None)
 
+    def note_ordered(self, server: str) -> None:
+        """Note that a server may have obeyed an order other than to join."""
+        self.obeyed.pop(server, None)
+
+    def must_be_unchanged(self, server: str) -> bool:
+        """Tell whether a server may join only if it has obeyed nothing since.
+
+        An order of a former leader, or a late one to join its former group,
+        may reach it after its report. Once it has joined a group of this term
+        it refuses those of earlier terms.
+        """
+        return server in self._left_at or server not in self._joined
+
     def note_dark(self, server: str, now: float) -> None:
         """Note that a server is lost; it is used again once it has reported.
 
@@ -215,10 +231,6 @@
         """Tell whether a server answered when it was last asked, if ever."""
         return server not in self._unanswered
 
-    def has_left_open_group(self, server: str) -> bool:
-        """Tell whether a server left a group whose head may still serve."""
-        return server in self._left_at
-
     def has_reported(self, server: str) -> bool:
         """Tell whether a server has told its state in this term."""
         return server in self._heard_of
@@ -229,11 +241,22 @@
 
     def is_unknown_member(self, host: BackendServer) -> bool:
         """Tell whether a host is in a group that it may not be taken from."""
-        membership = host.membership
+        return self._holds(host.server, host.membership)
+
+    def find_reported(self, server: str) -> Membership | None:
+        """Return the group that a server last told of and may not be taken from.
+
+        Unlike an entry, a report is never older than the orders before it.
+        """
+        reported = self._reported.get(server)
+        return reported if self._holds(server, reported) else None
+
+    def _holds(self, server: str, membership: Membership | None) -> bool:
+        """Tell whether a group may still be open that a server is in."""
         if membership is None:
             return False
         key = (membership.group, membership.epoch)
-        left = (host.server, membership.epoch)
+        left = (server, membership.epoch)
         return key not in self.cleared and left not in self._left
 
     def list_domains(
@@ -270,9 +293,7 @@
     ) -> bool:
         """Tell whether a late order let a server join what it had left."""
         left_at = self._left_at.get(server)
-        if left_at is None:
-            return False
-        if report.membership is None:
+        if left_at is None or report.membership is None:
             self.obeyed[server] = report.obeyed
             return False
         if now - left_at <= REPORT_AGE_S:
