--- a/chervilrock/decisions/serving/hosts.py
+++ b/chervilrock/decisions/serving/hosts.py
@@ -244,7 +244,7 @@
         return self._holds(host.server, host.membership)
 
     def find_reported(self, server: str) -> Membership | None:
-        """Return the group that a server last told of and may not be taken from.
+        """Return the group that a server told of, unless it is over.
 
         Unlike an entry, a report is never older than the orders before it.
         """
--- a/chervilrock/decisions/serving/lateness.py
+++ b/chervilrock/decisions/serving/lateness.py
@@ -30,7 +30,11 @@
 
 
 def judge_standing(
-    *, has_begun: bool, waited_s: float, target_s: float
+    *,
+    has_begun: bool,
+    waited_s: float,
+    target_s: float,
+    first_event_s: float = 0.0,
 ) -> Standing:
     """Return how a request stands.
 
@@ -38,10 +42,12 @@
       has_begun: whether its caller has any event.
       waited_s: how long its caller has waited, in seconds.
       target_s: time to the first event that counts as on time.
+      first_event_s: expected time from the send to the first event.
     """
     if has_begun:
         return Standing.BEGUN
-    return Standing.ON_TIME if waited_s < target_s else Standing.LATE
+    is_on_time = waited_s + first_event_s < target_s
+    return Standing.ON_TIME if is_on_time else Standing.LATE
 
 
 KEPT = 64
--- a/chervilrock/decisions/serving/placement.py
+++ b/chervilrock/decisions/serving/placement.py
@@ -11,6 +11,7 @@
 from typing import Generic, NamedTuple, TYPE_CHECKING, TypeVar
 
 from chervilrock.decisions.serving.lateness import Standing
+from chervilrock.decisions.serving.shares import NO_LIMIT
 from chervilrock.decisions.serving.view import GroupEndpoint, ServerEndpoint
 
 if TYPE_CHECKING:
@@ -21,11 +22,7 @@
 NEAR_SAMPLE = 2
 FAR_SAMPLE = 1
 """Endpoints of the own and of other data centres that are compared. The more
-there are, the more of all requests go to what was emptiest by the last news: of
-340 requests a second at 50 groups, with news of 0.15 s ago that come each
-0.15 s, 5.8 in 100 were sent to a full group with three and three, 1.5 in 100
-with two and one (replay of 20 nodes); of 104 a second at 12 groups and 9 nodes
-4.9 and 1.4 in 100."""
+there are, the more of all requests go to what was emptiest by the last news."""
 
 CROSSING_COST = 0.25
 """Part of the slots that a group of another data centre must be emptier while
@@ -34,6 +31,11 @@
 traffic; but a request beyond the slots waits half a second in the engine."""
 
 
+BEYOND_SHARE_COST = 0.5
+"""Part of the slots that a group must be emptier when this node already has its
+share of it: the other nodes are about to send there too."""
+
+
 class Load(NamedTuple):
     """Requests at an endpoint.
 
@@ -42,12 +44,15 @@
       others: those of other nodes at the last announcement.
       slots: requests that run at once.
       is_doubtful: whether it is better avoided.
+      own_limit: most requests that this node should have there, so that those
+        of all nodes fit.
     """
 
     own: int
     others: int
     slots: int
     is_doubtful: bool
+    own_limit: float = NO_LIMIT
 
     @property
     def total(self) -> int:
@@ -99,7 +104,9 @@
         is_far = choice.endpoint.data_centre != data_centre
         fullness = load.total / load.slots
         crossing = CROSSING_COST * max(0.0, 1.0 - fullness) if is_far else 0.0
-        return load.is_doubtful, fullness + crossing
+        is_beyond = load.own >= load.own_limit
+        excess = BEYOND_SHARE_COST if is_beyond else 0.0
+        return load.is_doubtful, fullness + crossing + excess
 
     return min(sample, key=weigh)
 
@@ -121,50 +128,60 @@
     Attributes:
       total: requests of all nodes, as a part of its slots.
       own: requests of this node, as a part of its slots.
+      shared_from: requests of all nodes, as a part of its slots, from which
+        a node keeps to its own limit.
     """
 
     total: float
     own: float
+    shared_from: float = NO_LIMIT
 
     def allows(self, load: Load) -> bool:
         """Tell whether an endpoint has room for one more request."""
         if load.total >= self.total * load.slots:
             return False
+        is_shared = load.total >= self.shared_from * load.slots
+        if is_shared and load.own >= load.own_limit:
+            return False
         return load.own < max(1.0, self.own * load.slots)
 
 
-GROUP_BOUND = Bound(total=1.0, own=1.0)
+SHARED_PART = 0.7
+"""Part of the slots from which a request that has just come goes to a group
+only within the share of its node; below, what other nodes send meanwhile still
+fits."""
+
+GROUP_BOUND = Bound(total=1.0, own=1.0, shared_from=SHARED_PART)
 """More requests at a group would wait in the engine, where no other group can
 take them."""
 
+WAITING_BOUND = GROUP_BOUND._replace(shared_from=0.0)
+"""For requests that have waited: all nodes have some when there is any free
+slot, so that each keeps to its share."""
+
 LATE_PART = 0.5
-"""Part of the slots for requests that can no longer be on time. After an
-outage some hundred of them wait; let in all at once they fill the groups and
-make those that come new late as well. In a replay of such a start (a hundred
-that wait, 75 a second that come) 69 of 100 new ones were on time with 1.0, 98
-with 0.5."""
+"""Part of the slots for requests that can no longer be on time while places
+are short, or when they have just come. After an outage some hundred of them
+wait; let in all at once they make those that come new late as well."""
+
+LATE_PATIENCE_S = 0.5
+"""Time after which a late request takes any place that no other one lacks."""
 
 SERVER_BOUND = Bound(total=1.5, own=1.5)
 """Requests at a server of a plain service: they are over in some tens of
 milliseconds, and a short queue keeps the slots busy."""
 
-
-LATE_PATIENCE_PART = 0.15
-"""Part of its time limit after which a late request takes any place. By then
-the new ones of an outage's end are placed; one that is turned away now does not
-come again. Of 722 requests of the eight seconds around a loss of all nodes 48
-were not served when late ones kept to their part for 0.6 of their limit, and 17
-when callers that came back counted as new."""
-
-
 BEGUN_BOUND = Bound(total=1.25, own=1.25)
-"""For streams that were cut: their callers give up after a gap of two seconds,
-and the engine admits them first. Held to the part for late requests, a stream
-of a lost group waited 2.1 s while all groups were half full."""
+"""For streams that were cut: their callers give up after a short gap, and the
+engine admits them first."""
 
 
 def find_group_bound(
-    standing: Standing, nodes: int, *, waited_part: float = 0.0
+    standing: Standing,
+    nodes: int,
+    *,
+    waited_s: float = 0.0,
+    is_short: bool = False,
 ) -> Bound:
     """Return how full a group may be that takes a request.
 
@@ -174,10 +191,15 @@
     Args:
       standing: how the request stands.
       nodes: number of nodes that send to the same groups.
-      waited_part: part of its time limit for which it has waited here.
+      waited_s: time for which it has waited here, in seconds.
+      is_short: whether requests that could be on time lack places.
     """
     if standing is Standing.BEGUN:
         return BEGUN_BOUND
-    if standing is Standing.ON_TIME or waited_part >= LATE_PATIENCE_PART:
-        return GROUP_BOUND
-    return Bound(total=LATE_PART, own=LATE_PART / max(1, nodes))
+    if standing is Standing.ON_TIME:
+        return WAITING_BOUND if is_short or waited_s > 0 else GROUP_BOUND
+    if waited_s >= LATE_PATIENCE_S and not is_short:
+        return WAITING_BOUND
+    return Bound(
+        total=LATE_PART, own=LATE_PART / max(1, nodes), shared_from=0.0
+    )
--- a/chervilrock/decisions/serving/view.py
+++ b/chervilrock/decisions/serving/view.py
@@ -142,6 +142,7 @@
       suspects_sequence: number of the newest list of suspects in this term.
       suspects: requests under which servers have ended, None when the node
         has the list.
+      senders: nodes whose requests are in `loads`.
     """
 
     term: int
@@ -161,6 +162,7 @@
     loads_lag: int = 1
     suspects_sequence: int = 0
     suspects: tuple[Suspect, ...] | None = None
+    senders: int = 0
 
 
 class Summary(NamedTuple):
@@ -169,6 +171,7 @@
     Attributes:
       nodes: incarnations of the live nodes that take callers.
       loads: requests at each head or server.
+      senders: number of nodes that have any.
       silent: nodes that see the streams of a head stopped, by the head.
       has_traffic: whether one of them has seen a request of a caller.
       term: greatest term that one of them knows.
@@ -178,6 +181,7 @@
 
     nodes: tuple[str, ...] = ()
     loads: Mapping[str, int] = MappingProxyType({})
+    senders: int = 0
     silent: Mapping[str, int] = MappingProxyType({})
     has_traffic: bool = False
     term: int = -1
@@ -222,7 +226,9 @@
     loads: Counter[str] = Counter()
     silent: Counter[str] = Counter()
     nodes: list[str] = []
+    senders = 0
     for one in summaries:
+        senders += one.senders
         loads.update(one.loads)
         silent.update(one.silent)
         nodes += one.nodes
@@ -233,7 +239,9 @@
             revision=one.revision if is_newer else total.revision,
             holder=one.holder if is_newer else total.holder,
         )
-    return total._replace(nodes=tuple(nodes), loads=loads, silent=silent)
+    return total._replace(
+        nodes=tuple(nodes), loads=loads, senders=senders, silent=silent
+    )
 
 
 def summarize(answer: Acknowledgement) -> Summary:
@@ -241,6 +249,7 @@
     return Summary(
         nodes=(answer.node.incarnation,) if answer.is_taking_callers else (),
         loads=answer.loads,
+        senders=1 if answer.loads else 0,
         silent=dict.fromkeys(answer.silent, 1),
         has_traffic=answer.has_traffic,
         term=answer.term,
--- a/chervilrock/decisions/serving/waiting.py
+++ b/chervilrock/decisions/serving/waiting.py
@@ -2,9 +2,10 @@
 
 Load pattern: a group falls out and all requests of its model find the other
 groups full, or find none at all for the second that a repair takes; bursts
-last seconds. A request that waits a moment for a place is served late but
-served; one that is sent away comes back once, later still. So a request waits
-while a place may be expected in time, and otherwise is refused at once.
+last seconds. A request waits while it can be on time. After that it waits as a
+late one, for places that nobody needs who can be on time, until its caller
+would give up; but when places have been short for longer than a repair takes,
+a caller who has just come is better told at once, and asked back later.
 """
 
 from typing import NamedTuple
@@ -15,18 +16,23 @@
 """Usual time until a lost group serves again: it is known after 0.4 s, its
 hosts join within 0.2 s to 0.6 s and open in 0.3 s."""
 
-LONGEST_WAIT_PART = 0.35
-"""Part of the time limit for which a request waits at most, so that enough
-is left to serve it: the longest answers take about half of their limit."""
+LATE_WAIT_PART = 0.6
+"""Part of its time limit for which a late request waits at most, so that
+enough is left to serve it."""
 
-FULL_WAIT_PART = 0.5
-"""Part of the target for which a request waits for a place in full groups; a
-place comes free within some tens of milliseconds unless they stay full."""
+GIVE_UP_S = 2.0
+GIVE_UP_TARGETS = 4.0
+GIVE_UP_PAUSES = 8.0
+"""Callers give a stream up when it makes no event, not even a first one, for
+the longest of this time, so many targets and so many longest pauses."""
 
-LATE_WAIT_PART = 0.6
-"""Part of its time limit for which a late request waits. It has come back once
-mostly, and its caller does not come again; an answer takes a quarter of the
-limit."""
+LINK_S = 0.1
+"""Time beside the wait until the caller has the first event: links, and a node
+that has much to do."""
+
+LEAST_WAIT_S = 0.005
+"""Shortest wait; what is left of the time to be on time may be next to
+nothing."""
 
 BEGUN_WAIT_S = 2.0
 """Longest wait of a stream that was cut; callers give it up then."""
@@ -35,12 +41,17 @@
 """Time after which a refused caller is asked back, a little more than half
 of a repair. Callers wait up to a third of the time that they have left."""
 
+LONGEST_RETRY_AFTER_S = 4.0
+"""Longest time after which a caller is asked back when places are short."""
+
+SPREAD = 0.25
+"""Part of this time by which it differs between callers, so that those who
+were refused together do not come back together."""
 
 START_RETRY_AFTER_S = 1.5
 """Time after which a caller is asked back that came to a node without a
 configuration: all nodes have just started, or the store is away as well, and
-groups serve a second after that. In 2.5 s in which 232 nodes waited for the
-store, callers that were asked back after 0.5 s got 3,459 refusals."""
+groups serve a second after that."""
 
 
 class Patience(NamedTuple):
@@ -55,30 +66,68 @@
     retry_after_s: float
 
 
-def decide_patience(
-    *,
-    limit_s: float,
-    target_s: float,
-    has_endpoints: bool,
-    is_forming: bool,
-    standing: Standing = Standing.ON_TIME,
-) -> Patience:
-    """Return how long a request without a place waits.
+class Prospect(NamedTuple):
+    """What a request without a place can expect.
 
-    Args:
-      limit_s: time until the request must have its answer.
-      target_s: time to the first event that counts as on time.
+    Attributes:
       has_endpoints: whether any endpoint serves what is asked for.
       is_forming: whether one is about to.
-      standing: how the request stands; a late one waits for a group that is
-        less than half full.
+      short_s: for how long places have been short, in seconds.
+    """
+
+    has_endpoints: bool
+    is_forming: bool
+    short_s: float = 0.0
+
+
+class Wait(NamedTuple):
+    """A request that has no place.
+
+    Attributes:
+      standing: how it stands.
+      limit_s: time until it must have its answer, in seconds.
+      on_time_s: time for which it can wait and still be on time.
+      gives_up_s: time after which its caller gives up, if it has no event.
+      has_come_back: whether its caller was refused before.
+    """
+
+    standing: Standing
+    limit_s: float
+    on_time_s: float
+    gives_up_s: float
+    has_come_back: bool = False
+
+
+def find_give_up(target_s: float, pause_s: float) -> float:
+    """Return when a caller gives up a stream without an event, in seconds.
+
+    Args:
+      target_s: time to the first event that counts as on time.
+      pause_s: longest pause between two events that counts as on time.
+    """
+    return max(GIVE_UP_S, GIVE_UP_TARGETS * target_s, GIVE_UP_PAUSES * pause_s)
+
+
+def decide_patience(wait: Wait, prospect: Prospect, draw: float) -> Patience:
+    """Return how long a request without a place waits.
+
+    Args:
+      wait: the request.
+      prospect: what it can expect.
+      draw: random number from 0 to 1.
     """
-    if not has_endpoints and not is_forming:
+    if not prospect.has_endpoints and not prospect.is_forming:
         return Patience(0.0, REPAIR_S)
-    if standing is Standing.BEGUN:
-        return Patience(min(BEGUN_WAIT_S, limit_s), RETRY_AFTER_S)
-    if standing is Standing.LATE:
-        return Patience(LATE_WAIT_PART * limit_s, RETRY_AFTER_S)
-    longest = LONGEST_WAIT_PART * limit_s
-    wait_s = FULL_WAIT_PART * target_s if has_endpoints else REPAIR_S
-    return Patience(min(wait_s, longest), RETRY_AFTER_S)
+    if wait.standing is Standing.BEGUN:
+        return Patience(min(BEGUN_WAIT_S, wait.limit_s), RETRY_AFTER_S)
+    longest_s = max(0.0, min(LATE_WAIT_PART * wait.limit_s, wait.gives_up_s))
+    if wait.standing is Standing.ON_TIME:
+        wait_s = REPAIR_S
+        if prospect.has_endpoints:
+            wait_s = max(LEAST_WAIT_S, wait.on_time_s)
+        return Patience(min(wait_s, longest_s), RETRY_AFTER_S)
+    if prospect.short_s < REPAIR_S or wait.has_come_back:
+        return Patience(longest_s, RETRY_AFTER_S)
+    spread = 1.0 + SPREAD * (2.0 * draw - 1.0)
+    retry_after_s = min(LONGEST_RETRY_AFTER_S, prospect.short_s)
+    return Patience(0.0, spread * retry_after_s)
--- a/chervilrock/edges/serving/exchange.py
+++ b/chervilrock/edges/serving/exchange.py
@@ -1,6 +1,7 @@
 """One request of a caller, from its route to the last byte of its answer."""
 
 import asyncio
+from collections.abc import Sequence
 from typing import Any, NamedTuple
 
 from chervilrock.clients.curlpool import CurlPool
@@ -25,11 +26,16 @@
     choose_service,
     Denial,
 )
+from chervilrock.decisions.serving.site import RouteKind
 from chervilrock.decisions.serving.suspects import Suspect
 from chervilrock.decisions.serving.view import GroupEndpoint, ServerEndpoint
 from chervilrock.decisions.serving.waiting import (
     decide_patience,
+    find_give_up,
+    LINK_S,
+    Prospect,
     START_RETRY_AFTER_S,
+    Wait,
 )
 from chervilrock.edges.heads import Head
 from chervilrock.edges.relay import (
@@ -111,10 +117,11 @@
         self._transfer: Transfer | None = None
         self._interrupted: asyncio.Future[SendEnd] | None = None
         self._has_left = False
+        self._sent_at = request.arrived
         self._first_event: float | None = None
         self._waited_s = 0.0
         self._waited_before_s = 0.0
-        self._takes_any_place = False
+        self._is_waiting = False
         self._check = SuspectCheck(
             state=context.state,
             suspicion=context.suspicion,
@@ -210,6 +217,7 @@
             has_begun=self._connection.has_begun,
             waited_s=self._waited_before_s + now - self._request.arrived,
             target_s=admission.route.target_s,
+            first_event_s=self._expect_first_event(admission),
         )
 
     async def _serve(self, admission: Admission) -> None:
@@ -292,38 +300,87 @@
 
     async def _find_place(self, admission: Admission) -> bool:
         """Get a place at an endpoint; else the caller has its answer."""
-        if self._try_place():
-            return self._may_send()
-        now = read_clock()
-        standing = self._judge_standing(admission, now)
-        endpoints, is_forming = self._list_endpoints()
-        patience = decide_patience(
-            limit_s=self._expires - now,
-            target_s=admission.route.target_s,
-            has_endpoints=bool(endpoints),
-            is_forming=is_forming,
-            standing=standing,
-        )
-        if patience.wait_s > 0:
-            is_placed = await self._context.room.wait(
-                self._try_place,
-                rank=(admission.priority, int(standing)),
-                until=now + patience.wait_s,
+        while not self._try_place():
+            now = read_clock()
+            standing = self._judge_standing(admission, now)
+            prospect = self._find_prospect(now)
+            patience = decide_patience(
+                self._describe_wait(admission, standing, now),
+                prospect,
+                self._state.generator.random(),
             )
-            self._waited_s += read_clock() - now
+            if patience.wait_s <= 0:
+                self._refuse_full(prospect, patience.retry_after_s)
+                return False
+            await self._wait(admission, standing, now + patience.wait_s)
             if self._has_left:
                 self._log_end("left", 0)
                 return False
-            # One that is late and has waited long may fill a group up.
-            self._takes_any_place = True
-            if is_placed or self._try_place():
-                return self._may_send()
-        reason = "all are full" if endpoints else "nothing serves it"
+            if self._place is not None or self._try_place():
+                break
+            if standing is not Standing.ON_TIME:
+                self._refuse_full(prospect, patience.retry_after_s)
+                return False
+            self._state.shortages.note_missed(
+                self._request.facts.model, read_clock()
+            )
+        return self._may_send()
+
+    async def _wait(
+        self, admission: Admission, standing: Standing, until: float
+    ) -> None:
+        """Wait for a place; of those that can be on time the newest goes first.
+
+        While more come than can be served, it is the one that is surest to be
+        on time. Late ones go in the order of their arrival.
+        """
+        self._is_waiting = True
+        now = read_clock()
+        arrived = self._request.arrived
+        turn = -arrived if standing is Standing.ON_TIME else arrived
+        await self._context.room.wait(
+            self._try_place,
+            rank=(admission.priority, int(standing), turn),
+            until=until,
+        )
+        self._waited_s += read_clock() - now
+
+    def _describe_wait(
+        self, admission: Admission, standing: Standing, now: float
+    ) -> Wait:
+        """Return what is known of the request while it has no place."""
+        route = admission.route
+        waited_s = now - self._request.arrived
+        first_s = self._expect_first_event(admission)
+        gives_up_s = self._expires - now
+        if route.kind is RouteKind.STREAM:
+            gives_up_s = find_give_up(route.target_s, route.longest_pause_s)
+            gives_up_s -= waited_s + first_s + LINK_S
+        return Wait(
+            standing=standing,
+            limit_s=self._expires - now,
+            on_time_s=route.target_s
+            - first_s
+            - waited_s
+            - self._waited_before_s,
+            gives_up_s=gives_up_s,
+            has_come_back=self._waited_before_s > 0,
+        )
+
+    def _expect_first_event(self, admission: Admission) -> float:
+        """Return how long the first event will take after a send."""
+        return self._state.first_events.expect(
+            self._request.facts.model, admission.route.target_s
+        )
+
+    def _refuse_full(self, prospect: Prospect, retry_after_s: float) -> None:
+        """Tell the caller that there is no place."""
+        is_full = prospect.has_endpoints
+        reason = "all are full" if is_full else "nothing serves it"
         if self._progress.may_have_run:
             self._end(BAD_GATEWAY, reason)
         else:
-            self._refuse_for_now(reason, patience.retry_after_s)
-        return False
+            self._refuse_for_now(reason, retry_after_s)
 
     def _may_send(self) -> bool:
         """Tell whether servers may get it; else the caller has its answer."""
@@ -334,14 +391,18 @@
         self._turn_away(suspect)
         return False
 
-    def _list_endpoints(self) -> tuple[int, bool]:
-        """Return how many endpoints serve it, and whether one forms."""
+    def _find_prospect(self, now: float) -> Prospect:
+        """Return what the request can expect that has no place."""
         model = self._request.facts.model
         state = self._state
-        is_forming = state.is_forming(model)
+        endpoints: Sequence[Endpoint] = state.list_groups(self._service, model)
         if state.find_engine(self._service) is None:
-            return len(state.list_servers(self._service)), is_forming
-        return len(state.list_groups(self._service, model)), is_forming
+            endpoints = state.list_servers(self._service)
+        return Prospect(
+            has_endpoints=bool(endpoints),
+            is_forming=state.is_forming(model),
+            short_s=state.shortages.find_duration(model, now),
+        )
 
     def _try_place(self) -> bool:
         """Take a place if one is free; a caller that left takes none.
@@ -372,13 +433,14 @@
 
     def _find_bound(self, now: float) -> Bound:
         """Return how full a group may be that gets the request."""
-        if self._admission is None or self._takes_any_place:
+        if self._admission is None:
             return GROUP_BOUND
+        model = self._request.facts.model
         return find_group_bound(
             self._judge_standing(self._admission, now),
             self._state.count_nodes(),
-            waited_part=(now - self._request.arrived)
-            / max(LEAST_REMAINING_S, self._expires - self._request.arrived),
+            waited_s=now - self._request.arrived if self._is_waiting else 0.0,
+            is_short=self._state.shortages.is_short(model, now),
         )
 
     def _has_other_place(self, now: float) -> bool:
@@ -411,6 +473,7 @@
             return SendEnd.NOT_RUN, 0
         now = read_clock()
         endpoint = place.endpoint
+        self._sent_at = now
         self._log_send(admission, place, now)
         receiver = AnswerReceiver(
             request_id=self.request_id,
@@ -497,10 +560,16 @@
         )
 
     def _find_urgency(self, admission: Admission) -> int:
-        """Return the rank for the engine; streams that were cut go first."""
-        if self._connection.has_begun:
+        """Return the rank for the engine.
+
+        Streams that were cut go first, and of requests of the same priority
+        those that can be on time.
+        """
+        standing = self._judge_standing(admission, read_clock())
+        if standing is Standing.BEGUN:
             return 0
-        return min(LEAST_URGENT, 1 + admission.priority)
+        is_late = standing is Standing.LATE
+        return min(LEAST_URGENT, 1 + 2 * admission.priority + is_late)
 
     def _note_progress(self, endpoint: Endpoint) -> None:
         if isinstance(endpoint, GroupEndpoint):
@@ -510,6 +579,9 @@
         """Pass whole events on to the caller."""
         if self._first_event is None:
             self._first_event = read_clock()
+            self._state.first_events.note(
+                self._request.facts.model, self._first_event - self._sent_at
+            )
         if self._connection.has_begun:
             self._connection.write(events)
         else:
--- a/chervilrock/tasks/serving/leading.py
+++ b/chervilrock/tasks/serving/leading.py
@@ -90,6 +90,7 @@
         self._peers = Peers(send=outbound.announce)
         self._summary = Summary()
         self._loads: dict[str, int] = {}
+        self._senders = 0
         self._sequence = 0
         self._nodes_sequence = 0
         self._has_servers = False
@@ -256,7 +257,8 @@
         for server, count in state.own_loads.items():
             loads[server] = loads.get(server, 0) + count
         self._loads = loads
-        state.take_loads(loads, state.own_loads)
+        self._senders = summary.senders + bool(state.own_loads)
+        state.take_loads(loads, state.own_loads, senders=self._senders, now=now)
         state.has_traffic = state.has_traffic or summary.has_traffic
         if state.has_traffic:
             self._controller.note_traffic()
@@ -363,6 +365,7 @@
             is_relay=False,
             store_returns=self._store.returns,
             suspects_sequence=state.suspects.version[1],
+            senders=self._senders,
         )
         return News(
             base=base,
--- a/chervilrock/tasks/serving/node.py
+++ b/chervilrock/tasks/serving/node.py
@@ -595,7 +595,12 @@
         counted = self._told_loads.find_counted(
             announcement.term, announcement.loads_lag
         )
-        state.take_loads(announcement.loads, counted)
+        state.take_loads(
+            announcement.loads,
+            counted,
+            senders=announcement.senders,
+            now=now,
+        )
         state.has_traffic = state.has_traffic or announcement.has_traffic
         view = announcement.view
         if view is not None and view.version > state.view.version:
--- a/chervilrock/tasks/serving/room.py
+++ b/chervilrock/tasks/serving/room.py
@@ -13,7 +13,7 @@
 class _Waiter:
     """A request that waits."""
 
-    def __init__(self, *, order: tuple[int, ...], attempt: Try) -> None:
+    def __init__(self, *, order: tuple[float, ...], attempt: Try) -> None:
         self.order = order
         self.attempt = attempt
         self.place: asyncio.Future[bool] = (
@@ -33,7 +33,7 @@
         return len(self._waiters)
 
     async def wait(
-        self, attempt: Try, *, rank: tuple[int, ...], until: float
+        self, attempt: Try, *, rank: tuple[float, ...], until: float
     ) -> bool:
         """Wait for a place; tell whether one was taken in time.
 
--- a/chervilrock/tasks/serving/state.py
+++ b/chervilrock/tasks/serving/state.py
@@ -9,10 +9,13 @@
 
 from chervilrock.decisions.serving import placement
 from chervilrock.decisions.serving.activenodes import ActiveNodes
+from chervilrock.decisions.serving.firstevents import FirstEvents
 from chervilrock.decisions.serving.lateness import UsualLimits
 from chervilrock.decisions.serving.placement import Bound, Choice, Load
 from chervilrock.decisions.serving.repeats import RepeatBudget
 from chervilrock.decisions.serving.routes import RouteTable
+from chervilrock.decisions.serving.shares import SlotShares
+from chervilrock.decisions.serving.shortage import Shortages
 from chervilrock.decisions.serving.silence import GroupWatch
 from chervilrock.decisions.serving.site import EngineProfile
 from chervilrock.decisions.serving.suspects import SuspectTable
@@ -52,6 +55,8 @@
       is_stopping: whether the node is about to stop.
       has_traffic: whether a request of a caller came to any node.
       usual_limits: time limits of the callers of each route.
+      first_events: how long the first event of each model takes.
+      shortages: models whose requests find no place here.
       watches: progress of the streams of this node at each group.
       suspects: requests under which servers have ended.
     """
@@ -80,7 +85,10 @@
         self._other_loads: Mapping[str, int] = {}
         self._doubts: dict[str, float] = {}
         self._active_nodes = ActiveNodes()
+        self._shares = SlotShares(generator=generator)
         self.usual_limits = UsualLimits()
+        self.first_events = FirstEvents()
+        self.shortages = Shortages()
         self.watches: dict[str, GroupWatch] = {}
         self.suspects = SuspectTable()
 
@@ -148,7 +156,7 @@
         slots = 1 if engine is None else engine.slots
         return placement.choose(
             self.list_groups(service, model),
-            lambda one: self._find_load(one.server, one.group, slots, now),
+            lambda one: self._find_group_load(one, slots, now),
             data_centre=self.own.data_centre,
             avoided=avoided,
             bound=bound,
@@ -224,14 +232,22 @@
         return self._own_loads
 
     def take_loads(
-        self, total: Mapping[str, int], own: Mapping[str, int]
+        self,
+        total: Mapping[str, int],
+        own: Mapping[str, int],
+        *,
+        senders: int,
+        now: float,
     ) -> None:
         """Take the requests of all nodes at each endpoint.
 
         Args:
           total: the requests.
           own: those of this node that are counted in them.
+          senders: nodes whose requests are counted in them.
+          now: present time.
         """
+        self._shares.note_sums(total, own, senders, now)
         self._other_loads = {
             server: max(0, count - own.get(server, 0))
             for server, count in total.items()
@@ -274,6 +290,14 @@
         )
         return sorted({one.callers_address for one in chosen})
 
+    def _find_group_load(
+        self, group: GroupEndpoint, slots: int, now: float
+    ) -> Load:
+        """Return the requests at a group, and how many this node may have."""
+        load = self._find_load(group.server, group.group, slots, now)
+        limit = self._shares.find_limit(group.server, slots, now)
+        return load._replace(own_limit=limit)
+
     def _find_load(
         self, server: str, endpoint: str, slots: int, now: float
     ) -> Load:
--- a/test/decisions/serving/test_decisions.py
+++ b/test/decisions/serving/test_decisions.py
@@ -15,6 +15,7 @@
     Progress,
     SendEnd,
 )
+from chervilrock.decisions.serving.lateness import Standing
 from chervilrock.decisions.serving.leadership import (
     Claim,
     find_interval,
@@ -45,7 +46,12 @@
 )
 from chervilrock.decisions.serving.streams import EventSplitter
 from chervilrock.decisions.serving.view import LeaderEntry
-from chervilrock.decisions.serving.waiting import decide_patience, REPAIR_S
+from chervilrock.decisions.serving.waiting import (
+    decide_patience,
+    Prospect,
+    REPAIR_S,
+    Wait,
+)
 from test.decisions.serving.fleet import ENGINE, LARGE, SMALL
 
 LIMITS = SilenceLimits(between_s=0.2, first_s=0.35)
@@ -399,12 +405,9 @@
 def test_a_request_waits_only_for_a_place_that_may_come(
     has_endpoints: bool, is_forming: bool, shortest: float, longest: float
 ) -> None:
-    patience = decide_patience(
-        limit_s=6.0,
-        target_s=0.5,
-        has_endpoints=has_endpoints,
-        is_forming=is_forming,
-    )
+    wait = Wait(Standing.ON_TIME, limit_s=6.0, on_time_s=0.25, gives_up_s=1.8)
+    prospect = Prospect(has_endpoints=has_endpoints, is_forming=is_forming)
+    patience = decide_patience(wait, prospect, draw=0.5)
     assert_that(patience.wait_s >= shortest, Is(True))
     assert_that(patience.wait_s <= longest, Is(True))
     assert_that(patience.retry_after_s, GreaterThan(0.0))
--- a/test/decisions/serving/test_lateness.py
+++ b/test/decisions/serving/test_lateness.py
@@ -4,7 +4,7 @@
 
 import pytest
 from testtools.assertions import assert_that
-from testtools.matchers import Equals, GreaterThan, Is
+from testtools.matchers import Equals, Is
 
 from chervilrock.decisions.serving.lateness import (
     judge_standing,
@@ -15,10 +15,9 @@
     BEGUN_BOUND,
     find_group_bound,
     GROUP_BOUND,
-    LATE_PATIENCE_PART,
+    LATE_PATIENCE_S,
     Load,
 )
-from chervilrock.decisions.serving.waiting import decide_patience
 
 LIMIT_S = 6.0
 
@@ -88,37 +87,27 @@
 def test_a_late_request_takes_any_place_after_a_while() -> None:
     filled = Load(own=0, others=8, slots=9, is_doubtful=False)
     early = find_group_bound(Standing.LATE, nodes=7)
-    later = find_group_bound(
-        Standing.LATE, nodes=7, waited_part=LATE_PATIENCE_PART
-    )
+    later = find_group_bound(Standing.LATE, nodes=7, waited_s=LATE_PATIENCE_S)
     assert_that(early.allows(filled), Is(False))
     assert_that(later.allows(filled), Is(True))
 
 
-def test_a_late_request_waits_longer_than_a_new_one() -> None:
-    def find_wait(standing: Standing) -> float:
-        return decide_patience(
-            limit_s=4.0,
-            target_s=0.3,
-            has_endpoints=True,
-            is_forming=False,
-            standing=standing,
-        ).wait_s
-
-    late = find_wait(Standing.LATE)
-    assert_that(late, GreaterThan(find_wait(Standing.ON_TIME)))
-    assert_that(find_wait(Standing.BEGUN), GreaterThan(1.0))
+def test_no_late_request_takes_a_place_that_one_on_time_lacks() -> None:
+    filled = Load(own=0, others=8, slots=9, is_doubtful=False)
+    bound = find_group_bound(
+        Standing.LATE, nodes=7, waited_s=5.0, is_short=True
+    )
+    assert_that(bound.allows(filled), Is(False))
 
 
-def test_nothing_waits_for_a_model_that_no_group_will_serve() -> None:
-    waits = [
-        decide_patience(
-            limit_s=4.0,
+def test_a_request_is_late_when_its_first_event_cannot_be_in_time() -> None:
+    def judge(first_event_s: float) -> Standing:
+        return judge_standing(
+            has_begun=False,
+            waited_s=0.1,
             target_s=0.3,
-            has_endpoints=False,
-            is_forming=False,
-            standing=standing,
-        ).wait_s
-        for standing in Standing
-    ]
-    assert_that(waits, Equals([0.0, 0.0, 0.0]))
+            first_event_s=first_event_s,
+        )
+
+    assert_that(judge(0.15), Is(Standing.ON_TIME))
+    assert_that(judge(0.25), Is(Standing.LATE))
--- /dev/null
+++ b/test/decisions/serving/test_waiting.py
@@ -0,0 +1,85 @@
+"""How long requests without a place wait, and when callers come back."""
+
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, GreaterThan, LessThan
+
+from chervilrock.decisions.serving.lateness import Standing
+from chervilrock.decisions.serving.waiting import (
+    decide_patience,
+    find_give_up,
+    LONGEST_RETRY_AFTER_S,
+    Patience,
+    Prospect,
+    REPAIR_S,
+    SPREAD,
+    Wait,
+)
+
+FULL = Prospect(has_endpoints=True, is_forming=False)
+SHORT = FULL._replace(short_s=2.0 * REPAIR_S)
+NEW = Wait(Standing.ON_TIME, limit_s=4.0, on_time_s=0.15, gives_up_s=1.7)
+LATE = NEW._replace(standing=Standing.LATE, on_time_s=-0.1)
+
+
+def decide(wait: Wait, prospect: Prospect, draw: float = 0.5) -> Patience:
+    return decide_patience(wait, prospect, draw)
+
+
+def test_a_new_request_waits_while_it_can_be_on_time() -> None:
+    assert_that(decide(NEW, FULL).wait_s, Equals(NEW.on_time_s))
+
+
+def test_a_late_request_waits_longer_than_a_new_one() -> None:
+    late = decide(LATE, FULL).wait_s
+    assert_that(late, GreaterThan(decide(NEW, FULL).wait_s))
+    begun = decide(NEW._replace(standing=Standing.BEGUN), FULL)
+    assert_that(begun.wait_s, GreaterThan(1.0))
+
+
+@pytest.mark.parametrize("standing", Standing)
+def test_nothing_waits_for_a_model_that_no_group_will_serve(standing) -> None:
+    nothing = Prospect(has_endpoints=False, is_forming=False)
+    wait = NEW._replace(standing=standing)
+    assert_that(decide(wait, nothing).wait_s, Equals(0.0))
+
+
+def test_no_request_waits_longer_than_its_caller() -> None:
+    # Callers leave two seconds after they came when they have no event by then.
+    left = LATE._replace(limit_s=60.0)
+    assert_that(decide(left, FULL).wait_s, Equals(left.gives_up_s))
+    gone = LATE._replace(gives_up_s=-0.2)
+    assert_that(decide(gone, FULL).wait_s, Equals(0.0))
+
+
+def test_a_caller_is_told_at_once_when_places_are_short_for_long() -> None:
+    told = decide(LATE, SHORT)
+    assert_that(told.wait_s, Equals(0.0))
+    assert_that(told.retry_after_s, Equals(SHORT.short_s))
+
+
+def test_one_who_came_back_waits_all_the_same() -> None:
+    back = LATE._replace(has_come_back=True)
+    assert_that(decide(back, SHORT).wait_s, Equals(LATE.gives_up_s))
+
+
+def test_callers_who_were_refused_together_do_not_return_together() -> None:
+    long_short = SHORT._replace(short_s=100.0)
+    times = [
+        decide(LATE, long_short, draw).retry_after_s for draw in (0.0, 0.5, 1.0)
+    ]
+    assert_that(times[1], Equals(LONGEST_RETRY_AFTER_S))
+    assert_that(times[0], LessThan(times[1]))
+    assert_that(
+        times[2] - times[0], Equals(2.0 * SPREAD * LONGEST_RETRY_AFTER_S)
+    )
+
+
+@pytest.mark.parametrize(
+    ("target_s", "pause_s", "give_up_s"),
+    [(0.3, 0.2, 2.0), (0.8, 0.2, 3.2), (0.3, 0.5, 4.0), (0.3, 0.0, 2.0)],
+)
+def test_callers_give_up_after_the_longest_of_three(
+    target_s: float, pause_s: float, give_up_s: float
+) -> None:
+    assert_that(find_give_up(target_s, pause_s), Equals(give_up_s))
--- a/test/tasks/stale_loads.py
+++ b/test/tasks/stale_loads.py
@@ -10,7 +10,11 @@
 from typing import NamedTuple
 
 from chervilrock.decisions.serving.activenodes import ActiveNodes
-from chervilrock.decisions.serving.placement import GROUP_BOUND
+from chervilrock.decisions.serving.placement import (
+    Bound,
+    GROUP_BOUND,
+    WAITING_BOUND,
+)
 from chervilrock.decisions.serving.routes import RouteTable
 from chervilrock.decisions.serving.site import (
     EngineProfile,
@@ -85,11 +89,14 @@
       overfull: part of them that was sent to a group without a free slot.
       fullest: greatest number of requests at a group.
       batch: mean number of requests at the group that gets one.
+      held: part of them that waited at their node, as its share of the free
+        slots was used up.
     """
 
     overfull: float
     fullest: int
     batch: float
+    held: float
 
 
 def make_fleet(load: Load) -> list[NodeEntry]:
@@ -132,6 +139,7 @@
         self._states = [self._make_state(one, view) for one in nodes]
         self._told = [ToldLoads() for _ in nodes]
         self._running = {one.server: 0 for one in view.groups}
+        self._held: list[int] = []
         self._ends: list[tuple[float, str, int]] = []
         self._sums: list[dict[str, int]] = [{}] * load.lag
 
@@ -144,20 +152,39 @@
             answers, which the sums do not have.
         """
         now = news = 0.0
-        asked = overfull = fullest = batch = 0
+        asked = overfull = fullest = batch = held = 0
         while now < seconds:
             now += self._generator.expovariate(self._load.per_s)
             if now >= news:
                 news += self._load.pause_s
-                self._tell(counts_sent=counts_sent)
+                self._tell(now, counts_sent=counts_sent)
             self._end(now)
-            running = self._place(now)
+            placed = self._retry(now)
+            number = self._generator.randrange(len(self._states))
+            running = self._place(number, now, GROUP_BOUND)
+            if running is None:
+                self._held.append(number)
+            else:
+                placed.append(running)
             if now > seconds / 2:
-                asked += 1
-                overfull += running > SLOTS
-                fullest = max(fullest, running)
-                batch += running
-        return Outcome(overfull / asked, fullest, batch / asked)
+                asked += len(placed)
+                held += running is None
+                overfull += sum(one > SLOTS for one in placed)
+                fullest = max(fullest, *placed, 0)
+                batch += sum(placed)
+        return Outcome(overfull / asked, fullest, batch / asked, held / asked)
+
+    def _retry(self, now: float) -> list[int]:
+        """Send the requests that waited, in their order, as far as they fit."""
+        placed = []
+        waiting, self._held = self._held, []
+        for number in waiting:
+            running = self._place(number, now, WAITING_BOUND)
+            if running is None:
+                self._held.append(number)
+            else:
+                placed.append(running)
+        return placed
 
     def _make_state(self, own: NodeEntry, view: ServingView) -> ServingState:
         state = ServingState(
@@ -169,14 +196,16 @@
         state.routes = _ROUTES
         return state
 
-    def _tell(self, *, counts_sent: bool) -> None:
+    def _tell(self, now: float, *, counts_sent: bool) -> None:
         """Let the leader add up and tell all nodes."""
         lag = self._load.lag
         for state, told in zip(self._states, self._told, strict=True):
             own = state.own_loads
             if counts_sent:
                 own = told.find_counted(TERM, lag)
-            state.take_loads(self._sums[0], own)
+            state.take_loads(
+                self._sums[0], own, senders=len(self._states), now=now
+            )
             told.note(TERM, state.own_loads)
         total: dict[str, int] = {}
         for state in self._states:
@@ -184,14 +213,12 @@
                 total[server] = total.get(server, 0) + count
         self._sums = [*self._sums[1:], total]
 
-    def _place(self, now: float) -> int:
-        """Send a request; return how many then run in its group."""
-        number = self._generator.randrange(len(self._states))
+    def _place(self, number: int, now: float, bound: Bound) -> int | None:
+        """Send a request of a node; return how many then run in its group."""
         state = self._states[number]
-        choice = state.choose_group(
-            SERVICE, MODEL, frozenset(), GROUP_BOUND, now
-        )
-        assert choice is not None
+        choice = state.choose_group(SERVICE, MODEL, frozenset(), bound, now)
+        if choice is None:
+            return None
         server = choice.endpoint.server
         state.note_sent(server)
         self._running[server] += 1
--- a/test/tasks/test_stale_loads.py
+++ b/test/tasks/test_stale_loads.py
@@ -5,6 +5,7 @@
 from testtools.matchers import GreaterThan, LessThan
 
 from chervilrock.decisions.serving import placement
+from chervilrock.decisions.serving.shares import NO_LIMIT, SlotShares
 from test.tasks.stale_loads import choose_few, Load, make_fleet, Replay
 
 PLAY_S = 20.0
@@ -24,20 +25,38 @@
 
 
 def test_few_nodes_with_fresh_news_seldom_fill_a_group_up() -> None:
-    assert_that(replay(NEWS).overfull, LessThan(AIM))
+    outcome = replay(NEWS)
+    assert_that(outcome.overfull, LessThan(AIM))
+    assert_that(outcome.held, LessThan(AIM))
 
 
-def test_requests_spread_over_all_nodes_fill_groups_up() -> None:
+@pytest.fixture
+def without_shares(monkeypatch) -> None:
+    """Nodes that keep to no share of the free slots."""
+    monkeypatch.setattr(SlotShares, "find_limit", lambda *_: NO_LIMIT)
+
+
+def test_nodes_without_shares_fill_groups_up(without_shares) -> None:
+    assert_that(replay(NEWS).overfull, GreaterThan(AIM))
+
+
+def test_requests_spread_over_all_nodes_fill_groups_up(
+    without_shares,
+) -> None:
     everywhere = replay(NEWS, is_few=False)
     assert_that(everywhere.overfull, GreaterThan(AIM))
 
 
-def test_news_as_seldom_as_to_each_of_all_nodes_fill_groups_up() -> None:
+def test_news_as_seldom_as_to_each_of_all_nodes_fill_groups_up(
+    without_shares,
+) -> None:
     seldom = replay(NEWS._replace(pause_s=0.25))
     assert_that(seldom.overfull, GreaterThan(AIM))
 
 
-def test_nodes_that_forget_what_they_just_sent_fill_groups_up() -> None:
+def test_nodes_that_forget_what_they_just_sent_fill_groups_up(
+    without_shares,
+) -> None:
     forgetful = replay(NEWS, counts_sent=False)
     assert_that(forgetful.overfull, GreaterThan(AIM))
 
@@ -55,9 +74,10 @@
 def test_comparing_many_groups_by_old_news_fills_some_up(
     monkeypatch, load
 ) -> None:
+    assert_that(replay(load).overfull, LessThan(AIM))
+    monkeypatch.setattr(SlotShares, "find_limit", lambda *_: NO_LIMIT)
     few = replay(load)
     monkeypatch.setattr(placement, "NEAR_SAMPLE", 3)
     monkeypatch.setattr(placement, "FAR_SAMPLE", 3)
     many = replay(load)
-    assert_that(few.overfull, LessThan(AIM))
     assert_that(many.overfull, GreaterThan(2 * few.overfull))
