Tell callers at once that places are short, also when they came back

A late request gets a place only when none on time lacks one, so that nothing is known better by waiting; a caller can use the answer at once.

--- a/chervilrock/decisions/serving/waiting.py
+++ b/chervilrock/decisions/serving/waiting.py
@@ -5,7 +5,7 @@
 last seconds. A request waits while it can be on time. After that it waits as a
 late one, for places that nobody needs who can be on time, until its caller
 would give up; but when places have been short for longer than a repair takes,
-a caller who has just come is better told at once, and asked back later.
+callers are better told at once, and asked back later.
 """
 
 from typing import NamedTuple
@@ -88,14 +88,12 @@
       limit_s: time until it must have its answer, in seconds.
       on_time_s: time for which it can wait and still be on time.
       gives_up_s: time after which its caller gives up, if it has no event.
-      has_come_back: whether its caller was refused before.
     """
 
     standing: Standing
     limit_s: float
     on_time_s: float
     gives_up_s: float
-    has_come_back: bool = False
 
 
 def find_give_up(target_s: float, pause_s: float) -> float:
@@ -126,7 +124,7 @@
         if prospect.has_endpoints:
             wait_s = max(LEAST_WAIT_S, wait.on_time_s)
         return Patience(min(wait_s, longest_s), RETRY_AFTER_S)
-    if prospect.short_s < REPAIR_S or wait.has_come_back:
+    if prospect.short_s < REPAIR_S:
         return Patience(longest_s, RETRY_AFTER_S)
     spread = 1.0 + SPREAD * (2.0 * draw - 1.0)
     retry_after_s = min(LONGEST_RETRY_AFTER_S, prospect.short_s)
--- a/chervilrock/edges/serving/exchange.py
+++ b/chervilrock/edges/serving/exchange.py
@@ -364,7 +364,6 @@
             - waited_s
             - self._waited_before_s,
             gives_up_s=gives_up_s,
-            has_come_back=self._waited_before_s > 0,
         )
 
     def _expect_first_event(self, admission: Admission) -> float:
