Give the search for a place a module of its own

Nothing is decided otherwise, but for one constant: a shortage is over 0.5 s after the last missed request instead of 1.0 s.

--- a/chervilrock/decisions/serving/paces.py
+++ b/chervilrock/decisions/serving/paces.py
@@ -58,8 +58,8 @@
 
 CALM_PAUSE_S = 1.0
 """Pause after a read of nodes and leaders while the leader is heard, which
-tells the same, and for nodes that claim last or have no configuration: 77 nodes that start within a second would wake each
-other ten times otherwise."""
+tells the same, and for nodes that claim last or have no configuration: many
+nodes that start within a second would wake each other ten times otherwise."""
 
 CALM_RETRY_S = 2.0
 """Longest time between two attempts to reach the store while the leader is
--- a/chervilrock/decisions/serving/shortage.py
+++ b/chervilrock/decisions/serving/shortage.py
@@ -7,7 +7,7 @@
 late request away.
 """
 
-CALM_S = 1.0
+CALM_S = 0.5
 """Time without a missed request after which a shortage is over."""
 
 
--- a/chervilrock/edges/serving/exchange.py
+++ b/chervilrock/edges/serving/exchange.py
@@ -1,7 +1,6 @@
 """One request of a caller, from its route to the last byte of its answer."""
 
 import asyncio
-from collections.abc import Sequence
 from typing import Any, NamedTuple
 
 from chervilrock.clients.curlpool import CurlPool
@@ -12,31 +11,19 @@
     Progress,
     SendEnd,
 )
-from chervilrock.decisions.serving.lateness import judge_standing, Standing
+from chervilrock.decisions.serving.lateness import Standing
 from chervilrock.decisions.serving.messages import (
     Onward,
 )
-from chervilrock.decisions.serving.placement import (
-    Bound,
-    Choice,
-    find_group_bound,
-    GROUP_BOUND,
-)
 from chervilrock.decisions.serving.routes import (
     Admission,
     choose_service,
     Denial,
 )
-from chervilrock.decisions.serving.site import RouteKind
 from chervilrock.decisions.serving.suspects import Suspect
-from chervilrock.decisions.serving.view import GroupEndpoint, ServerEndpoint
+from chervilrock.decisions.serving.view import GroupEndpoint
 from chervilrock.decisions.serving.waiting import (
-    decide_patience,
-    find_give_up,
-    LINK_S,
-    Prospect,
     START_RETRY_AFTER_S,
-    Wait,
 )
 from chervilrock.edges.heads import Head
 from chervilrock.edges.relay import (
@@ -47,6 +34,7 @@
 from chervilrock.edges.serving import exchangelog
 from chervilrock.edges.serving.callerrequest import CallerRequest
 from chervilrock.edges.serving.connection import CallerConnection
+from chervilrock.edges.serving.places import Endpoint, Place, PlaceSearch
 from chervilrock.edges.serving.receiver import AnswerReceiver
 from chervilrock.edges.serving.suspectcheck import SuspectCheck
 from chervilrock.events import emit, Event
@@ -75,8 +63,6 @@
 BAD_GATEWAY = 502
 GATEWAY_TIMEOUT = 504
 
-Endpoint = GroupEndpoint | ServerEndpoint
-
 
 class Context(NamedTuple):
     """What all requests of a node share."""
@@ -111,23 +97,23 @@
         self._expires = request.arrived
         self._last_event = request.facts.last_event
         self._progress = Progress(sends=0, may_have_run=False)
-        self._avoided: set[str] = set()
-        self._place: Choice[GroupEndpoint] | Choice[ServerEndpoint] | None = (
-            None
-        )
         self._transfer: Transfer | None = None
         self._interrupted: asyncio.Future[SendEnd] | None = None
         self._has_left = False
         self._sent_at = request.arrived
         self._first_event: float | None = None
-        self._waited_s = 0.0
-        self._waited_before_s = 0.0
-        self._is_waiting = False
         self._check = SuspectCheck(
             state=context.state,
             suspicion=context.suspicion,
             request=request,
         )
+        self._search = PlaceSearch(
+            state=context.state,
+            room=context.room,
+            request=request,
+            connection=connection,
+            check=self._check,
+        )
         self._admission: Admission | None = None
         self._service = ""
 
@@ -151,17 +137,18 @@
         self._admission = admitted
         self._check.admit(admitted.workspace)
         self._expires = self._find_expiry(admitted)
-        self._waited_before_s = self._estimate_wait(admitted)
         self._service = choose_service(admitted.route, self._state.generator)
+        self._search.admit(admitted, self._service, self._expires)
         self._state.budget(self._service).note_request(self._request.arrived)
         try:
             await self._serve(admitted)
         finally:
-            self._give_place_back()
+            self._search.give_back()
 
     def leave(self) -> None:
         """Stop all work, since the caller has left."""
         self._has_left = True
+        self._search.is_over = True
         self._connection.close()
         self._interrupt(SendEnd.LOST)
 
@@ -178,7 +165,7 @@
         # The send that is under way counts as one of the attempts.
         sends = self._progress.sends + 1
         may_go_on = route.is_resumable and sends < route.max_attempts
-        if not may_go_on or not self._has_other_place(now):
+        if not may_go_on or not self._search.has_other(now):
             return False
         if not self._state.take_repeat(self._service, now):
             return False
@@ -201,26 +188,6 @@
             limit = min(limit, deadline)
         return self._request.arrived + limit
 
-    def _estimate_wait(self, admission: Admission) -> float:
-        """Return how long the caller has waited before it came here."""
-        limit_s = self._request.facts.deadline_s
-        if limit_s is None:
-            return 0.0
-        route = admission.route
-        usual = self._state.usual_limits
-        waited_s = usual.estimate_wait(route.name, limit_s, route.timeout_s)
-        usual.note(route.name, limit_s)
-        return waited_s
-
-    def _judge_standing(self, admission: Admission, now: float) -> Standing:
-        """Return how the request stands."""
-        return judge_standing(
-            has_begun=self._connection.has_begun,
-            waited_s=self._waited_before_s + now - self._request.arrived,
-            target_s=admission.route.target_s,
-            first_event_s=self._expect_first_event(admission),
-        )
-
     async def _serve(self, admission: Admission) -> None:
         """Send the request until it is answered or given up."""
         await self._check.wait_for_verdict(self._expires)
@@ -301,174 +268,32 @@
 
     async def _find_place(self, admission: Admission) -> bool:
         """Get a place at an endpoint; else the caller has its answer."""
-        while not self._try_place():
-            now = read_clock()
-            standing = self._judge_standing(admission, now)
-            prospect = self._find_prospect(now)
-            patience = decide_patience(
-                self._describe_wait(admission, standing, now),
-                prospect,
-                self._state.generator.random(),
-            )
-            if patience.wait_s <= 0:
-                self._refuse_full(prospect, patience.retry_after_s)
-                return False
-            await self._wait(admission, standing, now + patience.wait_s)
-            if self._has_left:
-                self._log_end("left", 0)
-                return False
-            if self._place is not None or self._try_place():
-                break
-            if standing is not Standing.ON_TIME:
-                self._refuse_full(prospect, patience.retry_after_s)
-                return False
-            self._state.shortages.note_missed(
-                self._request.facts.model, read_clock()
-            )
-        return self._may_send()
-
-    async def _wait(
-        self, admission: Admission, standing: Standing, until: float
-    ) -> None:
-        """Wait for a place; of those that can be on time the newest goes first.
-
-        While more come than can be served, it is the one that is surest to be
-        on time. Late ones go in the order of their arrival.
-        """
-        self._is_waiting = True
-        now = read_clock()
-        arrived = self._request.arrived
-        turn = -arrived if standing is Standing.ON_TIME else arrived
-        await self._context.room.wait(
-            self._try_place,
-            rank=(admission.priority, int(standing), turn),
-            until=until,
-        )
-        self._waited_s += read_clock() - now
-
-    def _describe_wait(
-        self, admission: Admission, standing: Standing, now: float
-    ) -> Wait:
-        """Return what is known of the request while it has no place."""
-        route = admission.route
-        waited_s = now - self._request.arrived
-        first_s = self._expect_first_event(admission)
-        gives_up_s = self._expires - now
-        if route.kind is RouteKind.STREAM:
-            gives_up_s = find_give_up(route.target_s, route.longest_pause_s)
-            gives_up_s -= waited_s + first_s + LINK_S
-        return Wait(
-            standing=standing,
-            limit_s=self._expires - now,
-            on_time_s=route.target_s
-            - first_s
-            - waited_s
-            - self._waited_before_s,
-            gives_up_s=gives_up_s,
-        )
-
-    def _expect_first_event(self, admission: Admission) -> float:
-        """Return how long the first event will take after a send."""
-        return self._state.first_events.expect(
-            self._request.facts.model, admission.route.target_s
-        )
-
-    def _refuse_full(self, prospect: Prospect, retry_after_s: float) -> None:
-        """Tell the caller that there is no place."""
-        is_full = prospect.has_endpoints
-        reason = "all are full" if is_full else "nothing serves it"
+        refusal = await self._search.find(admission)
+        if self._has_left:
+            self._log_end("left", 0)
+            return False
+        if refusal is None:
+            return self._may_send()
         if self._progress.may_have_run:
-            self._end(BAD_GATEWAY, reason)
+            self._end(BAD_GATEWAY, refusal.reason)
         else:
-            self._refuse_for_now(reason, retry_after_s)
+            self._refuse_for_now(refusal.reason, refusal.retry_after_s)
+        return False
 
     def _may_send(self) -> bool:
         """Tell whether servers may get it; else the caller has its answer."""
         suspect = self._check.find_withheld()
         if suspect is None:
             return True
-        self._give_place_back()
+        self._search.give_back()
         self._turn_away(suspect)
         return False
 
-    def _find_prospect(self, now: float) -> Prospect:
-        """Return what the request can expect that has no place."""
-        model = self._request.facts.model
-        state = self._state
-        endpoints: Sequence[Endpoint] = state.list_groups(self._service, model)
-        if state.find_engine(self._service) is None:
-            endpoints = state.list_servers(self._service)
-        return Prospect(
-            has_endpoints=bool(endpoints),
-            is_forming=state.is_forming(model),
-            short_s=state.shortages.find_duration(model, now),
-        )
-
-    def _try_place(self) -> bool:
-        """Take a place if one is free; a caller that left takes none.
-
-        Returns:
-          Whether the wait for a place is over.
-        """
-        if self._has_left or self._place is not None:
-            return False
-        if self._check.find_withheld() is not None:
-            return True
-        self._place = self._choose(read_clock())
-        if self._place is None:
-            return False
-        self._state.note_sent(self._place.endpoint.server)
-        return True
-
-    def _choose(
-        self, now: float
-    ) -> Choice[GroupEndpoint] | Choice[ServerEndpoint] | None:
-        state = self._state
-        avoided = frozenset(self._avoided)
-        if state.find_engine(self._service) is None:
-            return state.choose_server(self._service, avoided, now)
-        model = self._request.facts.model
-        bound = self._find_bound(now)
-        return state.choose_group(self._service, model, avoided, bound, now)
-
-    def _find_bound(self, now: float) -> Bound:
-        """Return how full a group may be that gets the request."""
-        if self._admission is None:
-            return GROUP_BOUND
-        model = self._request.facts.model
-        return find_group_bound(
-            self._judge_standing(self._admission, now),
-            self._state.count_nodes(),
-            waited_s=now - self._request.arrived if self._is_waiting else 0.0,
-            is_short=self._state.shortages.is_short(model, now),
-        )
-
-    def _has_other_place(self, now: float) -> bool:
-        if self._place is None:
-            return False
-        avoided = self._avoided | {self._place.endpoint.server}
-        state = self._state
-        choice = state.choose_group(
-            self._service,
-            self._request.facts.model,
-            frozenset(avoided),
-            GROUP_BOUND,
-            now,
-        )
-        return choice is not None and not choice.load.is_doubtful
-
-    def _give_place_back(self) -> None:
-        """Free the place, so that another request may have it."""
-        if self._place is not None:
-            self._state.note_ended(self._place.endpoint.server)
-            self._place = None
-            self._context.room.notify()
-
     # Sends.
 
     async def _send(self, admission: Admission) -> tuple[SendEnd, int]:
         """Send the request to its place; return how that ended."""
-        place = self._place
+        place = self._search.place
         if place is None:
             return SendEnd.NOT_RUN, 0
         now = read_clock()
@@ -486,8 +311,8 @@
             receiver=receiver,
         )
         end = await self._run_transfer(transfer, endpoint, now)
-        self._avoided.add(endpoint.server)
-        self._give_place_back()
+        self._search.avoid()
+        self._search.give_back()
         transfer_end = end if isinstance(end, TransferEnd) else None
         self._check.note_end(receiver, transfer_end, endpoint, sent=now)
         return self._judge(transfer, receiver, end, endpoint)
@@ -565,7 +390,7 @@
         Streams that were cut go first, and of requests of the same priority
         those that can be on time.
         """
-        standing = self._judge_standing(admission, read_clock())
+        standing = self._search.judge_standing(read_clock())
         if standing is Standing.BEGUN:
             return 0
         is_late = standing is Standing.LATE
@@ -684,7 +509,7 @@
     def _log_send(
         self,
         admission: Admission,
-        place: Choice[GroupEndpoint] | Choice[ServerEndpoint],
+        place: Place,
         now: float,
     ) -> None:
         """Log why the request goes where it goes."""
@@ -708,7 +533,7 @@
                     status=status,
                     reason=reason,
                     sends=self._progress.sends,
-                    waited_s=self._waited_s,
+                    waited_s=self._search.waited_s,
                     first_event=self._first_event,
                     state=self._state,
                     now=read_clock(),
--- a/test/tasks/overload.py
+++ b/test/tasks/overload.py
@@ -36,6 +36,7 @@
 from chervilrock.edges.relay import BackendRequest, TransferEnd
 from chervilrock.edges.serving import exchange as exchange_module
 from chervilrock.edges.serving import exchangelog
+from chervilrock.edges.serving import places as places_module
 from chervilrock.edges.serving import receiver as receiver_module
 from chervilrock.edges.serving.callerrequest import CallerRequest
 from chervilrock.edges.serving.exchange import Context, Exchange
@@ -560,7 +561,12 @@
     def read_virtual_clock() -> float:
         return asyncio.get_running_loop().time()
 
-    for module in (exchange_module, receiver_module, room_module):
+    for module in (
+        exchange_module,
+        places_module,
+        receiver_module,
+        room_module,
+    ):
         monkeypatch.setattr(module, "read_clock", read_virtual_clock)
     monkeypatch.setattr(exchange_module, "emit", lambda *_, **__: None)
     monkeypatch.setattr(exchangelog, "emit", lambda *_, **__: None)
--- a/test/tasks/test_resting_nodes.py
+++ b/test/tasks/test_resting_nodes.py
@@ -168,6 +168,7 @@
     async def measure() -> float:
         site = await start(monkeypatch)
         leader = site.find_leader()
+        assert leader is not None
         names = [f"n{number:02}" for number in range(NODES)]
         for address in sorted(site.members):
             site.kill(address)
