Wait for a group that forms, however long places have been short

A caller was told at once to come back also while no group served its model and one was about to open. That a place comes is known then, so the request waits. Full groups are another matter: there the callers are told at once as before.

--- a/chervilrock/decisions/serving/waiting.py
+++ b/chervilrock/decisions/serving/waiting.py
@@ -4,8 +4,8 @@
 groups full, or find none at all for the second that a repair takes; bursts
 last seconds. A request waits while it can be on time. After that it waits as a
 late one, for places that nobody needs who can be on time, until its caller
-would give up; but when places have been short for longer than a repair takes,
-callers are better told at once, and asked back later.
+would give up; but when the groups that there are have been full for longer than
+a repair takes, callers are better told at once, and asked back later.
 """
 
 from typing import NamedTuple
@@ -124,7 +124,8 @@
         if prospect.has_endpoints:
             wait_s = max(LEAST_WAIT_S, wait.on_time_s)
         return Patience(min(wait_s, longest_s), RETRY_AFTER_S)
-    if prospect.short_s < REPAIR_S:
+    is_short = prospect.has_endpoints and prospect.short_s >= REPAIR_S
+    if not is_short:
         return Patience(longest_s, RETRY_AFTER_S)
     spread = 1.0 + SPREAD * (2.0 * draw - 1.0)
     retry_after_s = min(LONGEST_RETRY_AFTER_S, prospect.short_s)
--- a/test/decisions/serving/test_waiting.py
+++ b/test/decisions/serving/test_waiting.py
@@ -58,6 +58,11 @@
     assert_that(told.retry_after_s, Equals(SHORT.short_s))
 
 
+def test_a_request_waits_for_a_group_that_forms_however_long_it_took() -> None:
+    forming = SHORT._replace(has_endpoints=False, is_forming=True)
+    assert_that(decide(LATE, forming).wait_s, Equals(LATE.gives_up_s))
+
+
 def test_callers_who_were_refused_together_do_not_return_together() -> None:
     long_short = SHORT._replace(short_s=100.0)
     times = [
