Log why a repeat was refused and how many are left

The logs told which requests were sent again, but neither what was left of the shared bound at that node, nor among how many nodes it believed to share it, nor that a request was not sent again for this reason. E7402 names both, E7409 and chervilrock_repeats_refused_total tell of refusals, and the dump of the state lists what is left by service. No decision changes.

--- a/chervilrock/catalogue.py
+++ b/chervilrock/catalogue.py
@@ -272,7 +272,8 @@
         7402,
         Level.INFO,
         "request {request_id} is sent again after {sends} sends, behind event "
-        "{after}: {reason}",
+        "{after}: {reason}; {left} more repeats to its service are left here, "
+        "as one of {nodes} nodes",
     )
     REQUEST_ENDED = EventSpec(
         7403,
@@ -311,6 +312,12 @@
         "request {request_id} is withheld with content {content}: servers "
         "{servers} ended under it, as seen by {nodes}",
     )
+    REPEAT_REFUSED = EventSpec(
+        7409,
+        Level.INFO,
+        "request {request_id} is not sent again ({reason}): {left} repeats to "
+        "{service} are left here, as one of {nodes} nodes",
+    )
     EVENT_MALFORMED = EventSpec(
         9001, Level.ERROR, "event {event_name} has wrong fields: {difference}"
     )
--- a/chervilrock/decisions/serving/repeats.py
+++ b/chervilrock/decisions/serving/repeats.py
@@ -7,12 +7,25 @@
 """
 
 from collections import deque
+from typing import NamedTuple
 
 SAFETY = 0.8
 """Part of the bound that is used: requests that a caller gave up before this
 node counted them, and nodes that come up within the window, stay below it."""
 
 
+class BudgetState(NamedTuple):
+    """What a node may still send again to a service.
+
+    Attributes:
+      left: repeats that it may send now, a fraction included.
+      nodes: nodes among which it believes the allowance to be shared.
+    """
+
+    left: float
+    nodes: int
+
+
 class RepeatBudget:
     """Sends of one node to one service in a sliding window."""
 
@@ -42,14 +55,23 @@
           nodes: greatest number of nodes that share the allowance.
           now: present time.
         """
-        self._forget(now)
-        own = self._ratio * len(self._requests)
-        allowed = SAFETY * (own + self._slack / max(1, nodes))
-        if len(self._repeats) + 1 > allowed:
+        if self.describe(nodes, now).left < 1:
             return False
         self._repeats.append(now)
         return True
 
+    def describe(self, nodes: int, now: float) -> BudgetState:
+        """Return what is left.
+
+        Args:
+          nodes: greatest number of nodes that share the allowance.
+          now: present time.
+        """
+        self._forget(now)
+        own = self._ratio * len(self._requests)
+        allowed = SAFETY * (own + self._slack / max(1, nodes))
+        return BudgetState(allowed - len(self._repeats), nodes)
+
     def _forget(self, now: float) -> None:
         for times in (self._requests, self._repeats):
             while times and times[0] < now - self._window_s:
--- a/chervilrock/edges/serving/exchange.py
+++ b/chervilrock/edges/serving/exchange.py
@@ -37,7 +37,6 @@
 from chervilrock.edges.serving.places import Endpoint, Place, PlaceSearch
 from chervilrock.edges.serving.receiver import AnswerReceiver
 from chervilrock.edges.serving.suspectcheck import SuspectCheck
-from chervilrock.events import emit, Event
 from chervilrock.platform import headers as names
 from chervilrock.serving_metrics import ServingMetrics
 from chervilrock.tasks.clock import read_clock
@@ -223,21 +222,28 @@
         if following is Next.REPEAT and (
             is_paid or self._state.take_repeat(self._service, now)
         ):
-            self._note_repeat(end)
+            self._note_repeat(end, now)
             return True
+        if following is Next.REPEAT:
+            self._context.metrics.count_refused_repeat(self._service)
+            exchangelog.log_refused_repeat(self._describe_repeat(end, now))
         self._give_up(end)
         return False
 
-    def _note_repeat(self, end: SendEnd) -> None:
-        emit(
-            Event.REQUEST_SENT_AGAIN,
+    def _note_repeat(self, end: SendEnd, now: float) -> None:
+        exchangelog.log_repeat(self._describe_repeat(end, now))
+        self._context.metrics.count_repeat(end.value)
+        self._answer = None
+
+    def _describe_repeat(self, end: SendEnd, now: float) -> exchangelog.Repeat:
+        return exchangelog.Repeat(
             request_id=self.request_id,
+            service=self._service,
             reason=end.value,
             sends=self._progress.sends,
             after=self._last_event,
+            left=self._state.describe_repeats(self._service, now),
         )
-        self._context.metrics.count_repeat(end.value)
-        self._answer = None
 
     def _give_up(self, end: SendEnd) -> None:
         """Tell the caller that there is no answer."""
--- a/chervilrock/edges/serving/exchangelog.py
+++ b/chervilrock/edges/serving/exchangelog.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from chervilrock.decisions.serving.placement import Choice
+from chervilrock.decisions.serving.repeats import BudgetState
 from chervilrock.decisions.serving.routes import Admission
 from chervilrock.decisions.serving.suspects import Suspect
 from chervilrock.decisions.serving.view import GroupEndpoint, ServerEndpoint
@@ -69,6 +70,51 @@
     )
 
 
+class Repeat(NamedTuple):
+    """A send that is to follow another one of the same request.
+
+    Attributes:
+      request_id: the request.
+      service: service that gets it.
+      reason: how the last send ended.
+      sends: sends before it.
+      after: last event that the caller has, empty for none.
+      left: repeats to the service that are left to this node.
+    """
+
+    request_id: str
+    service: str
+    reason: str
+    sends: int
+    after: str
+    left: BudgetState
+
+
+def log_repeat(repeat: Repeat) -> None:
+    """Log that a request is sent again, and how many others may be."""
+    emit(
+        Event.REQUEST_SENT_AGAIN,
+        request_id=repeat.request_id,
+        reason=repeat.reason,
+        sends=repeat.sends,
+        after=repeat.after,
+        left=round(repeat.left.left, 2),
+        nodes=repeat.left.nodes,
+    )
+
+
+def log_refused_repeat(repeat: Repeat) -> None:
+    """Log that the shared bound keeps a request from being sent again."""
+    emit(
+        Event.REPEAT_REFUSED,
+        request_id=repeat.request_id,
+        service=repeat.service,
+        reason=repeat.reason,
+        left=round(repeat.left.left, 2),
+        nodes=repeat.left.nodes,
+    )
+
+
 def log_broken(
     request_id: str,
     broken: BrokenSend,
--- a/chervilrock/serving_metrics.py
+++ b/chervilrock/serving_metrics.py
@@ -60,6 +60,11 @@
         self._repeats = self._counter(
             "served_repeats_total", "Sends beyond the first", "reason"
         )
+        self._refused_repeats = self._counter(
+            "repeats_refused_total",
+            "Sends that the shared bound of repeats forbade",
+            "service",
+        )
         self.running = self._gauge("served_running", "Requests under way")
         self.waiting = self._gauge("served_waiting", "Requests that wait")
         self.leads = self._gauge("leads", "1 while this node leads")
@@ -109,6 +114,10 @@
         """Count a send beyond the first one of a request."""
         self._repeats.labels(reason).inc()
 
+    def count_refused_repeat(self, service: str) -> None:
+        """Count a request that the bound keeps from being sent again."""
+        self._refused_repeats.labels(self._services.bound(service)).inc()
+
     def count_withheld(self) -> None:
         """Count an attempt that was kept from the servers."""
         self._withheld_requests.inc()
--- a/chervilrock/tasks/serving/node.py
+++ b/chervilrock/tasks/serving/node.py
@@ -271,6 +271,7 @@
             "suspects": state.suspects.told,
             "withheld": state.suspects.list_withheld(),
             "waiting": len(self._room),
+            "repeats": state.describe_budgets(now),
             "is_stopping": state.is_stopping,
             "groups": [] if leading is None else leading.describe(),
         }
--- a/chervilrock/tasks/serving/state.py
+++ b/chervilrock/tasks/serving/state.py
@@ -13,7 +13,7 @@
 from chervilrock.decisions.serving.firstevents import FirstEvents
 from chervilrock.decisions.serving.lateness import UsualLimits
 from chervilrock.decisions.serving.placement import Bound, Choice, Load
-from chervilrock.decisions.serving.repeats import RepeatBudget
+from chervilrock.decisions.serving.repeats import BudgetState, RepeatBudget
 from chervilrock.decisions.serving.routes import RouteTable
 from chervilrock.decisions.serving.shares import SlotShares
 from chervilrock.decisions.serving.shortage import Shortages
@@ -144,6 +144,14 @@
         """Count a repeat to a service if the shared bound leaves room."""
         return self.budget(service).take(self.count_nodes(), now)
 
+    def describe_repeats(self, service: str, now: float) -> BudgetState:
+        """Return how many repeats to a service are left to this node."""
+        return self.budget(service).describe(self.count_nodes(), now)
+
+    def describe_budgets(self, now: float) -> Mapping[str, BudgetState]:
+        """Return the repeats that are left, by service."""
+        return {one: self.describe_repeats(one, now) for one in self._budgets}
+
     def count_nodes(self) -> int:
         """Return the greatest number of nodes that may take callers."""
         return max(len(self.known_nodes), len(self.nodes), 1)
