Do not renew the bound of repeats at a restart

Cause: each process counted requests and repeats in a window of its own memory. A process that starts again got its share of the allowance once more, and its new requests paid for repeats beside those that the forgotten ones had paid for. Ruled out as the cause: nodes that believe to be alone (all count 7), repeats that wait before they are sent (0.7 ms at most).

Change: a token bucket that starts empty and earns by requests and over time, so that no series of restarts adds anything; a repeat is reserved when decided and counted when sent; a node out of touch earns no share of the allowance.

--- a/chervilrock/decisions/serving/repeats.py
+++ b/chervilrock/decisions/serving/repeats.py
@@ -2,16 +2,29 @@
 
 All nodes share one bound for each service: in any window, the sends beyond
 the first of each request may not exceed a part of the requests plus a fixed
-allowance. Nodes that are parted cannot ask each other, so each keeps to the
-part for its own requests and to an equal share of the allowance.
+allowance. Nodes that are parted cannot ask each other, so each keeps to what
+its own requests earn and to an equal share of the allowance.
+
+Load pattern: most servers fail, so that every node repeats as much as it may,
+while nodes start again once, in series, or all at once.
 """
 
 from collections import deque
 from typing import NamedTuple
 
-SAFETY = 0.8
-"""Part of the bound that is used: requests that a caller gave up before this
-node counted them, and nodes that come up within the window, stay below it."""
+from chervilrock.decisions.serving.credit import (
+    Credit,
+    deal_share,
+    LEAST_BALANCE,
+)
+
+REQUESTS_PART = 0.75
+"""Part of what requests allow that a node uses."""
+
+KEPT_WINDOWS = 0.25
+"""Time for which the part of a request is kept, in windows. A window's repeats
+are paid by the requests of 1.25 windows, of which three quarters are used; the
+rest is for sends that arrive a little later than they were counted."""
 
 
 class BudgetState(NamedTuple):
@@ -19,18 +32,18 @@
 
     Attributes:
       left: repeats that it may send now, a fraction included.
-      nodes: nodes among which it believes the allowance to be shared.
+      nodes: nodes among which it shares the allowance, None if unknown.
     """
 
     left: float
-    nodes: int
+    nodes: int | None
 
 
 class RepeatBudget:
-    """Sends of one node to one service in a sliding window."""
+    """Repeats of one node to one service, as a token bucket."""
 
     def __init__(self, *, ratio: float, slack: float, window_s: float) -> None:
-        """Make an unused budget.
+        """Make an empty budget.
 
         Args:
           ratio: repeats allowed for each request.
@@ -40,39 +53,70 @@
         self._ratio = ratio
         self._slack = slack
         self._window_s = window_s
+        self._credit = Credit()
+        self._kept_share = LEAST_BALANCE
         self._requests: deque[float] = deque()
-        self._repeats: deque[float] = deque()
+        self._nodes: int | None = None
+        self._refilled: float | None = None
 
     def note_request(self, now: float) -> None:
         """Count a request of a caller."""
         self._requests.append(now)
         self._forget(now)
+        self._credit.earn(REQUESTS_PART * self._ratio, self._most)
 
-    def take(self, nodes: int, now: float) -> bool:
-        """Count a repeat if the bound leaves room for it.
-
-        Args:
-          nodes: greatest number of nodes that share the allowance.
-          now: present time.
-        """
-        if self.describe(nodes, now).left < 1:
-            return False
-        self._repeats.append(now)
-        return True
-
-    def describe(self, nodes: int, now: float) -> BudgetState:
-        """Return what is left.
+    def refill(self, nodes: int | None, now: float) -> None:
+        """Earn the share of the allowance since the last call.
 
         Args:
-          nodes: greatest number of nodes that share the allowance.
+          nodes: greatest number of nodes that share the allowance; None if
+            the node does not know the present one, so that nothing is earned.
           now: present time.
         """
+        last, self._refilled = self._refilled, now
+        self._nodes = nodes
         self._forget(now)
-        own = self._ratio * len(self._requests)
-        allowed = SAFETY * (own + self._slack / max(1, nodes))
-        return BudgetState(allowed - len(self._repeats), nodes)
+        earned = 0.0
+        if nodes is not None:
+            share = deal_share(self._slack, nodes)
+            self._kept_share = share.kept
+            earned = share.earned * self._count_windows(last, now)
+        self._credit.earn(earned, self._most)
+
+    def reserve(self) -> bool:
+        """Hold a repeat for a request if the bound leaves room for it."""
+        return self._credit.hold()
+
+    def spend(self) -> None:
+        """Count a repeat that was reserved, as it is sent."""
+        self._credit.spend()
+
+    def release(self) -> None:
+        """Give up a repeat that was reserved and is not sent."""
+        self._credit.release()
+
+    def refund(self) -> None:
+        """Take back a repeat of which no byte has left."""
+        self._credit.refund(self._most)
+
+    def describe(self) -> BudgetState:
+        """Return what is left."""
+        return BudgetState(self._credit.left, self._nodes)
+
+    @property
+    def _most(self) -> float:
+        """Greatest balance that may be kept."""
+        recent = len(self._requests)
+        return self._kept_share + REQUESTS_PART * self._ratio * recent
+
+    def _count_windows(self, since: float | None, now: float) -> float:
+        """Return the windows that have passed, 1 at most."""
+        if since is None or not self._window_s:
+            return 0.0
+        return min(1.0, (now - since) / self._window_s)
 
     def _forget(self, now: float) -> None:
-        for times in (self._requests, self._repeats):
-            while times and times[0] < now - self._window_s:
-                times.popleft()
+        """Forget the requests that earn nothing any more."""
+        oldest = now - KEPT_WINDOWS * self._window_s
+        while self._requests and self._requests[0] < oldest:
+            self._requests.popleft()
--- a/chervilrock/edges/serving/exchange.py
+++ b/chervilrock/edges/serving/exchange.py
@@ -36,6 +36,7 @@
 from chervilrock.edges.serving.connection import CallerConnection
 from chervilrock.edges.serving.places import Endpoint, Place, PlaceSearch
 from chervilrock.edges.serving.receiver import AnswerReceiver
+from chervilrock.edges.serving.repeatclaim import RepeatClaim
 from chervilrock.edges.serving.suspectcheck import SuspectCheck
 from chervilrock.platform import headers as names
 from chervilrock.serving_metrics import ServingMetrics
@@ -113,6 +114,7 @@
             connection=connection,
             check=self._check,
         )
+        self._claim = RepeatClaim(state=context.state)
         self._admission: Admission | None = None
         self._service = ""
 
@@ -138,11 +140,12 @@
         self._expires = self._find_expiry(admitted)
         self._service = choose_service(admitted.route, self._state.generator)
         self._search.admit(admitted, self._service, self._expires)
-        self._state.budget(self._service).note_request(self._request.arrived)
+        self._claim.admit(self._service, self._request.arrived)
         try:
             await self._serve(admitted)
         finally:
             self._search.give_back()
+            self._claim.give_back()
 
     def leave(self) -> None:
         """Stop all work, since the caller has left."""
@@ -166,7 +169,7 @@
         may_go_on = route.is_resumable and sends < route.max_attempts
         if not may_go_on or not self._search.has_other(now):
             return False
-        if not self._state.take_repeat(self._service, now):
+        if not self._claim.reserve():
             return False
         self._interrupt(SendEnd.SILENT)
         return True
@@ -218,31 +221,29 @@
                 self._check.note_clean()
             self._finish(status, end)
             return False
-        is_paid = end is SendEnd.SILENT
-        if following is Next.REPEAT and (
-            is_paid or self._state.take_repeat(self._service, now)
-        ):
-            self._note_repeat(end, now)
-            return True
         if following is Next.REPEAT:
+            # Without a byte sent, the next send is the first one.
+            if not self._progress.sends or self._claim.reserve():
+                self._note_repeat(end)
+                return True
             self._context.metrics.count_refused_repeat(self._service)
-            exchangelog.log_refused_repeat(self._describe_repeat(end, now))
+            exchangelog.log_refused_repeat(self._describe_repeat(end))
         self._give_up(end)
         return False
 
-    def _note_repeat(self, end: SendEnd, now: float) -> None:
-        exchangelog.log_repeat(self._describe_repeat(end, now))
+    def _note_repeat(self, end: SendEnd) -> None:
+        exchangelog.log_repeat(self._describe_repeat(end))
         self._context.metrics.count_repeat(end.value)
         self._answer = None
 
-    def _describe_repeat(self, end: SendEnd, now: float) -> exchangelog.Repeat:
+    def _describe_repeat(self, end: SendEnd) -> exchangelog.Repeat:
         return exchangelog.Repeat(
             request_id=self.request_id,
             service=self._service,
             reason=end.value,
             sends=self._progress.sends,
             after=self._last_event,
-            left=self._state.describe_repeats(self._service, now),
+            left=self._claim.describe(),
         )
 
     def _give_up(self, end: SendEnd) -> None:
@@ -306,6 +307,7 @@
         endpoint = place.endpoint
         self._sent_at = now
         self._log_send(admission, place, now)
+        self._claim.begin_send(is_repeat=self._progress.sends > 0)
         receiver = AnswerReceiver(
             request_id=self.request_id,
             last_event=self._last_event,
@@ -319,6 +321,7 @@
         end = await self._run_transfer(transfer, endpoint, now)
         self._search.avoid()
         self._search.give_back()
+        self._claim.end_send(has_left=transfer.sent)
         transfer_end = end if isinstance(end, TransferEnd) else None
         self._check.note_end(receiver, transfer_end, endpoint, sent=now)
         return self._judge(transfer, receiver, end, endpoint)
--- a/chervilrock/tasks/serving/node.py
+++ b/chervilrock/tasks/serving/node.py
@@ -271,7 +271,7 @@
             "suspects": state.suspects.told,
             "withheld": state.suspects.list_withheld(),
             "waiting": len(self._room),
-            "repeats": state.describe_budgets(now),
+            "repeats": state.describe_budgets(),
             "is_stopping": state.is_stopping,
             "groups": [] if leading is None else leading.describe(),
         }
@@ -310,6 +310,15 @@
             lag_s=self.find_revision_lag(now),
         )
 
+    def _is_in_touch(self, now: float) -> bool:
+        """Tell whether this node learns of nodes that are added."""
+        return (
+            self.is_leader
+            or self._leadership.is_heard(now)
+            or self._first_read is not None
+            and self._reads.is_current(Topic.NODES)
+        )
+
     @property
     def _is_known(self) -> bool:
         """Whether the record of this node was read back."""
@@ -628,6 +637,7 @@
         self._claim(now)
         self._catch_up(now)
         self._suspect(now)
+        self._state.refill_budgets(is_in_touch=self._is_in_touch(now), now=now)
         if self._leading is None:
             return
         view = self._state.view
--- a/chervilrock/tasks/serving/state.py
+++ b/chervilrock/tasks/serving/state.py
@@ -140,17 +140,25 @@
             )
         return self._budgets[service]
 
-    def take_repeat(self, service: str, now: float) -> bool:
-        """Count a repeat to a service if the shared bound leaves room."""
-        return self.budget(service).take(self.count_nodes(), now)
+    def refill_budgets(self, *, is_in_touch: bool, now: float) -> None:
+        """Earn this node's share of what all nodes may send again.
 
-    def describe_repeats(self, service: str, now: float) -> BudgetState:
-        """Return how many repeats to a service are left to this node."""
-        return self.budget(service).describe(self.count_nodes(), now)
+        Args:
+          is_in_touch: whether the list of nodes is known to be current.
+          now: present time.
+        """
+        if self.routes is None:
+            return
+        nodes = self.count_nodes() if is_in_touch else None
+        for service in self.routes.configuration.services:
+            self.budget(service).refill(nodes, now)
 
-    def describe_budgets(self, now: float) -> Mapping[str, BudgetState]:
+    def describe_budgets(self) -> Mapping[str, BudgetState]:
         """Return the repeats that are left, by service."""
-        return {one: self.describe_repeats(one, now) for one in self._budgets}
+        return {
+            service: budget.describe()
+            for service, budget in self._budgets.items()
+        }
 
     def count_nodes(self) -> int:
         """Return the greatest number of nodes that may take callers."""
--- a/test/decisions/serving/repeat_fleet.py
+++ b/test/decisions/serving/repeat_fleet.py
@@ -1,7 +1,8 @@
 """Nodes that send requests again as often as their budgets allow."""
 
 import bisect
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Iterable, Mapping
+import math
 import random
 from typing import NamedTuple
 
@@ -47,7 +48,9 @@
 
     Attributes:
       arrivals: when requests were sent again.
-      known: how many nodes a node believes there are, None for unknown.
+      out_of_touch_from: when nodes learn of no others any more, but for
+        those that were added, which know all.
+      places_from: when there are places for what is to be sent again.
     """
 
     def __init__(self, *, size: Size, seed: int = 1) -> None:
@@ -56,7 +59,9 @@
         self._generator = random.Random(seed)
         self._requests: list[float] = []
         self.arrivals: list[float] = []
-        self.known: Callable[[int, float], int] = lambda _node, _now: size.nodes
+        self.out_of_touch_from = math.inf
+        self.places_from = 0.0
+        self._waiting: list[RepeatBudget] = []
         self._budgets = [self._make_budget() for _ in range(size.nodes)]
 
     def _make_budget(self) -> RepeatBudget:
@@ -99,13 +104,26 @@
                 node = self._generator.randrange(len(self._budgets))
                 self._budgets[node].note_request(now)
                 self._requests.append(now)
+            for node, budget in enumerate(self._budgets):
+                budget.refill(self._count_known(node, now), now)
             if now >= fails_from:
                 self._send_again(now)
 
+    def _count_known(self, node: int, now: float) -> int | None:
+        """Return how many nodes a node knows, None if it is out of touch."""
+        if node >= self._size.nodes:
+            return len(self._budgets)
+        return None if now >= self.out_of_touch_from else self._size.nodes
+
     def _send_again(self, now: float) -> None:
-        for node, budget in enumerate(self._budgets):
-            while budget.take(self.known(node, now), now):
+        for budget in self._budgets:
+            while budget.reserve():
+                self._waiting.append(budget)
+        if now >= self.places_from:
+            for budget in self._waiting:
+                budget.spend()
                 self.arrivals.append(now)
+            self._waiting.clear()
 
     def find_excess(self) -> Excess:
         """Return the window that exceeds the bound most, or comes nearest."""
--- a/test/decisions/serving/test_decisions.py
+++ b/test/decisions/serving/test_decisions.py
@@ -255,7 +255,10 @@
         budget.note_request(now)
         requests.append(now)
         for _ in range(3):
-            if generator.choice(budgets).take(nodes, now):
+            chosen = generator.choice(budgets)
+            chosen.refill(nodes, now)
+            if chosen.reserve():
+                chosen.spend()
                 repeats.append(now)
     for end in range(10, 40):
         window = [one for one in repeats if end - 10 < one <= end]
