Log the limits that servers name in their answers

A server in need names the requests a second that it takes from all nodes, and nothing in the logs told of it, so that a node that never hears a limit and one that does not obey it looked the same. The adapter decodes the header into a typed value; a value that is no decimal number changes nothing. E7308 to E7310 tell when a limit is named, ends or cannot be read. No decision changes. The stand-in's servers can name a limit and keep when requests reached them.

--- a/chervilrock/catalogue.py
+++ b/chervilrock/catalogue.py
@@ -261,6 +261,21 @@
         Level.WARNING,
         "group {group} failed a request and is avoided for {avoided_ms} ms",
     )
+    LIMIT_NAMED = EventSpec(
+        7308,
+        Level.WARNING,
+        "server {server} names a limit of {rate} requests a second from all "
+        "nodes",
+    )
+    LIMIT_ENDED = EventSpec(
+        7309, Level.INFO, "server {server} names no limit any more"
+    )
+    LIMIT_UNREADABLE = EventSpec(
+        7310,
+        Level.WARNING,
+        "server {server} names the limit {value}, which is no number and "
+        "changes nothing",
+    )
     REQUEST_SENT = EventSpec(
         7401,
         Level.INFO,
--- a/chervilrock/decisions/serving/messages.py
+++ b/chervilrock/decisions/serving/messages.py
@@ -26,6 +26,19 @@
     last_event: str
 
 
+class StatedLimit(NamedTuple):
+    """What an answer says of the requests that its server takes.
+
+    Attributes:
+      rate: requests a second that it takes from all nodes together, None
+        without a limit.
+      unreadable: what it names instead of a number, empty if it is one.
+    """
+
+    rate: float | None
+    unreadable: str = ""
+
+
 class AnswerFacts(NamedTuple):
     """What the head of a server's answer tells.
 
@@ -36,6 +49,8 @@
       is_not_run: whether the server states that it did not run the request.
       is_encoded: whether the body was changed on the way.
       is_stream: whether the body is a stream of events.
+      limit: what the server takes, None if the answer is of another server
+        than the one that was meant.
     """
 
     status: int
@@ -44,6 +59,7 @@
     is_not_run: bool
     is_encoded: bool
     is_stream: bool
+    limit: StatedLimit | None = None
 
 
 class Onward(NamedTuple):
--- a/chervilrock/edges/serving/exchange.py
+++ b/chervilrock/edges/serving/exchange.py
@@ -12,9 +12,7 @@
     SendEnd,
 )
 from chervilrock.decisions.serving.lateness import Standing
-from chervilrock.decisions.serving.messages import (
-    Onward,
-)
+from chervilrock.decisions.serving.messages import AnswerFacts, Onward
 from chervilrock.decisions.serving.routes import (
     Admission,
     choose_service,
@@ -313,6 +311,7 @@
             last_event=self._last_event,
             deliver=self._deliver,
             progress=lambda: self._note_progress(endpoint),
+            note_facts=lambda facts: self._note_facts(endpoint, facts),
         )
         transfer = Transfer(
             request=self._make_request(admission, endpoint, now),
@@ -409,6 +408,10 @@
         if isinstance(endpoint, GroupEndpoint):
             self._state.watch(endpoint.group).note_progress(read_clock())
 
+    def _note_facts(self, endpoint: Endpoint, facts: AnswerFacts) -> None:
+        if facts.limit is not None:
+            self._state.note_limit(endpoint.server, facts.limit, read_clock())
+
     def _deliver(self, head: Head, events: bytes) -> None:
         """Pass whole events on to the caller."""
         if self._first_event is None:
--- a/chervilrock/edges/serving/receiver.py
+++ b/chervilrock/edges/serving/receiver.py
@@ -35,6 +35,7 @@
         last_event: str,
         deliver: Callable[[Head, bytes], None],
         progress: Callable[[], None],
+        note_facts: Callable[[AnswerFacts], None] = lambda _facts: None,
     ) -> None:
         """Wait for an answer.
 
@@ -43,10 +44,12 @@
           last_event: last event that the caller has, empty for none.
           deliver: takes whole events for the caller.
           progress: is called when anything comes.
+          note_facts: is called with what the head tells.
         """
         self._request_id = request_id
         self._deliver = deliver
         self._progress = progress
+        self._note_facts = note_facts
         self.splitter = EventSplitter(last_event=last_event)
         self.facts: AnswerFacts | None = None
         self.body = bytearray()
@@ -67,6 +70,7 @@
             self.facts, request_id=self._request_id, is_whole=True
         )
         self.is_relayed = judged is SendEnd.COMPLETE and self.facts.is_stream
+        self._note_facts(self.facts)
         self._progress()
 
     def take_data(self, data: bytes) -> None:
--- a/chervilrock/platform/headers.py
+++ b/chervilrock/platform/headers.py
@@ -1,11 +1,13 @@
 """Names of the headers of requests and answers, decoded and encoded."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
+import re
 
 from chervilrock.decisions.serving.messages import (
     AnswerFacts,
     Onward,
     RequestFacts,
+    StatedLimit,
 )
 
 Pairs = tuple[tuple[str, str], ...]
@@ -22,9 +24,14 @@
 _URGENCY = "x-request-urgency"
 _RECEIPT = "x-server-stamp"
 _NOT_RUN = "x-not-executed"
+_LIMIT = "server-limit"
 _MS_PER_S = 1000.0
 
-_NOT_RUN_STATUSES = frozenset({421})
+_MISDIRECTED = 421
+_NOT_RUN_STATUSES = frozenset({_MISDIRECTED})
+_DECIMAL = re.compile(r"\d+(\.\d*)?|\.\d+", re.ASCII)
+_MAX_LIMIT = 1e9  # requests a second; whatever is greater limits nothing
+_MAX_SHOWN = 40  # characters of a value that is no number
 _EVENT_STREAM = "text/event-stream"
 
 _ONE_CONNECTION = frozenset(
@@ -101,9 +108,20 @@
         is_not_run=_NOT_RUN in values or status in _NOT_RUN_STATUSES,
         is_encoded="content-encoding" in values,
         is_stream=content_type.startswith(_EVENT_STREAM),
+        limit=None if status == _MISDIRECTED else _read_limit(values),
     )
 
 
+def _read_limit(values: Mapping[str, str]) -> StatedLimit:
+    """Return what the headers of an answer say of a limit."""
+    text = values.get(_LIMIT)
+    if text is None:
+        return StatedLimit(None)
+    if not _DECIMAL.fullmatch(text):
+        return StatedLimit(None, unreadable=text[:_MAX_SHOWN] or "nothing")
+    return StatedLimit(min(float(text), _MAX_LIMIT))
+
+
 def make_caller_headers(pairs: Iterable[tuple[str, str]]) -> Pairs:
     """Return the headers of a server's answer as the caller gets them."""
     return tuple(_drop_connection_headers(pairs, frozenset()))
--- a/chervilrock/standin/site/servers.py
+++ b/chervilrock/standin/site/servers.py
@@ -78,6 +78,8 @@
       crashing_bodies: bodies of requests that crash whichever server begins
         to run them.
       crashes: the bodies that crashed it, with the identifier it had then.
+      limit: the limit that it names in its answers, empty for none.
+      arrivals: when requests reached it, run or not, on the clock of the loop.
     """
 
     def __init__(
@@ -99,6 +101,8 @@
         self.crashes: list[Crash] = []
         self.runs: list[Run] = []
         self.left: list[str] = []
+        self.limit = ""
+        self.arrivals: list[float] = []
         self.orders: list[dict[str, object]] = []
         self.lost_orders = 0
         self.is_leaving = False
@@ -271,6 +275,11 @@
         """Serve a server."""
         self.server = server
 
+    def prepare(self) -> None:
+        """Name the limit in each answer."""
+        if self.server.limit:
+            self.set_header("Server-Limit", self.server.limit)
+
     def is_misdirected(self) -> bool:
         """Answer a request that is meant for another server."""
         expected = self.request.headers.get("X-Expect-Instance", "")
@@ -327,6 +336,7 @@
         if self.is_misdirected():
             return
         server = self.server
+        server.arrivals.append(asyncio.get_running_loop().time())
         headers = self.request.headers
         request_id = headers.get("X-Request-Id", "")
         if server.fault is ServerFault.FULL:
--- a/chervilrock/tasks/serving/state.py
+++ b/chervilrock/tasks/serving/state.py
@@ -12,9 +12,14 @@
 from chervilrock.decisions.serving.failures import Failures, leave_out
 from chervilrock.decisions.serving.firstevents import FirstEvents
 from chervilrock.decisions.serving.lateness import UsualLimits
+from chervilrock.decisions.serving.messages import StatedLimit
 from chervilrock.decisions.serving.placement import Bound, Choice, Load
 from chervilrock.decisions.serving.repeats import BudgetState, RepeatBudget
 from chervilrock.decisions.serving.routes import RouteTable
+from chervilrock.decisions.serving.serverlimits import (
+    LimitChange,
+    ServerLimits,
+)
 from chervilrock.decisions.serving.shares import SlotShares
 from chervilrock.decisions.serving.shortage import Shortages
 from chervilrock.decisions.serving.silence import GroupWatch
@@ -63,6 +68,7 @@
       shortages: models whose requests find no place here.
       watches: progress of the streams of this node at each group.
       suspects: requests under which servers have ended.
+      limits: limits that servers name.
     """
 
     def __init__(
@@ -97,6 +103,7 @@
         self.shortages = Shortages()
         self.watches: dict[str, GroupWatch] = {}
         self.suspects = SuspectTable()
+        self.limits = ServerLimits()
 
     @property
     def revision(self) -> int:
@@ -109,6 +116,8 @@
         self.view = view
         self.view_time = now
         self._forget_failures(frozenset(one.group for one in view.groups))
+        heads = [one.server for one in view.groups]
+        self.limits.keep_only([*heads, *(one.server for one in view.servers)])
         emit(
             Event.VIEW_IN_FORCE,
             term=view.term,
@@ -309,6 +318,16 @@
             for server, count in total.items()
         }
 
+    def note_limit(self, server: str, limit: StatedLimit, now: float) -> None:
+        """Take what an answer of a server says of its limit."""
+        change = self.limits.note_answer(server, limit, now)
+        if change is LimitChange.NAMED:
+            emit(Event.LIMIT_NAMED, server=server, rate=limit.rate)
+        elif change is LimitChange.ENDED:
+            emit(Event.LIMIT_ENDED, server=server)
+        elif change is LimitChange.UNREADABLE:
+            emit(Event.LIMIT_UNREADABLE, server=server, value=limit.unreadable)
+
     def watch(self, group: str) -> GroupWatch:
         """Return the watch over the streams of a group."""
         return self.watches.setdefault(group, GroupWatch())
