Obey the limits that servers name

Evidence: the rate at both servers does not change when they name their limits, and every node goes on to send. Ruled out: requests under way before, as the rate stays.

Change: a few nodes, which the leader names to all in the view, send to a limited server, each an equal share, by a token bucket that starts empty; all other nodes send it nothing. The node that hears a limit obeys at once and tells the leader. Callers whom no other server can serve are refused at once, with a time to come back; the plan sees no free places at such a group.

--- a/chervilrock/catalogue.py
+++ b/chervilrock/catalogue.py
@@ -276,6 +276,11 @@
         "server {server} names the limit {value}, which is no number and "
         "changes nothing",
     )
+    LIMIT_TOLD = EventSpec(
+        7311,
+        Level.INFO,
+        "the leader tells all nodes the limit {rate} of server {server}",
+    )
     REQUEST_SENT = EventSpec(
         7401,
         Level.INFO,
--- a/chervilrock/decisions/serving/controller.py
+++ b/chervilrock/decisions/serving/controller.py
@@ -76,14 +76,25 @@
         """Note that callers have begun to send requests."""
         self._planner.has_traffic = True
 
-    def note_requests(self, requests: Mapping[str, int], now: float) -> None:
-        """Take the requests of all nodes at each head."""
+    def note_requests(
+        self,
+        requests: Mapping[str, int],
+        limits: Mapping[str, float],
+        now: float,
+    ) -> None:
+        """Take the requests of all nodes at each head.
+
+        Args:
+          requests: requests by head.
+          limits: requests a second that heads with a limit take.
+          now: present time.
+        """
         if self._board.configuration is None:
             return
         for service in self._board.configuration.services.values():
             if service.engine is not None:
                 self._planner.note_requests(
-                    requests, service.engine, service.name, now
+                    requests, limits, service.engine, service.name, now
                 )
 
     def note_server(self, server: BackendServer, now: float) -> None:
--- a/chervilrock/decisions/serving/planning.py
+++ b/chervilrock/decisions/serving/planning.py
@@ -150,14 +150,19 @@
     def note_requests(
         self,
         requests: Mapping[str, int],
+        limits: Mapping[str, float],
         engine: EngineProfile,
         service: str,
         now: float,
     ) -> None:
         """Take the requests of all nodes at each head.
 
+        A group whose head limits what it gets has room for no more than it
+        runs.
+
         Args:
           requests: requests by head.
+          limits: requests a second that heads with a limit take.
           engine: how the engines of the service work.
           service: the service.
           now: present time.
@@ -168,8 +173,10 @@
         running.update(dict.fromkeys(engine.models, 0))
         for group in self._groups.values():
             if group.service == service and group.phase is Phase.SERVING:
-                running[group.model] += requests.get(group.head, 0)
-                places[group.model] += engine.slots
+                count = requests.get(group.head, 0)
+                is_limited = group.head in limits
+                running[group.model] += count
+                places[group.model] += count if is_limited else engine.slots
         self._find_demand(service).note(running, places, now)
 
     def find_needs(
--- a/chervilrock/decisions/serving/view.py
+++ b/chervilrock/decisions/serving/view.py
@@ -5,6 +5,7 @@
 from types import MappingProxyType
 from typing import NamedTuple
 
+from chervilrock.decisions.serving.serverlimits import LimitedServer
 from chervilrock.decisions.serving.suspects import Suspect
 
 
@@ -69,6 +70,7 @@
       groups: groups that take requests.
       servers: servers of plain services that take requests.
       forming: models for which a group will take requests soon.
+      limits: servers that take only so many requests a second.
     """
 
     term: int
@@ -76,6 +78,7 @@
     groups: tuple[GroupEndpoint, ...]
     servers: tuple[ServerEndpoint, ...]
     forming: tuple[str, ...] = ()
+    limits: tuple[LimitedServer, ...] = ()
 
     @property
     def version(self) -> tuple[int, int]:
--- a/chervilrock/decisions/serving/waiting.py
+++ b/chervilrock/decisions/serving/waiting.py
@@ -8,6 +8,7 @@
 a repair takes, callers are better told at once, and asked back later.
 """
 
+import math
 from typing import NamedTuple
 
 from chervilrock.decisions.serving.lateness import Standing
@@ -73,11 +74,14 @@
       has_endpoints: whether any endpoint serves what is asked for.
       is_forming: whether one is about to.
       short_s: for how long places have been short, in seconds.
+      limited_s: time until this node may send a request, where all endpoints
+        limit how many they get; infinite for never, 0 without limits.
     """
 
     has_endpoints: bool
     is_forming: bool
     short_s: float = 0.0
+    limited_s: float = 0.0
 
 
 class Wait(NamedTuple):
@@ -116,6 +120,8 @@
     """
     if not prospect.has_endpoints and not prospect.is_forming:
         return Patience(0.0, REPAIR_S)
+    if not _can_outlast_limit(wait, prospect):
+        return Patience(0.0, _find_limited_return(prospect, draw))
     if wait.standing is Standing.BEGUN:
         return Patience(min(BEGUN_WAIT_S, wait.limit_s), RETRY_AFTER_S)
     longest_s = max(0.0, min(LATE_WAIT_PART * wait.limit_s, wait.gives_up_s))
@@ -127,6 +133,37 @@
     is_short = prospect.has_endpoints and prospect.short_s >= REPAIR_S
     if not is_short:
         return Patience(longest_s, RETRY_AFTER_S)
-    spread = 1.0 + SPREAD * (2.0 * draw - 1.0)
     retry_after_s = min(LONGEST_RETRY_AFTER_S, prospect.short_s)
-    return Patience(0.0, spread * retry_after_s)
+    return Patience(0.0, _spread(retry_after_s, draw))
+
+
+def _can_outlast_limit(wait: Wait, prospect: Prospect) -> bool:
+    """Tell whether a request may get one of the few sends of limited servers.
+
+    Streams that were cut do, and those that can still be on time.
+    """
+    if not prospect.limited_s:
+        return True
+    if wait.standing is Standing.BEGUN:
+        return prospect.limited_s <= min(BEGUN_WAIT_S, wait.limit_s)
+    is_in_time = prospect.limited_s <= wait.on_time_s
+    return wait.standing is Standing.ON_TIME and is_in_time
+
+
+def _find_limited_return(prospect: Prospect, draw: float) -> float:
+    """Return when a caller is asked back that limited servers cannot serve.
+
+    It comes to any node, so a node that never sends to them asks it back as
+    soon as usual.
+    """
+    if math.isinf(prospect.limited_s):
+        return _spread(RETRY_AFTER_S, draw)
+    return _spread(
+        max(RETRY_AFTER_S, min(LONGEST_RETRY_AFTER_S, prospect.limited_s)),
+        draw,
+    )
+
+
+def _spread(retry_after_s: float, draw: float) -> float:
+    """Return a time near another one, not the same for all callers."""
+    return retry_after_s * (1.0 + SPREAD * (2.0 * draw - 1.0))
--- a/chervilrock/edges/serving/places.py
+++ b/chervilrock/edges/serving/places.py
@@ -196,7 +196,9 @@
         self.place = self._choose(read_clock())
         if self.place is None:
             return False
-        self._state.note_sent(self.place.endpoint.server)
+        server = self.place.endpoint.server
+        self._state.note_sent(server)
+        self._state.limits.take(server, read_clock())
         return True
 
     def _choose(self, now: float) -> Place | None:
@@ -227,10 +229,12 @@
         endpoints: Sequence[Endpoint] = state.list_groups(self._service, model)
         if state.find_engine(self._service) is None:
             endpoints = state.list_servers(self._service)
+        waits = [state.limits.find_wait(one.server, now) for one in endpoints]
         return Prospect(
             has_endpoints=bool(endpoints),
             is_forming=state.is_forming(model),
             short_s=state.shortages.find_duration(model, now),
+            limited_s=min(waits, default=0.0),
         )
 
     def _describe_wait(
--- a/chervilrock/node/serving.py
+++ b/chervilrock/node/serving.py
@@ -35,6 +35,7 @@
 from chervilrock.tasks.serving.peermessages import (
     decode_announcement,
     decode_ends,
+    decode_limit,
 )
 from chervilrock.tasks.serving.room import WaitingRoom
 from chervilrock.tasks.serving.state import RepeatBounds, ServingState
@@ -337,6 +338,8 @@
             return self._answer_ends(body, now)
         if path == "/peer/configuration":
             return Reply(status=200, body=self._task.get_document())
+        if path == "/peer/limit":
+            return self._answer_limit(body)
         if path.startswith("/peer/silence/"):
             self._task.mailbox.offer(SilenceSeen(rest.partition("/")[2]))
             return Reply(status=200)
@@ -361,6 +364,13 @@
         self._task.suspicion.note_report(report, now)
         return Reply(status=200)
 
+    def _answer_limit(self, body: bytes) -> Reply:
+        heard = decode_limit(body)
+        if heard is None:
+            return Reply(status=400)
+        self._task.mailbox.offer(heard)
+        return Reply(status=200)
+
     def _answer_metrics(self, now: float) -> Reply:
         metrics = self._metrics
         metrics.running.set(len(self._callers.exchanges))
@@ -370,6 +380,7 @@
         metrics.show_store_ages(self._task.list_store_ages(now))
         metrics.revision_age.set(self._task.find_revision_age(now))
         metrics.revision_lag.set(self._task.find_revision_lag(now))
+        metrics.limited.set(len(self._state.limits))
         metrics.withheld.set(self._state.suspects.count_withheld())
         metrics.lines_dropped.set(self._count_dropped_lines())
         routes = self._state.routes
--- a/chervilrock/serving_metrics.py
+++ b/chervilrock/serving_metrics.py
@@ -90,6 +90,9 @@
         self._needed = self._labelled(
             "groups_needed", "Groups that the demand needs", "model"
         )
+        self.limited = self._gauge(
+            "servers_limited", "Servers that take only so many requests"
+        )
         self.withheld = self._gauge(
             "suspects_withheld", "Requests withheld from servers"
         )
--- a/chervilrock/tasks/serving/leading.py
+++ b/chervilrock/tasks/serving/leading.py
@@ -1,6 +1,7 @@
 """What a node does while it leads: it moves groups and tells all nodes."""
 
 import asyncio
+from collections.abc import Iterable
 from typing import Any
 
 from returns.result import Failure
@@ -21,13 +22,17 @@
     SILENT_INTERVALS,
     STORE_SILENCE_S,
 )
+from chervilrock.decisions.serving.limitbook import LimitBook
 from chervilrock.decisions.serving.paces import SERVERS_PACE
 from chervilrock.decisions.serving.relays import Circle, RelayTable
+from chervilrock.decisions.serving.serverlimits import LimitedServer
 from chervilrock.decisions.serving.site import SiteConfiguration
 from chervilrock.decisions.serving.storewatch import StoreWatch
 from chervilrock.decisions.serving.view import (
     add_up,
     Announcement,
+    GroupEndpoint,
+    ServerEndpoint,
     ServingView,
     Summary,
 )
@@ -88,6 +93,7 @@
         self._relays = RelayTable(data_centre=state.own.data_centre)
         self._circle = Circle((), frozenset())
         self._peers = Peers(send=outbound.announce)
+        self._limits = LimitBook(known=state.view.limits)
         self._summary = Summary()
         self._loads: dict[str, int] = {}
         self._senders = 0
@@ -129,6 +135,11 @@
         """Note that the streams of a group have stopped somewhere."""
         self._controller.note_silent(group, now)
 
+    def note_limit(self, server: str, rate: float | None) -> None:
+        """Note the limit that a node has heard of a server, None for none."""
+        if self._limits.note(server, rate):
+            emit(Event.LIMIT_TOLD, server=server, rate=rate)
+
     def note_report(self, answered: ServerAnswered, now: float) -> None:
         """Note what a server told of itself."""
         self._controller.note_report(answered.server, answered.report, now)
@@ -207,7 +218,9 @@
         self._note_relays(former)
         self._peers.sync(self._circle.nodes, now)
         self._sum_up(now)
-        self._controller.note_requests(self._loads, now)
+        self._controller.note_requests(
+            self._loads, self._limits.find_rates(), now
+        )
         for effect in self._controller.step(now):
             self._carry_out(effect)
         self._count_hosts(now)
@@ -325,11 +338,13 @@
         groups = controller.list_groups(now)
         servers = controller.list_servers()
         forming = controller.list_forming()
+        limits = self._list_limits(groups, servers, now)
         view = state.view
-        is_same = (view.groups, view.servers, view.forming) == (
+        is_same = (view.groups, view.servers, view.forming, view.limits) == (
             groups,
             servers,
             forming,
+            limits,
         )
         if is_same and view.term == self.term:
             state.view_time = now
@@ -342,10 +357,25 @@
                 groups=groups,
                 servers=servers,
                 forming=forming,
+                limits=limits,
             ),
             now,
         )
 
+    def _list_limits(
+        self,
+        groups: Iterable[GroupEndpoint],
+        servers: Iterable[ServerEndpoint],
+        now: float,
+    ) -> tuple[LimitedServer, ...]:
+        """Return the servers with limits, and the nodes that send to them."""
+        if not self._limits.find_rates():
+            return ()
+        present = [one.server for one in groups]
+        present += [one.server for one in servers]
+        nodes = self._state.list_active_nodes(self._state.own.node, now)
+        return self._limits.list(present, nodes)
+
     def _make_news(self, now: float) -> News:
         state = self._state
         interval_s = self.interval_s
--- a/chervilrock/tasks/serving/messages.py
+++ b/chervilrock/tasks/serving/messages.py
@@ -138,6 +138,18 @@
     group: str
 
 
+class LimitHeard(NamedTuple):
+    """A node has heard a limit of a server, or that it has none any more.
+
+    Attributes:
+      server: identifier of the server.
+      rate: requests a second that it takes, None for no limit.
+    """
+
+    server: str
+    rate: float | None
+
+
 Message = (
     RecordsRead
     | ReadFailed
@@ -151,4 +163,5 @@
     | EndsAnswered
     | SuspectWritten
     | SilenceSeen
+    | LimitHeard
 )
--- a/chervilrock/tasks/serving/node.py
+++ b/chervilrock/tasks/serving/node.py
@@ -42,6 +42,7 @@
     ClaimAnswered,
     DocumentRead,
     EndsAnswered,
+    LimitHeard,
     Message,
     OrderAnswered,
     PeerAnswered,
@@ -69,6 +70,9 @@
 TICK_S = 0.05
 """Longest time between two looks at what is due."""
 
+TELL_LIMITS_S = 0.2
+"""Least time between two reports of limits to the leader."""
+
 NO_END = -1
 """Stands for no offset of a topic."""
 
@@ -123,6 +127,7 @@
         self._is_claiming = False
         self._is_registering = False
         self._is_recorded = False
+        self._limits_told = float("-inf")
         self._outbound = Outbound(ports=ports, outbox=self.mailbox)
         self._reads = StoreReads(
             outbound=self._outbound,
@@ -272,6 +277,7 @@
             "withheld": state.suspects.list_withheld(),
             "waiting": len(self._room),
             "repeats": state.describe_budgets(),
+            "limits": state.limits.list_limited(),
             "is_stopping": state.is_stopping,
             "groups": [] if leading is None else leading.describe(),
         }
@@ -362,6 +368,9 @@
                 self.suspicion.note_answered(message, now)
             case SuspectWritten():
                 self.suspicion.note_written(message)
+            case LimitHeard():
+                if self._leading is not None:
+                    self._leading.note_limit(message.server, message.rate)
             case SilenceSeen():
                 if self._leading is not None:
                     self._leading.note_silent(message.group, now)
@@ -638,6 +647,10 @@
         self._catch_up(now)
         self._suspect(now)
         self._state.refill_budgets(is_in_touch=self._is_in_touch(now), now=now)
+        self._tell_limits(now)
+        if self._state.limits:
+            # A request that waits may be sent when its time has come.
+            self._room.notify()
         if self._leading is None:
             return
         view = self._state.view
@@ -645,6 +658,19 @@
         if self._state.view is not view:
             self._room.notify()
 
+    def _tell_limits(self, now: float) -> None:
+        """Tell the leader what servers say of their limits, until it tells."""
+        untold = self._state.limits.list_untold()
+        if not untold or now - self._limits_told < TELL_LIMITS_S:
+            return
+        self._limits_told = now
+        leader = self._find_leader()
+        for server, rate in untold.items():
+            if self._leading is not None:
+                self._leading.note_limit(server, rate)
+            elif leader is not None:
+                self._outbound.tell_limit(leader, LimitHeard(server, rate))
+
     def _catch_up(self, now: float) -> None:
         """Get a configuration that the store has not given to this node."""
         state = self._state
--- a/chervilrock/tasks/serving/outbound.py
+++ b/chervilrock/tasks/serving/outbound.py
@@ -38,6 +38,7 @@
     ClaimAnswered,
     DocumentRead,
     EndsAnswered,
+    LimitHeard,
     Message,
     OrderAnswered,
     PeerAnswered,
@@ -160,6 +161,10 @@
         """Tell the leader that the streams of a group have stopped."""
         self._start(self._tell_silence(leader, group))
 
+    def tell_limit(self, leader: NodeEntry, heard: LimitHeard) -> None:
+        """Tell the leader what a server says of its limit."""
+        self._start(self._tell_limit(leader, heard))
+
     def check_server(self, server: str, address: str) -> None:
         """Find out whether a server whose connection broke still lives."""
         self._start(self._check_server(server, address))
@@ -249,6 +254,21 @@
                 reason=result.failure().message,
             )
 
+    async def _tell_limit(self, leader: NodeEntry, heard: LimitHeard) -> None:
+        result = await self._ports.client.request(
+            "POST",
+            f"http://{leader.peer_address}/peer/limit",
+            timeout_s=PEER_TIMEOUT_S,
+            body=msgspec.json.encode(heard),
+        )
+        if isinstance(result, Failure):
+            # It is told again until the leader tells it all nodes.
+            emit(
+                Event.PEER_UNREACHABLE,
+                address=leader.peer_address,
+                reason=result.failure().message,
+            )
+
     async def _check_server(self, server: str, address: str) -> None:
         is_alive = await self._ports.liveness.is_alive(address)
         await self._outbox.send(ServerChecked(server, is_alive))
--- a/chervilrock/tasks/serving/peermessages.py
+++ b/chervilrock/tasks/serving/peermessages.py
@@ -6,6 +6,7 @@
 
 from chervilrock.decisions.serving.suspects import EndReport
 from chervilrock.decisions.serving.view import Acknowledgement, Announcement
+from chervilrock.tasks.serving.messages import LimitHeard
 
 COMPRESSION_LEVEL = 1
 """Level of gzip. Views repeat the same names: an announcement with one of 40
@@ -20,6 +21,7 @@
 _ANNOUNCEMENT = msgspec.json.Decoder(Announcement)
 _ACKNOWLEDGEMENT = msgspec.json.Decoder(Acknowledgement)
 _END_REPORT = msgspec.json.Decoder(EndReport)
+_LIMIT = msgspec.json.Decoder(LimitHeard)
 
 
 def encode_announcement(announcement: Announcement) -> bytes:
@@ -35,6 +37,14 @@
         return None
 
 
+def decode_limit(body: bytes) -> LimitHeard | None:
+    """Read what a node has heard of a limit; None when it cannot be read."""
+    try:
+        return _LIMIT.decode(body)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return None
+
+
 def decode_acknowledgement(body: bytes) -> Acknowledgement | None:
     """Read the answer to an announcement; None when it cannot be read."""
     try:
--- a/chervilrock/tasks/serving/state.py
+++ b/chervilrock/tasks/serving/state.py
@@ -5,7 +5,7 @@
 
 from collections.abc import Iterable, Mapping
 import random
-from typing import NamedTuple
+from typing import NamedTuple, TypeVar
 
 from chervilrock.decisions.serving import placement
 from chervilrock.decisions.serving.activenodes import ActiveNodes
@@ -34,6 +34,8 @@
 )
 from chervilrock.events import emit, Event
 
+Endpoint = TypeVar("Endpoint", GroupEndpoint, ServerEndpoint)
+
 DOUBT_S = 2.0
 """Time for which an endpoint that failed is avoided: the leader has looked
 into it and told a new view by then."""
@@ -103,7 +105,7 @@
         self.shortages = Shortages()
         self.watches: dict[str, GroupWatch] = {}
         self.suspects = SuspectTable()
-        self.limits = ServerLimits()
+        self.limits = ServerLimits(own=own.node)
 
     @property
     def revision(self) -> int:
@@ -116,6 +118,7 @@
         self.view = view
         self.view_time = now
         self._forget_failures(frozenset(one.group for one in view.groups))
+        self.limits.take_told(view.limits, now)
         heads = [one.server for one in view.groups]
         self.limits.keep_only([*heads, *(one.server for one in view.servers)])
         emit(
@@ -193,7 +196,7 @@
         engine = self.find_engine(service)
         slots = 1 if engine is None else engine.slots
         groups = leave_out(
-            self.list_groups(service, model),
+            self._list_permitted(self.list_groups(service, model), now),
             lambda one: self.is_failing(one.group, now),
         )
         return placement.choose(
@@ -210,7 +213,7 @@
     ) -> Choice[ServerEndpoint] | None:
         """Return the best server of a plain service with room."""
         return placement.choose(
-            self.list_servers(service),
+            self._list_permitted(self.list_servers(service), now),
             lambda one: self._find_load(one.server, one.server, one.slots, now),
             data_centre=self.own.data_centre,
             avoided=avoided,
@@ -218,6 +221,16 @@
             generator=self.generator,
         )
 
+    def _list_permitted(
+        self, endpoints: list[Endpoint], now: float
+    ) -> list[Endpoint]:
+        """Return the endpoints to which this node may send a request now."""
+        if not self.limits:
+            return endpoints
+        return [
+            one for one in endpoints if self.limits.may_send(one.server, now)
+        ]
+
     def is_forming(self, model: str) -> bool:
         """Tell whether a group of a model may serve soon.
 
@@ -320,7 +333,8 @@
 
     def note_limit(self, server: str, limit: StatedLimit, now: float) -> None:
         """Take what an answer of a server says of its limit."""
-        change = self.limits.note_answer(server, limit, now)
+        nodes = [one.node for one in self.nodes] or [self.own.node]
+        change = self.limits.note_answer(server, limit, nodes, now)
         if change is LimitChange.NAMED:
             emit(Event.LIMIT_NAMED, server=server, rate=limit.rate)
         elif change is LimitChange.ENDED:
@@ -365,6 +379,26 @@
         )
         return sorted({one.callers_address for one in chosen})
 
+    def list_active_nodes(self, leader: str, now: float) -> list[str]:
+        """Return the names of the nodes that callers are told to use.
+
+        Args:
+          leader: name of the node that leads.
+          now: present time.
+        """
+        active = {
+            one.node
+            for data_centre in {node.data_centre for node in self.nodes}
+            for one in self._active_nodes.choose(
+                self.nodes,
+                data_centre=data_centre,
+                leader=leader,
+                running=self.count_running(),
+                now=now,
+            )
+        }
+        return sorted(active)
+
     def _find_group_load(
         self, group: GroupEndpoint, slots: int, now: float
     ) -> Load:
--- a/test/decisions/serving/fleet.py
+++ b/test/decisions/serving/fleet.py
@@ -117,6 +117,7 @@
         self._numbers = itertools.count()
         self.has_traffic = False
         self.demand: dict[str, int] = {}
+        self.limits: dict[str, float] = {}
         for domain in range(domains):
             for host in range(hosts):
                 self.add(f"h{domain}-{host}", f"d{domain}")
@@ -168,7 +169,9 @@
             self._deliver()
             self._finish_joins()
             if self.demand:
-                self.controller.note_requests(self._spread(), self.now)
+                self.controller.note_requests(
+                    self._spread(), self.limits, self.now
+                )
             for effect in self.controller.step(self.now):
                 self._take(effect)
             if round(self.now / STEP_S) % 6 == 0:
--- a/test/decisions/serving/test_controller.py
+++ b/test/decisions/serving/test_controller.py
@@ -580,3 +580,17 @@
     # With 111 domains each of them looked at all groups twice: a step took 0.17
     # s where one is due each 0.05 s, and the leader told nobody anything.
     assert_that(count_looks(12), Equals(count_looks(2)))
+
+
+def test_a_group_whose_head_limits_what_it_gets_is_joined_by_another(
+    fleet: Fleet,
+) -> None:
+    fleet.run(12.0)
+    fleet.start_traffic()
+    fleet.demand = {"large": 20, "small": 10}
+    fleet.run(10.0)
+    before = fleet.serving()["large"]
+    groups = fleet.controller.list_groups(fleet.now)
+    fleet.limits = {one.server: 1.0 for one in groups if one.model == "large"}
+    fleet.run(30.0)
+    assert_that(fleet.serving()["large"], GreaterThan(before))
--- a/test/decisions/serving/test_demand.py
+++ b/test/decisions/serving/test_demand.py
@@ -85,3 +85,13 @@
     now = feed(demand, 10.0, 0.0, large=20, groups=3)
     now = feed(demand, 3.0, now, large=0, groups=0)
     assert_that(sorted(demand.list_pressed(now)), Contains("large"))
+
+
+def test_a_model_whose_servers_limit_what_they_get_needs_more_groups() -> None:
+    # A limited group runs few requests, and must not seem to have free places.
+    demand = Demand()
+    now = 0.0
+    for step in range(400):
+        now = 0.05 * step
+        demand.note({"large": 4, "small": 20}, {"large": 4, "small": 78}, now)
+    assert_that(find_need(demand, 6, now), GreaterThan(6.9))
--- a/test/decisions/serving/test_waiting.py
+++ b/test/decisions/serving/test_waiting.py
@@ -1,5 +1,7 @@
 """How long requests without a place wait, and when callers come back."""
 
+import math
+
 import pytest
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, GreaterThan, LessThan
@@ -83,3 +85,34 @@
     target_s: float, pause_s: float, give_up_s: float
 ) -> None:
     assert_that(find_give_up(target_s, pause_s), Equals(give_up_s))
+
+
+NEVER = FULL._replace(limited_s=math.inf)
+SOON = FULL._replace(limited_s=0.1)
+
+
+def test_a_request_waits_for_a_send_that_limited_servers_allow_in_time() -> (
+    None
+):
+    assert_that(decide(NEW, SOON), Equals(decide(NEW, FULL)))
+    begun = NEW._replace(standing=Standing.BEGUN)
+    later = FULL._replace(limited_s=1.0)
+    assert_that(decide(begun, later), Equals(decide(begun, FULL)))
+
+
+@pytest.mark.parametrize("standing", Standing)
+def test_no_request_waits_where_limited_servers_get_nothing(standing) -> None:
+    told = decide(NEW._replace(standing=standing), NEVER)
+    assert_that(told.wait_s, Equals(0.0))
+    assert_that(told.retry_after_s, GreaterThan(0.0))
+
+
+def test_late_requests_leave_the_sends_to_limited_servers_to_others() -> None:
+    assert_that(decide(LATE, SOON).wait_s, Equals(0.0))
+
+
+def test_a_caller_comes_back_when_limited_servers_take_one_again() -> None:
+    later = FULL._replace(limited_s=3.0)
+    assert_that(decide(NEW, later).retry_after_s, Equals(3.0))
+    far = FULL._replace(limited_s=60.0)
+    assert_that(decide(NEW, far).retry_after_s, Equals(LONGEST_RETRY_AFTER_S))
--- a/test/platform/test_adapter.py
+++ b/test/platform/test_adapter.py
@@ -11,7 +11,7 @@
 
 from chervilrock.clients.httpclient import HttpAnswer
 from chervilrock.clients.serving import Topic
-from chervilrock.decisions.serving.messages import Onward
+from chervilrock.decisions.serving.messages import Onward, StatedLimit
 from chervilrock.decisions.serving.orders import Close, Join, Leave, Open
 from chervilrock.decisions.serving.site import (
     Membership,
@@ -368,6 +368,39 @@
     assert_that(read_answer(status, pairs).is_not_run, Is(is_not_run))
 
 
+@pytest.mark.parametrize(
+    ("text", "limit"),
+    [
+        ("1.4", StatedLimit(1.4)),
+        (" 20 ", StatedLimit(20.0)),
+        ("0", StatedLimit(0.0)),
+        (".5", StatedLimit(0.5)),
+        ("9" * 400, StatedLimit(1e9)),
+        ("-1", StatedLimit(None, "-1")),
+        ("many", StatedLimit(None, "many")),
+        ("nan", StatedLimit(None, "nan")),
+        ("inf", StatedLimit(None, "inf")),
+        ("1e3", StatedLimit(None, "1e3")),
+        ("1,4", StatedLimit(None, "1,4")),
+        ("", StatedLimit(None, "nothing")),
+        ("x" * 99, StatedLimit(None, "x" * 40)),
+    ],
+)
+def test_the_limit_of_a_server_is_a_decimal_number(text, limit) -> None:
+    facts = read_answer(200, [("Server-Limit", text)])
+    assert_that(facts.limit == limit, Is(True), str(facts.limit))
+
+
+def test_an_answer_without_a_limit_says_that_there_is_none() -> None:
+    is_none = read_answer(200, []).limit == StatedLimit(None)
+    assert_that(is_none, Is(True))
+
+
+def test_an_answer_of_another_server_says_nothing_of_limits() -> None:
+    facts = read_answer(421, [("Server-Limit", "1.4")])
+    assert_that(facts.limit is None, Is(True))
+
+
 def test_an_answer_goes_back_without_headers_of_its_connection() -> None:
     pairs = [("Connection", "close"), ("Content-Length", "3"), ("A", "b")]
     assert_that(list(make_caller_headers(pairs)), Equals([("A", "b")]))
