Let servers of the soak name limits, and check what they get

Four servers of each run name limits one after the other, from a generator of their own, so that the other faults of a seed stay as they were.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -9,6 +9,7 @@
 
 import argparse
 import asyncio
+import bisect
 import collections
 import contextlib
 import os
@@ -68,6 +69,10 @@
 """Servers that such a request may end in the calm time: all nodes that knew of
 it may have been killed before."""
 
+LIMIT_WINDOW_S = 4.0
+LIMIT_FROM_S = 3.0
+"""Time after a server first named a limit from which it has to hold."""
+
 WITHHELD = b"servers ended under it"
 """Part of the answer to a request that is kept from the servers."""
 
@@ -97,6 +102,22 @@
     served_at_end: float
 
 
+class _Named(NamedTuple):
+    """A limit that a server names.
+
+    Attributes:
+      server: the server.
+      identifier: its identifier when it began.
+      rate: requests a second.
+      since: when it began.
+    """
+
+    server: SiteServer
+    identifier: str
+    rate: float
+    since: float
+
+
 class _Process:
     """A node process and its settings, which keep their ports."""
 
@@ -278,6 +299,7 @@
         self._nodes = nodes
         self._links = links
         self._version = 1
+        self._limits: list[_Named] = []
 
     async def run(self) -> None:
         """Disturb until cancelled."""
@@ -298,6 +320,34 @@
                 group.create_task(self._generator.choice(actions)())
                 await asyncio.sleep(self._generator.uniform(0.2, 1.2))
 
+    async def limit_servers(self, seed: int) -> None:
+        """Let servers name limits, one after the other, until the calm time."""
+        # A generator of its own keeps the other faults of a seed as they were.
+        generator = random.Random(f"limits of {seed}")
+        servers = [one for one in self._site.servers if not one.limit]
+        for server in generator.sample(servers, 4):
+            rate = round(generator.uniform(0.2, 6.0), 1)
+            server.limit = str(rate)
+            since = asyncio.get_running_loop().time()
+            self._limits.append(_Named(server, server.server, rate, since))
+            await asyncio.sleep(generator.uniform(0.2, 1.5))
+
+    def check_limits(self) -> None:
+        """Check what servers got against the limits that they named."""
+        end = asyncio.get_running_loop().time()
+        for named in self._limits:
+            named.server.limit = ""
+            if named.server.server != named.identifier:
+                continue
+            most = count_most(
+                named.server.arrivals, named.since + LIMIT_FROM_S, end
+            )
+            if most > 1.5 * named.rate * LIMIT_WINDOW_S + 5:
+                self._callers.violations.append(
+                    f"{named.identifier} takes {named.rate} a second and got "
+                    f"{most} within {LIMIT_WINDOW_S} s"
+                )
+
     async def _kill(self) -> None:
         self._generator.choice(self._nodes).signal(signal.SIGKILL)
 
@@ -373,6 +423,18 @@
             node.signal(signal.SIGCONT)
 
 
+def count_most(times: list[float], begin: float, end: float) -> int:
+    """Return the most of some sorted times in a window between two others."""
+    kept = [one for one in times if begin <= one <= end]
+    return max(
+        (
+            number + 1 - bisect.bisect_left(kept, time - LIMIT_WINDOW_S)
+            for number, time in enumerate(kept)
+        ),
+        default=0,
+    )
+
+
 async def _supervise(nodes: list[_Process]) -> None:
     """Start each process again that has ended, as the platform does."""
     while True:
@@ -422,8 +484,10 @@
             async with asyncio.timeout(plan.seconds):
                 async with asyncio.TaskGroup() as group:
                     group.create_task(faults.run())
+                    group.create_task(faults.limit_servers(plan.seed))
                     for _ in range(CALLERS):
                         group.create_task(callers.run(nodes))
+        faults.check_limits()
         faults.calm()
         await asyncio.sleep(SETTLE_S)
         await callers.check_crashing(nodes)
--- a/test/node/test_server_limits.py
+++ b/test/node/test_server_limits.py
@@ -1,12 +1,13 @@
 """Servers that name the requests a second that they take from all nodes."""
 
 import asyncio
-import bisect
 import itertools
+import math
 
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, LessThan
 
+from bench import soak
 from chervilrock.standin.site.servers import SiteServer
 from chervilrock.standin.site.site import LARGE
 from test.node.serving_site import run_world, World
@@ -14,7 +15,6 @@
 NODES = 3
 SERVERS = {"model_servers": 16, "plain_servers": 2}
 
-WINDOW_S = 4.0
 TOLD_S = 0.5
 """Time after which the nodes that passed such an answer on have to obey."""
 
@@ -24,19 +24,12 @@
 
 def count_allowed(rate: float) -> float:
     """Return how many requests a server may get in a window."""
-    return 1.5 * rate * WINDOW_S + 5
+    return 1.5 * rate * soak.LIMIT_WINDOW_S + 5
 
 
 def count_most(server: SiteServer, since: float) -> int:
     """Return the most requests that a server got in a window."""
-    times = [one for one in server.arrivals if one >= since]
-    return max(
-        (
-            number + 1 - bisect.bisect_left(times, time - WINDOW_S)
-            for number, time in enumerate(times)
-        ),
-        default=0,
-    )
+    return soak.count_most(server.arrivals, since, math.inf)
 
 
 async def call_all_nodes(world: World, path: str = "/draft/x") -> set[int]:
