Keep the limit of a server while its group is formed again

A limit was forgotten as soon as its server left the view. A group that is formed again within a second has the same head, still in need, and all nodes would have filled its places before the first answer named the limit again. A limit is now forgotten 30 s after its server last took requests; one that starts again has another identifier.

--- a/chervilrock/decisions/serving/limitbook.py
+++ b/chervilrock/decisions/serving/limitbook.py
@@ -6,6 +6,7 @@
     choose_senders,
     is_same_rate,
     LimitedServer,
+    Sightings,
 )
 
 
@@ -19,6 +20,7 @@
     def __init__(self, *, known: Iterable[LimitedServer]) -> None:
         """Go on with what the last leader told."""
         self._rates = {one.server: one.rate for one in known}
+        self._sightings = Sightings()
 
     def note(self, server: str, rate: float | None) -> bool:
         """Take what a node has heard of a server; None is no limit.
@@ -39,16 +41,16 @@
         return self._rates
 
     def list(
-        self, servers: Iterable[str], nodes: Sequence[str]
+        self, present: Iterable[str], nodes: Sequence[str], now: float
     ) -> tuple[LimitedServer, ...]:
         """Return the servers with limits, and who may send to them.
 
         Args:
-          servers: servers that take requests; all others are forgotten.
+          present: servers that take requests; others are forgotten in time.
           nodes: names of the nodes to which callers come.
+          now: present time.
         """
-        present = frozenset(servers)
-        for gone in set(self._rates) - present:
+        for gone in self._sightings.forget(list(self._rates), present, now):
             del self._rates[gone]
         return tuple(
             LimitedServer(server, rate, choose_senders(server, rate, nodes))
--- a/chervilrock/decisions/serving/serverlimits.py
+++ b/chervilrock/decisions/serving/serverlimits.py
@@ -28,6 +28,10 @@
 """Requests a second that a server gets all the same, so that it is heard when
 its limit is over; its answers are the only way to hear it."""
 
+FORGET_S = 30.0
+"""Time without a place in the view after which a limit is forgotten. A group
+that is formed again within it has the same head, which is still in need."""
+
 LEAST_BURST = 1.0
 BURST_S = 0.25
 """What a sender may send at once: one request, or its share of this time."""
@@ -75,6 +79,34 @@
     return abs(one - other) <= SAME_PART * max(one, other)
 
 
+class Sightings:
+    """Servers that take requests, or did not long ago."""
+
+    def __init__(self) -> None:
+        """Have seen none."""
+        self._seen: dict[str, float] = {}
+
+    def forget(
+        self, known: Iterable[str], present: Iterable[str], now: float
+    ) -> list[str]:
+        """Return which of the known servers have been gone for long.
+
+        Args:
+          known: servers of which anything is known.
+          present: servers that take requests.
+          now: present time.
+        """
+        self._seen.update(dict.fromkeys(present, now))
+        gone = [
+            one
+            for one in known
+            if now - self._seen.setdefault(one, now) > FORGET_S
+        ]
+        kept = set(known) - set(gone)
+        self._seen = {one: self._seen[one] for one in kept}
+        return gone
+
+
 def choose_senders(
     server: str, rate: float, nodes: Iterable[str]
 ) -> tuple[str, ...]:
@@ -151,6 +183,7 @@
         self._senders: dict[str, tuple[str, ...]] = {}
         self._shares: dict[str, _Share] = {}
         self._unreadable: dict[str, str] = {}
+        self._sightings = Sightings()
 
     def __len__(self) -> int:
         return len(self._shares)
@@ -243,18 +276,20 @@
         share = self._shares.get(server)
         return 0.0 if share is None else share.find_wait(now)
 
-    def keep_only(self, servers: Iterable[str]) -> None:
-        """Forget the servers that are gone; one that is new has no limit."""
-        present = frozenset(servers)
-        for known in (
-            self._heard,
-            self._told,
-            self._senders,
-            self._shares,
-            self._unreadable,
-        ):
-            for server in set(known) - present:
-                del known[server]
+    def forget_gone(self, present: Iterable[str], now: float) -> None:
+        """Forget servers that have taken no requests for long.
+
+        Args:
+          present: servers that take requests.
+          now: present time.
+        """
+        known = {*self._heard, *self._told, *self._unreadable}
+        for server in self._sightings.forget(known, present, now):
+            self._heard.pop(server, None)
+            self._told.pop(server, None)
+            self._senders.pop(server, None)
+            self._shares.pop(server, None)
+            self._unreadable.pop(server, None)
 
     def _find_newest(self, server: str) -> _Known:
         unknown = _Known(None, -math.inf)
--- a/chervilrock/tasks/serving/leading.py
+++ b/chervilrock/tasks/serving/leading.py
@@ -374,7 +374,7 @@
         present = [one.server for one in groups]
         present += [one.server for one in servers]
         nodes = self._state.list_active_nodes(self._state.own.node, now)
-        return self._limits.list(present, nodes)
+        return self._limits.list(present, nodes, now)
 
     def _make_news(self, now: float) -> News:
         state = self._state
--- a/chervilrock/tasks/serving/state.py
+++ b/chervilrock/tasks/serving/state.py
@@ -120,7 +120,8 @@
         self._forget_failures(frozenset(one.group for one in view.groups))
         self.limits.take_told(view.limits, now)
         heads = [one.server for one in view.groups]
-        self.limits.keep_only([*heads, *(one.server for one in view.servers)])
+        heads += [one.server for one in view.servers]
+        self.limits.forget_gone(heads, now)
         emit(
             Event.VIEW_IN_FORCE,
             term=view.term,
