--- a/chervilrock/edges/serving/exchange.py
+++ b/chervilrock/edges/serving/exchange.py
@@ -231,7 +231,8 @@
 
     def _note_repeat(self, end: SendEnd) -> None:
         exchangelog.log_repeat(self._describe_repeat(end))
-        self._context.metrics.count_repeat(end.value)
+        if self._progress.sends:
+            self._context.metrics.count_repeat(end.value)
         self._answer = None
 
     def _describe_repeat(self, end: SendEnd) -> exchangelog.Repeat:
