Do not renew the pace of loads with each new leader

A new leader began a load from the weight store at once, whatever the last one had begun. A new leader now waits as long as after a load of its own, at most a second here; before the first request loads are not paced, as before.

--- a/chervilrock/decisions/serving/planning.py
+++ b/chervilrock/decisions/serving/planning.py
@@ -96,7 +96,7 @@
         self._hosts = board.hosts
         self._groups = board.groups
         self._stagings = StagingBook()
-        self._last_load = float("-inf")
+        self._last_load: float | None = None
         self._unheard: dict[str, float] = {}
         self._demands: dict[str, Demand] = {}
         self._requests: Mapping[str, int] = {}
@@ -210,6 +210,9 @@
             if group.is_standby and group.phase is Phase.FORMING
         )
         pause = 1.0 / max(engine.loads_per_s, 0.1)
+        if self._last_load is None:
+            # The last leader may have begun one just now.
+            self._last_load = now
         if loading >= engine.loads_at_once or now - self._last_load < pause:
             return False
         self._last_load = now
--- /dev/null
+++ b/test/decisions/serving/test_planning.py
@@ -0,0 +1,35 @@
+"""What the leader wants next, and how fast it has weights loaded."""
+
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Is
+
+from chervilrock.decisions.serving.groupboard import GroupBoard
+from chervilrock.decisions.serving.planning import Planner
+from test.decisions.serving.fleet import ENGINE
+
+
+def make_planner() -> Planner:
+    """Return what a new leader plans with while callers send requests."""
+    planner = Planner(board=GroupBoard())
+    planner.has_traffic = True
+    return planner
+
+
+@pytest.mark.parametrize("rate", [1.0, 4.0])
+def test_new_leaders_do_not_renew_the_pace_of_loads(rate: float) -> None:
+    # Each new leader began a load at once, whatever the last one had begun.
+    engine = ENGINE._replace(loads_per_s=rate, loads_at_once=100)
+    loads: list[float] = []
+    planner = make_planner()
+    for step in range(400):
+        now = 0.05 * step
+        if step % 6 == 0:
+            planner = make_planner()
+        if planner.take_load(engine, now):
+            loads.append(now)
+    most = max(
+        (sum(end - 5.0 < one <= end for one in loads) for end in loads),
+        default=0,
+    )
+    assert_that(most <= 1.1 * 5.0 * rate + 3.0, Is(True), str(most))
