--- a/chervilrock/tasks/serving/node.py
+++ b/chervilrock/tasks/serving/node.py
@@ -38,6 +38,7 @@
 from chervilrock.tasks.clock import read_clock
 from chervilrock.tasks.mailbox import Mailbox
 from chervilrock.tasks.serving.leading import Leading
+from chervilrock.tasks.serving.limitreports import LimitReports
 from chervilrock.tasks.serving.messages import (
     ClaimAnswered,
     DocumentRead,
@@ -70,9 +71,6 @@
 TICK_S = 0.05
 """Longest time between two looks at what is due."""
 
-TELL_LIMITS_S = 0.2
-"""Least time between two reports of limits to the leader."""
-
 NO_END = -1
 """Stands for no offset of a topic."""
 
@@ -127,7 +125,6 @@
         self._is_claiming = False
         self._is_registering = False
         self._is_recorded = False
-        self._limits_told = float("-inf")
         self._outbound = Outbound(ports=ports, outbox=self.mailbox)
         self._reads = StoreReads(
             outbound=self._outbound,
@@ -136,6 +133,7 @@
         )
         self._relay = Relay(state=state, outbound=self._outbound)
         self.suspicion = Suspicion(state=state, outbound=self._outbound)
+        self._limit_reports = LimitReports(state=state, outbound=self._outbound)
 
     async def run(self) -> None:
         """Work until cancelled."""
@@ -647,7 +645,9 @@
         self._catch_up(now)
         self._suspect(now)
         self._state.refill_budgets(is_in_touch=self._is_in_touch(now), now=now)
-        self._tell_limits(now)
+        self._limit_reports.act(
+            now, leading=self._leading, leader=self._find_leader()
+        )
         if self._state.limits:
             # A request that waits may be sent when its time has come.
             self._room.notify()
@@ -658,19 +658,6 @@
         if self._state.view is not view:
             self._room.notify()
 
-    def _tell_limits(self, now: float) -> None:
-        """Tell the leader what servers say of their limits, until it tells."""
-        untold = self._state.limits.list_untold()
-        if not untold or now - self._limits_told < TELL_LIMITS_S:
-            return
-        self._limits_told = now
-        leader = self._find_leader()
-        for server, rate in untold.items():
-            if self._leading is not None:
-                self._leading.note_limit(server, rate)
-            elif leader is not None:
-                self._outbound.tell_limit(leader, LimitHeard(server, rate))
-
     def _catch_up(self, now: float) -> None:
         """Get a configuration that the store has not given to this node."""
         state = self._state
