Give no two nodes of a soak the same port

Its logs tell why: n2 never started (E1005, address in use), since its port for other nodes was the one that n0 had for the question whether it is ready, 29470. Each node chose free ports while no other one listened yet: twelve of 16,000, so about one run in 250. Ruled out: limits, which n0 and n1 had ended; all requests to these two were served. The check is as it was. Without the change the new test fails.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -122,9 +122,15 @@
     """A node process and its settings, which keep their ports."""
 
     def __init__(
-        self, *, folder: pathlib.Path, name: str, store: str, ip: str
+        self,
+        *,
+        folder: pathlib.Path,
+        name: str,
+        store: str,
+        ip: str,
+        taken: set[int],
     ) -> None:
-        ports = _find_ports(ip)
+        ports = find_ports(ip, taken)
         self.address = f"{ip}:{ports['callers']}"
         self._path = folder / f"{name}.toml"
         document = make_node_file(
@@ -454,6 +460,7 @@
     site = Site()
     links: list[LinkProxy] = []
     nodes: list[_Process] = []
+    taken: set[int] = set()
     callers = _Callers(site=site, generator=generator, seed=plan.seed)
     try:
         site.start(model_servers=12, plain_servers=3)
@@ -468,6 +475,7 @@
                 name=f"n{number}",
                 store=link.address,
                 ip=_find_ip(plan.seed),
+                taken=taken,
             )
             for number in range(NODES)
         ]
@@ -529,19 +537,26 @@
     return f"127.{1 + seed // 250 % 250}.{1 + seed % 250}.1"
 
 
-def _find_ports(ip: str) -> dict[str, int]:
+def find_ports(ip: str, taken: set[int]) -> dict[str, int]:
     """Return free ports, so that a process that comes back keeps its own.
 
     They lie below those that the kernel gives to outgoing connections, one of
     which may take the port of a process that is down.
+
+    Args:
+      ip: IP number of the nodes.
+      taken: ports of nodes that do not listen yet; gets the new ones.
     """
     ports: dict[str, int] = {}
     for name in ("callers", "ready", "directory", "peers"):
         while name not in ports:
             port = random.randrange(*PORTS)
+            if port in taken:
+                continue
             with contextlib.suppress(OSError), socket.socket() as trial:
                 trial.bind((ip, port))
                 ports[name] = port
+                taken.add(port)
     return ports
 
 
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -7,7 +7,8 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, HasLength
 
-from bench.soak import Plan, soak
+from bench import soak as module
+from bench.soak import find_ports, Plan, soak
 
 SHORT_S = 6.0
 
@@ -19,3 +20,15 @@
     outcome = asyncio.run(soak(Plan(seed=seed, seconds=SHORT_S), tmp_path))
     assert_that(outcome.violations, HasLength(0))
     assert_that(outcome.served_at_end, Equals(1.0))
+
+
+def test_no_two_nodes_of_a_run_get_the_same_port(monkeypatch) -> None:
+    # Nodes choose their ports before any of them listens.
+    monkeypatch.setattr(module, "PORTS", (20_000, 20_100))
+    taken: set[int] = set()
+    ports = [
+        port
+        for _ in range(5)
+        for port in find_ports("127.250.250.1", taken).values()
+    ]
+    assert_that(set(ports), HasLength(len(ports)))
