Send reports to other nodes by one function

Behaviour is the same: path, body, time limit and log line of each are as before. Checks, and the tests of suspicion, limits and crashing requests, pass.

--- a/chervilrock/tasks/serving/outbound.py
+++ b/chervilrock/tasks/serving/outbound.py
@@ -239,54 +239,43 @@
             PeerAnswered(entry.incarnation, acknowledgement)
         )
 
-    async def _tell_silence(self, leader: NodeEntry, group: str) -> None:
+    async def _tell(
+        self,
+        entry: NodeEntry,
+        path: str,
+        body: bytes,
+        timeout_s: float = PEER_TIMEOUT_S,
+    ) -> bool:
+        """Send a node a report; tell whether it took it."""
         result = await self._ports.client.request(
             "POST",
-            f"http://{leader.peer_address}/peer/silence/{group}",
-            timeout_s=PEER_TIMEOUT_S,
-            body=b"{}",
+            f"http://{entry.peer_address}/peer/{path}",
+            timeout_s=timeout_s,
+            body=body,
         )
         if isinstance(result, Failure):
-            # The next acknowledgement tells it again.
             emit(
                 Event.PEER_UNREACHABLE,
-                address=leader.peer_address,
+                address=entry.peer_address,
                 reason=result.failure().message,
             )
+        return not isinstance(result, Failure)
+
+    async def _tell_silence(self, leader: NodeEntry, group: str) -> None:
+        # If it fails, the next acknowledgement tells it again.
+        await self._tell(leader, f"silence/{group}", b"{}")
 
     async def _tell_limit(self, leader: NodeEntry, heard: LimitHeard) -> None:
-        result = await self._ports.client.request(
-            "POST",
-            f"http://{leader.peer_address}/peer/limit",
-            timeout_s=PEER_TIMEOUT_S,
-            body=msgspec.json.encode(heard),
-        )
-        if isinstance(result, Failure):
-            # It is told again until the leader tells it all nodes.
-            emit(
-                Event.PEER_UNREACHABLE,
-                address=leader.peer_address,
-                reason=result.failure().message,
-            )
+        # If it fails, it is told again until the leader tells all nodes.
+        await self._tell(leader, "limit", msgspec.json.encode(heard))
 
     async def _check_server(self, server: str, address: str) -> None:
         is_alive = await self._ports.liveness.is_alive(address)
         await self._outbox.send(ServerChecked(server, is_alive))
 
     async def _tell_ends(self, entry: NodeEntry, report: EndReport) -> None:
-        result = await self._ports.client.request(
-            "POST",
-            f"http://{entry.peer_address}/peer/ends",
-            timeout_s=ENDS_TIMEOUT_S,
-            body=msgspec.json.encode(report),
-        )
-        if isinstance(result, Failure):
-            emit(
-                Event.PEER_UNREACHABLE,
-                address=entry.peer_address,
-                reason=result.failure().message,
-            )
-        is_taken = not isinstance(result, Failure)
+        body = msgspec.json.encode(report)
+        is_taken = await self._tell(entry, "ends", body, ENDS_TIMEOUT_S)
         await self._outbox.send(
             EndsAnswered(entry.incarnation, report, is_taken)
         )
