List the nodes only when a server names a limit

Every answer of a server built the names of all nodes that take callers, 195 on a large installation, for the rare one that names another limit; now they are read only then. The clock is read once for a place, and the limit that stands for unknown is made once. Behaviour is the same; the tests of limits pass unchanged.

--- a/chervilrock/decisions/serving/serverlimits.py
+++ b/chervilrock/decisions/serving/serverlimits.py
@@ -8,7 +8,7 @@
 itself.
 """
 
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Iterable, Mapping
 import enum
 import math
 from typing import NamedTuple
@@ -72,6 +72,9 @@
     time: float
 
 
+_UNKNOWN = _Known(None, -math.inf)
+
+
 def is_same_rate(one: float | None, other: float | None) -> bool:
     """Tell whether two limits need not be told apart; None is no limit."""
     if one is None or other is None:
@@ -201,7 +204,7 @@
         self,
         server: str,
         limit: StatedLimit,
-        nodes: Sequence[str],
+        nodes: Iterable[str],
         now: float,
     ) -> LimitChange | None:
         """Take what an answer of a server says.
@@ -210,7 +213,7 @@
           server: the server.
           limit: what it says.
           nodes: names of the nodes that take callers, of which some may send
-            until the leader tells which.
+            until the leader tells which; only read when a limit is named.
           now: present time.
 
         Returns:
@@ -225,7 +228,8 @@
             return None
         self._heard[server] = _Known(limit.rate, now)
         if limit.rate is not None:
-            self._senders[server] = choose_senders(server, limit.rate, nodes)
+            names = tuple(nodes) or (self._own,)
+            self._senders[server] = choose_senders(server, limit.rate, names)
         self._renew(server, now)
         ended = limit.rate is None
         return LimitChange.ENDED if ended else LimitChange.NAMED
@@ -250,15 +254,13 @@
 
     def list_untold(self) -> Mapping[str, float | None]:
         """Return the limits that were heard here and the leader lacks."""
-        unknown = _Known(None, -math.inf)
-        return {
-            server: heard.rate
-            for server, heard in self._heard.items()
-            if heard.time > self._told.get(server, unknown).time
-            and not is_same_rate(
-                heard.rate, self._told.get(server, unknown).rate
-            )
-        }
+        untold = {}
+        for server, heard in self._heard.items():
+            told = self._told.get(server, _UNKNOWN)
+            is_newer = heard.time > told.time
+            if is_newer and not is_same_rate(heard.rate, told.rate):
+                untold[server] = heard.rate
+        return untold
 
     def may_send(self, server: str, now: float) -> bool:
         """Tell whether this node may send a request to a server now."""
@@ -292,9 +294,8 @@
             self._unreadable.pop(server, None)
 
     def _find_newest(self, server: str) -> _Known:
-        unknown = _Known(None, -math.inf)
-        heard = self._heard.get(server, unknown)
-        told = self._told.get(server, unknown)
+        heard = self._heard.get(server, _UNKNOWN)
+        told = self._told.get(server, _UNKNOWN)
         return heard if heard.time > told.time else told
 
     def _renew(self, server: str, now: float) -> None:
--- a/chervilrock/edges/serving/places.py
+++ b/chervilrock/edges/serving/places.py
@@ -193,12 +193,13 @@
             return False
         if self._check.find_withheld() is not None:
             return True
-        self.place = self._choose(read_clock())
+        now = read_clock()
+        self.place = self._choose(now)
         if self.place is None:
             return False
         server = self.place.endpoint.server
         self._state.note_sent(server)
-        self._state.limits.take(server, read_clock())
+        self._state.limits.take(server, now)
         return True
 
     def _choose(self, now: float) -> Place | None:
--- a/chervilrock/tasks/serving/state.py
+++ b/chervilrock/tasks/serving/state.py
@@ -334,8 +334,8 @@
 
     def note_limit(self, server: str, limit: StatedLimit, now: float) -> None:
         """Take what an answer of a server says of its limit."""
-        nodes = [one.node for one in self.nodes] or [self.own.node]
-        change = self.limits.note_answer(server, limit, nodes, now)
+        names = (one.node for one in self.nodes)
+        change = self.limits.note_answer(server, limit, names, now)
         if change is LimitChange.NAMED:
             emit(Event.LIMIT_NAMED, server=server, rate=limit.rate)
         elif change is LimitChange.ENDED:
