Tell the plan which heads have limits, not which ones

The plan needs to know only whether a head limits what it gets; the rates that it was given were never read. Behaviour is the same: the leader still passes its table, of which the names count. Tests of the controller, of worn fleets and of limits pass; the fleet of the tests names heads instead of rates.

--- a/chervilrock/decisions/serving/controller.py
+++ b/chervilrock/decisions/serving/controller.py
@@ -7,7 +7,7 @@
 order finds a higher epoch and is refused by the server.
 """
 
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 
 from chervilrock.decisions.serving.adoption import Adoption
 from chervilrock.decisions.serving.census import count_hosts, ModelCount
@@ -79,14 +79,14 @@
     def note_requests(
         self,
         requests: Mapping[str, int],
-        limits: Mapping[str, float],
+        limited: Collection[str],
         now: float,
     ) -> None:
         """Take the requests of all nodes at each head.
 
         Args:
           requests: requests by head.
-          limits: requests a second that heads with a limit take.
+          limited: heads that limit what they get.
           now: present time.
         """
         if self._board.configuration is None:
@@ -94,7 +94,7 @@
         for service in self._board.configuration.services.values():
             if service.engine is not None:
                 self._planner.note_requests(
-                    requests, limits, service.engine, service.name, now
+                    requests, limited, service.engine, service.name, now
                 )
 
     def note_server(self, server: BackendServer, now: float) -> None:
--- a/chervilrock/decisions/serving/planning.py
+++ b/chervilrock/decisions/serving/planning.py
@@ -5,7 +5,7 @@
 """
 
 from collections import Counter
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from typing import NamedTuple
 
 from chervilrock.decisions.serving.demand import Demand
@@ -150,7 +150,7 @@
     def note_requests(
         self,
         requests: Mapping[str, int],
-        limits: Mapping[str, float],
+        limited: Collection[str],
         engine: EngineProfile,
         service: str,
         now: float,
@@ -162,7 +162,7 @@
 
         Args:
           requests: requests by head.
-          limits: requests a second that heads with a limit take.
+          limited: heads that limit what they get.
           engine: how the engines of the service work.
           service: the service.
           now: present time.
@@ -174,7 +174,7 @@
         for group in self._groups.values():
             if group.service == service and group.phase is Phase.SERVING:
                 count = requests.get(group.head, 0)
-                is_limited = group.head in limits
+                is_limited = group.head in limited
                 running[group.model] += count
                 places[group.model] += count if is_limited else engine.slots
         self._find_demand(service).note(running, places, now)
--- a/test/decisions/serving/fleet.py
+++ b/test/decisions/serving/fleet.py
@@ -117,7 +117,7 @@
         self._numbers = itertools.count()
         self.has_traffic = False
         self.demand: dict[str, int] = {}
-        self.limits: dict[str, float] = {}
+        self.limited: set[str] = set()
         for domain in range(domains):
             for host in range(hosts):
                 self.add(f"h{domain}-{host}", f"d{domain}")
@@ -170,7 +170,7 @@
             self._finish_joins()
             if self.demand:
                 self.controller.note_requests(
-                    self._spread(), self.limits, self.now
+                    self._spread(), self.limited, self.now
                 )
             for effect in self.controller.step(self.now):
                 self._take(effect)
--- a/test/decisions/serving/test_controller.py
+++ b/test/decisions/serving/test_controller.py
@@ -591,6 +591,6 @@
     fleet.run(10.0)
     before = fleet.serving()["large"]
     groups = fleet.controller.list_groups(fleet.now)
-    fleet.limits = {one.server: 1.0 for one in groups if one.model == "large"}
+    fleet.limited = {one.server for one in groups if one.model == "large"}
     fleet.run(30.0)
     assert_that(fleet.serving()["large"], GreaterThan(before))
