Keep limits of servers apart from the other faults of a soak

Which servers name limits, what they may get and how that is counted stood in bench/soak.py, and the count and the bound once more in two test files each. Now bench/limits.py has them once; the soak is 60 lines shorter. Draws, bound and assertions are as before: the same generator, seeded alike, draws from the same list.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -9,7 +9,6 @@
 
 import argparse
 import asyncio
-import bisect
 import collections
 import contextlib
 import os
@@ -26,6 +25,7 @@
 from tornado.curl_httpclient import CurlError
 from tornado.httpclient import HTTPRequest
 
+from bench.limits import LimitedServers
 from chervilrock.clients.curlpool import QuietCurlClient
 from chervilrock.platform.settings import VARIABLE
 from chervilrock.standin.site.proxy import LinkFault, LinkProxy
@@ -69,10 +69,6 @@
 """Servers that such a request may end in the calm time: all nodes that knew of
 it may have been killed before."""
 
-LIMIT_WINDOW_S = 4.0
-LIMIT_FROM_S = 3.0
-"""Time after a server first named a limit from which it has to hold."""
-
 WITHHELD = b"servers ended under it"
 """Part of the answer to a request that is kept from the servers."""
 
@@ -102,22 +98,6 @@
     served_at_end: float
 
 
-class _Named(NamedTuple):
-    """A limit that a server names.
-
-    Attributes:
-      server: the server.
-      identifier: its identifier when it began.
-      rate: requests a second.
-      since: when it began.
-    """
-
-    server: SiteServer
-    identifier: str
-    rate: float
-    since: float
-
-
 class _Process:
     """A node process and its settings, which keep their ports."""
 
@@ -305,7 +285,6 @@
         self._nodes = nodes
         self._links = links
         self._version = 1
-        self._limits: list[_Named] = []
 
     async def run(self) -> None:
         """Disturb until cancelled."""
@@ -326,34 +305,6 @@
                 group.create_task(self._generator.choice(actions)())
                 await asyncio.sleep(self._generator.uniform(0.2, 1.2))
 
-    async def limit_servers(self, seed: int) -> None:
-        """Let servers name limits, one after the other, until the calm time."""
-        # A generator of its own keeps the other faults of a seed as they were.
-        generator = random.Random(f"limits of {seed}")
-        servers = [one for one in self._site.servers if not one.limit]
-        for server in generator.sample(servers, 4):
-            rate = round(generator.uniform(0.2, 6.0), 1)
-            server.limit = str(rate)
-            since = asyncio.get_running_loop().time()
-            self._limits.append(_Named(server, server.server, rate, since))
-            await asyncio.sleep(generator.uniform(0.2, 1.5))
-
-    def check_limits(self) -> None:
-        """Check what servers got against the limits that they named."""
-        end = asyncio.get_running_loop().time()
-        for named in self._limits:
-            named.server.limit = ""
-            if named.server.server != named.identifier:
-                continue
-            most = count_most(
-                named.server.arrivals, named.since + LIMIT_FROM_S, end
-            )
-            if most > 1.5 * named.rate * LIMIT_WINDOW_S + 5:
-                self._callers.violations.append(
-                    f"{named.identifier} takes {named.rate} a second and got "
-                    f"{most} within {LIMIT_WINDOW_S} s"
-                )
-
     async def _kill(self) -> None:
         self._generator.choice(self._nodes).signal(signal.SIGKILL)
 
@@ -429,18 +380,6 @@
             node.signal(signal.SIGCONT)
 
 
-def count_most(times: list[float], begin: float, end: float) -> int:
-    """Return the most of some sorted times in a window between two others."""
-    kept = [one for one in times if begin <= one <= end]
-    return max(
-        (
-            number + 1 - bisect.bisect_left(kept, time - LIMIT_WINDOW_S)
-            for number, time in enumerate(kept)
-        ),
-        default=0,
-    )
-
-
 async def _supervise(nodes: list[_Process]) -> None:
     """Start each process again that has ended, as the platform does."""
     while True:
@@ -488,14 +427,15 @@
             links=links,
             callers=callers,
         )
+        limited = LimitedServers(servers=site.servers, seed=plan.seed)
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(plan.seconds):
                 async with asyncio.TaskGroup() as group:
                     group.create_task(faults.run())
-                    group.create_task(faults.limit_servers(plan.seed))
+                    group.create_task(limited.run())
                     for _ in range(CALLERS):
                         group.create_task(callers.run(nodes))
-        faults.check_limits()
+        callers.violations += limited.end()
         faults.calm()
         await asyncio.sleep(SETTLE_S)
         await callers.check_crashing(nodes)
--- a/test/decisions/serving/test_serverlimits.py
+++ b/test/decisions/serving/test_serverlimits.py
@@ -1,6 +1,5 @@
 """Limits that servers name, as nodes of any number obey them together."""
 
-import bisect
 import math
 import random
 from typing import Any, NamedTuple
@@ -16,6 +15,7 @@
     LessThan,
 )
 
+from bench.limits import count_allowed, count_most, FROM_S
 from chervilrock.decisions.serving.limitbook import LimitBook
 from chervilrock.decisions.serving.messages import StatedLimit
 from chervilrock.decisions.serving.serverlimits import (
@@ -28,14 +28,10 @@
 )
 
 SERVER = "s"
-WINDOW_S = 4.0
 STEP_S = 0.05
 LAG_S = 0.3
 """Time after which all nodes know what the leader tells."""
 
-FROM_S = 3.0
-"""Time after the first answer with a limit from which the bound holds."""
-
 
 class Case(NamedTuple):
     """A fleet and the limit of a server.
@@ -110,24 +106,13 @@
 
     def count_most(self) -> int:
         """Return the most requests in a window after the limit holds."""
-        times = [one for one in self.arrivals if one >= FROM_S]
-        return max(
-            (
-                number + 1 - bisect.bisect_left(times, time - WINDOW_S)
-                for number, time in enumerate(times)
-            ),
-            default=0,
-        )
+        return count_most(self.arrivals, FROM_S)
 
     def count_late(self) -> int:
         """Return the requests that came after the limit holds."""
         return sum(one >= FROM_S for one in self.arrivals)
 
 
-def count_allowed(rate: float) -> float:
-    return 1.5 * rate * WINDOW_S + 5
-
-
 @pytest.mark.parametrize("case", CASES)
 def test_all_nodes_together_keep_to_the_limit(case) -> None:
     fleet = Fleet(case=case)
--- a/test/node/test_server_limits.py
+++ b/test/node/test_server_limits.py
@@ -7,8 +7,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, LessThan
 
-from bench import soak
-from chervilrock.standin.site.servers import SiteServer
+from bench.limits import count_allowed, count_most
 from chervilrock.standin.site.site import LARGE
 from test.node.serving_site import run_world, World
 
@@ -22,16 +21,6 @@
 PAUSE_S = 0.05
 
 
-def count_allowed(rate: float) -> float:
-    """Return how many requests a server may get in a window."""
-    return 1.5 * rate * soak.LIMIT_WINDOW_S + 5
-
-
-def count_most(server: SiteServer, since: float) -> int:
-    """Return the most requests that a server got in a window."""
-    return soak.count_most(server.arrivals, since, math.inf)
-
-
 async def call_all_nodes(
     world: World, path: str = "/draft/x", *, seconds: float = CALLS_S
 ) -> set[int]:
@@ -62,7 +51,7 @@
         server.limit = "1.0"
         since = asyncio.get_running_loop().time() + TOLD_S
         await call_all_nodes(world)
-        most = float(count_most(server, since))
+        most = float(count_most(server.arrivals, since))
         assert_that(most, LessThan(count_allowed(1.0) + 1))
 
     run_world(scenario, nodes=NODES, **SERVERS)
@@ -74,7 +63,7 @@
         server.limit = "1.0"
         since = asyncio.get_running_loop().time() + TOLD_S
         statuses = await call_all_nodes(world, "/look/x")
-        most = float(count_most(server, since))
+        most = float(count_most(server.arrivals, since))
         assert_that(most, LessThan(count_allowed(1.0) + 1))
         assert_that(statuses, Equals({200}))
 
@@ -90,7 +79,7 @@
         since = asyncio.get_running_loop().time() + TOLD_S
         statuses = await call_all_nodes(world)
         for server in hosts:
-            most = float(count_most(server, since))
+            most = float(count_most(server.arrivals, since))
             assert_that(most, LessThan(count_allowed(0.5) + 1))
         assert_that(statuses, Equals({200, 503}))
 
