--- a/chervilrock/decisions/serving/repeats.py
+++ b/chervilrock/decisions/serving/repeats.py
@@ -22,9 +22,9 @@
 """Part of what requests allow that a node uses."""
 
 KEPT_WINDOWS = 0.25
-"""Time for which the part of a request is kept, in windows. A window's repeats
-are paid by the requests of 1.25 windows, of which three quarters are used; the
-rest is for sends that arrive a little later than they were counted."""
+"""Time for which the part of a request is kept, in windows. Requests of so much
+more than a window pay for its repeats, so that only a part of what they allow
+is used; the rest is for sends that arrive later than they were counted."""
 
 
 class BudgetState(NamedTuple):
--- a/chervilrock/edges/serving/exchange.py
+++ b/chervilrock/edges/serving/exchange.py
@@ -242,7 +242,7 @@
             reason=end.value,
             sends=self._progress.sends,
             after=self._last_event,
-            left=self._claim.describe(),
+            budget=self._claim.describe(),
         )
 
     def _give_up(self, end: SendEnd) -> None:
--- a/chervilrock/edges/serving/exchangelog.py
+++ b/chervilrock/edges/serving/exchangelog.py
@@ -79,7 +79,7 @@
       reason: how the last send ended.
       sends: sends before it.
       after: last event that the caller has, empty for none.
-      left: repeats to the service that are left to this node.
+      budget: repeats to the service that are left to this node.
     """
 
     request_id: str
@@ -87,7 +87,7 @@
     reason: str
     sends: int
     after: str
-    left: BudgetState
+    budget: BudgetState
 
 
 def log_repeat(repeat: Repeat) -> None:
@@ -98,8 +98,8 @@
         reason=repeat.reason,
         sends=repeat.sends,
         after=repeat.after,
-        left=round(repeat.left.left, 2),
-        nodes=repeat.left.nodes,
+        left=round(repeat.budget.left, 2),
+        nodes=repeat.budget.nodes,
     )
 
 
@@ -110,8 +110,8 @@
         request_id=repeat.request_id,
         service=repeat.service,
         reason=repeat.reason,
-        left=round(repeat.left.left, 2),
-        nodes=repeat.left.nodes,
+        left=round(repeat.budget.left, 2),
+        nodes=repeat.budget.nodes,
     )
 
 
--- a/chervilrock/tasks/serving/node.py
+++ b/chervilrock/tasks/serving/node.py
@@ -316,12 +316,10 @@
 
     def _is_in_touch(self, now: float) -> bool:
         """Tell whether this node learns of nodes that are added."""
-        return (
-            self.is_leader
-            or self._leadership.is_heard(now)
-            or self._first_read is not None
-            and self._reads.is_current(Topic.NODES)
-        )
+        if self.is_leader or self._leadership.is_heard(now):
+            return True
+        has_read = self._first_read is not None
+        return has_read and self._reads.is_current(Topic.NODES)
 
     @property
     def _is_known(self) -> bool:
