Log and count what servers state of their pauses and departures

Cause: a server may answer 503 with Retry-After, and Server-Leaving in any answer; no node read either, and no log line told that a server had said so. Of two hypotheses of the incident a log could not tell which one held. Change: the adapter decodes both, with the limit, into one typed statement of the server (platform/statements.py); E7312 to E7315 and chervilrock_pauses_stated_total tell them. Nothing is decided by them yet. The stand-ins can ask for pauses and say that they leave, and record arrivals by request; bench/statements.py finds what a node sent against them. Measured: the tests of the adapter, also with any text as a value.

--- a/bench/limits.py
+++ b/bench/limits.py
@@ -70,7 +70,8 @@
             if limit.server.server != limit.identifier:
                 # A restarted server announces a limit of its own.
                 continue
-            most = count_most(limit.server.arrivals, limit.since + FROM_S)
+            times = [arrival.time for arrival in limit.server.arrivals]
+            most = count_most(times, limit.since + FROM_S)
             if most > count_allowed(limit.rate):
                 violations.append(
                     f"{limit.identifier} takes {limit.rate} a second and got "
--- a/chervilrock/catalogue.py
+++ b/chervilrock/catalogue.py
@@ -314,6 +314,30 @@
         Level.INFO,
         "the leader announces the limit {rate} of server {server} to all nodes",
     )
+    PAUSE_STATED = EventSpec(
+        7312,
+        Level.INFO,
+        "server {server} rejected request {request_id} and wants no requests "
+        "of this node for {seconds} s; its pause ends in {ends_in_s} s",
+    )
+    PAUSE_UNREADABLE = EventSpec(
+        7313,
+        Level.WARNING,
+        "server {server} rejected request {request_id} and states the pause "
+        "{value}, which is no time and is ignored",
+    )
+    DEPARTURE_STATED = EventSpec(
+        7314,
+        Level.INFO,
+        "server {server} says in its answer to request {request_id} that it "
+        "leaves",
+    )
+    DEPARTURE_UNREADABLE = EventSpec(
+        7315,
+        Level.WARNING,
+        "server {server} states in its answer to request {request_id} whether "
+        "it leaves as {value}, which is ignored",
+    )
     REQUEST_SENT = EventSpec(
         7401,
         Level.INFO,
--- a/chervilrock/decisions/serving/messages.py
+++ b/chervilrock/decisions/serving/messages.py
@@ -39,6 +39,51 @@
     unreadable: str = ""
 
 
+class StatedPause(NamedTuple):
+    """Time for which a server wants no requests of the node that it answers.
+
+    Attributes:
+      seconds: length of the pause, 0 for none.
+      unreadable: value that is given instead of a time, empty for a time.
+    """
+
+    seconds: float
+    unreadable: str = ""
+
+
+class StatedDeparture(NamedTuple):
+    """Whether a server says that it leaves.
+
+    Attributes:
+      is_leaving: whether it says so.
+      unreadable: value that is neither a yes nor absent, empty otherwise.
+    """
+
+    is_leaving: bool
+    unreadable: str = ""
+
+
+class ServerStatement(NamedTuple):
+    """What a server states of itself in an answer.
+
+    Attributes:
+      limit: its rate limit, None if the answer is from another server than
+        the intended one.
+      pause: the pause that it asks for.
+      departure: whether it says that it leaves.
+    """
+
+    limit: StatedLimit | None
+    pause: StatedPause
+    departure: StatedDeparture
+
+
+NO_STATEMENT = ServerStatement(
+    limit=None, pause=StatedPause(0.0), departure=StatedDeparture(False)
+)
+"""States nothing, not even that there is no limit."""
+
+
 class AnswerFacts(NamedTuple):
     """Contents of the headers of an answer of a server.
 
@@ -49,8 +94,7 @@
       is_not_run: whether the server states that it did not run the request.
       is_encoded: whether the body was changed on the way.
       is_stream: whether the body is a stream of events.
-      limit: rate limit of the server, None if the answer is from another
-        server than the intended one.
+      statement: what the server states of itself.
     """
 
     status: int
@@ -59,7 +103,7 @@
     is_not_run: bool
     is_encoded: bool
     is_stream: bool
-    limit: StatedLimit | None = None
+    statement: ServerStatement = NO_STATEMENT
 
 
 class ForwardedFields(NamedTuple):
--- a/chervilrock/edges/serving/exchange.py
+++ b/chervilrock/edges/serving/exchange.py
@@ -420,8 +420,12 @@
             self._state.watch(endpoint.group).record_progress(read_clock())
 
     def _record_facts(self, endpoint: Endpoint, facts: AnswerFacts) -> None:
-        if facts.limit is not None:
-            self._state.record_limit(endpoint.server, facts.limit, read_clock())
+        statement = facts.statement
+        if statement.pause.seconds:
+            self._context.metrics.count_pause(endpoint.service)
+        self._state.record_statement(
+            endpoint.server, statement, self.request_id, read_clock()
+        )
 
     def _deliver(self, head: Head, events: bytes) -> None:
         """Forward complete events to the caller."""
--- a/chervilrock/edges/serving/receiver.py
+++ b/chervilrock/edges/serving/receiver.py
@@ -8,7 +8,7 @@
 from chervilrock.edges.heads import Head
 from chervilrock.edges.relay import Receiver, Transfer, TransferEnd
 from chervilrock.platform import headers as names
-from chervilrock.tasks.clock import read_clock
+from chervilrock.tasks.clock import read_clock, read_unix_time
 
 MAX_BODY_BYTES = 16 * 1024 * 1024
 """Largest answer that is buffered until it is complete."""
@@ -66,7 +66,9 @@
         """See base class."""
         self._head = head
         self._head_at = read_clock()
-        self.facts = names.read_answer(head.status, head.headers)
+        self.facts = names.read_answer(
+            head.status, head.headers, read_unix_time()
+        )
         outcome = classify_answer(
             self.facts, request_id=self._request_id, is_whole=True
         )
--- a/chervilrock/platform/headers.py
+++ b/chervilrock/platform/headers.py
@@ -1,14 +1,13 @@
 """Decodes and encodes the headers of requests and answers."""
 
-from collections.abc import Iterable, Mapping
-import re
+from collections.abc import Iterable, Sequence
 
 from chervilrock.decisions.serving.messages import (
     AnswerFacts,
     ForwardedFields,
     RequestFacts,
-    StatedLimit,
 )
+from chervilrock.platform.statements import MISDIRECTED, read_statement
 
 HeaderPairs = tuple[tuple[str, str], ...]
 
@@ -24,14 +23,9 @@
 _URGENCY = "x-request-urgency"
 _SERVER_STAMP = "x-server-stamp"
 _NOT_EXECUTED = "x-not-executed"
-_SERVER_LIMIT = "server-limit"
 _MS_PER_S = 1000.0
 
-_MISDIRECTED = 421
-_NOT_EXECUTED_STATUSES = frozenset({_MISDIRECTED})
-_DECIMAL = re.compile(r"\d+(\.\d*)?|\.\d+", re.ASCII)
-_MAX_LIMIT_PER_S = 1e9  # requests per second; a greater limit has no effect
-_MAX_SHOWN_CHARS = 40  # characters kept of a malformed value
+_NOT_EXECUTED_STATUSES = frozenset({MISDIRECTED})
 _EVENT_STREAM = "text/event-stream"
 
 _HOP_BY_HOP = frozenset(
@@ -97,8 +91,16 @@
     return tuple(kept)
 
 
-def read_answer(status: int, pairs: Iterable[tuple[str, str]]) -> AnswerFacts:
-    """Return the facts that the head of a server's answer states."""
+def read_answer(
+    status: int, pairs: Sequence[tuple[str, str]], unix_time_s: float
+) -> AnswerFacts:
+    """Return the facts that the head of a server's answer states.
+
+    Args:
+      status: HTTP status.
+      pairs: names and values of the headers.
+      unix_time_s: current time of day.
+    """
     values = {name.lower(): value.strip() for name, value in pairs}
     content_type = values.get("content-type", "").lower()
     return AnswerFacts(
@@ -108,22 +110,10 @@
         is_not_run=_NOT_EXECUTED in values or status in _NOT_EXECUTED_STATUSES,
         is_encoded="content-encoding" in values,
         is_stream=content_type.startswith(_EVENT_STREAM),
-        limit=None if status == _MISDIRECTED else _read_limit(values),
+        statement=read_statement(status, pairs, unix_time_s),
     )
 
 
-def _read_limit(values: Mapping[str, str]) -> StatedLimit:
-    """Return the rate limit that the headers of an answer state."""
-    text = values.get(_SERVER_LIMIT)
-    if text is None:
-        return StatedLimit(None)
-    if not _DECIMAL.fullmatch(text):
-        return StatedLimit(
-            None, unreadable=text[:_MAX_SHOWN_CHARS] or "nothing"
-        )
-    return StatedLimit(min(float(text), _MAX_LIMIT_PER_S))
-
-
 def make_caller_headers(pairs: Iterable[tuple[str, str]]) -> HeaderPairs:
     """Return the headers of a server's answer as sent to the caller."""
     return tuple(_drop_hop_by_hop(pairs, frozenset()))
--- a/chervilrock/serving_metrics.py
+++ b/chervilrock/serving_metrics.py
@@ -96,6 +96,11 @@
         self._needed = self._labelled_gauge(
             "groups_needed", "Groups needed for the demand", "model"
         )
+        self._pauses = self._counter(
+            "pauses_stated_total",
+            "Rejections with which a server asked this node for a pause",
+            "service",
+        )
         self.limited_servers = self._gauge(
             "servers_limited", "Servers with a rate limit"
         )
@@ -127,6 +132,10 @@
         """Count a retry that the retry budget rejected."""
         self._rejected_retries.labels(self._services.bound(service)).inc()
 
+    def count_pause(self, service: str) -> None:
+        """Count a rejection with which a server asked for a pause."""
+        self._pauses.labels(self._services.bound(service)).inc()
+
     def count_withheld(self) -> None:
         """Count an attempt of a withheld request."""
         self._withheld_requests.inc()
--- a/chervilrock/standin/site/servers.py
+++ b/chervilrock/standin/site/servers.py
@@ -72,6 +72,32 @@
     companions: int
 
 
+class Arrival(NamedTuple):
+    """A request that reached a server, whether or not the server ran it.
+
+    Attributes:
+      time: when it arrived, on the clock of the event loop.
+      request_id: identifier of the request.
+      server: identifier of the server at that time.
+    """
+
+    time: float
+    request_id: str
+    server: str
+
+
+class Rejection(NamedTuple):
+    """A request that a server rejected while it asked for a pause.
+
+    Attributes:
+      arrival: the request.
+      pause: value of the header that states the pause.
+    """
+
+    arrival: Arrival
+    pause: str
+
+
 class SiteServer:
     """A server that registers in the store and answers over HTTP.
 
@@ -86,8 +112,13 @@
         them.
       crashes: crashes of the server so far.
       limit: the limit that the server reports in its answers, empty for none.
-      arrivals: arrival times of requests, rejected ones included, on the
-        clock of the event loop.
+      pause: the pause that the server asks for when it rejects a request,
+        empty for none.
+      to_reject: number of next requests that are rejected.
+      leaving: value of the header by which the server says in all answers
+        that it leaves, empty to leave it out.
+      arrivals: requests that arrived, rejected ones included.
+      rejections: requests that were rejected with a pause.
     """
 
     def __init__(
@@ -110,7 +141,11 @@
         self.runs: list[Run] = []
         self.left: list[str] = []
         self.limit = ""
-        self.arrivals: list[float] = []
+        self.pause = ""
+        self.to_reject = 0
+        self.leaving = ""
+        self.arrivals: list[Arrival] = []
+        self.rejections: list[Rejection] = []
         self.orders: list[dict[str, object]] = []
         self.lost_orders = 0
         self.is_leaving = False
@@ -169,6 +204,15 @@
             self._restart_after_crash()
         )
 
+    def depart(self) -> None:
+        """Exit, and restart after a delay under a new identifier."""
+        if self._is_down:
+            return
+        self._is_down = True
+        self._restart = asyncio.get_running_loop().create_task(
+            self._restart_after_crash()
+        )
+
     async def _restart_after_crash(self) -> None:
         await self.stop()
         await asyncio.sleep(RESTART_DELAY_S)
@@ -178,6 +222,9 @@
         self.highest_epoch = -1
         self.staged = []
         self.fault = ServerFault.NONE
+        self.to_reject = 0
+        self.leaving = ""
+        self.is_leaving = False
         self._is_down = False
         self._listen(self._port)
         self.register()
@@ -211,6 +258,22 @@
         self.is_leaving = True
         self.register()
 
+    def record_arrival(self, request_id: str) -> Arrival:
+        """Record a request that arrived now."""
+        now = asyncio.get_running_loop().time()
+        arrival = Arrival(now, request_id, self.server)
+        self.arrivals.append(arrival)
+        return arrival
+
+    def reject(self, arrival: Arrival) -> bool:
+        """Return whether to reject a request, and record a stated pause."""
+        is_rejected = self.fault is ServerFault.FULL or self.to_reject > 0
+        if is_rejected:
+            self.to_reject = max(0, self.to_reject - 1)
+            if self.pause:
+                self.rejections.append(Rejection(arrival, self.pause))
+        return is_rejected
+
     def obey(self, order: dict[str, object]) -> int:
         """Carry out an order and return the HTTP status of the answer."""
         self.orders.append(order)
@@ -284,9 +347,11 @@
         self.server = server
 
     def prepare(self) -> None:
-        """Report the limit of the server in each answer."""
+        """State the limit of the server, and that it leaves, in each answer."""
         if self.server.limit:
             self.set_header("Server-Limit", self.server.limit)
+        if self.server.leaving:
+            self.set_header("Server-Leaving", self.server.leaving)
 
     def reject_misdirected(self) -> bool:
         """Reject a request meant for another server; return whether it was."""
@@ -344,12 +409,13 @@
         if self.reject_misdirected():
             return
         server = self.server
-        server.arrivals.append(asyncio.get_running_loop().time())
         headers = self.request.headers
         request_id = headers.get("X-Request-Id", "")
-        if server.fault is ServerFault.FULL:
+        if server.reject(server.record_arrival(request_id)):
             self.set_status(503)
             self.set_header("X-Not-Executed", "1")
+            if server.pause:
+                self.set_header("Retry-After", server.pause)
             self.finish()
             return
         run = Run(
--- a/chervilrock/tasks/clock.py
+++ b/chervilrock/tasks/clock.py
@@ -16,6 +16,14 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
+def read_unix_time() -> float:
+    """Return the time of day of this host in seconds since the epoch.
+
+    It may jump, so it only serves to compare dates of other hosts.
+    """
+    return time.time()
+
+
 def read_day() -> str:
     """Return the current day of the year as MM-DD, in UTC.
 
--- a/chervilrock/tasks/serving/state.py
+++ b/chervilrock/tasks/serving/state.py
@@ -15,7 +15,10 @@
 )
 from chervilrock.decisions.serving.firstevents import FirstEventTimes
 from chervilrock.decisions.serving.lateness import UsualLimits
-from chervilrock.decisions.serving.messages import StatedLimit
+from chervilrock.decisions.serving.messages import (
+    ServerStatement,
+    StatedLimit,
+)
 from chervilrock.decisions.serving.placement import Bound, Choice, Load
 from chervilrock.decisions.serving.retrybudget import BudgetState, RetryBudget
 from chervilrock.decisions.serving.routes import RouteTable
@@ -360,8 +363,57 @@
             for server, count in total.items()
         }
 
-    def record_limit(self, server: str, limit: StatedLimit, now: float) -> None:
-        """Record the rate limit that an answer of a server states."""
+    def record_statement(
+        self,
+        server: str,
+        statement: ServerStatement,
+        request_id: str,
+        now: float,
+    ) -> None:
+        """Record what a server states of itself in an answer.
+
+        Args:
+          server: identifier of the server.
+          statement: what it states.
+          request_id: the request that it answers.
+          now: current time.
+        """
+        if statement.limit is not None:
+            self._record_limit(server, statement.limit, now)
+        pause = statement.pause
+        if pause.seconds:
+            emit(
+                Event.PAUSE_STATED,
+                server=server,
+                request_id=request_id,
+                seconds=round(pause.seconds, 3),
+                ends_in_s=round(pause.seconds, 3),
+            )
+        if pause.unreadable:
+            emit(
+                Event.PAUSE_UNREADABLE,
+                server=server,
+                request_id=request_id,
+                value=pause.unreadable,
+            )
+        departure = statement.departure
+        if departure.is_leaving:
+            emit(
+                Event.DEPARTURE_STATED,
+                server=server,
+                request_id=request_id,
+            )
+        if departure.unreadable:
+            emit(
+                Event.DEPARTURE_UNREADABLE,
+                server=server,
+                request_id=request_id,
+                value=departure.unreadable,
+            )
+
+    def _record_limit(
+        self, server: str, limit: StatedLimit, now: float
+    ) -> None:
         names = (node.node for node in self.nodes)
         change = self.limits.record_answer(server, limit, names, now)
         if change is LimitChange.NAMED:
--- a/test/node/serving_site.py
+++ b/test/node/serving_site.py
@@ -2,11 +2,13 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+import itertools
 from typing import Any, NamedTuple
 
 from tornado.curl_httpclient import CurlError
 from tornado.httpclient import HTTPRequest
 
+from bench.statements import CallerSends
 from chervilrock.clients.curlpool import QuietCurlClient
 from chervilrock.node.serving import ServingNode
 from chervilrock.platform.settings import decode_settings
@@ -16,6 +18,7 @@
     KEY,
     LARGE,
     make_node_file,
+    PLAIN_SERVICE,
     Site,
     SMALL,
 )
@@ -24,6 +27,9 @@
 """Longest wait for a condition; conditions are met much earlier."""
 
 
+CALL_INTERVAL_S = 0.05
+"""Interval between two requests that are sent to the nodes in turn."""
+
 CUT = 0
 """Status of an incomplete answer."""
 
@@ -43,6 +49,7 @@
         self.site = Site()
         self.nodes: list[ServingNode] = []
         self.client = QuietCurlClient(force_instance=True, max_clients=50)
+        self.sends = CallerSends()
         self._number = 0
         self._node_count = 0
 
@@ -132,11 +139,14 @@
     ) -> Answer:
         """Send a request to a node and return the whole answer."""
         address = self.nodes[node].own.callers_address
+        sent_headers = headers or self.make_headers()
+        request_id = sent_headers.get("X-Request-Id", "")
+        self.sends.record_sent(request_id, self.nodes[node].own.node)
         request = HTTPRequest(
             f"http://{address}{path}",
             method=method,
             body=body if method == "POST" else None,
-            headers=headers or self.make_headers(),
+            headers=sent_headers,
             request_timeout=WAIT_S,
             decompress_response=False,
         )
@@ -144,10 +154,40 @@
             response = await self.client.fetch(request, raise_error=False)
         except CurlError:
             return Answer(CUT, {}, b"")
+        self.sends.record_answer(request_id, response.headers)
         return Answer(
             response.code, dict(response.headers.get_all()), response.body
         )
 
+    async def call_in_turn(
+        self, path: str = "/draft/x", *, seconds: float, model: str = LARGE
+    ) -> list[int]:
+        """Send requests to all nodes in turn for a number of seconds.
+
+        Returns:
+          The statuses of the answers.
+        """
+        loop = asyncio.get_running_loop()
+        end = loop.time() + seconds
+        calls = []
+        for node in itertools.cycle(range(len(self.nodes))):
+            if loop.time() >= end:
+                break
+            is_stream = path.startswith("/draft/")
+            headers = self.make_headers(X_Model=model if is_stream else "")
+            call = self.call(path, node=node, headers=headers)
+            calls.append(asyncio.create_task(call))
+            await asyncio.sleep(CALL_INTERVAL_S)
+        return [answer.status for answer in await asyncio.gather(*calls)]
+
+    def list_plain_servers(self) -> list[SiteServer]:
+        """Return the servers of the plain service."""
+        return [
+            server
+            for server in self.site.servers
+            if server.service == PLAIN_SERVICE
+        ]
+
     def find_runs(self, request_id: str) -> list[tuple[SiteServer, Run]]:
         """Return the servers that ran a request, with their runs of it."""
         return [
--- a/test/node/test_server_limits.py
+++ b/test/node/test_server_limits.py
@@ -1,13 +1,13 @@
 """Servers that limit the requests a second from all nodes together."""
 
 import asyncio
-import itertools
 import math
 
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, LessThan
 
 from bench.limits import count_allowed, count_most
+from chervilrock.standin.site.servers import SiteServer
 from chervilrock.standin.site.site import LARGE
 from test.node.serving_site import run_world, World
 
@@ -18,30 +18,11 @@
 """Time after the first answer with a limit from which all nodes keep to it."""
 
 CALL_DURATION_S = 5.0
-CALL_INTERVAL_S = 0.05
-
-
-async def call_all_nodes(
-    world: World, path: str = "/draft/x", *, seconds: float = CALL_DURATION_S
-) -> set[int]:
-    """Send requests to all nodes in turn for a number of seconds.
-
-    Returns:
-      The statuses of the answers.
-    """
-    loop = asyncio.get_running_loop()
-    end = loop.time() + seconds
-    calls = []
-    for node in itertools.cycle(range(NODES)):
-        if loop.time() >= end:
-            break
-        headers = world.make_headers()
-        if not path.startswith("/draft/"):
-            del headers["X-Model"]
-        call = world.call(path, node=node, headers=headers)
-        calls.append(asyncio.create_task(call))
-        await asyncio.sleep(CALL_INTERVAL_S)
-    return {answer.status for answer in await asyncio.gather(*calls)}
+
+
+def list_times(server: SiteServer) -> list[float]:
+    """Return the times at which requests reached a server."""
+    return [arrival.time for arrival in server.arrivals]
 
 
 def test_a_server_gets_no_more_requests_than_its_limit() -> None:
@@ -50,8 +31,8 @@
         server = world.site.list_heads(LARGE)[0]
         server.limit = "1.0"
         since = asyncio.get_running_loop().time() + LIMIT_DELAY_S
-        await call_all_nodes(world)
-        most = float(count_most(server.arrivals, since))
+        await world.call_in_turn(seconds=CALL_DURATION_S)
+        most = float(count_most(list_times(server), since))
         assert_that(most, LessThan(count_allowed(1.0) + 1))
 
     run_world(scenario, nodes=NODES, **SERVERS)
@@ -62,10 +43,10 @@
         server = next(plain for plain in world.site.servers if not plain.domain)
         server.limit = "1.0"
         since = asyncio.get_running_loop().time() + LIMIT_DELAY_S
-        statuses = await call_all_nodes(world, "/look/x")
-        most = float(count_most(server.arrivals, since))
+        statuses = await world.call_in_turn("/look/x", seconds=CALL_DURATION_S)
+        most = float(count_most(list_times(server), since))
         assert_that(most, LessThan(count_allowed(1.0) + 1))
-        assert_that(statuses, Equals({200}))
+        assert_that(set(statuses), Equals({200}))
 
     run_world(scenario, nodes=NODES, **SERVERS)
 
@@ -77,11 +58,11 @@
         for server in hosts:
             server.limit = "0.5"
         since = asyncio.get_running_loop().time() + LIMIT_DELAY_S
-        statuses = await call_all_nodes(world)
+        statuses = await world.call_in_turn(seconds=CALL_DURATION_S)
         for server in hosts:
-            most = float(count_most(server.arrivals, since))
+            most = float(count_most(list_times(server), since))
             assert_that(most, LessThan(count_allowed(0.5) + 1))
-        assert_that(statuses, Equals({200, 503}))
+        assert_that(set(statuses), Equals({200, 503}))
 
     run_world(scenario, nodes=NODES, **SERVERS)
 
@@ -89,7 +70,7 @@
 def test_all_nodes_apply_a_limit_its_change_and_its_end() -> None:
     async def scenario(world: World) -> None:
         server = world.site.list_heads(LARGE)[0]
-        calling = asyncio.create_task(call_all_nodes(world, seconds=math.inf))
+        calling = asyncio.create_task(world.call_in_turn(seconds=math.inf))
 
         def all_have_rate(rate: float | None) -> bool:
             name = server.server
@@ -119,7 +100,7 @@
     async def scenario(world: World) -> None:
         server = world.site.list_heads(LARGE)[0]
         server.limit = "20"
-        await call_all_nodes(world)
+        await world.call_in_turn(seconds=CALL_DURATION_S)
         leader = next(node for node in world.nodes if node.is_leader)
         world.nodes.remove(leader)
         await leader.close()
--- a/test/platform/test_adapter.py
+++ b/test/platform/test_adapter.py
@@ -3,6 +3,8 @@
 import asyncio
 from typing import Any
 
+from hypothesis import given
+from hypothesis import strategies as st
 import msgspec
 import pytest
 from returns.result import Failure, Success
@@ -11,7 +13,12 @@
 
 from chervilrock.clients.httpclient import HttpAnswer
 from chervilrock.clients.serving import Topic
-from chervilrock.decisions.serving.messages import ForwardedFields, StatedLimit
+from chervilrock.decisions.serving.messages import (
+    ForwardedFields,
+    StatedDeparture,
+    StatedLimit,
+    StatedPause,
+)
 from chervilrock.decisions.serving.orders import Close, Join, Leave, Open
 from chervilrock.decisions.serving.site import (
     Membership,
@@ -29,6 +36,7 @@
 from chervilrock.platform.operator import decode_configuration
 from chervilrock.platform.servers import decode_server
 from chervilrock.platform.settings import decode_settings, read_settings
+from chervilrock.platform.statements import read_statement
 from chervilrock.platform.store import (
     encode_record,
     parse_page,
@@ -353,6 +361,7 @@
             ("X-Server-Stamp", "s"),
             ("X-Request-Id", "ab"),
         ],
+        0.0,
     )
     assert_that(facts.has_receipt, Is(True))
     assert_that(facts.is_stream, Is(True))
@@ -371,7 +380,7 @@
 def test_only_an_explicit_answer_proves_that_a_request_did_not_run(
     status: int, pairs: list[tuple[str, str]], is_not_run: bool
 ) -> None:
-    assert_that(read_answer(status, pairs).is_not_run, Is(is_not_run))
+    assert_that(read_answer(status, pairs, 0.0).is_not_run, Is(is_not_run))
 
 
 @pytest.mark.parametrize(
@@ -393,18 +402,96 @@
     ],
 )
 def test_the_limit_of_a_server_is_a_decimal_number(text, limit) -> None:
-    facts = read_answer(200, [("Server-Limit", text)])
-    assert_that(facts.limit == limit, Is(True), str(facts.limit))
+    stated = read_statement(200, [("Server-Limit", text)], 0.0).limit
+    assert_that(stated == limit, Is(True), str(stated))
 
 
 def test_an_answer_without_a_limit_states_that_there_is_none() -> None:
-    is_none = read_answer(200, []).limit == StatedLimit(None)
+    is_none = read_statement(200, [], 0.0).limit == StatedLimit(None)
     assert_that(is_none, Is(True))
 
 
 def test_an_answer_of_another_server_states_no_limit() -> None:
-    facts = read_answer(421, [("Server-Limit", "1.4")])
-    assert_that(facts.limit is None, Is(True))
+    statement = read_statement(421, [("Server-Limit", "1.4")], 0.0)
+    assert_that(statement.limit is None, Is(True))
+
+
+DATE = ("Date", "Sun, 06 Nov 1994 08:49:37 GMT")
+DATE_S = 784111777.0
+
+
+@pytest.mark.parametrize(
+    ("values", "pause"),
+    [
+        (["3"], StatedPause(3.0)),
+        ([" 0.25 "], StatedPause(0.25)),
+        (["0"], StatedPause(0.0)),
+        (["9" * 400], StatedPause(1e9)),
+        (["2", "5", "3"], StatedPause(5.0)),
+        (["2", "soon"], StatedPause(2.0, "soon")),
+        (["-1"], StatedPause(0.0, "-1")),
+        (["+1"], StatedPause(0.0, "+1")),
+        (["nan"], StatedPause(0.0, "nan")),
+        (["inf"], StatedPause(0.0, "inf")),
+        (["1e3"], StatedPause(0.0, "1e3")),
+        (["1, 2"], StatedPause(0.0, "1, 2")),
+        ([""], StatedPause(0.0, "nothing")),
+        (["Sun, 06 Nov 1994 08:49:40 GMT"], StatedPause(3.0)),
+        (["Sunday, 06-Nov-94 08:49:40 GMT"], StatedPause(3.0)),
+        (["Sun Nov  6 08:49:40 1994"], StatedPause(3.0)),
+        (["Sun, 06 Nov 1994 08:49:30 GMT"], StatedPause(0.0)),
+        (["Sun, 99 Nov 1994 99:49:30 GMT"], None),
+        (["Monday"], StatedPause(0.0, "Monday")),
+        (["x" * 99], StatedPause(0.0, "x" * 40)),
+    ],
+)
+def test_a_pause_is_a_time_in_seconds_or_a_date(
+    values: list[str], pause: StatedPause | None
+) -> None:
+    pairs = [DATE, *(("Retry-After", value) for value in values)]
+    stated = read_statement(503, pairs, 0.0).pause
+    expected = pause or StatedPause(0.0, values[-1][:40])
+    assert_that(stated == expected, Is(True), str(stated))
+
+
+def test_a_date_without_one_of_the_answer_is_compared_to_the_own_clock() -> (
+    None
+):
+    pairs = [("Retry-After", DATE[1])]
+    pause = read_statement(503, pairs, DATE_S - 2.0).pause
+    assert_that(pause == StatedPause(2.0), Is(True), str(pause))
+
+
+@pytest.mark.parametrize("status", [200, 421, 429, 500])
+def test_only_an_unavailable_server_asks_for_a_pause(status: int) -> None:
+    pause = read_statement(status, [("Retry-After", "3")], 0.0).pause
+    assert_that(pause == StatedPause(0.0), Is(True), str(pause))
+
+
+@given(st.text(st.characters(codec="latin-1")))
+def test_any_value_of_a_pause_is_read(value: str) -> None:
+    pause = read_statement(503, [("Retry-After", value)], 0.0).pause
+    assert_that(0.0 <= pause.seconds <= 1e9, Is(True), str(pause))
+
+
+@pytest.mark.parametrize("status", [200, 404, 421, 500, 503])
+@pytest.mark.parametrize(
+    ("values", "departure"),
+    [
+        ([], StatedDeparture(False)),
+        (["1"], StatedDeparture(True)),
+        (["0", " 1 "], StatedDeparture(True)),
+        (["0"], StatedDeparture(False, "0")),
+        (["true"], StatedDeparture(False, "true")),
+        ([""], StatedDeparture(False, "nothing")),
+    ],
+)
+def test_a_server_says_in_any_answer_whether_it_leaves(
+    status: int, values: list[str], departure: StatedDeparture
+) -> None:
+    pairs = [("Server-Leaving", value) for value in values]
+    stated = read_statement(status, pairs, 0.0).departure
+    assert_that(stated == departure, Is(True), str(stated))
 
 
 def test_connection_headers_of_an_answer_are_not_sent_to_callers() -> None:
--- a/test/platform/test_names.py
+++ b/test/platform/test_names.py
@@ -12,6 +12,8 @@
 
 NAMES = (
     "X-Server-Stamp",
+    "Server-Limit",
+    "Server-Leaving",
     "X-Expect-Instance",
     "X-Expect-Version",
     "X-Not-Executed",
