Obey the pauses that servers ask for

What was seen: a server that had answered 503 with Retry-After: 3 got three requests of the same node within that time. Callers lost nothing by it.

Cause: nothing on the serving path read the header. After any 503 a node preferred other servers for a fixed 2 s, and sent to the server all the same where it found no other one.

Change: ServerStatements keeps what each server last stated, with the limits that were there before. A server that pauses is no candidate, for first sends, retries and resumed streams alike, and is asked about once more in the callback of libcurl right before a request leaves; such a request is not sent and uses up neither an attempt nor a retry. Heads are read as soon as they are complete, also for transfers that were abandoned. Requests that can be served before their callers give up wait, and are sent one by one after the end of a pause; others are told at once when the first pause ends. A group whose head pauses is not reported as stalled.

--- a/chervilrock/catalogue.py
+++ b/chervilrock/catalogue.py
@@ -397,6 +397,12 @@
         "request {request_id} is not retried ({reason}): {left} retries to "
         "{service} are left to this node, one of {nodes} nodes",
     )
+    SEND_HELD = EventSpec(
+        7410,
+        Level.INFO,
+        "request {request_id} is not sent to server {server}, which stated "
+        "after it was chosen that it pauses or leaves",
+    )
     EVENT_MALFORMED = EventSpec(
         9001, Level.ERROR, "event {event_name} has wrong fields: {difference}"
     )
--- a/chervilrock/decisions/serving/attempts.py
+++ b/chervilrock/decisions/serving/attempts.py
@@ -14,6 +14,8 @@
       FAILED: the server answered with a failure of its own.
       NOT_RUN: no byte was sent, or the server proved that it did not run the
         request.
+      HELD: no byte was sent, because the server stated meanwhile that it wants
+        no requests.
       LOST: the request may have run, and no usable answer arrived.
       STALLED: the group stalled, and the stream was moved away from it.
     """
@@ -21,6 +23,7 @@
     COMPLETE = "complete"
     FAILED = "failed"
     NOT_RUN = "not-run"
+    HELD = "held"
     LOST = "lost"
     STALLED = "silent"
 
@@ -101,6 +104,8 @@
     """
     if end is SendOutcome.COMPLETE:
         return NextStep.FINISH
+    if end is SendOutcome.HELD:
+        return NextStep.RETRY
     has_attempts = progress.sends < max_attempts
     if end is SendOutcome.NOT_RUN:
         is_retry_safe = may_retry or not progress.may_have_run
--- a/chervilrock/decisions/serving/view.py
+++ b/chervilrock/decisions/serving/view.py
@@ -85,6 +85,11 @@
         """Version by which views are ordered."""
         return (self.term, self.sequence)
 
+    def list_targets(self) -> frozenset[str]:
+        """Return the identifiers of the heads and servers in the view."""
+        heads = [group.server for group in self.groups]
+        return frozenset(heads + [server.server for server in self.servers])
+
 
 NO_VIEW = ServingView(term=-1, sequence=0, groups=(), servers=())
 """View of a node that has not received one from a leader yet."""
--- a/chervilrock/decisions/serving/waiting.py
+++ b/chervilrock/decisions/serving/waiting.py
@@ -45,7 +45,11 @@
 
 MAX_RETRY_AFTER_S = 4.0
 """Longest time after which a caller is asked to retry during a shortage of
-slots."""
+slots, or while servers pause. Another node may serve it before."""
+
+MIN_RETRY_AFTER_S = 0.3
+"""Shortest time after which a caller is asked to retry that servers have
+rejected."""
 
 RETRY_AFTER_JITTER = 0.25
 """Fraction of the retry time by which it varies between callers, so that
@@ -80,12 +84,15 @@
       limit_wait_s: seconds until this node may send a request, where all
         endpoints limit how many they get; infinite for never, 0 without
         limits.
+      pause_wait_s: seconds until the first endpoint takes requests of this
+        node again, where all pause; 0 otherwise.
     """
 
     has_endpoints: bool
     is_forming: bool
     shortage_s: float = 0.0
     limit_wait_s: float = 0.0
+    pause_wait_s: float = 0.0
 
 
 class WaitingRequest(NamedTuple):
@@ -130,20 +137,20 @@
         return WaitDecision(0.0, REPAIR_S)
     if not _can_wait_for_limit(request, availability):
         return WaitDecision(0.0, _find_limited_retry_after(availability, draw))
+    max_wait_s = _find_max_wait(request)
+    if availability.pause_wait_s > max_wait_s:
+        return WaitDecision(0.0, find_pause_retry_after(availability, draw))
     if request.timeliness is Timeliness.BEGUN:
-        return WaitDecision(
-            min(MAX_BEGUN_WAIT_S, request.limit_s), RETRY_AFTER_S
-        )
-    max_wait_s = max(
-        0.0, min(LATE_WAIT_FRACTION * request.limit_s, request.gives_up_s)
-    )
+        return WaitDecision(max_wait_s, RETRY_AFTER_S)
     if request.timeliness is Timeliness.ON_TIME:
         wait_s = REPAIR_S
         if availability.has_endpoints:
             wait_s = max(MIN_WAIT_S, request.on_time_s)
         return WaitDecision(min(wait_s, max_wait_s), RETRY_AFTER_S)
     is_short_of_capacity = (
-        availability.has_endpoints and availability.shortage_s >= REPAIR_S
+        availability.has_endpoints
+        and availability.shortage_s >= REPAIR_S
+        and not availability.pause_wait_s
     )
     if not is_short_of_capacity:
         return WaitDecision(max_wait_s, RETRY_AFTER_S)
@@ -151,6 +158,28 @@
     return WaitDecision(0.0, _add_jitter(retry_after_s, draw))
 
 
+def _find_max_wait(request: WaitingRequest) -> float:
+    """Return the longest time for which a request may wait, in seconds."""
+    if request.timeliness is Timeliness.BEGUN:
+        return min(MAX_BEGUN_WAIT_S, request.limit_s)
+    return max(
+        0.0, min(LATE_WAIT_FRACTION * request.limit_s, request.gives_up_s)
+    )
+
+
+def find_pause_retry_after(availability: Availability, draw: float) -> float:
+    """Return the retry time of a caller that pausing servers cannot serve.
+
+    It is not before the end of the first pause, unless that is far away.
+
+    Args:
+      availability: endpoints that the request can expect.
+      draw: random number from 0 to 1.
+    """
+    wait_s = min(MAX_RETRY_AFTER_S, availability.pause_wait_s)
+    return max(MIN_RETRY_AFTER_S, wait_s) * (1.0 + RETRY_AFTER_JITTER * draw)
+
+
 def _can_wait_for_limit(
     request: WaitingRequest, availability: Availability
 ) -> bool:
--- a/chervilrock/edges/relay.py
+++ b/chervilrock/edges/relay.py
@@ -7,6 +7,7 @@
 """
 
 import abc
+from collections.abc import Callable
 import os
 import socket
 from typing import NamedTuple
@@ -67,6 +68,14 @@
     No method may raise or block.
     """
 
+    def inspect_head(self, head: Head) -> None:
+        """Inspects the head of the answer as soon as it is complete.
+
+        Called once, before `handle_head`, and also for the answer to
+        a transfer that was abandoned.
+        """
+        del head
+
     @abc.abstractmethod
     def handle_head(self, head: Head) -> None:
         """Handles the head of the answer; called once, before any data."""
@@ -87,6 +96,8 @@
         answer belongs to the last send only.
       is_broken: whether the backend server or its host ended the connection
         before the answer was complete.
+      is_held: whether the request was not sent because the backend server
+        wants none.
     """
 
     sent: bool
@@ -94,6 +105,7 @@
     error: str
     repeated: bool = False
     is_broken: bool = False
+    is_held: bool = False
 
 
 class Transfer:
@@ -106,15 +118,26 @@
         the backend server.
     """
 
-    def __init__(self, *, request: BackendRequest, receiver: Receiver) -> None:
+    def __init__(
+        self,
+        *,
+        request: BackendRequest,
+        receiver: Receiver,
+        may_send: Callable[[], bool] = lambda: True,
+    ) -> None:
         """Creates a transfer that has not started.
 
         Args:
           request: the request.
           receiver: receives the answer.
+          may_send: returns whether the backend server wants the request;
+            called right before it is sent.
         """
         self._request = request
         self._receiver = receiver
+        self._may_send = may_send
+        self._is_held = False
+        self._inspected = False
         self._curl: pycurl.Curl | None = None
         self._head_lines: list[bytes] = []
         self._paused = False
@@ -189,6 +212,7 @@
             error=error,
             repeated=self._repeated,
             is_broken=is_broken,
+            is_held=self._is_held,
         )
 
     def _prepare(self, curl: pycurl.Curl) -> None:
@@ -199,7 +223,7 @@
         curl.setopt(pycurl.UPLOAD_BUFFERSIZE, SEND_BUFFER_BYTES)
         curl.setopt(pycurl.HTTPHEADER, format_headers(self._request.headers))
         curl.setopt(pycurl.PREREQFUNCTION, self._record_send)
-        curl.setopt(pycurl.HEADERFUNCTION, self._head_lines.append)
+        curl.setopt(pycurl.HEADERFUNCTION, self._receive_head_line)
         curl.setopt(pycurl.WRITEFUNCTION, self._receive)
         if self._request.send_once:
             use_own_connection(curl)
@@ -208,10 +232,29 @@
         """Records a send; called by libcurl right before it sends."""
         if self._abandoned or (self.sent and self._request.send_once):
             return _SEND_ABORT
+        if not self._may_send():
+            self._is_held = True
+            return _SEND_ABORT
         self._repeated = self.sent
         self.sent = True
         return _SEND_OK
 
+    def _receive_head_line(self, line: bytes) -> None:
+        """Handles a line of the head or of a trailer; called by libcurl."""
+        if self._inspected:
+            return
+        self._head_lines.append(line)
+        if not line.strip():
+            self._inspect_head()
+
+    def _inspect_head(self) -> Head | None:
+        """Passes the final head to the receiver for inspection, once."""
+        head = parse_head(self._head_lines)
+        if head is not None and not self._inspected:
+            self._inspected = True
+            self._receiver.inspect_head(head)
+        return head
+
     def _receive(self, data: bytes) -> int:
         """Handles bytes of the body; called by libcurl."""
         if self._abandoned:
@@ -230,7 +273,7 @@
     def _parse_head_lines(self) -> None:
         """Passes the final head to the receiver once it is received."""
         if self.head is None:
-            self.head = parse_head(self._head_lines)
+            self.head = self._inspect_head()
             if self.head is not None and not self._abandoned:
                 self._receiver.handle_head(self.head)
 
--- a/chervilrock/edges/serving/exchange.py
+++ b/chervilrock/edges/serving/exchange.py
@@ -261,7 +261,8 @@
         elif self._progress.may_have_run:
             self._fail(BAD_GATEWAY, f"the last send: {end.value}")
         else:
-            self._reject_for_now("no server took it")
+            retry_after_s = self._search.find_retry_after()
+            self._reject_for_now("no server took it", retry_after_s)
 
     # Requests that crash servers.
 
@@ -327,15 +328,28 @@
         transfer = Transfer(
             request=self._make_request(admission, endpoint, now),
             receiver=receiver,
+            may_send=lambda: self._may_send_to(endpoint),
         )
         end = await self._run_transfer(transfer, endpoint, now)
-        self._search.avoid()
+        self._search.record_end(receiver.facts, is_sent=transfer.sent)
         self._search.release()
         self._retry_reservation.end_send(is_sent=transfer.sent)
         transfer_end = end if isinstance(end, TransferEnd) else None
         self._check.record_end(receiver, transfer_end, endpoint, sent=now)
         return self._classify(transfer, receiver, end, endpoint)
 
+    def _may_send_to(self, endpoint: Endpoint) -> bool:
+        """Return whether a server wants the request that is about to be sent.
+
+        It may have asked for a pause, or said that it leaves, after it was
+        chosen.
+        """
+        if not self._state.statements.refuses(endpoint.server, read_clock()):
+            return True
+        self._context.metrics.count_held_send(self._service)
+        exchangelog.log_held(self.request_id, endpoint.server)
+        return False
+
     async def _run_transfer(
         self, transfer: Transfer, endpoint: Endpoint, now: float
     ) -> TransferEnd | SendOutcome:
@@ -476,6 +490,13 @@
             SendOutcome.LOST,
             SendOutcome.STALLED,
         )
+        asked_for_pause = (
+            end is SendOutcome.NOT_RUN
+            and self._state.statements.pauses.is_recent(endpoint.server, now)
+        )
+        if asked_for_pause:
+            # The server works; the leader need not verify its group.
+            return
         if is_lost and not self._is_caller_gone and now < self._expires:
             self._state.avoid(endpoint.name, now)
 
@@ -520,7 +541,7 @@
             self._connection.answer(status, pairs, body)
         self._log_end(reason, status)
 
-    def _reject_for_now(self, reason: str, retry_after_s: float = 0.3) -> None:
+    def _reject_for_now(self, reason: str, retry_after_s: float) -> None:
         """Answer that the request was not run, and when to retry."""
         if self._connection.has_begun:
             self._fail(BAD_GATEWAY, reason)
--- a/chervilrock/edges/serving/exchangelog.py
+++ b/chervilrock/edges/serving/exchangelog.py
@@ -71,6 +71,11 @@
     )
 
 
+def log_held(request_id: str, server: str) -> None:
+    """Log that a request was not sent to the server that was chosen for it."""
+    emit(Event.SEND_HELD, request_id=request_id, server=server)
+
+
 class Retry(NamedTuple):
     """A retry of a request.
 
--- a/chervilrock/edges/serving/receiver.py
+++ b/chervilrock/edges/serving/receiver.py
@@ -45,7 +45,8 @@
             for none.
           deliver: is called with complete events for the caller.
           progress: is called whenever data is received.
-          record_facts: is called with the fields read from the head.
+          record_facts: is called with the fields read from the head, also for
+            an abandoned transfer.
         """
         self._request_id = request_id
         self._deliver = deliver
@@ -62,20 +63,24 @@
         """Return the seconds since the head was received, None without one."""
         return None if self._head_at is None else now - self._head_at
 
+    def inspect_head(self, head: Head) -> None:
+        """See base class."""
+        self._inspected = names.read_answer(
+            head.status, head.headers, read_unix_time()
+        )
+        self._record_facts(self._inspected)
+
     def handle_head(self, head: Head) -> None:
         """See base class."""
         self._head = head
         self._head_at = read_clock()
-        self.facts = names.read_answer(
-            head.status, head.headers, read_unix_time()
-        )
+        self.facts = self._inspected
         outcome = classify_answer(
             self.facts, request_id=self._request_id, is_whole=True
         )
         self.is_relayed = (
             outcome is SendOutcome.COMPLETE and self.facts.is_stream
         )
-        self._record_facts(self.facts)
         self._progress()
 
     def handle_data(self, data: bytes) -> None:
@@ -102,7 +107,7 @@
         if isinstance(end, SendOutcome):
             return end
         if not transfer.sent:
-            return SendOutcome.NOT_RUN
+            return SendOutcome.HELD if end.is_held else SendOutcome.NOT_RUN
         if self.facts is None:
             return SendOutcome.LOST
         is_whole = not (
--- a/chervilrock/edges/serving/slots.py
+++ b/chervilrock/edges/serving/slots.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from chervilrock.decisions.serving.lateness import judge_timeliness, Timeliness
+from chervilrock.decisions.serving.messages import AnswerFacts
 from chervilrock.decisions.serving.placement import (
     Bound,
     Choice,
@@ -18,6 +19,7 @@
     decide_wait,
     DELIVERY_MARGIN_S,
     find_give_up,
+    find_pause_retry_after,
     WaitingRequest,
 )
 from chervilrock.edges.serving.callerrequest import CallerRequest
@@ -83,6 +85,7 @@
         self._waited_before_s = 0.0
         self._is_waiting = False
         self._avoided: set[str] = set()
+        self._paused: set[str] = set()
         self.slot: SlotChoice | None = None
         self.waited_s = 0.0
         self.is_cancelled = False
@@ -128,8 +131,7 @@
                 self._state.generator.random(),
             )
             rejection = Rejection(
-                "all are full" if availability.has_endpoints else _NOT_SERVED,
-                decision.retry_after_s,
+                _describe_lack(availability), decision.retry_after_s
             )
             if decision.wait_s <= 0:
                 return rejection
@@ -142,15 +144,41 @@
                 return None
             if timeliness is not Timeliness.ON_TIME:
                 return rejection
-            self._state.shortages.record_missed(
-                self._request.facts.model, read_clock()
-            )
+            if not availability.pause_wait_s:
+                self._state.shortages.record_missed(
+                    self._request.facts.model, read_clock()
+                )
         return None
 
-    def avoid(self) -> None:
-        """Exclude the server of the present slot from further searches."""
-        if self.slot is not None:
-            self._avoided.add(self.slot.endpoint.server)
+    def record_end(self, facts: AnswerFacts | None, *, is_sent: bool) -> None:
+        """Exclude the server of the present slot from further searches.
+
+        A server that asked for a pause is only less preferred, and one that
+        the request was not sent to because it pauses is neither.
+
+        Args:
+          facts: what the head of its answer states, None without one.
+          is_sent: whether a byte of the request may have been sent.
+        """
+        if self.slot is None:
+            return
+        server = self.slot.endpoint.server
+        if facts is not None and facts.statement.pause.seconds:
+            self._paused.add(server)
+        elif is_sent or not self._state.statements.refuses(
+            server, read_clock()
+        ):
+            self._avoided.add(server)
+
+    def find_retry_after(self) -> float:
+        """Return after how many seconds a caller that no server took retries.
+
+        Without a server that pauses, another one may take it soon.
+        """
+        return find_pause_retry_after(
+            self._find_availability(read_clock()),
+            self._state.generator.random(),
+        )
 
     def release(self) -> None:
         """Release the slot and wake the requests that wait for one."""
@@ -166,7 +194,9 @@
         choice = self._state.choose_group(
             self._service,
             self._request.facts.model,
-            frozenset(self._avoided | {self.slot.endpoint.server}),
+            frozenset(
+                self._avoided | self._paused | {self.slot.endpoint.server}
+            ),
             GROUP_BOUND,
             now,
         )
@@ -206,12 +236,24 @@
             return False
         server = self.slot.endpoint.server
         self._state.record_sent(server)
-        self._state.limits.consume(server, now)
+        self._state.statements.consume(server, now)
         return True
 
     def _choose(self, now: float) -> SlotChoice | None:
+        """Return a free slot, last of servers that have rejected the request.
+
+        Servers that asked for a pause then may take it afterwards.
+        """
+        choice = self._choose_except(self._avoided | self._paused, now)
+        if choice is None and self._paused:
+            choice = self._choose_except(self._avoided, now)
+        return choice
+
+    def _choose_except(
+        self, servers: set[str], now: float
+    ) -> SlotChoice | None:
         state = self._state
-        avoided = frozenset(self._avoided)
+        avoided = frozenset(servers)
         if state.find_engine(self._service) is None:
             return state.choose_server(self._service, avoided, now)
         model = self._request.facts.model
@@ -237,15 +279,19 @@
         endpoints: Sequence[Endpoint] = state.list_groups(self._service, model)
         if state.find_engine(self._service) is None:
             endpoints = state.list_servers(self._service)
-        waits = [
-            state.limits.find_wait(endpoint.server, now)
-            for endpoint in endpoints
-        ]
+        statements = state.statements
+        staying = [endpoint.server for endpoint in endpoints]
+        first = min(
+            staying,
+            key=lambda server: statements.find_wait(server, now),
+            default="",
+        )
         return Availability(
-            has_endpoints=bool(endpoints),
+            has_endpoints=bool(staying),
             is_forming=state.is_forming(model),
             shortage_s=state.shortages.find_duration(model, now),
-            limit_wait_s=min(waits, default=0.0),
+            limit_wait_s=statements.limits.find_wait(first, now),
+            pause_wait_s=statements.pauses.find_wait(first, now),
         )
 
     def _describe_wait(
@@ -288,4 +334,8 @@
         self.waited_s += read_clock() - now
 
 
-_NOT_SERVED = "nothing serves it"
+def _describe_lack(availability: Availability) -> str:
+    """Return the reason why no slot is free, for the log and the caller."""
+    if not availability.has_endpoints:
+        return "nothing serves it"
+    return "all pause" if availability.pause_wait_s else "all are full"
--- a/chervilrock/node/serving.py
+++ b/chervilrock/node/serving.py
@@ -387,7 +387,10 @@
         metrics.set_store_ages(self._task.list_store_ages(now))
         metrics.revision_age.set(self._task.find_revision_age(now))
         metrics.revision_lag.set(self._task.find_revision_lag(now))
-        metrics.limited_servers.set(len(self._state.limits))
+        statements = self._state.statements
+        metrics.limited_servers.set(len(statements.limits))
+        metrics.pausing_servers.set(len(statements.pauses.list_pausing(now)))
+        metrics.leaving_servers.set(len(statements.departures))
         metrics.withheld_suspects.set(self._state.suspects.count_withheld())
         metrics.lines_dropped.set(self._count_dropped_lines())
         routes = self._state.routes
--- a/chervilrock/serving_metrics.py
+++ b/chervilrock/serving_metrics.py
@@ -101,6 +101,17 @@
             "Rejections with which a server asked this node for a pause",
             "service",
         )
+        self._held_sends = self._counter(
+            "sends_held_total",
+            "Sends that were held back because the server pauses or leaves",
+            "service",
+        )
+        self.pausing_servers = self._gauge(
+            "servers_pausing", "Servers that want no requests of this node"
+        )
+        self.leaving_servers = self._gauge(
+            "servers_leaving", "Servers that said to this node that they leave"
+        )
         self.limited_servers = self._gauge(
             "servers_limited", "Servers with a rate limit"
         )
@@ -136,6 +147,10 @@
         """Count a rejection with which a server asked for a pause."""
         self._pauses.labels(self._services.bound(service)).inc()
 
+    def count_held_send(self, service: str) -> None:
+        """Count a send that was held back as the server pauses or leaves."""
+        self._held_sends.labels(self._services.bound(service)).inc()
+
     def count_withheld(self) -> None:
         """Count an attempt of a withheld request."""
         self._withheld_requests.inc()
--- a/chervilrock/tasks/serving/limitreports.py
+++ b/chervilrock/tasks/serving/limitreports.py
@@ -39,7 +39,7 @@
           leading: role of this node as the leader, None if it does not lead.
           leader: entry of the leader, None if it is not known.
         """
-        unannounced = self._state.limits.list_unannounced()
+        unannounced = self._state.statements.limits.list_unannounced()
         if not unannounced or now - self._reported_at < MIN_REPORT_INTERVAL_S:
             return
         self._reported_at = now
--- a/chervilrock/tasks/serving/node.py
+++ b/chervilrock/tasks/serving/node.py
@@ -142,7 +142,7 @@
         self._reads.start()
         try:
             while True:
-                message = await self.mailbox.receive_within(TICK_S)
+                message = await self.mailbox.receive_within(self._find_tick())
                 now = read_clock()
                 if message is not None:
                     self._handle(message, now)
@@ -153,6 +153,15 @@
             self._stop_leading()
             self._outbound.close()
 
+    def _find_tick(self) -> float:
+        """Return the seconds until the next check for due actions.
+
+        Requests that wait for the end of a pause are woken on time.
+        """
+        now = read_clock()
+        pauses = self._state.statements.pauses
+        return min(TICK_S, pauses.find_next_end(now))
+
     @property
     def is_leader(self) -> bool:
         """Whether this node leads."""
@@ -279,7 +288,9 @@
             "withheld": state.suspects.list_withheld(),
             "waiting": len(self._waitqueue),
             "repeats": state.describe_budgets(),
-            "limits": state.limits.list_limited(),
+            "limits": state.statements.limits.list_limited(),
+            "pauses": state.statements.pauses.list_pausing(now),
+            "leaving": state.statements.departures.list_servers(),
             "is_stopping": state.is_stopping,
             "groups": [] if leader_role is None else leader_role.describe(),
         }
@@ -665,8 +676,8 @@
         self._limit_reports.act(
             now, leading=self._leader_role, leader=self._find_leader()
         )
-        if self._state.limits:
-            # The rate limit may now admit a waiting request.
+        if self._state.statements:
+            # A limit or the end of a pause may now admit a waiting request.
             self._waitqueue.notify()
         if self._leader_role is None:
             return
--- a/chervilrock/tasks/serving/state.py
+++ b/chervilrock/tasks/serving/state.py
@@ -22,10 +22,8 @@
 from chervilrock.decisions.serving.placement import Bound, Choice, Load
 from chervilrock.decisions.serving.retrybudget import BudgetState, RetryBudget
 from chervilrock.decisions.serving.routes import RouteTable
-from chervilrock.decisions.serving.serverlimits import (
-    LimitChange,
-    ServerLimits,
-)
+from chervilrock.decisions.serving.serverlimits import LimitChange
+from chervilrock.decisions.serving.serverstatements import ServerStatements
 from chervilrock.decisions.serving.shares import SlotShares
 from chervilrock.decisions.serving.shortage import Shortages
 from chervilrock.decisions.serving.site import EngineProfile
@@ -82,7 +80,7 @@
       shortages: models whose requests find no free slot at this node.
       watches: stall detectors of this node's streams, by group.
       suspects: requests during which servers crashed.
-      limits: rate limits that servers state in their answers.
+      statements: what servers state of themselves in their answers.
     """
 
     def __init__(
@@ -123,7 +121,7 @@
         self.shortages = Shortages()
         self.watches: dict[str, StallDetector] = {}
         self.suspects = SuspectTable()
-        self.limits = ServerLimits(own=own.node)
+        self.statements = ServerStatements(own=own.node)
 
     @property
     def revision(self) -> int:
@@ -132,14 +130,11 @@
         return -1 if routes is None else routes.configuration.revision
 
     def apply_view(self, view: ServingView, now: float) -> None:
-        """Replace the view; drop failures and limits of absent endpoints."""
+        """Replace the view; drop what is known of absent endpoints."""
         self.view = view
         self.view_time = now
         self._forget_failures(frozenset(group.group for group in view.groups))
-        self.limits.apply_announcement(view.limits, now)
-        heads = [group.server for group in view.groups]
-        heads += [server.server for server in view.servers]
-        self.limits.forget_absent(heads, now)
+        self.statements.apply_view(view.limits, view.list_targets(), now)
         emit(
             Event.VIEW_IN_FORCE,
             term=view.term,
@@ -245,13 +240,13 @@
     def _list_permitted(
         self, endpoints: list[Endpoint], now: float
     ) -> list[Endpoint]:
-        """Return the endpoints whose rate limits allow a request now."""
-        if not self.limits:
+        """Return the endpoints that want a request of this node now."""
+        if not self.statements:
             return endpoints
         return [
             endpoint
             for endpoint in endpoints
-            if self.limits.may_send(endpoint.server, now)
+            if self.statements.may_send(endpoint.server, now)
         ]
 
     def is_forming(self, model: str) -> bool:
@@ -378,51 +373,41 @@
           request_id: the request that it answers.
           now: current time.
         """
-        if statement.limit is not None:
-            self._record_limit(server, statement.limit, now)
-        pause = statement.pause
-        if pause.seconds:
+        names = (node.node for node in self.nodes)
+        change = self.statements.record(server, statement, names, now)
+        if change.limit is not None and statement.limit is not None:
+            _log_limit(server, statement.limit, change.limit)
+        if change.pause_s:
             emit(
                 Event.PAUSE_STATED,
                 server=server,
                 request_id=request_id,
-                seconds=round(pause.seconds, 3),
-                ends_in_s=round(pause.seconds, 3),
+                seconds=round(statement.pause.seconds, 3),
+                ends_in_s=round(change.pause_s, 3),
             )
-        if pause.unreadable:
+        if change.is_departure_new:
             emit(
-                Event.PAUSE_UNREADABLE,
+                Event.DEPARTURE_STATED,
                 server=server,
                 request_id=request_id,
-                value=pause.unreadable,
             )
-        departure = statement.departure
-        if departure.is_leaving:
+        if not change.has_new_unreadable:
+            return
+        if statement.pause.unreadable:
             emit(
-                Event.DEPARTURE_STATED,
+                Event.PAUSE_UNREADABLE,
                 server=server,
                 request_id=request_id,
+                value=statement.pause.unreadable,
             )
-        if departure.unreadable:
+        if statement.departure.unreadable:
             emit(
                 Event.DEPARTURE_UNREADABLE,
                 server=server,
                 request_id=request_id,
-                value=departure.unreadable,
+                value=statement.departure.unreadable,
             )
 
-    def _record_limit(
-        self, server: str, limit: StatedLimit, now: float
-    ) -> None:
-        names = (node.node for node in self.nodes)
-        change = self.limits.record_answer(server, limit, names, now)
-        if change is LimitChange.NAMED:
-            emit(Event.LIMIT_NAMED, server=server, rate=limit.rate)
-        elif change is LimitChange.ENDED:
-            emit(Event.LIMIT_ENDED, server=server)
-        elif change is LimitChange.UNREADABLE:
-            emit(Event.LIMIT_UNREADABLE, server=server, value=limit.unreadable)
-
     def watch(self, group: str) -> StallDetector:
         """Return the stall detector of a group, created at first use."""
         return self.watches.setdefault(group, StallDetector())
@@ -495,5 +480,17 @@
             own=self._own_loads.get(server, 0),
             others=self._other_loads.get(server, 0),
             slots=max(1, slots),
-            is_deprioritized=self.is_avoided(endpoint, now),
+            is_deprioritized=self.is_avoided(endpoint, now)
+            or self.statements.pauses.is_recent(server, now),
         )
+
+
+def _log_limit(server: str, limit: StatedLimit, change: LimitChange) -> None:
+    """Log how an answer changes the limit of its server."""
+    match change:
+        case LimitChange.NAMED:
+            emit(Event.LIMIT_NAMED, server=server, rate=limit.rate)
+        case LimitChange.ENDED:
+            emit(Event.LIMIT_ENDED, server=server)
+        case LimitChange.UNREADABLE:
+            emit(Event.LIMIT_UNREADABLE, server=server, value=limit.unreadable)
--- a/test/decisions/serving/test_decisions.py
+++ b/test/decisions/serving/test_decisions.py
@@ -446,3 +446,15 @@
     assert_that(leadership.find_leaderless_s(3.6), Equals(3.6 - 3.0))
     announce(4.0, is_stepping_down=False)
     assert_that(leadership.find_leaderless_s(4.1), Equals(0.0))
+
+
+def test_a_request_that_was_held_back_is_sent_elsewhere() -> None:
+    # Nothing reached the server, so it uses up no attempt.
+    step = decide_next(
+        SendOutcome.HELD,
+        status=0,
+        progress=Progress(sends=1, may_have_run=True),
+        may_retry=False,
+        max_attempts=1,
+    )
+    assert_that(step, Is(NextStep.RETRY))
--- a/test/decisions/serving/test_waiting.py
+++ b/test/decisions/serving/test_waiting.py
@@ -122,3 +122,36 @@
     assert_that(decide(NEW, later).retry_after_s, Equals(3.0))
     far = FULL._replace(limit_wait_s=60.0)
     assert_that(decide(NEW, far).retry_after_s, Equals(MAX_RETRY_AFTER_S))
+
+
+PAUSE = FULL._replace(pause_wait_s=1.0)
+
+
+@pytest.mark.parametrize("timeliness", Timeliness)
+def test_requests_wait_for_the_end_of_a_short_pause(timeliness) -> None:
+    # Failure: the callers are rejected although a server takes them in time.
+    request = NEW._replace(timeliness=timeliness)
+    assert_that(decide(request, PAUSE).wait_s, GreaterThan(0.0))
+
+
+@pytest.mark.parametrize("timeliness", Timeliness)
+@pytest.mark.parametrize("draw", [0.0, 1.0])
+def test_requests_are_rejected_at_once_during_a_long_pause(
+    timeliness, draw
+) -> None:
+    # Failure: they wait until their callers give up.
+    request = NEW._replace(timeliness=timeliness)
+    decision = decide(request, FULL._replace(pause_wait_s=3.0), draw)
+    assert_that(decision.wait_s, Equals(0.0))
+    assert_that(3.0 <= decision.retry_after_s <= 3.75, Equals(True))
+
+
+def test_nobody_is_asked_to_retry_after_minutes_of_a_pause() -> None:
+    decision = decide(NEW, FULL._replace(pause_wait_s=1e9), 0.0)
+    assert_that(decision.retry_after_s, Equals(MAX_RETRY_AFTER_S))
+
+
+def test_a_late_request_waits_for_a_pause_despite_a_shortage() -> None:
+    # Slots were short because all servers paused.
+    during = SHORTAGE._replace(pause_wait_s=0.5)
+    assert_that(decide(LATE, during).wait_s, GreaterThan(0.5))
--- /dev/null
+++ b/test/edges/test_relay.py
@@ -0,0 +1,160 @@
+"""Transfers to backend servers that are held back or abandoned."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+import contextlib
+from typing import NamedTuple
+
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Contains, Equals, HasLength, Is, IsInstance
+
+from chervilrock.clients.curlpool import CurlPool
+from chervilrock.edges.heads import Head
+from chervilrock.edges.relay import (
+    BackendRequest,
+    Receiver,
+    Transfer,
+    TransferEnd,
+)
+
+TIMEOUT_S = 10.0
+HEAD = b"HTTP/1.1 503 Busy\r\nRetry-After: 3\r\nContent-Length: 4\r\n\r\n"
+BODY = b"busy"
+
+
+class RecordingReceiver(Receiver):
+    """Records what is received."""
+
+    def __init__(self) -> None:
+        self.inspected: list[Head] = []
+        self.heads: list[Head] = []
+        self.data = b""
+
+    def inspect_head(self, head: Head) -> None:
+        self.inspected.append(head)
+
+    def handle_head(self, head: Head) -> None:
+        self.heads.append(head)
+
+    def handle_data(self, data: bytes) -> None:
+        self.data += data
+
+
+class Sent(NamedTuple):
+    """A transfer in progress and the connection that reached the server."""
+
+    transfer: Transfer
+    receiver: RecordingReceiver
+    end: "asyncio.Task[TransferEnd]"
+    connections: "asyncio.Queue[tuple[bytes, asyncio.StreamWriter]]"
+
+
+Scenario = Callable[[Sent], Awaitable[None]]
+
+
+@pytest.fixture
+def run_transfer() -> Callable[..., None]:
+    """Start a transfer to a server that the test answers for."""
+
+    def run(scenario: Scenario, may_send: Callable[[], bool]) -> None:
+        async def run_all() -> None:
+            connections: asyncio.Queue[tuple[bytes, asyncio.StreamWriter]] = (
+                asyncio.Queue()
+            )
+
+            async def accept(
+                reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+            ) -> None:
+                connections.put_nowait((await reader.read(1024), writer))
+
+            server = await asyncio.start_server(accept, "127.0.0.1", 0)
+            port = server.sockets[0].getsockname()[1]
+            pool = CurlPool(max_requests=4, max_body_size=1024)
+            receiver = RecordingReceiver()
+            transfer = Transfer(
+                request=BackendRequest(
+                    method="GET",
+                    url=f"http://127.0.0.1:{port}/",
+                    headers=(),
+                    body=None,
+                    timeout_s=TIMEOUT_S,
+                    send_once=True,
+                ),
+                receiver=receiver,
+                may_send=may_send,
+            )
+            with pool.borrow() as client:
+                end = asyncio.create_task(transfer.run(client))
+                async with asyncio.timeout(TIMEOUT_S):
+                    await scenario(Sent(transfer, receiver, end, connections))
+            pool.close()
+            server.close()
+
+        asyncio.run(run_all())
+
+    return run
+
+
+def test_a_request_that_its_server_refuses_by_now_is_not_sent(
+    run_transfer,
+) -> None:
+    # Failure: the server has asked for a pause since it was chosen.
+    async def scenario(sent: Sent) -> None:
+        end = await sent.end
+        assert_that(end.is_held, Is(True))
+        assert_that(end.sent, Is(False))
+        assert_that(end.is_broken, Is(False))
+        received, _ = await sent.connections.get()
+        assert_that(received, Equals(b""))
+
+    run_transfer(scenario, lambda: False)
+
+
+def test_a_head_is_inspected_before_its_body_arrives(run_transfer) -> None:
+    # Failure: a pause is obeyed only when the slow body is complete.
+    async def scenario(sent: Sent) -> None:
+        _, writer = await sent.connections.get()
+        writer.write(HEAD)
+        while not sent.receiver.inspected:
+            await asyncio.sleep(0.01)
+        assert_that(sent.end.done(), Is(False))
+        writer.write(BODY)
+        end = await sent.end
+        assert_that(end.error, Equals(""))
+        assert_that(sent.receiver.inspected, Equals(sent.receiver.heads))
+        assert_that(sent.receiver.data, Equals(BODY))
+
+    run_transfer(scenario, lambda: True)
+
+
+def test_an_interim_head_is_not_inspected(run_transfer) -> None:
+    async def scenario(sent: Sent) -> None:
+        _, writer = await sent.connections.get()
+        writer.write(b"HTTP/1.1 103 Early Hints\r\nRetry-After: 9\r\n\r\n")
+        writer.write(HEAD + BODY)
+        await sent.end
+        (head,) = sent.receiver.inspected
+        assert_that(head.status, Equals(503))
+        assert_that(head.headers, Contains(("Retry-After", "3")))
+
+    run_transfer(scenario, lambda: True)
+
+
+def test_the_head_of_an_answer_to_an_abandoned_transfer_is_inspected(
+    run_transfer,
+) -> None:
+    # Failure: a pause is not obeyed because the caller has left.
+    async def scenario(sent: Sent) -> None:
+        _, writer = await sent.connections.get()
+        writer.write(HEAD + BODY)
+        sent.transfer.abandon()
+        end = await sent.end
+        assert_that(end.error, IsInstance(str))
+        assert_that(sent.receiver.heads, HasLength(0))
+        (head,) = sent.receiver.inspected
+        assert_that(head.status, Equals(503))
+        with contextlib.suppress(OSError):
+            writer.close()
+
+    run_transfer(scenario, lambda: True)
--- a/test/node/conftest.py
+++ b/test/node/conftest.py
@@ -1,8 +1,9 @@
 """A small installation with entry nodes, in one event loop."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 
+from loguru import logger
 import pytest
 
 from chervilrock.clients.base import ModelEntry
@@ -123,3 +124,12 @@
         asyncio.run(run_all())
 
     return run
+
+
+@pytest.fixture
+def log_lines() -> Iterator[list[str]]:
+    """Lines logged during a test."""
+    lines: list[str] = []
+    sink = logger.add(lines.append, format="{message}")
+    yield lines
+    logger.remove(sink)
--- a/test/node/serving_site.py
+++ b/test/node/serving_site.py
@@ -6,7 +6,7 @@
 from typing import Any, NamedTuple
 
 from tornado.curl_httpclient import CurlError
-from tornado.httpclient import HTTPRequest
+from tornado.httpclient import HTTPRequest, HTTPResponse
 
 from bench.statements import CallerSends
 from chervilrock.clients.curlpool import QuietCurlClient
@@ -159,6 +159,10 @@
             response.code, dict(response.headers.get_all()), response.body
         )
 
+    async def fetch(self, address: str, path: str) -> HTTPResponse:
+        """Fetch a page of a node, such as its state dump."""
+        return await self.client.fetch(f"http://{address}{path}")
+
     async def call_in_turn(
         self, path: str = "/draft/x", *, seconds: float, model: str = LARGE
     ) -> list[int]:
--- a/test/node/test_server_limits.py
+++ b/test/node/test_server_limits.py
@@ -75,7 +75,7 @@
         def all_have_rate(rate: float | None) -> bool:
             name = server.server
             return all(
-                node.state.limits.find_rate(name) == rate
+                node.state.statements.limits.find_rate(name) == rate
                 for node in world.nodes
             )
 
--- a/test/node/test_server_statements.py
+++ b/test/node/test_server_statements.py
@@ -1,11 +1,14 @@
 """Servers that ask for a pause, or say that they leave."""
 
 import asyncio
+import json
 
+import pytest
 from testtools.assertions import assert_that
-from testtools.matchers import Equals, HasLength, Is
+from testtools.matchers import Contains, Equals, HasLength, Is, Not
 
 from bench.statements import DRAIN_S, find_broken_pauses, find_late_arrivals
+from chervilrock.decisions.serving.waiting import MAX_RETRY_AFTER_S
 from chervilrock.standin.site.servers import SiteServer
 from chervilrock.standin.site.site import LARGE
 from test.node.serving_site import run_world, World
@@ -60,3 +63,102 @@
         assert_that(set(statuses[0] + statuses[1]), Equals({200}))
 
     run_world(scenario, nodes=NODES, **SERVERS)
+
+
+def test_callers_wait_for_the_end_of_a_short_pause() -> None:
+    # Failure: they are rejected although they can be served in time.
+    async def scenario(world: World) -> None:
+        (server,) = world.list_plain_servers()
+        ask_for_pause(server, "0.6")
+        statuses = await world.call_in_turn("/look/x", seconds=2.0)
+        assert_that(server.rejections, HasLength(NODES))
+        assert_that(set(statuses), Equals({200}))
+        assert_that(list_broken(world), HasLength(0))
+
+    run_world(scenario, nodes=NODES, model_servers=8, plain_servers=1)
+
+
+def test_callers_are_rejected_at_once_during_a_long_pause() -> None:
+    async def scenario(world: World) -> None:
+        (server,) = world.list_plain_servers()
+        ask_for_pause(server, "30")
+        server.to_reject = 1
+        await world.call("/look/x", headers=world.make_headers(X_Model=""))
+        assert_that(server.rejections, HasLength(1))
+        answer = await world.call(
+            "/look/x", headers=world.make_headers(X_Model="")
+        )
+        assert_that(answer.status, Equals(503))
+        retry_after_s = float(answer.headers["Retry-After"])
+        assert_that(retry_after_s >= MAX_RETRY_AFTER_S, Is(True))
+        assert_that(server.arrivals, HasLength(1))
+
+    run_world(scenario, model_servers=8, plain_servers=1)
+
+
+def test_a_request_goes_on_to_another_server_than_the_pausing_one() -> None:
+    async def scenario(world: World) -> None:
+        paused, free = world.list_plain_servers()
+        ask_for_pause(paused, "30")
+        for _ in range(20):
+            answer = await world.call(
+                "/look/x", headers=world.make_headers(X_Model="")
+            )
+            assert_that(answer.status, Equals(200))
+        assert_that(paused.rejections, HasLength(1))
+        assert_that(len(free.runs), Equals(20))
+
+    run_world(scenario, model_servers=8, plain_servers=2)
+
+
+def test_the_group_of_a_pausing_head_is_neither_verified_nor_dissolved(
+    log_lines,
+) -> None:
+    # Failure: the leader takes the group for one that has stalled.
+    async def scenario(world: World) -> None:
+        heads = world.site.list_heads(LARGE)
+        orders = {head.server: len(head.orders) for head in heads}
+        for head in heads:
+            ask_for_pause(head, "1.5")
+        await world.call_in_turn(seconds=2.5)
+        assert_that(all(head.rejections for head in heads), Is(True))
+        assert_that(
+            {head.server: len(head.orders) for head in heads}, Equals(orders)
+        )
+        assert_that("".join(log_lines), Not(Contains("verifying")))
+
+    run_world(scenario, nodes=NODES, **SERVERS)
+
+
+@pytest.mark.parametrize("pause", ["soon", "-1", "nan", "1e400"])
+def test_a_pause_that_cannot_be_read_is_logged_and_ignored(
+    pause: str, log_lines
+) -> None:
+    async def scenario(world: World) -> None:
+        for server in world.list_plain_servers():
+            ask_for_pause(server, pause)
+        statuses = await world.call_in_turn("/look/x", seconds=1.0)
+        assert_that(200 in statuses, Is(True))
+        assert_that("".join(log_lines), Contains("pause-unreadable"))
+
+    run_world(scenario, model_servers=8, plain_servers=2)
+
+
+def test_state_and_metrics_show_what_servers_state() -> None:
+    async def scenario(world: World) -> None:
+        (server,) = world.list_plain_servers()
+        head = world.site.list_heads(LARGE)[0]
+        ask_for_pause(server, "30")
+        head.leaving = "1"
+        await world.call("/look/x", headers=world.make_headers(X_Model=""))
+        while not world.nodes[0].state.statements.departures:
+            await world.call("/draft/x")
+        peer = world.nodes[0].own.peer_address
+        state = json.loads((await world.fetch(peer, "/state")).body)
+        assert_that(list(state["pauses"]), Equals([server.server]))
+        assert_that(state["leaving"], Equals([head.server]))
+        metrics = (await world.fetch(peer, "/metrics")).body.decode()
+        assert_that(metrics, Contains("chervilrock_servers_pausing 1.0"))
+        assert_that(metrics, Contains("chervilrock_servers_leaving 1.0"))
+
+    run_world(scenario, model_servers=12, plain_servers=1)
--- a/test/node/test_serving.py
+++ b/test/node/test_serving.py
@@ -1,10 +1,8 @@
 """A serving node on the platform, from callers' to servers' connections."""
 
 import asyncio
-from collections.abc import Iterator
 import json
 
-from loguru import logger
 import pytest
 from testtools.assertions import assert_that
 from testtools.matchers import (
@@ -48,15 +46,6 @@
     return -1 if routes is None else routes.configuration.revision
 
 
-@pytest.fixture
-def log_lines() -> Iterator[list[str]]:
-    """Lines logged during a test."""
-    lines: list[str] = []
-    sink = logger.add(lines.append, format="{message}")
-    yield lines
-    logger.remove(sink)
-
-
 def test_a_stream_is_complete_and_has_the_receipt_of_its_server() -> None:
     async def scenario(world: World) -> None:
         headers = world.make_headers()
