Count a model as forming until its opened group accepts requests

What callers saw: 503, nothing serves it, with 1.5 s to come back, 20 ms before a group of the model served. A test of leaving servers showed it once: the only group that served by then was taken out of the view.

Cause: a group counts as forming until it is ordered to open, and is listed once form_ms is over; in between the model had neither. The same held while the last group of a model closes.

--- a/chervilrock/decisions/serving/controller.py
+++ b/chervilrock/decisions/serving/controller.py
@@ -267,14 +267,23 @@
             and self._registry.find_engine(server.service) is None
         )
 
-    def list_forming_models(self) -> tuple[str, ...]:
-        """Return the models for which a group is expected to serve soon."""
-        soon = (Phase.FORMING, Phase.OPENING, Phase.DISSOLVING)
-        models = {
-            group.model
-            for group in self._registry.groups.values()
-            if group.phase in soon and not group.is_standby
-        }
+    def list_forming_models(self, now: float) -> tuple[str, ...]:
+        """Return the models for which a group is expected to serve soon.
+
+        Hosts of a group that closes or is dissolved form another one. An
+        opened group does not accept requests at once.
+        """
+        soon = (
+            Phase.FORMING,
+            Phase.OPENING,
+            Phase.CLOSING,
+            Phase.DISSOLVING,
+        )
+        models = set()
+        for group in self._registry.groups.values():
+            is_opening = group.phase is Phase.SERVING and now < group.served_at
+            if is_opening or (group.phase in soon and not group.is_standby):
+                models.add(group.model)
         return tuple(sorted(models))
 
     def has_adopted_groups(self, now: float) -> bool:
--- a/chervilrock/tasks/serving/leading.py
+++ b/chervilrock/tasks/serving/leading.py
@@ -345,7 +345,7 @@
             return
         groups = controller.list_groups(now)
         servers = controller.list_servers()
-        forming = controller.list_forming_models()
+        forming = controller.list_forming_models(now)
         limits = self._list_limits(groups, servers, now)
         view = state.view
         is_same = (view.groups, view.servers, view.forming, view.limits) == (
--- a/test/decisions/serving/test_controller.py
+++ b/test/decisions/serving/test_controller.py
@@ -25,7 +25,7 @@
     Order,
     OrderReply,
 )
-from test.decisions.serving.fleet import Faults, Fleet
+from test.decisions.serving.fleet import Faults, Fleet, STEP_S
 
 
 @pytest.fixture
@@ -635,3 +635,23 @@
     }
     fleet.run(30.0)
     assert_that(fleet.serving()["large"], GreaterThan(before))
+
+
+def test_a_model_counts_as_forming_until_its_opened_group_serves() -> None:
+    # Failure: between the order to open and the first requests callers are
+    # told that nothing serves the model.
+    fleet = Fleet(domains=3, hosts=8, seed=1)
+    missing = []
+    has_begun = False
+    end = fleet.now + 6.0
+    while fleet.now < end:
+        fleet.run(STEP_S)
+        controller = fleet.controller
+        listed = {
+            group.model for group in controller.list_groups(fleet.now)
+        } | set(controller.list_forming_models(fleet.now))
+        has_begun = has_begun or listed >= {"large", "small"}
+        if has_begun and not listed >= {"large", "small"}:
+            missing.append((fleet.now, listed))
+    assert_that(has_begun, Is(True))
+    assert_that(missing, HasLength(0))
