Tell the leader which servers leave and which heads pause

Cause: a departure or a pause was known to the node that was answered alone. The leader kept the group of a leaving head until the store said so, other nodes went on sending there, and the plan counted all slots of a head that wants nothing of most nodes.

Change: nodes report both to the leader, as they do limits, in messages of their own, so that nodes of the build before are not disturbed. A departure is repeated until the view no longer lists the server; the leader closes its group, without cutting what runs, and takes it out of the view. Its status report tells a departure as well. For the plan each node that a head pauses for takes an equal part of its slots away; usable_slots in the leader's state dump shows it. A departure from before a restart under the same identifier does not count.

--- a/chervilrock/catalogue.py
+++ b/chervilrock/catalogue.py
@@ -338,6 +338,11 @@
         "server {server} states in its answer to request {request_id} whether "
         "it leaves as {value}, which is ignored",
     )
+    DEPARTURE_TOLD = EventSpec(
+        7316,
+        Level.INFO,
+        "a node reports to the leader that server {server} says that it leaves",
+    )
     REQUEST_SENT = EventSpec(
         7401,
         Level.INFO,
--- a/chervilrock/decisions/serving/controller.py
+++ b/chervilrock/decisions/serving/controller.py
@@ -7,7 +7,7 @@
 order has a higher epoch and rejects the order.
 """
 
-from collections.abc import Collection, Mapping
+from collections.abc import Mapping
 
 from chervilrock.decisions.serving.adoption import Adoption
 from chervilrock.decisions.serving.effects import Command, Effect, GroupStep
@@ -86,14 +86,15 @@
     def record_requests(
         self,
         requests: Mapping[str, int],
-        limited: Collection[str],
+        usable: Mapping[str, float],
         now: float,
     ) -> None:
         """Record the requests of all nodes at each head.
 
         Args:
           requests: requests by head.
-          limited: heads that limit the requests sent to them.
+          usable: fraction of the slots that nodes may use, by head; all where
+            it is missing.
           now: current time.
         """
         if self._registry.configuration is None:
@@ -101,7 +102,7 @@
         for service in self._registry.configuration.services.values():
             if service.engine is not None:
                 self._planner.record_requests(
-                    requests, limited, service.engine, service.name, now
+                    requests, usable, service.engine, service.name, now
                 )
 
     def record_server(self, server: BackendServer, now: float) -> None:
@@ -116,6 +117,18 @@
         """Record that the entry of a server was removed."""
         self._registry.hosts.remove_entry(server)
 
+    def record_departure(self, server: str, stated_at: float) -> bool:
+        """Record that a server says that it leaves.
+
+        Args:
+          server: identifier of the server.
+          stated_at: when it last said so.
+
+        Returns:
+          Whether this was not known.
+        """
+        return self._registry.hosts.record_departure(server, stated_at)
+
     def record_stall(self, name: str, now: float) -> None:
         """Record that the streams of a group have stalled."""
         group = self._registry.groups.get(name)
@@ -163,6 +176,8 @@
         if report is not None:
             if self._is_former_incarnation(server, report.started_ms, now):
                 return
+            if report.is_leaving:
+                self._registry.hosts.record_departure(server, now)
             self._apply_report(server, report, now)
         else:
             self._registry.hosts.record_unanswered(server)
@@ -186,7 +201,9 @@
         dissolved without an order to it; if it was the head, the head counts
         as having left.
         """
-        relation = self._registry.hosts.record_incarnation(server, started_ms)
+        relation = self._registry.hosts.record_incarnation(
+            server, started_ms, now
+        )
         if relation is not IncarnationOrder.NEW:
             return relation is IncarnationOrder.FORMER
         self._planner.forget(server)
--- a/chervilrock/decisions/serving/departures.py
+++ b/chervilrock/decisions/serving/departures.py
@@ -31,6 +31,10 @@
         self._stated_at[server] = now
         return is_new
 
+    def find_age(self, server: str, now: float) -> float:
+        """Return the seconds since a server last said that it leaves."""
+        return now - self._stated_at[server]
+
     def expire(self, now: float) -> None:
         """Forget the departures of long ago."""
         for server, stated_at in list(self._stated_at.items()):
--- a/chervilrock/decisions/serving/hosts.py
+++ b/chervilrock/decisions/serving/hosts.py
@@ -83,12 +83,14 @@
         self._unresponsive: dict[str, float] = {}
         self._slow_until: dict[str, float] = {}
         self._started_ms: dict[str, int] = {}
+        self._restarted_at: dict[str, float] = {}
+        self._departed: set[str] = set()
         self._unanswered: set[str] = set()
         self._reported_at: dict[str, float] = {}
         self._slow_seen_at = float("-inf")
 
     def record_incarnation(
-        self, server: str, started_ms: int
+        self, server: str, started_ms: int, now: float
     ) -> "IncarnationOrder":
         """Record the incarnation in a message and compare it to the known one.
 
@@ -106,6 +108,7 @@
         if started_ms < known:
             return IncarnationOrder.FORMER
         self._started_ms[server] = started_ms
+        self._restarted_at[server] = now
         self._forget(server)
         return IncarnationOrder.NEW
 
@@ -113,6 +116,7 @@
         """Reset all state of a server except that it exists."""
         self._reporting.discard(server)
         self._joined.discard(server)
+        self._departed.discard(server)
         self.loaded.pop(server, None)
         self.obeyed.pop(server, None)
         self._unanswered.discard(server)
@@ -124,6 +128,26 @@
         if entry is not None:
             self.servers[server] = entry._replace(membership=None)
 
+    def record_departure(self, server: str, stated_at: float) -> bool:
+        """Record that a server says that it leaves, whatever its entry says.
+
+        Args:
+          server: identifier of the server.
+          stated_at: when it last said so; before its restart under the same
+            identifier it does not count.
+
+        Returns:
+          Whether the server was not known to leave.
+        """
+        entry = self.servers.get(server)
+        if stated_at < self._restarted_at.get(server, float("-inf")):
+            return False
+        if entry is None or entry.is_leaving:
+            return False
+        self._departed.add(server)
+        self.servers[server] = entry._replace(is_leaving=True)
+        return True
+
     def find(self, server: str) -> BackendServer | None:
         """Return a server, including one whose entry was removed."""
         return self.servers.get(server) or self._former.get(server)
@@ -136,6 +160,8 @@
             self.last_added_at = now
         self.first_entry_at = min(self.first_entry_at, now)
         corrected = self._correct(entry)
+        if entry.server in self._departed:
+            corrected = corrected._replace(is_leaving=True)
         self.servers[entry.server] = corrected
         membership = corrected.membership
         if membership is None:
@@ -147,6 +173,7 @@
 
     def remove_entry(self, server: str) -> None:
         """Apply the removal of a server's entry."""
+        self._departed.discard(server)
         removed = self.servers.pop(server, None)
         if removed is not None:
             self._former[server] = removed
--- a/chervilrock/decisions/serving/orders.py
+++ b/chervilrock/decisions/serving/orders.py
@@ -91,6 +91,7 @@
       time_factor: factor on its nominal times; 2.0 takes twice as long.
       started_ms: start time in milliseconds since the Unix epoch, 0 when it is
         not reported.
+      is_leaving: whether it says that it leaves.
     """
 
     membership: Membership | None
@@ -100,3 +101,4 @@
     waiting: int
     time_factor: float
     started_ms: int = 0
+    is_leaving: bool = False
--- a/chervilrock/decisions/serving/planning.py
+++ b/chervilrock/decisions/serving/planning.py
@@ -5,7 +5,7 @@
 """
 
 from collections import Counter
-from collections.abc import Collection, Iterable, Mapping
+from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
 from chervilrock.decisions.serving.demand import Demand
@@ -165,19 +165,20 @@
     def record_requests(
         self,
         requests: Mapping[str, int],
-        limited: Collection[str],
+        usable: Mapping[str, float],
         engine: EngineProfile,
         service: str,
         now: float,
     ) -> None:
         """Record the requests of all nodes at each group head.
 
-        The capacity of a group whose head limits its requests is the number of
-        requests that it runs.
+        The capacity of a group whose head limits its requests, or pauses, is
+        at least the number of requests that it runs.
 
         Args:
           requests: number of requests by head.
-          limited: heads that limit their requests.
+          usable: fraction of the slots that nodes may use, by head; all where
+            it is missing.
           engine: engine profile of the service.
           service: name of the service.
           now: current time.
@@ -189,9 +190,11 @@
         for group in self._groups.values():
             if group.service == service and group.phase is Phase.SERVING:
                 count = requests.get(group.head, 0)
-                is_limited = group.head in limited
+                slots = engine.slots
+                if group.head in usable:
+                    slots = max(count, int(usable[group.head] * slots))
                 running[group.model] += count
-                capacities[group.model] += count if is_limited else engine.slots
+                capacities[group.model] += slots
         self._get_demand(service).record(running, capacities, now)
 
     def find_needs(
--- a/chervilrock/node/serving.py
+++ b/chervilrock/node/serving.py
@@ -35,7 +35,8 @@
 from chervilrock.tasks.serving.peermessages import (
     decode_announcement,
     decode_crash_report,
-    decode_limit,
+    decode_statement,
+    is_statement,
 )
 from chervilrock.tasks.serving.state import RetryBounds, ServingState
 from chervilrock.tasks.serving.waitqueue import WaitQueue
@@ -345,8 +346,8 @@
             return self._answer_crash_report(body, now)
         if path == "/peer/configuration":
             return Reply(status=200, body=self._task.get_document())
-        if path == "/peer/limit":
-            return self._answer_limit(body)
+        if is_statement(rest):
+            return self._answer_statement(rest, body)
         if path.startswith("/peer/silence/"):
             self._task.mailbox.offer(StallReported(rest.partition("/")[2]))
             return Reply(status=200)
@@ -371,8 +372,8 @@
         self._task.poisondetector.record_report(report, now)
         return Reply(status=200)
 
-    def _answer_limit(self, body: bytes) -> Reply:
-        report = decode_limit(body)
+    def _answer_statement(self, name: str, body: bytes) -> Reply:
+        report = decode_statement(name, body)
         if report is None:
             return Reply(status=400)
         self._task.mailbox.offer(report)
--- a/chervilrock/platform/engines.py
+++ b/chervilrock/platform/engines.py
@@ -25,6 +25,7 @@
 from chervilrock.decisions.serving.site import BackendServer
 from chervilrock.platform.headers import EXPECTED_SERVER
 from chervilrock.platform.servers import decode_membership, GroupField
+from chervilrock.platform.statements import LEAVING, LEAVING_VALUE
 
 _REPLY_BY_STATUS = {
     200: OrderReply.DONE,
@@ -79,10 +80,9 @@
             f"http://{server.address}/report",
             timeout_s=timeout_s,
             headers={EXPECTED_SERVER: server.server},
+            wanted_header=LEAVING,
         )
-        return answer.bind(
-            lambda success: decode_success(_REPORT_DECODER, success)
-        ).map(_make_report)
+        return answer.bind(_decode_report)
 
 
 def encode_order(order: Order) -> dict[str, Any]:
@@ -111,7 +111,14 @@
     return Success(reply)
 
 
-def _make_report(report: _ReportBody) -> ServerReport:
+def _decode_report(answer: HttpAnswer) -> Result[ServerReport, PlatformError]:
+    is_leaving = answer.header == LEAVING_VALUE
+    return decode_success(_REPORT_DECODER, answer).map(
+        lambda body: _make_report(body, is_leaving)
+    )
+
+
+def _make_report(report: _ReportBody, is_leaving: bool) -> ServerReport:
     return ServerReport(
         membership=decode_membership(report.group),
         staged=tuple(report.staged),
@@ -120,4 +127,5 @@
         waiting=report.waiting,
         time_factor=report.pace,
         started_ms=report.born,
+        is_leaving=is_leaving,
     )
--- a/chervilrock/platform/statements.py
+++ b/chervilrock/platform/statements.py
@@ -17,10 +17,11 @@
 """Status of a server that is not the intended one, or not the head of a
 group."""
 
+LEAVING = "server-leaving"
+LEAVING_VALUE = "1"
+
 _LIMIT = "server-limit"
 _RETRY_AFTER = "retry-after"
-_LEAVING = "server-leaving"
-_LEAVING_VALUE = "1"
 _DATE = "date"
 
 _UNAVAILABLE = 503
@@ -118,8 +119,8 @@
 
 def _read_departure(values: Values) -> StatedDeparture:
     """Return whether the server says that it leaves."""
-    texts = values.get(_LEAVING, ())
-    if _LEAVING_VALUE in texts:
+    texts = values.get(LEAVING, ())
+    if LEAVING_VALUE in texts:
         return StatedDeparture(is_leaving=True)
     unreadable = _shorten(texts[-1]) if texts else ""
     return StatedDeparture(is_leaving=False, unreadable=unreadable)
--- a/chervilrock/tasks/serving/leading.py
+++ b/chervilrock/tasks/serving/leading.py
@@ -1,7 +1,7 @@
 """The duties of a leader: control groups and send announcements to nodes."""
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from typing import Any
 
 from returns.result import Failure
@@ -25,6 +25,7 @@
 from chervilrock.decisions.serving.limitregistry import LimitRegistry
 from chervilrock.decisions.serving.polling import SERVERS_SCHEDULE
 from chervilrock.decisions.serving.relays import Recipients, RelayTable
+from chervilrock.decisions.serving.reportedpauses import ReportedPauses
 from chervilrock.decisions.serving.serverlimits import LimitedServer
 from chervilrock.decisions.serving.site import SiteConfiguration
 from chervilrock.decisions.serving.storehealth import StoreMonitor
@@ -38,10 +39,14 @@
 )
 from chervilrock.events import emit, Event
 from chervilrock.tasks.serving.messages import (
+    DepartureReported,
+    LimitReported,
     OrderAnswered,
+    PausesReported,
     PeerAnswered,
     RecordsRead,
     ServerAnswered,
+    StatementReport,
 )
 from chervilrock.tasks.serving.outbound import DecodeServer, Outbound
 from chervilrock.tasks.serving.peers import Peers, Update
@@ -94,6 +99,7 @@
         self._recipients = Recipients((), frozenset())
         self._peers = Peers(send=outbound.announce)
         self._limits = LimitRegistry(known=state.view.limits)
+        self._pauses = ReportedPauses()
         self._summary = Summary()
         self._loads: dict[str, int] = {}
         self._senders = 0
@@ -137,10 +143,17 @@
         """Record that streams of a group have stalled on some node."""
         self._controller.record_stall(group, now)
 
-    def record_limit(self, server: str, rate: float | None) -> None:
-        """Record the rate limit that a server sent to a node, None for none."""
-        if self._limits.record(server, rate):
-            emit(Event.LIMIT_TOLD, server=server, rate=rate)
+    def record_statement(self, report: StatementReport, now: float) -> None:
+        """Record what a server stated of itself to a node."""
+        match report:
+            case LimitReported(server, rate):
+                if self._limits.record(server, rate):
+                    emit(Event.LIMIT_TOLD, server=server, rate=rate)
+            case DepartureReported(server, age_s):
+                if self._controller.record_departure(server, now - age_s):
+                    emit(Event.DEPARTURE_TOLD, server=server)
+            case PausesReported(node, pauses):
+                self._pauses.record(node, pauses, now)
 
     def record_report(self, answered: ServerAnswered, now: float) -> None:
         """Record the status report of a server."""
@@ -221,7 +234,7 @@
         self._peers.sync(self._recipients.nodes, now)
         self._summarize_answers(now)
         self._controller.record_requests(
-            self._loads, self._limits.find_rates(), now
+            self._loads, self.find_usable(now), now
         )
         for effect in self._controller.step(now):
             self._execute(effect)
@@ -230,6 +243,15 @@
         update = self._make_update(now)
         self._peers.announce(update, now)
 
+    def find_usable(self, now: float) -> Mapping[str, float]:
+        """Return the fraction of its slots that nodes may use, by head.
+
+        Heads that are not listed let them use all.
+        """
+        usable = dict(self._pauses.find_usable(self._senders, now))
+        usable.update(dict.fromkeys(self._limits.find_rates(), 0.0))
+        return usable
+
     async def resign(self, now: float) -> None:
         """Announce to all nodes that this one stops, so that another leads."""
         update = self._make_update(now)
--- a/chervilrock/tasks/serving/messages.py
+++ b/chervilrock/tasks/serving/messages.py
@@ -1,5 +1,6 @@
 """Messages to the main task of a node."""
 
+from collections.abc import Mapping
 from typing import NamedTuple
 
 from chervilrock.clients.serving import KeyedPage, Topic
@@ -152,6 +153,33 @@
     rate: float | None
 
 
+class DepartureReported(NamedTuple):
+    """A node reported that a server says that it leaves.
+
+    Attributes:
+      server: identifier of the server.
+      age_s: seconds since the server last said so.
+    """
+
+    server: str
+    age_s: float
+
+
+class PausesReported(NamedTuple):
+    """A node reported for how long heads of groups want no requests of it.
+
+    Attributes:
+      node: name of the node.
+      pauses: seconds until the end of each pause, by head.
+    """
+
+    node: str
+    pauses: Mapping[str, float]
+
+
+StatementReport = LimitReported | DepartureReported | PausesReported
+"""A report of a node of what servers state of themselves."""
+
 Message = (
     RecordsRead
     | ReadFailed
@@ -166,4 +194,6 @@
     | SuspectWritten
     | StallReported
     | LimitReported
+    | DepartureReported
+    | PausesReported
 )
--- a/chervilrock/tasks/serving/node.py
+++ b/chervilrock/tasks/serving/node.py
@@ -38,14 +38,15 @@
 from chervilrock.tasks.clock import read_clock
 from chervilrock.tasks.mailbox import Mailbox
 from chervilrock.tasks.serving.leading import LeaderRole
-from chervilrock.tasks.serving.limitreports import LimitReports
 from chervilrock.tasks.serving.messages import (
     ClaimAnswered,
     CrashReportAnswered,
+    DepartureReported,
     DocumentRead,
     LimitReported,
     Message,
     OrderAnswered,
+    PausesReported,
     PeerAnswered,
     ReadFailed,
     RecordsRead,
@@ -66,6 +67,7 @@
 from chervilrock.tasks.serving.reads import StoreReads
 from chervilrock.tasks.serving.relay import Relay
 from chervilrock.tasks.serving.state import ServingState
+from chervilrock.tasks.serving.statementreports import StatementReports
 from chervilrock.tasks.serving.waitqueue import WaitQueue
 
 TICK_S = 0.05
@@ -135,7 +137,9 @@
         self.poisondetector = PoisonDetector(
             state=state, outbound=self._outbound
         )
-        self._limit_reports = LimitReports(state=state, outbound=self._outbound)
+        self._statement_reports = StatementReports(
+            state=state, outbound=self._outbound
+        )
 
     async def run(self) -> None:
         """Handle messages and act until cancelled."""
@@ -291,6 +295,9 @@
             "limits": state.statements.limits.list_limited(),
             "pauses": state.statements.pauses.list_pausing(now),
             "leaving": state.statements.departures.list_servers(),
+            "usable_slots": {}
+            if leader_role is None
+            else leader_role.find_usable(now),
             "is_stopping": state.is_stopping,
             "groups": [] if leader_role is None else leader_role.describe(),
         }
@@ -384,9 +391,9 @@
                 self.poisondetector.record_answered(message, now)
             case SuspectWritten():
                 self.poisondetector.record_written(message)
-            case LimitReported():
+            case LimitReported() | DepartureReported() | PausesReported():
                 if self._leader_role is not None:
-                    self._leader_role.record_limit(message.server, message.rate)
+                    self._leader_role.record_statement(message, now)
             case StallReported():
                 if self._leader_role is not None:
                     self._leader_role.record_stall(message.group, now)
@@ -673,7 +680,7 @@
         self._fetch_missing_revision(now)
         self._update_suspects(now)
         self._state.refill_budgets(is_in_touch=self._has_contact(now), now=now)
-        self._limit_reports.act(
+        self._statement_reports.act(
             now, leading=self._leader_role, leader=self._find_leader()
         )
         if self._state.statements:
--- a/chervilrock/tasks/serving/outbound.py
+++ b/chervilrock/tasks/serving/outbound.py
@@ -38,18 +38,19 @@
     ClaimAnswered,
     CrashReportAnswered,
     DocumentRead,
-    LimitReported,
     Message,
     OrderAnswered,
     PeerAnswered,
     RegistrationAnswered,
     ServerAnswered,
     ServerChecked,
+    StatementReport,
     SuspectWritten,
 )
 from chervilrock.tasks.serving.peermessages import (
     decode_acknowledgement,
     HEADERS,
+    name_statement,
 )
 
 NODE_PREFIX = "node/"
@@ -161,11 +162,11 @@
         """Report to the leader that the streams of a group have stalled."""
         self._start(self._send_stall_report(leader, group))
 
-    def send_limit_report(
-        self, leader: NodeEntry, limit: LimitReported
+    def send_statement(
+        self, leader: NodeEntry, report: StatementReport
     ) -> None:
-        """Report the stated rate limit of a server to the leader."""
-        self._start(self._send_limit_report(leader, limit))
+        """Report to the leader what a server states of itself."""
+        self._start(self._send_statement(leader, report))
 
     def check_server(self, server: str, address: str) -> None:
         """Check whether a server whose connection broke is still alive."""
@@ -267,11 +268,12 @@
         # If this fails, the next acknowledgement repeats the report.
         await self._post_report(leader, f"silence/{group}", b"{}")
 
-    async def _send_limit_report(
-        self, leader: NodeEntry, limit: LimitReported
+    async def _send_statement(
+        self, leader: NodeEntry, report: StatementReport
     ) -> None:
-        # The report is repeated until the leader announces the limit.
-        await self._post_report(leader, "limit", msgspec.json.encode(limit))
+        # Reports that matter are repeated until the leader announces them.
+        body = msgspec.json.encode(report)
+        await self._post_report(leader, name_statement(report), body)
 
     async def _check_server(self, server: str, address: str) -> None:
         is_alive = await self._ports.liveness.is_alive(address)
--- a/chervilrock/tasks/serving/peermessages.py
+++ b/chervilrock/tasks/serving/peermessages.py
@@ -9,7 +9,12 @@
 
 from chervilrock.decisions.serving.suspects import CrashReport
 from chervilrock.decisions.serving.view import Acknowledgement, Announcement
-from chervilrock.tasks.serving.messages import LimitReported
+from chervilrock.tasks.serving.messages import (
+    DepartureReported,
+    LimitReported,
+    PausesReported,
+    StatementReport,
+)
 
 COMPRESSION_LEVEL = 1
 """Compression level of gzip. Names recur in a view: an announcement with a view
@@ -25,7 +30,18 @@
 _ANNOUNCEMENT = msgspec.json.Decoder(Announcement)
 _ACKNOWLEDGEMENT = msgspec.json.Decoder(Acknowledgement)
 _CRASH_REPORT = msgspec.json.Decoder(CrashReport)
-_LIMIT = msgspec.json.Decoder(LimitReported)
+_STATEMENTS: dict[str, msgspec.json.Decoder[StatementReport]] = {
+    "limit": msgspec.json.Decoder(LimitReported),
+    "departure": msgspec.json.Decoder(DepartureReported),
+    "pauses": msgspec.json.Decoder(PausesReported),
+}
+"""Decoders of the reports of statements, by the name in their path."""
+
+_STATEMENT_NAMES = {
+    LimitReported: "limit",
+    DepartureReported: "departure",
+    PausesReported: "pauses",
+}
 
 
 def encode_announcement(announcement: Announcement) -> bytes:
@@ -41,10 +57,20 @@
         return None
 
 
-def decode_limit(body: bytes) -> LimitReported | None:
-    """Decode a limit report; None for an invalid body."""
+def name_statement(report: StatementReport) -> str:
+    """Return the name of a report of a statement in its path."""
+    return _STATEMENT_NAMES[type(report)]
+
+
+def is_statement(name: str) -> bool:
+    """Return whether a name in a path is one of a report of a statement."""
+    return name in _STATEMENTS
+
+
+def decode_statement(name: str, body: bytes) -> StatementReport | None:
+    """Decode a report of a statement; None for an invalid body."""
     try:
-        return _LIMIT.decode(body)
+        return _STATEMENTS[name].decode(body)
     except (msgspec.DecodeError, UnicodeDecodeError):
         return None
 
--- a/test/decisions/serving/fleet.py
+++ b/test/decisions/serving/fleet.py
@@ -117,7 +117,7 @@
         self._numbers = itertools.count()
         self.has_traffic = False
         self.demand: dict[str, int] = {}
-        self.limited: set[str] = set()
+        self.usable: dict[str, float] = {}
         for domain in range(domains):
             for host in range(hosts):
                 self.add(f"h{domain}-{host}", f"d{domain}")
@@ -170,7 +170,7 @@
             self._finish_joins()
             if self.demand:
                 self.controller.record_requests(
-                    self._spread(), self.limited, self.now
+                    self._spread(), self.usable, self.now
                 )
             for effect in self.controller.step(self.now):
                 self._carry_out(effect)
--- a/test/decisions/serving/test_controller.py
+++ b/test/decisions/serving/test_controller.py
@@ -25,6 +25,7 @@
     Order,
     OrderReply,
 )
+from chervilrock.decisions.serving.site import BackendServer
 from test.decisions.serving.fleet import Faults, Fleet, STEP_S
 
 
@@ -47,6 +48,21 @@
     return fleet.servers[group.server].members
 
 
+def make_host(name: str) -> BackendServer:
+    """Return the entry of a host that is ready and in no group."""
+    return BackendServer(
+        server=name,
+        service="drafts",
+        address="10.0.0.1:1",
+        data_centre="a",
+        domain="d0",
+        is_leaving=False,
+        slots=13,
+        staged=(),
+        membership=None,
+    )
+
+
 def find_name(fleet: Fleet, head: str) -> str:
     """Return the name of the group of a head, empty if it has none."""
     for endpoint in fleet.controller.list_groups(fleet.now):
@@ -411,7 +427,7 @@
 def test_incarnations_of_a_server_are_ordered() -> None:
     hosts = HostRegistry()
     relations = [
-        hosts.record_incarnation("h", started_ms)
+        hosts.record_incarnation("h", started_ms, 0.0)
         for started_ms in (0, 5, 5, 0, 5, 7, 5, 7)
     ]
     same, new, former = (
@@ -630,13 +646,66 @@
     fleet.run(10.0)
     before = fleet.serving()["large"]
     groups = fleet.controller.list_groups(fleet.now)
-    fleet.limited = {
-        endpoint.server for endpoint in groups if endpoint.model == "large"
+    fleet.usable = {
+        endpoint.server: 0.0 for endpoint in groups if endpoint.model == "large"
     }
     fleet.run(30.0)
     assert_that(fleet.serving()["large"], GreaterThan(before))
 
 
+def test_a_model_whose_heads_pause_for_most_nodes_gets_another_group(
+    fleet: Fleet,
+) -> None:
+    fleet.run(12.0)
+    fleet.start_traffic()
+    fleet.demand = {"large": 20, "small": 10}
+    fleet.run(10.0)
+    before = fleet.serving()["large"]
+    groups = fleet.controller.list_groups(fleet.now)
+    fleet.usable = {
+        endpoint.server: 0.2 for endpoint in groups if endpoint.model == "large"
+    }
+    fleet.run(30.0)
+    assert_that(fleet.serving()["large"], GreaterThan(before))
+
+
+def test_a_group_closes_when_its_head_says_that_it_leaves(
+    fleet: Fleet,
+) -> None:
+    # Failure: the leader keeps the group until the entry of its head says so.
+    fleet.run(12.0)
+    fleet.start_traffic()
+    fleet.run(5.0)
+    group = fleet.controller.list_groups(fleet.now)[0]
+    controller = fleet.controller
+    assert_that(controller.record_departure(group.server, fleet.now), Is(True))
+    assert_that(controller.record_departure(group.server, fleet.now), Is(False))
+    assert_that(controller.list_groups(fleet.now), Not(Contains(group)))
+    # An entry that still says ready changes nothing.
+    fleet.run(20.0)
+    heads = [other.server for other in controller.list_groups(fleet.now)]
+    assert_that(heads, Not(Contains(group.server)))
+    assert_that(fleet.servers[group.server].membership is None, Is(True))
+
+
+def test_a_departure_before_a_restart_under_the_same_identifier_is_void() -> (
+    None
+):
+    # Failure: nodes that remember the departure take the new start out too.
+    hosts = HostRegistry()
+    hosts.apply_entry(make_host("h"), 0.0)
+    hosts.record_incarnation("h", 1, 0.0)
+    assert_that(hosts.record_departure("h", 1.0), Is(True))
+    assert_that(hosts.servers["h"].is_leaving, Is(True))
+    hosts.apply_entry(make_host("h"), 2.0)
+    assert_that(hosts.servers["h"].is_leaving, Is(True))
+    hosts.record_incarnation("h", 2, 3.0)
+    hosts.apply_entry(make_host("h"), 3.0)
+    assert_that(hosts.servers["h"].is_leaving, Is(False))
+    assert_that(hosts.record_departure("h", 2.0), Is(False))
+    assert_that(hosts.servers["h"].is_leaving, Is(False))
+
+
 def test_a_model_counts_as_forming_until_its_opened_group_serves() -> None:
     # Failure: between the order to open and the first requests callers are
     # told that nothing serves the model.
--- a/test/node/test_server_statements.py
+++ b/test/node/test_server_statements.py
@@ -162,3 +162,55 @@
         assert_that(metrics, Contains("chervilrock_servers_leaving 1.0"))
 
     run_world(scenario, model_servers=12, plain_servers=1)
+
+
+def test_all_nodes_and_the_leader_learn_that_a_server_leaves() -> None:
+    # Failure: each node sends to it until it has been told so itself.
+    async def scenario(world: World) -> None:
+        leaving = [world.site.list_heads(LARGE)[0]]
+        leaving += world.list_plain_servers()[:1]
+        for server in leaving:
+            server.leaving = "1"
+        follower = next(
+            number
+            for number, node in enumerate(world.nodes)
+            if not node.is_leader
+        )
+        for server in leaving:
+            path = "/draft/x" if server.domain else "/look/x"
+            while not server.arrivals:
+                headers = world.make_headers()
+                if not server.domain:
+                    del headers["X-Model"]
+                await world.call(path, node=follower, headers=headers)
+        names = {server.server for server in leaving}
+        await world.wait(
+            lambda: (
+                not any(
+                    names & node.state.view.list_targets()
+                    for node in world.nodes
+                )
+            ),
+            "no node has a leaving server in its view",
+        )
+
+    run_world(scenario, nodes=NODES, **SERVERS)
+
+
+def test_the_leader_learns_how_many_nodes_a_head_pauses_for() -> None:
+    async def scenario(world: World) -> None:
+        heads = world.site.list_heads(LARGE)
+        for head in heads:
+            ask_for_pause(head, "30")
+        await world.call_in_turn(seconds=2.0)
+        leader = next(node for node in world.nodes if node.is_leader)
+        page = await world.fetch(leader.own.peer_address, "/state")
+        usable = json.loads(page.body)["usable_slots"]
+        reported = {
+            head.server: 1.0 - len(head.rejections) / NODES
+            for head in heads
+            if head.rejections
+        }
+        assert_that(usable == reported, Is(True), f"{usable} {reported}")
+
+    run_world(scenario, nodes=NODES, **SERVERS)
