Replay groups that pause again and again against the former way

A third of the groups reject all requests for 1 to 3 s, again and again, and name the time that is left.

--- a/test/tasks/overload.py
+++ b/test/tasks/overload.py
@@ -9,7 +9,7 @@
 """
 
 import asyncio
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 import contextlib
 import random
 from typing import Any, NamedTuple, TYPE_CHECKING
@@ -42,7 +42,9 @@
 from chervilrock.edges.serving.callerrequest import CallerRequest
 from chervilrock.edges.serving.exchange import Context, Exchange
 from chervilrock.platform import headers as names
+from chervilrock.tasks.serving import state as state_module
 from chervilrock.tasks.serving import waitqueue as waitqueue_module
+from chervilrock.tasks.serving.node import TICK_S
 from chervilrock.tasks.serving.state import RetryBounds, ServingState
 from chervilrock.tasks.serving.waitqueue import WaitQueue
 from test.tasks.virtual_time import run_virtually
@@ -63,6 +65,15 @@
 CALLER_STALL_TIMEOUT_S = 2.0
 """Time without an event after which callers abandon a stream."""
 
+NODE_HEADER = "X-Node"
+"""Header that tells an engine which node sent a request."""
+
+PAUSE_S = (1.0, 3.0)
+"""Range of the lengths of pauses, and of the times between them."""
+
+PAUSE_GRACE_S = 0.5
+"""Time after a rejection for sends that are on their way."""
+
 WARM_UP_S = 3.0
 """Time at the nominal rate before the load rises."""
 
@@ -126,6 +137,8 @@
       recovery_s: simulated time after the rise.
       abuser_ratio: ratio of the callers who retry immediately.
       abuser_retries: number of their retries.
+      pausing_ratio: ratio of the engines that reject all requests for a while,
+        again and again, and ask for a pause until they take requests again.
     """
 
     factor: float
@@ -134,6 +147,7 @@
     recovery_s: float = 6.0
     abuser_ratio: float = 0.0
     abuser_retries: int = 3
+    pausing_ratio: float = 0.0
 
 
 class RequestCounts(NamedTuple):
@@ -161,11 +175,14 @@
       seconds: counts of requests by the second of their first attempt.
       sends: sends to groups.
       not_executed: sends that an engine rejected without running them.
+      disobeyed: sends to an engine after it had asked their node for a pause,
+        from `PAUSE_GRACE_S` later to its end.
     """
 
     seconds: tuple[RequestCounts, ...]
     sends: int
     not_executed: int
+    disobeyed: int
 
     def sum_seconds(self, begin_s: float, end_s: float) -> RequestCounts:
         """Return the counts of the requests that began in an interval."""
@@ -185,12 +202,33 @@
         self._waiting: list[_EngineRequest] = []
         self._running: list[_EngineRequest] = []
         self._is_in_pass = False
+        self._paused_until = 0.0
+        self._asked: dict[str, tuple[float, float]] = {}
         self.sends = 0
         self.not_executed = 0
+        self.disobeyed = 0
+
+    async def pause_at_intervals(self, generator: random.Random) -> None:
+        """Reject all requests for one to three seconds, again and again."""
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(generator.uniform(*PAUSE_S))
+            self._paused_until = loop.time() + generator.uniform(*PAUSE_S)
+            await asyncio.sleep(self._paused_until - loop.time())
 
     def accept(self, request: "_EngineRequest") -> None:
-        """Queue a request, or reject it if the queue is full."""
+        """Queue a request, or reject it if the queue is full or in a pause."""
         self.sends += 1
+        now = asyncio.get_running_loop().time()
+        begin, end = self._asked.get(request.node, (now, now))
+        self.disobeyed += begin + PAUSE_GRACE_S < now < end
+        if now < self._paused_until:
+            self._asked.setdefault(request.node, (now, self._paused_until))
+            if end <= now:
+                self._asked[request.node] = (now, self._paused_until)
+            self.not_executed += 1
+            request.reject(self._paused_until - now)
+            return
         if len(self._waiting) >= self._fleet.queue_limit + self._free_slots:
             self.not_executed += 1
             request.reject()
@@ -247,6 +285,7 @@
         events: int,
         transfer: "SimulatedTransfer",
     ) -> None:
+        self.node = transfer.node
         self.number = number
         self.urgency = urgency
         self.prompt_tokens = prompt_tokens
@@ -255,9 +294,9 @@
         self._produced = 0
         self._transfer = transfer
 
-    def reject(self) -> None:
+    def reject(self, pause_s: float = 0.0) -> None:
         self.is_finished = True
-        self._transfer.answer_not_executed()
+        self._transfer.answer_not_executed(pause_s)
 
     def produce_event(self, overhead_s: float) -> None:
         """Produce an event; only the first and the last one are delivered."""
@@ -277,10 +316,16 @@
     replay: "Replay"
 
     def __init__(
-        self, *, request: BackendRequest, receiver: "Receiver"
+        self,
+        *,
+        request: BackendRequest,
+        receiver: "Receiver",
+        may_send: Callable[[], bool],
     ) -> None:
         self._headers = dict(request.headers)
         self._receiver = receiver
+        self._may_send = may_send
+        self.node = self._headers[NODE_HEADER]
         self._end: asyncio.Future[TransferEnd] = (
             asyncio.get_running_loop().create_future()
         )
@@ -293,6 +338,8 @@
         await asyncio.sleep(SERVER_LATENCY_S)
         if self._end.done():
             return self._end.result()
+        if not self._may_send():
+            return TransferEnd(False, None, "held", is_held=True)
         self.sent = True
         prompt_tokens, _, output = self._headers["X-Token-Count"].partition(",")
         self._engine_request = _EngineRequest(
@@ -312,8 +359,11 @@
             self._engine_request.is_finished = True
         self._complete("abandoned")
 
-    def answer_not_executed(self) -> None:
-        self._receive_head(503, ("X-Not-Executed", "1"))
+    def answer_not_executed(self, pause_s: float) -> None:
+        pairs = [("X-Not-Executed", "1")]
+        if pause_s:
+            pairs.append(("Retry-After", f"{pause_s:.3f}"))
+        self._receive_head(503, *pairs)
         self._complete("")
 
     def begin_answer(self) -> None:
@@ -328,15 +378,16 @@
         self._receiver.handle_data(b"id: 2\ndata: x\n\n")
         self._complete("")
 
-    def _receive_head(self, status: int, pair: tuple[str, str]) -> None:
+    def _receive_head(self, status: int, *pairs: tuple[str, str]) -> None:
         self.head = Head(
             status=status,
             headers=(
-                pair,
+                *pairs,
                 ("X-Server-Stamp", "1"),
                 ("X-Request-Id", self._headers["X-Request-Id"]),
             ),
         )
+        self._receiver.inspect_head(self.head)
         self._receiver.handle_head(self.head)
 
     def _complete(self, error: str) -> None:
@@ -405,6 +456,7 @@
         self._fleet = fleet
         self._load = load
         self._generator = random.Random(seed)
+        self._seed = seed
         self._number = 0
         models = fleet.engine.models
         groups = _make_groups(fleet)
@@ -434,17 +486,35 @@
         loop = asyncio.get_running_loop()
         self._started_at = loop.time()
         callers: set[asyncio.Task[None]] = set()
-        announcements = loop.create_task(self._announce_loads())
+        background = [
+            loop.create_task(self._announce_loads()),
+            loop.create_task(self._wake_waiting()),
+        ]
+        background += [
+            loop.create_task(engine.pause_at_intervals(generator))
+            for engine, generator in self._choose_pausing()
+        ]
         for kind in self._fleet.kinds:
             callers.add(loop.create_task(self._start_callers(kind)))
         await asyncio.gather(*callers)
-        announcements.cancel()
+        for task in background:
+            task.cancel()
         return Outcome(
             tuple(RequestCounts(*one) for one in self._seconds),
             sum(engine.sends for engine in self.engines.values()),
             sum(engine.not_executed for engine in self.engines.values()),
+            sum(engine.disobeyed for engine in self.engines.values()),
         )
 
+    def _choose_pausing(self) -> Iterator[tuple[Engine, random.Random]]:
+        """Yield the engines that pause, with a generator for their pauses."""
+        engines = list(self.engines.values())
+        count = round(self._load.pausing_ratio * len(engines))
+        if not count:
+            return
+        for number, engine in enumerate(engines[:: len(engines) // count]):
+            yield engine, random.Random(f"pauses {self._seed} {number}")
+
     async def _start_callers(self, kind: RequestKind) -> None:
         """Start callers at the rate of a kind, and wait for all of them."""
         loop = asyncio.get_running_loop()
@@ -510,12 +580,14 @@
         loop = asyncio.get_running_loop()
         now = loop.time()
         node = self._generator.choice(self._nodes)
+        name = node.state.own.node
         deadline_ms = max(1, round(1000 * (until - now)))
         pairs = (
             ("X-Request-Id", f"r{self.next_number()}"),
             ("X-Model", kind.model),
             ("X-Token-Count", token_counts),
             ("X-Deadline-Ms", str(deadline_ms)),
+            (NODE_HEADER, name),
         )
         connection = _Connection()
         exchange = Exchange(
@@ -544,6 +616,14 @@
         await asyncio.sleep(CALLER_ROUND_TRIP_S / 2)
         return connection
 
+    async def _wake_waiting(self) -> None:
+        """Wake waiting requests as the main task of a node does."""
+        while True:
+            await asyncio.sleep(TICK_S)
+            for context in self._nodes:
+                if context.state.statements:
+                    context.waitqueue.notify()
+
     async def _announce_loads(self) -> None:
         """Total the loads of all nodes and announce the totals to them."""
         lag = self._fleet.lag
@@ -616,7 +696,8 @@
         waitqueue_module,
     ):
         monkeypatch.setattr(module, "read_clock", read_virtual_clock)
-    monkeypatch.setattr(exchangelog, "emit", lambda *_, **__: None)
+    for module in (exchangelog, state_module):
+        monkeypatch.setattr(module, "emit", lambda *_, **__: None)
     monkeypatch.setattr(exchange_module, "Transfer", SimulatedTransfer)
 
     async def run() -> Outcome:
--- a/test/tasks/test_overload.py
+++ b/test/tasks/test_overload.py
@@ -10,9 +10,11 @@
 
 import pytest
 from testtools.assertions import assert_that
-from testtools.matchers import GreaterThan, LessThan
+from testtools.matchers import Equals, GreaterThan, LessThan
 
 from chervilrock.decisions.serving import shares
+from chervilrock.decisions.serving.messages import StatedPause
+from chervilrock.platform import statements
 from test.tasks.overload import Fleet, Load, NARROW, replay, RequestCounts, WIDE
 
 MIN_RATIO = 0.8
@@ -79,3 +81,39 @@
     unshared_counts = unshared.sum_seconds(RAISED_BEGIN_S, RAISED_END_S)
     shared_counts = shared.sum_seconds(RAISED_BEGIN_S, RAISED_END_S)
     assert_that(unshared_counts.in_time, LessThan(0.8 * shared_counts.in_time))
+
+
+def ignore_pauses(monkeypatch) -> None:
+    """Let nodes avoid a server that rejects for a fixed time instead."""
+    monkeypatch.setattr(statements, "_read_pause", lambda *_: StatedPause(0.0))
+
+
+@pytest.mark.parametrize(
+    ("fleet", "factor", "seeds"),
+    [(NARROW, 1.0, 10), (WIDE, 1.5, 1)],
+    ids=["narrow", "wide"],
+)
+def test_obeying_pauses_costs_no_callers(
+    monkeypatch, fleet: Fleet, factor: float, seeds: int
+) -> None:
+    # A third of the groups pause for 1 to 3 s, again and again.
+    load = Load(factor, "note", duration_s=16.0, pausing_ratio=1 / 3)
+
+    def replay_all() -> tuple[float, int]:
+        """Return the ratio served in time, and sends against a pause."""
+        outcomes = [
+            replay(monkeypatch, fleet, load, seed=seed + 1)
+            for seed in range(seeds)
+        ]
+        counts = [one.sum_seconds(3, 19) for one in outcomes]
+        ratio = sum(count.in_time for count in counts) / sum(
+            count.requests for count in counts
+        )
+        return ratio, sum(one.disobeyed for one in outcomes)
+
+    obeyed, disobeyed = replay_all()
+    assert_that(disobeyed, Equals(0))
+    ignore_pauses(monkeypatch)
+    ignored, disobeyed = replay_all()
+    assert_that(disobeyed, GreaterThan(100))
+    assert_that(obeyed, GreaterThan(ignored))
