Forget a pause as soon as it has ended, and parse a head once

Cause: a pause was forgotten with the next view only, and waiting requests were woken every 50 ms until then. The head of each answer was parsed twice. Change: the main task forgets what has no effect any more; the head that was inspected is kept. Measured: the tests of both.

--- a/chervilrock/decisions/serving/serverstatements.py
+++ b/chervilrock/decisions/serving/serverstatements.py
@@ -143,13 +143,17 @@
         """
         self.limits.apply_announcement(limited, now)
         self.limits.forget_absent(present, now)
-        self.pauses.expire(now)
-        self.departures.expire(now)
+        self.expire(now)
         for registry in (self.pauses, self.departures):
             _drop_excess(registry, present)
         for server in set(self._unreadable).difference(present):
             del self._unreadable[server]
 
+    def expire(self, now: float) -> None:
+        """Forget pauses and departures that have no effect any more."""
+        self.pauses.expire(now)
+        self.departures.expire(now)
+
 
 def _drop_excess(
     registry: ServerPauses | Departures, present: Collection[str]
--- a/chervilrock/edges/relay.py
+++ b/chervilrock/edges/relay.py
@@ -137,7 +137,7 @@
         self._receiver = receiver
         self._may_send = may_send
         self._is_held = False
-        self._inspected = False
+        self._final_head: Head | None = None
         self._curl: pycurl.Curl | None = None
         self._head_lines: list[bytes] = []
         self._paused = False
@@ -241,19 +241,18 @@
 
     def _receive_head_line(self, line: bytes) -> None:
         """Handles a line of the head or of a trailer; called by libcurl."""
-        if self._inspected:
+        if self._final_head is not None:
             return
         self._head_lines.append(line)
         if not line.strip():
             self._inspect_head()
 
-    def _inspect_head(self) -> Head | None:
+    def _inspect_head(self) -> None:
         """Passes the final head to the receiver for inspection, once."""
-        head = parse_head(self._head_lines)
-        if head is not None and not self._inspected:
-            self._inspected = True
-            self._receiver.inspect_head(head)
-        return head
+        if self._final_head is None:
+            self._final_head = parse_head(self._head_lines)
+            if self._final_head is not None:
+                self._receiver.inspect_head(self._final_head)
 
     def _receive(self, data: bytes) -> int:
         """Handles bytes of the body; called by libcurl."""
@@ -273,7 +272,8 @@
     def _parse_head_lines(self) -> None:
         """Passes the final head to the receiver once it is received."""
         if self.head is None:
-            self.head = self._inspect_head()
+            self._inspect_head()
+            self.head = self._final_head
             if self.head is not None and not self._abandoned:
                 self._receiver.handle_head(self.head)
 
--- a/chervilrock/tasks/serving/node.py
+++ b/chervilrock/tasks/serving/node.py
@@ -684,6 +684,7 @@
             now, leading=self._leader_role, leader=self._find_leader()
         )
         if self._state.statements:
+            self._state.statements.expire(now)
             # A limit or the end of a pause may now admit a waiting request.
             self._waitqueue.notify()
         if self._leader_role is None:
