Let servers of the soak ask for pauses and say that they leave

Each run has servers that reject some requests or all of them and ask for pauses, one, several, all plain ones or all heads at a time, some with values that are no time, and servers that say they leave before, after or without the word of the store. Both bounds are checked from what the servers saw; restarts and freezes of a node, and for pauses the link, excuse it.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -26,6 +26,13 @@
 from tornado.httpclient import HTTPRequest
 
 from bench.limits import LimitedServers
+from bench.statements import (
+    CallerSends,
+    Disturbances,
+    find_broken_pauses,
+    find_late_arrivals,
+    StatingServers,
+)
 from chervilrock.clients.curlpool import QuietCurlClient
 from chervilrock.platform.settings import VARIABLE
 from chervilrock.standin.site.proxy import LinkFault, LinkProxy
@@ -111,7 +118,9 @@
         store: str,
         ip: str,
         taken: set[int],
+        disturbances: Disturbances,
     ) -> None:
+        self._disturbances = disturbances
         ports = find_ports(ip, taken)
         self.address = f"{ip}:{ports['callers']}"
         self._path = folder / f"{name}.toml"
@@ -125,6 +134,8 @@
     def start(self) -> None:
         """Start the process unless it is running."""
         if self._process is None or self._process.poll() is not None:
+            now = asyncio.get_running_loop().time()
+            self._disturbances.record(self.address, now - RESTART_S, now)
             self._process = subprocess.Popen(
                 [sys.executable, "-m", "chervilrock", "node"],
                 cwd=ROOT,
@@ -157,6 +168,7 @@
         self._generator = generator
         self._client = QuietCurlClient(force_instance=True, max_clients=200)
         self._number = 0
+        self.sends = CallerSends()
         self.not_run: set[str] = set()
         self.once: set[str] = set()
         self.violations: list[str] = []
@@ -224,10 +236,13 @@
             request_timeout=TIMEOUT_S,
             decompress_response=False,
         )
+        request_id = headers["X-Request-Id"]
+        self.sends.record_sent(request_id, address)
         try:
             response = await self._client.fetch(request, raise_error=False)
         except CurlError:
             return _CUT_OFF, b""
+        self.sends.record_answer(request_id, response.headers)
         return response.code, response.body
 
     def _check_body(self, kind: str, request_id: str, body: bytes) -> None:
@@ -286,7 +301,9 @@
         nodes: list[_Process],
         links: list[LinkProxy],
         callers: _Callers,
+        disturbances: Disturbances,
     ) -> None:
+        self._disturbances = disturbances
         self._callers = callers
         self._generator = generator
         self._site = site
@@ -319,9 +336,15 @@
     async def _pause(self) -> None:
         node = self._generator.choice(self._nodes)
         node.signal(signal.SIGSTOP)
-        await asyncio.sleep(self._generator.uniform(0.2, 2.0))
+        seconds = self._generator.uniform(0.2, 2.0)
+        self._record_disturbance(node.address, seconds)
+        await asyncio.sleep(seconds)
         node.signal(signal.SIGCONT)
 
+    def _record_disturbance(self, subject: object, seconds: float) -> None:
+        now = asyncio.get_running_loop().time()
+        self._disturbances.record(subject, now, now + seconds)
+
     async def _roll(self) -> None:
         self._generator.choice(self._nodes).signal(signal.SIGTERM)
 
@@ -329,9 +352,14 @@
         self._generator.choice(self._nodes).signal(signal.SIGHUP)
 
     async def _disturb_link(self) -> None:
-        link = self._generator.choice(self._links)
+        number = self._generator.randrange(len(self._links))
+        link = self._links[number]
         link.fault = self._generator.choice(list(LinkFault))
-        await asyncio.sleep(self._generator.uniform(0.2, 2.0))
+        seconds = self._generator.uniform(0.2, 2.0)
+        if number < len(self._site.servers):
+            server = self._site.servers[number]
+            self._record_disturbance(server, seconds)
+        await asyncio.sleep(seconds)
         link.fault = LinkFault.NONE
 
     async def _disturb_store(self) -> None:
@@ -409,6 +437,7 @@
     nodes: list[_Process] = []
     taken: set[int] = set()
     callers = _Callers(site=site, generator=generator, seed=plan.seed)
+    disturbances = Disturbances()
     try:
         site.start(model_servers=12, plain_servers=3)
         for server in site.servers:
@@ -423,6 +452,7 @@
                 store=link.address,
                 ip=_find_ip(plan.seed),
                 taken=taken,
+                disturbances=disturbances,
             )
             for number in range(NODES)
         ]
@@ -434,16 +464,20 @@
             nodes=nodes,
             links=links,
             callers=callers,
+            disturbances=disturbances,
         )
+        stating = StatingServers(servers=site.servers, seed=plan.seed)
         limited = LimitedServers(servers=site.servers, seed=plan.seed)
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(plan.seconds):
                 async with asyncio.TaskGroup() as group:
                     group.create_task(faults.run())
                     group.create_task(limited.run())
+                    group.create_task(stating.run())
                     for _ in range(CALLERS):
                         group.create_task(callers.run(nodes))
         callers.violations += limited.end()
+        stating.end()
         faults.remove_faults()
         await asyncio.sleep(SETTLE_S)
         await callers.check_crashing(nodes)
@@ -453,6 +487,12 @@
             for number in range(20)
         ]
         callers.check_runs()
+        callers.violations += find_broken_pauses(
+            site.servers, callers.sends, disturbances.has_any
+        )
+        callers.violations += find_late_arrivals(
+            site.servers, callers.sends, disturbances.has_node
+        )
         supervisor.cancel()
     finally:
         for node in nodes:
--- a/chervilrock/standin/site/servers.py
+++ b/chervilrock/standin/site/servers.py
@@ -204,6 +204,15 @@
             self._restart_after_crash()
         )
 
+    @property
+    def is_head(self) -> bool:
+        """Whether the server is the head of an open group."""
+        group = self.group
+        return group is not None and (group["state"], group["rank"]) == (
+            "open",
+            0,
+        )
+
     def depart(self) -> None:
         """Exit, and restart after a delay under a new identifier."""
         if self._is_down:
