Tell waiting callers at once when a pause becomes too long for them

Cause: whether to wait was decided once, at the beginning of the wait. Change: an attempt to get a slot ends the wait when all servers pause for longer than it lasts, and the request is decided anew. Measured: the new test fails without the change, on Retry-After.

--- a/chervilrock/edges/serving/slots.py
+++ b/chervilrock/edges/serving/slots.py
@@ -84,6 +84,7 @@
         self._expires = request.arrived
         self._waited_before_s = 0.0
         self._is_waiting = False
+        self._wait_until = request.arrived
         self._avoided: set[str] = set()
         self._paused: set[str] = set()
         self.slot: SlotChoice | None = None
@@ -142,6 +143,8 @@
                 or self._try_acquire()
             ):
                 return None
+            if self._is_wait_useless():
+                continue
             if timeliness is not Timeliness.ON_TIME:
                 return rejection
             if not availability.pause_wait_s:
@@ -239,6 +242,18 @@
         self._state.statements.consume(server, now)
         return True
 
+    def _try_end_wait(self) -> bool:
+        """Return whether the wait for a slot is over, with or without one."""
+        return self._try_acquire() or self._is_wait_useless()
+
+    def _is_wait_useless(self) -> bool:
+        """Return whether all servers pause for longer than the wait."""
+        if not self._state.statements.pauses:
+            return False
+        now = read_clock()
+        pause_wait_s = self._find_availability(now).pause_wait_s
+        return pause_wait_s > max(0.0, self._wait_until - now)
+
     def _choose(self, now: float) -> SlotChoice | None:
         """Return a free slot, last of servers that have rejected the request.
 
@@ -328,11 +343,12 @@
         served in the order of their arrival.
         """
         self._is_waiting = True
+        self._wait_until = until
         now = read_clock()
         arrived = self._request.arrived
         order = -arrived if timeliness is Timeliness.ON_TIME else arrived
         await self._waitqueue.wait(
-            self._try_acquire,
+            self._try_end_wait,
             rank=(admission.priority, int(timeliness), order),
             until=until,
         )
--- a/chervilrock/tasks/serving/waitqueue.py
+++ b/chervilrock/tasks/serving/waitqueue.py
@@ -7,7 +7,7 @@
 from chervilrock.tasks.clock import read_clock
 
 TryAcquire = Callable[[], bool]
-"""Tries to acquire a slot; returns whether it succeeded."""
+"""Makes an attempt to acquire a slot; returns whether the wait is over."""
 
 
 class _Waiter:
@@ -37,10 +37,10 @@
     async def wait(
         self, attempt: TryAcquire, *, rank: tuple[float, ...], until: float
     ) -> bool:
-        """Wait for a slot; return whether one was acquired in time.
+        """Wait for a slot; return whether an attempt ended the wait.
 
         Args:
-          attempt: tries to acquire a slot.
+          attempt: tries to acquire a slot, or finds that waiting is useless.
           rank: sort key of the request; the smallest goes first.
           until: time at which the wait ends at the latest.
         """
--- a/test/node/test_server_statements.py
+++ b/test/node/test_server_statements.py
@@ -10,7 +10,7 @@
 from bench.statements import DRAIN_S, find_broken_pauses, find_late_arrivals
 from chervilrock.decisions.serving.waiting import MAX_RETRY_AFTER_S
 from chervilrock.standin.site.servers import SiteServer
-from chervilrock.standin.site.site import LARGE
+from chervilrock.standin.site.site import LARGE, make_configuration
 from test.node.serving_site import run_world, World
 
 NODES = 2
@@ -214,3 +214,36 @@
         assert_that(usable == reported, Is(True), f"{usable} {reported}")
 
     run_world(scenario, nodes=NODES, **SERVERS)
+
+
+def test_waiting_callers_are_told_when_a_pause_becomes_too_long() -> None:
+    # Failure: they wait for a pause that another answer has made longer, and
+    # are then asked to retry before its end.
+    async def scenario(world: World) -> None:
+        # Callers are late after 0.2 s, and wait for longer than that.
+        configuration = make_configuration(2)
+        configuration["routes"][2]["slo_target_ms"] = 200
+        world.site.store.write_configuration(configuration)
+        await world.wait(
+            lambda: world.nodes[0].state.revision == 2, "revision 2 in force"
+        )
+        (server,) = world.list_plain_servers()
+        ask_for_pause(server, "0.6")
+        server.to_reject = 3
+        statements = world.nodes[0].state.statements
+        waiting = [
+            asyncio.create_task(
+                world.call("/look/x", headers=world.make_headers(X_Model=""))
+            )
+            for _ in range(server.to_reject)
+        ]
+        await world.wait(
+            lambda: server.server in statements.pauses, "the server pauses"
+        )
+        ask_for_pause(server, "30")
+        for answer in await asyncio.gather(*waiting):
+            assert_that(answer.status, Equals(503))
+            retry_after_s = float(answer.headers["Retry-After"])
+            assert_that(retry_after_s >= MAX_RETRY_AFTER_S, Is(True))
+
+    run_world(scenario, model_servers=8, plain_servers=1)
