--- a/test/decisions/serving/test_controller.py
+++ b/test/decisions/serving/test_controller.py
@@ -637,25 +637,11 @@
     assert_that(count_iterations(12), Equals(count_iterations(2)))
 
 
-def test_a_model_whose_heads_limit_requests_gets_another_group(
-    fleet: Fleet,
-) -> None:
-    fleet.run(12.0)
-    fleet.start_traffic()
-    fleet.demand = {"large": 20, "small": 10}
-    fleet.run(10.0)
-    before = fleet.serving()["large"]
-    groups = fleet.controller.list_groups(fleet.now)
-    fleet.usable = {
-        endpoint.server: 0.0 for endpoint in groups if endpoint.model == "large"
-    }
-    fleet.run(30.0)
-    assert_that(fleet.serving()["large"], GreaterThan(before))
-
-
-def test_a_model_whose_heads_pause_for_most_nodes_gets_another_group(
-    fleet: Fleet,
+@pytest.mark.parametrize("usable", [0.0, 0.2], ids=["limits", "pauses"])
+def test_a_model_whose_heads_want_few_requests_gets_another_group(
+    fleet: Fleet, usable: float
 ) -> None:
+    # Heads that limit their requests, or pause for most nodes.
     fleet.run(12.0)
     fleet.start_traffic()
     fleet.demand = {"large": 20, "small": 10}
@@ -663,7 +649,9 @@
     before = fleet.serving()["large"]
     groups = fleet.controller.list_groups(fleet.now)
     fleet.usable = {
-        endpoint.server: 0.2 for endpoint in groups if endpoint.model == "large"
+        endpoint.server: usable
+        for endpoint in groups
+        if endpoint.model == "large"
     }
     fleet.run(30.0)
     assert_that(fleet.serving()["large"], GreaterThan(before))
