Carry new fields of messages between nodes in a header

Cause: announcements and acknowledgements are JSON arrays, and nodes of the former version reject arrays that are longer than they expect. A fleet that is half renewed would have lost its leader with the first new field. Change: the body holds the fields that former nodes know, the header Chervilrock-Extension the ones added since, where they differ from their defaults. An invalid extension is ignored.

--- a/chervilrock/node/serving.py
+++ b/chervilrock/node/serving.py
@@ -36,6 +36,8 @@
     decode_announcement,
     decode_crash_report,
     decode_statement,
+    encode_acknowledgement,
+    EXTENSION,
     is_statement,
 )
 from chervilrock.tasks.serving.state import RetryBounds, ServingState
@@ -179,7 +181,7 @@
           OSError: the address for metrics is in use.
         """
         settings = self._settings
-        peers = SimpleEdge(answer=self._answer_peer)
+        peers = SimpleEdge(answer=self._answer_peer, field=EXTENSION)
         lookups = SimpleEdge(answer=self._answer_platform)
         self._serve(self._callers_binding, self._callers)
         self._serve(self._ready_binding, lookups)
@@ -337,11 +339,11 @@
         self, path: str, query: dict[str, str], body: bytes
     ) -> Reply:
         """Answer other nodes, and operators who read state or metrics."""
-        del query
         now = read_clock()
         rest = path.removeprefix("/peer/")
         if path == "/peer/announcement":
-            return self._answer_announcement(body, now)
+            extension = query.get(EXTENSION, "")
+            return self._answer_announcement(body, extension, now)
         if path == "/peer/ends":
             return self._answer_crash_report(body, now)
         if path == "/peer/configuration":
@@ -358,12 +360,20 @@
             return self._answer_metrics(now)
         return Reply(status=404)
 
-    def _answer_announcement(self, body: bytes, now: float) -> Reply:
-        announcement = decode_announcement(body)
+    def _answer_announcement(
+        self, body: bytes, extension: str, now: float
+    ) -> Reply:
+        announcement = decode_announcement(body, extension)
         if announcement is None:
             return Reply(status=400)
-        answer = self._task.handle_announcement(announcement, now)
-        return Reply(status=200, body=msgspec.json.encode(answer))
+        answer = encode_acknowledgement(
+            self._task.handle_announcement(announcement, now)
+        )
+        return Reply(
+            status=200,
+            body=answer.body,
+            headers={EXTENSION: answer.extension} if answer.extension else {},
+        )
 
     def _answer_crash_report(self, body: bytes, now: float) -> Reply:
         report = decode_crash_report(body)
--- a/chervilrock/tasks/serving/outbound.py
+++ b/chervilrock/tasks/serving/outbound.py
@@ -49,6 +49,8 @@
 )
 from chervilrock.tasks.serving.peermessages import (
     decode_acknowledgement,
+    EncodedMessage,
+    EXTENSION,
     HEADERS,
     name_statement,
 )
@@ -154,9 +156,11 @@
         """Query the status of a server."""
         self._start(self._query_server(server))
 
-    def announce(self, entry: NodeEntry, body: bytes) -> "asyncio.Task[None]":
+    def announce(
+        self, entry: NodeEntry, message: EncodedMessage
+    ) -> "asyncio.Task[None]":
         """Send an encoded announcement to a node."""
-        return self._start(self._announce(entry, body))
+        return self._start(self._announce(entry, message))
 
     def send_stall_report(self, leader: NodeEntry, group: str) -> None:
         """Report to the leader that the streams of a group have stalled."""
@@ -228,14 +232,20 @@
         report = None if isinstance(result, Failure) else result.unwrap()
         await self._outbox.send(ServerAnswered(server.server, report))
 
-    async def _announce(self, entry: NodeEntry, body: bytes) -> None:
+    async def _announce(
+        self, entry: NodeEntry, message: EncodedMessage
+    ) -> None:
+        headers = HEADERS
+        if message.extension:
+            headers = {**HEADERS, EXTENSION: message.extension}
         result = await self._ports.client.request(
             "POST",
             f"http://{entry.peer_address}/peer/announcement",
             timeout_s=PEER_TIMEOUT_S,
-            body=body,
-            headers=HEADERS,
+            body=message.body,
+            headers=headers,
             decompress=True,
+            wanted_header=EXTENSION,
         )
         acknowledgement = _read_acknowledgement(result)
         await self._outbox.send(
@@ -322,4 +332,5 @@
     """Return the acknowledgement of a node, None for no valid answer."""
     if isinstance(result, Failure):
         return None
-    return decode_acknowledgement(result.unwrap().body)
+    answer = result.unwrap()
+    return decode_acknowledgement(answer.body, answer.header)
--- a/chervilrock/tasks/serving/peermessages.py
+++ b/chervilrock/tasks/serving/peermessages.py
@@ -1,14 +1,26 @@
 """Encoding and decoding of the messages between nodes.
 
-Announcements are compressed with gzip.
+Announcements are compressed with gzip. Messages are JSON arrays, and nodes of
+the former version reject arrays that are longer than they expect. So the body
+holds the fields that these nodes know, and an HTTP header, which they ignore,
+the fields that were added since, where they differ from their defaults.
 """
 
 import gzip
+from typing import Any, NamedTuple, TypeVar
 
 import msgspec
 
+from chervilrock.decisions.serving.serverlimits import LimitedServer
 from chervilrock.decisions.serving.suspects import CrashReport
-from chervilrock.decisions.serving.view import Acknowledgement, Announcement
+from chervilrock.decisions.serving.view import (
+    Acknowledgement,
+    Announcement,
+    GroupEndpoint,
+    ServerEndpoint,
+    ServingView,
+    Summary,
+)
 from chervilrock.tasks.serving.messages import (
     DepartureReported,
     LimitReported,
@@ -27,8 +39,50 @@
 }
 """HTTP headers of an encoded announcement."""
 
+EXTENSION = "Chervilrock-Extension"
+"""HTTP header with the fields that nodes of the former version do not know."""
+
+BASE_LENGTHS: dict[type, int] = {
+    Announcement: 18,
+    Acknowledgement: 11,
+    Summary: 8,
+    ServingView: 6,
+    GroupEndpoint: 7,
+    ServerEndpoint: 5,
+    LimitedServer: 3,
+}
+"""Number of fields of each message that nodes of the former version know."""
+
+_Message = TypeVar("_Message", Announcement, Acknowledgement)
+
+
+class EncodedMessage(NamedTuple):
+    """A message as it is sent.
+
+    Attributes:
+      body: the fields that all nodes know, in JSON.
+      extension: the other fields, as the value of a header; empty for none.
+    """
+
+    body: bytes
+    extension: str
+
+
+class _Addition(NamedTuple):
+    """Fields to append to one array of a message.
+
+    Attributes:
+      path: indexes that lead from the message to the array.
+      values: the fields.
+    """
+
+    path: tuple[int, ...]
+    values: list[Any]
+
+
 _ANNOUNCEMENT = msgspec.json.Decoder(Announcement)
 _ACKNOWLEDGEMENT = msgspec.json.Decoder(Acknowledgement)
+_ADDITIONS = msgspec.json.Decoder(tuple[_Addition, ...])
 _CRASH_REPORT = msgspec.json.Decoder(CrashReport)
 _STATEMENTS: dict[str, msgspec.json.Decoder[StatementReport]] = {
     "limit": msgspec.json.Decoder(LimitReported),
@@ -44,17 +98,27 @@
 }
 
 
-def encode_announcement(announcement: Announcement) -> bytes:
-    """Return the compressed body of an announcement."""
-    return compress(msgspec.json.encode(announcement))
+def encode_announcement(announcement: Announcement) -> EncodedMessage:
+    """Return an announcement with a compressed body."""
+    encoded = _encode(announcement)
+    return encoded._replace(body=compress(encoded.body))
 
 
-def decode_announcement(body: bytes) -> Announcement | None:
+def decode_announcement(body: bytes, extension: str) -> Announcement | None:
     """Decode an uncompressed announcement; None for an invalid body."""
-    try:
-        return _ANNOUNCEMENT.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError):
-        return None
+    return _decode(body, extension, _ANNOUNCEMENT)
+
+
+def encode_acknowledgement(answer: Acknowledgement) -> EncodedMessage:
+    """Return an acknowledgement with an uncompressed body."""
+    return _encode(answer)
+
+
+def decode_acknowledgement(
+    body: bytes, extension: str
+) -> Acknowledgement | None:
+    """Decode an acknowledgement; None for an invalid body."""
+    return _decode(body, extension, _ACKNOWLEDGEMENT)
 
 
 def name_statement(report: StatementReport) -> str:
@@ -75,12 +139,68 @@
         return None
 
 
-def decode_acknowledgement(body: bytes) -> Acknowledgement | None:
-    """Decode an acknowledgement; None for an invalid body."""
+def _encode(message: Announcement | Acknowledgement) -> EncodedMessage:
+    """Split a message into its body and its extension."""
+    additions: list[_Addition] = []
+    body = msgspec.json.encode(_truncate(message, (), additions))
+    extension = msgspec.json.encode(additions).decode() if additions else ""
+    return EncodedMessage(body, extension)
+
+
+def _truncate(
+    value: Any, path: tuple[int, ...], additions: list[_Addition]
+) -> Any:
+    """Return a value without the fields that former nodes do not know.
+
+    Args:
+      value: a message or a part of it.
+      path: indexes that lead to it.
+      additions: receives the fields that are left out.
+    """
+    if not isinstance(value, tuple):
+        return value
+    fields = [
+        _truncate(item, (*path, index), additions)
+        for index, item in enumerate(value)
+    ]
+    length = BASE_LENGTHS.get(type(value))
+    if length is None or len(fields) == length:
+        return fields
+    defaults = getattr(value, "_field_defaults", {})
+    names = getattr(value, "_fields", ())[length:]
+    if any(getattr(value, name) != defaults.get(name) for name in names):
+        additions.append(_Addition(path, list(value[length:])))
+    return fields[:length]
+
+
+def _decode(
+    body: bytes, extension: str, decoder: msgspec.json.Decoder[_Message]
+) -> _Message | None:
+    """Decode a message; without its extension if that is not valid."""
     try:
-        return _ACKNOWLEDGEMENT.decode(body)
+        message = decoder.decode(body)
     except (msgspec.DecodeError, UnicodeDecodeError):
         return None
+    if not extension:
+        return message
+    try:
+        arrays = msgspec.json.decode(body)
+        for path, values in _ADDITIONS.decode(extension):
+            target = arrays
+            for index in path:
+                target = target[index]
+            target.extend(values)
+        extended: _Message = msgspec.convert(arrays, type(message))
+    except (
+        msgspec.DecodeError,
+        msgspec.ValidationError,
+        AttributeError,
+        IndexError,
+        TypeError,
+        KeyError,
+    ):
+        return message
+    return extended
 
 
 def decode_crash_report(body: bytes) -> CrashReport | None:
--- a/chervilrock/tasks/serving/peers.py
+++ b/chervilrock/tasks/serving/peers.py
@@ -14,7 +14,10 @@
     Summary,
 )
 from chervilrock.events import emit, Event
-from chervilrock.tasks.serving.peermessages import encode_announcement
+from chervilrock.tasks.serving.peermessages import (
+    encode_announcement,
+    EncodedMessage,
+)
 
 UNRESPONSIVE_INTERVAL_S = 1.0
 """Time between two announcements to an unresponsive node."""
@@ -129,7 +132,7 @@
     suspects_version: tuple[int, int] = (-1, 0)
 
 
-Send = Callable[[NodeEntry, bytes], Awaitable[None]]
+Send = Callable[[NodeEntry, EncodedMessage], Awaitable[None]]
 """Starts to send an encoded announcement; the result completes when the call
 does."""
 
@@ -208,7 +211,7 @@
           The calls, each of which completes with its answer or failure.
         """
         sends: list[Awaitable[None]] = []
-        encoded: dict[tuple[bool, ...], bytes] = {}
+        encoded: dict[tuple[bool, ...], EncodedMessage] = {}
         for peer in self._peers.values():
             has_view = peer.has_view(update.view)
             has_nodes = peer.has_nodes(update.nodes_version)
--- a/test/tasks/installation.py
+++ b/test/tasks/installation.py
@@ -12,7 +12,6 @@
 import random
 from typing import Any, NamedTuple
 
-import msgspec
 from returns.result import Failure, Success
 
 from chervilrock.clients.errors import PlatformError, PlatformErrorKind
@@ -39,6 +38,8 @@
 from chervilrock.tasks.serving.peermessages import (
     decode_announcement,
     decode_crash_report,
+    encode_acknowledgement,
+    EXTENSION,
 )
 from chervilrock.tasks.serving.state import RetryBounds, ServingState
 from chervilrock.tasks.serving.waitqueue import WaitQueue
@@ -261,6 +262,7 @@
         ):
             await asyncio.sleep(options["timeout_s"])
             return _make_failure(PlatformErrorKind.TIMEOUT, "no answer")
+        extension = ""
         if path == "peer/configuration":
             body = node.task.get_document()
         elif path == "peer/ends":
@@ -270,13 +272,18 @@
             node.task.poisondetector.record_report(report, now)
             body = b""
         else:
-            announcement = decode_announcement(gzip.decompress(options["body"]))
+            announcement = decode_announcement(
+                gzip.decompress(options["body"]),
+                options["headers"].get(EXTENSION, ""),
+            )
             assert announcement is not None
             now = asyncio.get_running_loop().time()
-            answer = node.task.handle_announcement(announcement, now)
-            body = msgspec.json.encode(answer)
+            answer = encode_acknowledgement(
+                node.task.handle_announcement(announcement, now)
+            )
+            body, extension = answer
         await asyncio.sleep(LINK_S)
-        return Success(HttpAnswer(200, body, 0.0, False))
+        return Success(HttpAnswer(200, body, 0.0, False, extension))
 
 
 class Liveness(ServerLiveness):
--- /dev/null
+++ b/test/tasks/test_peermessages.py
@@ -0,0 +1,126 @@
+"""Guards against messages that nodes of another version cannot decode."""
+
+import gzip
+from typing import NamedTuple
+
+import msgspec
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals
+
+from chervilrock.decisions.serving.view import (
+    Acknowledgement,
+    Announcement,
+    GroupEndpoint,
+    NodeEntry,
+    ServingView,
+)
+from chervilrock.tasks.serving import peermessages
+from chervilrock.tasks.serving.peermessages import (
+    BASE_LENGTHS,
+    decode_acknowledgement,
+    decode_announcement,
+    encode_acknowledgement,
+    encode_announcement,
+)
+
+NODE = NodeEntry("n", "1", "127.0.0.1:1", "127.0.0.1:2", "a")
+GROUP = GroupEndpoint("g", 1, "m", "s", "i-1", "127.0.0.1:3", "a")
+
+
+class ExtendedGroup(NamedTuple):
+    """An endpoint with a field that former nodes do not know."""
+
+    group: str
+    epoch: int
+    model: str
+    service: str
+    server: str
+    address: str
+    data_centre: str
+    extra: int = 0
+
+
+@pytest.fixture
+def announcement() -> Announcement:
+    """An announcement that carries a view with one group."""
+    return Announcement(
+        term=3,
+        leader=NODE,
+        nodes_sequence=1,
+        nodes=(NODE,),
+        loads={"i-1": 2},
+        sequence=1,
+        view=ServingView(3, 1, groups=(GROUP,), servers=()),
+        revision=1,
+        has_traffic=True,
+        is_stopping=False,
+        is_store_unreachable=False,
+        lost_after_s=0.75,
+        is_relay=False,
+    )
+
+
+@pytest.fixture
+def acknowledgement() -> Acknowledgement:
+    """An acknowledgement without requests."""
+    return Acknowledgement(
+        term=3,
+        node=NODE,
+        is_taking_callers=True,
+        version=(3, 1),
+        nodes_version=(3, 1),
+        revision=1,
+        loads={},
+        stalled=(),
+        has_traffic=False,
+    )
+
+
+def test_a_message_survives_its_encoding(
+    announcement: Announcement, acknowledgement: Acknowledgement
+) -> None:
+    sent = encode_announcement(announcement)
+    received = decode_announcement(gzip.decompress(sent.body), sent.extension)
+    assert received == announcement
+    answer = encode_acknowledgement(acknowledgement)
+    decoded = decode_acknowledgement(answer.body, answer.extension)
+    assert decoded == acknowledgement
+
+
+def test_the_body_is_no_longer_than_former_nodes_expect(
+    announcement: Announcement,
+) -> None:
+    body = gzip.decompress(encode_announcement(announcement).body)
+    arrays = msgspec.json.decode(body)
+    assert_that(len(arrays), Equals(BASE_LENGTHS[Announcement]))
+    assert_that(len(arrays[6]), Equals(BASE_LENGTHS[ServingView]))
+    assert_that(len(arrays[6][2][0]), Equals(BASE_LENGTHS[GroupEndpoint]))
+
+
+def test_a_new_field_travels_in_the_extension(
+    announcement: Announcement, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setitem(peermessages.BASE_LENGTHS, ExtendedGroup, 7)
+    extended = ExtendedGroup(*GROUP, extra=5)
+    view = ServingView(3, 1, groups=(extended,), servers=())  # type: ignore[arg-type]
+    sent = encode_announcement(announcement._replace(view=view))
+    former = decode_announcement(gzip.decompress(sent.body), "")
+    assert former is not None
+    assert former.view is not None
+    assert_that(former.view.groups[0], Equals(GROUP))
+    assert_that(msgspec.json.decode(sent.extension), Equals([[[6, 2, 0], [5]]]))
+
+
+@pytest.mark.parametrize(
+    "extension", ["x", "[[[99],[1]]]", "[[[0],[1]]]", "[[[],[1,2,3,4,5,6,7]]]"]
+)
+def test_an_invalid_extension_is_ignored(
+    announcement: Announcement, extension: str
+) -> None:
+    body = gzip.decompress(encode_announcement(announcement).body)
+    assert decode_announcement(body, extension) == announcement
+
+
+def test_an_invalid_body_is_no_message() -> None:
+    assert decode_announcement(b"{", "") is None
--- a/test/tasks/test_serving_peers.py
+++ b/test/tasks/test_serving_peers.py
@@ -16,6 +16,7 @@
     NO_VIEW,
     NodeEntry,
 )
+from chervilrock.tasks.serving.peermessages import EncodedMessage
 from chervilrock.tasks.serving.peers import Peers, Update
 
 NODES = 40
@@ -105,8 +106,10 @@
                 )
             self._announced.clear()
 
-    def _send(self, entry: NodeEntry, body: bytes) -> Awaitable[None]:
-        del body
+    def _send(
+        self, entry: NodeEntry, message: EncodedMessage
+    ) -> Awaitable[None]:
+        del message
         self.sent[entry.node].append(self._now)
         self._announced.append(entry)
         return _Completed()
