Limit the requests of all nodes to servers that warm up

A server that starts during traffic crashes when all nodes send it their share at once. Each sender spends a token of an empty bucket right before the first byte, so two disjoint sets of senders stay within warmup_per_s x overage + slack in every second; the arithmetic is in warmups.py.

--- a/chervilrock/catalogue.py
+++ b/chervilrock/catalogue.py
@@ -314,6 +314,27 @@
         Level.INFO,
         "the leader announces the limit {rate} of server {server} to all nodes",
     )
+    WARMUP_BEGUN = EventSpec(
+        7330,
+        Level.INFO,
+        "server {server} warms up and gets at most {rate} requests per second, "
+        "from nodes {senders}",
+    )
+    WARMUP_ENDED = EventSpec(
+        7331, Level.INFO, "server {server} does not warm up any more"
+    )
+    WARMUP_UNREADABLE = EventSpec(
+        7332,
+        Level.WARNING,
+        "the entry of server {server} states warmup_left_ms as {value}, which "
+        "is ignored",
+    )
+    CONFIGURATION_FIELD_IGNORED = EventSpec(
+        7333,
+        Level.WARNING,
+        "field {field} of the configuration is {value}, which is not a number "
+        "of 0 or more and is ignored",
+    )
     PAUSE_STATED = EventSpec(
         7312,
         Level.INFO,
@@ -405,8 +426,8 @@
     SEND_HELD = EventSpec(
         7410,
         Level.INFO,
-        "request {request_id} is not sent to server {server}, which stated "
-        "after it was chosen that it pauses or leaves",
+        "request {request_id} is not sent to server {server}, which pauses, "
+        "leaves or warms up since it was chosen",
     )
     EVENT_MALFORMED = EventSpec(
         9001, Level.ERROR, "event {event_name} has wrong fields: {difference}"
--- a/chervilrock/decisions/serving/limitregistry.py
+++ b/chervilrock/decisions/serving/limitregistry.py
@@ -1,14 +1,34 @@
-"""Registry of the limits of servers that a leader announces to all nodes."""
+"""Registry of the limits of servers that a leader announces to all nodes.
+
+A cold server has few senders, and at most two sets of them may be at work in
+any second (see `warmups`). So a sender stays one while the server is cold, also
+under a new leader, and is replaced only after it has been missing for
+`REPLACE_DELAY_S`. So no sender is replaced within a second of its choice.
+"""
 
 from collections.abc import Iterable, Mapping, Sequence
+from types import MappingProxyType
 
 from chervilrock.decisions.serving.serverlimits import (
     choose_senders,
     is_same_rate,
     LimitedServer,
     LimitObservations,
+    rank_nodes,
+)
+from chervilrock.decisions.serving.warmups import (
+    ColdServer,
+    count_senders,
+    find_total_rate,
 )
 
+REPLACE_DELAY_S = 1.5
+"""Time for which a sender of a cold server must be missing before another one
+replaces it: longer than a second, for which the bound of a cold server holds.
+A new leader also knows few of the nodes at first."""
+
+NONE_COLD: Mapping[str, ColdServer] = MappingProxyType({})
+
 
 class LimitRegistry:
     """The limit that each server stated last, to whichever node.
@@ -20,7 +40,13 @@
 
     def __init__(self, *, known: Iterable[LimitedServer]) -> None:
         """Create a registry from what the last leader announced."""
-        self._rates = {entry.server: entry.rate for entry in known}
+        self._rates: dict[str, float] = {}
+        self._cold_senders: dict[str, dict[str, float | None]] = {}
+        for entry in known:
+            if entry.limit is not None:
+                self._rates[entry.server] = entry.limit
+            if entry.warmup_rate is not None:
+                self._cold_senders[entry.server] = dict.fromkeys(entry.senders)
         self._observations = LimitObservations()
 
     def record(self, server: str, rate: float | None) -> bool:
@@ -42,7 +68,11 @@
         return self._rates
 
     def list_servers(
-        self, present: Iterable[str], nodes: Sequence[str], now: float
+        self,
+        present: Iterable[str],
+        nodes: Sequence[str],
+        now: float,
+        cold: Mapping[str, ColdServer] = NONE_COLD,
     ) -> tuple[LimitedServer, ...]:
         """Return the servers with limits, and who may send to them.
 
@@ -51,12 +81,55 @@
             some time.
           nodes: names of the nodes that accept callers.
           now: current time.
+          cold: servers that warm up; those of them that are present are listed.
         """
+        present = frozenset(present)
         for absent in self._observations.forget(
             list(self._rates), present, now
         ):
             del self._rates[absent]
-        return tuple(
-            LimitedServer(server, rate, choose_senders(server, rate, nodes))
-            for server, rate in sorted(self._rates.items())
+        for server in set(self._cold_senders).difference(cold):
+            del self._cold_senders[server]
+        listed = {
+            server: LimitedServer(
+                server, rate, choose_senders(server, rate, nodes)
+            )
+            for server, rate in self._rates.items()
+        }
+        for server in present.intersection(cold):
+            listed[server] = self._limit_cold(server, cold[server], nodes, now)
+        return tuple(entry for _, entry in sorted(listed.items()))
+
+    def _limit_cold(
+        self, server: str, cold: ColdServer, nodes: Sequence[str], now: float
+    ) -> LimitedServer:
+        """Return what is announced of a cold server."""
+        senders = self._choose_cold_senders(
+            server, count_senders(cold.allowed), nodes, now
+        )
+        warmup_rate = find_total_rate(cold.allowed, len(senders))
+        stated_rate = self._rates.get(server)
+        return LimitedServer(
+            server,
+            warmup_rate
+            if stated_rate is None
+            else min(stated_rate, warmup_rate),
+            senders,
+            warmup_rate=warmup_rate,
+            stated_rate=stated_rate,
         )
+
+    def _choose_cold_senders(
+        self, server: str, count: int, nodes: Sequence[str], now: float
+    ) -> tuple[str, ...]:
+        """Return the senders of a cold server, as far as possible the same."""
+        seen = self._cold_senders.setdefault(server, {})
+        for name, seen_at in list(seen.items()):
+            if name in nodes or seen_at is None:
+                seen[name] = now
+            elif now - seen_at >= REPLACE_DELAY_S:
+                del seen[name]
+        for name in rank_nodes(server, nodes):
+            if len(seen) < count:
+                seen.setdefault(name, now)
+        return tuple(list(seen)[:count])
--- a/chervilrock/decisions/serving/serverlimits.py
+++ b/chervilrock/decisions/serving/serverlimits.py
@@ -6,6 +6,12 @@
 limit, and the others send it nothing. The leader announces the limit and these
 senders to all nodes; a node that gets the limit before that, or has no leader,
 chooses the same senders by itself.
+
+A server that warms up is limited in the same way (see `warmups`), but only by
+the leader's announcement, and an answer without a limit does not end it. The
+smaller one of both limits holds. As the bound of a cold server holds for every
+second, a token for it is spent right before the first byte of the request,
+not when the server is chosen.
 """
 
 from collections.abc import Iterable, Mapping
@@ -59,11 +65,21 @@
       server: identifier of the server.
       rate: requests a second that it accepts from all nodes together.
       senders: names of the nodes that may send to it.
+      warmup_rate: requests a second that it may get as it warms up, None if
+        it does not.
+      stated_rate: limit that it states while it warms up, None for none.
     """
 
     server: str
     rate: float
     senders: tuple[str, ...]
+    warmup_rate: float | None = None
+    stated_rate: float | None = None
+
+    @property
+    def limit(self) -> float | None:
+        """Limit that the server states, None for none."""
+        return self.rate if self.warmup_rate is None else self.stated_rate
 
 
 class _KnownLimit(NamedTuple):
@@ -125,12 +141,17 @@
       rate: requests a second that it accepts.
       nodes: names of the nodes to choose from.
     """
+    ranked = rank_nodes(server, nodes)
+    return tuple(ranked[: EXTRA_SENDERS + math.floor(rate)])
+
+
+def rank_nodes(server: str, nodes: Iterable[str]) -> list[str]:
+    """Return nodes in an order that is random and the same on all nodes."""
 
     def rank(node: str) -> int:
         return xxhash.xxh3_64_intdigest(f"{server}/{node}".encode())
 
-    ranked = sorted(nodes, key=rank)
-    return tuple(ranked[: EXTRA_SENDERS + math.floor(rate)])
+    return sorted(nodes, key=rank)
 
 
 class _SenderBucket:
@@ -140,23 +161,45 @@
         """Create an empty bucket, the same as after a restart."""
         self._bucket = TokenBucket()
         self._rate = 0.0
+        self._max_balance = MIN_BURST
         self._refilled_at = now
 
-    def set_rate(self, rate: float, now: float) -> None:
-        """Refill at another rate from now on, in requests a second."""
+    def set_rate(self, rate: float, now: float, *, is_cold: bool) -> None:
+        """Refill at another rate from now on, in requests a second.
+
+        Of a cold server no more than one request is saved up.
+        """
         self._refill(now)
         self._rate = rate
+        self._max_balance = MIN_BURST
+        if not is_cold:
+            self._max_balance = max(MIN_BURST, BURST_S * rate)
+        self._refill(now)
 
     def may_send(self, now: float) -> bool:
         """Return whether a request may be sent now."""
         self._refill(now)
         return self._bucket.available >= 1
 
-    def consume(self, now: float) -> None:
-        """Consume a token for a request that is sent."""
+    def consume(self, now: float) -> bool:
+        """Consume a token for a request that is sent, if there is one."""
+        has_token = self.reserve(now)
+        if has_token:
+            self.spend()
+        return has_token
+
+    def reserve(self, now: float) -> bool:
+        """Reserve a token for a request that will be sent, if there is one."""
         self._refill(now)
-        if self._bucket.reserve():
-            self._bucket.spend()
+        return self._bucket.reserve()
+
+    def spend(self) -> None:
+        """Consume a reserved token."""
+        self._bucket.spend()
+
+    def release(self) -> None:
+        """Give up a reserved token."""
+        self._bucket.release()
 
     def find_wait(self, now: float) -> float:
         """Return the seconds until a request may be sent, inf for never."""
@@ -167,11 +210,45 @@
         return missing / self._rate if self._rate else math.inf
 
     def _refill(self, now: float) -> None:
-        max_balance = max(MIN_BURST, BURST_S * self._rate)
-        self._bucket.refill(self._rate * (now - self._refilled_at), max_balance)
+        amount = self._rate * (now - self._refilled_at)
+        self._bucket.refill(amount, self._max_balance)
         self._refilled_at = now
 
 
+class SendPermit:
+    """A reserved token for one request to a cold server.
+
+    It is spent when the request is sent, and released when it is not.
+    """
+
+    def __init__(self, *, bucket: _SenderBucket) -> None:
+        """Create a permit for a token that was reserved in a bucket."""
+        self._bucket: _SenderBucket | None = bucket
+
+    def is_of(self, bucket: _SenderBucket) -> bool:
+        """Return whether it was reserved in a bucket and is not used yet."""
+        return self._bucket is bucket
+
+    def spend(self) -> None:
+        """Spend the token, once."""
+        if self._bucket is not None:
+            self._bucket.spend()
+            self._bucket = None
+
+    def release(self) -> None:
+        """Release the token unless it was spent."""
+        if self._bucket is not None:
+            self._bucket.release()
+            self._bucket = None
+
+
+class _Warmup(NamedTuple):
+    """What the leader announces of a cold server."""
+
+    rate: float
+    senders: tuple[str, ...]
+
+
 class ServerLimits:
     """Limits of servers that one node has received and applies."""
 
@@ -185,6 +262,7 @@
         self._observed: dict[str, _KnownLimit] = {}
         self._announced: dict[str, _KnownLimit] = {}
         self._senders: dict[str, tuple[str, ...]] = {}
+        self._warmups: dict[str, _Warmup] = {}
         self._buckets: dict[str, _SenderBucket] = {}
         self._unreadable: dict[str, str] = {}
         self._observations = LimitObservations()
@@ -203,6 +281,10 @@
             server: rate for server, rate in rates.items() if rate is not None
         }
 
+    def list_cold(self) -> Mapping[str, float]:
+        """Return the requests a second of the servers that warm up."""
+        return {server: entry.rate for server, entry in self._warmups.items()}
+
     def record_answer(
         self,
         server: str,
@@ -250,11 +332,22 @@
             if known.rate is not None and server not in announced:
                 self._announced[server] = _KnownLimit(None, now)
                 self._update_bucket(server, now)
+        ended = set(self._warmups).difference(announced)
+        for server in ended:
+            del self._warmups[server]
         for server, entry in announced.items():
-            self._senders[server] = entry.senders
-            former = self._announced.get(server)
-            if former is None or former.rate != entry.rate:
-                self._announced[server] = _KnownLimit(entry.rate, now)
+            if entry.warmup_rate is None:
+                self._warmups.pop(server, None)
+            else:
+                self._warmups[server] = _Warmup(
+                    entry.warmup_rate, entry.senders
+                )
+            if entry.limit is not None:
+                self._senders[server] = entry.senders
+            former = self._announced.get(server, _UNKNOWN)
+            if former.rate != entry.limit:
+                self._announced[server] = _KnownLimit(entry.limit, now)
+        for server in ended.union(announced):
             self._update_bucket(server, now)
 
     def list_unannounced(self) -> Mapping[str, float | None]:
@@ -272,11 +365,40 @@
         bucket = self._buckets.get(server)
         return bucket is None or bucket.may_send(now)
 
-    def consume(self, server: str, now: float) -> None:
-        """Consume a token for a request that is sent to a server."""
+    def consume(self, server: str, now: float) -> SendPermit | None:
+        """Consume a token for a request that a server was chosen for.
+
+        Returns:
+          The permit to send to a cold server, None if none is needed or left.
+        """
         bucket = self._buckets.get(server)
-        if bucket is not None:
+        if bucket is None:
+            return None
+        if server not in self._warmups:
             bucket.consume(now)
+            return None
+        return SendPermit(bucket=bucket) if bucket.reserve(now) else None
+
+    def begin_send(
+        self, server: str, permit: SendPermit | None, now: float
+    ) -> bool:
+        """Return whether a request may be sent now, and count it.
+
+        Called right before the first byte. A server may have turned cold after
+        it was chosen, or the leader may have named other senders.
+
+        Args:
+          server: the server.
+          permit: what `consume` returned when the server was chosen.
+          now: current time.
+        """
+        if server not in self._warmups:
+            return True
+        bucket = self._buckets[server]
+        if permit is not None and permit.is_of(bucket):
+            permit.spend()
+            return True
+        return bucket.consume(now)
 
     def find_wait(self, server: str, now: float) -> float:
         """Return the seconds until a request may be sent, inf for never."""
@@ -294,6 +416,7 @@
         for server in self._observations.forget(known, present, now):
             self._observed.pop(server, None)
             self._announced.pop(server, None)
+            self._warmups.pop(server, None)
             self._senders.pop(server, None)
             self._buckets.pop(server, None)
             self._unreadable.pop(server, None)
@@ -306,12 +429,19 @@
     def _update_bucket(self, server: str, now: float) -> None:
         """Apply the newest limit of a server from now on."""
         rate = self.find_rate(server)
-        if rate is None:
+        warmup = self._warmups.get(server)
+        if rate is None and warmup is None:
             self._buckets.pop(server, None)
             return
         senders = self._senders.get(server, ())
+        rates = [] if rate is None else [max(rate, MIN_RATE_PER_S)]
+        if warmup is not None:
+            senders = warmup.senders
+            rates.append(warmup.rate)
         if self._own not in senders:
             self._buckets[server] = _SenderBucket(now=now)
             return
         bucket = self._buckets.setdefault(server, _SenderBucket(now=now))
-        bucket.set_rate(max(rate, MIN_RATE_PER_S) / len(senders), now)
+        bucket.set_rate(
+            min(rates) / len(senders), now, is_cold=warmup is not None
+        )
--- a/chervilrock/decisions/serving/serverstatements.py
+++ b/chervilrock/decisions/serving/serverstatements.py
@@ -1,8 +1,9 @@
 """What each server last stated of itself, and what this node may send to it.
 
-Servers state limits, pauses and departures in their answers. This is the one
-place where a node keeps them: `find_wait` is asked when a server is chosen for
-a request, and `refuses` once more right before the request is sent.
+Servers state limits, pauses and departures in their answers, and the leader
+announces which ones warm up. This is the one place where a node keeps them:
+`find_wait` is asked when a server is chosen for a request, and `begin_send`
+once more right before the request is sent.
 """
 
 from collections.abc import Collection, Iterable
@@ -15,6 +16,7 @@
 from chervilrock.decisions.serving.serverlimits import (
     LimitChange,
     LimitedServer,
+    SendPermit,
     ServerLimits,
 )
 
@@ -46,7 +48,8 @@
     """The statements of servers that one node has received and applies.
 
     Attributes:
-      limits: rate limits, which bind all nodes together.
+      limits: rate limits, which bind all nodes together; also those of servers
+        that warm up.
       pauses: pauses, which bind the node that was asked.
       departures: servers that leave.
     """
@@ -122,10 +125,29 @@
             self.pauses.find_wait(server, now),
         )
 
-    def consume(self, server: str, now: float) -> None:
-        """Record that a server was chosen for a request."""
-        self.limits.consume(server, now)
+    def consume(self, server: str, now: float) -> SendPermit | None:
+        """Record that a server was chosen for a request.
+
+        Returns:
+          The permit to send it if the server warms up. It must be released
+          when the send has ended, or did not begin.
+        """
         self.pauses.consume(server, now)
+        return self.limits.consume(server, now)
+
+    def begin_send(
+        self, server: str, permit: SendPermit | None, now: float
+    ) -> bool:
+        """Return whether a request may be sent now; called once per send.
+
+        Args:
+          server: the server.
+          permit: what `consume` returned.
+          now: current time.
+        """
+        if self.refuses(server, now):
+            return False
+        return self.limits.begin_send(server, permit, now)
 
     def apply_view(
         self,
--- a/chervilrock/decisions/serving/site.py
+++ b/chervilrock/decisions/serving/site.py
@@ -135,10 +135,15 @@
     Attributes:
       name: name of the service.
       engine: profile of its engines, None for a plain service.
+      warmup_s: time for which a server is cold after its start, in seconds.
+      warmup_per_s: requests a second that a cold server tolerates, 0 if its
+        servers do not warm up.
     """
 
     name: str
     engine: EngineProfile | None
+    warmup_s: float = 0.0
+    warmup_per_s: float = 0.0
 
 
 class Limits(NamedTuple):
@@ -151,6 +156,18 @@
     idle_s: float
 
 
+class IgnoredField(NamedTuple):
+    """A field of a configuration with a malformed value.
+
+    Attributes:
+      field: place in the document.
+      value: the value as it is logged.
+    """
+
+    field: str
+    value: str
+
+
 class SiteConfiguration(NamedTuple):
     """A configuration of the operator.
 
@@ -160,6 +177,7 @@
       services: services by name.
       keys: workspaces by key, None if no keys are required.
       limits: limits on the connections of callers.
+      ignored: fields with a malformed value, which count as absent.
     """
 
     revision: int
@@ -167,6 +185,7 @@
     services: Mapping[str, Service]
     keys: Mapping[str, Workspace] | None
     limits: Limits
+    ignored: tuple[IgnoredField, ...] = ()
 
 
 class MemberState(enum.Enum):
@@ -212,6 +231,10 @@
         does not report this. A server may restart under the same identifier,
         and then has none of its former state.
       writes: how often it has written its entry since its start.
+      warmup_left_s: seconds for which it will still be cold, None if it does
+        not state this.
+      warmup_unreadable: malformed value that it states instead, empty for
+        none.
     """
 
     server: str
@@ -225,3 +248,5 @@
     membership: Membership | None
     started_ms: int = 0
     writes: int = 0
+    warmup_left_s: float | None = None
+    warmup_unreadable: str = ""
--- a/chervilrock/edges/serving/exchange.py
+++ b/chervilrock/edges/serving/exchange.py
@@ -341,10 +341,10 @@
     def _may_send_to(self, endpoint: Endpoint) -> bool:
         """Return whether a server wants the request that is about to be sent.
 
-        It may have asked for a pause, or said that it leaves, after it was
-        chosen.
+        It may have asked for a pause, said that it leaves, or begun to warm up
+        after it was chosen.
         """
-        if not self._state.statements.refuses(endpoint.server, read_clock()):
+        if self._search.begin_send():
             return True
         self._context.metrics.count_held_send(self._service)
         exchangelog.log_held(self.request_id, endpoint.server)
--- a/chervilrock/edges/serving/slots.py
+++ b/chervilrock/edges/serving/slots.py
@@ -12,6 +12,7 @@
     GROUP_BOUND,
 )
 from chervilrock.decisions.serving.routes import Admission
+from chervilrock.decisions.serving.serverlimits import SendPermit
 from chervilrock.decisions.serving.site import RouteKind
 from chervilrock.decisions.serving.view import GroupEndpoint, ServerEndpoint
 from chervilrock.decisions.serving.waiting import (
@@ -87,6 +88,8 @@
         self._wait_until = request.arrived
         self._avoided: set[str] = set()
         self._paused: set[str] = set()
+        self._permit: SendPermit | None = None
+        self._is_held = False
         self.slot: SlotChoice | None = None
         self.waited_s = 0.0
         self.is_cancelled = False
@@ -153,11 +156,24 @@
                 )
         return None
 
+    def begin_send(self) -> bool:
+        """Return whether the server of the slot wants the request now.
+
+        Called right before the first byte is sent.
+        """
+        if self.slot is None:
+            return False
+        may_send = self._state.statements.begin_send(
+            self.slot.endpoint.server, self._permit, read_clock()
+        )
+        self._is_held = not may_send
+        return may_send
+
     def record_end(self, facts: AnswerFacts | None, *, is_sent: bool) -> None:
         """Exclude the server of the present slot from further searches.
 
         A server that asked for a pause is only less preferred, and one that
-        the request was not sent to because it pauses is neither.
+        the request was not sent to because it pauses or warms up is neither.
 
         Args:
           facts: what the head of its answer states, None without one.
@@ -168,8 +184,9 @@
         server = self.slot.endpoint.server
         if facts is not None and facts.statement.pause.seconds:
             self._paused.add(server)
-        elif is_sent or not self._state.statements.refuses(
-            server, read_clock()
+        elif is_sent or not (
+            self._is_held
+            or self._state.statements.refuses(server, read_clock())
         ):
             self._avoided.add(server)
 
@@ -185,6 +202,9 @@
 
     def release(self) -> None:
         """Release the slot and wake the requests that wait for one."""
+        if self._permit is not None:
+            self._permit.release()
+            self._permit = None
         if self.slot is not None:
             self._state.record_ended(self.slot.endpoint.server)
             self.slot = None
@@ -239,7 +259,8 @@
             return False
         server = self.slot.endpoint.server
         self._state.record_sent(server)
-        self._state.statements.consume(server, now)
+        self._permit = self._state.statements.consume(server, now)
+        self._is_held = False
         return True
 
     def _try_end_wait(self) -> bool:
--- a/chervilrock/node/serving.py
+++ b/chervilrock/node/serving.py
@@ -15,6 +15,7 @@
 from chervilrock.clients.liveness import ConnectionLiveness
 from chervilrock.decisions.serving.stalls import compute_stall_limits
 from chervilrock.decisions.serving.view import GroupEndpoint, NodeEntry
+from chervilrock.decisions.serving.warmups import WarmupBounds
 from chervilrock.edges.serving.callers import CallerEdge
 from chervilrock.edges.serving.exchange import Context
 from chervilrock.edges.serving.simpleedge import Reply, SimpleEdge
@@ -108,6 +109,9 @@
                 window_s=settings.repeat_window_s,
             ),
             generator=random.Random(),
+            warmups=WarmupBounds(
+                overage=settings.warmup_overage, slack=settings.warmup_slack
+            ),
         )
         self._waitqueue = WaitQueue()
         self._metrics = ServingMetrics()
@@ -389,7 +393,8 @@
         metrics.revision_age.set(self._task.find_revision_age(now))
         metrics.revision_lag.set(self._task.find_revision_lag(now))
         statements = self._state.statements
-        metrics.limited_servers.set(len(statements.limits))
+        metrics.limited_servers.set(len(statements.limits.list_limited()))
+        metrics.cold_servers.set(len(statements.limits.list_cold()))
         metrics.pausing_servers.set(len(statements.pauses.list_pausing(now)))
         metrics.leaving_servers.set(len(statements.departures))
         metrics.withheld_suspects.set(self._state.suspects.count_withheld())
--- a/chervilrock/platform/operator.py
+++ b/chervilrock/platform/operator.py
@@ -1,10 +1,13 @@
 """Decodes the site configuration that the operator writes to the store."""
 
+from typing import Any
+
 import msgspec
 from returns.result import Failure, Result, Success
 
 from chervilrock.decisions.serving.site import (
     EngineProfile,
+    IgnoredField,
     Limits,
     ModelShape,
     Route,
@@ -14,6 +17,7 @@
     WeightedService,
     Workspace,
 )
+from chervilrock.platform.amounts import read_amount
 
 TOPIC = "keyed.op"
 KEY = "config"
@@ -78,6 +82,8 @@
 class _Service(msgspec.Struct):
     name: str
     engine: _Engine | None = None
+    warmup_s: Any = None
+    warmup_per_s: Any = None
 
 
 class _Limits(msgspec.Struct):
@@ -108,8 +114,10 @@
         routes = tuple(_make_route(route) for route in decoded.routes)
     except (msgspec.DecodeError, UnicodeDecodeError, ValueError) as error:
         return Failure(str(error))
+    ignored: list[IgnoredField] = []
     services = {
-        service.name: _make_service(service) for service in decoded.services
+        service.name: _make_service(service, ignored)
+        for service in decoded.services
     }
     return Success(
         SiteConfiguration(
@@ -118,6 +126,7 @@
             services=services,
             keys=_make_keys(decoded.tenants),
             limits=Limits(idle_s=decoded.limits.idle_timeout_ms / _MS_PER_S),
+            ignored=tuple(ignored),
         )
     )
 
@@ -157,27 +166,39 @@
     )
 
 
-def _make_service(service: _Service) -> Service:
-    """Translate a service."""
+def _make_service(service: _Service, ignored: list[IgnoredField]) -> Service:
+    """Translate a service; append its malformed fields to `ignored`."""
+
+    def read(field: str, value: object) -> float:
+        amount, unreadable = read_amount(value)
+        if unreadable:
+            place = f"services[{service.name}].{field}"
+            ignored.append(IgnoredField(place, unreadable))
+        return amount or 0.0
+
     engine = service.engine
-    if engine is None:
-        return Service(name=service.name, engine=None)
     return Service(
         name=service.name,
-        engine=EngineProfile(
-            slots=engine.slots,
-            step_s=engine.step_ms / _MS_PER_S,
-            per_request_s=engine.per_seq_ms / _MS_PER_S,
-            steps_per_pass=engine.stride,
-            prompt_tokens_per_s=engine.read_per_s,
-            prompt_chunk=engine.chunk,
-            usual_prompt_tokens=engine.usual.prompt,
-            form_s=engine.form_ms / _MS_PER_S,
-            loads_per_s=engine.loads_per_s,
-            loads_at_once=engine.loads_at_once,
-            staged_models=engine.keeps,
-            models={model.name: _make_model(model) for model in engine.models},
-        ),
+        engine=None if engine is None else _make_engine(engine),
+        warmup_s=read("warmup_s", service.warmup_s),
+        warmup_per_s=read("warmup_per_s", service.warmup_per_s),
+    )
+
+
+def _make_engine(engine: _Engine) -> EngineProfile:
+    return EngineProfile(
+        slots=engine.slots,
+        step_s=engine.step_ms / _MS_PER_S,
+        per_request_s=engine.per_seq_ms / _MS_PER_S,
+        steps_per_pass=engine.stride,
+        prompt_tokens_per_s=engine.read_per_s,
+        prompt_chunk=engine.chunk,
+        usual_prompt_tokens=engine.usual.prompt,
+        form_s=engine.form_ms / _MS_PER_S,
+        loads_per_s=engine.loads_per_s,
+        loads_at_once=engine.loads_at_once,
+        staged_models=engine.keeps,
+        models={model.name: _make_model(model) for model in engine.models},
     )
 
 
--- a/chervilrock/platform/servers.py
+++ b/chervilrock/platform/servers.py
@@ -1,6 +1,7 @@
 """Decodes the entries that register backend servers in the store."""
 
 import ipaddress
+from typing import Any
 
 import msgspec
 from returns.result import Failure, Result, Success
@@ -10,6 +11,7 @@
     Membership,
     MemberState,
 )
+from chervilrock.platform.amounts import read_amount
 
 TOPIC = "keyed.servers"
 
@@ -37,13 +39,14 @@
     state: str
     slots: int
     sequence: int  # counts the writes of this entry
-    warmup_left_ms: float
     domain: str | int = ""
     staged: list[str] = []
     group: GroupField | None = None
     born: int = 0  # start of the server, in Unix milliseconds
+    warmup_left_ms: Any = None
 
 
+_MS_PER_S = 1000.0
 _DECODER = msgspec.json.Decoder(_Entry)
 
 
@@ -64,6 +67,7 @@
     problem = _find_problem(decoded)
     if problem:
         return Failure(problem)
+    warmup_left_ms, unreadable = read_amount(decoded.warmup_left_ms)
     return Success(
         BackendServer(
             server=server,
@@ -77,6 +81,10 @@
             membership=decode_membership(decoded.group),
             writes=decoded.sequence,
             started_ms=decoded.born,
+            warmup_left_s=None
+            if warmup_left_ms is None
+            else warmup_left_ms / _MS_PER_S,
+            warmup_unreadable=unreadable,
         )
     )
 
--- a/chervilrock/platform/settings.py
+++ b/chervilrock/platform/settings.py
@@ -41,6 +41,9 @@
       longest_address_age_s: longest time for which callers cache addresses.
       cores: processor time available to the process, in cores.
       stall_s: time after which a group that lost a host aborts its work.
+      warmup_overage: factor on the requests a second that a cold server
+        tolerates.
+      warmup_slack: further requests that it may get in a second.
     """
 
     node: str
@@ -61,6 +64,8 @@
     longest_address_age_s: float
     cores: float
     stall_s: float
+    warmup_overage: float = 1.5
+    warmup_slack: float = 5.0
 
 
 class _Fields:
@@ -166,6 +171,8 @@
         cores=fields.number("limits.cpu_share", 1.0)
         * fields.number("limits.cores", 1.0),
         stall_s=fields.number("bounds.stall_ms", 6000.0) / _MS_PER_S,
+        warmup_overage=fields.number("bounds.warmup_overage", 1.5),
+        warmup_slack=fields.number("bounds.warmup_slack", 5.0),
     )
     if fields.findings:
         return Failure(tuple(fields.findings))
--- a/chervilrock/serving_metrics.py
+++ b/chervilrock/serving_metrics.py
@@ -112,6 +112,9 @@
         self.leaving_servers = self._gauge(
             "servers_leaving", "Servers that said to this node that they leave"
         )
+        self.cold_servers = self._gauge(
+            "servers_cold", "Servers that warm up and get few requests"
+        )
         self.limited_servers = self._gauge(
             "servers_limited", "Servers with a rate limit"
         )
--- a/chervilrock/tasks/serving/configuration.py
+++ b/chervilrock/tasks/serving/configuration.py
@@ -62,6 +62,8 @@
         self._state.routes = RouteTable(configuration=configuration)
         self.document = document
         self._in_force_since = now
+        for field, value in configuration.ignored:
+            emit(Event.CONFIGURATION_FIELD_IGNORED, field=field, value=value)
         keys = configuration.keys
         emit(
             Event.REVISION_IN_FORCE,
--- a/chervilrock/tasks/serving/leading.py
+++ b/chervilrock/tasks/serving/leading.py
@@ -27,7 +27,10 @@
 from chervilrock.decisions.serving.relays import Recipients, RelayTable
 from chervilrock.decisions.serving.reportedpauses import ReportedPauses
 from chervilrock.decisions.serving.serverlimits import LimitedServer
-from chervilrock.decisions.serving.site import SiteConfiguration
+from chervilrock.decisions.serving.site import (
+    BackendServer,
+    SiteConfiguration,
+)
 from chervilrock.decisions.serving.storehealth import StoreMonitor
 from chervilrock.decisions.serving.view import (
     Announcement,
@@ -37,7 +40,9 @@
     ServingView,
     Summary,
 )
+from chervilrock.decisions.serving.warmups import find_usable, Warmups
 from chervilrock.events import emit, Event
+from chervilrock.tasks.clock import read_unix_time
 from chervilrock.tasks.serving.messages import (
     DepartureReported,
     LimitReported,
@@ -94,11 +99,22 @@
         self._decode_server = decode_server
         self._controller = Controller(term=term)
         if state.routes is not None:
-            self.set_configuration(state.routes.configuration)
+            self._controller.set_configuration(state.routes.configuration)
         self._relays = RelayTable(data_centre=state.own.data_centre)
         self._recipients = Recipients((), frozenset())
         self._peers = Peers(send=outbound.announce)
         self._limits = LimitRegistry(known=state.view.limits)
+        self._warmups = Warmups(
+            bounds=state.warmups,
+            warm=state.view.list_targets(),
+            cold=frozenset(
+                entry.server
+                for entry in state.view.limits
+                if entry.warmup_rate is not None
+            ),
+        )
+        if state.routes is not None:
+            self._warmups.set_configuration(state.routes.configuration)
         self._pauses = ReportedPauses()
         self._summary = Summary()
         self._loads: dict[str, int] = {}
@@ -136,8 +152,9 @@
         return self._controller.describe()
 
     def set_configuration(self, configuration: SiteConfiguration) -> None:
-        """Apply another configuration to the groups."""
+        """Apply another configuration to the groups and servers."""
         self._controller.set_configuration(configuration)
+        self._warmups.set_configuration(configuration)
 
     def record_stall(self, group: str, now: float) -> None:
         """Record that streams of a group have stalled on some node."""
@@ -157,6 +174,13 @@
 
     def record_report(self, answered: ServerAnswered, now: float) -> None:
         """Record the status report of a server."""
+        if answered.report is not None:
+            self._warmups.record_report(
+                answered.server,
+                answered.report.started_ms,
+                now,
+                has_traffic=self._state.has_traffic,
+            )
         self._controller.record_report(answered.server, answered.report, now)
 
     def record_reply(self, answered: OrderAnswered, now: float) -> None:
@@ -167,6 +191,7 @@
 
     def record_servers(self, read: RecordsRead, now: float) -> None:
         """Apply changed and removed entries of servers."""
+        is_first_read = not self._has_servers
         self._has_servers = self._has_servers or read.is_snapshot
         self._check_restore(read, now)
         for record in read.page.records:
@@ -180,6 +205,7 @@
                 emit(Event.RECORD_UNREADABLE, key=record.key, reason=reason)
                 continue
             entry = self._entries.update(decoded.unwrap())
+            self._record_warmup(entry, now, is_first_read=is_first_read)
             self._controller.record_server(entry, now)
 
     def keep_known_servers(self, now: float) -> None:
@@ -188,9 +214,28 @@
         The store was restored from a backup, which lacks some of them.
         """
         for entry in self._entries.list_present():
+            self._record_warmup(entry, now, is_first_read=True)
             self._controller.record_server(entry, now)
             self._pending_removals.setdefault(entry.server, now)
 
+    def _record_warmup(
+        self, entry: BackendServer, now: float, *, is_first_read: bool
+    ) -> None:
+        """Record what an entry tells of the warm-up of its server."""
+        is_new_fault = self._warmups.record_entry(
+            entry,
+            now,
+            has_traffic=self._state.has_traffic,
+            is_first_read=is_first_read,
+            unix_time_s=read_unix_time(),
+        )
+        if is_new_fault:
+            emit(
+                Event.WARMUP_UNREADABLE,
+                server=entry.server,
+                value=entry.warmup_unreadable,
+            )
+
     def _check_restore(self, read: RecordsRead, now: float) -> None:
         """After a restore, remove all servers that do not write soon."""
         former_era = self._servers_era
@@ -249,6 +294,8 @@
         Heads that are not listed let them use all.
         """
         usable = dict(self._pauses.find_usable(self._senders, now))
+        for server, cold in self._warmups.list_cold(now).items():
+            usable[server] = min(usable.get(server, 1.0), find_usable(cold))
         usable.update(dict.fromkeys(self._limits.find_rates(), 0.0))
         return usable
 
@@ -379,6 +426,7 @@
         if is_same and view.term == self.term:
             state.view_time = now
             return
+        _log_warmups(view.limits, limits)
         self._sequence += 1
         state.apply_view(
             ServingView(
@@ -399,12 +447,13 @@
         now: float,
     ) -> tuple[LimitedServer, ...]:
         """Return the rate-limited servers and the nodes that send to them."""
-        if not self._limits.find_rates():
+        cold = self._warmups.list_cold(now)
+        if not cold and not self._limits.find_rates():
             return ()
         present = [group.server for group in groups]
         present += [server.server for server in servers]
         nodes = self._state.list_active_nodes(self._state.own.node, now)
-        return self._limits.list_servers(present, nodes, now)
+        return self._limits.list_servers(present, nodes, now, cold)
 
     def _make_update(self, now: float) -> Update:
         state = self._state
@@ -442,3 +491,26 @@
             suspects=state.suspects.announced,
             suspects_version=state.suspects.version,
         )
+
+
+def _log_warmups(
+    former: Iterable[LimitedServer], current: Iterable[LimitedServer]
+) -> None:
+    """Log which servers turned cold, and which are not cold any more."""
+    was_cold = {
+        entry.server for entry in former if entry.warmup_rate is not None
+    }
+    cold = {
+        entry.server: entry
+        for entry in current
+        if entry.warmup_rate is not None
+    }
+    for server in sorted(cold.keys() - was_cold):
+        emit(
+            Event.WARMUP_BEGUN,
+            server=server,
+            rate=round(cold[server].rate, 2),
+            senders=",".join(cold[server].senders),
+        )
+    for server in sorted(was_cold - cold.keys()):
+        emit(Event.WARMUP_ENDED, server=server)
--- a/chervilrock/tasks/serving/node.py
+++ b/chervilrock/tasks/serving/node.py
@@ -278,6 +278,7 @@
             "waiting": len(self._waitqueue),
             "repeats": state.describe_budgets(),
             "limits": state.statements.limits.list_limited(),
+            "cold": state.statements.limits.list_cold(),
             "pauses": state.statements.pauses.list_pausing(now),
             "leaving": state.statements.departures.list_servers(),
             "usable_slots": {}
--- a/chervilrock/tasks/serving/state.py
+++ b/chervilrock/tasks/serving/state.py
@@ -36,6 +36,7 @@
     ServerEndpoint,
     ServingView,
 )
+from chervilrock.decisions.serving.warmups import DEFAULT_BOUNDS, WarmupBounds
 from chervilrock.events import emit, Event
 
 Endpoint = TypeVar("Endpoint", GroupEndpoint, ServerEndpoint)
@@ -81,6 +82,7 @@
       watches: stall detectors of this node's streams, by group.
       suspects: requests during which servers crashed.
       statements: what servers state of themselves in their answers.
+      warmups: limits on requests to servers that warm up.
     """
 
     def __init__(
@@ -89,6 +91,7 @@
         own: NodeEntry,
         bounds: RetryBounds,
         generator: random.Random,
+        warmups: WarmupBounds = DEFAULT_BOUNDS,
     ) -> None:
         """Create a state that contains only this node.
 
@@ -96,6 +99,7 @@
           own: this node.
           bounds: limits on retries.
           generator: draws candidate endpoints and shares of slots.
+          warmups: limits on requests to servers that warm up.
         """
         self.own = own
         self.routes: RouteTable | None = None
@@ -108,6 +112,7 @@
         self.has_traffic = False
         self.generator = generator
         self._bounds = bounds
+        self.warmups = warmups
         self._budgets: dict[str, RetryBudget] = {}
         self._own_loads: dict[str, int] = {}
         self._other_loads: Mapping[str, int] = {}
