Let stand-in servers warm up, and test the bound from socket to socket

The stand-in servers turn cold after a restart, under a new identifier or the same one, and keep what arrived meanwhile.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -33,6 +33,11 @@
     find_late_arrivals,
     StatingServers,
 )
+from bench.warmups import (
+    ColdServers,
+    configure_warmups,
+    find_overloaded_cold_servers,
+)
 from chervilrock.clients.curlpool import QuietCurlClient
 from chervilrock.platform.settings import VARIABLE
 from chervilrock.standin.site.proxy import LinkFault, LinkProxy
@@ -41,7 +46,6 @@
     HOST,
     KEY,
     LARGE,
-    make_configuration,
     make_node_file,
     Site,
     SMALL,
@@ -399,7 +403,7 @@
 
     async def _reconfigure(self) -> None:
         self._version += self._generator.randint(1, 3)
-        document = make_configuration(self._version)
+        document = configure_warmups(self._version)
         self._site.store.write_configuration(document)
 
     def remove_faults(self) -> None:
@@ -440,6 +444,7 @@
     disturbances = Disturbances()
     try:
         site.start(model_servers=12, plain_servers=3)
+        site.store.write_configuration(configure_warmups(1))
         for server in site.servers:
             links.append(await _start_proxy(server))
         link = LinkProxy(target=site.store_address)
@@ -468,12 +473,14 @@
         )
         stating = StatingServers(servers=site.servers, seed=plan.seed)
         limited = LimitedServers(servers=site.servers, seed=plan.seed)
+        cold = ColdServers(servers=site.servers, seed=plan.seed)
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(plan.seconds):
                 async with asyncio.TaskGroup() as group:
                     group.create_task(faults.run())
                     group.create_task(limited.run())
                     group.create_task(stating.run())
+                    group.create_task(cold.run())
                     for _ in range(CALLERS):
                         group.create_task(callers.run(nodes))
         callers.violations += limited.end()
@@ -490,6 +497,9 @@
         callers.violations += find_broken_pauses(
             site.servers, callers.sends, disturbances.has_any
         )
+        callers.violations += find_overloaded_cold_servers(
+            site.servers, disturbances
+        )
         callers.violations += find_late_arrivals(
             site.servers, callers.sends, disturbances.has_node
         )
--- a/chervilrock/decisions/serving/serverlimits.py
+++ b/chervilrock/decisions/serving/serverlimits.py
@@ -394,7 +394,9 @@
         """
         if server not in self._warmups:
             return True
-        bucket = self._buckets[server]
+        bucket = self._buckets.get(server)
+        if bucket is None:
+            return False
         if permit is not None and permit.is_of(bucket):
             permit.spend()
             return True
--- a/chervilrock/standin/site/servers.py
+++ b/chervilrock/standin/site/servers.py
@@ -98,6 +98,20 @@
     pause: str
 
 
+class ColdPeriod(NamedTuple):
+    """A time in which a server warms up.
+
+    Attributes:
+      server: identifier of the server.
+      begin: when it turned cold, on the clock of the event loop.
+      end: when it will be warm.
+    """
+
+    server: str
+    begin: float
+    end: float
+
+
 class SiteServer:
     """A server that registers in the store and answers over HTTP.
 
@@ -119,6 +133,8 @@
         that it leaves, empty to leave it out.
       arrivals: requests that arrived, rejected ones included.
       rejections: requests that were rejected with a pause.
+      warmup_s: time for which it is cold after a restart, in seconds.
+      cold_periods: times in which it was cold.
     """
 
     def __init__(
@@ -146,6 +162,8 @@
         self.leaving = ""
         self.arrivals: list[Arrival] = []
         self.rejections: list[Rejection] = []
+        self.warmup_s = 0.0
+        self.cold_periods: list[ColdPeriod] = []
         self.orders: list[dict[str, object]] = []
         self.lost_orders = 0
         self.is_leaving = False
@@ -213,20 +231,52 @@
             0,
         )
 
-    def depart(self) -> None:
-        """Exit, and restart after a delay under a new identifier."""
+    def depart(self, *, keeps_identifier: bool = False) -> None:
+        """Exit, and restart after a delay.
+
+        Args:
+          keeps_identifier: whether it restarts under the same identifier and
+            with a later start time, instead of under a new identifier.
+        """
         if self._is_down:
             return
         self._is_down = True
         self._restart = asyncio.get_running_loop().create_task(
-            self._restart_after_crash()
+            self._restart_after_crash(keeps_identifier=keeps_identifier)
         )
 
-    async def _restart_after_crash(self) -> None:
+    def turn_cold(self, seconds: float) -> None:
+        """Warm up for a time, and state it in the entry."""
+        now = asyncio.get_running_loop().time()
+        self.cold_periods.append(ColdPeriod(self.server, now, now + seconds))
+        self.register()
+
+    def list_cold_arrivals(self, period: ColdPeriod) -> list[float]:
+        """Return when requests arrived in a time in which it was cold."""
+        return [
+            arrival.time
+            for arrival in self.arrivals
+            if arrival.server == period.server
+            and period.begin <= arrival.time < period.end
+        ]
+
+    def _find_warmup_left_ms(self) -> float:
+        if not self.cold_periods:
+            return 0
+        now = asyncio.get_running_loop().time()
+        return max(0, round((self.cold_periods[-1].end - now) * 1000))
+
+    async def _restart_after_crash(
+        self, *, keeps_identifier: bool = False
+    ) -> None:
         await self.stop()
         await asyncio.sleep(RESTART_DELAY_S)
-        self.unregister()
-        self.server = f"i-{uuid.uuid4().hex[:10]}"
+        if keeps_identifier:
+            self.born += 1000
+            self._sequence = itertools.count(1)
+        else:
+            self.unregister()
+            self.server = f"i-{uuid.uuid4().hex[:10]}"
         self.group = None
         self.highest_epoch = -1
         self.staged = []
@@ -236,7 +286,10 @@
         self.is_leaving = False
         self._is_down = False
         self._listen(self._port)
-        self.register()
+        if self.warmup_s:
+            self.turn_cold(self.warmup_s)
+        else:
+            self.register()
 
     def register(self) -> None:
         """Write the entry of this server to the store."""
@@ -248,7 +301,7 @@
             "version": "v1",
             "state": "draining" if self.is_leaving else "ready",
             "sequence": next(self._sequence),
-            "warmup_left_ms": 0,
+            "warmup_left_ms": self._find_warmup_left_ms(),
             "born": self.born,
             "staged": self.staged,
         }
--- a/test/decisions/serving/test_warmups.py
+++ b/test/decisions/serving/test_warmups.py
@@ -211,19 +211,30 @@
     assert_that(statements.find_wait(SERVER, 0.0), Equals(2.0))
 
 
+def test_a_sender_saves_up_one_request_only() -> None:
+    # Failure: a sender that was idle sends a burst, as to a warm server.
+    cold = {SERVER: ColdServer(WarmupBounds().find_allowed(1000))}
+    listed = LimitRegistry(known=()).list_servers([SERVER], ["n"], 0.0, cold)
+    statements = ServerStatements(own="n")
+    statements.apply_view(listed, [SERVER], 0.0)
+    assert_that(statements.may_send(SERVER, 9.0), Is(True))
+    assert_that(statements.consume(SERVER, 9.0) is None, Is(False))
+    assert_that(statements.may_send(SERVER, 9.0), Is(False))
+
+
 def test_a_limit_outlives_the_warm_up_and_a_change_of_the_leader() -> None:
     # Failure: a new leader takes the rate of a warm-up for a stated limit.
     registry = LimitRegistry(known=())
     registry.record(SERVER, 1.0)
     cold = registry.list_servers([SERVER], ["n"], 0.0, COLD)
     successor = LimitRegistry(known=cold)
-    assert_that(dict(successor.find_rates()), Equals({SERVER: 1.0}))
+    assert_that(successor.find_rates() == {SERVER: 1.0}, Is(True))
     warm = successor.list_servers([SERVER], ["n"], 0.0)
     assert_that(warm == (LimitedServer(SERVER, 1.0, ("n",)),), Is(True))
     statements = make_statements()
     statements.apply_view(cold, [SERVER], 1.0)
     statements.apply_view(warm, [SERVER], 2.0)
-    assert_that(statements.limits.find_rate(SERVER), Equals(1.0))
+    assert_that(statements.limits.find_rate(SERVER) == 1.0, Is(True))
     statements.apply_view((), [SERVER], 3.0)
     assert_that(bool(statements), Is(False))
 
@@ -235,9 +246,9 @@
     registry = LimitRegistry(known=known)
     for now in (0.0, 0.5, REPLACE_DELAY_S - 0.1):
         listed = registry.list_servers([SERVER], ["n85"], now, COLD)
-        assert_that(listed[0].senders, Equals(known[0].senders))
+        assert_that(listed[0].senders == known[0].senders, Is(True))
     listed = registry.list_servers([SERVER], ["n85"], 2.0, COLD)
-    assert_that(listed[0].senders, Equals(("n85",)))
+    assert_that(listed[0].senders == ("n85",), Is(True))
 
 
 def make_warmups(
@@ -270,11 +281,16 @@
     )
 
 
+def join_cold(warmups: Warmups, now: float) -> str:
+    """Return the names of the cold servers."""
+    return " ".join(sorted(warmups.list_cold(now)))
+
+
 def test_a_stated_warm_up_counts_from_its_arrival() -> None:
     warmups = make_warmups()
     record(warmups, ENTRY._replace(warmup_left_s=3.0), 10.0, has_traffic=False)
-    assert_that(list(warmups.list_cold(12.9)), Equals([SERVER]))
-    assert_that(list(warmups.list_cold(13.0)), Equals([]))
+    assert_that(join_cold(warmups, 12.9), Equals(SERVER))
+    assert_that(join_cold(warmups, 13.0), Equals(""))
 
 
 def test_an_entry_that_is_read_again_does_not_prolong_a_warm_up() -> None:
@@ -282,36 +298,36 @@
     record(warmups, ENTRY._replace(warmup_left_s=3.0), 0.0)
     record(warmups, ENTRY._replace(warmup_left_s=3.0), 2.0)
     record(warmups, ENTRY._replace(writes=0, warmup_left_s=9.0), 2.0)
-    assert_that(list(warmups.list_cold(3.0)), Equals([]))
+    assert_that(join_cold(warmups, 3.0), Equals(""))
 
 
 def test_a_server_may_turn_cold_again_and_start_again() -> None:
     warmups = make_warmups()
     record(warmups, ENTRY._replace(warmup_left_s=0.0), 0.0)
-    assert_that(list(warmups.list_cold(0.0)), Equals([]))
+    assert_that(join_cold(warmups, 0.0), Equals(""))
     record(warmups, ENTRY._replace(writes=2, warmup_left_s=5.0), 1.0)
-    assert_that(list(warmups.list_cold(5.9)), Equals([SERVER]))
-    assert_that(list(warmups.list_cold(6.0)), Equals([]))
+    assert_that(join_cold(warmups, 5.9), Equals(SERVER))
+    assert_that(join_cold(warmups, 6.0), Equals(""))
     later = ENTRY._replace(started_ms=ENTRY.started_ms + 1, writes=0)
     warmups.record_report(SERVER, later.started_ms, 7.0, has_traffic=True)
-    assert_that(list(warmups.list_cold(7.0)), Equals([SERVER]))
+    assert_that(join_cold(warmups, 7.0), Equals(SERVER))
     record(warmups, ENTRY._replace(writes=9, warmup_left_s=0.0), 7.1)
-    assert_that(list(warmups.list_cold(7.1)), Equals([SERVER]))
+    assert_that(join_cold(warmups, 7.1), Equals(SERVER))
     record(warmups, later._replace(warmup_left_s=0.0), 7.2)
-    assert_that(list(warmups.list_cold(7.2)), Equals([]))
+    assert_that(join_cold(warmups, 7.2), Equals(""))
 
 
 def test_without_a_statement_a_server_that_appears_in_traffic_is_cold() -> None:
     warmups = make_warmups()
     record(warmups, ENTRY, 0.0, has_traffic=False)
     record(warmups, ENTRY._replace(writes=2), 1.0)
-    assert_that(list(warmups.list_cold(1.0)), Equals([]))
+    assert_that(join_cold(warmups, 1.0), Equals(""))
     record(warmups, ENTRY._replace(server="late"), 2.0)
-    assert_that(list(warmups.list_cold(16.9)), Equals(["late"]))
-    assert_that(list(warmups.list_cold(17.0)), Equals([]))
+    assert_that(join_cold(warmups, 16.9), Equals("late"))
+    assert_that(join_cold(warmups, 17.0), Equals(""))
     again = ENTRY._replace(started_ms=ENTRY.started_ms + 1)
     record(warmups, again, 20.0)
-    assert_that(list(warmups.list_cold(34.9)), Equals([SERVER]))
+    assert_that(join_cold(warmups, 34.9), Equals(SERVER))
 
 
 def test_a_new_leader_takes_the_endpoints_of_the_last_one_as_warm() -> None:
@@ -322,8 +338,8 @@
             server=name, started_ms=round((UNIX_S - age_s) * 1000)
         )
         record(warmups, entry, 0.0, is_first_read=True)
-    assert_that(sorted(warmups.list_cold(0.0)), Equals(["ahead", "young"]))
-    assert_that(list(warmups.list_cold(10.0)), Equals(["ahead"]))
+    assert_that(join_cold(warmups, 0.0), Equals("ahead young"))
+    assert_that(join_cold(warmups, 10.0), Equals("ahead"))
 
 
 def test_a_malformed_statement_is_told_once_and_changes_nothing() -> None:
@@ -332,15 +348,15 @@
     faulty = ENTRY._replace(writes=2, warmup_unreadable="-1")
     assert_that(record(warmups, faulty, 1.0), Is(True))
     assert_that(record(warmups, faulty._replace(writes=3), 2.0), Is(False))
-    assert_that(list(warmups.list_cold(4.9)), Equals([SERVER]))
-    assert_that(list(warmups.list_cold(5.0)), Equals([]))
+    assert_that(join_cold(warmups, 4.9), Equals(SERVER))
+    assert_that(join_cold(warmups, 5.0), Equals(""))
 
 
 def test_a_service_without_a_warm_up_has_no_cold_servers() -> None:
     warmups = make_warmups(per_s=0.0)
     record(warmups, ENTRY._replace(warmup_left_s=5.0), 0.0)
     record(warmups, ENTRY._replace(server="late"), 1.0)
-    assert_that(list(warmups.list_cold(1.0)), Equals([]))
+    assert_that(join_cold(warmups, 1.0), Equals(""))
 
 
 def test_usable_slots_of_a_cold_head_follow_its_rate() -> None:
