--- a/chervilrock/catalogue.py
+++ b/chervilrock/catalogue.py
@@ -314,27 +314,6 @@
         Level.INFO,
         "the leader announces the limit {rate} of server {server} to all nodes",
     )
-    WARMUP_BEGUN = EventSpec(
-        7330,
-        Level.INFO,
-        "server {server} warms up and gets at most {rate} requests per second, "
-        "from nodes {senders}",
-    )
-    WARMUP_ENDED = EventSpec(
-        7331, Level.INFO, "server {server} does not warm up any more"
-    )
-    WARMUP_UNREADABLE = EventSpec(
-        7332,
-        Level.WARNING,
-        "the entry of server {server} states warmup_left_ms as {value}, which "
-        "is ignored",
-    )
-    CONFIGURATION_FIELD_IGNORED = EventSpec(
-        7333,
-        Level.WARNING,
-        "field {field} of the configuration is {value}, which is not a number "
-        "of 0 or more and is ignored",
-    )
     PAUSE_STATED = EventSpec(
         7312,
         Level.INFO,
@@ -364,6 +343,27 @@
         Level.INFO,
         "a node reports to the leader that server {server} says that it leaves",
     )
+    WARMUP_BEGUN = EventSpec(
+        7330,
+        Level.INFO,
+        "server {server} warms up and gets at most {rate} requests per second, "
+        "from nodes {senders}",
+    )
+    WARMUP_ENDED = EventSpec(
+        7331, Level.INFO, "server {server} does not warm up any more"
+    )
+    WARMUP_UNREADABLE = EventSpec(
+        7332,
+        Level.WARNING,
+        "the entry of server {server} states warmup_left_ms as {value}, which "
+        "is ignored",
+    )
+    CONFIGURATION_FIELD_IGNORED = EventSpec(
+        7333,
+        Level.WARNING,
+        "field {field} of the configuration is {value}, which is not a number "
+        "of 0 or more and is ignored",
+    )
     REQUEST_SENT = EventSpec(
         7401,
         Level.INFO,
--- a/chervilrock/standin/site/servers.py
+++ b/chervilrock/standin/site/servers.py
@@ -135,6 +135,8 @@
       rejections: requests that were rejected with a pause.
       warmup_s: time for which it is cold after a restart, in seconds.
       cold_periods: times in which it was cold.
+      warmup_statement: value that its entry states instead of the rest of the
+        warm-up in milliseconds, None to state that.
     """
 
     def __init__(
@@ -164,6 +166,7 @@
         self.rejections: list[Rejection] = []
         self.warmup_s = 0.0
         self.cold_periods: list[ColdPeriod] = []
+        self.warmup_statement: object = None
         self.orders: list[dict[str, object]] = []
         self.lost_orders = 0
         self.is_leaving = False
@@ -260,7 +263,9 @@
             and period.begin <= arrival.time < period.end
         ]
 
-    def _find_warmup_left_ms(self) -> float:
+    def _find_warmup_left_ms(self) -> object:
+        if self.warmup_statement is not None:
+            return self.warmup_statement
         if not self.cold_periods:
             return 0
         now = asyncio.get_running_loop().time()
--- a/test/node/test_warmups.py
+++ b/test/node/test_warmups.py
@@ -3,8 +3,16 @@
 import asyncio
 import math
 
+import msgspec
 from testtools.assertions import assert_that
-from testtools.matchers import Equals, GreaterThan, Is, LessThan
+from testtools.matchers import (
+    Contains,
+    Equals,
+    GreaterThan,
+    Is,
+    LessThan,
+    Not,
+)
 
 from bench.limits import count_most_within
 from chervilrock.standin.site.servers import ColdPeriod, SiteServer
@@ -113,6 +121,12 @@
             "all nodes know that the head is cold",
         )
         since = asyncio.get_running_loop().time()
+        leader = next(node for node in world.nodes if node.is_leader)
+        page = await world.fetch(leader.own.peer_address, "/state")
+        dump = msgspec.json.decode(page.body)
+        usable = dump["usable_slots"][head.server]
+        assert_that(usable, LessThan(1.0))
+        assert_that(dump["cold"][head.server], LessThan(ALLOWED / 2))
         await wait_until_warm(world, head)
         calling.cancel()
         assert_that(count_most(head, since), LessThan(ALLOWED + 1e-6))
@@ -151,7 +165,7 @@
     run_world(scenario, nodes=NODES, **SERVERS)
 
 
-def test_without_a_rate_of_the_service_no_server_is_cold() -> None:
+def test_without_a_rate_of_the_service_no_server_is_cold(log_lines) -> None:
     # Failure: a warm-up is obeyed though the configuration asks for none.
     async def scenario(world: World) -> None:
         await configure(world, warmup_per_s="-1")
@@ -170,5 +184,29 @@
             "the server is in the view",
         )
         assert_that(count_nodes_with_cold(world, server.server), Equals(0))
+        log = "".join(log_lines)
+        assert_that(log, Contains("configuration-field-ignored"))
+        assert_that(log, Not(Contains("warmup-begun")))
+
+    run_world(scenario, nodes=NODES, **SERVERS)
+
+
+def test_a_malformed_warm_up_in_an_entry_is_logged_and_ignored(
+    log_lines,
+) -> None:
+    # Failure: the server is lost to callers, or nobody learns why.
+    async def scenario(world: World) -> None:
+        await configure(world)
+        server = world.list_plain_servers()[0]
+        server.warmup_statement = "soon"
+        server.register()
+        await world.wait(
+            lambda: "warmup-unreadable" in "".join(log_lines),
+            "the malformed value is logged",
+        )
+        for node in world.nodes:
+            targets = node.state.view.list_targets()
+            assert_that(server.server in targets, Is(True))
+        assert_that(count_nodes_with_cold(world, server.server), Equals(0))
 
     run_world(scenario, nodes=NODES, **SERVERS)
