Check that a cold server is announced in the first view that lists it

The test of a cold start records every view and looks at the first one with the server. Senders are ranked only when one is missing, and the text of E7332 contains no name of the platform's entries.

--- a/chervilrock/catalogue.py
+++ b/chervilrock/catalogue.py
@@ -355,8 +355,8 @@
     WARMUP_UNREADABLE = EventSpec(
         7332,
         Level.WARNING,
-        "the entry of server {server} states warmup_left_ms as {value}, which "
-        "is ignored",
+        "the entry of server {server} states for how long it warms up as "
+        "{value}, which is ignored",
     )
     CONFIGURATION_FIELD_IGNORED = EventSpec(
         7333,
--- a/chervilrock/decisions/serving/limitregistry.py
+++ b/chervilrock/decisions/serving/limitregistry.py
@@ -129,7 +129,8 @@
                 seen[name] = now
             elif now - seen_at >= REPLACE_DELAY_S:
                 del seen[name]
-        for name in rank_nodes(server, nodes):
-            if len(seen) < count:
-                seen.setdefault(name, now)
+        if len(seen) < count:
+            for name in rank_nodes(server, nodes):
+                if len(seen) < count:
+                    seen.setdefault(name, now)
         return tuple(list(seen)[:count])
--- a/test/node/test_warmups.py
+++ b/test/node/test_warmups.py
@@ -15,8 +15,10 @@
 )
 
 from bench.limits import count_most_within
+from chervilrock.decisions.serving.view import ServingView
 from chervilrock.standin.site.servers import ColdPeriod, SiteServer
 from chervilrock.standin.site.site import LARGE, make_configuration
+from chervilrock.tasks.serving.state import ServingState
 from test.node.serving_site import run_world, World
 
 NODES = 3
@@ -73,10 +75,20 @@
     )
 
 
-def test_a_server_that_starts_cold_gets_few_requests_from_the_first_one() -> (
-    None
-):
-    # Failure: nodes send to a new server before they know that it is cold.
+def test_a_server_that_starts_cold_gets_few_requests_from_the_first_one(
+    monkeypatch,
+) -> None:
+    # Failure: nodes send to a new server before they know that it is cold, as
+    # an earlier version of the view lists it.
+    views: list[ServingView] = []
+    apply_view = ServingState.apply_view
+
+    def record_view(state: ServingState, view: ServingView, now: float) -> None:
+        views.append(view)
+        apply_view(state, view, now)
+
+    monkeypatch.setattr(ServingState, "apply_view", record_view)
+
     async def scenario(world: World) -> None:
         await configure(world)
         server = world.list_plain_servers()[0]
@@ -86,6 +98,9 @@
         assert_that(set(statuses), Equals({200}))
         await wait_until_warm(world, server)
         assert_that(count_most(server), LessThan(ALLOWED + 1e-6))
+        first = next(v for v in views if server.server in v.list_targets())
+        limited = [limit.server for limit in first.limits]
+        assert_that(limited, Equals([server.server]))
 
     run_world(scenario, nodes=NODES, **SERVERS)
 
