Spread the senders of cold servers evenly over the nodes

When most servers are cold, a node that sends to none of them has to reject its requests. Senders are now chosen first among the nodes that send to the fewest cold servers.

Measured: with 23 cold servers and 86 nodes every node sends to one or two of them; chosen by hash alone, some send to none (the new test fails).

--- a/chervilrock/decisions/serving/limitregistry.py
+++ b/chervilrock/decisions/serving/limitregistry.py
@@ -6,7 +6,9 @@
 `REPLACE_DELAY_S`. So no sender is replaced within a second of its choice.
 """
 
+from collections import Counter
 from collections.abc import Iterable, Mapping, Sequence
+import itertools
 from types import MappingProxyType
 
 from chervilrock.decisions.serving.serverlimits import (
@@ -130,7 +132,16 @@
             elif now - seen_at >= REPLACE_DELAY_S:
                 del seen[name]
         if len(seen) < count:
-            for name in rank_nodes(server, nodes):
+            for name in self._rank_senders(server, nodes):
                 if len(seen) < count:
                     seen.setdefault(name, now)
         return tuple(list(seen)[:count])
+
+    def _rank_senders(self, server: str, nodes: Iterable[str]) -> list[str]:
+        """Return nodes, first those that send to the fewest cold servers.
+
+        When most servers are cold, a node that sends to none of them has to
+        reject its requests.
+        """
+        counts = Counter(itertools.chain(*self._cold_senders.values()))
+        return sorted(rank_nodes(server, nodes), key=lambda name: counts[name])
--- a/test/decisions/serving/test_warmups.py
+++ b/test/decisions/serving/test_warmups.py
@@ -1,5 +1,6 @@
 """Servers that warm up: which are cold, and what all nodes send to them."""
 
+from collections import Counter
 import heapq
 import itertools
 import random
@@ -251,6 +252,19 @@
     assert_that(listed[0].senders == ("n85",), Is(True))
 
 
+@pytest.mark.parametrize("nodes", [6, 86])
+def test_each_node_sends_to_some_server_when_all_of_them_are_cold(
+    nodes,
+) -> None:
+    # Failure: a third of the nodes may send to no server at all.
+    names = [f"n{number}" for number in range(nodes)]
+    cold = {f"s{number}": ColdServer(ALLOWED) for number in range(23)}
+    listed = LimitRegistry(known=()).list_servers(list(cold), names, 0.0, cold)
+    counts = Counter(name for entry in listed for name in entry.senders)
+    assert_that(counts, HasLength(nodes))
+    assert_that(max(counts.values()) - min(counts.values()), LessThan(2))
+
+
 def make_warmups(
     *, per_s: float = 26.0, warm: frozenset[str] = frozenset()
 ) -> Warmups:
