Test the settings of the bound of cold servers

Covers the defaults, other values, and a malformed value, which is reported as those of the other bounds are.

Measured: pytest test/platform test/node/test_warmups.py test/test_events.py, all pass.

--- a/test/platform/test_adapter.py
+++ b/test/platform/test_adapter.py
@@ -57,6 +57,12 @@
     assert_that(settings.stop_within_s, Equals(8.0))
     assert_that(settings.stall_s, Equals(6.0))
     assert_that(settings.metrics_port, Equals(9))
+    bounds = (settings.warmup_overage, settings.warmup_slack)
+    assert_that(bounds, Equals((1.5, 5.0)))
+    node_file["bounds"] |= {"warmup_overage": 2, "warmup_slack": 0.5}
+    settings = decode_settings(node_file).unwrap()
+    bounds = (settings.warmup_overage, settings.warmup_slack)
+    assert_that(bounds, Equals((2.0, 0.5)))
 
 
 def test_unknown_settings_are_ignored(node_file: dict[str, Any]) -> None:
@@ -75,6 +81,7 @@
         ("provider", {}, "provider.address"),
         ("bounds", {"grace_s": -1}, "bounds.grace_s"),
         ("bounds", {"grace_s": True}, "bounds.grace_s"),
+        ("bounds", {"warmup_slack": "5"}, "bounds.warmup_slack"),
     ],
 )
 def test_each_invalid_setting_is_reported_with_its_path(
