Evacuate data centres by records of the operator

Cause: the operator can now write `evacuate/ZONE` to the configuration topic. Nodes ignored the record and went on to send requests to servers there.

Change: a registry of evacuations with versions that merge by the greatest (era, offset). It is fed by the store, announcements, acknowledgements and relay summaries. Nodes prefer other data centres at once and send nothing there after a grace of at most 2 s; this holds for choices, waiting requests, retries, resumed streams and the check before the first byte. The leader plans as if the hosts there had left, takes the endpoints out of the view and then closes the groups without a time limit. The stand-in store and servers learn evacuations and closing groups.

--- a/chervilrock/catalogue.py
+++ b/chervilrock/catalogue.py
@@ -343,6 +343,23 @@
         Level.INFO,
         "a node reports to the leader that server {server} says that it leaves",
     )
+    EVACUATION_BEGUN = EventSpec(
+        7331,
+        Level.WARNING,
+        "data centre {data_centre} is evacuated, version {version} from "
+        "{source}",
+    )
+    EVACUATION_ENDED = EventSpec(
+        7332,
+        Level.INFO,
+        "data centre {data_centre} is no longer evacuated, version {version} "
+        "from {source}",
+    )
+    EVACUATION_UNREADABLE = EventSpec(
+        7333,
+        Level.WARNING,
+        "record {key} of the store evacuates no data centre: {reason}",
+    )
     REQUEST_SENT = EventSpec(
         7401,
         Level.INFO,
@@ -408,6 +425,12 @@
         "request {request_id} is not sent to server {server}, which stated "
         "after it was chosen that it pauses or leaves",
     )
+    SEND_EVACUATED = EventSpec(
+        7431,
+        Level.INFO,
+        "request {request_id} is not sent to server {server}, whose data "
+        "centre {data_centre} was evacuated after it was chosen",
+    )
     EVENT_MALFORMED = EventSpec(
         9001, Level.ERROR, "event {event_name} has wrong fields: {difference}"
     )
--- a/chervilrock/decisions/serving/adoption.py
+++ b/chervilrock/decisions/serving/adoption.py
@@ -12,7 +12,12 @@
 
 
 class Adoption:
-    """Takes over groups of earlier leaders that appear in servers' entries."""
+    """Takes over groups of earlier leaders that appear in servers' entries.
+
+    Attributes:
+      drained: data centres that are or were evacuated; requests of a group
+        that closes there are not cut.
+    """
 
     def __init__(
         self, *, registry: GroupRegistry, verifier: GroupVerifier
@@ -26,6 +31,7 @@
         self._registry = registry
         self._verifier = verifier
         self._found_at: dict[tuple[str, int], float] = {}
+        self.drained: frozenset[str] = frozenset()
 
     def adopt(self, now: float) -> None:
         """Adopt each earlier leader's group once it is complete or overdue."""
@@ -103,7 +109,8 @@
 
     def _adopt_phase(self, group: ManagedGroup, now: float) -> None:
         """Set the phase of an adopted group that is complete."""
-        membership = self._registry.hosts.servers[group.head].membership
+        head = self._registry.hosts.servers[group.head]
+        membership = head.membership
         state = MemberState.JOINING if membership is None else membership.state
         if group.is_standby:
             return
@@ -111,6 +118,10 @@
             group.enter(Phase.SERVING, now)
             self._registry.record_change(GroupStep.SERVING, group, "found open")
             self._verifier.verify(group, "it was found", now)
+        elif state is MemberState.CLOSING and head.data_centre in self.drained:
+            group.must_finish = True
+            group.enter(Phase.CLOSING, now, "found closing")
+            self._registry.record_change(GroupStep.CLOSING, group, group.reason)
         else:
             # Its leader may have abandoned it, and orders to its members that
             # are still in flight may arrive after it would have opened.
--- a/chervilrock/decisions/serving/controller.py
+++ b/chervilrock/decisions/serving/controller.py
@@ -57,7 +57,13 @@
 """Time between two status queries of a head that is finishing its requests."""
 
 CLOSE_TIMEOUT_S = 5.0
-"""Time after which a closing group is dissolved even with requests left."""
+"""Time after which a closing group is dissolved even with requests left, unless
+its data centre was evacuated."""
+
+EVACUATION_CLOSE_S = 3.0
+"""Time after which the groups of an evacuated data centre close. By then others
+have formed elsewhere and no node sends to them: nodes stop at most 2 s after
+they know, and the announcement takes up to a second."""
 
 
 class Controller:
@@ -74,11 +80,31 @@
         self._forming = Forming(
             registry=self._registry, planner=self._planner, term=term
         )
+        self._closed: frozenset[str] = frozenset()
 
     def set_configuration(self, configuration: SiteConfiguration) -> None:
         """Set the configuration in force."""
         self._registry.configuration = configuration
 
+    def set_evacuated(
+        self,
+        evacuated: frozenset[str],
+        closed: frozenset[str],
+        recorded: frozenset[str],
+        now: float,
+    ) -> None:
+        """Set the evacuated data centres.
+
+        Args:
+          evacuated: data centres that are evacuated.
+          closed: those of them to which nothing may be sent any more.
+          recorded: data centres that are or were evacuated.
+          now: current time.
+        """
+        self._closed = closed
+        self._adoption.drained = recorded
+        self._registry.hosts.set_evacuated(evacuated, now)
+
     def record_traffic(self) -> None:
         """Record that callers have begun to send requests."""
         self._planner.has_traffic = True
@@ -243,6 +269,8 @@
             is_open = group.phase is Phase.SERVING and now >= group.served_at
             if not is_open or head is None or head.is_leaving:
                 continue
+            if head.data_centre in self._closed:
+                continue
             endpoints.append(
                 GroupEndpoint(
                     group=group.name,
@@ -281,6 +309,7 @@
             )
             for _, server in sorted(self._registry.hosts.servers.items())
             if not server.is_leaving
+            and server.data_centre not in self._closed
             and self._registry.find_engine(server.service) is None
         )
 
@@ -288,7 +317,8 @@
         """Return the models for which a group is expected to serve soon.
 
         Hosts of a group that closes or is dissolved form another one. An
-        opened group does not accept requests at once.
+        opened group does not accept requests at once. Hosts of an evacuated
+        data centre form none.
         """
         soon = (
             Phase.FORMING,
@@ -298,6 +328,8 @@
         )
         models = set()
         for group in self._registry.groups.values():
+            if self._registry.hosts.is_evacuated(group.head):
+                continue
             is_opening = group.phase is Phase.SERVING and now < group.served_at
             if is_opening or (group.phase in soon and not group.is_standby):
                 models.add(group.model)
@@ -427,6 +459,11 @@
                 self._verifier.verify(
                     group, f"the entry of {server} differs", now
                 )
+        since = self._registry.hosts.evacuated.get(head.data_centre, now)
+        if now - since >= EVACUATION_CLOSE_S:
+            group.enter(Phase.CLOSING, now, f"{head.data_centre} is evacuated")
+            self._registry.record_change(GroupStep.CLOSING, group, group.reason)
+            return self._close(group, now)
         if group.verifying_since is None:
             return []
         effects: list[Effect] = []
@@ -440,15 +477,32 @@
                 group, "the entry of its head was removed", now
             )
             return []
-        if now - group.since > CLOSE_TIMEOUT_S:
+        if self._registry.hosts.is_evacuated(group.head):
+            group.must_finish = True
+        if not group.must_finish and now - group.since > CLOSE_TIMEOUT_S:
             self._registry.dissolve(
                 group, "its head did not finish in time", now
             )
             return []
+        order = Close(group.name, group.epoch)
         if now - group.since < CLOSING_QUERY_INTERVAL_S:
-            order = Close(group.name, group.epoch)
             return self._registry.command(group.head, order, now)
-        return self._registry.query(group.head, CLOSING_QUERY_INTERVAL_S, now)
+        effects = self._registry.query(
+            group.head, CLOSING_QUERY_INTERVAL_S, now
+        )
+        if group.must_finish and self._is_reported_open(group):
+            # The order was lost, and no time limit dissolves the group.
+            effects += self._registry.command(group.head, order, now)
+        return effects
+
+    def _is_reported_open(self, group: ManagedGroup) -> bool:
+        """Return whether the head of a group last reported it as open."""
+        reported = self._registry.hosts.find_reported_membership(group.head)
+        return (
+            reported is not None
+            and reported.epoch == group.epoch
+            and reported.state is MemberState.OPEN
+        )
 
     def _dissolve(self, group: ManagedGroup, now: float) -> list[Effect]:
         """Order the head to leave, or every member if the head is lost.
--- a/chervilrock/decisions/serving/forming.py
+++ b/chervilrock/decisions/serving/forming.py
@@ -110,6 +110,11 @@
                     group, f"{server} is gone or leaves", now
                 )
                 return True
+            if self._registry.hosts.is_evacuated(server):
+                self._registry.dissolve(
+                    group, "its data centre is evacuated", now
+                )
+                return True
             if server not in group.joined and self._is_in_other_group(
                 group, server
             ):
--- a/chervilrock/decisions/serving/groups.py
+++ b/chervilrock/decisions/serving/groups.py
@@ -56,6 +56,8 @@
         earlier leader may have lost it.
       may_be_open: whether its head may have been ordered to open.
       served_at: from when it accepts requests.
+      must_finish: whether its requests may take as long as they need while it
+        is closing.
     """
 
     def __init__(
@@ -92,6 +94,7 @@
         self.has_head = True
         self.may_be_open = False
         self.served_at = now
+        self.must_finish = False
 
     @property
     def head(self) -> str:
--- a/chervilrock/decisions/serving/hosts.py
+++ b/chervilrock/decisions/serving/hosts.py
@@ -63,6 +63,7 @@
       last_added_at: when the last new server was added.
       first_entry_at: when the first entry was received.
       last_report_at: when any server last reported.
+      evacuated: since when each evacuated data centre is known here to be so.
     """
 
     def __init__(self) -> None:
@@ -74,6 +75,7 @@
         self.last_added_at = float("-inf")
         self.first_entry_at = float("inf")
         self.last_report_at = float("-inf")
+        self.evacuated: dict[str, float] = {}
         self._former: dict[str, BackendServer] = {}
         self._reporting: set[str] = set()
         self._joined: set[str] = set()
@@ -148,6 +150,31 @@
         self.servers[server] = entry._replace(is_leaving=True)
         return True
 
+    def set_evacuated(self, evacuated: frozenset[str], now: float) -> None:
+        """Set the evacuated data centres.
+
+        Hosts of a data centre that is no longer evacuated have to report
+        again: they may have lost their weights in the meantime.
+        """
+        returned = set(self.evacuated) - evacuated
+        for name in returned:
+            del self.evacuated[name]
+        for name in evacuated:
+            self.evacuated.setdefault(name, now)
+        if returned:
+            self._reporting -= {
+                server.server
+                for server in self.servers.values()
+                if server.data_centre in returned
+            }
+
+    def is_evacuated(self, server: str) -> bool:
+        """Return whether the data centre of a server is evacuated."""
+        if not self.evacuated:
+            return False
+        entry = self.find(server)
+        return entry is not None and entry.data_centre in self.evacuated
+
     def find(self, server: str) -> BackendServer | None:
         """Return a server, including one whose entry was removed."""
         return self.servers.get(server) or self._former.get(server)
@@ -307,6 +334,7 @@
                 self._reporting.discard(name)
             is_unusable = (
                 server.is_leaving
+                or server.data_centre in self.evacuated
                 or self._unresponsive.get(name, now) > now
                 or self.is_slow(name, now)
             )
--- a/chervilrock/decisions/serving/planning.py
+++ b/chervilrock/decisions/serving/planning.py
@@ -173,7 +173,8 @@
         """Record the requests of all nodes at each group head.
 
         The capacity of a group whose head limits its requests, or pauses, is
-        at least the number of requests that it runs.
+        at least the number of requests that it runs. Groups of an evacuated
+        data centre have none: others have to take over their requests.
 
         Args:
           requests: number of requests by head.
@@ -194,7 +195,8 @@
                 if group.head in usable:
                     slots = max(count, int(usable[group.head] * slots))
                 running[group.model] += count
-                capacities[group.model] += slots
+                if not self._hosts.is_evacuated(group.head):
+                    capacities[group.model] += slots
         self._get_demand(service).record(running, capacities, now)
 
     def find_needs(
@@ -204,12 +206,15 @@
         serving = Counter(
             group.model
             for group in self._groups.values()
-            if group.service == service and group.phase is Phase.SERVING
+            if group.service == service
+            and group.phase is Phase.SERVING
+            and not self._hosts.is_evacuated(group.head)
         )
         hosts = sum(
             1
             for server in self._hosts.servers.values()
             if server.service == service
+            and server.data_centre not in self._hosts.evacuated
         )
         demand = self._get_demand(service)
         return demand.find_needs(engine, serving, hosts, now)
--- a/chervilrock/decisions/serving/verification.py
+++ b/chervilrock/decisions/serving/verification.py
@@ -125,6 +125,8 @@
 
     def _has_standby(self, group: ManagedGroup, now: float) -> bool:
         """Return whether a standby host can replace a member of a group."""
+        if self._registry.hosts.is_evacuated(group.head):
+            return False
         head = self._registry.hosts.servers.get(group.head)
         for standby in self._registry.groups.values():
             if (
--- a/chervilrock/decisions/serving/view.py
+++ b/chervilrock/decisions/serving/view.py
@@ -5,6 +5,7 @@
 from types import MappingProxyType
 from typing import NamedTuple
 
+from chervilrock.decisions.serving.evacuations import Evacuation, merge_states
 from chervilrock.decisions.serving.serverlimits import LimitedServer
 from chervilrock.decisions.serving.suspects import Suspect
 
@@ -151,6 +152,7 @@
       suspects: requests under which servers have crashed, None when the node
         has the list.
       senders: number of nodes whose requests are counted in `loads`.
+      evacuations: the evacuations that the leader knows of.
     """
 
     term: int
@@ -171,6 +173,7 @@
     suspects_sequence: int = 0
     suspects: tuple[Suspect, ...] | None = None
     senders: int = 0
+    evacuations: tuple[Evacuation, ...] = ()
 
 
 class Summary(NamedTuple):
@@ -186,6 +189,7 @@
       term: greatest term that one of them knows.
       revision: greatest revision that one of them has in force.
       holder: node with this revision, None without a revision.
+      evacuations: newest evacuations that one of them knows of.
     """
 
     nodes: tuple[str, ...] = ()
@@ -196,6 +200,7 @@
     term: int = -1
     revision: int = -1
     holder: NodeEntry | None = None
+    evacuations: tuple[Evacuation, ...] = ()
 
 
 class Acknowledgement(NamedTuple):
@@ -214,6 +219,7 @@
       relayed: aggregate of the answers of the nodes to which it forwards
         announcements, None until each of them was tried once.
       suspects_version: term and number of the list of suspects that it uses.
+      evacuations: the evacuations that the node knows of.
     """
 
     term: int
@@ -227,6 +233,7 @@
     has_traffic: bool
     relayed: Summary | None = None
     suspects_version: tuple[int, int] = (-1, 0)
+    evacuations: tuple[Evacuation, ...] = ()
 
 
 def merge_summaries(summaries: Iterable[Summary]) -> Summary:
@@ -235,12 +242,14 @@
     loads: Counter[str] = Counter()
     stalled: Counter[str] = Counter()
     nodes: list[str] = []
+    evacuations: list[Evacuation] = []
     senders = 0
     for summary in summaries:
         senders += summary.senders
         loads.update(summary.loads)
         stalled.update(summary.stalled)
         nodes += summary.nodes
+        evacuations += summary.evacuations
         is_newer = summary.revision > total.revision
         total = total._replace(
             has_traffic=total.has_traffic or summary.has_traffic,
@@ -249,7 +258,11 @@
             holder=summary.holder if is_newer else total.holder,
         )
     return total._replace(
-        nodes=tuple(nodes), loads=loads, senders=senders, stalled=stalled
+        nodes=tuple(nodes),
+        loads=loads,
+        senders=senders,
+        stalled=stalled,
+        evacuations=merge_states(evacuations),
     )
 
 
@@ -264,4 +277,5 @@
         term=answer.term,
         revision=answer.revision,
         holder=answer.node if answer.revision >= 0 else None,
+        evacuations=answer.evacuations,
     )
--- a/chervilrock/decisions/serving/waiting.py
+++ b/chervilrock/decisions/serving/waiting.py
@@ -86,6 +86,8 @@
         limits.
       pause_wait_s: seconds until the first endpoint takes requests of this
         node again, where all pause; 0 otherwise.
+      has_evacuation: whether a data centre is evacuated, whose endpoints are
+        not counted.
     """
 
     has_endpoints: bool
@@ -93,6 +95,7 @@
     shortage_s: float = 0.0
     limit_wait_s: float = 0.0
     pause_wait_s: float = 0.0
+    has_evacuation: bool = False
 
 
 class WaitingRequest(NamedTuple):
--- a/chervilrock/edges/serving/exchange.py
+++ b/chervilrock/edges/serving/exchange.py
@@ -342,9 +342,16 @@
         """Return whether a server wants the request that is about to be sent.
 
         It may have asked for a pause, or said that it leaves, after it was
-        chosen.
+        chosen, or its data centre may have been evacuated.
         """
-        if not self._state.statements.refuses(endpoint.server, read_clock()):
+        now = read_clock()
+        if self._state.evacuations.is_closed(endpoint.data_centre, now):
+            self._context.metrics.count_evacuated_send(self._service)
+            exchangelog.log_evacuated(
+                self.request_id, endpoint.server, endpoint.data_centre
+            )
+            return False
+        if not self._state.statements.refuses(endpoint.server, now):
             return True
         self._context.metrics.count_held_send(self._service)
         exchangelog.log_held(self.request_id, endpoint.server)
--- a/chervilrock/edges/serving/exchangelog.py
+++ b/chervilrock/edges/serving/exchangelog.py
@@ -76,6 +76,16 @@
     emit(Event.SEND_HELD, request_id=request_id, server=server)
 
 
+def log_evacuated(request_id: str, server: str, data_centre: str) -> None:
+    """Log that a request was not sent to an evacuated data centre."""
+    emit(
+        Event.SEND_EVACUATED,
+        request_id=request_id,
+        server=server,
+        data_centre=data_centre,
+    )
+
+
 class Retry(NamedTuple):
     """A retry of a request.
 
--- a/chervilrock/edges/serving/slots.py
+++ b/chervilrock/edges/serving/slots.py
@@ -1,6 +1,5 @@
 """Finds a slot for a request at a group or server."""
 
-from collections.abc import Sequence
 from typing import NamedTuple
 
 from chervilrock.decisions.serving.lateness import judge_timeliness, Timeliness
@@ -247,12 +246,20 @@
         return self._try_acquire() or self._is_wait_useless()
 
     def _is_wait_useless(self) -> bool:
-        """Return whether all servers pause for longer than the wait."""
-        if not self._state.statements.pauses:
+        """Return whether no server can take the request within the wait.
+
+        All pause for longer, or the last ones were evacuated.
+        """
+        state = self._state
+        if not (state.statements.pauses or state.evacuations):
             return False
         now = read_clock()
-        pause_wait_s = self._find_availability(now).pause_wait_s
-        return pause_wait_s > max(0.0, self._wait_until - now)
+        availability = self._find_availability(now)
+        if state.evacuations and not (
+            availability.has_endpoints or availability.is_forming
+        ):
+            return True
+        return availability.pause_wait_s > max(0.0, self._wait_until - now)
 
     def _choose(self, now: float) -> SlotChoice | None:
         """Return a free slot, None if there is none.
@@ -292,9 +299,12 @@
         """Return the availability of endpoints for the request."""
         model = self._request.facts.model
         state = self._state
-        endpoints: Sequence[Endpoint] = state.list_groups(self._service, model)
+        endpoints: list[Endpoint] = [
+            *state.list_open(state.list_groups(self._service, model), now)
+        ]
         if state.find_engine(self._service) is None:
-            endpoints = state.list_servers(self._service)
+            servers = state.list_servers(self._service)
+            endpoints = [*state.list_open(servers, now)]
         statements = state.statements
         staying = [
             endpoint.server
@@ -313,6 +323,7 @@
             shortage_s=state.shortages.find_duration(model, now),
             limit_wait_s=statements.limits.find_wait(first, now),
             pause_wait_s=statements.pauses.find_wait(first, now),
+            has_evacuation=bool(state.evacuations),
         )
 
     def _describe_wait(
@@ -359,5 +370,7 @@
 def _describe_lack(availability: Availability) -> str:
     """Return the reason why no slot is free, for the log and the caller."""
     if not availability.has_endpoints:
+        if availability.has_evacuation:
+            return "nothing serves it outside of evacuated data centres"
         return "nothing serves it"
     return "all pause" if availability.pause_wait_s else "all are full"
--- a/chervilrock/node/serving.py
+++ b/chervilrock/node/serving.py
@@ -13,6 +13,7 @@
 from chervilrock.clients.curlpool import CurlPool
 from chervilrock.clients.httpclient import HttpClient
 from chervilrock.clients.liveness import ConnectionLiveness
+from chervilrock.decisions.serving.evacuations import Evacuations
 from chervilrock.decisions.serving.stalls import compute_stall_limits
 from chervilrock.decisions.serving.view import GroupEndpoint, NodeEntry
 from chervilrock.edges.serving.callers import CallerEdge
@@ -23,7 +24,10 @@
 from chervilrock.node.binding import bind_address, Binding
 from chervilrock.platform import directory
 from chervilrock.platform.engines import HttpEngineControl
-from chervilrock.platform.operator import decode_configuration
+from chervilrock.platform.operator import (
+    decode_configuration,
+    decode_evacuation,
+)
 from chervilrock.platform.servers import decode_server
 from chervilrock.platform.settings import NodeSettings
 from chervilrock.platform.store import StoreClient
@@ -108,6 +112,10 @@
                 window_s=settings.repeat_window_s,
             ),
             generator=random.Random(),
+            evacuations=Evacuations(
+                evacuation_s=settings.evacuation_s,
+                data_centres=settings.data_centres,
+            ),
         )
         self._waitqueue = WaitQueue()
         self._metrics = ServingMetrics()
@@ -126,6 +134,7 @@
                 decode_configuration=decode_configuration,
                 decode_server=decode_server,
                 liveness=ConnectionLiveness(),
+                decode_evacuation=decode_evacuation,
             ),
             state=self._state,
             waitqueue=self._waitqueue,
@@ -274,7 +283,8 @@
             await asyncio.sleep(WATCH_INTERVAL_S)
             now = read_clock()
             self._metrics.view_age.set(max(0.0, now - self._state.view_time))
-            for endpoint in self._state.view.groups:
+            draining = self._state.draining
+            for endpoint in (*self._state.view.groups, *draining.values()):
                 self._watch_group(endpoint, now)
             served = {
                 served_endpoint.group
@@ -283,6 +293,8 @@
             for group in set(self._state.watches) - served:
                 if not self._state.watches[group].running:
                     del self._state.watches[group]
+            for group in set(draining) - set(self._state.watches):
+                del draining[group]
 
     def _watch_group(self, endpoint: GroupEndpoint, now: float) -> None:
         detector = self._state.watches.get(endpoint.group)
@@ -391,6 +403,9 @@
         statements = self._state.statements
         metrics.limited_servers.set(len(statements.limits))
         metrics.pausing_servers.set(len(statements.pauses.list_pausing(now)))
+        metrics.evacuated_data_centres.set(
+            len(self._state.evacuations.evacuated)
+        )
         metrics.leaving_servers.set(len(statements.departures))
         metrics.withheld_suspects.set(self._state.suspects.count_withheld())
         metrics.lines_dropped.set(self._count_dropped_lines())
--- a/chervilrock/platform/operator.py
+++ b/chervilrock/platform/operator.py
@@ -3,6 +3,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from chervilrock.decisions.serving.evacuations import EvacuationRecord
 from chervilrock.decisions.serving.site import (
     EngineProfile,
     Limits,
@@ -17,6 +18,7 @@
 
 TOPIC = "keyed.op"
 KEY = "config"
+EVACUATION_PREFIX = "evacuate/"
 
 _MS_PER_S = 1000.0
 _ROUTE_KINDS = {
@@ -99,6 +101,7 @@
 
 
 _DECODER = msgspec.json.Decoder(_Document)
+_EVACUATION_DECODER = msgspec.json.Decoder(dict[str, msgspec.Raw])
 
 
 def decode_configuration(document: bytes) -> Result[SiteConfiguration, str]:
@@ -122,6 +125,28 @@
     )
 
 
+def decode_evacuation(key: str, value: bytes) -> EvacuationRecord | None:
+    """Decode a record of the configuration topic that evacuates a zone.
+
+    Args:
+      key: key of the record.
+      value: a JSON object, empty for a removed record.
+
+    Returns:
+      The record, which may state a problem; None for another record.
+    """
+    if not key.startswith(EVACUATION_PREFIX):
+        return None
+    zone = key.removeprefix(EVACUATION_PREFIX)
+    problem = "" if zone else "the key names no data centre"
+    if value:
+        try:
+            _EVACUATION_DECODER.decode(value)
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            problem = problem or str(error)
+    return EvacuationRecord(zone, is_evacuated=bool(value), problem=problem)
+
+
 def _make_route(route: _Route) -> Route:
     """Translate a route.
 
--- a/chervilrock/platform/settings.py
+++ b/chervilrock/platform/settings.py
@@ -6,6 +6,8 @@
 
 from returns.result import Failure, Result, Success
 
+from chervilrock.decisions.serving.evacuations import DEFAULT_EVACUATION_S
+
 VARIABLE = "CHERVILROCK_NODE_FILE"
 """Environment variable that holds the path of the file."""
 
@@ -41,6 +43,8 @@
       longest_address_age_s: longest time for which callers cache addresses.
       cores: processor time available to the process, in cores.
       stall_s: time after which a group that lost a host aborts its work.
+      evacuation_s: time after the record of an evacuation from which nothing
+        may be sent to the data centre.
     """
 
     node: str
@@ -61,6 +65,7 @@
     longest_address_age_s: float
     cores: float
     stall_s: float
+    evacuation_s: float = DEFAULT_EVACUATION_S
 
 
 class _Fields:
@@ -166,6 +171,10 @@
         cores=fields.number("limits.cpu_share", 1.0)
         * fields.number("limits.cores", 1.0),
         stall_s=fields.number("bounds.stall_ms", 6000.0) / _MS_PER_S,
+        evacuation_s=fields.number(
+            "bounds.evac_ms", DEFAULT_EVACUATION_S * _MS_PER_S
+        )
+        / _MS_PER_S,
     )
     if fields.findings:
         return Failure(tuple(fields.findings))
--- a/chervilrock/serving_metrics.py
+++ b/chervilrock/serving_metrics.py
@@ -106,6 +106,14 @@
             "Sends that were held back because the server pauses or leaves",
             "service",
         )
+        self._evacuated_sends = self._counter(
+            "sends_evacuated_total",
+            "Sends that were held back because the data centre is evacuated",
+            "service",
+        )
+        self.evacuated_data_centres = self._gauge(
+            "data_centres_evacuated", "Data centres that are evacuated"
+        )
         self.pausing_servers = self._gauge(
             "servers_pausing", "Servers that want no requests of this node"
         )
@@ -151,6 +159,10 @@
         """Count a send that was held back as the server pauses or leaves."""
         self._held_sends.labels(self._services.bound(service)).inc()
 
+    def count_evacuated_send(self, service: str) -> None:
+        """Count a send that was held back because of an evacuation."""
+        self._evacuated_sends.labels(self._services.bound(service)).inc()
+
     def count_withheld(self) -> None:
         """Count an attempt of a withheld request."""
         self._withheld_requests.inc()
--- a/chervilrock/standin/site/servers.py
+++ b/chervilrock/standin/site/servers.py
@@ -105,6 +105,8 @@
       runs: requests that the server began to run.
       left: streams whose caller closed the connection before the end.
       running: number of requests that are running.
+      streams: identifiers of the streams that are running.
+      cut: streams that ran when the server left its group.
       orders: orders in the sequence of their arrival.
       lost_orders: number of next orders that are carried out but not
         answered.
@@ -160,6 +162,8 @@
         self._is_down = False
         self._restart: asyncio.Task[None] | None = None
         self.running = 0
+        self.streams: set[str] = set()
+        self.cut: list[str] = []
         self.address = ""
 
     def start(self) -> None:
@@ -298,11 +302,13 @@
         if group is None or group["epoch"] != epoch:
             return 409
         if kind == "leave":
+            self.cut += self.streams
             self.group = None
             self.register()
             return 200
         if kind == "close":
-            self.group = group | {"state": "ready"}
+            self.group = group | {"state": "closing"}
+            self.finish_closing()
             self.register()
             return 200
         if kind != "open":
@@ -315,6 +321,14 @@
         self.register()
         return 202
 
+    def finish_closing(self) -> None:
+        """Leave the closing state when no stream is running any more."""
+        group = self.group
+        if group is None or group["state"] != "closing" or self.streams:
+            return
+        self.group = group | {"state": "ready"}
+        self.register()
+
     def _stage(self, model: str) -> int:
         if model in self.staged:
             return 200
@@ -451,6 +465,8 @@
                 await self._answer(run)
         finally:
             server.running -= 1
+            server.streams.discard(request_id)
+            server.finish_closing()
 
     post = get
 
@@ -472,6 +488,7 @@
             self.finish()
             return
         server.runs.append(run)
+        server.streams.add(run.request_id)
         self._stream_request_id = run.request_id
         self.set_header("Content-Type", "text/event-stream")
         if self._is_crashing():
--- a/chervilrock/standin/site/site.py
+++ b/chervilrock/standin/site/site.py
@@ -1,6 +1,6 @@
 """An installation on loopback: store, servers and configuration."""
 
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping, Sequence
 from typing import Any
 
 from tornado import httpserver, netutil
@@ -109,22 +109,34 @@
         self._store_listeners: list[httpserver.HTTPServer] = []
         self.store_address = ""
 
-    def start(self, *, model_servers: int = 8, plain_servers: int = 2) -> None:
+    def start(
+        self,
+        *,
+        model_servers: int = 8,
+        plain_servers: int = 2,
+        data_centres: Sequence[str] = ("a",),
+    ) -> None:
         """Start the store, write the configuration and start the servers.
 
         Args:
           model_servers: number of hosts for groups; four form a fabric domain.
           plain_servers: number of servers of the plain service.
+          data_centres: the fabric domains, and the plain servers, lie in them
+            by turns.
         """
         self.store_address = self.open_door(self.store.door)
         self.store.write_configuration(make_configuration())
         for number in range(model_servers):
-            self.add_model_server(f"d{number // 4}")
-        for _ in range(plain_servers):
+            domain = number // 4
+            self.add_model_server(
+                f"d{domain}", data_centres[domain % len(data_centres)]
+            )
+        for number in range(plain_servers):
             self.add_server(
                 SiteServer(
                     store=self.store,
                     service=PLAIN_SERVICE,
+                    data_centre=data_centres[number % len(data_centres)],
                     crashing_bodies=self.crashing_bodies,
                 )
             )
@@ -137,13 +149,16 @@
         self._store_listeners.append(server)
         return f"127.0.0.1:{sockets[0].getsockname()[1]}"
 
-    def add_model_server(self, domain: str) -> SiteServer:
+    def add_model_server(
+        self, domain: str, data_centre: str = "a"
+    ) -> SiteServer:
         """Start a host for groups in a fabric domain."""
         return self.add_server(
             SiteServer(
                 store=self.store,
                 service=MODEL_SERVICE,
                 domain=domain,
+                data_centre=data_centre,
                 crashing_bodies=self.crashing_bodies,
             )
         )
@@ -157,11 +172,14 @@
     def write_again(self) -> None:
         """Write the entries that may be missing after a restore from a backup.
 
-        The operator writes its configuration and each server its entry.
+        The operator writes its configuration and its evacuations, and each
+        server its entry.
         Entries of servers that no longer exist are removed, as if they had
         expired.
         """
         self.store.write_configuration(self.store.configuration)
+        for name, is_evacuated in self.store.evacuations.items():
+            self.store.write_evacuation(name, is_evacuated=is_evacuated)
         living = {server.server for server in self.servers}
         topic = self.store.topic("keyed.servers")
         for record in topic.list_newest():
@@ -206,6 +224,8 @@
     ip: str = "127.0.0.1",
     ports: Mapping[str, int] | None = None,
     data_centre: str = "a",
+    data_centres: Collection[str] = (),
+    evac_ms: int = 5000,
 ) -> dict[str, Any]:
     """Return the settings of a node as the platform writes them.
 
@@ -215,6 +235,8 @@
       ip: loopback IP address of the node.
       ports: ports by name; a missing one is 0, which selects a free port.
       data_centre: data centre of the node.
+      data_centres: other data centres of the installation.
+      evac_ms: time allowed for an evacuation.
     """
     ports_by_name = ports or {}
 
@@ -231,7 +253,7 @@
             ports_by_name.get("peers", 0),
             ports_by_name.get("peers", 0),
         ],
-        "zones": {data_centre: "r"},
+        "zones": dict.fromkeys((data_centre, *data_centres), "r"),
         "listen": {
             "front": make_address("callers"),
             "ready": make_address("ready"),
@@ -244,6 +266,7 @@
             "grace_s": 8,
             "ttl_max_s": 5,
             "stall_ms": 6000,
+            "evac_ms": evac_ms,
         },
         "provider": {"address": store_address},
     }
--- a/chervilrock/standin/site/store.py
+++ b/chervilrock/standin/site/store.py
@@ -118,6 +118,8 @@
         a different end offset.
       era: number of restores from a backup.
       configuration: the configuration that the operator wrote last.
+      evacuations: data centres for which the operator wrote a record, and
+        whether it has not removed it since.
     """
 
     def __init__(self) -> None:
@@ -127,6 +129,7 @@
         self.overtaken = 0
         self.era = 0
         self.configuration: dict[str, object] = {}
+        self.evacuations: dict[str, bool] = {}
 
     def restore(self, age_s: float) -> None:
         """Restore a backup of an age; lost offsets are assigned again."""
@@ -145,6 +148,14 @@
         value = msgspec.json.encode(document)
         self.topic("keyed.op").append("config", value)
 
+    def write_evacuation(
+        self, data_centre: str, *, is_evacuated: bool = True
+    ) -> None:
+        """Write or remove the record of an evacuation as the operator."""
+        self.evacuations[data_centre] = is_evacuated
+        value = b"{}" if is_evacuated else b""
+        self.topic("keyed.op").append(f"evacuate/{data_centre}", value)
+
     def make_application(self, door: StoreDoor) -> web.Application:
         """Return the web application for an address."""
         options = {"store": self, "door": door}
--- a/chervilrock/tasks/serving/following.py
+++ b/chervilrock/tasks/serving/following.py
@@ -12,6 +12,7 @@
     NodeEntry,
 )
 from chervilrock.tasks.serving.configuration import ConfigurationKeeper
+from chervilrock.tasks.serving.evacuationkeeper import EvacuationKeeper
 from chervilrock.tasks.serving.noderecords import NodeRecords
 from chervilrock.tasks.serving.poisondetector import PoisonDetector
 from chervilrock.tasks.serving.reads import StoreReads
@@ -37,6 +38,7 @@
         relay: Relay,
         poisondetector: PoisonDetector,
         configuration: ConfigurationKeeper,
+        evacuations: EvacuationKeeper,
         reads: StoreReads,
         waitqueue: WaitQueue,
         apply_claim: Callable[[Claim, float], None],
@@ -52,6 +54,7 @@
           relay: forwards announcements to other nodes.
           poisondetector: receives the announced suspects.
           configuration: receives the announced revision.
+          evacuations: receives the announced evacuations.
           reads: reads of the store.
           waitqueue: queue of the requests that wait for a slot.
           apply_claim: is called with the claim of a newer leader and the
@@ -65,6 +68,7 @@
         self._relay = relay
         self._poisondetector = poisondetector
         self._configuration = configuration
+        self._evacuations = evacuations
         self._reads = reads
         self._waitqueue = waitqueue
         self._apply_claim = apply_claim
@@ -93,6 +97,7 @@
             has_traffic=state.has_traffic,
             relayed=relayed,
             suspects_version=state.suspects.version,
+            evacuations=state.evacuations.list_states(now),
         )
 
     def _apply(self, announcement: Announcement, now: float) -> None:
@@ -122,6 +127,8 @@
                 announcement.suspects,
                 now,
             )
+        # Before the view, which may be the first one of this node.
+        self._evacuations.merge_announced(announcement, now)
         self._apply_loads(announcement, now)
         view = announcement.view
         if view is not None and view.version > state.view.version:
--- a/chervilrock/tasks/serving/leading.py
+++ b/chervilrock/tasks/serving/leading.py
@@ -57,6 +57,11 @@
 servers that still run write them again within two seconds."""
 
 
+INFORMATION_WAIT_S = 1.0
+"""Longest time for which a new leader waits for the records of evacuations,
+which usually arrive with the configuration; without one no node leads."""
+
+
 class LeaderRole:
     """One term of this node as the leader.
 
@@ -106,6 +111,7 @@
         self._sequence = 0
         self._nodes_sequence = 0
         self._has_servers = False
+        self._first_act_at: float | None = None
         self._counted_at = float("-inf")
         self.host_counts: tuple[ModelCount, ...] = ()
         self._pending_removals: dict[str, float] = {}
@@ -221,7 +227,7 @@
     def act(self, now: float) -> None:
         """Perform all actions that are due."""
         self._remove_servers(now)
-        if not self._has_servers:
+        if not self._has_servers or not self._is_informed(now):
             return
         others = [
             node
@@ -233,6 +239,7 @@
         self._log_new_relays(former)
         self._peers.sync(self._recipients.nodes, now)
         self._summarize_answers(now)
+        self._set_evacuated(now)
         self._controller.record_requests(
             self._loads, self.find_usable(now), now
         )
@@ -243,6 +250,27 @@
         update = self._make_update(now)
         self._peers.announce(update, now)
 
+    def _is_informed(self, now: float) -> bool:
+        """Return whether this node knows of earlier evacuations.
+
+        A view of a leader that does not would let a node that has just
+        started send requests to an evacuated data centre.
+        """
+        if self._first_act_at is None:
+            self._first_act_at = now
+        waited_s = now - self._first_act_at
+        is_informed = self._state.evacuations.is_informed
+        return is_informed or waited_s >= INFORMATION_WAIT_S
+
+    def _set_evacuated(self, now: float) -> None:
+        evacuations = self._state.evacuations
+        self._controller.set_evacuated(
+            evacuations.evacuated,
+            evacuations.list_closed(now),
+            evacuations.recorded,
+            now,
+        )
+
     def find_usable(self, now: float) -> Mapping[str, float]:
         """Return the fraction of its slots that nodes may use, by head.
 
@@ -427,6 +455,7 @@
             store_recoveries=self._store.recoveries,
             suspects_sequence=state.suspects.version[1],
             senders=self._senders,
+            evacuations=state.evacuations.list_states(now),
         )
         return Update(
             base=base,
--- a/chervilrock/tasks/serving/node.py
+++ b/chervilrock/tasks/serving/node.py
@@ -27,6 +27,7 @@
 from chervilrock.tasks.mailbox import Mailbox
 from chervilrock.tasks.serving.configuration import ConfigurationKeeper
 from chervilrock.tasks.serving.election import Election
+from chervilrock.tasks.serving.evacuationkeeper import EvacuationKeeper
 from chervilrock.tasks.serving.following import LeaderFollowing
 from chervilrock.tasks.serving.leading import LeaderRole
 from chervilrock.tasks.serving.messages import (
@@ -128,6 +129,9 @@
             decode=ports.decode_configuration,
             now=now,
         )
+        self._evacuations = EvacuationKeeper(
+            state=state, decode=ports.decode_evacuation
+        )
         self._following = LeaderFollowing(
             own=own,
             state=state,
@@ -136,6 +140,7 @@
             relay=self._relay,
             poisondetector=self.poisondetector,
             configuration=self._configuration,
+            evacuations=self._evacuations,
             reads=self._reads,
             waitqueue=waitqueue,
             apply_claim=self._apply_claim,
@@ -280,6 +285,7 @@
             "limits": state.statements.limits.list_limited(),
             "pauses": state.statements.pauses.list_pausing(now),
             "leaving": state.statements.departures.list_servers(),
+            "evacuations": state.evacuations.describe(now),
             "usable_slots": {}
             if leader_role is None
             else leader_role.find_usable(now),
@@ -406,6 +412,7 @@
                 for record in read.page.records:
                     if record.key == _CONFIGURATION_KEY:
                         self._apply_document(record.value, "the store", now)
+                self._evacuations.apply(read, now)
             case Topic.NODES:
                 if self._records.apply(read, now):
                     self._election.forget_registration()
@@ -459,6 +466,7 @@
             self._leader_role.record_answered(answered, now)
         if answer is None:
             return
+        self._evacuations.merge_answered(answer, now)
         if answer.node.incarnation != answered.incarnation:
             # A new process uses the address; its record may arrive later.
             self._records.add(answer.node, now)
@@ -482,6 +490,9 @@
             self._state.statements.expire(now)
             # A limit or the end of a pause may now admit a waiting request.
             self._waitqueue.notify()
+        if self._state.evacuations:
+            # Waiting requests may have to be rejected.
+            self._waitqueue.notify()
         if self._leader_role is None:
             return
         view = self._state.view
--- a/chervilrock/tasks/serving/outbound.py
+++ b/chervilrock/tasks/serving/outbound.py
@@ -20,6 +20,7 @@
     Topic,
 )
 from chervilrock.decisions.serving.effects import Command
+from chervilrock.decisions.serving.evacuations import EvacuationRecord
 from chervilrock.decisions.serving.polling import PollSchedule
 from chervilrock.decisions.serving.site import (
     BackendServer,
@@ -81,6 +82,11 @@
 
 Decode = Callable[[bytes], Result[SiteConfiguration, str]]
 DecodeServer = Callable[[str, bytes], Result[BackendServer, str]]
+DecodeEvacuation = Callable[[str, bytes], EvacuationRecord | None]
+
+
+def _decode_no_evacuation(_key: str, _value: bytes) -> None:
+    return None
 
 
 class Ports(NamedTuple):
@@ -93,6 +99,8 @@
       decode_configuration: decodes a configuration document.
       decode_server: decodes the entry of a server.
       liveness: checks whether backend servers are alive.
+      decode_evacuation: decodes a record of the configuration topic that
+        evacuates a data centre; None for another record.
     """
 
     store: KeyedStore
@@ -101,6 +109,7 @@
     decode_configuration: Decode
     decode_server: DecodeServer
     liveness: ServerLiveness
+    decode_evacuation: DecodeEvacuation = _decode_no_evacuation
 
 
 class Outbound:
--- a/chervilrock/tasks/serving/peers.py
+++ b/chervilrock/tasks/serving/peers.py
@@ -3,6 +3,7 @@
 from collections.abc import Awaitable, Callable, Iterable
 from typing import NamedTuple
 
+from chervilrock.decisions.serving.evacuations import list_versions
 from chervilrock.decisions.serving.suspects import Suspect
 from chervilrock.decisions.serving.view import (
     Acknowledgement,
@@ -37,6 +38,8 @@
       is_answer_pending: whether an answer is pending.
       has_outcome: whether any announcement to it was answered or failed.
       announced_revision: newest revision that was announced to it.
+      announced_evacuations: versions of the evacuations that were announced
+        to it last.
       acknowledgement: its last answer, None before the first.
     """
 
@@ -48,6 +51,7 @@
         self.is_answer_pending = False
         self.has_outcome = False
         self.announced_revision = -1
+        self.announced_evacuations: tuple[tuple[str, int, int], ...] = ()
         self.acknowledgement: Acknowledgement | None = None
 
     def is_live(self, interval_s: float, now: float) -> bool:
@@ -209,13 +213,17 @@
         """
         sends: list[Awaitable[None]] = []
         encoded: dict[tuple[bool, ...], bytes] = {}
+        evacuations = list_versions(update.base.evacuations)
         for peer in self._peers.values():
             has_view = peer.has_view(update.view)
             has_nodes = peer.has_nodes(update.nodes_version)
             has_suspects = peer.has_suspects(update.suspects_version)
             has_revision = peer.announced_revision >= update.base.revision
+            has_news = peer.announced_evacuations != evacuations
             has_lists = has_nodes and has_suspects
-            has_update = not (has_view and has_lists and has_revision)
+            has_update = has_news or not (
+                has_view and has_lists and has_revision
+            )
             is_due = peer.is_due(update, has_update=has_update, now=now)
             if not is_due and not is_last:
                 continue
@@ -233,6 +241,7 @@
             peer.is_answer_pending = True
             peer.sent_at = now
             peer.announced_revision = update.base.revision
+            peer.announced_evacuations = evacuations
             sends.append(self._send(peer.entry, encoded[variant]))
         return sends
 
--- a/chervilrock/tasks/serving/relay.py
+++ b/chervilrock/tasks/serving/relay.py
@@ -49,7 +49,7 @@
         self._forwarded_at = now
         self._lost_after_s = announcement.lost_after_s
         self._sync(announcement, now)
-        update = self._make_update(announcement)
+        update = self._make_update(announcement, now)
         self._peers.announce(update, now, is_last=announcement.is_stopping)
         if not self._peers.has_all_outcomes():
             return None
@@ -85,12 +85,13 @@
             now,
         )
 
-    def _make_update(self, announcement: Announcement) -> Update:
+    def _make_update(self, announcement: Announcement, now: float) -> Update:
         state = self._state
         return Update(
             base=announcement._replace(
                 lost_after_s=announcement.lost_after_s + RELAY_SWITCH_S,
                 loads_lag=announcement.loads_lag + 1,
+                evacuations=state.evacuations.list_states(now),
             ),
             view=state.view,
             nodes=state.nodes,
--- a/chervilrock/tasks/serving/state.py
+++ b/chervilrock/tasks/serving/state.py
@@ -9,6 +9,7 @@
 
 from chervilrock.decisions.serving import placement
 from chervilrock.decisions.serving.activenodes import ActiveNodes
+from chervilrock.decisions.serving.evacuations import Evacuations
 from chervilrock.decisions.serving.failures import (
     exclude_failing,
     GroupFailures,
@@ -81,6 +82,9 @@
       watches: stall detectors of this node's streams, by group.
       suspects: requests during which servers crashed.
       statements: what servers state of themselves in their answers.
+      evacuations: data centres that are evacuated.
+      draining: groups of evacuated data centres that are no longer in the
+        view but may still run streams of this node, by name.
     """
 
     def __init__(
@@ -89,6 +93,7 @@
         own: NodeEntry,
         bounds: RetryBounds,
         generator: random.Random,
+        evacuations: Evacuations | None = None,
     ) -> None:
         """Create a state that contains only this node.
 
@@ -96,6 +101,8 @@
           own: this node.
           bounds: limits on retries.
           generator: draws candidate endpoints and shares of slots.
+          evacuations: empty registry of evacuations, None for one with the
+            default time allowed for them.
         """
         self.own = own
         self.routes: RouteTable | None = None
@@ -122,6 +129,8 @@
         self.watches: dict[str, StallDetector] = {}
         self.suspects = SuspectTable()
         self.statements = ServerStatements(own=own.node)
+        self.draining: dict[str, GroupEndpoint] = {}
+        self.evacuations = Evacuations() if evacuations is None else evacuations
 
     @property
     def revision(self) -> int:
@@ -131,6 +140,13 @@
 
     def apply_view(self, view: ServingView, now: float) -> None:
         """Replace the view; drop what is known of absent endpoints."""
+        self.draining.update(
+            (group.group, group)
+            for group in self.view.groups
+            if self.evacuations.is_evacuated(group.data_centre)
+        )
+        for group in view.groups:
+            self.draining.pop(group.group, None)
         self.view = view
         self.view_time = now
         self._forget_failures(frozenset(group.group for group in view.groups))
@@ -228,9 +244,7 @@
         """Return the best server of a plain service with a free slot."""
         return placement.choose(
             self._list_permitted(self.list_servers(service), now),
-            lambda server: self._find_load(
-                server.server, server.server, server.slots, now
-            ),
+            lambda server: self._find_load(server, server.slots, now),
             data_centre=self.own.data_centre,
             avoided=avoided,
             bound=placement.SERVER_BOUND,
@@ -240,7 +254,8 @@
     def _list_permitted(
         self, endpoints: list[Endpoint], now: float
     ) -> list[Endpoint]:
-        """Return the endpoints that want a request of this node now."""
+        """Return the endpoints that may get a request of this node now."""
+        endpoints = self.list_open(endpoints, now)
         if not self.statements:
             return endpoints
         return [
@@ -249,6 +264,22 @@
             if self.statements.may_send(endpoint.server, now)
         ]
 
+    def list_open(
+        self, endpoints: list[Endpoint], now: float
+    ) -> list[Endpoint]:
+        """Return the endpoints outside of evacuated data centres.
+
+        Those of a data centre whose evacuation has just begun are included.
+        """
+        if not self.evacuations:
+            return endpoints
+        closed = self.evacuations.list_closed(now)
+        return [
+            endpoint
+            for endpoint in endpoints
+            if endpoint.data_centre not in closed
+        ]
+
     def is_forming(self, model: str) -> bool:
         """Return whether a group of a model is expected to serve soon.
 
@@ -469,19 +500,21 @@
         self, group: GroupEndpoint, slots: int, now: float
     ) -> Load:
         """Return the load of a group with this node's limit on it."""
-        load = self._find_load(group.server, group.group, slots, now)
+        load = self._find_load(group, slots, now)
         limit = self._shares.find_limit(group.server, slots, now)
         return load._replace(own_limit=limit)
 
     def _find_load(
-        self, server: str, endpoint: str, slots: int, now: float
+        self, endpoint: GroupEndpoint | ServerEndpoint, slots: int, now: float
     ) -> Load:
+        server = endpoint.server
         return Load(
             own=self._own_loads.get(server, 0),
             others=self._other_loads.get(server, 0),
             slots=max(1, slots),
-            is_deprioritized=self.is_avoided(endpoint, now)
-            or self.statements.pauses.is_recent(server, now),
+            is_deprioritized=self.is_avoided(endpoint.name, now)
+            or self.statements.pauses.is_recent(server, now)
+            or self.evacuations.is_evacuated(endpoint.data_centre),
         )
 
 
--- a/test/node/serving_site.py
+++ b/test/node/serving_site.py
@@ -1,7 +1,7 @@
 """A stand-in of the platform with serving nodes, in one event loop."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 import itertools
 from typing import Any, NamedTuple
 
@@ -52,10 +52,19 @@
         self.sends = CallerSends()
         self._number = 0
         self._node_count = 0
+        self._shared: dict[str, Any] = {}
 
-    async def start(self, nodes: int = 1, **servers: int) -> None:
+    async def start(
+        self,
+        nodes: int = 1,
+        *,
+        data_centres: Sequence[str] = ("a",),
+        evac_ms: int = 5000,
+        **servers: int,
+    ) -> None:
         """Start the site and nodes, and wait until both models are served."""
-        self.site.start(**servers)
+        self.site.start(data_centres=data_centres, **servers)
+        self._shared = {"data_centres": data_centres, "evac_ms": evac_ms}
         for _ in range(nodes):
             self.add_node()
         await self.wait(self.serves_all, "all models served")
@@ -90,7 +99,9 @@
         )
 
     def _start_node(self, **options: Any) -> ServingNode:
-        settings = decode_settings(make_node_file(**options)).unwrap()
+        settings = decode_settings(
+            make_node_file(**options, **self._shared)
+        ).unwrap()
         node = ServingNode(settings=settings)
         node.start()
         self.nodes.append(node)
@@ -213,20 +224,20 @@
     scenario: Callable[[World], Awaitable[Any]],
     *,
     nodes: int = 1,
-    **servers: int,
+    **options: Any,
 ) -> None:
     """Run a scenario in an event loop of its own.
 
     Args:
       scenario: gets the started world.
       nodes: number of nodes.
-      servers: numbers of servers, as for Site.start.
+      options: options of World.start.
     """
 
     async def run() -> None:
         world = World()
         try:
-            await world.start(nodes, **servers)
+            await world.start(nodes, **options)
             await scenario(world)
         finally:
             await world.stop()
