--- a/test/decisions/serving/fleet.py
+++ b/test/decisions/serving/fleet.py
@@ -5,9 +5,11 @@
 after all of its members were ready.
 """
 
+from collections.abc import Mapping
 import heapq
 import itertools
 import random
+from types import MappingProxyType
 from typing import Any, NamedTuple
 
 from chervilrock.decisions.serving.controller import Controller
@@ -98,14 +100,23 @@
         self.is_unreachable = False
         self.is_leaving = False
         self.stale_entry: BackendServer | None = None
+        self.busy_until = 0.0
 
 
 class Fleet:
     """Servers, their entries in the store, and the controller of them."""
 
     def __init__(
-        self, *, domains: int, hosts: int, seed: int, term: int = 1
+        self,
+        *,
+        domains: int,
+        hosts: int,
+        seed: int,
+        term: int = 1,
+        data_centres: Mapping[str, str] = MappingProxyType({}),
     ) -> None:
+        self.data_centres = data_centres
+        self.orders: list[tuple[str, Order]] = []
         self.generator = random.Random(seed)
         self.now = 100.0
         self.faults = Faults()
@@ -203,7 +214,7 @@
             server=server.server,
             service=SERVICE,
             address=f"{server.server}:1",
-            data_centre="a",
+            data_centre=self.data_centres.get(server.domain, "a"),
             domain=server.domain,
             is_leaving=server.is_leaving,
             slots=13,
@@ -215,6 +226,8 @@
     def obey(self, name: str, order: Order) -> OrderReply:
         """Execute an order and check the guarantees."""
         server = self.servers[name]
+        if server.domain in self.data_centres:
+            self.orders.append((name, order))
         match order:
             case Join():
                 return self._join(server, order)
@@ -314,9 +327,18 @@
         if current is None or current.epoch != order.epoch:
             return OrderReply.CONFLICT
         server.obeyed += 1
-        server.membership = current._replace(state=MemberState.READY)
+        server.membership = current._replace(state=MemberState.CLOSING)
+        self._finish_closing(server)
         return OrderReply.STARTED
 
+    def _finish_closing(self, server: FakeServer) -> None:
+        current = server.membership
+        is_closing = (
+            current is not None and current.state is MemberState.CLOSING
+        )
+        if current is not None and is_closing and self.now >= server.busy_until:
+            server.membership = current._replace(state=MemberState.READY)
+
     def _leave(self, server: FakeServer, order: Leave) -> OrderReply:
         current = server.membership
         if current is None or current.epoch != order.epoch:
@@ -389,6 +411,7 @@
 
     def _finish_joins(self) -> None:
         for server in self.servers.values():
+            self._finish_closing(server)
             current = server.membership
             is_joining = (
                 current is not None and current.state is MemberState.JOINING
--- a/test/tasks/installation.py
+++ b/test/tasks/installation.py
@@ -31,6 +31,7 @@
     SiteConfiguration,
 )
 from chervilrock.decisions.serving.view import NodeEntry
+from chervilrock.platform.operator import decode_evacuation
 from chervilrock.platform.store import TIMEOUT_S
 from chervilrock.tasks.serving import node as node_module
 from chervilrock.tasks.serving import poisondetector as poisondetector_module
@@ -438,6 +439,7 @@
                 decode_configuration=_decode_configuration,
                 decode_server=_decode_server,
                 liveness=Liveness(crashed=self.crashed_servers),
+                decode_evacuation=decode_evacuation,
             ),
             state=state,
             waitqueue=WaitQueue(),
--- /dev/null
+++ b/test/tasks/test_evacuations.py
@@ -0,0 +1,86 @@
+"""How the news of an evacuation reaches all nodes, in virtual time."""
+
+import asyncio
+
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Is, LessThan
+
+from chervilrock.clients.serving import Topic
+from test.tasks.installation import Fault, Installation
+from test.tasks.virtual_time import run_virtually
+
+NEWS_S = 2.0
+"""Time within which all nodes know, so that they stop 4 s after the record."""
+
+EVACUATION_S = 5.0
+
+
+async def start(monkeypatch, nodes: int) -> Installation:
+    site = Installation(monkeypatch=monkeypatch, seed=nodes)
+    await site.start(nodes=nodes, data_centres=3)
+    await asyncio.sleep(5.0)
+    return site
+
+
+def write(site: Installation, value: bytes) -> None:
+    site.store.append(Topic.CONFIGURATION, "evacuate/p0", value)
+
+
+def count_knowing(site: Installation) -> int:
+    return sum(
+        node.state.evacuations.is_evacuated("p0")
+        for node in site.running_nodes.values()
+    )
+
+
+@pytest.mark.parametrize("blind", ["nobody", "the leader", "all but one"])
+@pytest.mark.parametrize("nodes", [6, 86])
+def test_all_nodes_know_and_send_nothing_in_time(
+    monkeypatch, nodes, blind
+) -> None:
+    # Most nodes of large data centres do not read the store. A leader that
+    # the store rejects learns it from the others.
+    async def check() -> float:
+        site = await start(monkeypatch, nodes)
+        leader = site.find_leader()
+        assert leader is not None
+        readers = {
+            address
+            for address, node in site.running_nodes.items()
+            if node.state.own.data_centre == "p1" and address != leader
+        }
+        rejected = {
+            "nobody": set(),
+            "the leader": {leader},
+            "all but one": set(site.running_nodes) - readers,
+        }[blind]
+        if rejected:
+            site.begin_fault(Fault.BUSY, rejected)
+        write(site, b"{}")
+        began = site.loop.time()
+        await site.wait_until(lambda: count_knowing(site) == nodes, 10.0)
+        lateness_s = site.loop.time() - began
+        await asyncio.sleep(EVACUATION_S - lateness_s)
+        now = site.loop.time()
+        for node in site.running_nodes.values():
+            assert_that(node.state.evacuations.is_closed("p0", now), Is(True))
+            chosen = node.state.choose_server("desk", frozenset(), now)
+            assert chosen is None
+        site.end_fault()
+        write(site, b"")
+        await site.wait_until(lambda: count_knowing(site) == 0, 10.0)
+        await site.wait_until(
+            lambda: all(
+                node.state.view.servers for node in site.running_nodes.values()
+            ),
+            3.0,
+        )
+        now = site.loop.time()
+        for node in site.running_nodes.values():
+            chosen = node.state.choose_server("desk", frozenset(), now)
+            assert chosen is not None
+        await site.stop()
+        return lateness_s
+
+    assert_that(run_virtually(check()), LessThan(NEWS_S))
