--- a/bench/statements.py
+++ b/bench/statements.py
@@ -183,6 +183,10 @@
         """
         self._intervals.setdefault(subject, []).append((begin, end))
 
+    def list_intervals(self, subject: object) -> list[tuple[float, float]]:
+        """Return when a subject was disturbed, in the order of the begins."""
+        return sorted(self._intervals.get(subject, ()))
+
     def has_node(
         self, node: str, server: SiteServer, begin: float, end: float
     ) -> bool:
--- a/chervilrock/decisions/serving/evacuations.py
+++ b/chervilrock/decisions/serving/evacuations.py
@@ -290,14 +290,3 @@
     return tuple(
         (state.data_centre, state.era, state.offset) for state in states
     )
-
-
-def merge_states(states: Iterable[Evacuation]) -> tuple[Evacuation, ...]:
-    """Return the newest of several states of each data centre."""
-    newest: dict[str, Evacuation] = {}
-    for state in states:
-        known = newest.get(state.data_centre)
-        order = (state.version, state.age_s)
-        if known is None or order > (known.version, known.age_s):
-            newest[state.data_centre] = state
-    return tuple(newest[name] for name in sorted(newest))
--- a/chervilrock/decisions/serving/view.py
+++ b/chervilrock/decisions/serving/view.py
@@ -5,7 +5,7 @@
 from types import MappingProxyType
 from typing import NamedTuple
 
-from chervilrock.decisions.serving.evacuations import Evacuation, merge_states
+from chervilrock.decisions.serving.evacuations import Evacuation
 from chervilrock.decisions.serving.serverlimits import LimitedServer
 from chervilrock.decisions.serving.suspects import Suspect
 
@@ -189,7 +189,6 @@
       term: greatest term that one of them knows.
       revision: greatest revision that one of them has in force.
       holder: node with this revision, None without a revision.
-      evacuations: newest evacuations that one of them knows of.
     """
 
     nodes: tuple[str, ...] = ()
@@ -200,7 +199,6 @@
     term: int = -1
     revision: int = -1
     holder: NodeEntry | None = None
-    evacuations: tuple[Evacuation, ...] = ()
 
 
 class Acknowledgement(NamedTuple):
@@ -242,14 +240,12 @@
     loads: Counter[str] = Counter()
     stalled: Counter[str] = Counter()
     nodes: list[str] = []
-    evacuations: list[Evacuation] = []
     senders = 0
     for summary in summaries:
         senders += summary.senders
         loads.update(summary.loads)
         stalled.update(summary.stalled)
         nodes += summary.nodes
-        evacuations += summary.evacuations
         is_newer = summary.revision > total.revision
         total = total._replace(
             has_traffic=total.has_traffic or summary.has_traffic,
@@ -258,11 +254,7 @@
             holder=summary.holder if is_newer else total.holder,
         )
     return total._replace(
-        nodes=tuple(nodes),
-        loads=loads,
-        senders=senders,
-        stalled=stalled,
-        evacuations=merge_states(evacuations),
+        nodes=tuple(nodes), loads=loads, senders=senders, stalled=stalled
     )
 
 
@@ -277,5 +269,4 @@
         term=answer.term,
         revision=answer.revision,
         holder=answer.node if answer.revision >= 0 else None,
-        evacuations=answer.evacuations,
     )
--- a/chervilrock/tasks/serving/evacuationkeeper.py
+++ b/chervilrock/tasks/serving/evacuationkeeper.py
@@ -74,10 +74,11 @@
         self._merge(announcement.evacuations, leader, now)
 
     def merge_answered(self, answer: Acknowledgement, now: float) -> None:
-        """Apply what a node, and those behind it, answer to an announcement."""
+        """Apply what a node answers to an announcement.
+
+        A relay knows what the nodes behind it have answered.
+        """
         self._merge(answer.evacuations, answer.node.node, now)
-        if answer.relayed is not None:
-            self._merge(answer.relayed.evacuations, answer.node.node, now)
 
     def _merge(
         self, told: Iterable[Evacuation], source: str, now: float
