--- a/chervilrock/catalogue.py
+++ b/chervilrock/catalogue.py
@@ -364,6 +364,23 @@
         "field {field} of the configuration is {value}, which is not a number "
         "of 0 or more and is ignored",
     )
+    EVACUATION_BEGUN = EventSpec(
+        7334,
+        Level.WARNING,
+        "data centre {data_centre} is evacuated, version {version} from "
+        "{source}",
+    )
+    EVACUATION_ENDED = EventSpec(
+        7335,
+        Level.INFO,
+        "data centre {data_centre} is no longer evacuated, version {version} "
+        "from {source}",
+    )
+    EVACUATION_UNREADABLE = EventSpec(
+        7336,
+        Level.WARNING,
+        "record {key} of the store evacuates no data centre: {reason}",
+    )
     REQUEST_SENT = EventSpec(
         7401,
         Level.INFO,
@@ -429,6 +446,12 @@
         "request {request_id} is not sent to server {server}, which pauses, "
         "leaves or warms up since it was chosen",
     )
+    SEND_EVACUATED = EventSpec(
+        7414,
+        Level.INFO,
+        "request {request_id} is not sent to server {server}, whose data "
+        "centre {data_centre} was evacuated after it was chosen",
+    )
     EVENT_MALFORMED = EventSpec(
         9001, Level.ERROR, "event {event_name} has wrong fields: {difference}"
     )
--- a/chervilrock/decisions/serving/view.py
+++ b/chervilrock/decisions/serving/view.py
@@ -5,6 +5,7 @@
 from types import MappingProxyType
 from typing import NamedTuple
 
+from chervilrock.decisions.serving.evacuations import Evacuation
 from chervilrock.decisions.serving.serverlimits import LimitedServer
 from chervilrock.decisions.serving.suspects import Suspect
 
@@ -151,6 +152,7 @@
       suspects: requests under which servers have crashed, None when the node
         has the list.
       senders: number of nodes whose requests are counted in `loads`.
+      evacuations: the evacuations that the leader knows of.
     """
 
     term: int
@@ -171,6 +173,7 @@
     suspects_sequence: int = 0
     suspects: tuple[Suspect, ...] | None = None
     senders: int = 0
+    evacuations: tuple[Evacuation, ...] = ()
 
 
 class Summary(NamedTuple):
@@ -214,6 +217,7 @@
       relayed: aggregate of the answers of the nodes to which it forwards
         announcements, None until each of them was tried once.
       suspects_version: term and number of the list of suspects that it uses.
+      evacuations: the evacuations that the node knows of.
     """
 
     term: int
@@ -227,6 +231,7 @@
     has_traffic: bool
     relayed: Summary | None = None
     suspects_version: tuple[int, int] = (-1, 0)
+    evacuations: tuple[Evacuation, ...] = ()
 
 
 def merge_summaries(summaries: Iterable[Summary]) -> Summary:
--- a/chervilrock/edges/serving/exchange.py
+++ b/chervilrock/edges/serving/exchange.py
@@ -342,8 +342,15 @@
         """Return whether a server wants the request that is about to be sent.
 
         It may have asked for a pause, said that it leaves, or begun to warm up
-        after it was chosen.
+        after it was chosen, or its data centre may have been evacuated.
         """
+        now = read_clock()
+        if self._state.evacuations.is_closed(endpoint.data_centre, now):
+            self._context.metrics.count_evacuated_send(self._service)
+            exchangelog.log_evacuated(
+                self.request_id, endpoint.server, endpoint.data_centre
+            )
+            return False
         if self._search.begin_send():
             return True
         self._context.metrics.count_held_send(self._service)
--- a/chervilrock/platform/settings.py
+++ b/chervilrock/platform/settings.py
@@ -6,6 +6,8 @@
 
 from returns.result import Failure, Result, Success
 
+from chervilrock.decisions.serving.evacuations import DEFAULT_EVACUATION_S
+
 VARIABLE = "CHERVILROCK_NODE_FILE"
 """Environment variable that holds the path of the file."""
 
@@ -44,6 +46,8 @@
       warmup_overage: factor on the requests a second that a cold server
         tolerates.
       warmup_slack: further requests that it may get in a second.
+      evacuation_s: time after the record of an evacuation from which nothing
+        may be sent to the data centre.
     """
 
     node: str
@@ -66,6 +70,7 @@
     stall_s: float
     warmup_overage: float = 1.5
     warmup_slack: float = 5.0
+    evacuation_s: float = DEFAULT_EVACUATION_S
 
 
 class _Fields:
@@ -173,6 +178,10 @@
         stall_s=fields.number("bounds.stall_ms", 6000.0) / _MS_PER_S,
         warmup_overage=fields.number("bounds.warmup_overage", 1.5),
         warmup_slack=fields.number("bounds.warmup_slack", 5.0),
+        evacuation_s=fields.number(
+            "bounds.evac_ms", DEFAULT_EVACUATION_S * _MS_PER_S
+        )
+        / _MS_PER_S,
     )
     if fields.findings:
         return Failure(tuple(fields.findings))
