--- a/test/node/test_evacuations.py
+++ b/test/node/test_evacuations.py
@@ -299,5 +299,5 @@
         assert_that(node.state.evacuations.recorded, HasLength(0))
 
     run_world(scenario, **TWO)
-    unreadable = [line for line in log_lines if "E7333" in line]
+    unreadable = [line for line in log_lines if "E7336" in line]
     assert_that(unreadable, HasLength(3))
