Hold what callers do not read, and their bodies, within one budget

Each connection held up to 1 MiB of unread answer, and bodies of up to 8 MB each, and nothing bounded their sum; the platform kills a process that exceeds limits.memory_mb.

All of these bytes now share a quarter of memory_mb (none without the setting). Each reader may leave as many bytes unread as are left of 0.7 of the budget; beyond that its transfer is paused, in constant time per event. Above 0.9 the largest answers end, by a reset of the connection once they have begun. A body counts as it arrives, and one that does not fit gets 503 and Retry-After at once; the rest of it is received and discarded for up to 2 s, since a connection that is closed at once would lose the answer. A paused stream does not count for the detection of stalled groups: without that, the test of many callers fails, as their streams are moved to other groups. An answer of HTTP/1.0 that is aborted is reset too: closed, it looked complete.

--- a/chervilrock/catalogue.py
+++ b/chervilrock/catalogue.py
@@ -408,6 +408,26 @@
         "request {request_id} is not sent to server {server}, which stated "
         "after it was chosen that it pauses or leaves",
     )
+    ANSWERS_PAUSED = EventSpec(
+        7411,
+        Level.WARNING,
+        "callers leave {unread} bytes of answers unread, {collected} bytes are "
+        "not complete yet, and bodies take {bodies} bytes of a budget of "
+        "{budget}: {paused} answers are paused",
+    )
+    ANSWER_ENDED = EventSpec(
+        7412,
+        Level.WARNING,
+        "an answer of which {size} bytes are held was ended, as the memory "
+        "for callers was used up",
+    )
+    BODY_REJECTED = EventSpec(
+        7413,
+        Level.WARNING,
+        "request {request_id} is rejected after {received} bytes of its body, "
+        "which does not fit: bodies take {bodies} bytes, and callers leave "
+        "{unread} bytes of answers unread",
+    )
     EVENT_MALFORMED = EventSpec(
         9001, Level.ERROR, "event {event_name} has wrong fields: {difference}"
     )
--- a/chervilrock/edges/serving/callers.py
+++ b/chervilrock/edges/serving/callers.py
@@ -5,27 +5,45 @@
 from tornado import httputil
 from tornado.http1connection import HTTP1Connection
 
+from chervilrock.decisions.serving.callerbuffers import find_body_retry_after
 from chervilrock.edges.serving.callerrequest import CallerRequest
-from chervilrock.edges.serving.connection import CallerConnection
+from chervilrock.edges.serving.connection import (
+    CallerConnection,
+    CallerMemory,
+)
 from chervilrock.edges.serving.exchange import Context, Exchange
+from chervilrock.events import emit, Event
 from chervilrock.platform import headers as names
 from chervilrock.tasks.clock import read_clock
 
+UNAVAILABLE = 503
+
+MAX_DIGITS = 18
+"""Digits of a stated length that are read; Tornado rejects such long bodies."""
+
+LINGER_S = 2.0
+"""Time for which the rest of a rejected body is received and discarded. If the
+connection was closed at once, the caller would see a reset connection instead
+of the answer."""
+
 
 class CallerEdge(httputil.HTTPServerConnectionDelegate):
     """Starts an exchange for each request on the connections of callers.
 
     Attributes:
       exchanges: requests in progress by identifier.
+      memory: counts what is held for callers.
     """
 
-    def __init__(self, *, context: Context) -> None:
+    def __init__(self, *, context: Context, budget: float) -> None:
         """Create an edge without requests.
 
         Args:
           context: objects that all requests of the node share.
+          budget: bytes that may be held for callers, inf for any number.
         """
         self._context = context
+        self.memory = CallerMemory(budget=budget, metrics=context.metrics)
         self._tasks: set[asyncio.Task[None]] = set()
         self.exchanges: dict[str, Exchange] = {}
 
@@ -43,11 +61,11 @@
     def start(
         self, request: CallerRequest, connection: HTTP1Connection
     ) -> None:
-        """Start the exchange of a request that was received completely."""
-        answer = CallerConnection(
-            connection=connection,
-            is_stopping=self._context.state.is_stopping,
-        )
+        """Start the exchange of a request that was received completely.
+
+        Its body was counted, and is released at the end of the exchange.
+        """
+        answer = self._make_answer(connection)
         exchange = Exchange(
             context=self._context, request=request, connection=answer
         )
@@ -56,6 +74,46 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    def reject_body(
+        self, request_id: str, received: int, connection: HTTP1Connection
+    ) -> None:
+        """Answer a request whose body does not fit, without completing it.
+
+        Args:
+          request_id: identifier of the request.
+          received: bytes of the body that were received.
+          connection: connection on which the answer is written; the caller
+            of this method finishes it.
+        """
+        self._context.metrics.count_rejected_body()
+        use = self.memory.describe()
+        emit(
+            Event.BODY_REJECTED,
+            request_id=request_id,
+            received=received,
+            bodies=use.bodies,
+            unread=use.unread,
+        )
+        retry_after_s = find_body_retry_after(
+            self._context.state.generator.random()
+        )
+        self._make_answer(connection).write_whole(
+            UNAVAILABLE,
+            (
+                ("Content-Type", "application/json"),
+                ("Retry-After", f"{retry_after_s:.2f}"),
+                ("Connection", "close"),
+            ),
+            b'{"error":"no memory for the body"}',
+        )
+
+    def _make_answer(self, connection: HTTP1Connection) -> CallerConnection:
+        return CallerConnection(
+            connection=connection,
+            is_stopping=self._context.state.is_stopping,
+            memory=self.memory,
+        )
+
     def record_stall(self, request_ids: tuple[str, ...], now: float) -> int:
         """Move streams away from a stalled group.
 
@@ -74,6 +132,7 @@
         try:
             await exchange.run()
         finally:
+            self.memory.release_body(exchange.body_size)
             if self.exchanges.get(exchange.request_id) is exchange:
                 del self.exchanges[exchange.request_id]
 
@@ -87,6 +146,9 @@
         self._edge = edge
         self._connection = connection
         self._chunks: list[bytes] = []
+        self._counted = 0
+        self._is_rejected = False
+        self._linger: asyncio.TimerHandle | None = None
         self._arrived = read_clock()
 
     def headers_received(
@@ -100,13 +162,29 @@
         self._arrived = read_clock()
         self._line = start_line
         self._headers = headers
+        length = headers.get("Content-Length", "")
+        is_number = length.isascii() and length.isdigit()
+        if is_number and not self._edge.memory.fits(int(length[:MAX_DIGITS])):
+            self._reject()
+            if "Expect" in headers:
+                # The caller sends the body only when it is asked to.
+                self._end_rejected()
 
     def data_received(self, chunk: bytes) -> None:
         """See base class."""
-        self._chunks.append(chunk)
+        if self._is_rejected:
+            return
+        if self._edge.memory.add_body(len(chunk)):
+            self._counted += len(chunk)
+            self._chunks.append(chunk)
+        else:
+            self._reject()
 
     def finish(self) -> None:
         """See base class."""
+        if self._is_rejected:
+            self._end_rejected()
+            return
         pairs = tuple(self._headers.get_all())
         request = CallerRequest(
             method=self._line.method,
@@ -117,8 +195,36 @@
             facts=names.read_request(pairs),
             arrived=self._arrived,
         )
+        self._chunks.clear()
         self._edge.start(request, self._connection)
 
     def on_connection_close(self) -> None:
         """See base class; an incomplete request is dropped."""
+        self._release()
+        if self._linger is not None:
+            self._linger.cancel()
+
+    def _reject(self) -> None:
+        """Answer at once, and discard the rest of the body."""
+        received = self._counted
+        self._release()
+        self._is_rejected = True
+        facts = names.read_request(tuple(self._headers.get_all()))
+        self._edge.reject_body(facts.request_id, received, self._connection)
+        self._linger = asyncio.get_running_loop().call_later(
+            LINGER_S, self._end_rejected
+        )
+
+    def _end_rejected(self) -> None:
+        """Complete the answer to a rejected request, once."""
+        if self._linger is None:
+            return
+        self._linger.cancel()
+        self._linger = None
+        self._connection.finish()
+
+    def _release(self) -> None:
+        """Release the part of the body that was received."""
         self._chunks.clear()
+        self._edge.memory.release_body(self._counted)
+        self._counted = 0
--- a/chervilrock/edges/serving/exchange.py
+++ b/chervilrock/edges/serving/exchange.py
@@ -18,6 +18,7 @@
     choose_service,
     Denial,
 )
+from chervilrock.decisions.serving.stalls import StallDetector
 from chervilrock.decisions.serving.suspects import Suspect
 from chervilrock.decisions.serving.view import GroupEndpoint
 from chervilrock.decisions.serving.waiting import (
@@ -31,7 +32,11 @@
 )
 from chervilrock.edges.serving import exchangelog
 from chervilrock.edges.serving.callerrequest import CallerRequest
-from chervilrock.edges.serving.connection import CallerConnection
+from chervilrock.edges.serving.connection import (
+    AnswerSource,
+    CallerConnection,
+    ENDED_REASON,
+)
 from chervilrock.edges.serving.receiver import AnswerReceiver
 from chervilrock.edges.serving.retryreservation import RetryReservation
 from chervilrock.edges.serving.slots import Endpoint, SlotChoice, SlotSearch
@@ -73,7 +78,7 @@
     poisondetector: PoisonDetector
 
 
-class Exchange:
+class Exchange(AnswerSource):
     """Finds a slot for a request, sends it to a server and answers the caller.
 
     Attributes:
@@ -98,11 +103,13 @@
         self._state = context.state
         self._request = request
         self._connection = connection
+        connection.source = self
         self.request_id = request.facts.request_id
         self._expires = request.arrived
         self._last_event = request.facts.last_event
         self._progress = Progress(sends=0, may_have_run=False)
         self._transfer: Transfer | None = None
+        self._detector: StallDetector | None = None
         self._interrupted: asyncio.Future[SendOutcome] | None = None
         self._is_caller_gone = False
         self._sent_at = request.arrived
@@ -159,6 +166,33 @@
         self._connection.close()
         self._interrupt(SendOutcome.LOST)
 
+    def pause(self) -> None:
+        """See base class.
+
+        A paused stream says nothing about the progress of its group.
+        """
+        if self._transfer is not None:
+            self._transfer.pause()
+        if self._detector is not None:
+            self._detector.record_end(self.request_id)
+
+    def resume(self) -> None:
+        """See base class."""
+        if self._detector is not None:
+            self._detector.record_sent(self.request_id, read_clock())
+        if self._transfer is not None:
+            self._transfer.resume()
+
+    def end(self) -> None:
+        """See base class."""
+        self._search.is_cancelled = True
+        self._interrupt(SendOutcome.LOST)
+
+    @property
+    def body_size(self) -> int:
+        """Size of the body of the request in bytes."""
+        return len(self._request.body)
+
     def move_away(self, now: float) -> bool:
         """Move the stream away from a stalled group if it may be resumed.
 
@@ -200,6 +234,12 @@
         await self._check.wait_for_verdict(self._expires)
         while await self._find_slot(admission):
             end, status = await self._send(admission)
+            if end is not SendOutcome.COMPLETE:
+                # The caller gets the events that it has not read yet before
+                # the stream is resumed or aborted.
+                await self._connection.wait_until_flowing(
+                    self._expires - read_clock()
+                )
             if not self._should_continue(admission, end, status):
                 return
             await self._check.wait_for_verdict(self._expires)
@@ -210,8 +250,7 @@
         """Return whether to send again; otherwise the caller has an answer."""
         now = read_clock()
         route = admission.route
-        if self._is_caller_gone:
-            self._log_end("left", status)
+        if self._has_ended(status):
             return False
         if now >= self._expires:
             self._fail(GATEWAY_TIMEOUT, "the time limit was reached")
@@ -238,11 +277,25 @@
         self._give_up(end)
         return False
 
+    def _has_ended(self, status: int) -> bool:
+        """Return whether the caller has left or its answer was ended."""
+        if self._connection.was_ended:
+            if self._connection.is_done:
+                self._log_end(ENDED_REASON, status)
+            else:
+                self._fail(BAD_GATEWAY, ENDED_REASON)
+            return True
+        if self._is_caller_gone:
+            self._log_end("left", status)
+            return True
+        return False
+
     def _record_retry(self, end: SendOutcome) -> None:
         exchangelog.log_retry(self._describe_retry(end))
         if self._progress.sends:
             self._context.metrics.count_retry(end.value)
         self._answer = None
+        self._connection.record_collected(0)
 
     def _describe_retry(self, end: SendOutcome) -> exchangelog.Retry:
         return exchangelog.Retry(
@@ -286,8 +339,7 @@
     async def _find_slot(self, admission: Admission) -> bool:
         """Acquire a slot; return False if the caller has an answer instead."""
         rejection = await self._search.find(admission)
-        if self._is_caller_gone:
-            self._log_end("left", 0)
+        if self._has_ended(0):
             return False
         if rejection is None:
             return self._may_send()
@@ -324,6 +376,7 @@
             deliver=self._deliver,
             progress=lambda: self._record_progress(endpoint),
             record_facts=lambda facts: self._record_facts(endpoint, facts),
+            record_collected=self._connection.record_collected,
         )
         transfer = Transfer(
             request=self._make_request(admission, endpoint, now),
@@ -365,6 +418,7 @@
             detector = self._state.watch(endpoint.group)
         if detector is not None:
             detector.record_sent(self.request_id, now)
+        self._detector = detector
         running = loop.create_task(self._borrow_and_run(transfer))
         _RUNNING.add(running)
         running.add_done_callback(_RUNNING.discard)
@@ -378,7 +432,7 @@
         finally:
             if detector is not None:
                 detector.record_end(self.request_id)
-            self._transfer = None
+            self._transfer = self._detector = None
             interrupted, self._interrupted = self._interrupted, None
         if running.done():
             return running.result()
@@ -471,12 +525,19 @@
         if transfer.sent and outcome is not SendOutcome.NOT_RUN:
             self._progress = self._progress._replace(may_have_run=True)
         status = 0 if facts is None else facts.status
-        self._avoid_after_failure(outcome, status, endpoint)
+        self._avoid_after_failure(
+            outcome, status, endpoint, was_paused=transfer.was_paused
+        )
         self._keep_answer(transfer, receiver)
         return outcome, status
 
     def _avoid_after_failure(
-        self, end: SendOutcome, status: int, endpoint: Endpoint
+        self,
+        end: SendOutcome,
+        status: int,
+        endpoint: Endpoint,
+        *,
+        was_paused: bool,
     ) -> None:
         """Avoid an endpoint for a while if it did not answer, or failed."""
         now = read_clock()
@@ -497,6 +558,9 @@
         if asked_for_pause:
             # The server works; the leader need not verify its group.
             return
+        if was_paused:
+            # A server may cut off an answer that this node does not read.
+            return
         if is_lost and not self._is_caller_gone and now < self._expires:
             self._state.avoid(endpoint.name, now)
 
@@ -507,6 +571,7 @@
             self._answer = bytes(receiver.body)
             self._answer_head = transfer.head
             self._answer_status = transfer.head.status
+        self._connection.record_collected(len(self._answer or b""))
 
     _answer: bytes | None = None
     _answer_head: Head | None = None
--- a/chervilrock/edges/serving/receiver.py
+++ b/chervilrock/edges/serving/receiver.py
@@ -36,6 +36,7 @@
         deliver: Callable[[Head, bytes], None],
         progress: Callable[[], None],
         record_facts: Callable[[AnswerFacts], None] = lambda _facts: None,
+        record_collected: Callable[[int], None] = lambda _size: None,
     ) -> None:
         """Create a receiver that has received nothing.
 
@@ -47,7 +48,10 @@
           progress: is called whenever data is received.
           record_facts: is called with the fields read from the head, also for
             an abandoned transfer.
+          record_collected: is called with the size of a body that is buffered
+            until it is complete, whenever it grows.
         """
+        self._record_collected = record_collected
         self._request_id = request_id
         self._deliver = deliver
         self._progress = progress
@@ -90,6 +94,7 @@
             self.is_too_long = len(self.body) + len(data) > MAX_BODY_BYTES
             if not self.is_too_long:
                 self.body += data
+                self._record_collected(len(self.body))
             return
         events = self.splitter.feed(data)
         if events:
--- a/chervilrock/node/serving.py
+++ b/chervilrock/node/serving.py
@@ -13,6 +13,7 @@
 from chervilrock.clients.curlpool import CurlPool
 from chervilrock.clients.httpclient import HttpClient
 from chervilrock.clients.liveness import ConnectionLiveness
+from chervilrock.decisions.serving.callerbuffers import find_budget
 from chervilrock.decisions.serving.stalls import compute_stall_limits
 from chervilrock.decisions.serving.view import GroupEndpoint, NodeEntry
 from chervilrock.edges.serving.callers import CallerEdge
@@ -137,7 +138,9 @@
             metrics=self._metrics,
             poisondetector=self._task.poisondetector,
         )
-        self._callers = CallerEdge(context=context)
+        self._callers = CallerEdge(
+            context=context, budget=find_budget(settings.memory_mb)
+        )
         self._servers: list[httpserver.HTTPServer] = []
         self._tasks: list[asyncio.Task[None]] = []
         self.failed = asyncio.Event()
@@ -269,10 +272,11 @@
         self.failed.set()
 
     async def _watch_groups(self) -> None:
-        """Check periodically for groups whose streams have stalled."""
+        """Check periodically what callers read, and which groups stalled."""
         while True:
             await asyncio.sleep(WATCH_INTERVAL_S)
             now = read_clock()
+            self._callers.memory.update(now)
             self._metrics.view_age.set(max(0.0, now - self._state.view_time))
             for endpoint in self._state.view.groups:
                 self._watch_group(endpoint, now)
@@ -352,7 +356,9 @@
             self._task.mailbox.offer(StallReported(rest.partition("/")[2]))
             return Reply(status=200)
         if path == "/state":
-            dump = msgspec.json.encode(self._task.describe(now), enc_hook=str)
+            state = self._task.describe(now)
+            state["caller_buffers"] = self._callers.memory.describe()
+            dump = msgspec.json.encode(state, enc_hook=str)
             return Reply(status=200, body=dump)
         if path == "/metrics":
             return self._answer_metrics(now)
--- a/chervilrock/platform/settings.py
+++ b/chervilrock/platform/settings.py
@@ -41,6 +41,8 @@
       longest_address_age_s: longest time for which callers cache addresses.
       cores: processor time available to the process, in cores.
       stall_s: time after which a group that lost a host aborts its work.
+      memory_mb: memory in megabytes above which the platform kills the
+        process; 0 for no limit.
     """
 
     node: str
@@ -61,6 +63,7 @@
     longest_address_age_s: float
     cores: float
     stall_s: float
+    memory_mb: float = 0.0
 
 
 class _Fields:
@@ -166,6 +169,7 @@
         cores=fields.number("limits.cpu_share", 1.0)
         * fields.number("limits.cores", 1.0),
         stall_s=fields.number("bounds.stall_ms", 6000.0) / _MS_PER_S,
+        memory_mb=fields.number("limits.memory_mb", 0.0),
     )
     if fields.findings:
         return Failure(tuple(fields.findings))
--- a/chervilrock/serving_metrics.py
+++ b/chervilrock/serving_metrics.py
@@ -6,6 +6,7 @@
 import prometheus_client
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
+from chervilrock.decisions.serving.callerbuffers import BufferUse
 from chervilrock.decisions.serving.hostcounts import ModelCount
 from chervilrock.metrics import (
     FIRST_TOKEN_BUCKETS,
@@ -121,6 +122,22 @@
         self._withheld_requests = self._counter(
             "withheld_requests_total", "Attempts of withheld requests"
         )
+        self._caller_bytes = self._labelled_gauge(
+            "caller_bytes",
+            "Bytes held for callers: bodies, unread and collected answers",
+            "kind",
+        )
+        self._paused_answers = self._gauge(
+            "answers_paused", "Answers that are not read from their servers"
+        )
+        self._ended_answers = self._counter(
+            "answers_ended_total",
+            "Answers that were ended as the memory for callers was used up",
+        )
+        self._rejected_bodies = self._counter(
+            "bodies_rejected_total",
+            "Requests that were rejected as their bodies did not fit",
+        )
         self.view_age = self._gauge("view_age_seconds", "Age of the view")
         self.lines_dropped = self._gauge(
             "log_lines_dropped", "Dropped log lines"
@@ -155,6 +172,21 @@
         """Count an attempt of a withheld request."""
         self._withheld_requests.inc()
 
+    def set_caller_buffers(self, use: BufferUse) -> None:
+        """Set the bytes that are held for callers."""
+        self._caller_bytes.labels("bodies").set(use.bodies)
+        self._caller_bytes.labels("unread").set(use.unread)
+        self._caller_bytes.labels("collected").set(use.collected)
+        self._paused_answers.set(use.paused)
+
+    def count_ended_answer(self) -> None:
+        """Count an answer that ended as the memory was used up."""
+        self._ended_answers.inc()
+
+    def count_rejected_body(self) -> None:
+        """Count a request whose body did not fit."""
+        self._rejected_bodies.inc()
+
     def set_store_ages(self, ages: Mapping[str, float]) -> None:
         """Set the seconds since the last answer of the store, by topic."""
         self._store_ages.clear()
--- a/chervilrock/standin/site/servers.py
+++ b/chervilrock/standin/site/servers.py
@@ -25,6 +25,9 @@
 RESTART_DELAY_S = 0.5
 """Time from the crash of a server to its restart."""
 
+PATIENCE_S = 3.0
+"""Time for which an event may stay unread before its stream is cut off."""
+
 
 class ServerFault(enum.Enum):
     """Faults of a server.
@@ -105,6 +108,10 @@
       runs: requests that the server began to run.
       left: streams whose caller closed the connection before the end.
       running: number of requests that are running.
+      padding: bytes that are added to the data of each event and answer.
+      patience_s: time for which an event may stay unread before the server
+        cuts off the stream.
+      cut_off: streams that the server cut off because they stayed unread.
       orders: orders in the sequence of their arrival.
       lost_orders: number of next orders that are carried out but not
         answered.
@@ -152,6 +159,9 @@
         self.staged: list[str] = []
         self.group: dict[str, object] | None = None
         self.highest_epoch = -1
+        self.padding = 0
+        self.patience_s = PATIENCE_S
+        self.cut_off: list[str] = []
         self.born = 1_700_000_000_000
         self._sequence = itertools.count(1)
         self._store = store
@@ -462,7 +472,8 @@
             return
         if self.server.fault is ServerFault.FAIL:
             self.set_status(500)
-        self.finish(b"answer to " + run.request_id.encode())
+        padding = b"." * self.server.padding
+        self.finish(b"answer to " + run.request_id.encode() + padding)
 
     async def _stream(self, run: Run) -> None:
         server = self.server
@@ -485,7 +496,10 @@
             await self._wait_for_event()
             if self._is_closed:
                 return
-            event = f"id: {number}\ndata: {run.request_id}-{number}\n\n"
+            padding = "." * server.padding
+            event = (
+                f"id: {number}\ndata: {run.request_id}-{number}{padding}\n\n"
+            )
             if server.fault is ServerFault.BREAK and number > 2:
                 self.write(event[: len(event) // 2])
                 await self.flush()
@@ -493,10 +507,14 @@
                 return
             self.write(event)
             try:
-                await self.flush()
+                await asyncio.wait_for(self.flush(), server.patience_s)
             except StreamClosedError:
                 # The caller closed the connection before the event was sent.
                 return
+            except TimeoutError:
+                server.cut_off.append(run.request_id)
+                self.request.connection.stream.close()  # type: ignore[union-attr]
+                return
         self.finish()
 
     def _is_crashing(self) -> bool:
--- a/chervilrock/standin/site/site.py
+++ b/chervilrock/standin/site/site.py
@@ -206,6 +206,7 @@
     ip: str = "127.0.0.1",
     ports: Mapping[str, int] | None = None,
     data_centre: str = "a",
+    memory_mb: float = 0.0,
 ) -> dict[str, Any]:
     """Return the settings of a node as the platform writes them.
 
@@ -215,6 +216,7 @@
       ip: loopback IP address of the node.
       ports: ports by name; a missing one is 0, which selects a free port.
       data_centre: data centre of the node.
+      memory_mb: memory in megabytes that the node may use, 0 for no limit.
     """
     ports_by_name = ports or {}
 
@@ -245,5 +247,6 @@
             "ttl_max_s": 5,
             "stall_ms": 6000,
         },
+        "limits": {"memory_mb": memory_mb},
         "provider": {"address": store_address},
     }
--- a/test/node/serving_site.py
+++ b/test/node/serving_site.py
@@ -45,7 +45,8 @@
 class World:
     """A stand-in of the platform, its nodes and a caller."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, memory_mb: float = 0.0) -> None:
+        self.memory_mb = memory_mb
         self.site = Site()
         self.nodes: list[ServingNode] = []
         self.client = QuietCurlClient(force_instance=True, max_clients=50)
@@ -90,7 +91,8 @@
         )
 
     def _start_node(self, **options: Any) -> ServingNode:
-        settings = decode_settings(make_node_file(**options)).unwrap()
+        file = make_node_file(memory_mb=self.memory_mb, **options)
+        settings = decode_settings(file).unwrap()
         node = ServingNode(settings=settings)
         node.start()
         self.nodes.append(node)
@@ -213,6 +215,7 @@
     scenario: Callable[[World], Awaitable[Any]],
     *,
     nodes: int = 1,
+    memory_mb: float = 0.0,
     **servers: int,
 ) -> None:
     """Run a scenario in an event loop of its own.
@@ -220,11 +223,12 @@
     Args:
       scenario: gets the started world.
       nodes: number of nodes.
+      memory_mb: memory in megabytes that a node may use, 0 for no limit.
       servers: numbers of servers, as for Site.start.
     """
 
     async def run() -> None:
-        world = World()
+        world = World(memory_mb=memory_mb)
         try:
             await world.start(nodes, **servers)
             await scenario(world)
