Forget what a server stated before it started again

A server may start again under its identifier, and nodes keep departures, pauses, limits, avoided state and loads by the identifier alone: a departure of one start kept requests from the next one for ten minutes.

The endpoints of the view carry started_ms, the latest start that the leader knows. A node that sees a later one forgets all of these; 0 (a view of the previous version) and an earlier start contradict nothing. Requests of the former start that have not been recorded as ended do not count against the next one. The leader forgets the limit and the reported pauses in the view that names the start. Starts are compared only with each other, so that clocks need not agree.

A server of a service that the configuration lacks is no longer listed in the view, and an unreadable entry no longer undoes the removal of a server.

--- a/chervilrock/catalogue.py
+++ b/chervilrock/catalogue.py
@@ -343,6 +343,12 @@
         Level.INFO,
         "a node reports to the leader that server {server} says that it leaves",
     )
+    SERVER_RESTARTED = EventSpec(
+        7317,
+        Level.INFO,
+        "server {server} has started again under its identifier; this node "
+        "forgets what it stated before",
+    )
     REQUEST_SENT = EventSpec(
         7401,
         Level.INFO,
--- a/chervilrock/decisions/serving/controller.py
+++ b/chervilrock/decisions/serving/controller.py
@@ -252,6 +252,7 @@
                     server=group.head,
                     address=head.address,
                     data_centre=head.data_centre,
+                    started_ms=self._registry.hosts.find_start(group.head),
                 )
             )
         return tuple(sorted(endpoints))
@@ -270,7 +271,12 @@
         return counts
 
     def list_servers(self) -> tuple[ServerEndpoint, ...]:
-        """Return the servers of plain services that accept requests."""
+        """Return the servers of plain services that accept requests.
+
+        An entry of another writer may name a service that does not exist.
+        """
+        configuration = self._registry.configuration
+        services = {} if configuration is None else configuration.services
         return tuple(
             ServerEndpoint(
                 server=server.server,
@@ -278,9 +284,11 @@
                 address=server.address,
                 data_centre=server.data_centre,
                 slots=server.slots,
+                started_ms=self._registry.hosts.find_start(server.server),
             )
             for _, server in sorted(self._registry.hosts.servers.items())
             if not server.is_leaving
+            and server.service in services
             and self._registry.find_engine(server.service) is None
         )
 
--- a/chervilrock/decisions/serving/hosts.py
+++ b/chervilrock/decisions/serving/hosts.py
@@ -112,6 +112,10 @@
         self._forget(server)
         return IncarnationOrder.NEW
 
+    def find_start(self, server: str) -> int:
+        """Return the latest start of a server in Unix ms, 0 if unknown."""
+        return self._started_ms.get(server, 0)
+
     def _forget(self, server: str) -> None:
         """Reset all state of a server except that it exists."""
         self._reporting.discard(server)
--- a/chervilrock/decisions/serving/limitregistry.py
+++ b/chervilrock/decisions/serving/limitregistry.py
@@ -37,6 +37,10 @@
             self._rates[server] = rate
         return True
 
+    def forget(self, server: str) -> None:
+        """Forget the limit of a server that has started again."""
+        self._rates.pop(server, None)
+
     def find_rates(self) -> Mapping[str, float]:
         """Return the limits by server."""
         return self._rates
--- a/chervilrock/decisions/serving/reportedpauses.py
+++ b/chervilrock/decisions/serving/reportedpauses.py
@@ -28,6 +28,10 @@
         for head, pause_s in pauses.items():
             self._ends.setdefault(head, {})[node] = now + pause_s
 
+    def forget(self, head: str) -> None:
+        """Forget the pauses of a head that has started again."""
+        self._ends.pop(head, None)
+
     def find_usable(self, senders: int, now: float) -> Mapping[str, float]:
         """Return the fraction of its slots that nodes may use, by head.
 
--- a/chervilrock/decisions/serving/serverlimits.py
+++ b/chervilrock/decisions/serving/serverlimits.py
@@ -292,11 +292,15 @@
         """
         known = {*self._observed, *self._announced, *self._unreadable}
         for server in self._observations.forget(known, present, now):
-            self._observed.pop(server, None)
-            self._announced.pop(server, None)
-            self._senders.pop(server, None)
-            self._buckets.pop(server, None)
-            self._unreadable.pop(server, None)
+            self.forget(server)
+
+    def forget(self, server: str) -> None:
+        """Forget the limit of a server."""
+        self._observed.pop(server, None)
+        self._announced.pop(server, None)
+        self._senders.pop(server, None)
+        self._buckets.pop(server, None)
+        self._unreadable.pop(server, None)
 
     def _find_newest(self, server: str) -> _KnownLimit:
         observed = self._observed.get(server, _UNKNOWN)
--- a/chervilrock/decisions/serving/serverstatements.py
+++ b/chervilrock/decisions/serving/serverstatements.py
@@ -149,6 +149,13 @@
         for server in set(self._unreadable).difference(present):
             del self._unreadable[server]
 
+    def forget(self, server: str) -> None:
+        """Forget what a server stated before it started again."""
+        self.limits.forget(server)
+        self.pauses.forget(server)
+        self.departures.forget(server)
+        self._unreadable.pop(server, None)
+
     def expire(self, now: float) -> None:
         """Forget pauses and departures that have no effect any more."""
         self.pauses.expire(now)
--- a/chervilrock/decisions/serving/view.py
+++ b/chervilrock/decisions/serving/view.py
@@ -20,6 +20,7 @@
       server: identifier of the head, which receives the requests.
       address: IP:port of the head.
       data_centre: data centre of the group.
+      started_ms: when the head started, in Unix milliseconds; 0 if unknown.
     """
 
     group: str
@@ -29,6 +30,7 @@
     server: str
     address: str
     data_centre: str
+    started_ms: int = 0
 
     @property
     def name(self) -> str:
@@ -40,11 +42,12 @@
     """A server of a plain service that accepts requests.
 
     Attributes:
-      server: identifier of this start of the server.
+      server: identifier of the server.
       service: service that it belongs to.
       address: IP:port.
       data_centre: data centre of the server.
       slots: requests that it runs concurrently.
+      started_ms: when it started, in Unix milliseconds; 0 if unknown.
     """
 
     server: str
@@ -52,6 +55,7 @@
     address: str
     data_centre: str
     slots: int
+    started_ms: int = 0
 
     @property
     def name(self) -> str:
@@ -90,6 +94,19 @@
         heads = [group.server for group in self.groups]
         return frozenset(heads + [server.server for server in self.servers])
 
+    def list_starts(self) -> Mapping[str, int]:
+        """Return the starts of the heads and servers; 0 where unknown."""
+        return list_starts(self.groups, self.servers)
+
+
+def list_starts(
+    groups: Iterable[GroupEndpoint], servers: Iterable[ServerEndpoint]
+) -> Mapping[str, int]:
+    """Return the start of each head and server in Unix ms, 0 if unknown."""
+    starts = {group.server: group.started_ms for group in groups}
+    starts.update({server.server: server.started_ms for server in servers})
+    return starts
+
 
 NO_VIEW = ServingView(term=-1, sequence=0, groups=(), servers=())
 """View of a node that has not received one from a leader yet."""
--- a/chervilrock/edges/serving/slots.py
+++ b/chervilrock/edges/serving/slots.py
@@ -87,6 +87,7 @@
         self._wait_until = request.arrived
         self._avoided: set[str] = set()
         self._paused: set[str] = set()
+        self._load_period = 0
         self.slot: SlotChoice | None = None
         self.waited_s = 0.0
         self.is_cancelled = False
@@ -186,7 +187,9 @@
     def release(self) -> None:
         """Release the slot and wake the requests that wait for one."""
         if self.slot is not None:
-            self._state.record_ended(self.slot.endpoint.server)
+            self._state.record_ended(
+                self.slot.endpoint.server, self._load_period
+            )
             self.slot = None
             self._waitqueue.notify()
 
@@ -238,7 +241,7 @@
         if self.slot is None:
             return False
         server = self.slot.endpoint.server
-        self._state.record_sent(server)
+        self._load_period = self._state.record_sent(server)
         self._state.statements.consume(server, now)
         return True
 
--- a/chervilrock/standin/site/servers.py
+++ b/chervilrock/standin/site/servers.py
@@ -25,6 +25,8 @@
 RESTART_DELAY_S = 0.5
 """Time from the crash of a server to its restart."""
 
+_MS_PER_S = 1000
+
 PATIENCE_S = 3.0
 """Time for which an event may stay unread before its stream is cut off."""
 
@@ -232,11 +234,22 @@
             self._restart_after_crash()
         )
 
-    async def _restart_after_crash(self) -> None:
+    def restart(self) -> None:
+        """Exit, and start again after a delay under the same identifier."""
+        if self._is_down:
+            return
+        self._is_down = True
+        self._restart = asyncio.get_running_loop().create_task(
+            self._restart_after_crash(keeps_name=True)
+        )
+
+    async def _restart_after_crash(self, *, keeps_name: bool = False) -> None:
         await self.stop()
         await asyncio.sleep(RESTART_DELAY_S)
-        self.unregister()
-        self.server = f"i-{uuid.uuid4().hex[:10]}"
+        self.born += round(RESTART_DELAY_S * _MS_PER_S)
+        if not keeps_name:
+            self.unregister()
+            self.server = f"i-{uuid.uuid4().hex[:10]}"
         self.group = None
         self.highest_epoch = -1
         self.staged = []
--- a/chervilrock/tasks/serving/leading.py
+++ b/chervilrock/tasks/serving/leading.py
@@ -32,6 +32,7 @@
 from chervilrock.decisions.serving.view import (
     Announcement,
     GroupEndpoint,
+    list_starts,
     merge_summaries,
     ServerEndpoint,
     ServingView,
@@ -173,12 +174,13 @@
             if not record.value:
                 self._pending_removals.setdefault(record.key, now)
                 continue
-            self._pending_removals.pop(record.key, None)
             decoded = self._decode_server(record.key, record.value)
             if isinstance(decoded, Failure):
                 reason = decoded.failure()
                 emit(Event.RECORD_UNREADABLE, key=record.key, reason=reason)
                 continue
+            # An entry that names no server does not undo a removal.
+            self._pending_removals.pop(record.key, None)
             entry = self._entries.update(decoded.unwrap())
             self._controller.record_server(entry, now)
 
@@ -367,6 +369,10 @@
             return
         groups = controller.list_groups(now)
         servers = controller.list_servers()
+        starts = list_starts(groups, servers)
+        for server in state.starts.find_restarted(starts):
+            self._limits.forget(server)
+            self._pauses.forget(server)
         forming = controller.list_forming_models(now)
         limits = self._list_limits(groups, servers, now)
         view = state.view
--- a/chervilrock/tasks/serving/state.py
+++ b/chervilrock/tasks/serving/state.py
@@ -4,6 +4,7 @@
 """
 
 from collections.abc import Iterable, Mapping
+import itertools
 import random
 from typing import NamedTuple, TypeVar
 
@@ -23,6 +24,7 @@
 from chervilrock.decisions.serving.retrybudget import BudgetState, RetryBudget
 from chervilrock.decisions.serving.routes import RouteTable
 from chervilrock.decisions.serving.serverlimits import LimitChange
+from chervilrock.decisions.serving.serverstarts import ServerStarts
 from chervilrock.decisions.serving.serverstatements import ServerStatements
 from chervilrock.decisions.serving.shares import SlotShares
 from chervilrock.decisions.serving.shortage import Shortages
@@ -81,6 +83,7 @@
       watches: stall detectors of this node's streams, by group.
       suspects: requests during which servers crashed.
       statements: what servers state of themselves in their answers.
+      starts: latest start of each server that the views have named.
     """
 
     def __init__(
@@ -110,6 +113,8 @@
         self._bounds = bounds
         self._budgets: dict[str, RetryBudget] = {}
         self._own_loads: dict[str, int] = {}
+        self._load_periods: dict[str, int] = {}
+        self._next_period = itertools.count()
         self._other_loads: Mapping[str, int] = {}
         self._avoided_until: dict[str, float] = {}
         self._failures = GroupFailures()
@@ -122,6 +127,7 @@
         self.watches: dict[str, StallDetector] = {}
         self.suspects = SuspectTable()
         self.statements = ServerStatements(own=own.node)
+        self.starts = ServerStarts()
 
     @property
     def revision(self) -> int:
@@ -134,6 +140,10 @@
         self.view = view
         self.view_time = now
         self._forget_failures(frozenset(group.group for group in view.groups))
+        starts = view.list_starts()
+        for server in self.starts.find_restarted(starts):
+            self._forget_former_start(server)
+        self.starts.update(starts, now)
         self.statements.apply_view(view.limits, view.list_targets(), now)
         emit(
             Event.VIEW_IN_FORCE,
@@ -143,6 +153,28 @@
             servers=len(view.servers),
         )
 
+    def _forget_former_start(self, server: str) -> None:
+        """Drop what is known of a server by its identifier alone.
+
+        Requests that ran there before ended with that start. Some of them have
+        not been recorded as ended yet, and must not count against those that
+        run there now.
+        """
+        self.statements.forget(server)
+        self._avoided_until.pop(server, None)
+        for group in self.view.groups:
+            if group.server == server:
+                self._avoided_until.pop(group.group, None)
+                self.record_success(group.group)
+        self._own_loads.pop(server, None)
+        self._load_periods.pop(server, None)
+        self._other_loads = {
+            other: count
+            for other, count in self._other_loads.items()
+            if other != server
+        }
+        emit(Event.SERVER_RESTARTED, server=server)
+
     def _forget_failures(self, groups: frozenset[str]) -> None:
         """Drop the failures of all groups except these."""
         self._failures.keep_only(groups)
@@ -271,17 +303,34 @@
             server for server in self.view.servers if server.service == service
         ]
 
-    def record_sent(self, server: str) -> None:
-        """Record that a request of this node starts at an endpoint."""
+    def record_sent(self, server: str) -> int:
+        """Record that a request of this node starts at an endpoint.
+
+        Returns:
+          Number of the period in which requests are counted there, for
+          `record_ended`.
+        """
+        if server not in self._own_loads:
+            self._load_periods[server] = next(self._next_period)
         self._own_loads[server] = self._own_loads.get(server, 0) + 1
+        return self._load_periods[server]
+
+    def record_ended(self, server: str, period: int) -> None:
+        """Record that a request of this node ended at an endpoint.
 
-    def record_ended(self, server: str) -> None:
-        """Record that a request of this node ended at an endpoint."""
+        Args:
+          server: identifier of the server.
+          period: what `record_sent` returned; a request that was sent before
+            the server started again is no longer counted.
+        """
+        if period != self._load_periods.get(server):
+            return
         remaining = self._own_loads.get(server, 0) - 1
         if remaining > 0:
             self._own_loads[server] = remaining
         else:
             self._own_loads.pop(server, None)
+            self._load_periods.pop(server, None)
 
     def avoid(self, endpoint: str, now: float) -> None:
         """Avoid a group or server, given by name, for `AVOIDED_S`."""
--- a/test/decisions/serving/test_controller.py
+++ b/test/decisions/serving/test_controller.py
@@ -410,6 +410,28 @@
     assert_that(fleet.violations, HasLength(0))
 
 
+def test_the_view_names_the_start_of_each_head(fleet: Fleet) -> None:
+    # Failure: nodes cannot tell a restarted server from the former one.
+    head = find_group(fleet, "large")[0]
+    before = fleet.serving()
+    fleet.restart(head)
+    fleet.run(0.4)
+    run_until_serving(fleet, before)
+    for group in fleet.controller.list_groups(fleet.now):
+        started_ms = fleet.servers[group.server].started_ms
+        assert_that(group.started_ms, Equals(started_ms))
+
+
+def test_a_server_of_an_unknown_service_is_not_in_the_view(
+    fleet: Fleet,
+) -> None:
+    # An entry of another writer may name any service.
+    entry = fleet.make_entry(next(iter(fleet.servers.values())))
+    entry = entry._replace(server="other", service="nowhere", membership=None)
+    fleet.controller.record_server(entry, fleet.now)
+    assert_that(fleet.controller.list_servers(), HasLength(0))
+
+
 def test_an_entry_of_an_earlier_incarnation_is_ignored(
     fleet: Fleet,
 ) -> None:
--- a/test/decisions/serving/test_reportedpauses.py
+++ b/test/decisions/serving/test_reportedpauses.py
@@ -20,3 +20,11 @@
     for number in range(3):
         pauses.record(f"n{number}", {"h": 9.0}, 0.0)
     assert_that(dict(pauses.find_usable(0, 1.0)), Equals({"h": 0.0}))
+
+
+def test_the_pauses_of_a_former_start_are_forgotten() -> None:
+    # Failure: the plan counts no slots at a head that started again.
+    pauses = ReportedPauses()
+    pauses.record("n", {"h": 60.0, "other": 60.0}, 0.0)
+    pauses.forget("h")
+    assert_that(dict(pauses.find_usable(2, 1.0)), Equals({"other": 0.5}))
--- a/test/decisions/serving/test_serverlimits.py
+++ b/test/decisions/serving/test_serverlimits.py
@@ -284,3 +284,11 @@
     assert_that([entry.server for entry in listed], Equals(["other"]))
     assert_that(list(registry.find_rates()), Contains("other"))
     assert_that(registry.find_rates(), HasLength(1))
+
+
+def test_the_leader_forgets_the_limit_of_a_former_start() -> None:
+    # Failure: the leader announces the limit of a server that started again.
+    registry = LimitRegistry(known=[LimitedServer("a", 1.0, ("n",))])
+    registry.forget("a")
+    registry.forget("b")
+    assert_that(registry.list_servers(["a"], ["n"], 0.0), HasLength(0))
--- a/test/node/test_server_statements.py
+++ b/test/node/test_server_statements.py
@@ -9,7 +9,7 @@
 
 from bench.statements import DRAIN_S, find_broken_pauses, find_late_arrivals
 from chervilrock.decisions.serving.waiting import MAX_RETRY_AFTER_S
-from chervilrock.standin.site.servers import SiteServer
+from chervilrock.standin.site.servers import RESTART_DELAY_S, SiteServer
 from chervilrock.standin.site.site import LARGE, make_configuration
 from test.node.serving_site import run_world, World
 
@@ -247,3 +247,35 @@
             assert_that(retry_after_s >= MAX_RETRY_AFTER_S, Is(True))
 
     run_world(scenario, model_servers=8, plain_servers=1)
+
+
+def test_what_a_server_stated_does_not_outlive_its_start() -> None:
+    # Failure: a server that said that it leaves, and started again under its
+    # identifier, gets no request for ten minutes.
+    async def scenario(world: World) -> None:
+        left, paused, limited = world.list_plain_servers()
+        left.leaving = "1"
+        ask_for_pause(paused, "60")
+        limited.limit = "0"
+        await world.call_in_turn("/look/x", seconds=1.0)
+        heard = [
+            left.server in node.state.statements.departures
+            for node in world.nodes
+        ]
+        assert_that(any(heard), Is(True))
+        paused.pause = limited.limit = ""
+        servers = (left, paused, limited)
+        counts = [len(server.runs) for server in servers]
+        for server in servers:
+            server.restart()
+        await asyncio.sleep(RESTART_DELAY_S)
+        for _ in range(20):
+            await world.call_in_turn("/look/x", seconds=0.5)
+            if all(
+                len(server.runs) > count
+                for server, count in zip(servers, counts, strict=True)
+            ):
+                return
+        raise AssertionError("a server that started again gets no requests")
+
+    run_world(scenario, nodes=NODES, **SERVERS)
--- a/test/tasks/stale_loads.py
+++ b/test/tasks/stale_loads.py
@@ -140,7 +140,7 @@
         self._reported = [ReportedLoads() for _ in nodes]
         self._running = {group.server: 0 for group in view.groups}
         self._waiting: list[int] = []
-        self._ends: list[tuple[float, str, int]] = []
+        self._ends: list[tuple[float, str, int, int]] = []
         self._totals: list[dict[str, int]] = [{}] * load.lag
 
     def run(self, seconds: float, *, counts_sent: bool = True) -> Outcome:
@@ -220,17 +220,17 @@
         if choice is None:
             return None
         server = choice.endpoint.server
-        state.record_sent(server)
+        period = state.record_sent(server)
         self._running[server] += 1
         length_s = self._load.mean_s * self._generator.lognormvariate(-0.3, 0.7)
-        heapq.heappush(self._ends, (now + length_s, server, number))
+        heapq.heappush(self._ends, (now + length_s, server, number, period))
         return self._running[server]
 
     def _finish_requests(self, now: float) -> None:
         while self._ends and self._ends[0][0] <= now:
-            _, server, number = heapq.heappop(self._ends)
+            _, server, number, period = heapq.heappop(self._ends)
             self._running[server] -= 1
-            self._states[number].record_ended(server)
+            self._states[number].record_ended(server, period)
 
 
 def _make_groups(load: Load) -> tuple[GroupEndpoint, ...]:
