Let no entry of a server raise, whatever another program wrote

Values that are nested some thousand times, also in fields that are not read, raised RecursionError in the leader's task. Numbers of more than 64 bits, negative epochs, counts and starts, lone ports of thousands of digits, 0.0.0.0 (this node itself) and identifiers with line breaks, which are sent in a header, were taken as valid.

The decoder bounds numbers and texts and rejects all of these. Answers of servers to the leader (reports) are covered for the nesting. A test from socket to socket shows that entries after a malformed one are read, and fails without the change; with the former order of reading it shows that a malformed entry undoes the removal of a server.

--- a/chervilrock/clients/httpclient.py
+++ b/chervilrock/clients/httpclient.py
@@ -237,7 +237,8 @@
     """Decodes the body of a response; a malformed body is an error."""
     try:
         return Success(decoder.decode(answer.body))
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        # RecursionError: values that are nested some thousand times.
         return Failure(PlatformError(PlatformErrorKind.BAD_ANSWER, str(error)))
 
 
--- a/chervilrock/platform/servers.py
+++ b/chervilrock/platform/servers.py
@@ -1,6 +1,7 @@
 """Decodes the entries that register backend servers in the store."""
 
 import ipaddress
+from typing import Annotated
 
 import msgspec
 from returns.result import Failure, Result, Success
@@ -14,34 +15,51 @@
 TOPIC = "keyed.servers"
 
 MAX_PORT = 65535
+MAX_PORT_DIGITS = 5
+
+MAX_INT = 2**63 - 1
+"""Greatest number in an entry. Names of nodes and messages of other programs
+need not be able to hold greater ones."""
+
+MAX_SLOTS = 65535
+"""Greatest number of slots. No server has nearly as many; one that seems to
+would get all requests."""
+
+MAX_TEXT = 256
+"""Greatest length of a text in an entry, in characters."""
 
 _DRAINING = "draining"
 _SERVER_STATES = frozenset({"ready", _DRAINING})
 _MEMBER_STATES = {state.value: state for state in MemberState}
 
 
+_Text = Annotated[str, msgspec.Meta(max_length=MAX_TEXT)]
+_Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_INT)]
+_Domain = Annotated[int, msgspec.Meta(ge=-MAX_INT, le=MAX_INT)]
+
+
 class GroupField(msgspec.Struct):
     """Group membership of a server, in its entry and in its report."""
 
-    name: str = ""
-    epoch: int = 0
-    rank: int = 0
-    state: str = ""
+    name: _Text = ""
+    epoch: _Count = 0
+    rank: _Count = 0
+    state: _Text = ""
 
 
 class _Entry(msgspec.Struct):
-    service: str
-    address: str
-    zone: str
-    version: str  # of the software, not of the weights
-    state: str
-    slots: int
-    sequence: int  # counts the writes of this entry
+    service: _Text
+    address: _Text
+    zone: _Text
+    version: _Text  # of the software, not of the weights
+    state: _Text
+    slots: Annotated[int, msgspec.Meta(ge=0, le=MAX_SLOTS)]
+    sequence: _Count  # counts the writes of this entry
     warmup_left_ms: float
-    domain: str | int = ""
-    staged: list[str] = []
+    domain: _Text | _Domain = ""
+    staged: list[_Text] = []
     group: GroupField | None = None
-    born: int = 0  # start of the server, in Unix milliseconds
+    born: _Count = 0  # start of the server, in Unix milliseconds
 
 
 _DECODER = msgspec.json.Decoder(_Entry)
@@ -51,15 +69,19 @@
     """Return a backend server, or a description of the error in its entry.
 
     Other programs write to the topic as well, so an entry that is not valid
-    in full is rejected.
+    in full is rejected, and no entry raises.
 
     Args:
       server: name of the server, which is the key of the entry.
       entry: value of the entry, in JSON.
     """
+    if not _is_identifier(server):
+        return Failure(f"{server[:MAX_TEXT]!r} is no identifier of a server")
     try:
         decoded = _DECODER.decode(entry)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        # Values that are nested some thousand times exceed the recursion
+        # limit, also in fields that are not read.
         return Failure(str(error))
     problem = _find_problem(decoded)
     if problem:
@@ -81,6 +103,12 @@
     )
 
 
+def _is_identifier(server: str) -> bool:
+    """Return whether a key can be sent in a header to the server it names."""
+    is_plain = server.isascii() and server.isprintable() and " " not in server
+    return is_plain and 0 < len(server) <= MAX_TEXT
+
+
 def _find_problem(entry: _Entry) -> str:
     """Return a description of the first invalid field, empty if none is."""
     if entry.state not in _SERVER_STATES:
@@ -90,10 +118,16 @@
         return f"unknown state {group.state!r} of a group"
     ip, _, port = entry.address.rpartition(":")
     try:
-        ipaddress.IPv4Address(ip)
+        parsed = ipaddress.IPv4Address(ip)
     except ValueError as error:
         return f"address: {error}"
-    is_port = port.isascii() and port.isdigit() and 0 < int(port) <= MAX_PORT
+    if parsed.is_unspecified or parsed.is_multicast:
+        # A connection to 0.0.0.0 reaches this node itself.
+        return f"{ip} is not the address of a host"
+    is_number = port.isascii() and port.isdigit()
+    is_port = (
+        is_number and len(port) <= MAX_PORT_DIGITS and 0 < int(port) <= MAX_PORT
+    )
     return "" if is_port else f"invalid port {port!r}"
 
 
--- a/test/node/test_serving.py
+++ b/test/node/test_serving.py
@@ -595,3 +595,32 @@
     run_world(scenario)
     captured = capsys.readouterr()
     assert_that(captured.out + captured.err, Not(Contains(KEY)))
+
+
+def test_entries_of_other_writers_change_nothing() -> None:
+    # Failure: one entry ends the leader's task, hides the entries after it, or
+    # brings a server back whose entry was removed.
+    async def scenario(world: World) -> None:
+        topic = world.site.store.topic("keyed.servers")
+        removed, kept = list_plain_servers(world)
+        removed.unregister()
+        malformed = (
+            b"\xff\xfe",
+            b'{"other":' + b"[" * 100_000,
+            b'{"service": 1}',
+        )
+        for number, value in enumerate(malformed):
+            topic.append(f"other-{number}", value)
+            topic.append(kept.server, value)
+            topic.append(removed.server, value)
+        added = world.site.add_model_server("d9")
+        leader = next(node for node in world.nodes if node.is_leader)
+        await world.wait(
+            lambda: added.group is not None, "an entry after them is read"
+        )
+        servers = [server.server for server in leader.state.view.servers]
+        assert_that(servers, Equals([kept.server]))
+        answer = await world.call("/draft/x")
+        assert_that(answer.status, Equals(200))
+
+    run_world(scenario, nodes=2)
