Read slowly in the soak, and describe the memory for callers

The soak plays ten callers that do not read at first, and nodes with a memory limit of 4 MB. It checks that a slow stream is whole or looks incomplete, and samples what each node holds against the budget.

Where the memory is limited, the send buffer of a caller's socket is 128 KiB: the system takes up to 4 MB for one that is not read, which nobody bounded. The stand-in pads events by the body of the request.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -26,6 +26,7 @@
 from tornado.httpclient import HTTPRequest
 
 from bench.limits import LimitedServers
+from bench.slowreaders import Address, MEMORY_MB, SlowReaders
 from bench.statements import (
     CallerSends,
     Disturbances,
@@ -100,11 +101,15 @@
         was cut off.
       served_at_end: share of the requests served after the time without faults
         at the end.
+      slow_ends: streams that were read slowly, by how they ended.
+      most_held: most bytes that a node was seen to hold for callers.
     """
 
     violations: tuple[str, ...]
     statuses: dict[int, int]
     served_at_end: float
+    slow_ends: dict[str, int]
+    most_held: int
 
 
 class _Process:
@@ -123,9 +128,14 @@
         self._disturbances = disturbances
         ports = find_ports(ip, taken)
         self.address = f"{ip}:{ports['callers']}"
+        self.addresses = Address(self.address, f"{ip}:{ports['peers']}")
         self._path = folder / f"{name}.toml"
         document = make_node_file(
-            node=name, store_address=store, ip=ip, ports=ports
+            node=name,
+            store_address=store,
+            ip=ip,
+            ports=ports,
+            memory_mb=MEMORY_MB,
         )
         self._path.write_text(_render(document), encoding="utf-8")
         self._log = (folder / f"{name}.log").open("ab")
@@ -468,15 +478,21 @@
         )
         stating = StatingServers(servers=site.servers, seed=plan.seed)
         limited = LimitedServers(servers=site.servers, seed=plan.seed)
+        slow = SlowReaders(
+            nodes=[node.addresses for node in nodes], seed=plan.seed
+        )
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(plan.seconds):
                 async with asyncio.TaskGroup() as group:
                     group.create_task(faults.run())
                     group.create_task(limited.run())
                     group.create_task(stating.run())
+                    group.create_task(slow.run())
                     for _ in range(CALLERS):
                         group.create_task(callers.run(nodes))
         callers.violations += limited.end()
+        callers.violations += slow.violations
+        slow.close()
         stating.end()
         faults.remove_faults()
         await asyncio.sleep(SETTLE_S)
@@ -505,6 +521,8 @@
         violations=tuple(callers.violations),
         statuses=dict(callers.statuses),
         served_at_end=final_statuses.count(_OK) / len(final_statuses),
+        slow_ends=slow.ends,
+        most_held=slow.most_held,
     )
 
 
--- a/chervilrock/node/serving.py
+++ b/chervilrock/node/serving.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 import random
 import signal
+import socket
 from typing import Any
 import uuid
 
@@ -46,6 +47,11 @@
 """Greatest number of concurrent requests to backend servers, far above the
 slots of all groups."""
 
+CALLER_SEND_BUFFER_BYTES = 128 * 1024
+"""Send buffer of each caller's socket where the memory of the process is
+limited. By default the system buffers up to 4 MB for a caller that does not
+read; answers have some ten kilobytes."""
+
 MAX_BODY_BYTES = 8 * 1024 * 1024
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
 
@@ -184,6 +190,14 @@
         settings = self._settings
         peers = SimpleEdge(answer=self._answer_peer)
         lookups = SimpleEdge(answer=self._answer_platform)
+        if settings.memory_mb:
+            for listener in self._callers_binding.sockets:
+                # Accepted sockets inherit it.
+                listener.setsockopt(
+                    socket.SOL_SOCKET,
+                    socket.SO_SNDBUF,
+                    CALLER_SEND_BUFFER_BYTES,
+                )
         self._serve(self._callers_binding, self._callers)
         self._serve(self._ready_binding, lookups)
         self._serve(self._directory_binding, lookups)
--- a/chervilrock/standin/site/servers.py
+++ b/chervilrock/standin/site/servers.py
@@ -27,6 +27,10 @@
 
 _MS_PER_S = 1000
 
+PADDED = b"pad-"
+"""Prefix of the body of a request, before the number of bytes that are added to
+each event and answer."""
+
 PATIENCE_S = 3.0
 """Time for which an event may stay unread before its stream is cut off."""
 
@@ -110,7 +114,6 @@
       runs: requests that the server began to run.
       left: streams whose caller closed the connection before the end.
       running: number of requests that are running.
-      padding: bytes that are added to the data of each event and answer.
       patience_s: time for which an event may stay unread before the server
         cuts off the stream.
       cut_off: streams that the server cut off because they stayed unread.
@@ -161,7 +164,6 @@
         self.staged: list[str] = []
         self.group: dict[str, object] | None = None
         self.highest_epoch = -1
-        self.padding = 0
         self.patience_s = PATIENCE_S
         self.cut_off: list[str] = []
         self.born = 1_700_000_000_000
@@ -485,7 +487,7 @@
             return
         if self.server.fault is ServerFault.FAIL:
             self.set_status(500)
-        padding = b"." * self.server.padding
+        padding = b"." * self._find_padding()
         self.finish(b"answer to " + run.request_id.encode() + padding)
 
     async def _stream(self, run: Run) -> None:
@@ -509,7 +511,7 @@
             await self._wait_for_event()
             if self._is_closed:
                 return
-            padding = "." * server.padding
+            padding = "." * self._find_padding()
             event = (
                 f"id: {number}\ndata: {run.request_id}-{number}{padding}\n\n"
             )
@@ -530,6 +532,12 @@
                 return
         self.finish()
 
+    def _find_padding(self) -> int:
+        """Return how many bytes the request adds to each event or answer."""
+        body = self.request.body
+        is_padded = body.startswith(PADDED)
+        return int(body.removeprefix(PADDED)) if is_padded else 0
+
     def _is_crashing(self) -> bool:
         return self.request.body in self.server.crashing_bodies
 
--- a/test/node/test_slow_readers.py
+++ b/test/node/test_slow_readers.py
@@ -44,7 +44,7 @@
         path: str = "/draft/x",
         *,
         version: str = "1.1",
-        body: bytes = b"",
+        body: bytes = b"pad-%d" % PADDING,
         length: int | None = None,
         **changes: str,
     ) -> None:
@@ -119,8 +119,6 @@
     await world.wait(
         lambda: world.nodes[0].state.revision == 2, "revision 2 in force"
     )
-    for server in world.site.servers:
-        server.padding = PADDING
 
 
 async def start_slow_callers(world: World) -> list[Caller]:
@@ -200,11 +198,11 @@
     # the memory; or one that was ended looks like a whole one.
     async def scenario(world: World) -> None:
         await add_slots(world)
-        for server in world.list_plain_servers():
-            server.padding = 400_000
         callers = [Caller(world) for _ in range(8)]
         for caller in callers:
-            await caller.send("/look/x", version=version, X_Model="")
+            await caller.send(
+                "/look/x", version=version, body=b"pad-400000", X_Model=""
+            )
             await asyncio.sleep(0.1)
             assert_that(use(world).unread, LessThan(BUDGET))
         lengths = []
@@ -259,7 +257,7 @@
         if kind == "stated":
             await late.send(body=part[:10], length=200_000)
         elif kind == "expected":
-            await late.send(length=200_000, Expect="100-continue")
+            await late.send(body=b"", length=200_000, Expect="100-continue")
         else:
             await late.send(body=part[:10], length=70_000)
             await world.wait(lambda: use(world).bodies > 400_000, "it began")
