Let the replay's connection follow the memory for callers

Exchanges ask the connection whether its answer was ended and wait while it is paused; the replay of overload has a connection of its own, which lacked both, so test_overload.py failed with AttributeError.

--- a/test/platform/test_adapter.py
+++ b/test/platform/test_adapter.py
@@ -59,6 +59,18 @@
     assert_that(settings.metrics_port, Equals(9))
 
 
+@pytest.mark.parametrize(
+    ("limits", "memory_mb"), [({}, 0.0), ({"memory_mb": 200}, 200.0)]
+)
+def test_the_memory_limit_may_be_absent(
+    node_file: dict[str, Any], limits: dict[str, int], memory_mb: float
+) -> None:
+    # Without it a node bounds nothing; a test of its own, as the default of
+    # the stand-in is 0.
+    settings = decode_settings(node_file | {"limits": limits}).unwrap()
+    assert_that(settings.memory_mb, Equals(memory_mb))
+
+
 def test_unknown_settings_are_ignored(node_file: dict[str, Any]) -> None:
     node_file["new_field"] = {"a": 1}
     assert_that(isinstance(decode_settings(node_file), Success), Is(True))
--- a/test/tasks/overload.py
+++ b/test/tasks/overload.py
@@ -396,7 +396,12 @@
 
 
 class _Connection:
-    """The connection of one attempt, as its caller sees it."""
+    """The connection of one attempt, as its caller sees it.
+
+    Its caller reads at once, so that it is never paused or ended.
+    """
+
+    was_ended = False
 
     def __init__(self) -> None:
         self.has_begun = False
@@ -430,6 +435,12 @@
     def close(self) -> None:
         self.closed.set()
 
+    def record_collected(self, size: int) -> None:
+        del size
+
+    async def wait_until_flowing(self, timeout_s: float) -> None:
+        del timeout_s
+
 
 class _Pool:
     @contextlib.contextmanager
