--- a/chervilrock/catalogue.py
+++ b/chervilrock/catalogue.py
@@ -343,6 +343,12 @@
         Level.INFO,
         "a node reports to the leader that server {server} says that it leaves",
     )
+    SERVER_RESTARTED = EventSpec(
+        7317,
+        Level.INFO,
+        "server {server} has started again under its identifier; this node "
+        "forgets what it stated before",
+    )
     WARMUP_BEGUN = EventSpec(
         7330,
         Level.INFO,
@@ -446,6 +452,26 @@
         "request {request_id} is not sent to server {server}, which pauses, "
         "leaves or warms up since it was chosen",
     )
+    ANSWERS_PAUSED = EventSpec(
+        7411,
+        Level.WARNING,
+        "callers leave {unread} bytes of answers unread, {collected} bytes are "
+        "not complete yet, and bodies take {bodies} bytes of a budget of "
+        "{budget}: {paused} answers are paused",
+    )
+    ANSWER_ENDED = EventSpec(
+        7412,
+        Level.WARNING,
+        "an answer of which {size} bytes are held was ended, as the memory "
+        "for callers was used up",
+    )
+    BODY_REJECTED = EventSpec(
+        7413,
+        Level.WARNING,
+        "request {request_id} is rejected after {received} bytes of its body, "
+        "which does not fit: bodies take {bodies} bytes, and callers leave "
+        "{unread} bytes of answers unread",
+    )
     SEND_EVACUATED = EventSpec(
         7414,
         Level.INFO,
--- a/chervilrock/edges/serving/slots.py
+++ b/chervilrock/edges/serving/slots.py
@@ -89,6 +89,7 @@
         self._paused: set[str] = set()
         self._permit: SendPermit | None = None
         self._is_held = False
+        self._load_period = 0
         self.slot: SlotChoice | None = None
         self.waited_s = 0.0
         self.is_cancelled = False
@@ -205,7 +206,9 @@
             self._permit.release()
             self._permit = None
         if self.slot is not None:
-            self._state.record_ended(self.slot.endpoint.server)
+            self._state.record_ended(
+                self.slot.endpoint.server, self._load_period
+            )
             self.slot = None
             self._waitqueue.notify()
 
@@ -257,7 +260,7 @@
         if self.slot is None:
             return False
         server = self.slot.endpoint.server
-        self._state.record_sent(server)
+        self._load_period = self._state.record_sent(server)
         self._permit = self._state.statements.consume(server, now)
         self._is_held = False
         return True
--- a/chervilrock/node/serving.py
+++ b/chervilrock/node/serving.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 import random
 import signal
+import socket
 from typing import Any
 import uuid
 
@@ -13,6 +14,7 @@
 from chervilrock.clients.curlpool import CurlPool
 from chervilrock.clients.httpclient import HttpClient
 from chervilrock.clients.liveness import ConnectionLiveness
+from chervilrock.decisions.serving.callerbuffers import find_budget
 from chervilrock.decisions.serving.evacuations import Evacuations
 from chervilrock.decisions.serving.stalls import compute_stall_limits
 from chervilrock.decisions.serving.view import GroupEndpoint, NodeEntry
@@ -52,6 +54,11 @@
 """Greatest number of concurrent requests to backend servers, far above the
 slots of all groups."""
 
+CALLER_SEND_BUFFER_BYTES = 128 * 1024
+"""Send buffer of each caller's socket where the memory of the process is
+limited. By default the system buffers up to 4 MB for a caller that does not
+read; answers have some ten kilobytes."""
+
 MAX_BODY_BYTES = 8 * 1024 * 1024
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
 
@@ -152,7 +159,9 @@
             metrics=self._metrics,
             poisondetector=self._task.poisondetector,
         )
-        self._callers = CallerEdge(context=context)
+        self._callers = CallerEdge(
+            context=context, budget=find_budget(settings.memory_mb)
+        )
         self._servers: list[httpserver.HTTPServer] = []
         self._tasks: list[asyncio.Task[None]] = []
         self.failed = asyncio.Event()
@@ -196,6 +205,14 @@
         settings = self._settings
         peers = SimpleEdge(answer=self._answer_peer, field=EXTENSION)
         lookups = SimpleEdge(answer=self._answer_platform)
+        if settings.memory_mb:
+            for listener in self._callers_binding.sockets:
+                # Accepted sockets inherit it.
+                listener.setsockopt(
+                    socket.SOL_SOCKET,
+                    socket.SO_SNDBUF,
+                    CALLER_SEND_BUFFER_BYTES,
+                )
         self._serve(self._callers_binding, self._callers)
         self._serve(self._ready_binding, lookups)
         self._serve(self._directory_binding, lookups)
@@ -284,10 +301,11 @@
         self.failed.set()
 
     async def _watch_groups(self) -> None:
-        """Check periodically for groups whose streams have stalled."""
+        """Check periodically what callers read, and which groups stalled."""
         while True:
             await asyncio.sleep(WATCH_INTERVAL_S)
             now = read_clock()
+            self._callers.memory.update(now)
             self._metrics.view_age.set(max(0.0, now - self._state.view_time))
             draining = self._state.draining
             for endpoint in (*self._state.view.groups, *draining.values()):
@@ -370,7 +388,9 @@
             self._task.mailbox.offer(StallReported(rest.partition("/")[2]))
             return Reply(status=200)
         if path == "/state":
-            dump = msgspec.json.encode(self._task.describe(now), enc_hook=str)
+            state = self._task.describe(now)
+            state["caller_buffers"] = self._callers.memory.describe()
+            dump = msgspec.json.encode(state, enc_hook=str)
             return Reply(status=200, body=dump)
         if path == "/metrics":
             return self._answer_metrics(now)
--- a/chervilrock/platform/settings.py
+++ b/chervilrock/platform/settings.py
@@ -48,6 +48,8 @@
       warmup_slack: further requests that it may get in a second.
       evacuation_s: time after the record of an evacuation from which nothing
         may be sent to the data centre.
+      memory_mb: memory in megabytes above which the platform kills the
+        process; 0 for no limit.
     """
 
     node: str
@@ -71,6 +73,7 @@
     warmup_overage: float = 1.5
     warmup_slack: float = 5.0
     evacuation_s: float = DEFAULT_EVACUATION_S
+    memory_mb: float = 0.0
 
 
 class _Fields:
@@ -182,6 +185,7 @@
             "bounds.evac_ms", DEFAULT_EVACUATION_S * _MS_PER_S
         )
         / _MS_PER_S,
+        memory_mb=fields.number("limits.memory_mb", 0.0),
     )
     if fields.findings:
         return Failure(tuple(fields.findings))
--- a/chervilrock/standin/site/servers.py
+++ b/chervilrock/standin/site/servers.py
@@ -25,6 +25,15 @@
 RESTART_DELAY_S = 0.5
 """Time from the crash of a server to its restart."""
 
+_MS_PER_S = 1000
+
+PADDED = b"pad-"
+"""Prefix of the body of a request, before the number of bytes that are added to
+each event and answer."""
+
+PATIENCE_S = 3.0
+"""Time for which an event may stay unread before its stream is cut off."""
+
 
 class ServerFault(enum.Enum):
     """Faults of a server.
@@ -121,6 +130,9 @@
       running: number of requests that are running.
       streams: identifiers of the streams that are running.
       cut: streams that ran when the server left its group.
+      patience_s: time for which an event may stay unread before the server
+        cuts off the stream.
+      cut_off: streams that the server cut off because they stayed unread.
       orders: orders in the sequence of their arrival.
       lost_orders: number of next orders that are carried out but not
         answered.
@@ -175,6 +187,8 @@
         self.staged: list[str] = []
         self.group: dict[str, object] | None = None
         self.highest_epoch = -1
+        self.patience_s = PATIENCE_S
+        self.cut_off: list[str] = []
         self.born = 1_700_000_000_000
         self._sequence = itertools.count(1)
         self._store = store
@@ -280,8 +294,8 @@
     ) -> None:
         await self.stop()
         await asyncio.sleep(RESTART_DELAY_S)
+        self.born += round(RESTART_DELAY_S * _MS_PER_S)
         if keeps_identifier:
-            self.born += 1000
             self._sequence = itertools.count(1)
         else:
             self.unregister()
@@ -536,7 +550,8 @@
             return
         if self.server.fault is ServerFault.FAIL:
             self.set_status(500)
-        self.finish(b"answer to " + run.request_id.encode())
+        padding = b"." * self._find_padding()
+        self.finish(b"answer to " + run.request_id.encode() + padding)
 
     async def _stream(self, run: Run) -> None:
         server = self.server
@@ -560,7 +575,10 @@
             await self._wait_for_event()
             if self._is_closed:
                 return
-            event = f"id: {number}\ndata: {run.request_id}-{number}\n\n"
+            padding = "." * self._find_padding()
+            event = (
+                f"id: {number}\ndata: {run.request_id}-{number}{padding}\n\n"
+            )
             if server.fault is ServerFault.BREAK and number > 2:
                 self.write(event[: len(event) // 2])
                 await self.flush()
@@ -568,12 +586,22 @@
                 return
             self.write(event)
             try:
-                await self.flush()
+                await asyncio.wait_for(self.flush(), server.patience_s)
             except StreamClosedError:
                 # The caller closed the connection before the event was sent.
                 return
+            except TimeoutError:
+                server.cut_off.append(run.request_id)
+                self.request.connection.stream.close()  # type: ignore[union-attr]
+                return
         self.finish()
 
+    def _find_padding(self) -> int:
+        """Return how many bytes the request adds to each event or answer."""
+        body = self.request.body
+        is_padded = body.startswith(PADDED)
+        return int(body.removeprefix(PADDED)) if is_padded else 0
+
     def _is_crashing(self) -> bool:
         return self.request.body in self.server.crashing_bodies
 
--- a/chervilrock/standin/site/site.py
+++ b/chervilrock/standin/site/site.py
@@ -226,6 +226,7 @@
     data_centre: str = "a",
     data_centres: Collection[str] = (),
     evac_ms: int = 5000,
+    memory_mb: float = 0.0,
 ) -> dict[str, Any]:
     """Return the settings of a node as the platform writes them.
 
@@ -237,6 +238,7 @@
       data_centre: data centre of the node.
       data_centres: other data centres of the installation.
       evac_ms: time allowed for an evacuation.
+      memory_mb: memory in megabytes that the node may use, 0 for no limit.
     """
     ports_by_name = ports or {}
 
@@ -268,5 +270,6 @@
             "stall_ms": 6000,
             "evac_ms": evac_ms,
         },
+        "limits": {"memory_mb": memory_mb},
         "provider": {"address": store_address},
     }
--- a/test/node/serving_site.py
+++ b/test/node/serving_site.py
@@ -45,7 +45,8 @@
 class World:
     """A stand-in of the platform, its nodes and a caller."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, memory_mb: float = 0.0) -> None:
+        self.memory_mb = memory_mb
         self.site = Site()
         self.nodes: list[ServingNode] = []
         self.client = QuietCurlClient(force_instance=True, max_clients=50)
@@ -99,9 +100,10 @@
         )
 
     def _start_node(self, **options: Any) -> ServingNode:
-        settings = decode_settings(
-            make_node_file(**options, **self._shared)
-        ).unwrap()
+        file = make_node_file(
+            memory_mb=self.memory_mb, **options, **self._shared
+        )
+        settings = decode_settings(file).unwrap()
         node = ServingNode(settings=settings)
         node.start()
         self.nodes.append(node)
@@ -224,6 +226,7 @@
     scenario: Callable[[World], Awaitable[Any]],
     *,
     nodes: int = 1,
+    memory_mb: float = 0.0,
     **options: Any,
 ) -> None:
     """Run a scenario in an event loop of its own.
@@ -231,11 +234,12 @@
     Args:
       scenario: gets the started world.
       nodes: number of nodes.
+      memory_mb: memory in megabytes that a node may use, 0 for no limit.
       options: options of World.start.
     """
 
     async def run() -> None:
-        world = World()
+        world = World(memory_mb=memory_mb)
         try:
             await world.start(nodes, **options)
             await scenario(world)
--- a/test/tasks/test_peermessages.py
+++ b/test/tasks/test_peermessages.py
@@ -1,12 +1,11 @@
 """Guards against messages that nodes of another version cannot decode."""
 
 import gzip
-from typing import NamedTuple
 
 import msgspec
 import pytest
 from testtools.assertions import assert_that
-from testtools.matchers import Equals
+from testtools.matchers import Equals, Is
 
 from chervilrock.decisions.serving.view import (
     Acknowledgement,
@@ -15,7 +14,6 @@
     NodeEntry,
     ServingView,
 )
-from chervilrock.tasks.serving import peermessages
 from chervilrock.tasks.serving.peermessages import (
     BASE_LENGTHS,
     decode_acknowledgement,
@@ -28,19 +26,6 @@
 GROUP = GroupEndpoint("g", 1, "m", "s", "i-1", "127.0.0.1:3", "a")
 
 
-class ExtendedGroup(NamedTuple):
-    """An endpoint with a field that former nodes do not know."""
-
-    group: str
-    epoch: int
-    model: str
-    service: str
-    server: str
-    address: str
-    data_centre: str
-    extra: int = 0
-
-
 @pytest.fixture
 def announcement() -> Announcement:
     """An announcement that carries a view with one group."""
@@ -99,17 +84,18 @@
 
 
 def test_a_new_field_travels_in_the_extension(
-    announcement: Announcement, monkeypatch: pytest.MonkeyPatch
+    announcement: Announcement,
 ) -> None:
-    monkeypatch.setitem(peermessages.BASE_LENGTHS, ExtendedGroup, 7)
-    extended = ExtendedGroup(*GROUP, extra=5)
-    view = ServingView(3, 1, groups=(extended,), servers=())  # type: ignore[arg-type]
-    sent = encode_announcement(announcement._replace(view=view))
-    former = decode_announcement(gzip.decompress(sent.body), "")
+    group = GROUP._replace(started_ms=5)
+    view = ServingView(3, 1, groups=(group,), servers=())
+    extended = announcement._replace(view=view)
+    sent = encode_announcement(extended)
+    body = gzip.decompress(sent.body)
+    former = decode_announcement(body, "")
     assert former is not None
     assert former.view is not None
-    assert_that(former.view.groups[0], Equals(GROUP))
-    assert_that(msgspec.json.decode(sent.extension), Equals([[[6, 2, 0], [5]]]))
+    assert_that(former.view.groups[0] == GROUP, Is(True))
+    assert decode_announcement(body, sent.extension) == extended
 
 
 @pytest.mark.parametrize(
