Limit the late requests of a node after a start of all nodes

After a loss of all nodes, their callers return as soon as there is a view. Each of 88 nodes, which know no loads yet, placed one late request in each group; new requests found all slots taken and were late as well.

For 3 s from the first view, if the leader that the process found at its start has been replaced, the late requests of a node are limited per model to its equal share of 0.15 of the slots. The others are rejected at once with a Retry-After of 1 to 3 s. In this time the usual time limit of callers is the 0.9 quantile of the known limits instead of the median, as most known limits are of returning callers. A node that restarts beside a live leader, and the first start of an installation, are as before.

--- a/chervilrock/catalogue.py
+++ b/chervilrock/catalogue.py
@@ -415,6 +415,12 @@
         "request {request_id} is not sent to server {server}, which stated "
         "after it was chosen that it pauses or leaves",
     )
+    LATE_LIMITED = EventSpec(
+        7411,
+        Level.INFO,
+        "this node started without a leader and serves few late requests for "
+        "{seconds} s from the first view of term {term}",
+    )
     EVENT_MALFORMED = EventSpec(
         9001, Level.ERROR, "event {event_name} has wrong fields: {difference}"
     )
--- a/chervilrock/decisions/serving/lateness.py
+++ b/chervilrock/decisions/serving/lateness.py
@@ -69,6 +69,12 @@
 few limits are known."""
 
 
+START_QUANTILE = 0.9
+"""Quantile of the known limits that is the usual limit after a start, instead
+of the median. Most callers of the first second return, and state only the rest
+of their limits."""
+
+
 class UsualLimits:
     """The usual time limits of the callers of each route."""
 
@@ -82,7 +88,12 @@
         limits.append(limit_s)
 
     def estimate_wait(
-        self, route: str, limit_s: float, longest_s: float
+        self,
+        route: str,
+        limit_s: float,
+        longest_s: float,
+        *,
+        is_starting: bool = False,
     ) -> float:
         """Return how long a caller waited before this attempt, in seconds.
 
@@ -93,11 +104,15 @@
           route: name of the route.
           limit_s: time limit that the caller states now.
           longest_s: longest time for a request of the route.
+          is_starting: whether most callers may be returning ones.
         """
         limits = self._limits.get(route, ())
         usual_s = DEFAULT_LIMIT_FRACTION * longest_s
         if len(limits) >= MIN_KNOWN_LIMITS:
             usual_s = statistics.median(limits)
+            if is_starting:
+                ordered = sorted(limits)
+                usual_s = ordered[int(START_QUANTILE * len(ordered))]
         if limit_s >= FIRST_ARRIVAL_FRACTION * usual_s:
             return 0.0
         return usual_s - limit_s
--- a/chervilrock/decisions/serving/placement.py
+++ b/chervilrock/decisions/serving/placement.py
@@ -179,6 +179,9 @@
 shortage or when they have just arrived. About a hundred of them wait after an
 outage; if all are admitted at once, new requests become late as well."""
 
+CLOSED_BOUND = Bound(total=0.0, own=0.0)
+"""Bound that no endpoint is within."""
+
 LATE_PATIENCE_S = 0.5
 """Time after which a late request gets any free slot, unless there is a
 shortage."""
@@ -198,6 +201,7 @@
     *,
     waited_s: float = 0.0,
     has_shortage: bool = False,
+    may_send_late: bool = True,
 ) -> Bound:
     """Return how full a group may be to get a request.
 
@@ -209,7 +213,10 @@
       nodes: number of nodes that send to the same groups.
       waited_s: time for which it has waited at this node, in seconds.
       has_shortage: whether requests that could be on time get no slots.
+      may_send_late: whether this node may send a late request now.
     """
+    if timeliness is Timeliness.LATE and not may_send_late:
+        return CLOSED_BOUND
     if timeliness is Timeliness.BEGUN:
         return BEGUN_BOUND
     if timeliness is Timeliness.ON_TIME:
--- a/chervilrock/edges/serving/slots.py
+++ b/chervilrock/edges/serving/slots.py
@@ -83,6 +83,7 @@
         self._service = ""
         self._expires = request.arrived
         self._waited_before_s = 0.0
+        self._late_model: str | None = None
         self._is_waiting = False
         self._wait_until = request.arrived
         self._avoided: set[str] = set()
@@ -125,6 +126,9 @@
         while not self._try_acquire():
             now = read_clock()
             timeliness = self.judge_timeliness(now)
+            if not self._may_send(now):
+                retry_after_s = self._state.startup.reject()
+                return Rejection("late after a start", retry_after_s)
             availability = self._find_availability(now)
             decision = decide_wait(
                 self._describe_wait(admission, timeliness, now),
@@ -185,6 +189,9 @@
 
     def release(self) -> None:
         """Release the slot and wake the requests that wait for one."""
+        if self._late_model is not None:
+            self._state.startup.record_ended(self._late_model)
+            self._late_model = None
         if self.slot is not None:
             self._state.record_ended(self.slot.endpoint.server)
             self.slot = None
@@ -212,7 +219,12 @@
             return 0.0
         route = admission.route
         usual = self._state.usual_limits
-        waited_s = usual.estimate_wait(route.name, limit_s, route.timeout_s)
+        waited_s = usual.estimate_wait(
+            route.name,
+            limit_s,
+            route.timeout_s,
+            is_starting=self._state.startup.is_starting(self._request.arrived),
+        )
         usual.record(route.name, limit_s)
         return waited_s
 
@@ -239,6 +251,9 @@
             return False
         server = self.slot.endpoint.server
         self._state.record_sent(server)
+        if self.judge_timeliness(now) is Timeliness.LATE:
+            self._late_model = self._request.facts.model
+            self._state.startup.record_sent(self._late_model)
         self._state.statements.consume(server, now)
         return True
 
@@ -247,7 +262,12 @@
         return self._try_acquire() or self._is_wait_useless()
 
     def _is_wait_useless(self) -> bool:
-        """Return whether all servers pause for longer than the wait."""
+        """Return whether no slot is to be expected before the end of the wait.
+
+        All servers pause for longer, or the request became late after a start.
+        """
+        if not self._may_send(read_clock()):
+            return True
         if not self._state.statements.pauses:
             return False
         now = read_clock()
@@ -286,6 +306,15 @@
             has_shortage=self._state.shortages.has_shortage(
                 self._request.facts.model, now
             ),
+            may_send_late=self._may_send(now),
+        )
+
+    def _may_send(self, now: float) -> bool:
+        """Return whether the request, if it is late, may be sent now."""
+        return self.judge_timeliness(
+            now
+        ) is not Timeliness.LATE or self._state.may_send_late(
+            self._service, self._request.facts.model, now
         )
 
     def _find_availability(self, now: float) -> Availability:
--- a/chervilrock/node/serving.py
+++ b/chervilrock/node/serving.py
@@ -391,6 +391,8 @@
         metrics.set_store_ages(self._task.list_store_ages(now))
         metrics.revision_age.set(self._task.find_revision_age(now))
         metrics.revision_lag.set(self._task.find_revision_lag(now))
+        metrics.leader_probes.set(self._task.leader_probe.probes)
+        metrics.startup_rejections.set(self._state.startup.rejected)
         statements = self._state.statements
         metrics.limited_servers.set(len(statements.limits))
         metrics.pausing_servers.set(len(statements.pauses.list_pausing(now)))
--- a/chervilrock/serving_metrics.py
+++ b/chervilrock/serving_metrics.py
@@ -121,6 +121,12 @@
         self._withheld_requests = self._counter(
             "withheld_requests_total", "Attempts of withheld requests"
         )
+        self.leader_probes = self._gauge(
+            "leader_probes", "Probes of the leader found at the start"
+        )
+        self.startup_rejections = self._gauge(
+            "startup_rejections", "Late requests rejected after the start"
+        )
         self.view_age = self._gauge("view_age_seconds", "Age of the view")
         self.lines_dropped = self._gauge(
             "log_lines_dropped", "Dropped log lines"
--- a/chervilrock/tasks/serving/node.py
+++ b/chervilrock/tasks/serving/node.py
@@ -291,6 +291,7 @@
             "suspects": state.suspects.announced,
             "withheld": state.suspects.list_withheld(),
             "waiting": len(self._waitqueue),
+            "startup": state.startup.describe(now),
             "repeats": state.describe_budgets(),
             "limits": state.statements.limits.list_limited(),
             "pauses": state.statements.pauses.list_pausing(now),
--- a/chervilrock/tasks/serving/noderecords.py
+++ b/chervilrock/tasks/serving/noderecords.py
@@ -96,6 +96,7 @@
         if self.first_read_time is None:
             self.first_read_time = now
             self.first_term = self._leadership.term
+            self._state.startup.record_found(self.first_term)
         return is_restored and not self._contains_own_record(read)
 
     def add(self, entry: NodeEntry, now: float) -> None:
--- a/chervilrock/tasks/serving/state.py
+++ b/chervilrock/tasks/serving/state.py
@@ -28,6 +28,7 @@
 from chervilrock.decisions.serving.shortage import Shortages
 from chervilrock.decisions.serving.site import EngineProfile
 from chervilrock.decisions.serving.stalls import StallDetector
+from chervilrock.decisions.serving.startup import Startup, STARTUP_S
 from chervilrock.decisions.serving.suspects import SuspectTable
 from chervilrock.decisions.serving.view import (
     GroupEndpoint,
@@ -81,6 +82,7 @@
       watches: stall detectors of this node's streams, by group.
       suspects: requests during which servers crashed.
       statements: what servers state of themselves in their answers.
+      startup: late requests in the seconds after the start.
     """
 
     def __init__(
@@ -122,6 +124,7 @@
         self.watches: dict[str, StallDetector] = {}
         self.suspects = SuspectTable()
         self.statements = ServerStatements(own=own.node)
+        self.startup = Startup(generator=generator)
 
     @property
     def revision(self) -> int:
@@ -133,6 +136,8 @@
         """Replace the view; drop what is known of absent endpoints."""
         self.view = view
         self.view_time = now
+        if self.startup.record_view(view.term, now):
+            emit(Event.LATE_LIMITED, term=view.term, seconds=STARTUP_S)
         self._forget_failures(frozenset(group.group for group in view.groups))
         self.statements.apply_view(view.limits, view.list_targets(), now)
         emit(
@@ -265,6 +270,14 @@
             if group.service == service and group.model == model
         ]
 
+    def may_send_late(self, service: str, model: str, now: float) -> bool:
+        """Return whether this node may send another late request to a model."""
+        engine = self.find_engine(service)
+        if engine is None or not self.startup.is_limiting(now):
+            return True
+        slots = engine.slots * len(self.list_groups(service, model))
+        return self.startup.may_send(model, slots / self.count_nodes(), now)
+
     def list_servers(self, service: str) -> list[ServerEndpoint]:
         """Return the servers of a plain service."""
         return [
--- a/test/tasks/overload.py
+++ b/test/tasks/overload.py
@@ -471,6 +471,7 @@
             for data_centre in range(fleet.data_centres)
             for number in range(fleet.nodes)
         ]
+        self._exchanges: dict[Exchange, None] = {}
         self._reported_loads = [ReportedLoads() for _ in self._nodes]
         self._load_totals: list[dict[str, int]] = [{}] * fleet.lag
         total_s = WARM_UP_S + load.duration_s + load.recovery_s
@@ -579,7 +580,7 @@
         await asyncio.sleep(CALLER_ROUND_TRIP_S)
         loop = asyncio.get_running_loop()
         now = loop.time()
-        node = self._generator.choice(self._nodes)
+        node = self._choose_node()
         name = node.state.own.node
         deadline_ms = max(1, round(1000 * (until - now)))
         pairs = (
@@ -603,6 +604,7 @@
             ),
             connection=connection,  # type: ignore[arg-type]
         )
+        self._exchanges[exchange] = None
         running = loop.create_task(exchange.run())
         timeout_s = min(CALLER_STALL_TIMEOUT_S, until - now)
         with contextlib.suppress(TimeoutError):
@@ -613,9 +615,22 @@
         elif not connection.closed.is_set():
             exchange.cancel()
         await running
+        del self._exchanges[exchange]
         await asyncio.sleep(CALLER_ROUND_TRIP_S / 2)
         return connection
 
+    def _choose_node(self) -> Context:
+        """Return the node that gets an attempt."""
+        return self._generator.choice(self._nodes)
+
+    def _find_interval(self) -> float:
+        """Return the seconds until the next announcement."""
+        return self._fleet.announcement_interval_s
+
+    def _count_senders(self) -> int:
+        """Return how many nodes the leader announces as having requests."""
+        return len(self._nodes)
+
     async def _wake_waiting(self) -> None:
         """Wake waiting requests as the main task of a node does."""
         while True:
@@ -628,7 +643,8 @@
         """Total the loads of all nodes and announce the totals to them."""
         lag = self._fleet.lag
         while True:
-            await asyncio.sleep(self._fleet.announcement_interval_s)
+            await asyncio.sleep(self._find_interval())
+            senders = self._count_senders()
             total: dict[str, int] = {}
             for context, reported in zip(
                 self._nodes, self._reported_loads, strict=True
@@ -639,7 +655,7 @@
                 state.apply_loads(
                     self._load_totals[0],
                     reported.find_included(TERM, lag),
-                    senders=len(self._nodes),
+                    senders=senders,
                     now=now,
                 )
                 reported.record(TERM, state.own_loads)
--- a/test/tasks/test_fleet_start.py
+++ b/test/tasks/test_fleet_start.py
@@ -12,7 +12,7 @@
 import msgspec
 import pytest
 from testtools.assertions import assert_that
-from testtools.matchers import Equals, GreaterThan, LessThan
+from testtools.matchers import Equals, GreaterThan, Is, LessThan
 
 from chervilrock.clients.serving import Topic
 from chervilrock.decisions.serving import leadership
@@ -39,11 +39,13 @@
       claim_s: until a node leads.
       first_s: until the first node has a view.
       all_s: until all nodes have a view.
+      limiting: nodes that limit their late requests then.
     """
 
     claim_s: float
     first_s: float
     all_s: float
+    limiting: int
 
 
 def write_former_fleet(installation: Installation, nodes: int) -> None:
@@ -93,8 +95,12 @@
         claim_s = await measure(lambda: installation.find_leader() is not None)
         first_s = await measure(lambda: any(has_view()))
         all_s = await measure(lambda: all(has_view()))
+        limiting = sum(
+            node.state.startup.is_limiting(loop.time())
+            for node in installation.running_nodes.values()
+        )
         await installation.stop()
-        return Start(claim_s, first_s, all_s)
+        return Start(claim_s, first_s, all_s, limiting)
 
     return run_virtually(run())
 
@@ -112,6 +118,7 @@
 ) -> None:
     start = measure_start(monkeypatch, nodes=nodes)
     assert_that(start.all_s, LessThan(0.5))
+    assert_that(start.limiting, Equals(nodes - 1))
     disable_probes(monkeypatch)
     former = measure_start(monkeypatch, nodes=nodes)
     assert_that(former.first_s, GreaterThan(former_s))
@@ -165,10 +172,10 @@
     assert_that(probes, GreaterThan(0))
 
 
-def test_a_restarted_node_that_a_leader_announces_to_stops_asking(
+def test_a_restart_of_one_node_while_a_leader_announces_changes_nothing(
     monkeypatch,
 ) -> None:
-    async def run() -> int:
+    async def run() -> tuple[int, bool]:
         installation = Installation(monkeypatch=monkeypatch, seed=3)
         await installation.start(nodes=40, data_centres=DATA_CENTRES)
         first = next(iter(set(FIRST_NAMES) - {installation.find_leader()}))
@@ -177,9 +184,12 @@
         await asyncio.sleep(LIMIT_S)
         node = installation.running_nodes[first]
         await installation.stop()
-        return node.task.leader_probe.probes
+        is_limiting = bool(node.state.startup.describe(0.0)["limited_s"])
+        return node.task.leader_probe.probes, is_limiting
 
-    assert_that(run_virtually(run()), LessThan(8))
+    probes, is_limiting = run_virtually(run())
+    assert_that(probes, LessThan(8))
+    assert_that(is_limiting, Is(False))
 
 
 if __name__ == "__main__":
