--- a/chervilrock/tasks/serving/leaderprobe.py
+++ b/chervilrock/tasks/serving/leaderprobe.py
@@ -1,5 +1,6 @@
 """Asks whether the leader of a claim that a starting node has read exists."""
 
+from collections.abc import Callable
 from typing import Any
 
 from chervilrock.decisions.serving.leadercontact import (
@@ -77,11 +78,11 @@
         self.finding = Finding.UNKNOWN
         self.probes = 0
 
-    def act(self, rank: int, now: float) -> None:
+    def act(self, find_rank: Callable[[], int], now: float) -> None:
         """Ask the leader's process if a probe is due.
 
         Args:
-          rank: rank of this node in the order of claims.
+          find_rank: returns the rank of this node in the order of claims.
           now: current time.
         """
         if self._is_pending or now < self._next_time:
@@ -92,8 +93,8 @@
         if claim is None or leader is None or first_read_time is None:
             return
         waited_s = now - first_read_time
-        self._rank = rank
-        self._asks_others = should_probe(rank, waited_s)
+        self._rank = find_rank()
+        self._asks_others = should_probe(self._rank, waited_s)
         # Where the leader answers, the node may register.
         if not self._asks_others and waited_s < MAX_REGISTRATION_DELAY_S:
             return
--- a/chervilrock/tasks/serving/node.py
+++ b/chervilrock/tasks/serving/node.py
@@ -222,7 +222,14 @@
 
     def find_contact(self, now: float) -> LeaderContact:
         """Return what a node that asks about the leader is answered."""
-        return self.leader_probe.find_contact(now, is_leader=self.is_leader)
+        # Nodes should not wait for a leader that another one has to replace.
+        is_staying = (
+            not self._state.is_stopping
+            and self._reads.store.unavailable_since is None
+        )
+        return self.leader_probe.find_contact(
+            now, is_leader=self.is_leader and is_staying
+        )
 
     def list_callers_addresses(
         self, data_centre: str, now: float
@@ -493,7 +500,7 @@
 
     def _act(self, now: float) -> None:
         """Perform all actions that are due."""
-        self.leader_probe.act(self._election.find_rank(), now)
+        self.leader_probe.act(self._election.find_rank, now)
         self._election.act(now)
         self._fetch_missing_revision(now)
         self._update_suspects(now)
--- a/test/node/test_serving.py
+++ b/test/node/test_serving.py
@@ -28,6 +28,7 @@
 )
 from chervilrock.standin.site.store import StoreDoor, StoreFault
 from chervilrock.tasks.clock import read_clock
+from chervilrock.tasks.serving.peermessages import decode_contact
 from test.edges.raw import exchange
 from test.node.serving_site import CUT, make_events, run_world, World
 
@@ -477,6 +478,21 @@
     run_world(scenario, nodes=2)
 
 
+def test_nodes_state_whether_they_have_contact_with_a_leader() -> None:
+    # A starting node that gets no such answer waits for the former timeout.
+    async def scenario(world: World) -> None:
+        for node in world.nodes:
+            address = f"http://{node.own.peer_address}"
+            answer = await world.client.fetch(f"{address}/peer/leader")
+            contact = decode_contact(answer.body)
+            assert contact is not None
+            assert_that(contact.incarnation, Equals(node.own.incarnation))
+            assert_that(contact.has_contact, Equals(True))
+            assert_that(contact.term, GreaterThan(-1))
+
+    run_world(scenario, nodes=2)
+
+
 def test_a_restarted_node_does_not_conflict_with_its_own_claim() -> None:
     async def scenario(world: World) -> None:
         (node,) = world.nodes
