--- a/chervilrock/catalogue.py
+++ b/chervilrock/catalogue.py
@@ -257,6 +257,13 @@
         "node {node} is chosen as a relay for the nodes of data centre "
         "{data_centre}",
     )
+    LEADER_PROBED = EventSpec(
+        7206,
+        Level.WARNING,
+        "leader {leader} of term {term}, found at the start of this node, does "
+        "not answer and is {finding}: {answers} of {asked} nodes stated "
+        "whether they have contact with it",
+    )
     GROUP_CHANGED = EventSpec(
         7301, Level.INFO, "group {group} of {members}: {step} ({reason})"
     )
@@ -459,6 +466,12 @@
         "not complete yet, and bodies take {bodies} bytes of a budget of "
         "{budget}: {paused} answers are paused",
     )
+    LATE_LIMITED = EventSpec(
+        7411,
+        Level.INFO,
+        "this node started without a leader and serves few late requests for "
+        "{seconds} s from the first view of term {term}",
+    )
     ANSWER_ENDED = EventSpec(
         7412,
         Level.WARNING,
--- a/chervilrock/edges/serving/slots.py
+++ b/chervilrock/edges/serving/slots.py
@@ -83,6 +83,7 @@
         self._service = ""
         self._expires = request.arrived
         self._waited_before_s = 0.0
+        self._late_model: str | None = None
         self._is_waiting = False
         self._wait_until = request.arrived
         self._avoided: set[str] = set()
@@ -128,6 +129,9 @@
         while not self._try_acquire():
             now = read_clock()
             timeliness = self.judge_timeliness(now)
+            if not self._may_send(now):
+                retry_after_s = self._state.startup.reject()
+                return Rejection("late after a start", retry_after_s)
             availability = self._find_availability(now)
             decision = decide_wait(
                 self._describe_wait(admission, timeliness, now),
@@ -205,6 +209,9 @@
         if self._permit is not None:
             self._permit.release()
             self._permit = None
+        if self._late_model is not None:
+            self._state.startup.record_ended(self._late_model)
+            self._late_model = None
         if self.slot is not None:
             self._state.record_ended(
                 self.slot.endpoint.server, self._load_period
@@ -234,7 +241,12 @@
             return 0.0
         route = admission.route
         usual = self._state.usual_limits
-        waited_s = usual.estimate_wait(route.name, limit_s, route.timeout_s)
+        waited_s = usual.estimate_wait(
+            route.name,
+            limit_s,
+            route.timeout_s,
+            is_starting=self._state.startup.is_starting(self._request.arrived),
+        )
         usual.record(route.name, limit_s)
         return waited_s
 
@@ -263,6 +275,9 @@
         self._load_period = self._state.record_sent(server)
         self._permit = self._state.statements.consume(server, now)
         self._is_held = False
+        if self.judge_timeliness(now) is Timeliness.LATE:
+            self._late_model = self._request.facts.model
+            self._state.startup.record_sent(self._late_model)
         return True
 
     def _try_end_wait(self) -> bool:
@@ -270,10 +285,13 @@
         return self._try_acquire() or self._is_wait_useless()
 
     def _is_wait_useless(self) -> bool:
-        """Return whether no server can take the request within the wait.
+        """Return whether no slot is to be expected before the end of the wait.
 
-        All pause for longer, or the last ones were evacuated.
+        All servers pause for longer, the last ones were evacuated, or the
+        request became late after a start.
         """
+        if not self._may_send(read_clock()):
+            return True
         state = self._state
         if not (state.statements.pauses or state.evacuations):
             return False
@@ -317,6 +335,15 @@
             has_shortage=self._state.shortages.has_shortage(
                 self._request.facts.model, now
             ),
+            may_send_late=self._may_send(now),
+        )
+
+    def _may_send(self, now: float) -> bool:
+        """Return whether the request, if it is late, may be sent now."""
+        return self.judge_timeliness(
+            now
+        ) is not Timeliness.LATE or self._state.may_send_late(
+            self._service, self._request.facts.model, now
         )
 
     def _find_availability(self, now: float) -> Availability:
--- a/chervilrock/node/serving.py
+++ b/chervilrock/node/serving.py
@@ -38,7 +38,7 @@
 from chervilrock.tasks.clock import read_clock
 from chervilrock.tasks.serving.messages import StallReported
 from chervilrock.tasks.serving.node import NodeTask
-from chervilrock.tasks.serving.outbound import Ports
+from chervilrock.tasks.serving.outbound import CONTACT_PATH, Ports
 from chervilrock.tasks.serving.peermessages import (
     decode_announcement,
     decode_crash_report,
@@ -384,6 +384,9 @@
             return Reply(status=200, body=self._task.get_document())
         if is_statement(rest):
             return self._answer_statement(rest, body)
+        if rest == CONTACT_PATH:
+            contact = self._task.find_contact(now)
+            return Reply(status=200, body=msgspec.json.encode(contact))
         if path.startswith("/peer/silence/"):
             self._task.mailbox.offer(StallReported(rest.partition("/")[2]))
             return Reply(status=200)
@@ -434,6 +437,8 @@
         metrics.set_store_ages(self._task.list_store_ages(now))
         metrics.revision_age.set(self._task.find_revision_age(now))
         metrics.revision_lag.set(self._task.find_revision_lag(now))
+        metrics.leader_probes.set(self._task.leader_probe.probes)
+        metrics.startup_rejections.set(self._state.startup.rejected)
         statements = self._state.statements
         metrics.limited_servers.set(len(statements.limits.list_limited()))
         metrics.cold_servers.set(len(statements.limits.list_cold()))
--- a/chervilrock/tasks/serving/peermessages.py
+++ b/chervilrock/tasks/serving/peermessages.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from chervilrock.decisions.serving.leadercontact import LeaderContact
 from chervilrock.decisions.serving.serverlimits import LimitedServer
 from chervilrock.decisions.serving.suspects import CrashReport
 from chervilrock.decisions.serving.view import (
@@ -83,6 +84,7 @@
 _ANNOUNCEMENT = msgspec.json.Decoder(Announcement)
 _ACKNOWLEDGEMENT = msgspec.json.Decoder(Acknowledgement)
 _ADDITIONS = msgspec.json.Decoder(tuple[_Addition, ...])
+_CONTACT = msgspec.json.Decoder(LeaderContact)
 _CRASH_REPORT = msgspec.json.Decoder(CrashReport)
 _STATEMENTS: dict[str, msgspec.json.Decoder[StatementReport]] = {
     "limit": msgspec.json.Decoder(LimitReported),
@@ -203,6 +205,14 @@
     return extended
 
 
+def decode_contact(body: bytes) -> LeaderContact | None:
+    """Decode what a node states of the leader; None for an invalid body."""
+    try:
+        return _CONTACT.decode(body)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return None
+
+
 def decode_crash_report(body: bytes) -> CrashReport | None:
     """Decode a crash report; None for an invalid body."""
     try:
--- a/chervilrock/tasks/serving/state.py
+++ b/chervilrock/tasks/serving/state.py
@@ -31,6 +31,7 @@
 from chervilrock.decisions.serving.shortage import Shortages
 from chervilrock.decisions.serving.site import EngineProfile
 from chervilrock.decisions.serving.stalls import StallDetector
+from chervilrock.decisions.serving.startup import Startup, STARTUP_S
 from chervilrock.decisions.serving.suspects import SuspectTable
 from chervilrock.decisions.serving.view import (
     GroupEndpoint,
@@ -90,6 +91,7 @@
       draining: groups of evacuated data centres that are no longer in the
         view but may still run streams of this node, by name.
       starts: latest start of each server that the views have named.
+      startup: late requests in the seconds after the start.
     """
 
     def __init__(
@@ -142,6 +144,7 @@
         self.draining: dict[str, GroupEndpoint] = {}
         self.evacuations = Evacuations() if evacuations is None else evacuations
         self.starts = ServerStarts()
+        self.startup = Startup(generator=generator)
 
     @property
     def revision(self) -> int:
@@ -160,6 +163,8 @@
             self.draining.pop(group.group, None)
         self.view = view
         self.view_time = now
+        if self.startup.record_view(view.term, now):
+            emit(Event.LATE_LIMITED, term=view.term, seconds=STARTUP_S)
         self._forget_failures(frozenset(group.group for group in view.groups))
         starts = view.list_starts()
         for server in self.starts.find_restarted(starts):
@@ -333,6 +338,14 @@
             if group.service == service and group.model == model
         ]
 
+    def may_send_late(self, service: str, model: str, now: float) -> bool:
+        """Return whether this node may send another late request to a model."""
+        engine = self.find_engine(service)
+        if engine is None or not self.startup.is_limiting(now):
+            return True
+        slots = engine.slots * len(self.list_groups(service, model))
+        return self.startup.may_send(model, slots / self.count_nodes(), now)
+
     def list_servers(self, service: str) -> list[ServerEndpoint]:
         """Return the servers of a plain service."""
         return [
