--- a/chervilrock/catalogue.py
+++ b/chervilrock/catalogue.py
@@ -466,12 +466,6 @@
         "not complete yet, and bodies take {bodies} bytes of a budget of "
         "{budget}: {paused} answers are paused",
     )
-    LATE_LIMITED = EventSpec(
-        7411,
-        Level.INFO,
-        "this node started without a leader and serves few late requests for "
-        "{seconds} s from the first view of term {term}",
-    )
     ANSWER_ENDED = EventSpec(
         7412,
         Level.WARNING,
@@ -491,6 +485,12 @@
         "request {request_id} is not sent to server {server}, whose data "
         "centre {data_centre} was evacuated after it was chosen",
     )
+    LATE_LIMITED = EventSpec(
+        7415,
+        Level.INFO,
+        "this node started without a leader and serves few late requests for "
+        "{seconds} s from the first view of term {term}",
+    )
     EVENT_MALFORMED = EventSpec(
         9001, Level.ERROR, "event {event_name} has wrong fields: {difference}"
     )
