Give the replay's transfer the attribute that exchanges read

An exchange asks its transfer whether it was paused. The replay's transfer lacked the answer, so that its exchanges ended by AttributeError and the replay waited for them without end (no test of it ended within 100 s).

test/tasks/test_overload.py: 11 passed in 119.5 s.

--- a/test/tasks/overload.py
+++ b/test/tasks/overload.py
@@ -331,6 +331,7 @@
         )
         self._engine_request: _EngineRequest | None = None
         self.sent = False
+        self.was_paused = False
         self.head: Head | None = None
 
     async def run(self, client: object) -> TransferEnd:
