--- a/bench/soak.py
+++ b/bench/soak.py
@@ -517,8 +517,8 @@
         faults.remove_faults()
         await asyncio.sleep(SETTLE_S / 4)
         evacuated.end()
-        # A single one that is left would get the few requests at the end anyway,
-        # and the check would not need the evacuation to be obeyed.
+        # Any data centre that is left would get these few requests anyway, and
+        # the check would hold without the evacuation.
         for name in DATA_CENTRES:
             evacuated.begin(name)
         await asyncio.sleep(SETTLE_S * 3 / 4)
