--- a/chervilrock/decisions/serving/reportedloads.py
+++ b/chervilrock/decisions/serving/reportedloads.py
@@ -9,30 +9,33 @@
 
 from collections import deque
 from collections.abc import Mapping
-from types import MappingProxyType
+from typing import Generic, TypeVar
 
 LONGEST_LAG = 2
 """Answers after which the requests of a node are included in every sum."""
 
-NO_LOADS: Mapping[str, int] = MappingProxyType({})
+Count = TypeVar("Count")
 
 
-class ReportedLoads:
-    """The requests that a node has reported to a leader, by endpoint."""
+class ReportedLoads(Generic[Count]):
+    """The requests that a node has reported to a leader.
+
+    They are counted by endpoint, or by what they wait for.
+    """
 
     def __init__(self) -> None:
         """Create a record without reports."""
         self._term = -1
-        self._reported: deque[Mapping[str, int]] = deque(maxlen=LONGEST_LAG)
+        self._reported: deque[Mapping[str, Count]] = deque(maxlen=LONGEST_LAG)
 
-    def record(self, term: int, loads: Mapping[str, int]) -> None:
+    def record(self, term: int, loads: Mapping[str, Count]) -> None:
         """Record the loads that are reported now to the leader of a term."""
         if term != self._term:
             self._term = term
             self._reported.clear()
         self._reported.append(dict(loads))
 
-    def find_included(self, term: int, lag: int) -> Mapping[str, int]:
+    def find_included(self, term: int, lag: int) -> Mapping[str, Count]:
         """Return the requests of this node that a sum of the leader includes.
 
         Args:
@@ -41,5 +44,5 @@
             the last one, which is 1.
         """
         if term != self._term or lag > len(self._reported):
-            return NO_LOADS
+            return {}
         return self._reported[-lag]
--- a/chervilrock/decisions/serving/shares.py
+++ b/chervilrock/decisions/serving/shares.py
@@ -5,7 +5,8 @@
 sends its waiting requests there, and the group gets several times what it has
 slots for. So each node keeps to its share of the free slots. What a node had
 when the totals were computed, and its share of what they left free, add up to
-the slots over all nodes, however old the totals are.
+the slots over all nodes, however old the totals are. Where priorities compete,
+the free slots go first to the nodes whose more urgent requests wait for them.
 """
 
 from collections.abc import Mapping
@@ -13,6 +14,8 @@
 from types import MappingProxyType
 from typing import TYPE_CHECKING
 
+from chervilrock.decisions.serving.priorityadmission import SlotDemand
+
 if TYPE_CHECKING:
     import random
 
@@ -65,26 +68,40 @@
         self._recorded_at = now
         self._limits.clear()
 
-    def find_limit(self, server: str, slots: int, now: float) -> float:
+    def find_limit(
+        self,
+        server: str,
+        slots: int,
+        now: float,
+        demand: SlotDemand | None = None,
+    ) -> float:
         """Return how many requests this node may have at a group.
 
         Args:
           server: head of the group.
           slots: requests that the group runs at once.
           now: current time.
+          demand: part of the free slots that is due to this node, None to
+            share them out by node; the same until the next totals.
         """
         if not self._senders or now - self._recorded_at > MAX_TOTALS_AGE_S:
             return NO_LIMIT
         limit = self._limits.get(server)
         if limit is None:
-            limit = self._own.get(server, 0) + self._allocate(server, slots)
+            limit = self._own.get(server, 0) + self._allocate(
+                server, slots, demand
+            )
             self._limits[server] = limit
         return limit
 
-    def _allocate(self, server: str, slots: int) -> int:
+    def _allocate(
+        self, server: str, slots: int, demand: SlotDemand | None
+    ) -> int:
         """Return this node's share of the free slots, below 0 if overfull."""
         reserved = RESERVED_FRACTION * slots
         free = slots - reserved - self._totals.get(server, 0)
         share = free / self._senders
+        if demand is not None and free > 0:
+            share = free * demand.waiting + demand.rest * share
         whole = math.floor(share)
         return whole + (self._generator.random() < share - whole)
--- a/chervilrock/decisions/serving/view.py
+++ b/chervilrock/decisions/serving/view.py
@@ -5,6 +5,7 @@
 from types import MappingProxyType
 from typing import NamedTuple
 
+from chervilrock.decisions.serving.priorityadmission import WaitingCounts
 from chervilrock.decisions.serving.serverlimits import LimitedServer
 from chervilrock.decisions.serving.suspects import Suspect
 
@@ -151,6 +152,8 @@
       suspects: requests under which servers have crashed, None when the node
         has the list.
       senders: number of nodes whose requests are counted in `loads`.
+      waiting: waiting requests of all nodes, counted like `loads`; None from
+        an older process, or for one that reports none.
     """
 
     term: int
@@ -171,6 +174,7 @@
     suspects_sequence: int = 0
     suspects: tuple[Suspect, ...] | None = None
     senders: int = 0
+    waiting: WaitingCounts | None = None
 
 
 class Summary(NamedTuple):
@@ -186,6 +190,8 @@
       term: greatest term that one of them knows.
       revision: greatest revision that one of them has in force.
       holder: node with this revision, None without a revision.
+      waiting: waiting requests that can be on time, by model or plain service
+        and by priority.
     """
 
     nodes: tuple[str, ...] = ()
@@ -196,6 +202,7 @@
     term: int = -1
     revision: int = -1
     holder: NodeEntry | None = None
+    waiting: WaitingCounts = MappingProxyType({})
 
 
 class Acknowledgement(NamedTuple):
@@ -214,6 +221,8 @@
       relayed: aggregate of the answers of the nodes to which it forwards
         announcements, None until each of them was tried once.
       suspects_version: term and number of the list of suspects that it uses.
+      waiting: its own requests that wait for a slot and can be on time, by
+        model or plain service and by priority; None from an older process.
     """
 
     term: int
@@ -227,6 +236,7 @@
     has_traffic: bool
     relayed: Summary | None = None
     suspects_version: tuple[int, int] = (-1, 0)
+    waiting: WaitingCounts | None = None
 
 
 def merge_summaries(summaries: Iterable[Summary]) -> Summary:
@@ -235,12 +245,15 @@
     loads: Counter[str] = Counter()
     stalled: Counter[str] = Counter()
     nodes: list[str] = []
+    waiting: dict[str, Counter[int]] = {}
     senders = 0
     for summary in summaries:
         senders += summary.senders
         loads.update(summary.loads)
         stalled.update(summary.stalled)
         nodes += summary.nodes
+        for name, counts in summary.waiting.items():
+            waiting.setdefault(name, Counter()).update(counts)
         is_newer = summary.revision > total.revision
         total = total._replace(
             has_traffic=total.has_traffic or summary.has_traffic,
@@ -249,7 +262,11 @@
             holder=summary.holder if is_newer else total.holder,
         )
     return total._replace(
-        nodes=tuple(nodes), loads=loads, senders=senders, stalled=stalled
+        nodes=tuple(nodes),
+        loads=loads,
+        senders=senders,
+        stalled=stalled,
+        waiting=waiting,
     )
 
 
@@ -264,4 +281,5 @@
         term=answer.term,
         revision=answer.revision,
         holder=answer.node if answer.revision >= 0 else None,
+        waiting=answer.waiting or {},
     )
--- a/chervilrock/decisions/serving/waiting.py
+++ b/chervilrock/decisions/serving/waiting.py
@@ -86,6 +86,8 @@
         limits.
       pause_wait_s: seconds until the first endpoint takes requests of this
         node again, where all pause; 0 otherwise.
+      hopeless_s: for how long requests of its priority have got no slot, in
+        seconds, if it cannot expect one in time; 0 otherwise.
     """
 
     has_endpoints: bool
@@ -93,6 +95,7 @@
     shortage_s: float = 0.0
     limit_wait_s: float = 0.0
     pause_wait_s: float = 0.0
+    hopeless_s: float = 0.0
 
 
 class WaitingRequest(NamedTuple):
@@ -142,6 +145,8 @@
         return WaitDecision(0.0, find_pause_retry_after(availability, draw))
     if request.timeliness is Timeliness.BEGUN:
         return WaitDecision(max_wait_s, RETRY_AFTER_S)
+    if availability.hopeless_s and availability.has_endpoints:
+        return WaitDecision(0.0, _spread_retry(availability.hopeless_s, draw))
     if request.timeliness is Timeliness.ON_TIME:
         wait_s = REPAIR_S
         if availability.has_endpoints:
@@ -211,6 +216,16 @@
     )
 
 
+def _spread_retry(hopeless_s: float, draw: float) -> float:
+    """Return the retry time of a caller that is rejected for its priority.
+
+    Many are rejected within a second, so they are spread over a time as long
+    as the time after which they return.
+    """
+    base_s = max(RETRY_AFTER_S, min(MAX_RETRY_AFTER_S, hopeless_s))
+    return base_s * (0.5 + draw)
+
+
 def _add_jitter(retry_after_s: float, draw: float) -> float:
     """Return a retry time with random jitter."""
     return retry_after_s * (1.0 + RETRY_AFTER_JITTER * (2.0 * draw - 1.0))
--- a/chervilrock/edges/serving/slots.py
+++ b/chervilrock/edges/serving/slots.py
@@ -11,6 +11,7 @@
     find_group_bound,
     GROUP_BOUND,
 )
+from chervilrock.decisions.serving.priorityadmission import Candidate
 from chervilrock.decisions.serving.routes import Admission
 from chervilrock.decisions.serving.site import RouteKind
 from chervilrock.decisions.serving.view import GroupEndpoint, ServerEndpoint
@@ -27,7 +28,7 @@
 from chervilrock.edges.serving.suspectcheck import SuspectCheck
 from chervilrock.tasks.clock import read_clock
 from chervilrock.tasks.serving.state import ServingState
-from chervilrock.tasks.serving.waitqueue import WaitQueue
+from chervilrock.tasks.serving.waitqueue import CountedAs, WaitQueue
 
 Endpoint = GroupEndpoint | ServerEndpoint
 SlotChoice = Choice[GroupEndpoint] | Choice[ServerEndpoint]
@@ -81,6 +82,8 @@
         self._check = check
         self._admission: Admission | None = None
         self._service = ""
+        self._top_priority: int | None = None
+        self._acquired_at = request.arrived
         self._expires = request.arrived
         self._waited_before_s = 0.0
         self._is_waiting = False
@@ -101,6 +104,7 @@
         """
         self._admission = admission
         self._service = service
+        self._top_priority = self._state.find_top_priority(service)
         self._expires = expires
         self._waited_before_s = self._estimate_wait(admission)
 
@@ -126,6 +130,12 @@
             now = read_clock()
             timeliness = self.judge_timeliness(now)
             availability = self._find_availability(now)
+            candidate = self._describe_candidate(now)
+            if candidate is not None:
+                hopeless_s = self._state.admission.find_hopeless_s(
+                    candidate, now
+                )
+                availability = availability._replace(hopeless_s=hopeless_s)
             decision = decide_wait(
                 self._describe_wait(admission, timeliness, now),
                 availability,
@@ -147,7 +157,12 @@
                 continue
             if timeliness is not Timeliness.ON_TIME:
                 return rejection
-            if not availability.pause_wait_s:
+            # A less urgent request that gets no slot shows no shortage for the
+            # more urgent ones, for which the slots were kept.
+            is_outranked = (
+                candidate is not None and candidate.priority > candidate.top
+            )
+            if not availability.pause_wait_s and not is_outranked:
                 self._state.shortages.record_missed(
                     self._request.facts.model, read_clock()
                 )
@@ -187,6 +202,10 @@
         """Release the slot and wake the requests that wait for one."""
         if self.slot is not None:
             self._state.record_ended(self.slot.endpoint.server)
+            if self._top_priority is not None:
+                self._state.admission.record_held(
+                    self._pool, read_clock() - self._acquired_at
+                )
             self.slot = None
             self._waitqueue.notify()
 
@@ -238,6 +257,7 @@
         if self.slot is None:
             return False
         server = self.slot.endpoint.server
+        self._acquired_at = now
         self._state.record_sent(server)
         self._state.statements.consume(server, now)
         return True
@@ -260,6 +280,14 @@
         Servers that rejected the request and asked for a pause are the last
         choice; they may take it when their pause has ended.
         """
+        candidate = self._describe_candidate(now)
+        if candidate is not None and not self._state.admission.may_take(
+            candidate,
+            self._waitqueue.count(candidate.pool),
+            lambda: self._state.find_capacity(candidate.pool, now).free,
+            now,
+        ):
+            return None
         choice = self._choose_except(self._avoided | self._paused, now)
         if choice is None and self._paused:
             choice = self._choose_except(self._avoided, now)
@@ -315,6 +343,33 @@
             pause_wait_s=statements.pauses.find_wait(first, now),
         )
 
+    @property
+    def _pool(self) -> str:
+        """Model, or plain service, whose slots the request needs."""
+        is_plain = self._state.find_engine(self._service) is None
+        return self._service if is_plain else self._request.facts.model
+
+    def _describe_candidate(self, now: float) -> Candidate | None:
+        """Return the request as one that competes with other priorities.
+
+        None where all requests of the service have the same priority.
+        """
+        admission = self._admission
+        if self._top_priority is None or admission is None:
+            return None
+        workspace = admission.workspace
+        waited_s = self._waited_before_s + now - self._request.arrived
+        first_s = self._estimate_first_event(admission)
+        return Candidate(
+            pool=self._pool,
+            priority=admission.priority,
+            top=self._top_priority,
+            timeliness=self.judge_timeliness(now),
+            on_time_s=admission.route.target_s - first_s - waited_s,
+            workspace="" if workspace is None else workspace.name,
+            request_id=self._request.facts.request_id,
+        )
+
     def _describe_wait(
         self, admission: Admission, timeliness: Timeliness, now: float
     ) -> WaitingRequest:
@@ -348,10 +403,19 @@
         now = read_clock()
         arrived = self._request.arrived
         order = -arrived if timeliness is Timeliness.ON_TIME else arrived
+        rank = (admission.priority, int(timeliness), order)
+        counted_as = None
+        candidate = self._describe_candidate(now)
+        if candidate is not None:
+            priority = self._state.admission.find_priority(candidate, now)
+            rank = (int(timeliness), priority, order)
+            if timeliness is not Timeliness.LATE:
+                counted_as = CountedAs(candidate.pool, priority)
         await self._waitqueue.wait(
             self._try_end_wait,
-            rank=(admission.priority, int(timeliness), order),
+            rank=rank,
             until=until,
+            counted_as=counted_as,
         )
         self.waited_s += read_clock() - now
 
--- a/chervilrock/node/serving.py
+++ b/chervilrock/node/serving.py
@@ -33,10 +33,13 @@
 from chervilrock.tasks.serving.node import NodeTask
 from chervilrock.tasks.serving.outbound import Ports
 from chervilrock.tasks.serving.peermessages import (
+    ANNOUNCEMENT_PATH,
     decode_announcement,
     decode_crash_report,
     decode_statement,
+    encode_acknowledgement,
     is_statement,
+    WAITING_PARAMETER,
 )
 from chervilrock.tasks.serving.state import RetryBounds, ServingState
 from chervilrock.tasks.serving.waitqueue import WaitQueue
@@ -337,11 +340,12 @@
         self, path: str, query: dict[str, str], body: bytes
     ) -> Reply:
         """Answer other nodes, and operators who read state or metrics."""
-        del query
         now = read_clock()
         rest = path.removeprefix("/peer/")
-        if path == "/peer/announcement":
-            return self._answer_announcement(body, now)
+        if path == ANNOUNCEMENT_PATH:
+            return self._answer_announcement(
+                body, knows_waiting=WAITING_PARAMETER in query, now=now
+            )
         if path == "/peer/ends":
             return self._answer_crash_report(body, now)
         if path == "/peer/configuration":
@@ -358,12 +362,15 @@
             return self._answer_metrics(now)
         return Reply(status=404)
 
-    def _answer_announcement(self, body: bytes, now: float) -> Reply:
+    def _answer_announcement(
+        self, body: bytes, *, knows_waiting: bool, now: float
+    ) -> Reply:
         announcement = decode_announcement(body)
         if announcement is None:
             return Reply(status=400)
         answer = self._task.handle_announcement(announcement, now)
-        return Reply(status=200, body=msgspec.json.encode(answer))
+        encoded = encode_acknowledgement(answer, knows_waiting=knows_waiting)
+        return Reply(status=200, body=encoded)
 
     def _answer_crash_report(self, body: bytes, now: float) -> Reply:
         report = decode_crash_report(body)
--- a/chervilrock/tasks/serving/following.py
+++ b/chervilrock/tasks/serving/following.py
@@ -1,6 +1,6 @@
 """Applies the announcements of the leader and acknowledges them."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from chervilrock.decisions.serving.leadership import Claim, Leadership
 from chervilrock.decisions.serving.reportedloads import ReportedLoads
@@ -69,7 +69,10 @@
         self._waitqueue = waitqueue
         self._apply_claim = apply_claim
         self._renew_reads = renew_reads
-        self._reported_loads = ReportedLoads()
+        self._reported_loads: ReportedLoads[int] = ReportedLoads()
+        self._reported_waiting: ReportedLoads[Mapping[int, int]] = (
+            ReportedLoads()
+        )
         self.leader: NodeEntry | None = None
 
     def handle(self, announcement: Announcement, now: float) -> Acknowledgement:
@@ -79,7 +82,9 @@
         if announcement.term >= self._leadership.term:
             self._apply(announcement, now)
             relayed = self._relay.forward(announcement, now)
+        waiting = self._waitqueue.count_all()
         self._reported_loads.record(announcement.term, state.own_loads)
+        self._reported_waiting.record(announcement.term, waiting)
         return Acknowledgement(
             term=self._leadership.term,
             node=self._own,
@@ -93,6 +98,7 @@
             has_traffic=state.has_traffic,
             relayed=relayed,
             suspects_version=state.suspects.version,
+            waiting=waiting,
         )
 
     def _apply(self, announcement: Announcement, now: float) -> None:
@@ -123,6 +129,7 @@
                 now,
             )
         self._apply_loads(announcement, now)
+        self._apply_waiting(announcement, now)
         view = announcement.view
         if view is not None and view.version > state.view.version:
             state.apply_view(view, now)
@@ -147,6 +154,17 @@
         )
         state.has_traffic = state.has_traffic or announcement.has_traffic
 
+    def _apply_waiting(self, announcement: Announcement, now: float) -> None:
+        """Apply the waiting requests of all nodes."""
+        if announcement.waiting is None:
+            return
+        included = self._reported_waiting.find_included(
+            announcement.term, announcement.loads_lag
+        )
+        self._state.apply_waiting(
+            announcement.waiting, included, self._waitqueue.count_all(), now
+        )
+
     def _apply_store_status(
         self, announcement: Announcement, now: float
     ) -> None:
--- a/chervilrock/tasks/serving/leading.py
+++ b/chervilrock/tasks/serving/leading.py
@@ -24,6 +24,7 @@
 )
 from chervilrock.decisions.serving.limitregistry import LimitRegistry
 from chervilrock.decisions.serving.polling import SERVERS_SCHEDULE
+from chervilrock.decisions.serving.priorityadmission import WaitingCounts
 from chervilrock.decisions.serving.relays import Recipients, RelayTable
 from chervilrock.decisions.serving.reportedpauses import ReportedPauses
 from chervilrock.decisions.serving.serverlimits import LimitedServer
@@ -51,6 +52,7 @@
 from chervilrock.tasks.serving.outbound import DecodeServer, Outbound
 from chervilrock.tasks.serving.peers import Peers, Update
 from chervilrock.tasks.serving.state import ServingState
+from chervilrock.tasks.serving.waitqueue import WaitQueue
 
 OUTAGE_GRACE_S = 2.3
 """Time after a recovery of the store for entries that lapsed in the meantime:
@@ -70,6 +72,7 @@
         *,
         term: int,
         state: ServingState,
+        waitqueue: WaitQueue,
         store: StoreMonitor,
         outbound: Outbound,
         decode_server: DecodeServer,
@@ -80,6 +83,7 @@
         Args:
           term: number of the term, made of the era and offset of the claim.
           state: state that is shared with the request handlers.
+          waitqueue: queue of the requests that wait for a slot.
           store: availability of the store.
           outbound: makes calls.
           decode_server: decodes the entry of a server.
@@ -89,6 +93,7 @@
         self._servers_era: int | None = None
         self.term = term
         self._state = state
+        self._waitqueue = waitqueue
         self._store = store
         self._outbound = outbound
         self._decode_server = decode_server
@@ -102,6 +107,7 @@
         self._pauses = ReportedPauses()
         self._summary = Summary()
         self._loads: dict[str, int] = {}
+        self._waiting: WaitingCounts = {}
         self._senders = 0
         self._sequence = 0
         self._nodes_sequence = 0
@@ -298,6 +304,9 @@
         state.apply_loads(
             loads, state.own_loads, senders=self._senders, now=now
         )
+        own = self._waitqueue.count_all()
+        self._waiting = merge_summaries([summary, Summary(waiting=own)]).waiting
+        state.apply_waiting(self._waiting, own, own, now)
         state.has_traffic = state.has_traffic or summary.has_traffic
         if state.has_traffic:
             self._controller.record_traffic()
@@ -427,6 +436,7 @@
             store_recoveries=self._store.recoveries,
             suspects_sequence=state.suspects.version[1],
             senders=self._senders,
+            waiting=self._waiting,
         )
         return Update(
             base=base,
--- a/chervilrock/tasks/serving/node.py
+++ b/chervilrock/tasks/serving/node.py
@@ -276,6 +276,7 @@
             "suspects": state.suspects.announced,
             "withheld": state.suspects.list_withheld(),
             "waiting": len(self._waitqueue),
+            "priorities": state.admission.describe(now),
             "repeats": state.describe_budgets(),
             "limits": state.statements.limits.list_limited(),
             "pauses": state.statements.pauses.list_pausing(now),
@@ -526,6 +527,7 @@
         self._leader_role = LeaderRole(
             term=term,
             state=self._state,
+            waitqueue=self._waitqueue,
             store=self._reads.store,
             outbound=self._outbound,
             decode_server=self._ports.decode_server,
--- a/chervilrock/tasks/serving/outbound.py
+++ b/chervilrock/tasks/serving/outbound.py
@@ -48,9 +48,11 @@
     SuspectWritten,
 )
 from chervilrock.tasks.serving.peermessages import (
+    ANNOUNCEMENT_PATH,
     decode_acknowledgement,
     HEADERS,
     name_statement,
+    WAITING_PARAMETER,
 )
 
 NODE_PREFIX = "node/"
@@ -231,7 +233,8 @@
     async def _announce(self, entry: NodeEntry, body: bytes) -> None:
         result = await self._ports.client.request(
             "POST",
-            f"http://{entry.peer_address}/peer/announcement",
+            f"http://{entry.peer_address}{ANNOUNCEMENT_PATH}"
+            f"?{WAITING_PARAMETER}=1",
             timeout_s=PEER_TIMEOUT_S,
             body=body,
             headers=HEADERS,
--- a/chervilrock/tasks/serving/peermessages.py
+++ b/chervilrock/tasks/serving/peermessages.py
@@ -1,14 +1,23 @@
 """Encoding and decoding of the messages between nodes.
 
-Announcements are compressed with gzip.
+Announcements are compressed with gzip. The decoder of an older process rejects
+a message with more fields than it knows. So fields at the end that have their
+default values are left out, and waiting requests are announced and acknowledged
+only to processes that know them: a sender states in the path of an announcement
+that it does, and a receiver by its acknowledgement.
 """
 
 import gzip
+from typing import Any
 
 import msgspec
 
 from chervilrock.decisions.serving.suspects import CrashReport
-from chervilrock.decisions.serving.view import Acknowledgement, Announcement
+from chervilrock.decisions.serving.view import (
+    Acknowledgement,
+    Announcement,
+    Summary,
+)
 from chervilrock.tasks.serving.messages import (
     DepartureReported,
     LimitReported,
@@ -27,6 +36,12 @@
 }
 """HTTP headers of an encoded announcement."""
 
+ANNOUNCEMENT_PATH = "/peer/announcement"
+
+WAITING_PARAMETER = "waiting"
+"""Parameter of the path of announcements whose sender knows the field
+`waiting`. Older processes ignore it."""
+
 _ANNOUNCEMENT = msgspec.json.Decoder(Announcement)
 _ACKNOWLEDGEMENT = msgspec.json.Decoder(Acknowledgement)
 _CRASH_REPORT = msgspec.json.Decoder(CrashReport)
@@ -46,7 +61,42 @@
 
 def encode_announcement(announcement: Announcement) -> bytes:
     """Return the compressed body of an announcement."""
-    return compress(msgspec.json.encode(announcement))
+    return compress(msgspec.json.encode(_trim(announcement)))
+
+
+def encode_acknowledgement(
+    answer: Acknowledgement, *, knows_waiting: bool
+) -> bytes:
+    """Return the body of an acknowledgement.
+
+    Args:
+      answer: the acknowledgement.
+      knows_waiting: whether the receiver knows the field `waiting`.
+    """
+    if knows_waiting:
+        return msgspec.json.encode(answer)
+    fields = _trim(answer._replace(waiting=None))
+    relayed = None
+    if answer.relayed is not None:
+        relayed = _trim(answer.relayed._replace(waiting={}))
+    position = Acknowledgement._fields.index("relayed")
+    return msgspec.json.encode(
+        [
+            relayed if number == position else field
+            for number, field in enumerate(fields)
+        ]
+    )
+
+
+def _trim(message: Announcement | Acknowledgement | Summary) -> list[Any]:
+    """Return the fields of a message without defaults at its end."""
+    fields: list[Any] = list(message)
+    defaults = message._field_defaults
+    for name in reversed(message._fields):
+        if name not in defaults or fields[-1] != defaults[name]:
+            break
+        fields.pop()
+    return fields
 
 
 def decode_announcement(body: bytes) -> Announcement | None:
--- a/chervilrock/tasks/serving/peers.py
+++ b/chervilrock/tasks/serving/peers.py
@@ -93,6 +93,11 @@
         answer = self.acknowledgement
         return answer is not None and answer.nodes_version == version
 
+    def knows_waiting(self) -> bool:
+        """Return whether the node reports its waiting requests."""
+        answer = self.acknowledgement
+        return answer is not None and answer.waiting is not None
+
     def has_suspects(self, version: tuple[int, int]) -> bool:
         """Return whether the node has acknowledged a list of suspects."""
         answer = self.acknowledgement
@@ -220,7 +225,14 @@
             if not is_due and not is_last:
                 continue
             is_relay = peer.entry.incarnation in update.relays
-            variant = (has_view, has_nodes, has_suspects, is_relay)
+            knows_waiting = peer.knows_waiting()
+            variant = (
+                has_view,
+                has_nodes,
+                has_suspects,
+                is_relay,
+                knows_waiting,
+            )
             if variant not in encoded:
                 encoded[variant] = encode_announcement(
                     update.base._replace(
@@ -228,6 +240,7 @@
                         nodes=None if has_nodes else update.nodes,
                         suspects=None if has_suspects else update.suspects,
                         is_relay=is_relay,
+                        waiting=update.base.waiting if knows_waiting else None,
                     )
                 )
             peer.is_answer_pending = True
--- a/chervilrock/tasks/serving/state.py
+++ b/chervilrock/tasks/serving/state.py
@@ -4,6 +4,7 @@
 """
 
 from collections.abc import Iterable, Mapping
+import math
 import random
 from typing import NamedTuple, TypeVar
 
@@ -20,6 +21,11 @@
     StatedLimit,
 )
 from chervilrock.decisions.serving.placement import Bound, Choice, Load
+from chervilrock.decisions.serving.priorityadmission import (
+    Capacity,
+    PriorityAdmission,
+    WaitingCounts,
+)
 from chervilrock.decisions.serving.retrybudget import BudgetState, RetryBudget
 from chervilrock.decisions.serving.routes import RouteTable
 from chervilrock.decisions.serving.serverlimits import LimitChange
@@ -81,6 +87,7 @@
       watches: stall detectors of this node's streams, by group.
       suspects: requests during which servers crashed.
       statements: what servers state of themselves in their answers.
+      admission: decides which priorities may take free slots.
     """
 
     def __init__(
@@ -122,6 +129,8 @@
         self.watches: dict[str, StallDetector] = {}
         self.suspects = SuspectTable()
         self.statements = ServerStatements(own=own.node)
+        self.admission = PriorityAdmission()
+        self._admission_routes: RouteTable | None = None
 
     @property
     def revision(self) -> int:
@@ -207,8 +216,7 @@
           bound: how full a group may be.
           now: current time.
         """
-        engine = self.find_engine(service)
-        slots = 1 if engine is None else engine.slots
+        slots = self._find_slots(service)
         groups = exclude_failing(
             self._list_permitted(self.list_groups(service, model), now),
             lambda group: self.is_failing(group.group, now),
@@ -358,6 +366,80 @@
             for server, count in total.items()
         }
 
+    def apply_waiting(
+        self,
+        total: WaitingCounts,
+        included: WaitingCounts,
+        own: WaitingCounts,
+        now: float,
+    ) -> None:
+        """Apply the number of requests that wait at all nodes.
+
+        Args:
+          total: the sums, by model or plain service and by priority.
+          included: requests of this node that `total` includes.
+          own: requests that wait at this node now.
+          now: current time.
+        """
+        self._configure_admission()
+        pools = self.admission.list_pools()
+        capacities = {pool: self.find_capacity(pool, now) for pool in pools}
+        self.admission.record_sums(total, included, own, capacities, now)
+
+    def find_top_priority(self, service: str) -> int | None:
+        """Return the most urgent priority of a service, None if all are equal.
+
+        It depends on the routes and workspaces of the configuration.
+        """
+        self._configure_admission()
+        return self.admission.find_top(service)
+
+    def _configure_admission(self) -> None:
+        """Apply the priorities of a configuration that has just changed."""
+        routes = self.routes
+        if routes is not self._admission_routes and routes is not None:
+            self._admission_routes = routes
+            self.admission.configure(routes.configuration)
+
+    def find_capacity(self, pool: str, now: float) -> Capacity:
+        """Return the slots of a model or plain service with priorities.
+
+        Servers that want no requests of this node count without slots.
+
+        Args:
+          pool: name of the model or the plain service.
+          now: current time.
+        """
+        endpoints = [
+            (one.server, self._find_slots(one.service))
+            for one in self.view.groups
+            if one.model == pool
+            and self.admission.find_top(one.service) is not None
+        ]
+        endpoints += [
+            (one.server, math.ceil(placement.SERVER_BOUND.total * one.slots))
+            for one in self.view.servers
+            if one.service == pool
+        ]
+        if self.statements:
+            endpoints = [
+                endpoint
+                for endpoint in endpoints
+                if self.statements.may_send(endpoint[0], now)
+            ]
+        return Capacity(
+            slots=sum(slots for _, slots in endpoints),
+            free=sum(
+                max(0, slots - self.count_requests(server))
+                for server, slots in endpoints
+            ),
+        )
+
+    def _find_slots(self, service: str) -> int:
+        """Return the slots of a group of a service."""
+        engine = self.find_engine(service)
+        return 1 if engine is None else engine.slots
+
     def record_statement(
         self,
         server: str,
@@ -470,7 +552,10 @@
     ) -> Load:
         """Return the load of a group with this node's limit on it."""
         load = self._find_load(group.server, group.group, slots, now)
-        limit = self._shares.find_limit(group.server, slots, now)
+        demand = None
+        if self.admission.find_top(group.service) is not None:
+            demand = self.admission.find_demand(group.model, now)
+        limit = self._shares.find_limit(group.server, slots, now, demand)
         return load._replace(own_limit=limit)
 
     def _find_load(
