--- a/chervilrock/decisions/serving/priorityadmission.py
+++ b/chervilrock/decisions/serving/priorityadmission.py
@@ -64,6 +64,9 @@
 RATE_TIME_CONSTANT_S = 1.0
 """Time constant of the rates of arrival, in seconds."""
 
+MIN_KEPT_WAITING = 2
+"""Most urgent requests that wait at a node before others are shed there."""
+
 KEPT_EXCESS_RATIO = 0.2
 """Proportion of the arriving requests beyond the capacity that still waits.
 Without waiting requests the slots that become free at a node stay unused until
@@ -388,7 +391,9 @@
             ahead += _find_reserve(pool, limit)
         return not ahead or count_free() > ahead
 
-    def find_hopeless_s(self, request: Candidate, now: float) -> float:
+    def find_hopeless_s(
+        self, request: Candidate, own: Mapping[int, int], now: float
+    ) -> float:
         """Return for how long requests like this one have got no slot.
 
         It is 0 for a request that may get one in time. A less urgent one cannot
@@ -397,11 +402,15 @@
 
         Args:
           request: request that finds no free slot.
+          own: requests that wait at this node, by priority.
           now: current time.
         """
         priority = self.find_priority(request, now)
         if priority == request.top:
-            return SHED_TIME_CONSTANT_S if self._is_shed(request, now) else 0.0
+            is_shed = self._is_shed(request, now)
+            # The next slot must find a request that can use it.
+            has_others = own.get(request.top, 0) >= MIN_KEPT_WAITING
+            return SHED_TIME_CONSTANT_S if is_shed and has_others else 0.0
         blocked_s = self.find_blocked_s(request.pool, priority, now)
         is_on_time = request.timeliness is Timeliness.ON_TIME
         wait_s = request.on_time_s if is_on_time else REPAIR_S
--- a/chervilrock/edges/serving/slots.py
+++ b/chervilrock/edges/serving/slots.py
@@ -135,7 +135,7 @@
             candidate = self._describe_candidate(now)
             if candidate is not None:
                 hopeless_s = self._state.admission.find_hopeless_s(
-                    candidate, now
+                    candidate, self._waitqueue.count(candidate.pool), now
                 )
                 availability = availability._replace(hopeless_s=hopeless_s)
                 if hopeless_s and candidate.priority == candidate.top:
