--- a/chervilrock/catalogue.py
+++ b/chervilrock/catalogue.py
@@ -408,6 +408,17 @@
         "request {request_id} is not sent to server {server}, which stated "
         "after it was chosen that it pauses or leaves",
     )
+    PRIORITY_BLOCKED = EventSpec(
+        7411,
+        Level.INFO,
+        "more urgent requests need all slots of {pool}: {waiting} wait at "
+        "other nodes, {free} slots are free, priorities {priorities} get none",
+    )
+    PRIORITY_UNBLOCKED = EventSpec(
+        7412,
+        Level.INFO,
+        "requests of all priorities get slots of {pool} again",
+    )
     EVENT_MALFORMED = EventSpec(
         9001, Level.ERROR, "event {event_name} has wrong fields: {difference}"
     )
--- a/chervilrock/decisions/serving/priorityadmission.py
+++ b/chervilrock/decisions/serving/priorityadmission.py
@@ -338,6 +338,26 @@
             return 0.0
         return now - pool.blocked_since.get(priority, now)
 
+    def list_blocked(self, now: float) -> dict[str, tuple[int, ...]]:
+        """Return the priorities that get no slots, by pool.
+
+        A pool is listed from `HOLD_S` after the block began, so that short
+        waves are left out.
+        """
+        if not self.has_sums(now):
+            return {}
+        return {
+            name: blocked
+            for name, pool in self._pools.items()
+            if (
+                blocked := tuple(
+                    priority
+                    for priority, since in sorted(pool.blocked_since.items())
+                    if now - since >= HOLD_S
+                )
+            )
+        }
+
     def find_shed_ratio(self, name: str, now: float) -> float:
         """Return the proportion of the most urgent requests that is shed."""
         pool = self._pools.get(name)
--- a/chervilrock/decisions/serving/reportedloads.py
+++ b/chervilrock/decisions/serving/reportedloads.py
@@ -9,15 +9,18 @@
 
 from collections import deque
 from collections.abc import Mapping
-from typing import Generic, TypeVar
+from types import MappingProxyType
+from typing import Any, Generic, TypeVar
 
 LONGEST_LAG = 2
 """Answers after which the requests of a node are included in every sum."""
 
+NO_LOADS: Mapping[str, Any] = MappingProxyType({})
+
 Count = TypeVar("Count")
 
 
-class ReportedLoads(Generic[Count]):
+class ReportedCounts(Generic[Count]):
     """The requests that a node has reported to a leader.
 
     They are counted by endpoint, or by what they wait for.
@@ -44,5 +47,9 @@
             the last one, which is 1.
         """
         if term != self._term or lag > len(self._reported):
-            return {}
+            return NO_LOADS
         return self._reported[-lag]
+
+
+class ReportedLoads(ReportedCounts[int]):
+    """The requests that a node has reported to a leader, by endpoint."""
--- a/chervilrock/edges/serving/exchange.py
+++ b/chervilrock/edges/serving/exchange.py
@@ -291,6 +291,8 @@
             return False
         if rejection is None:
             return self._may_send()
+        if rejection.is_early:
+            self._context.metrics.count_early_rejection(self._service)
         if self._progress.may_have_run:
             self._fail(BAD_GATEWAY, rejection.reason)
         else:
--- a/chervilrock/edges/serving/slots.py
+++ b/chervilrock/edges/serving/slots.py
@@ -40,10 +40,12 @@
     Attributes:
       reason: sentence for the log and the caller.
       retry_after_s: seconds after which the caller may retry.
+      is_early: whether it is rejected at once for its priority.
     """
 
     reason: str
     retry_after_s: float
+    is_early: bool = False
 
 
 class SlotSearch:
@@ -149,7 +151,9 @@
                 self._state.generator.random(),
             )
             rejection = Rejection(
-                _describe_lack(availability), decision.retry_after_s
+                _describe_lack(availability),
+                decision.retry_after_s,
+                is_early=not decision.wait_s and bool(availability.hopeless_s),
             )
             if decision.wait_s <= 0:
                 return rejection
--- a/chervilrock/node/serving.py
+++ b/chervilrock/node/serving.py
@@ -397,6 +397,7 @@
         metrics.revision_lag.set(self._task.find_revision_lag(now))
         statements = self._state.statements
         metrics.limited_servers.set(len(statements.limits))
+        metrics.blocked_pools.set(len(self._state.admission.list_blocked(now)))
         metrics.pausing_servers.set(len(statements.pauses.list_pausing(now)))
         metrics.leaving_servers.set(len(statements.departures))
         metrics.withheld_suspects.set(self._state.suspects.count_withheld())
--- a/chervilrock/serving_metrics.py
+++ b/chervilrock/serving_metrics.py
@@ -106,6 +106,16 @@
             "Sends that were held back because the server pauses or leaves",
             "service",
         )
+        self._early_rejections = self._counter(
+            "priority_rejections_total",
+            "Requests rejected at once since more urgent ones need the slots, "
+            "or since the most urgent ones exceed them",
+            "service",
+        )
+        self.blocked_pools = self._gauge(
+            "priority_blocked",
+            "Models and services whose slots more urgent requests need",
+        )
         self.pausing_servers = self._gauge(
             "servers_pausing", "Servers that want no requests of this node"
         )
@@ -151,6 +161,10 @@
         """Count a send that was held back as the server pauses or leaves."""
         self._held_sends.labels(self._services.bound(service)).inc()
 
+    def count_early_rejection(self, service: str) -> None:
+        """Count a request that was rejected at once for its priority."""
+        self._early_rejections.labels(self._services.bound(service)).inc()
+
     def count_withheld(self) -> None:
         """Count an attempt of a withheld request."""
         self._withheld_requests.inc()
--- a/chervilrock/tasks/serving/following.py
+++ b/chervilrock/tasks/serving/following.py
@@ -3,7 +3,10 @@
 from collections.abc import Callable, Mapping
 
 from chervilrock.decisions.serving.leadership import Claim, Leadership
-from chervilrock.decisions.serving.reportedloads import ReportedLoads
+from chervilrock.decisions.serving.reportedloads import (
+    ReportedCounts,
+    ReportedLoads,
+)
 from chervilrock.decisions.serving.storehealth import StoreStatus
 from chervilrock.decisions.serving.view import (
     Acknowledgement,
@@ -69,9 +72,9 @@
         self._waitqueue = waitqueue
         self._apply_claim = apply_claim
         self._renew_reads = renew_reads
-        self._reported_loads: ReportedLoads[int] = ReportedLoads()
-        self._reported_waiting: ReportedLoads[Mapping[int, int]] = (
-            ReportedLoads()
+        self._reported_loads = ReportedLoads()
+        self._reported_waiting: ReportedCounts[Mapping[int, int]] = (
+            ReportedCounts()
         )
         self.leader: NodeEntry | None = None
 
--- a/chervilrock/tasks/serving/state.py
+++ b/chervilrock/tasks/serving/state.py
@@ -386,6 +386,7 @@
         self._configure_admission()
         pools = self.admission.list_pools()
         capacities = {pool: self.find_capacity(pool, now) for pool in pools}
+        former = set(self.admission.list_blocked(now))
         self.admission.record_sums(
             total,
             included,
@@ -394,6 +395,18 @@
             senders=self._senders,
             now=now,
         )
+        blocked = self.admission.list_blocked(now)
+        for pool in former - set(blocked):
+            emit(Event.PRIORITY_UNBLOCKED, pool=pool)
+        for pool in set(blocked) - former:
+            emit(
+                Event.PRIORITY_BLOCKED,
+                pool=pool,
+                waiting=sum(total.get(pool, {}).values())
+                - sum(included.get(pool, {}).values()),
+                free=capacities[pool].free,
+                priorities=blocked[pool],
+            )
 
     def find_top_priority(self, service: str) -> int | None:
         """Return the most urgent priority of a service, None if all are equal.
--- a/test/tasks/test_serving_peers.py
+++ b/test/tasks/test_serving_peers.py
@@ -1,10 +1,13 @@
 """Intervals of a leader's announcements to busy and to idle nodes."""
 
 from collections.abc import Awaitable, Generator
+import gzip
+from typing import NamedTuple
 
+import msgspec
 import pytest
 from testtools.assertions import assert_that
-from testtools.matchers import Equals, GreaterThan, LessThan
+from testtools.matchers import Equals, GreaterThan, Is, LessThan
 
 from chervilrock.decisions.serving.leadership import (
     find_interval,
@@ -13,8 +16,15 @@
 from chervilrock.decisions.serving.view import (
     Acknowledgement,
     Announcement,
+    merge_summaries,
     NO_VIEW,
     NodeEntry,
+    Summary,
+)
+from chervilrock.tasks.serving.peermessages import (
+    decode_acknowledgement,
+    decode_announcement,
+    encode_acknowledgement,
 )
 from chervilrock.tasks.serving.peers import Peers, Update
 
@@ -145,3 +155,63 @@
     simulation.run(RUN_S + 2 * STEP_S)
     again = sum(len(times) for times in simulation.sent.values())
     assert_that(again, Equals(sum(after.values())))
+
+
+class _FormerAcknowledgement(NamedTuple):
+    """An acknowledgement as a process of the previous version decodes it."""
+
+    term: int
+    node: NodeEntry
+    is_taking_callers: bool
+    version: tuple[int, int]
+    nodes_version: tuple[int, int]
+    revision: int
+    loads: dict[str, int]
+    stalled: tuple[str, ...]
+    has_traffic: bool
+    relayed: Summary | None = None
+    suspects_version: tuple[int, int] = (-1, 0)
+
+
+def test_former_processes_get_no_waiting_requests() -> None:
+    # Their decoder rejects a message with more fields than it knows, and the
+    # leader would lose them during an update.
+    waiting = {"m": {0: 3, 2: 1}}
+    node = make_node(1)
+    relayed = merge_summaries([Summary(nodes=("i",), waiting=waiting)])
+    answer = make_answer(node, is_busy=True)._replace(
+        relayed=relayed, suspects_version=(1, 2), waiting=waiting
+    )
+    former = encode_acknowledgement(answer, knows_waiting=False)
+    decoded = msgspec.json.decode(former, type=_FormerAcknowledgement)
+    assert_that(decoded.suspects_version == (1, 2), Is(True))
+    assert_that(len(msgspec.json.decode(former)[9]), LessThan(9))
+    present = decode_acknowledgement(
+        encode_acknowledgement(answer, knows_waiting=True)
+    )
+    assert_that(present == answer, Is(True))
+
+    bodies: dict[str, bytes] = {}
+
+    def send(entry: NodeEntry, body: bytes) -> Awaitable[None]:
+        bodies[entry.node] = gzip.decompress(body)
+        return _Completed()
+
+    peers = Peers(send=send)
+    nodes = [make_node(number) for number in range(2)]
+    peers.sync(nodes, 0.0)
+    for entry, counts in zip(nodes, (None, waiting), strict=True):
+        known = make_answer(entry, is_busy=True)._replace(waiting=counts)
+        peers.record_answer(entry.incarnation, known, 1.0, 0.1)
+    base = make_announcement(1)._replace(waiting=waiting, senders=2)
+    peers.announce(
+        Update(base, NO_VIEW, (), (1, 0), 1.0, 0.0, 0.0), 0.2, is_last=True
+    )
+    fields = Announcement._fields
+    assert_that(
+        len(msgspec.json.decode(bodies["n00"])), Equals(len(fields) - 1)
+    )
+    announced = decode_announcement(bodies["n01"])
+    assert announced is not None
+    assert_that(announced.waiting == waiting, Is(True))
+    assert_that(peers.summarize(1.0, 0.2).waiting == waiting, Is(True))
