Merge the admission by priority

New fields travel in the extension header, not by a parameter of the path. The events are renumbered (E7416, E7417).

--- a/chervilrock/catalogue.py
+++ b/chervilrock/catalogue.py
@@ -491,6 +491,17 @@
         "this node started without a leader and serves few late requests for "
         "{seconds} s from the first view of term {term}",
     )
+    PRIORITY_BLOCKED = EventSpec(
+        7416,
+        Level.INFO,
+        "more urgent requests need all slots of {pool}: {waiting} wait at "
+        "other nodes, {free} slots are free, priorities {priorities} get none",
+    )
+    PRIORITY_UNBLOCKED = EventSpec(
+        7417,
+        Level.INFO,
+        "requests of all priorities get slots of {pool} again",
+    )
     EVENT_MALFORMED = EventSpec(
         9001, Level.ERROR, "event {event_name} has wrong fields: {difference}"
     )
--- a/chervilrock/edges/serving/exchange.py
+++ b/chervilrock/edges/serving/exchange.py
@@ -343,6 +343,8 @@
             return False
         if rejection is None:
             return self._may_send()
+        if rejection.is_early:
+            self._context.metrics.count_early_rejection(self._service)
         if self._progress.may_have_run:
             self._fail(BAD_GATEWAY, rejection.reason)
         else:
@@ -509,6 +511,7 @@
             self._state.first_events.record(
                 self._request.facts.model, self._first_event - self._sent_at
             )
+            self._search.record_first_event(self._sent_at, self._first_event)
         if self._connection.has_begun:
             self._connection.write(events)
         else:
--- a/chervilrock/edges/serving/slots.py
+++ b/chervilrock/edges/serving/slots.py
@@ -10,6 +10,7 @@
     find_group_bound,
     GROUP_BOUND,
 )
+from chervilrock.decisions.serving.priorityadmission import Candidate
 from chervilrock.decisions.serving.routes import Admission
 from chervilrock.decisions.serving.serverlimits import SendPermit
 from chervilrock.decisions.serving.site import RouteKind
@@ -27,7 +28,7 @@
 from chervilrock.edges.serving.suspectcheck import SuspectCheck
 from chervilrock.tasks.clock import read_clock
 from chervilrock.tasks.serving.state import ServingState
-from chervilrock.tasks.serving.waitqueue import WaitQueue
+from chervilrock.tasks.serving.waitqueue import CountedAs, WaitQueue
 
 Endpoint = GroupEndpoint | ServerEndpoint
 SlotChoice = Choice[GroupEndpoint] | Choice[ServerEndpoint]
@@ -39,10 +40,12 @@
     Attributes:
       reason: sentence for the log and the caller.
       retry_after_s: seconds after which the caller may retry.
+      is_early: whether it is rejected at once for its priority.
     """
 
     reason: str
     retry_after_s: float
+    is_early: bool = False
 
 
 class SlotSearch:
@@ -81,6 +84,8 @@
         self._check = check
         self._admission: Admission | None = None
         self._service = ""
+        self._top_priority: int | None = None
+        self._acquired_at = request.arrived
         self._expires = request.arrived
         self._waited_before_s = 0.0
         self._late_model: str | None = None
@@ -105,6 +110,9 @@
         """
         self._admission = admission
         self._service = service
+        self._top_priority = self._state.find_top_priority(service)
+        if self._top_priority is not None:
+            self._state.admission.record_arrival(self._pool, admission.priority)
         self._expires = expires
         self._waited_before_s = self._estimate_wait(admission)
 
@@ -133,13 +141,26 @@
                 retry_after_s = self._state.startup.reject()
                 return Rejection("late after a start", retry_after_s)
             availability = self._find_availability(now)
+            candidate = self._describe_candidate(now)
+            if candidate is not None:
+                hopeless_s = self._state.admission.find_hopeless_s(
+                    candidate, self._waitqueue.count(candidate.pool), now
+                )
+                availability = availability._replace(hopeless_s=hopeless_s)
+                if hopeless_s and candidate.priority == candidate.top:
+                    # Late requests must not get the slots that it leaves.
+                    self._state.shortages.record_missed(
+                        self._request.facts.model, now
+                    )
             decision = decide_wait(
                 self._describe_wait(admission, timeliness, now),
                 availability,
                 self._state.generator.random(),
             )
             rejection = Rejection(
-                _describe_lack(availability), decision.retry_after_s
+                _describe_lack(availability),
+                decision.retry_after_s,
+                is_early=not decision.wait_s and bool(availability.hopeless_s),
             )
             if decision.wait_s <= 0:
                 return rejection
@@ -154,7 +175,12 @@
                 continue
             if timeliness is not Timeliness.ON_TIME:
                 return rejection
-            if not availability.pause_wait_s:
+            # A less urgent request that gets no slot shows no shortage for the
+            # more urgent ones, for which the slots were kept.
+            is_outranked = (
+                candidate is not None and candidate.priority > candidate.top
+            )
+            if not availability.pause_wait_s and not is_outranked:
                 self._state.shortages.record_missed(
                     self._request.facts.model, read_clock()
                 )
@@ -173,6 +199,26 @@
         self._is_held = not may_send
         return may_send
 
+    def record_first_event(self, sent: float, now: float) -> None:
+        """Record when the caller got the first event.
+
+        Args:
+          sent: time at which the request was sent.
+          now: current time.
+        """
+        admission = self._admission
+        if self._top_priority is None or admission is None:
+            return
+        begin = self._request.arrived - self._waited_before_s
+        target_s = admission.route.target_s
+        first_s = self._estimate_first_event(admission)
+        if sent - begin + first_s < target_s:
+            self._state.admission.record_first_event(
+                self._pool,
+                admission.priority,
+                is_late=now - begin > target_s,
+            )
+
     def record_end(self, facts: AnswerFacts | None, *, is_sent: bool) -> None:
         """Exclude the server of the present slot from further searches.
 
@@ -216,6 +262,10 @@
             self._state.record_ended(
                 self.slot.endpoint.server, self._load_period
             )
+            if self._top_priority is not None:
+                self._state.admission.record_held(
+                    self._pool, read_clock() - self._acquired_at
+                )
             self.slot = None
             self._waitqueue.notify()
 
@@ -272,6 +322,7 @@
         if self.slot is None:
             return False
         server = self.slot.endpoint.server
+        self._acquired_at = now
         self._load_period = self._state.record_sent(server)
         self._permit = self._state.statements.consume(server, now)
         self._is_held = False
@@ -309,6 +360,14 @@
         Servers that rejected the request and asked for a pause are the last
         choice; they may take it when their pause has ended.
         """
+        candidate = self._describe_candidate(now)
+        if candidate is not None and not self._state.admission.may_take(
+            candidate,
+            self._waitqueue.count(candidate.pool),
+            lambda: self._state.find_capacity(candidate.pool, now).free,
+            now,
+        ):
+            return None
         choice = self._choose_except(self._avoided | self._paused, now)
         if choice is None and self._paused:
             choice = self._choose_except(self._avoided, now)
@@ -377,6 +436,33 @@
             has_evacuation=bool(state.evacuations),
         )
 
+    @property
+    def _pool(self) -> str:
+        """Model, or plain service, whose slots the request needs."""
+        is_plain = self._state.find_engine(self._service) is None
+        return self._service if is_plain else self._request.facts.model
+
+    def _describe_candidate(self, now: float) -> Candidate | None:
+        """Return the request as one that competes with other priorities.
+
+        None where all requests of the service have the same priority.
+        """
+        admission = self._admission
+        if self._top_priority is None or admission is None:
+            return None
+        workspace = admission.workspace
+        waited_s = self._waited_before_s + now - self._request.arrived
+        first_s = self._estimate_first_event(admission)
+        return Candidate(
+            pool=self._pool,
+            priority=admission.priority,
+            top=self._top_priority,
+            timeliness=self.judge_timeliness(now),
+            on_time_s=admission.route.target_s - first_s - waited_s,
+            workspace="" if workspace is None else workspace.name,
+            request_id=self._request.facts.request_id,
+        )
+
     def _describe_wait(
         self, admission: Admission, timeliness: Timeliness, now: float
     ) -> WaitingRequest:
@@ -410,10 +496,19 @@
         now = read_clock()
         arrived = self._request.arrived
         order = -arrived if timeliness is Timeliness.ON_TIME else arrived
+        rank = (admission.priority, int(timeliness), order)
+        counted_as = None
+        candidate = self._describe_candidate(now)
+        if candidate is not None:
+            priority = self._state.admission.find_priority(candidate, now)
+            rank = (int(timeliness), priority, order)
+            if timeliness is not Timeliness.LATE:
+                counted_as = CountedAs(candidate.pool, priority)
         await self._waitqueue.wait(
             self._try_end_wait,
-            rank=(admission.priority, int(timeliness), order),
+            rank=rank,
             until=until,
+            counted_as=counted_as,
         )
         self.waited_s += read_clock() - now
 
--- a/chervilrock/node/serving.py
+++ b/chervilrock/node/serving.py
@@ -442,6 +442,7 @@
         statements = self._state.statements
         metrics.limited_servers.set(len(statements.limits.list_limited()))
         metrics.cold_servers.set(len(statements.limits.list_cold()))
+        metrics.blocked_pools.set(len(self._state.admission.list_blocked(now)))
         metrics.pausing_servers.set(len(statements.pauses.list_pausing(now)))
         metrics.evacuated_data_centres.set(
             len(self._state.evacuations.evacuated)
--- a/chervilrock/serving_metrics.py
+++ b/chervilrock/serving_metrics.py
@@ -115,6 +115,16 @@
         self.evacuated_data_centres = self._gauge(
             "data_centres_evacuated", "Data centres that are evacuated"
         )
+        self._early_rejections = self._counter(
+            "priority_rejections_total",
+            "Requests rejected at once since more urgent ones need the slots, "
+            "or since the most urgent ones exceed them",
+            "service",
+        )
+        self.blocked_pools = self._gauge(
+            "priority_blocked",
+            "Models and services whose slots more urgent requests need",
+        )
         self.pausing_servers = self._gauge(
             "servers_pausing", "Servers that want no requests of this node"
         )
@@ -189,6 +199,10 @@
         """Count a send that was held back because of an evacuation."""
         self._evacuated_sends.labels(self._services.bound(service)).inc()
 
+    def count_early_rejection(self, service: str) -> None:
+        """Count a request that was rejected at once for its priority."""
+        self._early_rejections.labels(self._services.bound(service)).inc()
+
     def count_withheld(self) -> None:
         """Count an attempt of a withheld request."""
         self._withheld_requests.inc()
--- a/chervilrock/tasks/serving/node.py
+++ b/chervilrock/tasks/serving/node.py
@@ -304,6 +304,7 @@
             "withheld": state.suspects.list_withheld(),
             "waiting": len(self._waitqueue),
             "startup": state.startup.describe(now),
+            "priorities": state.admission.describe(now),
             "repeats": state.describe_budgets(),
             "limits": state.statements.limits.list_limited(),
             "cold": state.statements.limits.list_cold(),
@@ -568,6 +569,7 @@
         self._leader_role = LeaderRole(
             term=term,
             state=self._state,
+            waitqueue=self._waitqueue,
             store=self._reads.store,
             outbound=self._outbound,
             decode_server=self._ports.decode_server,
--- a/chervilrock/tasks/serving/peermessages.py
+++ b/chervilrock/tasks/serving/peermessages.py
@@ -192,7 +192,9 @@
             for index in path:
                 target = target[index]
             target.extend(values)
-        extended: _Message = msgspec.convert(arrays, type(message))
+        extended: _Message = msgspec.convert(
+            arrays, type(message), str_keys=True
+        )
     except (
         msgspec.DecodeError,
         msgspec.ValidationError,
--- a/test/tasks/test_serving_peers.py
+++ b/test/tasks/test_serving_peers.py
@@ -1,10 +1,13 @@
 """Intervals of a leader's announcements to busy and to idle nodes."""
 
 from collections.abc import Awaitable, Generator
+import gzip
+from typing import NamedTuple
 
+import msgspec
 import pytest
 from testtools.assertions import assert_that
-from testtools.matchers import Equals, GreaterThan, LessThan
+from testtools.matchers import Equals, GreaterThan, Is, LessThan
 
 from chervilrock.decisions.serving.leadership import (
     find_interval,
@@ -13,10 +16,19 @@
 from chervilrock.decisions.serving.view import (
     Acknowledgement,
     Announcement,
+    merge_summaries,
     NO_VIEW,
     NodeEntry,
+    Summary,
+)
+from chervilrock.tasks.serving.peermessages import (
+    BASE_LENGTHS,
+    decode_acknowledgement,
+    decode_announcement,
+    encode_acknowledgement,
+    encode_announcement,
+    EncodedMessage,
 )
-from chervilrock.tasks.serving.peermessages import EncodedMessage
 from chervilrock.tasks.serving.peers import Peers, Update
 
 NODES = 40
@@ -148,3 +160,44 @@
     simulation.run(RUN_S + 2 * STEP_S)
     again = sum(len(times) for times in simulation.sent.values())
     assert_that(again, Equals(sum(after.values())))
+
+
+class _FormerAcknowledgement(NamedTuple):
+    """An acknowledgement as a process of the previous version decodes it."""
+
+    term: int
+    node: NodeEntry
+    is_taking_callers: bool
+    version: tuple[int, int]
+    nodes_version: tuple[int, int]
+    revision: int
+    loads: dict[str, int]
+    stalled: tuple[str, ...]
+    has_traffic: bool
+    relayed: Summary | None = None
+    suspects_version: tuple[int, int] = (-1, 0)
+
+
+def test_former_processes_can_decode_messages_with_waiting_requests() -> None:
+    # Their decoder rejects a message with more fields than it knows, and the
+    # leader would lose them during an update.
+    waiting = {"m": {0: 3, 2: 1}}
+    node = make_node(1)
+    relayed = merge_summaries([Summary(nodes=("i",), waiting=waiting)])
+    answer = make_answer(node, is_busy=True)._replace(
+        relayed=relayed, suspects_version=(1, 2), waiting=waiting
+    )
+    sent = encode_acknowledgement(answer)
+    decoded = msgspec.json.decode(sent.body, type=_FormerAcknowledgement)
+    assert_that(decoded.suspects_version == (1, 2), Is(True))
+    assert_that(len(msgspec.json.decode(sent.body)[9]), LessThan(9))
+    present = decode_acknowledgement(sent.body, sent.extension)
+    assert_that(present == answer, Is(True))
+
+    announcement = make_announcement(1)._replace(waiting=waiting)
+    announced = encode_announcement(announcement)
+    body = gzip.decompress(announced.body)
+    fields = msgspec.json.decode(body)
+    assert_that(len(fields), Equals(BASE_LENGTHS[Announcement]))
+    received = decode_announcement(body, announced.extension)
+    assert_that(received == announcement, Is(True))
