--- a/bench/slowreaders.py
+++ b/bench/slowreaders.py
@@ -11,7 +11,7 @@
 from tornado.httpclient import HTTPClientError
 
 from chervilrock.clients.curlpool import QuietCurlClient
-from chervilrock.decisions.serving.callerbuffers import find_budget
+from chervilrock.decisions.serving.admission.callerbuffers import find_budget
 from chervilrock.standin.site.servers import PADDED
 from chervilrock.standin.site.site import HOST, KEY, LARGE, SMALL
 
--- a/bench/warmups.py
+++ b/bench/warmups.py
@@ -6,7 +6,7 @@
 
 from bench.limits import count_most_within
 from bench.statements import Disturbances
-from chervilrock.decisions.serving.warmups import DEFAULT_BOUNDS
+from chervilrock.decisions.serving.servers.warmups import DEFAULT_BOUNDS
 from chervilrock.standin.site.servers import SiteServer
 from chervilrock.standin.site.site import make_configuration
 
--- a/chervilrock/clients/serving.py
+++ b/chervilrock/clients/serving.py
@@ -11,7 +11,7 @@
 from returns.result import Result
 
 from chervilrock.clients.errors import PlatformError
-from chervilrock.decisions.serving.orders import (
+from chervilrock.decisions.serving.groups.orders import (
     Order,
     OrderReply,
     ServerReport,
--- /dev/null
+++ b/chervilrock/decisions/serving/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on requests: their route, place, order, wait and retries."""
--- a/chervilrock/decisions/serving/placement.py
+++ b/chervilrock/decisions/serving/admission/placement.py
@@ -10,8 +10,8 @@
 from collections.abc import Callable, Iterable
 from typing import Generic, NamedTuple, TYPE_CHECKING, TypeVar
 
-from chervilrock.decisions.serving.lateness import Timeliness
-from chervilrock.decisions.serving.shares import NO_LIMIT
+from chervilrock.decisions.serving.admission.lateness import Timeliness
+from chervilrock.decisions.serving.admission.shares import NO_LIMIT
 from chervilrock.decisions.serving.view import GroupEndpoint, ServerEndpoint
 
 if TYPE_CHECKING:
--- a/chervilrock/decisions/serving/priorityadmission.py
+++ b/chervilrock/decisions/serving/admission/priorityadmission.py
@@ -20,9 +20,9 @@
 
 import xxhash
 
-from chervilrock.decisions.serving.lateness import Timeliness
+from chervilrock.decisions.serving.admission.lateness import Timeliness
+from chervilrock.decisions.serving.admission.waiting import REPAIR_S
 from chervilrock.decisions.serving.site import SiteConfiguration
-from chervilrock.decisions.serving.waiting import REPAIR_S
 
 WaitingCounts = Mapping[str, Mapping[int, int]]
 """Waiting requests by model or plain service and by priority: those that can
--- a/chervilrock/decisions/serving/retrybudget.py
+++ b/chervilrock/decisions/serving/admission/retrybudget.py
@@ -12,7 +12,7 @@
 from collections import deque
 from typing import NamedTuple
 
-from chervilrock.decisions.serving.tokenbuckets import (
+from chervilrock.decisions.serving.servers.tokenbuckets import (
     divide_equally,
     MIN_MAX_BALANCE,
     TokenBucket,
--- a/chervilrock/decisions/serving/shares.py
+++ b/chervilrock/decisions/serving/admission/shares.py
@@ -14,7 +14,7 @@
 from types import MappingProxyType
 from typing import TYPE_CHECKING
 
-from chervilrock.decisions.serving.priorityadmission import SlotDemand
+from chervilrock.decisions.serving.admission.priorityadmission import SlotDemand
 
 if TYPE_CHECKING:
     import random
--- a/chervilrock/decisions/serving/waiting.py
+++ b/chervilrock/decisions/serving/admission/waiting.py
@@ -12,7 +12,7 @@
 import math
 from typing import NamedTuple
 
-from chervilrock.decisions.serving.lateness import Timeliness
+from chervilrock.decisions.serving.admission.lateness import Timeliness
 
 REPAIR_S = 1.5
 """Usual time until a lost group serves again: the loss is detected after 0.4 s,
--- /dev/null
+++ b/chervilrock/decisions/serving/groups/__init__.py
@@ -0,0 +1,1 @@
+"""The life of replica groups, from formation to dissolution."""
--- a/chervilrock/decisions/serving/adoption.py
+++ b/chervilrock/decisions/serving/groups/adoption.py
@@ -1,11 +1,11 @@
 """Adoption of the groups that an earlier leader formed."""
 
-from chervilrock.decisions.serving import groupnames
-from chervilrock.decisions.serving.effects import GroupStep
-from chervilrock.decisions.serving.groupregistry import GroupRegistry
-from chervilrock.decisions.serving.groups import ManagedGroup, Phase
+from chervilrock.decisions.serving.groups import groupnames
+from chervilrock.decisions.serving.groups.effects import GroupStep
+from chervilrock.decisions.serving.groups.groupregistry import GroupRegistry
+from chervilrock.decisions.serving.groups.groups import ManagedGroup, Phase
+from chervilrock.decisions.serving.groups.verification import GroupVerifier
 from chervilrock.decisions.serving.site import BackendServer, MemberState
-from chervilrock.decisions.serving.verification import GroupVerifier
 
 ADOPTION_WAIT_S = 0.3
 """Time to wait for the entries of all members of a group to arrive."""
--- a/chervilrock/decisions/serving/controller.py
+++ b/chervilrock/decisions/serving/groups/controller.py
@@ -9,14 +9,16 @@
 
 from collections.abc import Mapping
 
-from chervilrock.decisions.serving.adoption import Adoption
-from chervilrock.decisions.serving.effects import Command, Effect, GroupStep
-from chervilrock.decisions.serving.forming import Forming
-from chervilrock.decisions.serving.groupregistry import GroupRegistry
-from chervilrock.decisions.serving.groups import ManagedGroup, Phase
-from chervilrock.decisions.serving.hostcounts import count_hosts, ModelCount
-from chervilrock.decisions.serving.hosts import IncarnationOrder
-from chervilrock.decisions.serving.orders import (
+from chervilrock.decisions.serving.groups.adoption import Adoption
+from chervilrock.decisions.serving.groups.effects import (
+    Command,
+    Effect,
+    GroupStep,
+)
+from chervilrock.decisions.serving.groups.forming import Forming
+from chervilrock.decisions.serving.groups.groupregistry import GroupRegistry
+from chervilrock.decisions.serving.groups.groups import ManagedGroup, Phase
+from chervilrock.decisions.serving.groups.orders import (
     Close,
     Join,
     Leave,
@@ -26,8 +28,17 @@
     ServerReport,
     Stage,
 )
-from chervilrock.decisions.serving.plan import Move
-from chervilrock.decisions.serving.planning import Planner, Staging
+from chervilrock.decisions.serving.groups.verification import (
+    GroupVerifier,
+    QUERY_INTERVAL_S,
+)
+from chervilrock.decisions.serving.planning.hostcounts import (
+    count_hosts,
+    ModelCount,
+)
+from chervilrock.decisions.serving.planning.plan import Move
+from chervilrock.decisions.serving.planning.planning import Planner, Staging
+from chervilrock.decisions.serving.servers.hosts import IncarnationOrder
 from chervilrock.decisions.serving.site import (
     BackendServer,
     EngineProfile,
@@ -35,10 +46,6 @@
     MemberState,
     SiteConfiguration,
 )
-from chervilrock.decisions.serving.verification import (
-    GroupVerifier,
-    QUERY_INTERVAL_S,
-)
 from chervilrock.decisions.serving.view import GroupEndpoint, ServerEndpoint
 
 RESEND_DELAY_S = 0.4
--- a/chervilrock/decisions/serving/dispatch.py
+++ b/chervilrock/decisions/serving/groups/dispatch.py
@@ -2,8 +2,12 @@
 
 from typing import NamedTuple
 
-from chervilrock.decisions.serving.effects import Command, Effect, StatusQuery
-from chervilrock.decisions.serving.orders import Order
+from chervilrock.decisions.serving.groups.effects import (
+    Command,
+    Effect,
+    StatusQuery,
+)
+from chervilrock.decisions.serving.groups.orders import Order
 from chervilrock.decisions.serving.site import BackendServer
 
 
--- a/chervilrock/decisions/serving/effects.py
+++ b/chervilrock/decisions/serving/groups/effects.py
@@ -3,7 +3,7 @@
 import enum
 from typing import NamedTuple
 
-from chervilrock.decisions.serving.orders import Order
+from chervilrock.decisions.serving.groups.orders import Order
 from chervilrock.decisions.serving.site import BackendServer
 
 
--- a/chervilrock/decisions/serving/forming.py
+++ b/chervilrock/decisions/serving/groups/forming.py
@@ -1,19 +1,19 @@
 """Formation of groups, from the plan to the first request."""
 
-from chervilrock.decisions.serving import groupnames
-from chervilrock.decisions.serving.effects import Effect, GroupStep
-from chervilrock.decisions.serving.groupregistry import GroupRegistry
-from chervilrock.decisions.serving.groups import ManagedGroup, Phase
-from chervilrock.decisions.serving.orders import Join, Open, OrderReply
-from chervilrock.decisions.serving.plan import (
+from chervilrock.decisions.serving.groups import groupnames
+from chervilrock.decisions.serving.groups.effects import Effect, GroupStep
+from chervilrock.decisions.serving.groups.groupregistry import GroupRegistry
+from chervilrock.decisions.serving.groups.groups import ManagedGroup, Phase
+from chervilrock.decisions.serving.groups.orders import Join, Open, OrderReply
+from chervilrock.decisions.serving.groups.verification import QUERY_INTERVAL_S
+from chervilrock.decisions.serving.planning.plan import (
     Formation,
     FreeHost,
     Preparation,
     Warmth,
 )
-from chervilrock.decisions.serving.planning import Planner
+from chervilrock.decisions.serving.planning.planning import Planner
 from chervilrock.decisions.serving.site import EngineProfile
-from chervilrock.decisions.serving.verification import QUERY_INTERVAL_S
 
 JOIN_S = 0.2
 """Duration of a join when the weights are in memory."""
--- a/chervilrock/decisions/serving/groupregistry.py
+++ b/chervilrock/decisions/serving/groups/groupregistry.py
@@ -1,14 +1,18 @@
 """Registry of the groups that a leader manages, with their shared state."""
 
-from chervilrock.decisions.serving.dispatch import Dispatcher
-from chervilrock.decisions.serving.effects import Effect, GroupChange, GroupStep
-from chervilrock.decisions.serving.groups import (
+from chervilrock.decisions.serving.groups.dispatch import Dispatcher
+from chervilrock.decisions.serving.groups.effects import (
+    Effect,
+    GroupChange,
+    GroupStep,
+)
+from chervilrock.decisions.serving.groups.groups import (
     ManagedGroup,
     Phase,
     READY_STATES,
 )
-from chervilrock.decisions.serving.hosts import HostRegistry
-from chervilrock.decisions.serving.orders import Order
+from chervilrock.decisions.serving.groups.orders import Order
+from chervilrock.decisions.serving.servers.hosts import HostRegistry
 from chervilrock.decisions.serving.site import (
     BackendServer,
     EngineProfile,
--- a/chervilrock/decisions/serving/verification.py
+++ b/chervilrock/decisions/serving/groups/verification.py
@@ -5,11 +5,11 @@
 partitioned.
 """
 
-from chervilrock.decisions.serving.effects import Effect, GroupStep
-from chervilrock.decisions.serving.groupregistry import GroupRegistry
-from chervilrock.decisions.serving.groups import ManagedGroup, Phase
-from chervilrock.decisions.serving.hosts import UNRESPONSIVE_S
-from chervilrock.decisions.serving.orders import ServerReport
+from chervilrock.decisions.serving.groups.effects import Effect, GroupStep
+from chervilrock.decisions.serving.groups.groupregistry import GroupRegistry
+from chervilrock.decisions.serving.groups.groups import ManagedGroup, Phase
+from chervilrock.decisions.serving.groups.orders import ServerReport
+from chervilrock.decisions.serving.servers.hosts import UNRESPONSIVE_S
 from chervilrock.decisions.serving.site import BackendServer, MemberState
 
 QUERY_INTERVAL_S = 0.1
--- /dev/null
+++ b/chervilrock/decisions/serving/nodes/__init__.py
@@ -0,0 +1,1 @@
+"""The nodes among themselves: leader, relays, and whom callers use."""
--- a/chervilrock/decisions/serving/leadercontact.py
+++ b/chervilrock/decisions/serving/nodes/leadercontact.py
@@ -14,7 +14,7 @@
 import enum
 from typing import NamedTuple, TYPE_CHECKING
 
-from chervilrock.decisions.serving.leadership import (
+from chervilrock.decisions.serving.nodes.leadership import (
     Claim,
     CLAIM_STAGGER_S,
     LAST_RANK,
--- a/chervilrock/decisions/serving/hostcounts.py
+++ b/chervilrock/decisions/serving/planning/hostcounts.py
@@ -10,8 +10,8 @@
 import enum
 from typing import NamedTuple
 
-from chervilrock.decisions.serving.groupregistry import GroupRegistry
-from chervilrock.decisions.serving.groups import Phase
+from chervilrock.decisions.serving.groups.groupregistry import GroupRegistry
+from chervilrock.decisions.serving.groups.groups import Phase
 from chervilrock.decisions.serving.site import EngineProfile
 
 INTERVAL_S = 1.0
--- a/chervilrock/decisions/serving/planning.py
+++ b/chervilrock/decisions/serving/planning/planning.py
@@ -8,11 +8,11 @@
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
-from chervilrock.decisions.serving.demand import Demand
-from chervilrock.decisions.serving.groupregistry import GroupRegistry
-from chervilrock.decisions.serving.groups import ManagedGroup, Phase
-from chervilrock.decisions.serving.orders import OrderReply, Stage
-from chervilrock.decisions.serving.plan import (
+from chervilrock.decisions.serving.groups.groupregistry import GroupRegistry
+from chervilrock.decisions.serving.groups.groups import ManagedGroup, Phase
+from chervilrock.decisions.serving.groups.orders import OrderReply, Stage
+from chervilrock.decisions.serving.planning.demand import Demand
+from chervilrock.decisions.serving.planning.plan import (
     DomainHosts,
     Formation,
     FreeHost,
@@ -21,13 +21,16 @@
     plan_service,
     Preparation,
 )
+from chervilrock.decisions.serving.planning.staging import (
+    HostWeights,
+    StagingTracker,
+)
 from chervilrock.decisions.serving.site import (
     BackendServer,
     EngineProfile,
     MemberState,
     ModelShape,
 )
-from chervilrock.decisions.serving.staging import HostWeights, StagingTracker
 
 REGISTRATION_SETTLE_S = 1.0
 """Time without a new server after which the first plan is made: servers
--- a/chervilrock/decisions/serving/staging.py
+++ b/chervilrock/decisions/serving/planning/staging.py
@@ -13,7 +13,7 @@
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
-from chervilrock.decisions.serving.orders import OrderReply, Stage
+from chervilrock.decisions.serving.groups.orders import OrderReply, Stage
 from chervilrock.decisions.serving.site import EngineProfile
 
 RETRY_S = 2.0
--- a/chervilrock/decisions/serving/hosts.py
+++ b/chervilrock/decisions/serving/servers/hosts.py
@@ -6,8 +6,8 @@
 
 import enum
 
-from chervilrock.decisions.serving import groupnames
-from chervilrock.decisions.serving.orders import ServerReport
+from chervilrock.decisions.serving.groups import groupnames
+from chervilrock.decisions.serving.groups.orders import ServerReport
 from chervilrock.decisions.serving.site import (
     BackendServer,
     Membership,
--- a/chervilrock/decisions/serving/limitregistry.py
+++ b/chervilrock/decisions/serving/servers/limitregistry.py
@@ -11,14 +11,14 @@
 import itertools
 from types import MappingProxyType
 
-from chervilrock.decisions.serving.serverlimits import (
+from chervilrock.decisions.serving.servers.serverlimits import (
     choose_senders,
     is_same_rate,
     LimitedServer,
     LimitObservations,
     rank_nodes,
 )
-from chervilrock.decisions.serving.warmups import (
+from chervilrock.decisions.serving.servers.warmups import (
     ColdServer,
     count_senders,
     find_total_rate,
--- a/chervilrock/decisions/serving/serverlimits.py
+++ b/chervilrock/decisions/serving/servers/serverlimits.py
@@ -22,7 +22,7 @@
 import xxhash
 
 from chervilrock.decisions.serving.messages import StatedLimit
-from chervilrock.decisions.serving.tokenbuckets import TokenBucket
+from chervilrock.decisions.serving.servers.tokenbuckets import TokenBucket
 
 SAME_RATE_TOLERANCE = 0.1
 """Fraction of a limit by which another one may differ and count as the same."""
--- a/chervilrock/decisions/serving/serverstatements.py
+++ b/chervilrock/decisions/serving/servers/serverstatements.py
@@ -10,10 +10,10 @@
 import math
 from typing import NamedTuple
 
-from chervilrock.decisions.serving.departures import Departures
 from chervilrock.decisions.serving.messages import ServerStatement
-from chervilrock.decisions.serving.pauses import ServerPauses
-from chervilrock.decisions.serving.serverlimits import (
+from chervilrock.decisions.serving.servers.departures import Departures
+from chervilrock.decisions.serving.servers.pauses import ServerPauses
+from chervilrock.decisions.serving.servers.serverlimits import (
     LimitChange,
     LimitedServer,
     SendPermit,
--- /dev/null
+++ b/chervilrock/decisions/serving/store/__init__.py
@@ -0,0 +1,1 @@
+"""Reads of the store: by whom, how often, and whether it answers."""
--- a/chervilrock/decisions/serving/polling.py
+++ b/chervilrock/decisions/serving/store/polling.py
@@ -13,8 +13,8 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from chervilrock.decisions.serving.leadership import LAST_RANK
-from chervilrock.decisions.serving.relays import MAX_DIRECT_NODES
+from chervilrock.decisions.serving.nodes.leadership import LAST_RANK
+from chervilrock.decisions.serving.nodes.relays import MAX_DIRECT_NODES
 from chervilrock.decisions.serving.view import NodeEntry
 
 QUICK_PAUSE_S = 0.1
--- a/chervilrock/decisions/serving/view.py
+++ b/chervilrock/decisions/serving/view.py
@@ -5,10 +5,12 @@
 from types import MappingProxyType
 from typing import NamedTuple
 
-from chervilrock.decisions.serving.evacuations import Evacuation
-from chervilrock.decisions.serving.priorityadmission import WaitingCounts
-from chervilrock.decisions.serving.serverlimits import LimitedServer
-from chervilrock.decisions.serving.suspects import Suspect
+from chervilrock.decisions.serving.admission.priorityadmission import (
+    WaitingCounts,
+)
+from chervilrock.decisions.serving.admission.suspects import Suspect
+from chervilrock.decisions.serving.servers.evacuations import Evacuation
+from chervilrock.decisions.serving.servers.serverlimits import LimitedServer
 
 
 class GroupEndpoint(NamedTuple):
--- a/chervilrock/edges/serving/callers.py
+++ b/chervilrock/edges/serving/callers.py
@@ -5,7 +5,9 @@
 from tornado import httputil
 from tornado.http1connection import HTTP1Connection
 
-from chervilrock.decisions.serving.callerbuffers import find_body_retry_after
+from chervilrock.decisions.serving.admission.callerbuffers import (
+    find_body_retry_after,
+)
 from chervilrock.edges.serving.callerrequest import CallerRequest
 from chervilrock.edges.serving.connection import (
     CallerConnection,
--- a/chervilrock/edges/serving/connection.py
+++ b/chervilrock/edges/serving/connection.py
@@ -11,7 +11,7 @@
 from tornado.http1connection import HTTP1Connection
 from tornado.iostream import StreamClosedError
 
-from chervilrock.decisions.serving.callerbuffers import (
+from chervilrock.decisions.serving.admission.callerbuffers import (
     BufferUse,
     CallerBuffers,
 )
--- a/chervilrock/edges/serving/exchange.py
+++ b/chervilrock/edges/serving/exchange.py
@@ -4,26 +4,26 @@
 from typing import Any, NamedTuple
 
 from chervilrock.clients.curlpool import CurlPool
-from chervilrock.decisions.serving.attempts import (
+from chervilrock.decisions.serving.admission.attempts import (
     decide_next,
     is_server_error,
     NextStep,
     Progress,
     SendOutcome,
 )
-from chervilrock.decisions.serving.lateness import Timeliness
-from chervilrock.decisions.serving.messages import AnswerFacts, ForwardedFields
-from chervilrock.decisions.serving.routes import (
+from chervilrock.decisions.serving.admission.lateness import Timeliness
+from chervilrock.decisions.serving.admission.routes import (
     Admission,
     choose_service,
     Denial,
 )
-from chervilrock.decisions.serving.stalls import StallDetector
-from chervilrock.decisions.serving.suspects import Suspect
-from chervilrock.decisions.serving.view import GroupEndpoint
-from chervilrock.decisions.serving.waiting import (
+from chervilrock.decisions.serving.admission.suspects import Suspect
+from chervilrock.decisions.serving.admission.waiting import (
     START_RETRY_AFTER_S,
 )
+from chervilrock.decisions.serving.groups.stalls import StallDetector
+from chervilrock.decisions.serving.messages import AnswerFacts, ForwardedFields
+from chervilrock.decisions.serving.view import GroupEndpoint
 from chervilrock.edges.heads import Head
 from chervilrock.edges.relay import (
     BackendRequest,
--- a/chervilrock/edges/serving/exchangelog.py
+++ b/chervilrock/edges/serving/exchangelog.py
@@ -2,10 +2,10 @@
 
 from typing import NamedTuple
 
-from chervilrock.decisions.serving.placement import Choice
-from chervilrock.decisions.serving.retrybudget import BudgetState
-from chervilrock.decisions.serving.routes import Admission
-from chervilrock.decisions.serving.suspects import Suspect
+from chervilrock.decisions.serving.admission.placement import Choice
+from chervilrock.decisions.serving.admission.retrybudget import BudgetState
+from chervilrock.decisions.serving.admission.routes import Admission
+from chervilrock.decisions.serving.admission.suspects import Suspect
 from chervilrock.decisions.serving.view import GroupEndpoint, ServerEndpoint
 from chervilrock.edges.relay import TransferEnd
 from chervilrock.edges.serving.callerrequest import CallerRequest
--- a/chervilrock/edges/serving/receiver.py
+++ b/chervilrock/edges/serving/receiver.py
@@ -2,9 +2,12 @@
 
 from collections.abc import Callable
 
-from chervilrock.decisions.serving.attempts import classify_answer, SendOutcome
+from chervilrock.decisions.serving.admission.attempts import (
+    classify_answer,
+    SendOutcome,
+)
+from chervilrock.decisions.serving.admission.streams import EventSplitter
 from chervilrock.decisions.serving.messages import AnswerFacts
-from chervilrock.decisions.serving.streams import EventSplitter
 from chervilrock.edges.heads import Head
 from chervilrock.edges.relay import Receiver, Transfer, TransferEnd
 from chervilrock.platform import headers as names
--- a/chervilrock/edges/serving/retryreservation.py
+++ b/chervilrock/edges/serving/retryreservation.py
@@ -1,6 +1,6 @@
 """The part of the retry budget of a service that one request uses."""
 
-from chervilrock.decisions.serving.retrybudget import BudgetState
+from chervilrock.decisions.serving.admission.retrybudget import BudgetState
 from chervilrock.tasks.serving.state import ServingState
 
 
--- a/chervilrock/edges/serving/slots.py
+++ b/chervilrock/edges/serving/slots.py
@@ -2,20 +2,19 @@
 
 from typing import NamedTuple
 
-from chervilrock.decisions.serving.lateness import judge_timeliness, Timeliness
-from chervilrock.decisions.serving.messages import AnswerFacts
-from chervilrock.decisions.serving.placement import (
+from chervilrock.decisions.serving.admission.lateness import (
+    judge_timeliness,
+    Timeliness,
+)
+from chervilrock.decisions.serving.admission.placement import (
     Bound,
     Choice,
     find_group_bound,
     GROUP_BOUND,
 )
-from chervilrock.decisions.serving.priorityadmission import Candidate
-from chervilrock.decisions.serving.routes import Admission
-from chervilrock.decisions.serving.serverlimits import SendPermit
-from chervilrock.decisions.serving.site import RouteKind
-from chervilrock.decisions.serving.view import GroupEndpoint, ServerEndpoint
-from chervilrock.decisions.serving.waiting import (
+from chervilrock.decisions.serving.admission.priorityadmission import Candidate
+from chervilrock.decisions.serving.admission.routes import Admission
+from chervilrock.decisions.serving.admission.waiting import (
     Availability,
     decide_wait,
     DELIVERY_MARGIN_S,
@@ -23,6 +22,10 @@
     find_pause_retry_after,
     WaitingRequest,
 )
+from chervilrock.decisions.serving.messages import AnswerFacts
+from chervilrock.decisions.serving.servers.serverlimits import SendPermit
+from chervilrock.decisions.serving.site import RouteKind
+from chervilrock.decisions.serving.view import GroupEndpoint, ServerEndpoint
 from chervilrock.edges.serving.callerrequest import CallerRequest
 from chervilrock.edges.serving.connection import CallerConnection
 from chervilrock.edges.serving.suspectcheck import SuspectCheck
--- a/chervilrock/edges/serving/suspectcheck.py
+++ b/chervilrock/edges/serving/suspectcheck.py
@@ -2,13 +2,13 @@
 
 import functools
 
-from chervilrock.decisions.serving.contents import identify_content
-from chervilrock.decisions.serving.site import Workspace
-from chervilrock.decisions.serving.suspects import (
+from chervilrock.decisions.serving.admission.contents import identify_content
+from chervilrock.decisions.serving.admission.suspects import (
     MAX_CRASHES,
     MIN_ANNOUNCED_CRASHES,
     Suspect,
 )
+from chervilrock.decisions.serving.site import Workspace
 from chervilrock.decisions.serving.view import GroupEndpoint, ServerEndpoint
 from chervilrock.edges.relay import TransferEnd
 from chervilrock.edges.serving import exchangelog
--- a/chervilrock/node/serving.py
+++ b/chervilrock/node/serving.py
@@ -14,11 +14,11 @@
 from chervilrock.clients.curlpool import CurlPool
 from chervilrock.clients.httpclient import HttpClient
 from chervilrock.clients.liveness import ConnectionLiveness
-from chervilrock.decisions.serving.callerbuffers import find_budget
-from chervilrock.decisions.serving.evacuations import Evacuations
-from chervilrock.decisions.serving.stalls import compute_stall_limits
+from chervilrock.decisions.serving.admission.callerbuffers import find_budget
+from chervilrock.decisions.serving.groups.stalls import compute_stall_limits
+from chervilrock.decisions.serving.servers.evacuations import Evacuations
+from chervilrock.decisions.serving.servers.warmups import WarmupBounds
 from chervilrock.decisions.serving.view import GroupEndpoint, NodeEntry
-from chervilrock.decisions.serving.warmups import WarmupBounds
 from chervilrock.edges.serving.callers import CallerEdge
 from chervilrock.edges.serving.exchange import Context
 from chervilrock.edges.serving.simpleedge import Reply, SimpleEdge
--- a/chervilrock/platform/engines.py
+++ b/chervilrock/platform/engines.py
@@ -12,7 +12,7 @@
     HttpClient,
 )
 from chervilrock.clients.serving import EngineControl
-from chervilrock.decisions.serving.orders import (
+from chervilrock.decisions.serving.groups.orders import (
     Close,
     Join,
     Leave,
--- a/chervilrock/platform/operator.py
+++ b/chervilrock/platform/operator.py
@@ -5,7 +5,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from chervilrock.decisions.serving.evacuations import EvacuationRecord
+from chervilrock.decisions.serving.servers.evacuations import EvacuationRecord
 from chervilrock.decisions.serving.site import (
     EngineProfile,
     IgnoredField,
--- a/chervilrock/platform/settings.py
+++ b/chervilrock/platform/settings.py
@@ -6,7 +6,9 @@
 
 from returns.result import Failure, Result, Success
 
-from chervilrock.decisions.serving.evacuations import DEFAULT_EVACUATION_S
+from chervilrock.decisions.serving.servers.evacuations import (
+    DEFAULT_EVACUATION_S,
+)
 
 VARIABLE = "CHERVILROCK_NODE_FILE"
 """Environment variable that holds the path of the file."""
--- a/chervilrock/serving_metrics.py
+++ b/chervilrock/serving_metrics.py
@@ -6,8 +6,8 @@
 import prometheus_client
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
-from chervilrock.decisions.serving.callerbuffers import BufferUse
-from chervilrock.decisions.serving.hostcounts import ModelCount
+from chervilrock.decisions.serving.admission.callerbuffers import BufferUse
+from chervilrock.decisions.serving.planning.hostcounts import ModelCount
 from chervilrock.metrics import (
     FIRST_TOKEN_BUCKETS,
     LabelValues,
--- a/chervilrock/tasks/serving/configuration.py
+++ b/chervilrock/tasks/serving/configuration.py
@@ -2,10 +2,10 @@
 
 from returns.result import Failure
 
-from chervilrock.decisions.serving.polling import list_designated
-from chervilrock.decisions.serving.revisions import RevisionTracker
-from chervilrock.decisions.serving.routes import RouteTable
+from chervilrock.decisions.serving.admission.routes import RouteTable
 from chervilrock.decisions.serving.site import SiteConfiguration
+from chervilrock.decisions.serving.store.polling import list_designated
+from chervilrock.decisions.serving.store.revisions import RevisionTracker
 from chervilrock.decisions.serving.view import NodeEntry
 from chervilrock.events import emit, Event
 from chervilrock.tasks.serving.outbound import Decode, Outbound
--- a/chervilrock/tasks/serving/crashreports.py
+++ b/chervilrock/tasks/serving/crashreports.py
@@ -8,7 +8,10 @@
 
 from collections.abc import Iterable
 
-from chervilrock.decisions.serving.suspects import CrashReport, ServerCrash
+from chervilrock.decisions.serving.admission.suspects import (
+    CrashReport,
+    ServerCrash,
+)
 from chervilrock.decisions.serving.view import NodeEntry
 from chervilrock.tasks.serving.messages import CrashReportAnswered
 from chervilrock.tasks.serving.outbound import Outbound
--- a/chervilrock/tasks/serving/election.py
+++ b/chervilrock/tasks/serving/election.py
@@ -1,7 +1,7 @@
 """Registers a node in the store and claims leadership when no node leads."""
 
 from chervilrock.clients.serving import Topic
-from chervilrock.decisions.serving.leadership import (
+from chervilrock.decisions.serving.nodes.leadership import (
     Leadership,
     should_register,
 )
--- a/chervilrock/tasks/serving/evacuationkeeper.py
+++ b/chervilrock/tasks/serving/evacuationkeeper.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-from chervilrock.decisions.serving.evacuations import Evacuation
+from chervilrock.decisions.serving.servers.evacuations import Evacuation
 from chervilrock.decisions.serving.view import Acknowledgement, Announcement
 from chervilrock.events import emit, Event
 from chervilrock.tasks.serving.messages import RecordsRead
--- a/chervilrock/tasks/serving/follower.py
+++ b/chervilrock/tasks/serving/follower.py
@@ -8,7 +8,7 @@
 
 from chervilrock.clients.errors import PlatformError, PlatformErrorKind
 from chervilrock.clients.serving import KeyedPage, KeyedStore, Topic
-from chervilrock.decisions.serving.polling import PollSchedule
+from chervilrock.decisions.serving.store.polling import PollSchedule
 from chervilrock.tasks.mailbox import Outbox
 from chervilrock.tasks.serving.messages import Message, ReadFailed, RecordsRead
 
--- a/chervilrock/tasks/serving/following.py
+++ b/chervilrock/tasks/serving/following.py
@@ -2,12 +2,12 @@
 
 from collections.abc import Callable, Mapping
 
-from chervilrock.decisions.serving.leadership import Claim, Leadership
-from chervilrock.decisions.serving.reportedloads import (
+from chervilrock.decisions.serving.nodes.leadership import Claim, Leadership
+from chervilrock.decisions.serving.nodes.reportedloads import (
     ReportedCounts,
     ReportedLoads,
 )
-from chervilrock.decisions.serving.storehealth import StoreStatus
+from chervilrock.decisions.serving.store.storehealth import StoreStatus
 from chervilrock.decisions.serving.view import (
     Acknowledgement,
     Announcement,
--- a/chervilrock/tasks/serving/leaderprobe.py
+++ b/chervilrock/tasks/serving/leaderprobe.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from chervilrock.decisions.serving.leadercontact import (
+from chervilrock.decisions.serving.nodes.leadercontact import (
     choose_asked,
     find_claim_credit,
     Finding,
@@ -12,7 +12,7 @@
     LeaderContact,
     should_probe,
 )
-from chervilrock.decisions.serving.leadership import (
+from chervilrock.decisions.serving.nodes.leadership import (
     Claim,
     Leadership,
     MAX_REGISTRATION_DELAY_S,
--- a/chervilrock/tasks/serving/leading.py
+++ b/chervilrock/tasks/serving/leading.py
@@ -7,32 +7,38 @@
 from returns.result import Failure
 
 from chervilrock.clients.serving import Topic
-from chervilrock.decisions.serving.controller import Controller
-from chervilrock.decisions.serving.effects import (
+from chervilrock.decisions.serving.admission.priorityadmission import (
+    WaitingCounts,
+)
+from chervilrock.decisions.serving.groups.controller import Controller
+from chervilrock.decisions.serving.groups.effects import (
     Command,
     Effect,
     GroupChange,
     StatusQuery,
 )
-from chervilrock.decisions.serving.entries import NewestEntries
-from chervilrock.decisions.serving.hostcounts import INTERVAL_S, ModelCount
-from chervilrock.decisions.serving.leadership import (
+from chervilrock.decisions.serving.nodes.leadership import (
     find_interval,
     find_min_interval,
     MISSED_INTERVALS,
     STORE_TIMEOUT_S,
 )
-from chervilrock.decisions.serving.limitregistry import LimitRegistry
-from chervilrock.decisions.serving.polling import SERVERS_SCHEDULE
-from chervilrock.decisions.serving.priorityadmission import WaitingCounts
-from chervilrock.decisions.serving.relays import Recipients, RelayTable
-from chervilrock.decisions.serving.reportedpauses import ReportedPauses
-from chervilrock.decisions.serving.serverlimits import LimitedServer
+from chervilrock.decisions.serving.nodes.relays import Recipients, RelayTable
+from chervilrock.decisions.serving.planning.hostcounts import (
+    INTERVAL_S,
+    ModelCount,
+)
+from chervilrock.decisions.serving.servers.entries import NewestEntries
+from chervilrock.decisions.serving.servers.limitregistry import LimitRegistry
+from chervilrock.decisions.serving.servers.reportedpauses import ReportedPauses
+from chervilrock.decisions.serving.servers.serverlimits import LimitedServer
+from chervilrock.decisions.serving.servers.warmups import find_usable, Warmups
 from chervilrock.decisions.serving.site import (
     BackendServer,
     SiteConfiguration,
 )
-from chervilrock.decisions.serving.storehealth import StoreMonitor
+from chervilrock.decisions.serving.store.polling import SERVERS_SCHEDULE
+from chervilrock.decisions.serving.store.storehealth import StoreMonitor
 from chervilrock.decisions.serving.view import (
     Announcement,
     GroupEndpoint,
@@ -42,7 +48,6 @@
     ServingView,
     Summary,
 )
-from chervilrock.decisions.serving.warmups import find_usable, Warmups
 from chervilrock.events import emit, Event
 from chervilrock.tasks.clock import read_unix_time
 from chervilrock.tasks.serving.messages import (
--- a/chervilrock/tasks/serving/messages.py
+++ b/chervilrock/tasks/serving/messages.py
@@ -4,13 +4,13 @@
 from typing import NamedTuple
 
 from chervilrock.clients.serving import KeyedPage, Topic
-from chervilrock.decisions.serving.leadercontact import ContactAnswer
-from chervilrock.decisions.serving.orders import (
+from chervilrock.decisions.serving.admission.suspects import CrashReport
+from chervilrock.decisions.serving.groups.orders import (
     Order,
     OrderReply,
     ServerReport,
 )
-from chervilrock.decisions.serving.suspects import CrashReport
+from chervilrock.decisions.serving.nodes.leadercontact import ContactAnswer
 from chervilrock.decisions.serving.view import Acknowledgement
 
 
--- a/chervilrock/tasks/serving/node.py
+++ b/chervilrock/tasks/serving/node.py
@@ -7,15 +7,15 @@
 from typing import Any
 
 from chervilrock.clients.serving import Topic
-from chervilrock.decisions.serving.entries import NewestEntries
-from chervilrock.decisions.serving.hostcounts import ModelCount
-from chervilrock.decisions.serving.leadercontact import LeaderContact
-from chervilrock.decisions.serving.leadership import (
+from chervilrock.decisions.serving.groups.orders import Stage
+from chervilrock.decisions.serving.nodes.leadercontact import LeaderContact
+from chervilrock.decisions.serving.nodes.leadership import (
     Claim,
     Leadership,
 )
-from chervilrock.decisions.serving.orders import Stage
-from chervilrock.decisions.serving.polling import (
+from chervilrock.decisions.serving.planning.hostcounts import ModelCount
+from chervilrock.decisions.serving.servers.entries import NewestEntries
+from chervilrock.decisions.serving.store.polling import (
     Reader,
 )
 from chervilrock.decisions.serving.view import (
--- a/chervilrock/tasks/serving/noderecords.py
+++ b/chervilrock/tasks/serving/noderecords.py
@@ -4,9 +4,9 @@
 
 import msgspec
 
-from chervilrock.decisions.serving.leadership import Claim, Leadership
-from chervilrock.decisions.serving.polling import is_designated
-from chervilrock.decisions.serving.terms import make_term
+from chervilrock.decisions.serving.nodes.leadership import Claim, Leadership
+from chervilrock.decisions.serving.nodes.terms import make_term
+from chervilrock.decisions.serving.store.polling import is_designated
 from chervilrock.decisions.serving.view import LeaderEntry, NodeEntry
 from chervilrock.events import emit, Event
 from chervilrock.tasks.serving.messages import RecordsRead
--- a/chervilrock/tasks/serving/outbound.py
+++ b/chervilrock/tasks/serving/outbound.py
@@ -19,15 +19,18 @@
     ServerLiveness,
     Topic,
 )
-from chervilrock.decisions.serving.effects import Command
-from chervilrock.decisions.serving.evacuations import EvacuationRecord
-from chervilrock.decisions.serving.leadercontact import ContactAnswer
-from chervilrock.decisions.serving.polling import PollSchedule
+from chervilrock.decisions.serving.admission.suspects import (
+    CrashReport,
+    Suspect,
+)
+from chervilrock.decisions.serving.groups.effects import Command
+from chervilrock.decisions.serving.nodes.leadercontact import ContactAnswer
+from chervilrock.decisions.serving.servers.evacuations import EvacuationRecord
 from chervilrock.decisions.serving.site import (
     BackendServer,
     SiteConfiguration,
 )
-from chervilrock.decisions.serving.suspects import CrashReport, Suspect
+from chervilrock.decisions.serving.store.polling import PollSchedule
 from chervilrock.decisions.serving.view import (
     Acknowledgement,
     LeaderEntry,
--- a/chervilrock/tasks/serving/peermessages.py
+++ b/chervilrock/tasks/serving/peermessages.py
@@ -11,9 +11,9 @@
 
 import msgspec
 
-from chervilrock.decisions.serving.leadercontact import LeaderContact
-from chervilrock.decisions.serving.serverlimits import LimitedServer
-from chervilrock.decisions.serving.suspects import CrashReport
+from chervilrock.decisions.serving.admission.suspects import CrashReport
+from chervilrock.decisions.serving.nodes.leadercontact import LeaderContact
+from chervilrock.decisions.serving.servers.serverlimits import LimitedServer
 from chervilrock.decisions.serving.view import (
     Acknowledgement,
     Announcement,
--- a/chervilrock/tasks/serving/peers.py
+++ b/chervilrock/tasks/serving/peers.py
@@ -3,8 +3,8 @@
 from collections.abc import Awaitable, Callable, Iterable
 from typing import NamedTuple
 
-from chervilrock.decisions.serving.evacuations import list_versions
-from chervilrock.decisions.serving.suspects import Suspect
+from chervilrock.decisions.serving.admission.suspects import Suspect
+from chervilrock.decisions.serving.servers.evacuations import list_versions
 from chervilrock.decisions.serving.view import (
     Acknowledgement,
     Announcement,
--- a/chervilrock/tasks/serving/poisondetector.py
+++ b/chervilrock/tasks/serving/poisondetector.py
@@ -13,7 +13,7 @@
 
 import msgspec
 
-from chervilrock.decisions.serving.suspects import (
+from chervilrock.decisions.serving.admission.suspects import (
     CrashReport,
     MAX_ANNOUNCED_SUSPECTS,
     ServerCrash,
--- a/chervilrock/tasks/serving/reads.py
+++ b/chervilrock/tasks/serving/reads.py
@@ -3,14 +3,14 @@
 from collections.abc import Callable
 
 from chervilrock.clients.serving import Topic
-from chervilrock.decisions.serving.polling import (
+from chervilrock.decisions.serving.store.polling import (
     choose_configuration_schedule,
     choose_nodes_schedule,
     Reader,
     reads_configuration,
     reads_nodes,
 )
-from chervilrock.decisions.serving.storehealth import StoreMonitor
+from chervilrock.decisions.serving.store.storehealth import StoreMonitor
 from chervilrock.events import emit, Event
 from chervilrock.tasks.serving.dependency import Dependency
 from chervilrock.tasks.serving.follower import FollowerTask
--- a/chervilrock/tasks/serving/relay.py
+++ b/chervilrock/tasks/serving/relay.py
@@ -1,10 +1,10 @@
 """Forwarding of announcements within a data centre."""
 
-from chervilrock.decisions.serving.leadership import (
+from chervilrock.decisions.serving.nodes.leadership import (
     find_min_interval,
     MISSED_INTERVALS,
 )
-from chervilrock.decisions.serving.relays import RELAY_SWITCH_S
+from chervilrock.decisions.serving.nodes.relays import RELAY_SWITCH_S
 from chervilrock.decisions.serving.view import Announcement, Summary
 from chervilrock.tasks.serving.messages import PeerAnswered
 from chervilrock.tasks.serving.outbound import Outbound
--- a/chervilrock/tasks/serving/state.py
+++ b/chervilrock/tasks/serving/state.py
@@ -9,36 +9,49 @@
 import random
 from typing import NamedTuple, TypeVar
 
-from chervilrock.decisions.serving import placement
-from chervilrock.decisions.serving.activenodes import ActiveNodes
-from chervilrock.decisions.serving.evacuations import Evacuations
-from chervilrock.decisions.serving.failures import (
+from chervilrock.decisions.serving.admission import placement
+from chervilrock.decisions.serving.admission.failures import (
     exclude_failing,
     GroupFailures,
 )
-from chervilrock.decisions.serving.firstevents import FirstEventTimes
-from chervilrock.decisions.serving.lateness import UsualLimits
-from chervilrock.decisions.serving.messages import (
-    ServerStatement,
-    StatedLimit,
+from chervilrock.decisions.serving.admission.firstevents import FirstEventTimes
+from chervilrock.decisions.serving.admission.lateness import UsualLimits
+from chervilrock.decisions.serving.admission.placement import (
+    Bound,
+    Choice,
+    Load,
 )
-from chervilrock.decisions.serving.placement import Bound, Choice, Load
-from chervilrock.decisions.serving.priorityadmission import (
+from chervilrock.decisions.serving.admission.priorityadmission import (
     Capacity,
     PriorityAdmission,
     WaitingCounts,
 )
-from chervilrock.decisions.serving.retrybudget import BudgetState, RetryBudget
-from chervilrock.decisions.serving.routes import RouteTable
-from chervilrock.decisions.serving.serverlimits import LimitChange
-from chervilrock.decisions.serving.serverstarts import ServerStarts
-from chervilrock.decisions.serving.serverstatements import ServerStatements
-from chervilrock.decisions.serving.shares import SlotShares
-from chervilrock.decisions.serving.shortage import Shortages
+from chervilrock.decisions.serving.admission.retrybudget import (
+    BudgetState,
+    RetryBudget,
+)
+from chervilrock.decisions.serving.admission.routes import RouteTable
+from chervilrock.decisions.serving.admission.shares import SlotShares
+from chervilrock.decisions.serving.admission.shortage import Shortages
+from chervilrock.decisions.serving.admission.startup import Startup, STARTUP_S
+from chervilrock.decisions.serving.admission.suspects import SuspectTable
+from chervilrock.decisions.serving.groups.stalls import StallDetector
+from chervilrock.decisions.serving.messages import (
+    ServerStatement,
+    StatedLimit,
+)
+from chervilrock.decisions.serving.nodes.activenodes import ActiveNodes
+from chervilrock.decisions.serving.servers.evacuations import Evacuations
+from chervilrock.decisions.serving.servers.serverlimits import LimitChange
+from chervilrock.decisions.serving.servers.serverstarts import ServerStarts
+from chervilrock.decisions.serving.servers.serverstatements import (
+    ServerStatements,
+)
+from chervilrock.decisions.serving.servers.warmups import (
+    DEFAULT_BOUNDS,
+    WarmupBounds,
+)
 from chervilrock.decisions.serving.site import EngineProfile
-from chervilrock.decisions.serving.stalls import StallDetector
-from chervilrock.decisions.serving.startup import Startup, STARTUP_S
-from chervilrock.decisions.serving.suspects import SuspectTable
 from chervilrock.decisions.serving.view import (
     GroupEndpoint,
     NO_VIEW,
@@ -46,7 +59,6 @@
     ServerEndpoint,
     ServingView,
 )
-from chervilrock.decisions.serving.warmups import DEFAULT_BOUNDS, WarmupBounds
 from chervilrock.events import emit, Event
 
 Endpoint = TypeVar("Endpoint", GroupEndpoint, ServerEndpoint)
--- a/test/decisions/serving/test_callerbuffers.py
+++ b/test/decisions/serving/admission/test_callerbuffers.py
@@ -8,7 +8,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, GreaterThan, HasLength, Is, LessThan
 
-from chervilrock.decisions.serving.callerbuffers import (
+from chervilrock.decisions.serving.admission.callerbuffers import (
     BODY_FRACTION,
     CallerBuffers,
     END_FRACTION,
--- a/test/decisions/serving/test_failures.py
+++ b/test/decisions/serving/admission/test_failures.py
@@ -12,14 +12,18 @@
     LessThan,
 )
 
-from chervilrock.decisions.serving.failures import (
+from chervilrock.decisions.serving.admission.failures import (
     BACKOFF_FACTOR,
     exclude_failing,
     FIRST_AVOIDANCE_S,
     GroupFailures,
     MAX_AVOIDANCE_S,
 )
-from chervilrock.decisions.serving.placement import choose, GROUP_BOUND, Load
+from chervilrock.decisions.serving.admission.placement import (
+    choose,
+    GROUP_BOUND,
+    Load,
+)
 from chervilrock.decisions.serving.view import GroupEndpoint
 
 SLOTS = 24
--- a/test/decisions/serving/test_firstevents.py
+++ b/test/decisions/serving/admission/test_firstevents.py
@@ -4,7 +4,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, GreaterThan, LessThan
 
-from chervilrock.decisions.serving.firstevents import (
+from chervilrock.decisions.serving.admission.firstevents import (
     DEFAULT_TARGET_FRACTION,
     FirstEventTimes,
     MAX_SAMPLES,
--- a/test/decisions/serving/test_lateness.py
+++ b/test/decisions/serving/admission/test_lateness.py
@@ -6,12 +6,12 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, Is
 
-from chervilrock.decisions.serving.lateness import (
+from chervilrock.decisions.serving.admission.lateness import (
     judge_timeliness,
     Timeliness,
     UsualLimits,
 )
-from chervilrock.decisions.serving.placement import (
+from chervilrock.decisions.serving.admission.placement import (
     BEGUN_BOUND,
     find_group_bound,
     GROUP_BOUND,
--- a/test/decisions/serving/test_placement.py
+++ b/test/decisions/serving/admission/test_placement.py
@@ -8,8 +8,8 @@
 from testtools.assertions import assert_that
 from testtools.matchers import GreaterThan, Is, LessThan
 
-from chervilrock.decisions.serving.lateness import Timeliness
-from chervilrock.decisions.serving.placement import (
+from chervilrock.decisions.serving.admission.lateness import Timeliness
+from chervilrock.decisions.serving.admission.placement import (
     Bound,
     choose,
     find_group_bound,
--- a/test/decisions/serving/test_priorityadmission.py
+++ b/test/decisions/serving/admission/test_priorityadmission.py
@@ -11,8 +11,8 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, GreaterThan, Is, LessThan
 
-from chervilrock.decisions.serving.lateness import Timeliness
-from chervilrock.decisions.serving.priorityadmission import (
+from chervilrock.decisions.serving.admission.lateness import Timeliness
+from chervilrock.decisions.serving.admission.priorityadmission import (
     Candidate,
     Capacity,
     find_priorities,
@@ -21,13 +21,13 @@
     STARVATION_RATIO,
     STARVATION_S,
 )
-from chervilrock.decisions.serving.site import Workspace
-from chervilrock.decisions.serving.waiting import (
+from chervilrock.decisions.serving.admission.waiting import (
     Availability,
     decide_wait,
     WaitDecision,
     WaitingRequest,
 )
+from chervilrock.decisions.serving.site import Workspace
 from test.decisions.serving import admission_replay
 from test.decisions.serving.admission_replay import (
     MODEL,
--- a/test/decisions/serving/test_retrybudget.py
+++ b/test/decisions/serving/admission/test_retrybudget.py
@@ -6,7 +6,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, GreaterThan, Is, LessThan
 
-from chervilrock.decisions.serving.retrybudget import RetryBudget
+from chervilrock.decisions.serving.admission.retrybudget import RetryBudget
 from test.decisions.serving.retry_fleet import (
     Fleet,
     RATIO,
--- a/test/decisions/serving/test_shares.py
+++ b/test/decisions/serving/admission/test_shares.py
@@ -6,7 +6,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, GreaterThan, Is, LessThan
 
-from chervilrock.decisions.serving.shares import (
+from chervilrock.decisions.serving.admission.shares import (
     MAX_TOTALS_AGE_S,
     NO_LIMIT,
     RESERVED_FRACTION,
--- a/test/decisions/serving/test_shortage.py
+++ b/test/decisions/serving/admission/test_shortage.py
@@ -3,7 +3,10 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, Is
 
-from chervilrock.decisions.serving.shortage import RECOVERY_S, Shortages
+from chervilrock.decisions.serving.admission.shortage import (
+    RECOVERY_S,
+    Shortages,
+)
 
 
 def test_a_shortage_lasts_while_requests_miss_their_target() -> None:
--- a/test/decisions/serving/test_startup.py
+++ b/test/decisions/serving/admission/test_startup.py
@@ -10,9 +10,15 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, GreaterThan, Is, LessThan
 
-from chervilrock.decisions.serving.lateness import Timeliness, UsualLimits
-from chervilrock.decisions.serving.placement import find_group_bound, Load
-from chervilrock.decisions.serving.startup import (
+from chervilrock.decisions.serving.admission.lateness import (
+    Timeliness,
+    UsualLimits,
+)
+from chervilrock.decisions.serving.admission.placement import (
+    find_group_bound,
+    Load,
+)
+from chervilrock.decisions.serving.admission.startup import (
     LATE_SLOTS_FRACTION,
     RETRY_AFTER_S,
     Startup,
--- a/test/decisions/serving/test_suspects.py
+++ b/test/decisions/serving/admission/test_suspects.py
@@ -4,11 +4,11 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Contains, Equals, HasLength, Is, LessThan, Not
 
-from chervilrock.decisions.serving.contents import (
+from chervilrock.decisions.serving.admission.contents import (
     identify_content,
     MAX_SHOWN_CHARACTERS,
 )
-from chervilrock.decisions.serving.suspects import (
+from chervilrock.decisions.serving.admission.suspects import (
     FORGET_S,
     MAX_ANNOUNCED_SUSPECTS,
     MAX_CONTENTS,
--- a/test/decisions/serving/test_waiting.py
+++ b/test/decisions/serving/admission/test_waiting.py
@@ -6,8 +6,8 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, GreaterThan, LessThan
 
-from chervilrock.decisions.serving.lateness import Timeliness
-from chervilrock.decisions.serving.waiting import (
+from chervilrock.decisions.serving.admission.lateness import Timeliness
+from chervilrock.decisions.serving.admission.waiting import (
     Availability,
     decide_wait,
     find_give_up,
--- a/test/decisions/serving/admission_replay.py
+++ b/test/decisions/serving/admission_replay.py
@@ -13,14 +13,14 @@
 from types import SimpleNamespace
 from typing import Any, NamedTuple
 
-from chervilrock.decisions.serving.leadership import find_min_interval
+from chervilrock.decisions.serving.admission.routes import Admission, RouteTable
 from chervilrock.decisions.serving.messages import RequestFacts
-from chervilrock.decisions.serving.relays import MAX_DIRECT_NODES
-from chervilrock.decisions.serving.reportedloads import (
+from chervilrock.decisions.serving.nodes.leadership import find_min_interval
+from chervilrock.decisions.serving.nodes.relays import MAX_DIRECT_NODES
+from chervilrock.decisions.serving.nodes.reportedloads import (
     ReportedCounts,
     ReportedLoads,
 )
-from chervilrock.decisions.serving.routes import Admission, RouteTable
 from chervilrock.decisions.serving.site import (
     Limits,
     Route,
--- a/test/decisions/serving/fleet.py
+++ b/test/decisions/serving/fleet.py
@@ -12,9 +12,9 @@
 from types import MappingProxyType
 from typing import Any, NamedTuple
 
-from chervilrock.decisions.serving.controller import Controller
-from chervilrock.decisions.serving.effects import Command, StatusQuery
-from chervilrock.decisions.serving.orders import (
+from chervilrock.decisions.serving.groups.controller import Controller
+from chervilrock.decisions.serving.groups.effects import Command, StatusQuery
+from chervilrock.decisions.serving.groups.orders import (
     Close,
     Join,
     Leave,
--- a/test/decisions/serving/test_controller.py
+++ b/test/decisions/serving/groups/test_controller.py
@@ -15,16 +15,19 @@
     Not,
 )
 
-from chervilrock.decisions.serving import groupnames
-from chervilrock.decisions.serving.groups import ManagedGroup
-from chervilrock.decisions.serving.hostcounts import HostState
-from chervilrock.decisions.serving.hosts import HostRegistry, IncarnationOrder
-from chervilrock.decisions.serving.orders import (
+from chervilrock.decisions.serving.groups import groupnames
+from chervilrock.decisions.serving.groups.groups import ManagedGroup
+from chervilrock.decisions.serving.groups.orders import (
     Join,
     Open,
     Order,
     OrderReply,
 )
+from chervilrock.decisions.serving.planning.hostcounts import HostState
+from chervilrock.decisions.serving.servers.hosts import (
+    HostRegistry,
+    IncarnationOrder,
+)
 from chervilrock.decisions.serving.site import BackendServer
 from test.decisions.serving.fleet import Faults, Fleet, STEP_S
 
--- a/test/decisions/serving/test_activenodes.py
+++ b/test/decisions/serving/nodes/test_activenodes.py
@@ -3,7 +3,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, HasLength, Is
 
-from chervilrock.decisions.serving.activenodes import (
+from chervilrock.decisions.serving.nodes.activenodes import (
     ActiveNodes,
     MIN_ACTIVE_NODES,
     PEAK_WINDOW_S,
--- a/test/decisions/serving/test_leadercontact.py
+++ b/test/decisions/serving/nodes/test_leadercontact.py
@@ -10,7 +10,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, HasLength, Is
 
-from chervilrock.decisions.serving.leadercontact import (
+from chervilrock.decisions.serving.nodes.leadercontact import (
     ASKED_NODES,
     choose_asked,
     ContactAnswer,
@@ -20,7 +20,7 @@
     LeaderContact,
     should_probe,
 )
-from chervilrock.decisions.serving.leadership import (
+from chervilrock.decisions.serving.nodes.leadership import (
     Claim,
     Leadership,
     should_register,
--- a/test/decisions/serving/test_relays.py
+++ b/test/decisions/serving/nodes/test_relays.py
@@ -3,7 +3,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, HasLength, LessThan, Not
 
-from chervilrock.decisions.serving.relays import (
+from chervilrock.decisions.serving.nodes.relays import (
     ANSWER_TTL_S,
     MAX_DIRECT_NODES,
     RELAY_BACKOFF_S,
--- a/test/decisions/serving/test_reportedloads.py
+++ b/test/decisions/serving/nodes/test_reportedloads.py
@@ -4,7 +4,10 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
 
-from chervilrock.decisions.serving.reportedloads import NO_LOADS, ReportedLoads
+from chervilrock.decisions.serving.nodes.reportedloads import (
+    NO_LOADS,
+    ReportedLoads,
+)
 
 TERM = 4
 
--- a/test/decisions/serving/test_demand.py
+++ b/test/decisions/serving/planning/test_demand.py
@@ -3,7 +3,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Contains, Equals, GreaterThan, LessThan
 
-from chervilrock.decisions.serving.demand import (
+from chervilrock.decisions.serving.planning.demand import (
     Demand,
     MIN_GROUPS,
     MIN_OBSERVATION_S,
--- a/test/decisions/serving/test_plan.py
+++ b/test/decisions/serving/planning/test_plan.py
@@ -6,7 +6,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, HasLength
 
-from chervilrock.decisions.serving.plan import (
+from chervilrock.decisions.serving.planning.plan import (
     DomainHosts,
     FreeHost,
     PlacedGroup,
--- a/test/decisions/serving/test_planning.py
+++ b/test/decisions/serving/planning/test_planning.py
@@ -4,8 +4,8 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Is
 
-from chervilrock.decisions.serving.groupregistry import GroupRegistry
-from chervilrock.decisions.serving.planning import Planner
+from chervilrock.decisions.serving.groups.groupregistry import GroupRegistry
+from chervilrock.decisions.serving.planning.planning import Planner
 from test.decisions.serving.fleet import ENGINE
 
 
--- a/test/decisions/serving/test_staging.py
+++ b/test/decisions/serving/planning/test_staging.py
@@ -3,8 +3,8 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, HasLength
 
-from chervilrock.decisions.serving.orders import OrderReply, Stage
-from chervilrock.decisions.serving.staging import (
+from chervilrock.decisions.serving.groups.orders import OrderReply, Stage
+from chervilrock.decisions.serving.planning.staging import (
     choose_model_to_stage,
     HostWeights,
     LOAD_TIME_MARGIN,
--- a/test/decisions/serving/retry_fleet.py
+++ b/test/decisions/serving/retry_fleet.py
@@ -6,7 +6,7 @@
 import random
 from typing import NamedTuple
 
-from chervilrock.decisions.serving.retrybudget import RetryBudget
+from chervilrock.decisions.serving.admission.retrybudget import RetryBudget
 
 RATIO = 0.2
 WINDOW_S = 10.0
--- a/test/decisions/serving/test_entries.py
+++ b/test/decisions/serving/servers/test_entries.py
@@ -4,9 +4,9 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, GreaterThan, HasLength, Is
 
-from chervilrock.decisions.serving.entries import NewestEntries
+from chervilrock.decisions.serving.nodes.terms import make_term, OFFSETS_PER_ERA
+from chervilrock.decisions.serving.servers.entries import NewestEntries
 from chervilrock.decisions.serving.site import BackendServer
-from chervilrock.decisions.serving.terms import make_term, OFFSETS_PER_ERA
 
 
 def make_entry(writes: int, *, started_ms: int = 7, is_leaving: bool = False):
--- a/test/decisions/serving/test_evacuations.py
+++ b/test/decisions/serving/servers/test_evacuations.py
@@ -8,18 +8,18 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, HasLength, Is
 
-from chervilrock.decisions.serving.evacuations import (
+from chervilrock.decisions.serving.groups.orders import Join, Leave
+from chervilrock.decisions.serving.servers.evacuations import (
     Evacuation,
     EvacuationRecord,
     Evacuations,
     find_grace,
 )
-from chervilrock.decisions.serving.hosts import HostRegistry
-from chervilrock.decisions.serving.orders import Join, Leave
+from chervilrock.decisions.serving.servers.hosts import HostRegistry
 from chervilrock.decisions.serving.site import MemberState
 from chervilrock.decisions.serving.view import GroupEndpoint
 from test.decisions.serving.fleet import Fleet
-from test.decisions.serving.test_controller import make_host
+from test.decisions.serving.groups.test_controller import make_host
 
 FIRST = (0, 5)
 STATES = st.builds(
--- a/test/decisions/serving/test_pauses.py
+++ b/test/decisions/serving/servers/test_pauses.py
@@ -3,7 +3,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, HasLength, Is
 
-from chervilrock.decisions.serving.pauses import (
+from chervilrock.decisions.serving.servers.pauses import (
     RECENT_S,
     RESUME_INTERVAL_S,
     RESUME_S,
--- a/test/decisions/serving/test_reportedpauses.py
+++ b/test/decisions/serving/servers/test_reportedpauses.py
@@ -3,7 +3,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, HasLength
 
-from chervilrock.decisions.serving.reportedpauses import ReportedPauses
+from chervilrock.decisions.serving.servers.reportedpauses import ReportedPauses
 
 
 def test_each_node_that_a_head_pauses_for_takes_its_part_of_the_slots() -> None:
--- a/test/decisions/serving/test_serverlimits.py
+++ b/test/decisions/serving/servers/test_serverlimits.py
@@ -16,9 +16,9 @@
 )
 
 from bench.limits import count_allowed, count_most, FROM_S
-from chervilrock.decisions.serving.limitregistry import LimitRegistry
 from chervilrock.decisions.serving.messages import StatedLimit
-from chervilrock.decisions.serving.serverlimits import (
+from chervilrock.decisions.serving.servers.limitregistry import LimitRegistry
+from chervilrock.decisions.serving.servers.serverlimits import (
     choose_senders,
     EXTRA_SENDERS,
     FORGET_S,
--- a/test/decisions/serving/test_serverstarts.py
+++ b/test/decisions/serving/servers/test_serverstarts.py
@@ -4,7 +4,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, HasLength
 
-from chervilrock.decisions.serving.serverstarts import (
+from chervilrock.decisions.serving.servers.serverstarts import (
     FORGET_S,
     MAX_ABSENT,
     ServerStarts,
--- a/test/decisions/serving/test_serverstatements.py
+++ b/test/decisions/serving/servers/test_serverstatements.py
@@ -7,7 +7,6 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, HasLength, Is
 
-from chervilrock.decisions.serving.departures import DEPARTURE_TTL_S
 from chervilrock.decisions.serving.messages import (
     NO_STATEMENT,
     ServerStatement,
@@ -15,7 +14,8 @@
     StatedLimit,
     StatedPause,
 )
-from chervilrock.decisions.serving.serverstatements import (
+from chervilrock.decisions.serving.servers.departures import DEPARTURE_TTL_S
+from chervilrock.decisions.serving.servers.serverstatements import (
     MAX_ABSENT,
     ServerStatements,
 )
--- a/test/decisions/serving/test_tokenbuckets.py
+++ b/test/decisions/serving/servers/test_tokenbuckets.py
@@ -4,7 +4,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, Is, LessThan
 
-from chervilrock.decisions.serving.tokenbuckets import (
+from chervilrock.decisions.serving.servers.tokenbuckets import (
     divide_equally,
     MIN_MAX_BALANCE,
     TokenBucket,
--- a/test/decisions/serving/test_warmups.py
+++ b/test/decisions/serving/servers/test_warmups.py
@@ -12,27 +12,23 @@
 from testtools.matchers import Equals, GreaterThan, HasLength, Is, LessThan
 
 from bench.limits import count_most_within
-from chervilrock.decisions.serving.limitregistry import (
-    LimitRegistry,
-    REPLACE_DELAY_S,
-)
 from chervilrock.decisions.serving.messages import (
     NO_STATEMENT,
     ServerStatement,
     StatedLimit,
 )
-from chervilrock.decisions.serving.serverlimits import (
+from chervilrock.decisions.serving.servers.limitregistry import (
+    LimitRegistry,
+    REPLACE_DELAY_S,
+)
+from chervilrock.decisions.serving.servers.serverlimits import (
     LimitedServer,
     SendPermit,
 )
-from chervilrock.decisions.serving.serverstatements import ServerStatements
-from chervilrock.decisions.serving.site import (
-    BackendServer,
-    Limits,
-    Service,
-    SiteConfiguration,
+from chervilrock.decisions.serving.servers.serverstatements import (
+    ServerStatements,
 )
-from chervilrock.decisions.serving.warmups import (
+from chervilrock.decisions.serving.servers.warmups import (
     ColdServer,
     count_senders,
     DELAY_SPREAD_S,
@@ -42,6 +38,12 @@
     WarmupBounds,
     Warmups,
 )
+from chervilrock.decisions.serving.site import (
+    BackendServer,
+    Limits,
+    Service,
+    SiteConfiguration,
+)
 
 SERVER = "s"
 SERVICE = "desk"
--- a/test/decisions/serving/test_polling.py
+++ b/test/decisions/serving/store/test_polling.py
@@ -4,7 +4,8 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, LessThan
 
-from chervilrock.decisions.serving.polling import (
+from chervilrock.decisions.serving.nodes.relays import MAX_DIRECT_NODES
+from chervilrock.decisions.serving.store.polling import (
     CANDIDATES,
     choose_configuration_schedule,
     choose_nodes_schedule,
@@ -23,8 +24,7 @@
     SERVERS_SCHEDULE,
     STEADY_RETRY_S,
 )
-from chervilrock.decisions.serving.relays import MAX_DIRECT_NODES
-from chervilrock.decisions.serving.storehealth import MAX_READ_S
+from chervilrock.decisions.serving.store.storehealth import MAX_READ_S
 from chervilrock.decisions.serving.view import NodeEntry
 from chervilrock.platform.store import TIMEOUT_S
 
--- a/test/decisions/serving/test_revisions.py
+++ b/test/decisions/serving/store/test_revisions.py
@@ -5,13 +5,13 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, Is, LessThan
 
-from chervilrock.decisions.serving.revisions import (
+from chervilrock.decisions.serving.store.revisions import (
     NO_REVISION,
     RETRY_INTERVAL_S,
     RevisionTracker,
     STORE_WAIT_S,
 )
-from test.decisions.serving.test_relays import make_node
+from test.decisions.serving.nodes.test_relays import make_node
 
 NEAR = (make_node("n1", "a"), make_node("n2", "a"))
 LEADER = make_node("m", "b")
--- a/test/decisions/serving/test_storehealth.py
+++ b/test/decisions/serving/store/test_storehealth.py
@@ -3,7 +3,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, Is
 
-from chervilrock.decisions.serving.storehealth import (
+from chervilrock.decisions.serving.store.storehealth import (
     MAX_READ_S,
     MIN_OUTAGE_S,
     StoreMonitor,
--- a/test/decisions/serving/test_decisions.py
+++ b/test/decisions/serving/test_decisions.py
@@ -7,30 +7,42 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, GreaterThan, Is, LessThan
 
-from chervilrock.decisions.serving import groupnames
-from chervilrock.decisions.serving.attempts import (
+from chervilrock.decisions.serving.admission.attempts import (
     classify_answer,
     decide_next,
     NextStep,
     Progress,
     SendOutcome,
 )
-from chervilrock.decisions.serving.lateness import Timeliness
-from chervilrock.decisions.serving.leadership import (
+from chervilrock.decisions.serving.admission.lateness import Timeliness
+from chervilrock.decisions.serving.admission.retrybudget import RetryBudget
+from chervilrock.decisions.serving.admission.routes import (
+    Admission,
+    choose_service,
+    Denial,
+    RouteTable,
+)
+from chervilrock.decisions.serving.admission.streams import EventSplitter
+from chervilrock.decisions.serving.admission.waiting import (
+    Availability,
+    decide_wait,
+    REPAIR_S,
+    WaitingRequest,
+)
+from chervilrock.decisions.serving.groups import groupnames
+from chervilrock.decisions.serving.groups.stalls import (
+    compute_stall_limits,
+    StallDetector,
+    StallLimits,
+)
+from chervilrock.decisions.serving.messages import AnswerFacts
+from chervilrock.decisions.serving.nodes.leadership import (
     Claim,
     CLAIM_STAGGER_S,
     find_interval,
     Leadership,
     MISSED_INTERVALS,
 )
-from chervilrock.decisions.serving.messages import AnswerFacts
-from chervilrock.decisions.serving.retrybudget import RetryBudget
-from chervilrock.decisions.serving.routes import (
-    Admission,
-    choose_service,
-    Denial,
-    RouteTable,
-)
 from chervilrock.decisions.serving.site import (
     Limits,
     Route,
@@ -39,19 +51,7 @@
     WeightedService,
     Workspace,
 )
-from chervilrock.decisions.serving.stalls import (
-    compute_stall_limits,
-    StallDetector,
-    StallLimits,
-)
-from chervilrock.decisions.serving.streams import EventSplitter
 from chervilrock.decisions.serving.view import LeaderEntry
-from chervilrock.decisions.serving.waiting import (
-    Availability,
-    decide_wait,
-    REPAIR_S,
-    WaitingRequest,
-)
 from test.decisions.serving.fleet import ENGINE, LARGE, SMALL
 
 LIMITS = StallLimits(between_events_s=0.2, first_event_s=0.35)
--- a/test/node/test_evacuations.py
+++ b/test/node/test_evacuations.py
@@ -16,8 +16,8 @@
     LessThan,
 )
 
-from chervilrock.decisions.serving import controller
-from chervilrock.decisions.serving.evacuations import Evacuations
+from chervilrock.decisions.serving.groups import controller
+from chervilrock.decisions.serving.servers.evacuations import Evacuations
 from chervilrock.standin.site.servers import ServerFault, SiteServer
 from chervilrock.standin.site.site import make_configuration, SMALL
 from chervilrock.tasks.clock import read_clock
--- a/test/node/test_server_statements.py
+++ b/test/node/test_server_statements.py
@@ -8,7 +8,7 @@
 from testtools.matchers import Contains, Equals, HasLength, Is, Not
 
 from bench.statements import DRAIN_S, find_broken_pauses, find_late_arrivals
-from chervilrock.decisions.serving.waiting import MAX_RETRY_AFTER_S
+from chervilrock.decisions.serving.admission.waiting import MAX_RETRY_AFTER_S
 from chervilrock.standin.site.servers import RESTART_DELAY_S, SiteServer
 from chervilrock.standin.site.site import LARGE, make_configuration
 from test.node.serving_site import run_world, World
--- a/test/node/test_serving.py
+++ b/test/node/test_serving.py
@@ -15,7 +15,7 @@
     Not,
 )
 
-from chervilrock.decisions.serving.relays import MAX_DIRECT_NODES
+from chervilrock.decisions.serving.nodes.relays import MAX_DIRECT_NODES
 from chervilrock.node.serving import MIN_STOP_S
 from chervilrock.standin.site.servers import ServerFault
 from chervilrock.standin.site.site import (
--- a/test/node/test_slow_readers.py
+++ b/test/node/test_slow_readers.py
@@ -15,7 +15,10 @@
     LessThan,
 )
 
-from chervilrock.decisions.serving.callerbuffers import BufferUse, find_budget
+from chervilrock.decisions.serving.admission.callerbuffers import (
+    BufferUse,
+    find_budget,
+)
 from chervilrock.standin.site.site import make_configuration
 from test.node.serving_site import make_events, run_world, World
 
--- a/test/platform/test_adapter.py
+++ b/test/platform/test_adapter.py
@@ -13,13 +13,13 @@
 
 from chervilrock.clients.httpclient import HttpAnswer
 from chervilrock.clients.serving import Topic
+from chervilrock.decisions.serving.groups.orders import Close, Join, Leave, Open
 from chervilrock.decisions.serving.messages import (
     ForwardedFields,
     StatedDeparture,
     StatedLimit,
     StatedPause,
 )
-from chervilrock.decisions.serving.orders import Close, Join, Leave, Open
 from chervilrock.decisions.serving.site import (
     Membership,
     MemberState,
--- a/test/tasks/overload.py
+++ b/test/tasks/overload.py
@@ -16,8 +16,8 @@
 
 import pytest
 
-from chervilrock.decisions.serving.reportedloads import ReportedLoads
-from chervilrock.decisions.serving.routes import RouteTable
+from chervilrock.decisions.serving.admission.routes import RouteTable
+from chervilrock.decisions.serving.nodes.reportedloads import ReportedLoads
 from chervilrock.decisions.serving.site import (
     EngineProfile,
     Limits,
--- a/test/tasks/stale_loads.py
+++ b/test/tasks/stale_loads.py
@@ -9,14 +9,14 @@
 import random
 from typing import NamedTuple
 
-from chervilrock.decisions.serving.activenodes import ActiveNodes
-from chervilrock.decisions.serving.placement import (
+from chervilrock.decisions.serving.admission.placement import (
     Bound,
     GROUP_BOUND,
     WAITING_BOUND,
 )
-from chervilrock.decisions.serving.reportedloads import ReportedLoads
-from chervilrock.decisions.serving.routes import RouteTable
+from chervilrock.decisions.serving.admission.routes import RouteTable
+from chervilrock.decisions.serving.nodes.activenodes import ActiveNodes
+from chervilrock.decisions.serving.nodes.reportedloads import ReportedLoads
 from chervilrock.decisions.serving.site import (
     EngineProfile,
     Limits,
--- a/test/tasks/test_designated_readers.py
+++ b/test/tasks/test_designated_readers.py
@@ -7,7 +7,7 @@
 from testtools.matchers import Equals, LessThan
 
 from chervilrock.clients.serving import Topic
-from chervilrock.decisions.serving.polling import list_designated
+from chervilrock.decisions.serving.store.polling import list_designated
 from test.tasks.installation import Installation
 from test.tasks.virtual_time import run_virtually
 
--- a/test/tasks/test_evacuations.py
+++ b/test/tasks/test_evacuations.py
@@ -7,7 +7,7 @@
 from testtools.matchers import Is, LessThan
 
 from chervilrock.clients.serving import Topic
-from chervilrock.decisions.serving.evacuations import EvacuationRecord
+from chervilrock.decisions.serving.servers.evacuations import EvacuationRecord
 from test.tasks.installation import Fault, Installation
 from test.tasks.virtual_time import run_virtually
 
--- a/test/tasks/test_fleet_start.py
+++ b/test/tasks/test_fleet_start.py
@@ -15,8 +15,10 @@
 from testtools.matchers import Equals, GreaterThan, Is, LessThan
 
 from chervilrock.clients.serving import Topic
-from chervilrock.decisions.serving import leadership
-from chervilrock.decisions.serving.leadership import MAX_REGISTRATION_DELAY_S
+from chervilrock.decisions.serving.nodes import leadership
+from chervilrock.decisions.serving.nodes.leadership import (
+    MAX_REGISTRATION_DELAY_S,
+)
 from chervilrock.decisions.serving.view import LeaderEntry, NO_VIEW, NodeEntry
 from chervilrock.tasks.serving.leaderprobe import LeaderProbe
 from test.tasks.installation import Installation
--- a/test/tasks/test_overload.py
+++ b/test/tasks/test_overload.py
@@ -12,7 +12,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, GreaterThan, LessThan
 
-from chervilrock.decisions.serving import shares
+from chervilrock.decisions.serving.admission import shares
 from chervilrock.decisions.serving.messages import StatedPause
 from chervilrock.platform import statements
 from test.tasks.overload import Fleet, Load, NARROW, replay, RequestCounts, WIDE
--- a/test/tasks/test_poisondetector.py
+++ b/test/tasks/test_poisondetector.py
@@ -8,7 +8,10 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, HasLength, Is
 
-from chervilrock.decisions.serving.suspects import CrashReport, ServerCrash
+from chervilrock.decisions.serving.admission.suspects import (
+    CrashReport,
+    ServerCrash,
+)
 from chervilrock.decisions.serving.view import NodeEntry
 from chervilrock.tasks.serving.messages import (
     CrashReportAnswered,
--- a/test/tasks/test_returning_callers.py
+++ b/test/tasks/test_returning_callers.py
@@ -14,10 +14,10 @@
 from testtools.assertions import assert_that
 from testtools.matchers import GreaterThan, LessThan
 
-from chervilrock.decisions.serving.activenodes import MIN_ACTIVE_NODES
-from chervilrock.decisions.serving.leadership import find_min_interval
+from chervilrock.decisions.serving.admission.startup import Startup
+from chervilrock.decisions.serving.nodes.activenodes import MIN_ACTIVE_NODES
+from chervilrock.decisions.serving.nodes.leadership import find_min_interval
 from chervilrock.decisions.serving.site import ModelShape
-from chervilrock.decisions.serving.startup import Startup
 from chervilrock.decisions.serving.view import NO_VIEW
 from test.tasks import overload
 from test.tasks.overload import (
--- a/test/tasks/test_serving_peers.py
+++ b/test/tasks/test_serving_peers.py
@@ -9,7 +9,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, GreaterThan, Is, LessThan
 
-from chervilrock.decisions.serving.leadership import (
+from chervilrock.decisions.serving.nodes.leadership import (
     find_interval,
     find_min_interval,
 )
--- a/test/tasks/test_serving_state.py
+++ b/test/tasks/test_serving_state.py
@@ -6,6 +6,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, HasLength, Is
 
+from chervilrock.decisions.serving.admission.routes import RouteTable
 from chervilrock.decisions.serving.messages import (
     NO_STATEMENT,
     ServerStatement,
@@ -13,7 +14,6 @@
     StatedLimit,
     StatedPause,
 )
-from chervilrock.decisions.serving.routes import RouteTable
 from chervilrock.decisions.serving.site import Limits, SiteConfiguration
 from chervilrock.decisions.serving.view import (
     GroupEndpoint,
--- a/test/tasks/test_stale_loads.py
+++ b/test/tasks/test_stale_loads.py
@@ -4,8 +4,8 @@
 from testtools.assertions import assert_that
 from testtools.matchers import GreaterThan, LessThan
 
-from chervilrock.decisions.serving import placement
-from chervilrock.decisions.serving.shares import NO_LIMIT, SlotShares
+from chervilrock.decisions.serving.admission import placement
+from chervilrock.decisions.serving.admission.shares import NO_LIMIT, SlotShares
 from test.tasks.stale_loads import choose_active_nodes, Load, make_fleet, Replay
 
 RUN_S = 20.0
--- a/test/tasks/test_store_outages.py
+++ b/test/tasks/test_store_outages.py
@@ -16,7 +16,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import LessThan
 
-from chervilrock.decisions.serving.relays import MAX_DIRECT_NODES
+from chervilrock.decisions.serving.nodes.relays import MAX_DIRECT_NODES
 from test.tasks.installation import Fault, Installation
 from test.tasks.virtual_time import run_virtually
 
