Apply the admission by priority only where priorities compete for a model

Change: a model has competition when requests of several priorities arrived at the node or wait elsewhere; without it requests are served as before. The most urgent priority of a model is the smallest that was seen there.

--- a/chervilrock/decisions/serving/admission/priorityadmission.py
+++ b/chervilrock/decisions/serving/admission/priorityadmission.py
@@ -14,7 +14,7 @@
 """
 
 from collections import Counter
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 import math
 from typing import NamedTuple
 
@@ -179,6 +179,7 @@
       blocked_since: since when all free slots were needed by requests more
         urgent than a priority, by that priority.
       demand: part of the free slots for this node, None without sums.
+      seen: priorities of the requests that arrived here or waited elsewhere.
       shed_ratio: proportion of the most urgent requests that is shed.
       held_s: mean time for which a request of this node keeps a slot.
       patience_s: mean time that a most urgent request can wait.
@@ -197,10 +198,16 @@
         self.senders = 0
         self.blocked_since: dict[int, float] = {}
         self.demand: SlotDemand | None = None
+        self.seen: set[int] = set()
         self.shed_ratio = 0.0
         self.held_s = 0.0
         self.patience_s = 0.0
 
+    def record_seen(self, priorities: Iterable[int]) -> None:
+        """Record priorities of requests that need slots of the pool."""
+        self.seen.update(priorities)
+        self.top = min(self.seen, default=self.top)
+
 
 class Capacity(NamedTuple):
     """Slots of a pool, as a node knows them.
@@ -286,6 +293,9 @@
                 is_past = peak is None or now - peak.time > HOLD_S
                 if peak is None or is_past or count >= peak.requests:
                     pool.peaks[priority] = _Peak(count, now)
+            pool.record_seen(
+                priority for priority, count in announced.items() if count
+            )
             pool.senders = senders
             pool.news_s = SUMS_AGE_INTERVALS * elapsed_s
             _update_rates(pool, elapsed_s)
@@ -454,6 +464,20 @@
         pool = self._pools.get(name)
         if pool is not None:
             pool.arrived[priority] += 1
+            pool.record_seen((priority,))
+
+    def find_pool_top(self, name: str) -> int:
+        """Return the most urgent priority of the requests of a pool."""
+        pool = self._pools.get(name)
+        return 0 if pool is None else pool.top
+
+    def has_competition(self, name: str) -> bool:
+        """Return whether requests of several priorities need a pool's slots.
+
+        Models of one service may each serve requests of a single priority.
+        """
+        pool = self._pools.get(name)
+        return pool is not None and len(pool.seen) > 1
 
     def record_first_event(
         self, name: str, priority: int, *, is_late: bool
--- a/chervilrock/edges/serving/slots.py
+++ b/chervilrock/edges/serving/slots.py
@@ -144,7 +144,7 @@
                 retry_after_s = self._state.startup.reject()
                 return Rejection("late after a start", retry_after_s)
             availability = self._find_availability(now)
-            candidate = self._describe_candidate(now)
+            candidate = self._find_competitor(now)
             if candidate is not None:
                 hopeless_s = self._state.admission.find_hopeless_s(
                     candidate, self._waitqueue.count(candidate.pool), now
@@ -363,7 +363,7 @@
         Servers that rejected the request and asked for a pause are the last
         choice; they may take it when their pause has ended.
         """
-        candidate = self._describe_candidate(now)
+        candidate = self._find_competitor(now)
         if candidate is not None and not self._state.admission.may_take(
             candidate,
             self._waitqueue.count(candidate.pool),
@@ -445,6 +445,14 @@
         is_plain = self._state.find_engine(self._service) is None
         return self._service if is_plain else self._request.facts.model
 
+    def _find_competitor(self, now: float) -> Candidate | None:
+        """Return the request if others of another priority need its slots."""
+        if self._top_priority is None:
+            return None
+        if not self._state.admission.has_competition(self._pool):
+            return None
+        return self._describe_candidate(now)
+
     def _describe_candidate(self, now: float) -> Candidate | None:
         """Return the request as one that competes with other priorities.
 
@@ -459,7 +467,7 @@
         return Candidate(
             pool=self._pool,
             priority=admission.priority,
-            top=self._top_priority,
+            top=self._state.admission.find_pool_top(self._pool),
             timeliness=self.judge_timeliness(now),
             on_time_s=admission.route.target_s - first_s - waited_s,
             workspace="" if workspace is None else workspace.name,
--- a/chervilrock/tasks/serving/state.py
+++ b/chervilrock/tasks/serving/state.py
@@ -686,7 +686,7 @@
         """Return the load of a group with this node's limit on it."""
         load = self._find_load(group, slots, now)
         demand = None
-        if self.admission.find_top(group.service) is not None:
+        if self.admission.has_competition(group.model):
             demand = self.admission.find_demand(group.model, now)
         limit = self._shares.find_limit(group.server, slots, now, demand)
         return load._replace(own_limit=limit)
--- a/test/decisions/serving/admission/test_priorityadmission.py
+++ b/test/decisions/serving/admission/test_priorityadmission.py
@@ -158,6 +158,26 @@
     assert_that(allot({}, {0: 2}), Equals(2.0))
 
 
+def test_a_model_with_requests_of_one_priority_has_no_competition() -> None:
+    # Guards against a model of which all requests are equally urgent being
+    # served in another way because another model of its service is not.
+    admission = PriorityAdmission()
+    admission.configure(TABLE.configuration)
+    admission.record_arrival(MODEL, 1)
+    assert_that(admission.has_competition(MODEL), Is(False))
+    assert_that(admission.find_pool_top(MODEL), Equals(1))
+    admission.record_sums(
+        {MODEL: {0: 0, 2: 1}},
+        {},
+        {},
+        {MODEL: Capacity(100, 10)},
+        senders=4,
+        now=NOW_S,
+    )
+    assert_that(admission.has_competition(MODEL), Is(True))
+    assert_that(admission.find_pool_top(MODEL), Equals(1))
+
+
 def test_only_services_with_several_priorities_are_concerned() -> None:
     routes = TABLE.configuration.routes
     one = TABLE.configuration._replace(routes=routes[:1])
