Bound the news of a node behind a relay by two announcements

Cause: the test asked for one announcement interval, 0.52 s, but the news waits for the relay's announcement to the node and for the leader's to the relay. Change: the bound is the two intervals, which with the 2 s for which nodes still send stays within the 5 s allowed; the test now plays four phases.

--- a/test/tasks/test_evacuations.py
+++ b/test/tasks/test_evacuations.py
@@ -14,6 +14,11 @@
 NEWS_S = 0.52
 """Announcement interval at 86 nodes, within which all nodes know."""
 
+RELAYED_NEWS_S = 2 * NEWS_S
+"""News of a node behind a relay waits for two announcements: that of the relay
+to the node, and that of the leader to the relay. The leader then announces at
+once. A node stops sending 2 s after that, within the 5 s that are allowed."""
+
 EVACUATION_S = 5.0
 
 
@@ -64,9 +69,13 @@
     assert_that(run_virtually(check()), LessThan(NEWS_S))
 
 
-@pytest.mark.parametrize("nodes", [6, 86])
-def test_news_of_one_node_reaches_all(monkeypatch, nodes) -> None:
-    # The only node that reads the record may be one behind a relay.
+@pytest.mark.parametrize(
+    ("nodes", "phase_s"),
+    [(6, 0.0), (86, 0.0), (86, 0.13), (86, 0.26), (86, 0.39)],
+)
+def test_news_of_one_node_reaches_all(monkeypatch, nodes, phase_s) -> None:
+    # The only node that reads the record may be one behind a relay, and may
+    # read it at any time between two announcements.
     async def check() -> float:
         site = await start(monkeypatch, nodes)
         reader = [
@@ -74,6 +83,7 @@
             for node in site.running_nodes.values()
             if not (node.task.is_leader or node.task.is_relay)
         ][-1]
+        await asyncio.sleep(phase_s)
         began = site.loop.time()
         reader.state.evacuations.record(
             EvacuationRecord("p0", True), (0, 1000), began, is_snapshot=False
@@ -82,4 +92,4 @@
         await site.stop()
         return site.loop.time() - began
 
-    assert_that(run_virtually(check()), LessThan(NEWS_S))
+    assert_that(run_virtually(check()), LessThan(RELAYED_NEWS_S))
