Let the stand-in cut single nodes off from all servers

On loopback all nodes connect from one address, so that a proxy before a server cannot tell them apart. A node may now be told the address to connect from, and the proxies know faults of single addresses: silent, one way, reset, refused for new connections only.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -94,6 +94,16 @@
 WITHHELD = b"servers ended under it"
 """Part of the response to a request that is withheld from the servers."""
 
+LINK_FAULTS = (
+    LinkFault.NONE,
+    LinkFault.DELAYED,
+    LinkFault.SILENT,
+    LinkFault.ONE_WAY,
+    LinkFault.RESET,
+)
+"""Faults of the link to one server or the store. The draws of the seeds depend
+on their number."""
+
 _NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 _OK = 200
 _CUT_OFF = 0
@@ -388,7 +398,7 @@
     async def _disturb_link(self) -> None:
         number = self._generator.randrange(len(self._links))
         link = self._links[number]
-        link.fault = self._generator.choice(list(LinkFault))
+        link.fault = self._generator.choice(LINK_FAULTS)
         seconds = self._generator.uniform(0.2, 2.0)
         if number < len(self._site.servers):
             server = self._site.servers[number]
--- a/chervilrock/clients/curlpool.py
+++ b/chervilrock/clients/curlpool.py
@@ -43,6 +43,7 @@
         max_requests: int,
         max_body_size: int,
         handles: int = HANDLES_PER_CLIENT,
+        source_ip: str = "",
     ) -> None:
         """Create an empty pool.
 
@@ -51,10 +52,12 @@
             requests wait for a handle
           max_body_size: maximum size of a response body in bytes
           handles: number of handles of one client
+          source_ip: IP address to connect from, empty for any
         """
         self._handles = min(handles, max_requests)
         self._max_clients = -(-max_requests // self._handles)
         self._max_body_size = max_body_size
+        self._defaults = {"network_interface": source_ip} if source_ip else {}
         self._clients: list[QuietCurlClient] = []
         self._running: list[int] = []
         self.is_closed = False
@@ -127,6 +130,7 @@
             force_instance=True,
             max_clients=self._handles,
             max_body_size=self._max_body_size,
+            defaults=self._defaults,
         )
         self._clients.append(client)
         self._running.append(0)
--- a/chervilrock/clients/httpclient.py
+++ b/chervilrock/clients/httpclient.py
@@ -100,6 +100,7 @@
         *,
         connect_timeout_s: float = DEFAULT_CONNECT_TIMEOUT_S,
         max_clients: int = DEFAULT_MAX_CLIENTS,
+        source_ip: str = "",
     ) -> None:
         """Create a client for the running event loop.
 
@@ -107,10 +108,13 @@
           connect_timeout_s: connect timeout in seconds.
           max_clients: maximum number of concurrent requests. Further requests
             wait without a timeout, so the limit has to be generous.
+          source_ip: IP address to connect from, empty for any.
         """
         self._connect_timeout_s = connect_timeout_s
         self._pool = CurlPool(
-            max_requests=max_clients, max_body_size=MAX_ANSWER_BYTES
+            max_requests=max_clients,
+            max_body_size=MAX_ANSWER_BYTES,
+            source_ip=source_ip,
         )
 
     def close(self) -> None:
--- a/chervilrock/clients/liveness.py
+++ b/chervilrock/clients/liveness.py
@@ -16,12 +16,22 @@
 class ConnectionLiveness(ServerLiveness):
     """Opens a connection, sends nothing, and closes it again."""
 
+    def __init__(self, *, source_ip: str = "") -> None:
+        """Create a check.
+
+        Args:
+          source_ip: IP address to connect from, empty for any.
+        """
+        self._local_address = (source_ip, 0) if source_ip else None
+
     async def is_alive(self, address: str) -> bool:
         """See base class."""
         host, _, port = address.rpartition(":")
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                reader, writer = await asyncio.open_connection(host, int(port))
+                reader, writer = await asyncio.open_connection(
+                    host, int(port), local_addr=self._local_address
+                )
         except OSError:
             return False
         try:
--- a/chervilrock/node/serving.py
+++ b/chervilrock/node/serving.py
@@ -132,9 +132,11 @@
         )
         self._waitqueue = WaitQueue()
         self._metrics = ServingMetrics()
-        self._client = HttpClient()
+        self._client = HttpClient(source_ip=settings.source_ip)
         self._pool = CurlPool(
-            max_requests=MAX_REQUESTS, max_body_size=MAX_ANSWER_BYTES
+            max_requests=MAX_REQUESTS,
+            max_body_size=MAX_ANSWER_BYTES,
+            source_ip=settings.source_ip,
         )
         self._task = NodeTask(
             own=self._own,
@@ -146,7 +148,7 @@
                 client=self._client,
                 decode_configuration=decode_configuration,
                 decode_server=decode_server,
-                liveness=ConnectionLiveness(),
+                liveness=ConnectionLiveness(source_ip=settings.source_ip),
                 decode_evacuation=decode_evacuation,
             ),
             state=self._state,
--- a/chervilrock/platform/settings.py
+++ b/chervilrock/platform/settings.py
@@ -13,6 +13,10 @@
 VARIABLE = "CHERVILROCK_NODE_FILE"
 """Environment variable that holds the path of the file."""
 
+SOURCE_IP_VARIABLE = "CHERVILROCK_SOURCE_IP"
+"""Environment variable that holds the IP address from which a node connects to
+other processes."""
+
 _MS_PER_S = 1000.0
 
 
@@ -52,6 +56,8 @@
         may be sent to the data centre.
       memory_mb: memory in megabytes above which the platform kills the
         process; 0 for no limit.
+      source_ip: IP address from which the node connects to other processes;
+        empty to leave the choice to the system.
     """
 
     node: str
@@ -76,6 +82,7 @@
     warmup_slack: float = 5.0
     evacuation_s: float = DEFAULT_EVACUATION_S
     memory_mb: float = 0.0
+    source_ip: str = ""
 
 
 class _Fields:
@@ -139,24 +146,27 @@
 
 
 def read_settings(
-    path: str, *, metrics_port: int = 0
+    path: str, *, metrics_port: int = 0, source_ip: str = ""
 ) -> Result[NodeSettings, tuple[SettingFinding, ...]]:
     """Return the settings in a file, or a finding for each invalid field.
 
     Args:
       path: path of the file.
       metrics_port: port for metrics, which is not set in the file.
+      source_ip: IP address to connect from, which is not set in the file.
     """
     try:
         with open(path, "rb") as file:
             values = tomllib.load(file)
     except (OSError, tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
         return Failure((SettingFinding(field=path, reason=str(error)),))
-    return decode_settings(values, metrics_port=metrics_port)
+    return decode_settings(
+        values, metrics_port=metrics_port, source_ip=source_ip
+    )
 
 
 def decode_settings(
-    values: Mapping[str, Any], *, metrics_port: int = 0
+    values: Mapping[str, Any], *, metrics_port: int = 0, source_ip: str = ""
 ) -> Result[NodeSettings, tuple[SettingFinding, ...]]:
     """Return the settings, or a finding for each invalid field."""
     fields = _Fields(values=values)
@@ -188,6 +198,7 @@
         )
         / _MS_PER_S,
         memory_mb=fields.number("limits.memory_mb", 0.0),
+        source_ip=source_ip,
     )
     if fields.findings:
         return Failure(tuple(fields.findings))
--- a/chervilrock/standin/site/proxy.py
+++ b/chervilrock/standin/site/proxy.py
@@ -1,7 +1,9 @@
 """A TCP proxy on loopback that injects faults into connections."""
 
 import asyncio
+from collections.abc import Mapping
 import enum
+from types import MappingProxyType
 
 from tornado import netutil
 
@@ -18,6 +20,7 @@
       ONE_WAY: requests are forwarded; answers are delayed until the fault
         changes.
       RESET: open connections and new ones are closed.
+      REFUSED: new connections are closed, and open ones go on.
     """
 
     NONE = "none"
@@ -25,6 +28,13 @@
     SILENT = "silent"
     ONE_WAY = "one-way"
     RESET = "reset"
+    REFUSED = "refused"
+
+
+_CLOSING = (LinkFault.RESET, LinkFault.REFUSED)
+"""Faults under which new connections are closed."""
+
+_NO_CUTS: Mapping[str, LinkFault] = MappingProxyType({})
 
 
 class LinkProxy:
@@ -36,8 +46,17 @@
       delay_s: delay of each chunk of bytes while the fault is `DELAYED`.
     """
 
-    def __init__(self, *, target: str) -> None:
-        """Create a proxy for the address IP:port; `start` listens."""
+    def __init__(
+        self, *, target: str, cuts: Mapping[str, LinkFault] = _NO_CUTS
+    ) -> None:
+        """Create a proxy; `start` listens.
+
+        Args:
+          target: IP:port that connections are forwarded to.
+          cuts: faults of the connections from single IP addresses, which may
+            change at any time; they go before `fault`.
+        """
+        self._cuts = cuts
         host, _, port = target.rpartition(":")
         self._target = (host, int(port))
         self._server: asyncio.Server | None = None
@@ -71,8 +90,9 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        source = writer.get_extra_info("peername")[0]
         try:
-            if self.fault is LinkFault.RESET:
+            if self._find_fault(source) in _CLOSING:
                 return
             target_reader, target_writer = await asyncio.open_connection(
                 *self._target
@@ -80,10 +100,10 @@
             try:
                 async with asyncio.TaskGroup() as group:
                     group.create_task(
-                        self._forward(reader, target_writer, False)
+                        self._forward(reader, target_writer, source, False)
                     )
                     group.create_task(
-                        self._forward(target_reader, writer, True)
+                        self._forward(target_reader, writer, source, True)
                     )
             finally:
                 target_writer.close()
@@ -97,24 +117,29 @@
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
+        source: str,
         is_answer: bool,
     ) -> None:
         """Forward bytes until one side closes, then raise to close both."""
         while True:
             data = await reader.read(CHUNK_BYTES)
-            await self._apply_fault(is_answer)
+            await self._apply_fault(source, is_answer)
             if not data:
                 raise ConnectionResetError
             writer.write(data)
             await writer.drain()
 
-    async def _apply_fault(self, is_answer: bool) -> None:
+    def _find_fault(self, source: str) -> LinkFault:
+        """Return the fault of the connections from an IP address."""
+        return self._cuts.get(source, self.fault)
+
+    async def _apply_fault(self, source: str, is_answer: bool) -> None:
         """Delay the bytes or raise an error according to the fault."""
-        if self.fault is LinkFault.DELAYED:
+        if self._find_fault(source) is LinkFault.DELAYED:
             await asyncio.sleep(self.delay_s)
-        while self.fault is LinkFault.SILENT or (
-            self.fault is LinkFault.ONE_WAY and is_answer
+        while self._find_fault(source) is LinkFault.SILENT or (
+            self._find_fault(source) is LinkFault.ONE_WAY and is_answer
         ):
             await asyncio.sleep(0.02)
-        if self.fault is LinkFault.RESET:
+        if self._find_fault(source) is LinkFault.RESET:
             raise ConnectionResetError
--- a/chervilrock/ui/node.py
+++ b/chervilrock/ui/node.py
@@ -13,7 +13,11 @@
 from chervilrock import events
 from chervilrock.events import Event
 from chervilrock.logsink import BoundedOutput
-from chervilrock.platform.settings import read_settings, VARIABLE
+from chervilrock.platform.settings import (
+    read_settings,
+    SOURCE_IP_VARIABLE,
+    VARIABLE,
+)
 from chervilrock.ui.codes import ExitCode
 from chervilrock.ui.output import print_error
 
@@ -24,7 +28,8 @@
 
 Serves on a platform that writes the settings of each process into a file;
 the environment variable {VARIABLE} holds its path. Metrics and a
-dump of the state are served on PORT of the host when it is given."""
+dump of the state are served on PORT of the host when it is given.
+{SOURCE_IP_VARIABLE} names the IP address to connect from."""
 
 
 def run_node(arguments: Sequence[str], environment: Mapping[str, str]) -> int:
@@ -44,7 +49,11 @@
         return ExitCode.USAGE
     output = BoundedOutput(descriptor=sys.stdout.fileno())
     events.configure_logging("json", "INFO", cast(TextIO, output))
-    result = read_settings(path, metrics_port=metrics_port)
+    result = read_settings(
+        path,
+        metrics_port=metrics_port,
+        source_ip=environment.get(SOURCE_IP_VARIABLE, ""),
+    )
     if isinstance(result, Failure):
         for finding in result.failure():
             events.emit(
