Log why a send got no answer, and whether it connected

Retries and ends of requests told the outcome of a send, but not whether the node reached the server at all.

--- a/chervilrock/catalogue.py
+++ b/chervilrock/catalogue.py
@@ -502,6 +502,13 @@
         Level.INFO,
         "requests of all priorities get slots of {pool} again",
     )
+    SEND_FAILED = EventSpec(
+        7418,
+        Level.INFO,
+        "request {request_id} got no usable answer of server {server} within "
+        "{ran_ms} ms ({outcome}); connected: {connected}, status {status}: "
+        "{error}",
+    )
     EVENT_MALFORMED = EventSpec(
         9001, Level.ERROR, "event {event_name} has wrong fields: {difference}"
     )
--- a/chervilrock/edges/serving/exchange.py
+++ b/chervilrock/edges/serving/exchange.py
@@ -532,6 +532,18 @@
             sends = self._progress.sends + 1
             self._progress = self._progress._replace(sends=sends)
         outcome = receiver.classify(transfer, end)
+        if outcome is not SendOutcome.COMPLETE:
+            exchangelog.log_failed_send(
+                self.request_id,
+                exchangelog.FailedSend(
+                    server=endpoint.server,
+                    outcome=outcome,
+                    is_connected=transfer.sent,
+                    status=0 if facts is None else facts.status,
+                    error=end.error if isinstance(end, TransferEnd) else "",
+                    seconds=read_clock() - self._sent_at,
+                ),
+            )
         if transfer.sent and outcome is not SendOutcome.NOT_RUN:
             self._progress = self._progress._replace(may_have_run=True)
         status = 0 if facts is None else facts.status
--- a/chervilrock/edges/serving/exchangelog.py
+++ b/chervilrock/edges/serving/exchangelog.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from chervilrock.decisions.serving.admission.attempts import SendOutcome
 from chervilrock.decisions.serving.admission.placement import Choice
 from chervilrock.decisions.serving.admission.retrybudget import BudgetState
 from chervilrock.decisions.serving.admission.routes import Admission
@@ -86,6 +87,40 @@
     )
 
 
+class FailedSend(NamedTuple):
+    """A send without a usable answer.
+
+    Attributes:
+      server: identifier of the server.
+      outcome: outcome of the send.
+      is_connected: whether the connection was established.
+      status: status of the answer, 0 without one.
+      error: error of the connection, empty for none.
+      seconds: time since the send began.
+    """
+
+    server: str
+    outcome: SendOutcome
+    is_connected: bool
+    status: int
+    error: str
+    seconds: float
+
+
+def log_failed_send(request_id: str, failed: FailedSend) -> None:
+    """Log a send without a usable answer, and whether it got through."""
+    emit(
+        Event.SEND_FAILED,
+        request_id=request_id,
+        server=failed.server,
+        outcome=failed.outcome.value,
+        connected=failed.is_connected,
+        status=failed.status,
+        error=failed.error,
+        ran_ms=round(failed.seconds * _MS_PER_S),
+    )
+
+
 class Retry(NamedTuple):
     """A retry of a request.
 
