--- a/test/node/serving_site.py
+++ b/test/node/serving_site.py
@@ -12,6 +12,7 @@
 from chervilrock.clients.curlpool import QuietCurlClient
 from chervilrock.node.serving import ServingNode
 from chervilrock.platform.settings import decode_settings
+from chervilrock.standin.site.cuts import NodeCuts
 from chervilrock.standin.site.servers import Run, SiteServer
 from chervilrock.standin.site.site import (
     HOST,
@@ -45,8 +46,19 @@
 class World:
     """A stand-in of the platform, its nodes and a caller."""
 
-    def __init__(self, *, memory_mb: float = 0.0) -> None:
+    def __init__(
+        self, *, memory_mb: float = 0.0, has_own_ips: bool = False
+    ) -> None:
+        """Create a world that has not started.
+
+        Args:
+          memory_mb: memory in megabytes that a node may use, 0 for no limit.
+          has_own_ips: whether each node has an IP address of its own and can
+            be cut off from all servers by `cuts`.
+        """
         self.memory_mb = memory_mb
+        self.has_own_ips = has_own_ips
+        self.cuts = NodeCuts()
         self.site = Site()
         self.nodes: list[ServingNode] = []
         self.client = QuietCurlClient(force_instance=True, max_clients=50)
@@ -65,9 +77,11 @@
     ) -> None:
         """Start the site and nodes, and wait until both models are served."""
         self.site.start(data_centres=data_centres, **servers)
+        if self.has_own_ips:
+            await self.cuts.start(self.site.servers)
         self._shared = {"data_centres": data_centres, "evac_ms": evac_ms}
-        for _ in range(nodes):
-            self.add_node()
+        for number in range(nodes):
+            self.add_node(data_centre=data_centres[number % len(data_centres)])
         await self.wait(self.serves_all, "all models served")
 
     def add_node(
@@ -100,10 +114,13 @@
         )
 
     def _start_node(self, **options: Any) -> ServingNode:
+        ip = f"127.0.1.{len(self.nodes) + 1}" if self.has_own_ips else ""
+        if ip:
+            options["ip"] = ip
         file = make_node_file(
             memory_mb=self.memory_mb, **options, **self._shared
         )
-        settings = decode_settings(file).unwrap()
+        settings = decode_settings(file, source_ip=ip).unwrap()
         node = ServingNode(settings=settings)
         node.start()
         self.nodes.append(node)
@@ -155,12 +172,28 @@
         sent_headers = headers or self.make_headers()
         request_id = sent_headers.get("X-Request-Id", "")
         self.sends.record_sent(request_id, self.nodes[node].own.node)
+        return await self.call_address(
+            address, path, method=method, headers=sent_headers, body=body
+        )
+
+    async def call_address(
+        self,
+        address: str,
+        path: str,
+        *,
+        headers: dict[str, str],
+        method: str = "POST",
+        body: bytes = b"body",
+        timeout_s: float = WAIT_S,
+    ) -> Answer:
+        """Send a request to an address and return the whole answer."""
+        request_id = headers.get("X-Request-Id", "")
         request = HTTPRequest(
             f"http://{address}{path}",
             method=method,
             body=body if method == "POST" else None,
-            headers=sent_headers,
-            request_timeout=WAIT_S,
+            headers=headers,
+            request_timeout=timeout_s,
             decompress_response=False,
         )
         try:
@@ -219,6 +252,7 @@
         self.client.close()
         for node in self.nodes:
             await node.close()
+        self.cuts.stop()
         await self.site.stop()
 
 
@@ -235,11 +269,13 @@
       scenario: gets the started world.
       nodes: number of nodes.
       memory_mb: memory in megabytes that a node may use, 0 for no limit.
-      options: options of World.start.
+      options: options of World.start; with `has_own_ips`, nodes can be cut
+        off from all servers.
     """
 
     async def run() -> None:
-        world = World(memory_mb=memory_mb)
+        has_own_ips = bool(options.pop("has_own_ips", False))
+        world = World(memory_mb=memory_mb, has_own_ips=has_own_ips)
         try:
             await world.start(nodes, **options)
             await scenario(world)
