Serve the callers of nodes that are cut off from all servers

Cause: a node that sees its sends fail takes that as the state of the servers. It tried each of them in turn, found "all are full", and remained in the addresses that callers get.

Change: a node notices that its sends fail or stay unanswered, asks four servers over new connections, and is cut off if none answers. It then passes requests on to a node that is not, at most one hop and three nodes, ends silent sends, and says that it takes no callers, so that the leader lists the others. Without any node that reaches servers it rejects at once, with a spread time to retry.

--- a/chervilrock/catalogue.py
+++ b/chervilrock/catalogue.py
@@ -394,6 +394,18 @@
         Level.WARNING,
         "record {key} of the store evacuates no data centre: {reason}",
     )
+    SERVERS_LOST = EventSpec(
+        7337,
+        Level.WARNING,
+        "this node reaches no server: none of {probed} answered a probe, the "
+        "last answer came {answered_ms} ms ago, {running} requests were sent",
+    )
+    SERVERS_REACHED = EventSpec(
+        7338,
+        Level.WARNING,
+        "this node reaches servers again after {seconds} s: {reached} of "
+        "{probed} answered a probe",
+    )
     REQUEST_SENT = EventSpec(
         7401,
         Level.INFO,
@@ -509,6 +521,12 @@
         "{ran_ms} ms ({outcome}); connected: {connected}, status {status}: "
         "{error}",
     )
+    REQUEST_DETOURED = EventSpec(
+        7419,
+        Level.INFO,
+        "request {request_id} is passed on to node {node} after {sends} sends "
+        "and event {after}, as this node reaches no server",
+    )
     EVENT_MALFORMED = EventSpec(
         9001, Level.ERROR, "event {event_name} has wrong fields: {difference}"
     )
--- a/chervilrock/clients/httpclient.py
+++ b/chervilrock/clients/httpclient.py
@@ -130,6 +130,7 @@
         body: bytes | None = None,
         headers: Mapping[str, str] | None = None,
         send_once: bool = False,
+        is_fresh: bool = False,
         decompress: bool = False,
         wanted_header: str = "",
     ) -> Result[HttpAnswer, PlatformError]:
@@ -142,6 +143,7 @@
           body: body in JSON, or None.
           headers: additional headers.
           send_once: whether to fail instead of sending a second time.
+          is_fresh: whether to use a new connection, and no kept one.
           decompress: whether the remote side may compress its response.
           wanted_header: name of a response header to return, or empty.
 
@@ -151,7 +153,7 @@
         if self._pool.is_closed:
             # Tasks may still send requests while the process shuts down.
             return Failure(PlatformError(PlatformErrorKind.REFUSED, "closed"))
-        guard = SendGuard(once=send_once)
+        guard = SendGuard(once=send_once, fresh=is_fresh)
         answer_headers = _HeaderParser(wanted_header)
 
         def prepare(curl: pycurl.Curl) -> None:
--- a/chervilrock/clients/serving.py
+++ b/chervilrock/clients/serving.py
@@ -123,6 +123,18 @@
     ) -> Result[OrderReply, PlatformError]:
         """Send an order, which only this incarnation of the server accepts."""
 
+    @abc.abstractmethod
+    async def is_reached(
+        self, server: str, address: str, timeout_s: float
+    ) -> bool:
+        """Return whether a server answers at all over a new connection.
+
+        Args:
+          server: identifier of the server.
+          address: IP:port.
+          timeout_s: time for the connection and the answer, in seconds.
+        """
+
     @abc.abstractmethod
     async def fetch_report(
         self, server: BackendServer, timeout_s: float
--- a/chervilrock/decisions/serving/admission/attempts.py
+++ b/chervilrock/decisions/serving/admission/attempts.py
@@ -80,6 +80,11 @@
     )
 
 
+def is_promise(status: int) -> bool:
+    """Return whether a status guarantees that the request has not run."""
+    return status in _NOT_RUN_STATUSES
+
+
 def is_server_error(status: int) -> bool:
     """Return whether another server may answer differently."""
     return status in _SERVER_ERRORS
--- a/chervilrock/edges/serving/callerrequest.py
+++ b/chervilrock/edges/serving/callerrequest.py
@@ -25,3 +25,8 @@
     body: bytes
     facts: RequestFacts
     arrived: float
+
+    @property
+    def has_body(self) -> bool:
+        """Whether to send a body; libcurl accepts none for some methods."""
+        return bool(self.body) or self.method in ("POST", "PUT", "PATCH")
--- a/chervilrock/edges/serving/callers.py
+++ b/chervilrock/edges/serving/callers.py
@@ -129,6 +129,11 @@
                 moved += 1
         return moved
 
+    def end_silent_sends(self, now: float) -> None:
+        """End sends to servers that are silent; this node is cut off."""
+        for exchange in list(self.exchanges.values()):
+            exchange.end_silent_send(now)
+
     async def _run(self, exchange: Exchange) -> None:
         self.exchanges[exchange.request_id] = exchange
         try:
--- a/chervilrock/edges/serving/exchange.py
+++ b/chervilrock/edges/serving/exchange.py
@@ -23,6 +23,8 @@
 )
 from chervilrock.decisions.serving.groups.stalls import StallDetector
 from chervilrock.decisions.serving.messages import AnswerFacts, ForwardedFields
+from chervilrock.decisions.serving.nodes.detours import find_retry_after
+from chervilrock.decisions.serving.nodes.reachability import PROBE_TIMEOUT_S
 from chervilrock.decisions.serving.view import GroupEndpoint
 from chervilrock.edges.heads import Head
 from chervilrock.edges.relay import (
@@ -30,7 +32,7 @@
     Transfer,
     TransferEnd,
 )
-from chervilrock.edges.serving import exchangelog
+from chervilrock.edges.serving import detours, exchangelog
 from chervilrock.edges.serving.callerrequest import CallerRequest
 from chervilrock.edges.serving.connection import (
     AnswerSource,
@@ -44,7 +46,10 @@
 from chervilrock.platform import headers as names
 from chervilrock.serving_metrics import ServingMetrics
 from chervilrock.tasks.clock import read_clock
-from chervilrock.tasks.serving.poisondetector import PoisonDetector
+from chervilrock.tasks.serving.poisondetector import (
+    PoisonDetector,
+    VERDICT_POLL_INTERVAL_S,
+)
 from chervilrock.tasks.serving.state import ServingState
 from chervilrock.tasks.serving.waitqueue import WaitQueue
 
@@ -60,6 +65,14 @@
 the retries of one call last, and short if the request is withheld by
 mistake."""
 
+VERDICT_WAIT_S = PROBE_TIMEOUT_S + 0.1
+"""Longest time for which a request waits until it is known whether this node
+reaches any server."""
+
+SILENT_SEND_S = 1.0
+"""Time without a byte of the answer after which a node that is cut off ends a
+send that it made before."""
+
 LEAST_URGENT_RANK = 9
 """Greatest urgency rank of the engines; requests of rank 0 run first."""
 
@@ -107,7 +120,10 @@
         self.request_id = request.facts.request_id
         self._expires = request.arrived
         self._last_event = request.facts.last_event
-        self._progress = Progress(sends=0, may_have_run=False)
+        self._earlier_sends = detours.read_sends(request)
+        sends = self._earlier_sends or 0
+        self._progress = Progress(sends=sends, may_have_run=sends > 0)
+        self._progress_at = request.arrived
         self._transfer: Transfer | None = None
         self._detector: StallDetector | None = None
         self._interrupted: asyncio.Future[SendOutcome] | None = None
@@ -126,6 +142,7 @@
             connection=connection,
             check=self._check,
         )
+        self._detour = detours.Detour(state=context.state, request=request)
         self._retry_reservation = RetryReservation(state=context.state)
         self._admission: Admission | None = None
         self._service = ""
@@ -178,6 +195,7 @@
 
     def resume(self) -> None:
         """See base class."""
+        self._progress_at = read_clock()
         if self._detector is not None:
             self._detector.record_sent(self.request_id, read_clock())
         if self._transfer is not None:
@@ -206,13 +224,28 @@
         # The present send counts as one of the attempts.
         sends = self._progress.sends + 1
         can_move = route.is_resumable and sends < route.max_attempts
-        if not can_move or not self._search.has_alternative(now):
+        has_alternative = (
+            self._state.reachability.is_cut_off
+            or self._search.has_alternative(now)
+        )
+        if not can_move or not has_alternative:
             return False
         if not self._retry_reservation.reserve():
             return False
         self._interrupt(SendOutcome.STALLED)
         return True
 
+    def end_silent_send(self, now: float) -> None:
+        """End a send to a server that is silent; this node is cut off."""
+        transfer = self._transfer
+        is_direct = self._search.slot is not None
+        if transfer is None or not is_direct or transfer.paused:
+            return
+        if now - self._progress_at >= SILENT_SEND_S:
+            self._interrupt(
+                SendOutcome.LOST if transfer.sent else SendOutcome.NOT_RUN
+            )
+
     def _interrupt(self, end: SendOutcome) -> None:
         """End the present send with an outcome."""
         interrupted = self._interrupted
@@ -232,18 +265,36 @@
     async def _serve(self, admission: Admission) -> None:
         """Send the request until it is answered or abandoned."""
         await self._check.wait_for_verdict(self._expires)
-        while await self._find_slot(admission):
-            end, status = await self._send(admission)
+        while True:
+            if self._state.reachability.is_cut_off:
+                result = await self._send_through_node(admission)
+            elif await self._find_slot(admission):
+                result = await self._send(admission)
+            else:
+                return
+            if result is None:
+                return
+            end, status = result
             if end is not SendOutcome.COMPLETE:
                 # The caller gets the events that it has not read yet before
                 # the stream is resumed or aborted.
                 await self._connection.wait_until_flowing(
                     self._expires - read_clock()
                 )
+                await self._wait_for_probes()
             if not self._should_continue(admission, end, status):
                 return
             await self._check.wait_for_verdict(self._expires)
 
+    async def _wait_for_probes(self) -> None:
+        """Wait while it is unknown whether this node reaches any server."""
+        reachability = self._state.reachability
+        now = read_clock()
+        until = min(self._expires, now + VERDICT_WAIT_S)
+        while now < until and reachability.is_in_doubt(now):
+            await asyncio.sleep(VERDICT_POLL_INTERVAL_S)
+            now = read_clock()
+
     def _should_continue(
         self, admission: Admission, end: SendOutcome, status: int
     ) -> bool:
@@ -366,7 +417,8 @@
         """Send the request to its slot; return the outcome and the status."""
         slot = self._search.slot
         if slot is None:
-            return SendOutcome.NOT_RUN, 0
+            # This node was cut off while the request waited for one.
+            return SendOutcome.HELD, 0
         now = read_clock()
         endpoint = slot.endpoint
         self._sent_at = now
@@ -385,7 +437,15 @@
             receiver=receiver,
             may_send=lambda: self._may_send_to(endpoint),
         )
-        end = await self._run_transfer(transfer, endpoint, now)
+        reachability = self._state.reachability
+        reachability.record_sent(self, now)
+        detector = None
+        if isinstance(endpoint, GroupEndpoint):
+            detector = self._state.watch(endpoint.group)
+        end = await self._run_transfer(transfer, detector, now)
+        reachability.record_ended(
+            self, read_clock(), is_lost=self._is_lost(receiver, end)
+        )
         self._search.record_end(receiver.facts, is_sent=transfer.sent)
         self._search.release()
         self._retry_reservation.end_send(is_sent=transfer.sent)
@@ -393,6 +453,106 @@
         self._check.record_end(receiver, transfer_end, endpoint, sent=now)
         return self._classify(transfer, receiver, end, endpoint)
 
+    def _is_lost(
+        self, receiver: AnswerReceiver, end: TransferEnd | SendOutcome
+    ) -> bool:
+        """Return whether a send ended as those of a node that is cut off do."""
+        if receiver.facts is not None or self._is_caller_gone:
+            return False
+        return isinstance(end, SendOutcome) or not end.is_held
+
+    async def _send_through_node(
+        self, admission: Admission
+    ) -> tuple[SendOutcome, int] | None:
+        """Send the request through another node, as no server is reached.
+
+        Returns:
+          Outcome and status; None if the caller has an answer instead.
+        """
+        if self._has_ended(0) or not self._may_send():
+            return None
+        # A request that another node has passed on goes no further.
+        is_own = self._earlier_sends is None
+        node = self._detour.choose() if is_own else None
+        if node is None:
+            self._reject_cut_off()
+            return None
+        now = read_clock()
+        self._sent_at = now
+        exchangelog.log_detour(
+            self.request_id, node, self._progress.sends, self._last_event
+        )
+        self._context.metrics.count_detour(self._service)
+        self._retry_reservation.begin_send(is_retry=self._progress.sends > 0)
+        receiver = AnswerReceiver(
+            request_id=self.request_id,
+            last_event=self._last_event,
+            deliver=self._write_events,
+            progress=lambda: None,
+            record_collected=self._connection.record_collected,
+        )
+        transfer = Transfer(
+            request=self._detour.make_request(
+                node,
+                sends=self._progress.sends,
+                last_event=self._last_event,
+                remaining_s=max(MIN_REMAINING_S, self._expires - now),
+            ),
+            receiver=receiver,
+        )
+        end = await self._run_transfer(transfer, None, now)
+        self._retry_reservation.end_send(is_sent=transfer.sent)
+        return self._classify_detour(admission, transfer, receiver, end)
+
+    def _classify_detour(
+        self,
+        admission: Admission,
+        transfer: Transfer,
+        receiver: AnswerReceiver,
+        end: TransferEnd | SendOutcome,
+    ) -> tuple[SendOutcome, int] | None:
+        """Return outcome and status of a send through another node.
+
+        Returns:
+          None if the caller has an answer, since the other node reaches
+          servers and rejected the request.
+        """
+        self._last_event = receiver.splitter.last_event
+        outcome = self._detour.classify(transfer, receiver, end)
+        if self._detour.is_rejected:
+            retry_after_s = self._detour.retry_after_s
+            self._reject_unless_run("rejected by another node", retry_after_s)
+            return None
+        if transfer.sent and outcome is not SendOutcome.NOT_RUN:
+            # The other node may have used all attempts.
+            self._progress = Progress(
+                sends=admission.route.max_attempts, may_have_run=True
+            )
+        self._keep_answer(transfer, receiver)
+        facts = receiver.facts
+        return outcome, 0 if facts is None else facts.status
+
+    def _reject_cut_off(self) -> None:
+        """Reject a request that no server can be reached for."""
+        retry_after_s = self._detour.retry_after_s or find_retry_after(
+            self._state.generator.random()
+        )
+        self._reject_unless_run(
+            "no server is reached", retry_after_s, (detours.CUT_OFF_PAIR,)
+        )
+
+    def _reject_unless_run(
+        self,
+        reason: str,
+        retry_after_s: float,
+        extra: tuple[tuple[str, str], ...] = (),
+    ) -> None:
+        """Reject a request, or fail it if it may have run."""
+        if self._progress.may_have_run or self._connection.has_begun:
+            self._fail(BAD_GATEWAY, reason)
+        else:
+            self._reject(UNAVAILABLE, reason, retry_after_s, extra)
+
     def _may_send_to(self, endpoint: Endpoint) -> bool:
         """Return whether a server wants the request that is about to be sent.
 
@@ -413,7 +573,7 @@
         return False
 
     async def _run_transfer(
-        self, transfer: Transfer, endpoint: Endpoint, now: float
+        self, transfer: Transfer, detector: StallDetector | None, now: float
     ) -> TransferEnd | SendOutcome:
         """Wait for the end of a transfer, an interruption or the time limit.
 
@@ -421,10 +581,8 @@
         """
         loop = asyncio.get_running_loop()
         self._transfer = transfer
+        self._progress_at = now
         self._interrupted = loop.create_future()
-        detector = None
-        if isinstance(endpoint, GroupEndpoint):
-            detector = self._state.watch(endpoint.group)
         if detector is not None:
             detector.record_sent(self.request_id, now)
         self._detector = detector
@@ -466,7 +624,9 @@
             last_event=self._last_event,
             urgency=self._find_urgency(admission) if is_group else None,
         )
-        pairs = names.make_forwarded_headers(request.headers, forwarded)
+        pairs = names.make_forwarded_headers(
+            detours.remove_header(request), forwarded
+        )
         if not any(name.lower() == "content-type" for name, _ in pairs):
             # An empty value keeps libcurl from adding its default.
             pairs = (*pairs, ("Content-Type", ""))
@@ -474,7 +634,7 @@
             method=request.method,
             url=f"http://{endpoint.address}{request.target}",
             headers=pairs,
-            body=request.body if _has_body(request) else None,
+            body=request.body if request.has_body else None,
             timeout_s=max(MIN_REMAINING_S, remaining + 1.0),
             send_once=True,
             connect_timeout_s=CONNECT_TIMEOUT_S,
@@ -493,10 +653,12 @@
         return min(LEAST_URGENT_RANK, 1 + 2 * admission.priority + is_late)
 
     def _record_progress(self, endpoint: Endpoint) -> None:
+        self._progress_at = read_clock()
         if isinstance(endpoint, GroupEndpoint):
             self._state.watch(endpoint.group).record_progress(read_clock())
 
     def _record_facts(self, endpoint: Endpoint, facts: AnswerFacts) -> None:
+        self._state.reachability.record_answered(self, read_clock())
         statement = facts.statement
         if statement.pause.seconds:
             self._context.metrics.count_pause(endpoint.service)
@@ -512,6 +674,9 @@
                 self._request.facts.model, self._first_event - self._sent_at
             )
             self._search.record_first_event(self._sent_at, self._first_event)
+        self._write_events(head, events)
+
+    def _write_events(self, head: Head, events: bytes) -> None:
         if self._connection.has_begun:
             self._connection.write(events)
         else:
@@ -563,6 +728,8 @@
     ) -> None:
         """Avoid an endpoint for a while if it did not answer, or failed."""
         now = read_clock()
+        if self._state.reachability.is_cut_off:
+            return
         if isinstance(endpoint, GroupEndpoint):
             if end is SendOutcome.COMPLETE:
                 self._state.record_success(endpoint.group)
@@ -636,9 +803,13 @@
             self._reject(UNAVAILABLE, reason, retry_after_s)
 
     def _reject(
-        self, status: int, reason: str, retry_after_s: float | None
+        self,
+        status: int,
+        reason: str,
+        retry_after_s: float | None,
+        extra: tuple[tuple[str, str], ...] = (),
     ) -> None:
-        pairs = [("Content-Type", "application/json")]
+        pairs = [("Content-Type", "application/json"), *extra]
         if retry_after_s is not None:
             pairs.append(("Retry-After", f"{retry_after_s:.2f}"))
         body = f'{{"error":"{reason}"}}'.encode()
@@ -683,8 +854,3 @@
 
 _RUNNING: set["asyncio.Task[TransferEnd]"] = set()
 """Transfers that are running, including abandoned ones until they end."""
-
-
-def _has_body(request: CallerRequest) -> bool:
-    """Return whether to send a body; libcurl accepts none for some methods."""
-    return bool(request.body) or request.method in ("POST", "PUT", "PATCH")
--- a/chervilrock/edges/serving/exchangelog.py
+++ b/chervilrock/edges/serving/exchangelog.py
@@ -7,7 +7,11 @@
 from chervilrock.decisions.serving.admission.retrybudget import BudgetState
 from chervilrock.decisions.serving.admission.routes import Admission
 from chervilrock.decisions.serving.admission.suspects import Suspect
-from chervilrock.decisions.serving.view import GroupEndpoint, ServerEndpoint
+from chervilrock.decisions.serving.view import (
+    GroupEndpoint,
+    NodeEntry,
+    ServerEndpoint,
+)
 from chervilrock.edges.relay import TransferEnd
 from chervilrock.edges.serving.callerrequest import CallerRequest
 from chervilrock.events import emit, Event
@@ -87,6 +91,19 @@
     )
 
 
+def log_detour(
+    request_id: str, node: NodeEntry, sends: int, after: str
+) -> None:
+    """Log that a request is passed on to another node."""
+    emit(
+        Event.REQUEST_DETOURED,
+        request_id=request_id,
+        node=node.node,
+        sends=sends,
+        after=after,
+    )
+
+
 class FailedSend(NamedTuple):
     """A send without a usable answer.
 
--- a/chervilrock/edges/serving/slots.py
+++ b/chervilrock/edges/serving/slots.py
@@ -313,13 +313,15 @@
         """Acquire a slot if one is free and the caller is still connected.
 
         Returns:
-          Whether the wait for a slot is over: a slot was acquired, or the
-          request is withheld.
+          Whether the wait for a slot is over: a slot was acquired, the request
+          is withheld, or this node reaches no server.
         """
         if self.is_cancelled or self.slot is not None:
             return False
         if self._check.find_withheld() is not None:
             return True
+        if self._state.reachability.is_cut_off:
+            return True
         now = read_clock()
         self.slot = self._choose(now)
         if self.slot is None:
--- a/chervilrock/node/serving.py
+++ b/chervilrock/node/serving.py
@@ -308,6 +308,8 @@
             await asyncio.sleep(WATCH_INTERVAL_S)
             now = read_clock()
             self._callers.memory.update(now)
+            if self._state.reachability.is_cut_off:
+                self._callers.end_silent_sends(now)
             self._metrics.view_age.set(max(0.0, now - self._state.view_time))
             draining = self._state.draining
             for endpoint in (*self._state.view.groups, *draining.values()):
@@ -432,6 +434,7 @@
 
     def _answer_metrics(self, now: float) -> Reply:
         metrics = self._metrics
+        state = self._state
         metrics.running_requests.set(len(self._callers.exchanges))
         metrics.waiting_requests.set(len(self._waitqueue))
         metrics.leads.set(1 if self._task.is_leader else 0)
@@ -450,6 +453,7 @@
             len(self._state.evacuations.evacuated)
         )
         metrics.leaving_servers.set(len(statements.departures))
+        metrics.cut_off.set(1 if state.reachability.is_cut_off else 0)
         metrics.withheld_suspects.set(self._state.suspects.count_withheld())
         metrics.lines_dropped.set(self._count_dropped_lines())
         routes = self._state.routes
--- a/chervilrock/platform/engines.py
+++ b/chervilrock/platform/engines.py
@@ -71,6 +71,19 @@
         )
         return answer.bind(_decode_reply)
 
+    async def is_reached(
+        self, server: str, address: str, timeout_s: float
+    ) -> bool:
+        """See base class."""
+        answer = await self._client.request(
+            "GET",
+            f"http://{address}/report",
+            timeout_s=timeout_s,
+            headers={EXPECTED_SERVER: server},
+            is_fresh=True,
+        )
+        return not isinstance(answer, Failure)
+
     async def fetch_report(
         self, server: BackendServer, timeout_s: float
     ) -> Result[ServerReport, PlatformError]:
--- a/chervilrock/platform/headers.py
+++ b/chervilrock/platform/headers.py
@@ -91,6 +91,24 @@
     return tuple(kept)
 
 
+def make_passed_on_headers(
+    pairs: Iterable[tuple[str, str]], remaining_s: float, last_event: str
+) -> HeaderPairs:
+    """Return the headers of a request as passed on to another node.
+
+    Args:
+      pairs: headers of the caller.
+      remaining_s: time that is left, in seconds.
+      last_event: last event that the caller has, empty for none.
+    """
+    kept = list(_drop_hop_by_hop(pairs, frozenset({_DEADLINE_MS, _LAST_EVENT})))
+    remaining_ms = max(1, int(remaining_s * _MS_PER_S))
+    kept.append(("X-Deadline-Ms", str(remaining_ms)))
+    if last_event:
+        kept.append(("Last-Event-Id", last_event))
+    return tuple(kept)
+
+
 def read_answer(
     status: int, pairs: Sequence[tuple[str, str]], unix_time_s: float
 ) -> AnswerFacts:
--- a/chervilrock/serving_metrics.py
+++ b/chervilrock/serving_metrics.py
@@ -137,6 +137,14 @@
         self.limited_servers = self._gauge(
             "servers_limited", "Servers with a rate limit"
         )
+        self.cut_off = self._gauge(
+            "cut_off", "1 while this node reaches no server"
+        )
+        self._detours = self._counter(
+            "detours_total",
+            "Sends through another node, as this one reaches no server",
+            "service",
+        )
         self.withheld_suspects = self._gauge(
             "suspects_withheld", "Requests withheld from servers"
         )
@@ -191,6 +199,10 @@
         """Count a rejection with which a server asked for a pause."""
         self._pauses.labels(self._services.bound(service)).inc()
 
+    def count_detour(self, service: str) -> None:
+        """Count a send through another node."""
+        self._detours.labels(self._services.bound(service)).inc()
+
     def count_held_send(self, service: str) -> None:
         """Count a send that was held back as the server pauses or leaves."""
         self._held_sends.labels(self._services.bound(service)).inc()
--- a/chervilrock/tasks/serving/following.py
+++ b/chervilrock/tasks/serving/following.py
@@ -96,7 +96,8 @@
             term=self._leadership.term,
             node=self._own,
             is_taking_callers=not state.is_stopping
-            and state.routes is not None,
+            and state.routes is not None
+            and not state.reachability.is_withdrawn(now),
             version=state.view.version,
             nodes_version=state.nodes_version,
             revision=state.revision,
--- a/chervilrock/tasks/serving/leading.py
+++ b/chervilrock/tasks/serving/leading.py
@@ -385,7 +385,7 @@
             ]
         )
         self._summary = summary
-        self._update_node_list(summary)
+        self._update_node_list(summary, now)
         loads = dict(summary.loads)
         for server, count in state.own_loads.items():
             loads[server] = loads.get(server, 0) + count
@@ -403,11 +403,12 @@
         for group in summary.stalled:
             self._controller.record_stall(group, now)
 
-    def _update_node_list(self, summary: Summary) -> None:
+    def _update_node_list(self, summary: Summary, now: float) -> None:
         """Update the list of the nodes that accept callers if it changed."""
         state = self._state
         live = set(summary.nodes)
-        if not state.is_stopping:
+        is_withdrawn = state.reachability.is_withdrawn(now)
+        if not state.is_stopping and not is_withdrawn:
             live.add(state.own.incarnation)
         known = {*state.known_nodes.values(), state.own}
         nodes = tuple(
--- a/chervilrock/tasks/serving/messages.py
+++ b/chervilrock/tasks/serving/messages.py
@@ -11,6 +11,7 @@
     ServerReport,
 )
 from chervilrock.decisions.serving.nodes.leadercontact import ContactAnswer
+from chervilrock.decisions.serving.nodes.reachability import ProbeRound
 from chervilrock.decisions.serving.view import Acknowledgement
 
 
@@ -116,12 +117,24 @@
 
 
 class ServerChecked(NamedTuple):
-    """The liveness of a server whose connection broke was checked."""
+    """The liveness of a server whose connection broke was checked.
+
+    Attributes:
+      server: identifier of the server.
+      is_alive: whether it accepts connections, or nothing is known of it as
+        this node reached no other server either.
+    """
 
     server: str
     is_alive: bool
 
 
+class ServersProbed(NamedTuple):
+    """Some servers were asked whether this node reaches them."""
+
+    probes: ProbeRound
+
+
 class CrashReportAnswered(NamedTuple):
     """A crash report to a node completed.
 
@@ -206,6 +219,7 @@
     | ContactsAnswered
     | DocumentRead
     | ServerChecked
+    | ServersProbed
     | CrashReportAnswered
     | SuspectWritten
     | StallReported
--- a/chervilrock/tasks/serving/node.py
+++ b/chervilrock/tasks/serving/node.py
@@ -48,6 +48,7 @@
     RegistrationAnswered,
     ServerAnswered,
     ServerChecked,
+    ServersProbed,
     StallReported,
     SuspectWritten,
 )
@@ -59,6 +60,7 @@
 from chervilrock.tasks.serving.poisondetector import PoisonDetector
 from chervilrock.tasks.serving.reads import StoreReads
 from chervilrock.tasks.serving.relay import Relay
+from chervilrock.tasks.serving.serverprobes import ServerProbes
 from chervilrock.tasks.serving.state import ServingState
 from chervilrock.tasks.serving.statementreports import StatementReports
 from chervilrock.tasks.serving.waitqueue import WaitQueue
@@ -156,6 +158,9 @@
             apply_claim=self._apply_claim,
             renew_reads=self._renew_reads,
         )
+        self._probes = ServerProbes(
+            state=state, outbound=self._outbound, waitqueue=waitqueue
+        )
         self._statement_reports = StatementReports(
             state=state, outbound=self._outbound
         )
@@ -314,6 +319,7 @@
             "usable_slots": {}
             if leader_role is None
             else leader_role.find_usable(now),
+            "reachability": state.reachability.describe(now),
             "is_stopping": state.is_stopping,
             "groups": [] if leader_role is None else leader_role.describe(),
         }
@@ -391,6 +397,8 @@
                 self._apply_document(message.document, message.source, now)
             case ServerChecked():
                 self.poisondetector.record_checked(message, now)
+            case ServersProbed():
+                self._probes.record(message, now)
             case CrashReportAnswered():
                 self.poisondetector.record_answered(message, now)
             case SuspectWritten():
@@ -513,6 +521,7 @@
         self.leader_probe.act(self._election.find_rank, now)
         self._election.act(now)
         self._fetch_missing_revision(now)
+        self._probes.act(now)
         self._update_suspects(now)
         self._state.refill_budgets(is_in_touch=self._has_contact(now), now=now)
         self._statement_reports.act(
--- a/chervilrock/tasks/serving/outbound.py
+++ b/chervilrock/tasks/serving/outbound.py
@@ -25,6 +25,11 @@
 )
 from chervilrock.decisions.serving.groups.effects import Command
 from chervilrock.decisions.serving.nodes.leadercontact import ContactAnswer
+from chervilrock.decisions.serving.nodes.reachability import (
+    PROBE_TIMEOUT_S,
+    ProbeRound,
+    ProbeTarget,
+)
 from chervilrock.decisions.serving.servers.evacuations import EvacuationRecord
 from chervilrock.decisions.serving.site import (
     BackendServer,
@@ -50,6 +55,7 @@
     RegistrationAnswered,
     ServerAnswered,
     ServerChecked,
+    ServersProbed,
     StatementReport,
     SuspectWritten,
 )
@@ -201,9 +207,27 @@
         """Report to the leader what a server states of itself."""
         self._start(self._send_statement(leader, report))
 
-    def check_server(self, server: str, address: str) -> None:
-        """Check whether a server whose connection broke is still alive."""
-        self._start(self._check_server(server, address))
+    def check_server(
+        self,
+        server: str,
+        address: str,
+        references: tuple[ProbeTarget, ...] = (),
+    ) -> None:
+        """Check whether a server whose connection broke is still alive.
+
+        Args:
+          server: identifier of the server.
+          address: IP:port.
+          references: other servers. If none of them answers either, the cause
+            may be the link of this node.
+        """
+        self._start(self._check_server(server, address, references))
+
+    def probe_servers(
+        self, targets: tuple[ProbeTarget, ...], began: float
+    ) -> None:
+        """Find out whether this node reaches any of some servers."""
+        self._start(self._probe_servers(targets, began))
 
     def send_crash_report(self, entry: NodeEntry, report: CrashReport) -> None:
         """Report crashed servers and the requests that they ran to a node."""
@@ -334,10 +358,38 @@
         body = msgspec.json.encode(report)
         await self._post_report(leader, name_statement(report), body)
 
-    async def _check_server(self, server: str, address: str) -> None:
-        is_alive = await self._ports.liveness.is_alive(address)
+    async def _check_server(
+        self,
+        server: str,
+        address: str,
+        references: tuple[ProbeTarget, ...],
+    ) -> None:
+        liveness = self._ports.liveness
+        is_alive = await liveness.is_alive(address)
+        if not is_alive and references:
+            # The second check shows that the server is still gone while others
+            # are reached.
+            is_alive = not await self._count_reached(references)
+            is_alive = is_alive or await liveness.is_alive(address)
         await self._outbox.send(ServerChecked(server, is_alive))
 
+    async def _probe_servers(
+        self, targets: tuple[ProbeTarget, ...], began: float
+    ) -> None:
+        reached = await self._count_reached(targets)
+        probes = ProbeRound(reached, len(targets) - reached, began)
+        await self._outbox.send(ServersProbed(probes))
+
+    async def _count_reached(self, targets: tuple[ProbeTarget, ...]) -> int:
+        return sum(await asyncio.gather(*map(self._is_reached, targets)))
+
+    async def _is_reached(self, target: ProbeTarget) -> bool:
+        if not target.is_head:
+            return await self._ports.liveness.is_alive(target.address)
+        return await self._ports.engines.is_reached(
+            target.server, target.address, PROBE_TIMEOUT_S
+        )
+
     async def _send_crash_report(
         self, entry: NodeEntry, report: CrashReport
     ) -> None:
--- a/chervilrock/tasks/serving/state.py
+++ b/chervilrock/tasks/serving/state.py
@@ -41,6 +41,7 @@
     StatedLimit,
 )
 from chervilrock.decisions.serving.nodes.activenodes import ActiveNodes
+from chervilrock.decisions.serving.nodes.reachability import ServerReachability
 from chervilrock.decisions.serving.servers.evacuations import Evacuations
 from chervilrock.decisions.serving.servers.serverlimits import LimitChange
 from chervilrock.decisions.serving.servers.serverstarts import ServerStarts
@@ -111,6 +112,7 @@
       starts: latest start of each server that the views have named.
       startup: late requests in the seconds after the start.
       admission: decides which priorities may take free slots.
+      reachability: whether this node reaches the servers.
     """
 
     def __init__(
@@ -166,6 +168,7 @@
         self.starts = ServerStarts()
         self.startup = Startup(generator=generator)
         self.admission = PriorityAdmission()
+        self.reachability = ServerReachability()
         self._admission_routes: RouteTable | None = None
 
     @property
@@ -406,6 +409,10 @@
         """Avoid a group or server, given by name, for `AVOIDED_S`."""
         self._avoided_until[endpoint] = now + AVOIDED_S
 
+    def forget_avoided(self) -> None:
+        """Stop to avoid what did not answer while the node was cut off."""
+        self._avoided_until.clear()
+
     def record_success(self, group: str) -> None:
         """Record that a group answered a request of this node."""
         self._failures.record_success(group)
--- a/test/node/test_cut_off_nodes.py
+++ b/test/node/test_cut_off_nodes.py
@@ -94,7 +94,15 @@
     return lambda: b"body %d" % next(numbers)
 
 
-@pytest.mark.parametrize("fault", [LinkFault.RESET])
+@pytest.mark.parametrize(
+    "fault",
+    [
+        LinkFault.RESET,
+        LinkFault.SILENT,
+        LinkFault.ONE_WAY,
+        LinkFault.REFUSED,
+    ],
+)
 def test_callers_of_cut_off_nodes_are_served(fault: LinkFault) -> None:
     async def scenario(world: World) -> None:
         outcome = await play_cut(world, (0, 1), fault, body=make_bodies())
