Do not report servers as crashed that a cut-off node cannot reach

Cause: whether the server of a broken connection still lives was asked over the same cut link, and the answer was reported to all nodes.

Change: a server counts as crashed only if another server answers the node meanwhile, and the server itself still accepts no connection after that.

--- a/chervilrock/tasks/serving/poisondetector.py
+++ b/chervilrock/tasks/serving/poisondetector.py
@@ -21,6 +21,7 @@
     Suspect,
     SuspectTracker,
 )
+from chervilrock.decisions.serving.nodes.reachability import choose_targets
 from chervilrock.decisions.serving.view import NodeEntry
 from chervilrock.events import emit, Event
 from chervilrock.tasks.clock import read_clock
@@ -142,7 +143,12 @@
             self._checks[broken.server].append(broken)
         else:
             self._checks[broken.server] = [broken]
-            self._outbound.check_server(broken.server, broken.address)
+            references = choose_targets(
+                self._state.view, self._state.generator, without=broken.server
+            )
+            self._outbound.check_server(
+                broken.server, broken.address, references
+            )
 
     def record_completion(self, content: str) -> None:
         """Record that a request ran to completion, which clears it."""
--- a/test/tasks/test_poisondetector.py
+++ b/test/tasks/test_poisondetector.py
@@ -45,8 +45,10 @@
         self.reports: list[tuple[str, CrashReport]] = []
         self.written: list[tuple[str, bool]] = []
 
-    def check_server(self, server: str, address: str) -> None:
-        del address
+    def check_server(
+        self, server: str, address: str, references: object
+    ) -> None:
+        del address, references
         self.checked.append(server)
 
     def send_crash_report(self, entry: NodeEntry, report: CrashReport) -> None:
