Let another node lead while the leader reaches no server

A leader that is cut off can neither verify nor repair a group nor give orders, and stayed the leader for as long as the cut lasted. After a second it announces that it should be replaced, as a leader that stops does, if another node takes callers and so reaches servers. Nodes that are cut off claim last.

--- a/chervilrock/decisions/serving/view.py
+++ b/chervilrock/decisions/serving/view.py
@@ -157,7 +157,8 @@
       revision: newest revision that the leader knows to be in force on any
         node.
       has_traffic: whether any node has received a request of a caller.
-      is_stopping: whether the leader is about to stop.
+      is_stopping: whether another node should replace the leader, which is
+        about to stop or reaches no server.
       is_store_unreachable: whether the leader gets no answer of the store, so
         that a node that does should replace it.
       lost_after_s: time without an announcement after which the leader
--- a/chervilrock/tasks/serving/election.py
+++ b/chervilrock/tasks/serving/election.py
@@ -106,7 +106,8 @@
 
         Nodes with more processor time come first: on a host with an eighth of
         a core, the leader's orders and status queries time out. The previous
-        leader comes last, since it has just been lost.
+        leader comes last, since it has just been lost, and so does a node that
+        reaches no server.
         """
         claim = self._leadership.claim
         last_incarnation = None if claim is None else claim.entry.incarnation
@@ -115,12 +116,14 @@
             return (node.incarnation == last_incarnation, -node.cores, node)
 
         own = make_sort_key(self._own)
-        others = self._state.known_nodes.values()
-        return sum(
-            make_sort_key(node) < own
-            for node in others
+        others = [
+            node
+            for node in self._state.known_nodes.values()
             if node.node != self._own.node
-        )
+        ]
+        if self._state.reachability.is_cut_off:
+            return len(others)
+        return sum(make_sort_key(node) < own for node in others)
 
     def _register(self, now: float) -> None:
         """Write the record of this node when due, once per incarnation."""
--- a/chervilrock/tasks/serving/leading.py
+++ b/chervilrock/tasks/serving/leading.py
@@ -70,6 +70,10 @@
 servers that still run write them again within two seconds."""
 
 
+MAX_LEADER_CUT_S = 1.0
+"""Time without any server after which a leader lets another node lead, if there
+is one that reaches servers."""
+
 INFORMATION_WAIT_S = 1.0
 """Longest time for which a new leader waits for the records of evacuations,
 which usually arrive with the configuration; without one no node leads."""
@@ -497,6 +501,11 @@
             now,
         )
 
+    def _is_cut_off_alone(self, now: float) -> bool:
+        """Return whether a node that reaches servers should lead instead."""
+        cut_s = self._state.reachability.find_cut_s(now)
+        return cut_s >= MAX_LEADER_CUT_S and bool(self._summary.nodes)
+
     def _list_limits(
         self,
         groups: Iterable[GroupEndpoint],
@@ -525,7 +534,7 @@
             view=None,
             revision=max(state.revision, self._summary.revision),
             has_traffic=state.has_traffic,
-            is_stopping=state.is_stopping,
+            is_stopping=state.is_stopping or self._is_cut_off_alone(now),
             is_store_unreachable=now - self._store.answered_at
             > STORE_TIMEOUT_S,
             lost_after_s=MISSED_INTERVALS * interval_s,
