Report no stalled groups from a node that is cut off

Streams of a node without links stall at every group, which the node reported as the state of the groups; the leader then verified all of them by status queries.

--- a/chervilrock/tasks/serving/following.py
+++ b/chervilrock/tasks/serving/following.py
@@ -102,7 +102,9 @@
             nodes_version=state.nodes_version,
             revision=state.revision,
             loads=state.own_loads,
-            stalled=state.list_avoided(now),
+            stalled=()
+            if state.reachability.is_cut_off
+            else state.list_avoided(now),
             has_traffic=state.has_traffic,
             relayed=relayed,
             suspects_version=state.suspects.version,
--- a/chervilrock/tasks/serving/node.py
+++ b/chervilrock/tasks/serving/node.py
@@ -216,6 +216,9 @@
         """Report to the leader at once that streams of a group have stalled."""
         if self._state.is_avoided(group, now):
             return
+        if self._state.reachability.is_cut_off:
+            # The streams say nothing about the group.
+            return
         self._state.avoid(group, now)
         if self._leader_role is not None:
             self._leader_role.record_stall(group, now)
