Count nothing as unread on a closed connection of a caller

An event that arrived between the close of a caller's connection and its report raised a TypeError inside a callback of libcurl, which printed a traceback and ended the transfer as a failed write.

--- a/chervilrock/edges/serving/connection.py
+++ b/chervilrock/edges/serving/connection.py
@@ -235,7 +235,9 @@
 
     def _count_unread(self) -> int:
         """Return how many bytes of the answer the caller leaves unread."""
-        return len(self._connection.stream._write_buffer)
+        buffer = self._connection.stream._write_buffer
+        # A closed stream has none.
+        return 0 if buffer is None else len(buffer)
 
     def _discard_result(self, future: "asyncio.Future[None]") -> None:
         """Ignore a failed write; the close callback reports a closed stream."""
