Cut nodes off from all servers in the soak

One node, a data centre, all but one or all, silent, one way, reset or with new connections refused, once or in short series, beside all other faults. At the end all nodes but one are cut off, and from 3 s on two thirds of the requests at any of them must be served. Each node has an IP address of its own.

--- a/bench/cutoffs.py
+++ b/bench/cutoffs.py
@@ -13,6 +13,10 @@
 from tornado.curl_httpclient import CurlError
 from tornado.httpclient import AsyncHTTPClient
 
+from bench.statements import Disturbances
+from chervilrock.standin.site.cuts import NodeCuts
+from chervilrock.standin.site.proxy import LinkFault
+
 STABLE_S = 3.0
 """Time after the begin of a cut from which callers must be served."""
 
@@ -184,3 +188,128 @@
             return [], 0.0
         body = msgspec.json.decode(answer.body)
         return list(body["addresses"]), float(body["ttl_s"])
+
+
+FORMS = (
+    LinkFault.SILENT,
+    LinkFault.ONE_WAY,
+    LinkFault.RESET,
+    LinkFault.REFUSED,
+)
+"""Faults that cut a node off from servers."""
+
+RECOVERY_S = 3.0
+"""Time after a cut in which what hung in it may still arrive."""
+
+FINAL_CUT_S = 5.0
+FINAL_CALLS = 20
+"""Requests to all nodes while all but one of them are cut off."""
+
+
+class CutNode(NamedTuple):
+    """A node of a run that can be cut off.
+
+    Attributes:
+      ip: IP address from which it connects to servers.
+      address: IP:port for its callers.
+      data_centre: its data centre.
+    """
+
+    ip: str
+    address: str
+    data_centre: str
+
+
+class CutOffNodes:
+    """Cuts random nodes of a run off from all servers."""
+
+    def __init__(
+        self,
+        *,
+        cuts: NodeCuts,
+        nodes: Sequence[CutNode],
+        disturbances: Disturbances,
+        seed: int,
+    ) -> None:
+        """Create a run without a cut.
+
+        Args:
+          cuts: proxies before the servers.
+          nodes: all nodes.
+          disturbances: receives the cuts.
+          seed: seed of the choices, for a generator of their own.
+        """
+        self._cuts = cuts
+        self._nodes = nodes
+        self._disturbances = disturbances
+        self._generator = random.Random(f"cut-off nodes of {seed}")
+
+    async def run(self) -> None:
+        """Cut nodes off and reconnect them until cancelled."""
+        generator = self._generator
+        while True:
+            await asyncio.sleep(generator.uniform(0.5, 4.0))
+            nodes = self._choose()
+            fault = generator.choice(FORMS)
+            # Short cuts in series let nodes lose and find servers by turns.
+            times = generator.choice((1, 1, 1, 3))
+            for _ in range(times):
+                seconds = generator.uniform(0.3, 6.0) / times
+                self._cut(nodes, fault, seconds)
+                await asyncio.sleep(seconds)
+                self._cuts.restore([node.ip for node in nodes])
+                await asyncio.sleep(generator.uniform(0.0, 0.5))
+
+    def _choose(self) -> list[CutNode]:
+        """Return one node, a data centre, all but one node, or all."""
+        nodes = list(self._nodes)
+        centre = self._generator.choice(nodes).data_centre
+        choices = (
+            [self._generator.choice(nodes)],
+            [node for node in nodes if node.data_centre == centre],
+            self._generator.sample(nodes, len(nodes) - 1),
+            nodes,
+        )
+        return self._generator.choice(choices)
+
+    def _cut(
+        self, nodes: Sequence[CutNode], fault: LinkFault, seconds: float
+    ) -> None:
+        now = asyncio.get_running_loop().time()
+        for node in nodes:
+            end = now + seconds + RECOVERY_S
+            self._disturbances.record(node.address, now, end)
+        self._cuts.cut([node.ip for node in nodes], fault)
+
+    def restore(self) -> None:
+        """Reconnect all nodes."""
+        self._cuts.restore([node.ip for node in self._nodes])
+
+    async def check_end(
+        self, call: Callable[[str], Awaitable[int]]
+    ) -> list[str]:
+        """Cut all nodes but one off, and check that callers are served.
+
+        Args:
+          call: sends a request to an address and returns its status.
+
+        Returns:
+          A description of the violation, if there is one.
+        """
+        nodes = self._generator.sample(self._nodes, len(self._nodes) - 1)
+        fault = self._generator.choice(FORMS)
+        self._cut(nodes, fault, FINAL_CUT_S)
+        loop = asyncio.get_running_loop()
+        stable = loop.time() + STABLE_S
+        # The first requests let the nodes notice it.
+        await asyncio.gather(*(call(node.address) for node in nodes))
+        await asyncio.sleep(max(0.0, stable - loop.time()))
+        statuses = [
+            await call(self._nodes[number % len(self._nodes)].address)
+            for number in range(FINAL_CALLS)
+        ]
+        self.restore()
+        served = statuses.count(200) / len(statuses)
+        if served >= MIN_RATIO:
+            return []
+        return [f"{fault} at {len(nodes)} nodes: {served} served, {statuses}"]
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -25,6 +25,7 @@
 from tornado.curl_httpclient import CurlError
 from tornado.httpclient import HTTPRequest
 
+from bench.cutoffs import CutNode, CutOffNodes
 from bench.evacuations import (
     DATA_CENTRES,
     EvacuatedDataCentres,
@@ -46,9 +47,10 @@
     find_overloaded_cold_servers,
 )
 from chervilrock.clients.curlpool import QuietCurlClient
-from chervilrock.platform.settings import VARIABLE
+from chervilrock.platform.settings import SOURCE_IP_VARIABLE, VARIABLE
+from chervilrock.standin.site.cuts import NodeCuts
 from chervilrock.standin.site.proxy import LinkFault, LinkProxy
-from chervilrock.standin.site.servers import ServerFault, SiteServer
+from chervilrock.standin.site.servers import ServerFault
 from chervilrock.standin.site.site import (
     HOST,
     KEY,
@@ -114,6 +116,7 @@
 
     seed: int
     seconds: float
+    nodes: int = NODES
 
 
 class Outcome(NamedTuple):
@@ -151,9 +154,11 @@
         data_centre: str,
     ) -> None:
         self._disturbances = disturbances
+        self._ip = ip
         ports = find_ports(ip, taken)
         self.address = f"{ip}:{ports['callers']}"
         self.addresses = Address(self.address, f"{ip}:{ports['peers']}")
+        self.cut_node = CutNode(ip, self.address, data_centre)
         self._path = folder / f"{name}.toml"
         document = make_node_file(
             node=name,
@@ -176,7 +181,8 @@
             self._process = subprocess.Popen(
                 [sys.executable, "-m", "chervilrock", "node"],
                 cwd=ROOT,
-                env=os.environ | {VARIABLE: str(self._path)},
+                env=os.environ
+                | {VARIABLE: str(self._path), SOURCE_IP_VARIABLE: self._ip},
                 stdout=self._log,
                 stderr=self._log,
             )
@@ -486,6 +492,7 @@
     """
     generator = random.Random(plan.seed)
     site = Site()
+    cuts = NodeCuts()
     links: list[LinkProxy] = []
     nodes: list[_Process] = []
     taken: set[int] = set()
@@ -494,8 +501,8 @@
     try:
         site.start(model_servers=12, plain_servers=3, data_centres=DATA_CENTRES)
         site.store.write_configuration(configure_warmups(1))
-        for server in site.servers:
-            links.append(await _start_proxy(server))
+        await cuts.start(site.servers)
+        links += cuts.links
         link = LinkProxy(target=site.store_address)
         await link.start()
         links.append(link)
@@ -504,12 +511,12 @@
                 folder=folder,
                 name=f"n{number}",
                 store=link.address,
-                ip=_find_ip(plan.seed),
+                ip=_find_ip(plan.seed, number),
                 taken=taken,
                 disturbances=disturbances,
                 data_centre=DATA_CENTRES[number % len(DATA_CENTRES)],
             )
-            for number in range(NODES)
+            for number in range(plan.nodes)
         ]
         supervisor = asyncio.create_task(_supervise(nodes))
         await asyncio.sleep(SETTLE_S)
@@ -528,6 +535,12 @@
         slow = SlowReaders(
             nodes=[node.addresses for node in nodes], seed=plan.seed
         )
+        cut_off = CutOffNodes(
+            cuts=cuts,
+            nodes=[node.cut_node for node in nodes],
+            disturbances=disturbances,
+            seed=plan.seed,
+        )
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(plan.seconds):
                 async with asyncio.TaskGroup() as group:
@@ -537,6 +550,7 @@
                     group.create_task(cold.run())
                     group.create_task(evacuated.run())
                     group.create_task(slow.run())
+                    group.create_task(cut_off.run())
                     for _ in range(CALLERS):
                         group.create_task(callers.run(nodes))
         callers.violations += limited.end()
@@ -545,6 +559,7 @@
         stating.end()
         evacuated.end()
         faults.remove_faults()
+        cut_off.restore()
         await asyncio.sleep(SETTLE_S / 4)
         evacuated.end()
         # Any data centre that is left would get these few requests anyway, and
@@ -556,6 +571,8 @@
         evacuated.end()
         await callers.check_crashing(nodes)
         await asyncio.sleep(SETTLE_S / 2)
+        callers.violations += await cut_off.check_end(callers.call)
+        await asyncio.sleep(SETTLE_S / 4)
         final_statuses = await callers.call_all(nodes)
         callers.check_runs()
         callers.violations += find_broken_pauses(
@@ -587,22 +604,13 @@
     )
 
 
-async def _start_proxy(server: SiteServer) -> LinkProxy:
-    """Start a proxy in front of a server and register its address."""
-    link = LinkProxy(target=server.address)
-    await link.start()
-    server.address = link.address
-    server.register()
-    return link
-
-
-def _find_ip(seed: int) -> str:
-    """Return a loopback IP address for the nodes of a run.
+def _find_ip(seed: int, node: int) -> str:
+    """Return a loopback IP address for a node of a run.
 
     Concurrent runs use different addresses, so that none of them takes the
     ports of another run's nodes that are down.
     """
-    return f"127.{1 + seed // 250 % 250}.{1 + seed % 250}.1"
+    return f"127.{1 + seed // 250 % 250}.{1 + seed % 250}.{1 + node}"
 
 
 def find_ports(ip: str, taken: set[int]) -> dict[str, int]:
@@ -652,11 +660,12 @@
     parser.add_argument("--seeds", type=int, default=1)
     parser.add_argument("--first", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=20.0)
+    parser.add_argument("--nodes", type=int, default=NODES)
     parser.add_argument("--logs", type=pathlib.Path)
     arguments = parser.parse_args()
     failed = 0
     for seed in range(arguments.first, arguments.first + arguments.seeds):
-        plan = Plan(seed=seed, seconds=arguments.seconds)
+        plan = Plan(seed=seed, seconds=arguments.seconds, nodes=arguments.nodes)
         with tempfile.TemporaryDirectory() as temporary:
             folder = pathlib.Path(temporary)
             if arguments.logs is not None:
