--- a/test/tasks/installation.py
+++ b/test/tasks/installation.py
@@ -297,12 +297,16 @@
 class Liveness(ServerLiveness):
     """Distinguishes live servers from crashed ones by address."""
 
-    def __init__(self, *, crashed: set[str]) -> None:
+    def __init__(
+        self, *, crashed: set[str], own: str, cut_off: set[str]
+    ) -> None:
         self._crashed = crashed
+        self._own = own
+        self._cut_off = cut_off
 
     async def is_alive(self, address: str) -> bool:
         await asyncio.sleep(2 * LINK_S)
-        return address not in self._crashed
+        return self._own not in self._cut_off and address not in self._crashed
 
 
 class Installation:
@@ -310,6 +314,7 @@
 
     Attributes:
       crashed_servers: addresses of servers that have crashed.
+      cut_off: addresses of nodes that reach no server.
       partitioned: addresses of nodes that only reach each other.
       cut_links: pairs of addresses of nodes that do not reach each other.
       running_nodes: the running nodes by address.
@@ -321,6 +326,7 @@
         monkeypatch.setattr(node_module, "read_clock", self.loop.time)
         monkeypatch.setattr(poisondetector_module, "read_clock", self.loop.time)
         self.crashed_servers: set[str] = set()
+        self.cut_off: set[str] = set()
         self.partitioned: set[str] = set()
         self.cut_links: set[frozenset[str]] = set()
         self.store = Store()
@@ -455,7 +461,11 @@
                 client=client,
                 decode_configuration=_decode_configuration,
                 decode_server=_decode_server,
-                liveness=Liveness(crashed=self.crashed_servers),
+                liveness=Liveness(
+                    crashed=self.crashed_servers,
+                    own=name,
+                    cut_off=self.cut_off,
+                ),
                 decode_evacuation=decode_evacuation,
             ),
             state=state,
