Count a request that is passed on only once for the retry budget

Each request allows a fifth of a retry, at the node that gets it from its caller. A request that another node passed on was counted at both, so that with six of nine nodes cut off the fleet allowed itself up to two thirds more of that part than the bound. Found by reading; the test fails without the change.

--- a/chervilrock/edges/serving/exchange.py
+++ b/chervilrock/edges/serving/exchange.py
@@ -169,7 +169,11 @@
         self._expires = self._find_expiry(admitted)
         self._service = choose_service(admitted.route, self._state.generator)
         self._search.admit(admitted, self._service, self._expires)
-        self._retry_reservation.admit(self._service, self._request.arrived)
+        self._retry_reservation.admit(
+            self._service,
+            self._request.arrived,
+            is_passed_on=self._earlier_sends is not None,
+        )
         try:
             await self._serve(admitted)
         finally:
--- a/chervilrock/edges/serving/retryreservation.py
+++ b/chervilrock/edges/serving/retryreservation.py
@@ -21,10 +21,20 @@
         self._is_reserved = False
         self._is_spent = False
 
-    def admit(self, service: str, now: float) -> None:
-        """Record the service of the request and count the request."""
+    def admit(
+        self, service: str, now: float, *, is_passed_on: bool = False
+    ) -> None:
+        """Record the service of the request and count the request.
+
+        Args:
+          service: service of the request.
+          now: current time.
+          is_passed_on: whether another node has counted the request and
+            passed it on.
+        """
         self._service = service
-        self._state.budget(service).record_request(now)
+        if not is_passed_on:
+            self._state.budget(service).record_request(now)
 
     def reserve(self) -> bool:
         """Reserve a retry; return False if the budget is used up."""
--- a/test/edges/test_retry_reservations.py
+++ b/test/edges/test_retry_reservations.py
@@ -79,3 +79,18 @@
     reservation.reserve()
     reservation.reserve()
     assert_that(count_left(state), Equals(2.0))
+
+
+def test_a_request_that_another_node_passed_on_earns_nothing_twice() -> None:
+    state = ServingState(
+        own=NodeEntry("n1", "i1", "10.0.0.1:1", "10.0.0.1:2", "a"),
+        bounds=RetryBounds(ratio=0.2, slack=0.0, window_s=10.0),
+        generator=random.Random(1),
+    )
+    for is_passed_on, earns in ((True, False), (False, True)):
+        before = count_left(state)
+        for number in range(5):
+            RetryReservation(state=state).admit(
+                SERVICE, number / 10, is_passed_on=is_passed_on
+            )
+        assert_that(count_left(state) > before, Is(earns))
