--- a/chervilrock/edges/serving/exchange.py
+++ b/chervilrock/edges/serving/exchange.py
@@ -493,7 +493,7 @@
         receiver = AnswerReceiver(
             request_id=self.request_id,
             last_event=self._last_event,
-            deliver=self._write_events,
+            deliver=self._deliver_from_node,
             progress=lambda: None,
             record_collected=self._connection.record_collected,
         )
@@ -682,6 +682,12 @@
             self._search.record_first_event(self._sent_at, self._first_event)
         self._write_events(head, events)
 
+    def _deliver_from_node(self, head: Head, events: bytes) -> None:
+        """Forward events that another node got; they show no speed of it."""
+        if self._first_event is None:
+            self._first_event = read_clock()
+        self._write_events(head, events)
+
     def _write_events(self, head: Head, events: bytes) -> None:
         if self._connection.has_begun:
             self._connection.write(events)
