Confirm a cut by a second round that asks plain servers too

Found by reading: where all hosts of groups are lost at once while plain servers live, all nodes would have counted as cut off, and requests of plain services would have been refused for no reason. A second round of probes now asks plain servers by their status check; only if none answers either is the node cut off. Plain servers are few, so the first round leaves them alone, as do both while they state a limit, a warm-up or a pause. A test loses all hosts at once: plain requests are all served and no node counts as cut off.

--- a/chervilrock/decisions/serving/nodes/reachability.py
+++ b/chervilrock/decisions/serving/nodes/reachability.py
@@ -6,10 +6,11 @@
 connections before it decides: open connections may outlive the loss.
 """
 
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 import math
 from typing import Any, NamedTuple, TYPE_CHECKING
 
+from chervilrock.decisions.serving.site import Service
 from chervilrock.decisions.serving.view import ServingView
 
 if TYPE_CHECKING:
@@ -27,9 +28,11 @@
 probed. Sound servers may be silent for about a second."""
 
 PROBE_COUNT = 4
-"""Servers that are asked at once. Links that lose a fifth of all packets fail
-to carry a connection and its answer to all of them once in a thousand
-rounds."""
+"""Servers that are asked at once."""
+
+ROUNDS_TO_CUT = 2
+"""Rounds of probes in a row without any answer after which a node is cut off:
+with half of the servers lost, one round may ask lost ones only."""
 
 PROBE_TIMEOUT_S = 0.3
 """Time for a server to answer a probe; a lost packet is sent again after 0.2 s.
@@ -68,34 +71,58 @@
       server: identifier of the server.
       address: IP:port.
       is_head: whether it is the head of a group, which answers status queries.
+      health_path: path of the status check of a plain server, empty for none.
     """
 
     server: str
     address: str
     is_head: bool
+    health_path: str = ""
 
 
 def choose_targets(
-    view: ServingView, generator: "random.Random", *, without: str = ""
+    view: ServingView,
+    services: Mapping[str, Service],
+    generator: "random.Random",
+    *,
+    without: str = "",
+    spared: Collection[str] = (),
+    is_mixed: bool = False,
 ) -> tuple[ProbeTarget, ...]:
-    """Return random servers to probe, heads of groups if there are any.
+    """Return random servers to probe.
 
     Args:
       view: groups and servers that accept requests.
+      services: the services by name.
       generator: draws the servers.
       without: server that is left out, empty for none.
+      spared: servers that want few requests or none. A status check of a
+        plain server takes a slot as a request does.
+      is_mixed: whether half of them should be plain servers, since all hosts
+        of groups may be lost at once; otherwise heads of groups come first.
     """
-    targets = [
+    heads = [
         ProbeTarget(group.server, group.address, is_head=True)
         for group in view.groups
         if group.server != without
-    ] or [
-        ProbeTarget(server.server, server.address, is_head=False)
+    ]
+    plain = [
+        ProbeTarget(
+            server.server,
+            server.address,
+            is_head=False,
+            health_path=services[server.service].health_path
+            if server.service in services
+            else "",
+        )
         for server in view.servers
-        if server.server != without
+        if server.server != without and server.server not in spared
     ]
-    count = min(PROBE_COUNT, len(targets))
-    return tuple(generator.sample(targets, count))
+    generator.shuffle(heads)
+    generator.shuffle(plain)
+    first = PROBE_COUNT // 2 if is_mixed else PROBE_COUNT
+    ordered = heads[:first] + plain + heads[first:]
+    return tuple(ordered[:PROBE_COUNT])
 
 
 class ProbeRound(NamedTuple):
@@ -131,6 +158,7 @@
         self._reached_at = float("-inf")
         self._answered_at = float("-inf")
         self._is_probing = False
+        self._failed_rounds = 0
         self._probe_at = float("-inf")
         self._probe_pause_s = PROBE_PAUSE_S
         self._restored_at = float("-inf")
@@ -198,6 +226,11 @@
             return False
         return self.is_cut_off or self.is_suspected(now)
 
+    @property
+    def is_confirming(self) -> bool:
+        """Whether the next round may show that the node is cut off."""
+        return self._failed_rounds > 0 or self.is_cut_off
+
     def record_probing(self) -> None:
         """Record that a round of probes begins."""
         self._is_probing = True
@@ -210,6 +243,7 @@
         """
         self._is_probing = False
         if probes.is_reached:
+            self._failed_rounds = 0
             self._probe_at = now + self._probe_pause_s
             self._probe_pause_s = min(
                 MAX_PROBE_PAUSE_S, 2 * self._probe_pause_s
@@ -225,7 +259,12 @@
             self._probe_at = now + RECHECK_INTERVAL_S
             return False
         if self._reached_at >= probes.began:
+            self._failed_rounds = 0
+            return False
+        self._failed_rounds += 1
+        if self._failed_rounds < ROUNDS_TO_CUT:
             return False
+        self._failed_rounds = 0
         self._begin_cut(now)
         return True
 
--- a/chervilrock/decisions/serving/servers/serverstatements.py
+++ b/chervilrock/decisions/serving/servers/serverstatements.py
@@ -107,6 +107,17 @@
             change = change._replace(has_new_unreadable=is_new)
         return change
 
+    def list_servers(self) -> frozenset[str]:
+        """Return the servers of which any statement is in force."""
+        return frozenset(
+            (
+                *self.limits.list_limited(),
+                *self.limits.list_cold(),
+                *self.pauses.list_servers(),
+                *self.departures.list_servers(),
+            )
+        )
+
     def refuses(self, server: str, now: float) -> bool:
         """Return whether a server wants no request of this node now."""
         is_leaving = server in self.departures
--- a/chervilrock/edges/serving/detours.py
+++ b/chervilrock/edges/serving/detours.py
@@ -6,7 +6,6 @@
 """
 
 from chervilrock.decisions.serving.admission.attempts import (
-    classify_answer,
     is_promise,
     SendOutcome,
 )
@@ -147,9 +146,7 @@
                 transfer
             )
             return SendOutcome.NOT_RUN
-        return classify_answer(
-            facts, request_id=self._request.facts.request_id, is_whole=True
-        )
+        return SendOutcome.LOST
 
 
 def _is_cut_off(transfer: Transfer) -> bool:
--- a/chervilrock/edges/serving/exchange.py
+++ b/chervilrock/edges/serving/exchange.py
@@ -24,7 +24,10 @@
 from chervilrock.decisions.serving.groups.stalls import StallDetector
 from chervilrock.decisions.serving.messages import AnswerFacts, ForwardedFields
 from chervilrock.decisions.serving.nodes.detours import find_retry_after
-from chervilrock.decisions.serving.nodes.reachability import PROBE_TIMEOUT_S
+from chervilrock.decisions.serving.nodes.reachability import (
+    PROBE_TIMEOUT_S,
+    ROUNDS_TO_CUT,
+)
 from chervilrock.decisions.serving.view import GroupEndpoint
 from chervilrock.edges.heads import Head
 from chervilrock.edges.relay import (
@@ -46,10 +49,7 @@
 from chervilrock.platform import headers as names
 from chervilrock.serving_metrics import ServingMetrics
 from chervilrock.tasks.clock import read_clock
-from chervilrock.tasks.serving.poisondetector import (
-    PoisonDetector,
-    VERDICT_POLL_INTERVAL_S,
-)
+from chervilrock.tasks.serving.poisondetector import PoisonDetector
 from chervilrock.tasks.serving.state import ServingState
 from chervilrock.tasks.serving.waitqueue import WaitQueue
 
@@ -65,10 +65,13 @@
 the retries of one call last, and short if the request is withheld by
 mistake."""
 
-VERDICT_WAIT_S = PROBE_TIMEOUT_S + 0.1
+PROBES_WAIT_S = ROUNDS_TO_CUT * PROBE_TIMEOUT_S + 0.15
 """Longest time for which a request waits until it is known whether this node
 reaches any server."""
 
+POLL_INTERVAL_S = 0.01
+"""Time between two checks whether it is known."""
+
 SILENT_SEND_S = 1.0
 """Time without a byte of the answer after which a node that is cut off ends a
 send that it made before."""
@@ -294,9 +297,9 @@
         """Wait while it is unknown whether this node reaches any server."""
         reachability = self._state.reachability
         now = read_clock()
-        until = min(self._expires, now + VERDICT_WAIT_S)
+        until = min(self._expires, now + PROBES_WAIT_S)
         while now < until and reachability.is_in_doubt(now):
-            await asyncio.sleep(VERDICT_POLL_INTERVAL_S)
+            await asyncio.sleep(POLL_INTERVAL_S)
             now = read_clock()
 
     def _should_continue(
--- a/chervilrock/standin/site/servers.py
+++ b/chervilrock/standin/site/servers.py
@@ -212,6 +212,7 @@
             [
                 web.url(r"/report", _ReportHandler, options),
                 web.url(r"/order", _OrderHandler, options),
+                web.url(r"/health", _HealthHandler, options),
                 web.url(r"/.*", _RequestHandler, options),
             ],
             log_function=lambda _handler: None,
@@ -475,6 +476,16 @@
         )
 
 
+class _HealthHandler(_Handler):
+    def get(self) -> None:
+        """Answer a status check."""
+        if self.reject_misdirected():
+            return
+        self.set_status(503 if self.server.is_leaving else 200)
+        self.set_header("X-Instance-Id", self.server.server)
+        self.finish()
+
+
 class _OrderHandler(_Handler):
     def post(self) -> None:
         """Carry out an order."""
--- a/chervilrock/tasks/serving/poisondetector.py
+++ b/chervilrock/tasks/serving/poisondetector.py
@@ -21,7 +21,6 @@
     Suspect,
     SuspectTracker,
 )
-from chervilrock.decisions.serving.nodes.reachability import choose_targets
 from chervilrock.decisions.serving.view import NodeEntry
 from chervilrock.events import emit, Event
 from chervilrock.tasks.clock import read_clock
@@ -143,11 +142,10 @@
             self._checks[broken.server].append(broken)
         else:
             self._checks[broken.server] = [broken]
-            references = choose_targets(
-                self._state.view, self._state.generator, without=broken.server
-            )
             self._outbound.check_server(
-                broken.server, broken.address, references
+                broken.server,
+                broken.address,
+                self._state.choose_probe_targets(without=broken.server),
             )
 
     def record_completion(self, content: str) -> None:
--- a/chervilrock/tasks/serving/serverprobes.py
+++ b/chervilrock/tasks/serving/serverprobes.py
@@ -1,9 +1,6 @@
 """Probes servers to find out whether this node is cut off from all of them."""
 
-from chervilrock.decisions.serving.nodes.reachability import (
-    choose_targets,
-    ProbeRound,
-)
+from chervilrock.decisions.serving.nodes.reachability import ProbeRound
 from chervilrock.events import emit, Event
 from chervilrock.tasks.serving.messages import ServersProbed
 from chervilrock.tasks.serving.outbound import Outbound
@@ -33,7 +30,9 @@
         reachability = self._state.reachability
         if not reachability.is_probe_due(now):
             return
-        targets = choose_targets(self._state.view, self._state.generator)
+        targets = self._state.choose_probe_targets(
+            is_mixed=reachability.is_confirming
+        )
         if targets:
             reachability.record_probing()
             self._outbound.probe_servers(targets, now)
--- a/chervilrock/tasks/serving/state.py
+++ b/chervilrock/tasks/serving/state.py
@@ -41,7 +41,11 @@
     StatedLimit,
 )
 from chervilrock.decisions.serving.nodes.activenodes import ActiveNodes
-from chervilrock.decisions.serving.nodes.reachability import ServerReachability
+from chervilrock.decisions.serving.nodes.reachability import (
+    choose_targets,
+    ProbeTarget,
+    ServerReachability,
+)
 from chervilrock.decisions.serving.servers.evacuations import Evacuations
 from chervilrock.decisions.serving.servers.serverlimits import LimitChange
 from chervilrock.decisions.serving.servers.serverstarts import ServerStarts
@@ -232,6 +236,26 @@
         for group in set(self._failing_until) - groups:
             del self._failing_until[group]
 
+    def choose_probe_targets(
+        self, *, without: str = "", is_mixed: bool = False
+    ) -> tuple[ProbeTarget, ...]:
+        """Return servers that show whether this node reaches any.
+
+        Args:
+          without: server that is left out, empty for none.
+          is_mixed: whether half of them should be plain servers.
+        """
+        routes = self.routes
+        services = {} if routes is None else routes.configuration.services
+        return choose_targets(
+            self.view,
+            services,
+            self.generator,
+            without=without,
+            spared=self.statements.list_servers(),
+            is_mixed=is_mixed,
+        )
+
     def find_engine(self, service: str) -> EngineProfile | None:
         """Return the engine profile of a service, None for a plain one."""
         if self.routes is None:
--- a/test/node/test_cut_off_nodes.py
+++ b/test/node/test_cut_off_nodes.py
@@ -364,3 +364,19 @@
             assert_that(since, LessThan(0.0))
 
     run_cut_world(scenario)
+
+
+def test_the_loss_of_all_hosts_of_groups_is_no_cut() -> None:
+    async def scenario(world: World) -> None:
+        for server in world.site.servers:
+            if server.domain:
+                server.depart()
+        streams = asyncio.create_task(world.call_in_turn(seconds=1.0))
+        statuses = await world.call_in_turn("/book/x", seconds=1.0)
+        assert_that(statuses, AllMatch(Equals(200)))
+        await streams
+        for node in world.nodes:
+            since = node.state.reachability.cut_since
+            assert_that(since, LessThan(0.0))
+
+    run_cut_world(scenario)
