Keep all nodes listed while none of them reaches servers

With an empty list, callers already fell back to all known nodes, but nobody was left to send to servers with a limit until the hold after the cut was over. The list now names all known nodes then.

--- a/chervilrock/clients/serving.py
+++ b/chervilrock/clients/serving.py
@@ -125,14 +125,14 @@
 
     @abc.abstractmethod
     async def is_reached(
-        self, server: str, address: str, health_path: str, timeout_s: float
+        self, server: str, address: str, status_path: str, timeout_s: float
     ) -> bool:
         """Return whether a server answers at all over a new connection.
 
         Args:
           server: identifier of the server.
           address: IP:port.
-          health_path: path of its status check, empty for the status query of
+          status_path: path of its status check, empty for the status query of
             a host of a group.
           timeout_s: time for the connection and the answer, in seconds.
         """
--- a/chervilrock/decisions/serving/nodes/reachability.py
+++ b/chervilrock/decisions/serving/nodes/reachability.py
@@ -71,13 +71,13 @@
       server: identifier of the server.
       address: IP:port.
       is_head: whether it is the head of a group, which answers status queries.
-      health_path: path of the status check of a plain server, empty for none.
+      status_path: path of the status check of a plain server, empty for none.
     """
 
     server: str
     address: str
     is_head: bool
-    health_path: str = ""
+    status_path: str = ""
 
 
 def choose_targets(
@@ -111,7 +111,7 @@
             server.server,
             server.address,
             is_head=False,
-            health_path=services[server.service].health_path
+            status_path=services[server.service].status_path
             if server.service in services
             else "",
         )
--- a/chervilrock/decisions/serving/site.py
+++ b/chervilrock/decisions/serving/site.py
@@ -138,14 +138,14 @@
       warmup_s: time for which a server is cold after its start, in seconds.
       warmup_rate: requests a second that a cold server tolerates, 0 if its
         servers do not warm up.
-      health_path: path of the status check of its servers, empty for none.
+      status_path: path of the status check of its servers, empty for none.
     """
 
     name: str
     engine: EngineProfile | None
     warmup_s: float = 0.0
     warmup_rate: float = 0.0
-    health_path: str = ""
+    status_path: str = ""
 
 
 class Limits(NamedTuple):
--- a/chervilrock/platform/engines.py
+++ b/chervilrock/platform/engines.py
@@ -72,12 +72,12 @@
         return answer.bind(_decode_reply)
 
     async def is_reached(
-        self, server: str, address: str, health_path: str, timeout_s: float
+        self, server: str, address: str, status_path: str, timeout_s: float
     ) -> bool:
         """See base class."""
         answer = await self._client.request(
             "GET",
-            f"http://{address}{health_path or '/report'}",
+            f"http://{address}{status_path or '/report'}",
             timeout_s=timeout_s,
             headers={EXPECTED_SERVER: server},
             is_fresh=True,
--- a/chervilrock/platform/operator.py
+++ b/chervilrock/platform/operator.py
@@ -206,7 +206,7 @@
     return Service(
         name=service.name,
         engine=None if engine is None else _make_engine(engine),
-        health_path=service.health_path,
+        status_path=service.health_path,
         warmup_s=read("warmup_s", service.warmup_s),
         warmup_rate=read("warmup_per_s", service.warmup_per_s),
     )
--- a/chervilrock/tasks/serving/leading.py
+++ b/chervilrock/tasks/serving/leading.py
@@ -415,6 +415,9 @@
         if not state.is_stopping and not is_withdrawn:
             live.add(state.own.incarnation)
         known = {*state.known_nodes.values(), state.own}
+        if is_withdrawn and not live:
+            # No node reaches servers, or each did so again only just now.
+            live = {node.incarnation for node in known}
         nodes = tuple(
             sorted(node for node in known if node.incarnation in live)
         )
--- a/chervilrock/tasks/serving/outbound.py
+++ b/chervilrock/tasks/serving/outbound.py
@@ -391,10 +391,10 @@
         return False
 
     async def _is_reached(self, target: ProbeTarget) -> bool:
-        if not (target.is_head or target.health_path):
+        if not (target.is_head or target.status_path):
             return await self._ports.liveness.is_alive(target.address)
         return await self._ports.engines.is_reached(
-            target.server, target.address, target.health_path, PROBE_TIMEOUT_S
+            target.server, target.address, target.status_path, PROBE_TIMEOUT_S
         )
 
     async def _send_crash_report(
--- a/test/decisions/serving/nodes/test_reachability.py
+++ b/test/decisions/serving/nodes/test_reachability.py
@@ -260,7 +260,7 @@
     assert_that(now - NOW, LessThan(1.8))
 
 
-SERVICES = {"desk": Service("desk", None, health_path="/health")}
+SERVICES = {"desk": Service("desk", None, status_path="/health")}
 
 
 def make_view(heads: int, servers: int) -> ServingView:
@@ -308,7 +308,7 @@
     counts = Counter(target.is_head for target in chosen)
     assert_that(counts[True], Equals(probed_heads))
     assert_that(counts[False], Equals(probed_servers))
-    paths = {target.health_path for target in chosen if not target.is_head}
+    paths = {target.status_path for target in chosen if not target.is_head}
     assert_that(paths <= {"/health"}, Is(True))
 
 
