--- a/chervilrock/tasks/serving/outbound.py
+++ b/chervilrock/tasks/serving/outbound.py
@@ -366,13 +366,12 @@
         address: str,
         references: tuple[ProbeTarget, ...],
     ) -> None:
-        liveness = self._ports.liveness
-        is_alive = await liveness.is_alive(address)
+        # Begun together, so that a cut does not end between the checks, and
+        # that the next request with this content finds the crash recorded.
+        reaches_others = self._start(self._reaches_any(references))
+        is_alive = await self._ports.liveness.is_alive(address)
         if not is_alive and references:
-            # The second check shows that the server is still gone while others
-            # are reached.
-            is_alive = not await self._reaches_any(references)
-            is_alive = is_alive or await liveness.is_alive(address)
+            is_alive = not await reaches_others
         await self._outbox.send(ServerChecked(server, is_alive))
 
     async def _probe_servers(
