Do not blame a request that was sent while its server was being checked

One part is ours: while a server is checked, further sends to it broke as well, and were reported with it; the check takes longer since others are asked too. A send that begins after the check has begun is left out now. A first send that meets a server which is already gone is still reported, as before; that rest is open.

--- a/chervilrock/tasks/serving/poisondetector.py
+++ b/chervilrock/tasks/serving/poisondetector.py
@@ -75,6 +75,18 @@
     since_sent_s: float
 
 
+class _Check(NamedTuple):
+    """A check of a server that is in progress.
+
+    Attributes:
+      began: when it began.
+      sends: broken sends that the server may have crashed under.
+    """
+
+    began: float
+    sends: list[BrokenSend]
+
+
 class PoisonDetector:
     """Finds poison requests by the server crashes known to one node."""
 
@@ -89,7 +101,7 @@
         self._outbound = outbound
         self._tracker = SuspectTracker()
         self._reports = CrashReports(state=state, outbound=outbound)
-        self._checks: dict[str, list[BrokenSend]] = {}
+        self._checks: dict[str, _Check] = {}
         self._checked: dict[str, tuple[bool, float]] = {}
         self._is_leading = False
         self._evaluate_at = float("inf")
@@ -139,9 +151,12 @@
             if now - broken.since_sent_s < checked:
                 self._apply_check((broken,), is_alive=is_alive, now=now)
         elif broken.server in self._checks:
-            self._checks[broken.server].append(broken)
+            check = self._checks[broken.server]
+            # If the server is gone, it was gone when the check began.
+            if now - broken.since_sent_s < check.began:
+                check.sends.append(broken)
         else:
-            self._checks[broken.server] = [broken]
+            self._checks[broken.server] = _Check(now, [broken])
             self._outbound.check_server(
                 broken.server,
                 broken.address,
@@ -157,8 +172,9 @@
     def record_checked(self, checked: ServerChecked, now: float) -> None:
         """Apply the result of checking a server."""
         self._checked[checked.server] = (checked.is_alive, now)
-        sends = self._checks.pop(checked.server, [])
-        self._apply_check(sends, is_alive=checked.is_alive, now=now)
+        check = self._checks.pop(checked.server, None)
+        if check is not None:
+            self._apply_check(check.sends, is_alive=checked.is_alive, now=now)
 
     def _apply_check(
         self, sends: Iterable[BrokenSend], *, is_alive: bool, now: float
--- a/test/tasks/test_poisondetector.py
+++ b/test/tasks/test_poisondetector.py
@@ -210,3 +210,17 @@
     act(NOW + 1.1, term=7)
     assert_that(calls.written, Equals([(CONTENT, True)]))
     assert_that(calls.reports, HasLength(0))
+
+
+def test_a_send_that_begins_during_the_check_did_not_crash_the_server(
+    poisondetector: PoisonDetector, calls: RecordedCalls, act: Act
+) -> None:
+    break_send(poisondetector, "s1")
+    late = BrokenSend("brokers/late", "s1", "x:1", 0.0, 0.01)
+    poisondetector.record_broken(late, NOW + 0.05)
+    poisondetector.record_checked(ServerChecked("s1", False), NOW + 0.1)
+    act(NOW + 0.1)
+    contents = [
+        content for _, report in calls.reports for content, _ in report.crashes
+    ]
+    assert_that(contents, Equals([CONTENT]))
