Let a server of the stand-in wait for its port when it restarts

A plain server was in all views and refused connections for over four seconds; it had an identifier that was written to the store although its restart had not ended. What fits is a port that an outgoing connection had taken in the half second without a listener; the error itself was not logged, so the cause is suspected.

--- a/chervilrock/standin/site/servers.py
+++ b/chervilrock/standin/site/servers.py
@@ -224,6 +224,19 @@
         self._http = httpserver.HTTPServer(application)
         self._http.add_sockets(sockets)
 
+    async def _listen_again(self) -> None:
+        """Listen on the former port as soon as it is free.
+
+        An outgoing connection may have taken it while the server was down.
+        """
+        while True:
+            try:
+                self._listen(self._port)
+            except OSError:
+                await asyncio.sleep(RESTART_DELAY_S)
+            else:
+                return
+
     async def stop(self) -> None:
         """Close all connections without notice, as a crash does."""
         restart = self._restart
@@ -308,8 +321,8 @@
         self.to_reject = 0
         self.leaving = ""
         self.is_leaving = False
+        await self._listen_again()
         self._is_down = False
-        self._listen(self._port)
         if self.warmup_s:
             self.turn_cold(self.warmup_s)
         else:
