Show that a stopping node discards answers that were not sent yet

A caller that reads 4 MB at 800 kB a second gets about 3.4 MB, as the node exits 3.2 s after SIGTERM, with 4.8 s of its grace left.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,8 @@
+#!/bin/sh
+# Runs the case. Exit code: 1 if the rule was broken, 0 if it held, 2 if the
+# case could not run. TROUBLE=0 leaves the disruption out.
+cd "$(dirname "$0")" || exit 2
+root=$(cd ../.. && pwd) || exit 2
+export PYTHONPATH="$root/target/deps:$root:$root/review"
+python3 -c 'import msgspec, tornado, chervilrock.standin.site.site' || exit 2
+exec python3 case.py
