Show in case 1 also an answer that is discarded at SIGTERM

The script of case 1 has two parts now: requests that wait for a slot, and an answer that its caller still reads, which was case 3. An error of a script itself is now told apart from a broken rule by its exit code.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,9 +1,10 @@
-"""A machine gets SIGTERM while requests wait in it for a slot of a server.
+"""A machine gets SIGTERM while it holds requests that it has accepted.
 
-All slots are taken by earlier requests. Half of the callers send just before
-the signal, the others 1 s after it, while they may still use the address. The
-waiting requests have been read in full, have reached no server and have time
-left when the process exits.
+In the second part (unread.py) a caller still reads its answer. In the first one
+requests wait in the node, as all slots are taken by earlier requests. Half of
+the callers send just before the signal, the others 1 s after it, while they may
+still use the address. The waiting requests have been read in full, have reached
+no server and have time left when the process exits.
 """
 
 import asyncio
@@ -12,12 +13,7 @@
 import sys
 import time
 
-from common import (
-    Installation,
-    NodeProcess,
-    parse_head,
-    run_case,
-)
+from unread import read_slowly
 
 from chervilrock.standin.site.site import (
     HOST,
@@ -25,6 +21,12 @@
     make_configuration,
     PLAIN_SERVICE,
 )
+from common import (
+    Installation,
+    NodeProcess,
+    parse_head,
+    run_case,
+)
 
 CASE = pathlib.Path(__file__).resolve().parent
 
@@ -74,7 +76,9 @@
     return status, time.monotonic()
 
 
-async def scenario(installation: Installation, is_disturbed: bool) -> bool:
+async def wait_for_slots(
+    installation: Installation, is_disturbed: bool
+) -> bool:
     """Return whether each request that waited got an answer."""
     record = installation.record
     site = installation.site
@@ -130,4 +134,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(run_case(CASE, scenario))
+    sys.exit(run_case(CASE, wait_for_slots, read_slowly))
--- a/review/common.py
+++ b/review/common.py
@@ -30,7 +30,9 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 
 HELD = 0
-BROKEN = 1
+BROKEN = 10
+"""Not 1, which Python returns for an error of the case itself."""
+
 NOT_RUN = 2
 
 READY_TIMEOUT_S = 30.0
@@ -149,6 +151,8 @@
     Attributes:
       server: its identifier.
       runs: identifiers of the requests that it began to run.
+      begun: when it began to run each, on the monotonic clock.
+      is_gone: whether it writes its entry no more.
     """
 
     def __init__(
@@ -164,6 +168,11 @@
         """
         self.server = f"i-{random.getrandbits(40):010x}"
         self.runs: list[str] = []
+        self.begun: list[float] = []
+        self.is_gone = False
+        self._sequence = 0
+        self._address = ""
+        self._writers: set[asyncio.StreamWriter] = set()
         self._site = site
         self._service = service
         self._slots = slots
@@ -176,20 +185,38 @@
         """Listen on loopback and register in the store."""
         self._listener = await asyncio.start_server(self._serve, "127.0.0.1", 0)
         port = self._listener.sockets[0].getsockname()[1]
+        self._address = f"127.0.0.1:{port}"
+        self._born = round(time.time() * 1000)
+        self.write_entry()
+
+    def write_entry(self) -> None:
+        """Write the entry of this server to the store, as a heartbeat does."""
+        self._sequence += 1
         entry = {
             "service": self._service,
-            "address": f"127.0.0.1:{port}",
+            "address": self._address,
             "zone": "a",
             "slots": self._slots,
             "version": "v1",
             "state": "ready",
-            "sequence": 1,
+            "sequence": self._sequence,
             "warmup_left_ms": 0,
-            "born": round(time.time() * 1000),
+            "born": self._born,
         }
         topic = self._site.store.topic("keyed.servers")
         topic.append(self.server, json.dumps(entry).encode())
 
+    def remove_entry(self) -> None:
+        """Leave without a notice: remove the entry, and keep serving."""
+        self.is_gone = True
+        self._site.store.topic("keyed.servers").append(self.server, b"")
+
+    def exit(self) -> None:
+        """Close the listening socket and all connections."""
+        self.stop()
+        for writer in list(self._writers):
+            writer.close()
+
     def stop(self) -> None:
         """Stop listening."""
         if self._listener is not None:
@@ -200,9 +227,11 @@
     ) -> None:
         # The end of the run cancels the connections that are still open.
         ended = (OSError, asyncio.IncompleteReadError, asyncio.CancelledError)
+        self._writers.add(writer)
         with contextlib.suppress(*ended):
             while await self._answer(reader, writer):
                 pass
+        self._writers.discard(writer)
         writer.close()
 
     async def _answer(
@@ -220,17 +249,15 @@
         elif self._present >= 2 * self._slots:
             await self._write(writer, 503, {"X-Not-Executed": "1"}, b"")
         else:
-            await self._run(request_id, line, writer)
+            await self._run(request_id, writer)
         return True
 
-    async def _run(
-        self, request_id: str, line: str, writer: asyncio.StreamWriter
-    ) -> None:
+    async def _run(self, request_id: str, writer: asyncio.StreamWriter) -> None:
         self._present += 1
         try:
             async with self._free:
                 self.runs.append(request_id)
-                self.record_run(request_id, line)
+                self.begun.append(time.monotonic())
                 await asyncio.sleep(self._work_s)
         finally:
             self._present -= 1
@@ -241,9 +268,6 @@
         body = f"answer to {request_id}".encode()
         await self._write(writer, 200, headers, body)
 
-    def record_run(self, request_id: str, line: str) -> None:
-        """Record the request line of a run; does nothing by default."""
-
     async def _write(
         self,
         writer: asyncio.StreamWriter,
@@ -322,27 +346,33 @@
 
 def run_case(
     case: pathlib.Path,
-    scenario: Callable[[Installation, bool], Awaitable[bool]],
+    *scenarios: Callable[[Installation, bool], Awaitable[bool]],
 ) -> int:
-    """Run a case and return the exit code of its script.
+    """Run a case and return the exit code for its script.
 
     Args:
       case: folder of the case, which gets `record.txt`.
-      scenario: gets the installation and whether to cause the disruption, and
-        returns whether the rule held.
+      *scenarios: run one after the other; each gets an installation of its own
+        and whether to cause the disruption, and returns whether the rule held.
     """
     is_disturbed = os.environ.get("TROUBLE", "1") != "0"
 
     async def run(record: Record) -> bool:
-        with tempfile.TemporaryDirectory() as folder:
-            installation = Installation(
-                record=record, folder=pathlib.Path(folder)
-            )
-            try:
-                async with asyncio.timeout(110):
-                    return await scenario(installation, is_disturbed)
-            finally:
-                await installation.stop()
+        held = True
+        async with asyncio.timeout(110):
+            for scenario in scenarios:
+                record.write(f"part: {scenario.__name__}")
+                with tempfile.TemporaryDirectory() as folder:
+                    installation = Installation(
+                        record=record, folder=pathlib.Path(folder)
+                    )
+                    try:
+                        has_held = await scenario(installation, is_disturbed)
+                        record.write("held" if has_held else "BROKEN")
+                        held &= has_held
+                    finally:
+                        await installation.stop()
+        return held
 
     with (case / "record.txt").open("w", encoding="utf-8") as file:
         record = Record(file=file)
