--- a/review/2/case.py
+++ b/review/2/case.py
@@ -11,6 +11,12 @@
 import sys
 import time
 
+from chervilrock.standin.site.site import (
+    HOST,
+    KEY,
+    make_configuration,
+    PLAIN_SERVICE,
+)
 from common import (
     Installation,
     MEMORY_MB,
@@ -20,13 +26,6 @@
     run_case,
 )
 
-from chervilrock.standin.site.site import (
-    HOST,
-    KEY,
-    make_configuration,
-    PLAIN_SERVICE,
-)
-
 CASE = pathlib.Path(__file__).resolve().parent
 
 LARGE_BODY_BYTES = 4_194_304
