Release bodies and answers when a request ends

Cause: a finished request was cyclic garbage, which only a collection of the oldest generation frees: exchange and connection referred to each other, the receiver's callback to its receiver, and the HTTP client's response to its error. The budget was released before the memory was. Answers were held twice or three times.

Change: an exchange lets go of its connection, callbacks get the receiver as an argument, the error of a response is dropped. A body counts until all sends have ended. Answers are not copied.

--- a/chervilrock/clients/curlpool.py
+++ b/chervilrock/clients/curlpool.py
@@ -15,6 +15,15 @@
 """Default number of handles of one client."""
 
 
+def break_error_cycle(response: HTTPResponse) -> None:
+    """Drop the error of a response with a status other than 2xx.
+
+    The error refers to the response, and the response to its request, so that
+    their bodies would stay in memory until the garbage collector finds them.
+    """
+    response.error = None
+
+
 class QuietCurlClient(CurlAsyncHTTPClient):
     """A curl client that may be closed while requests are in progress.
 
@@ -110,9 +119,9 @@
     ) -> None:
         """Release the handle of a completed request, also an abandoned one."""
         self._release(index)
-        if not response.cancelled():
-            # asyncio logs exceptions that are never retrieved.
-            response.exception()
+        # asyncio logs exceptions that are never retrieved.
+        if not response.cancelled() and response.exception() is None:
+            break_error_cycle(response.result())
 
     def _release(self, index: int) -> None:
         """Release a handle, unless the pool is closed."""
--- a/chervilrock/edges/relay.py
+++ b/chervilrock/edges/relay.py
@@ -16,6 +16,7 @@
 from tornado.curl_httpclient import CurlAsyncHTTPClient, CurlError
 from tornado.httpclient import HTTPClientError, HTTPRequest
 
+from chervilrock.clients.curlpool import break_error_cycle
 from chervilrock.edges.heads import format_headers, Head, parse_head
 
 SEND_BUFFER_BYTES = 16 * 1024
@@ -165,7 +166,8 @@
                 allow_nonstandard_methods=True,
                 prepare_curl_callback=self._prepare,
             )
-            await client.fetch(http_request, raise_error=False)
+            response = await client.fetch(http_request, raise_error=False)
+            break_error_cycle(response)
         except CurlError as error:
             is_broken = (
                 error.errno in _BROKEN_CONNECTION_ERRORS and not self._abandoned
--- a/chervilrock/edges/serving/callers.py
+++ b/chervilrock/edges/serving/callers.py
@@ -12,6 +12,7 @@
 from chervilrock.edges.serving.connection import (
     CallerConnection,
     CallerMemory,
+    HeldBody,
 )
 from chervilrock.edges.serving.exchange import Context, Exchange
 from chervilrock.edges.serving.unsentanswers import UnsentAnswers
@@ -68,14 +69,19 @@
     ) -> None:
         """Start the exchange of a request that was received completely.
 
-        Its body was counted, and is released at the end of the exchange.
+        Its body was counted, and is released when no send needs it any more.
         """
         answer = self._make_answer(connection)
+        body = HeldBody(size=len(request.body), memory=self.memory)
         exchange = Exchange(
-            context=self._context, request=request, connection=answer
+            context=self._context,
+            request=request,
+            body=body,
+            connection=answer,
         )
         connection.set_close_callback(exchange.cancel)
         task = asyncio.get_running_loop().create_task(self._run(exchange))
+        body.hold(task)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
@@ -150,7 +156,7 @@
         try:
             await exchange.run()
         finally:
-            self.memory.release_body(exchange.body_size)
+            exchange.close()
             if self.exchanges.get(exchange.request_id) is exchange:
                 del self.exchanges[exchange.request_id]
 
--- a/chervilrock/edges/serving/connection.py
+++ b/chervilrock/edges/serving/connection.py
@@ -8,6 +8,7 @@
 import socket
 import struct
 import termios
+from typing import Any, cast
 
 from tornado import httputil
 from tornado.http1connection import HTTP1Connection
@@ -25,6 +26,9 @@
 Answers have some ten kilobytes, so a caller that leaves a megabyte unread
 counts as disconnected."""
 
+MAX_COPIED_BYTES = 64 * 1024
+"""Largest answer that is written together with its head."""
+
 ENDED_REASON = "the memory for callers was used up"
 
 LOG_INTERVAL_S = 1.0
@@ -117,14 +121,20 @@
         self.sample()
 
     def answer(
-        self, status: int, headers: Iterable[tuple[str, str]], body: bytes
+        self,
+        status: int,
+        headers: Iterable[tuple[str, str]],
+        body: bytes | bytearray,
     ) -> None:
         """Write a complete answer; its bytes no longer count as collected."""
         self.write_whole(status, headers, body)
         self.finish()
 
     def write_whole(
-        self, status: int, headers: Iterable[tuple[str, str]], body: bytes
+        self,
+        status: int,
+        headers: Iterable[tuple[str, str]],
+        body: bytes | bytearray,
     ) -> None:
         """Write a complete answer without marking it as complete."""
         self._memory.record_collected(self, 0)
@@ -138,6 +148,12 @@
         self._connection.stream.close()
         self.close()
 
+    def release_source(self) -> None:
+        """Let go of the source, which produces no more of the answer."""
+        self.source = None
+        if not self.is_sent:
+            self._connection.set_close_callback(self.close)
+
     def close(self) -> None:
         """Record that the connection is closed."""
         self.is_done = True
@@ -212,7 +228,7 @@
         status: int,
         pairs: Iterable[tuple[str, str]],
         length: int | None,
-        body: bytes,
+        body: bytes | bytearray,
     ) -> None:
         if self.is_done:
             return
@@ -226,9 +242,14 @@
         reason = http.client.responses.get(status, "Unknown")
         line = httputil.ResponseStartLine("HTTP/1.1", status, reason)
         self.has_begun = True
+        is_large = len(body) > MAX_COPIED_BYTES
+        first = None if is_large else bytes(body)
         self._discard_result(
-            self._connection.write_headers(line, headers, body)
+            self._connection.write_headers(line, headers, first)
         )
+        if is_large:
+            # Tornado copies what is written with the head, but not this.
+            self._discard_result(self._connection.write(cast(bytes, body)))
         self._is_delimited_by_close = (
             length is None and not self._connection._chunking_output
         )
@@ -358,6 +379,31 @@
             caller.end_early()
 
 
+class HeldBody:
+    """The counted body of a request, until nothing refers to it any more."""
+
+    def __init__(self, *, size: int, memory: CallerMemory) -> None:
+        """Create a body that was counted.
+
+        Args:
+          size: its size in bytes.
+          memory: counts what is held for all callers.
+        """
+        self._size = size
+        self._memory = memory
+        self._holders: set[asyncio.Future[Any]] = set()
+
+    def hold(self, task: "asyncio.Future[Any]") -> None:
+        """Keep the body counted until a task is done, which refers to it."""
+        self._holders.add(task)
+        task.add_done_callback(self._release)
+
+    def _release(self, task: "asyncio.Future[Any]") -> None:
+        self._holders.discard(task)
+        if not self._holders:
+            self._memory.release_body(self._size)
+
+
 def _raise_unless_closed(future: "asyncio.Future[None]") -> None:
     error = future.exception()
     if error is not None and not isinstance(error, StreamClosedError):
--- a/chervilrock/edges/serving/exchange.py
+++ b/chervilrock/edges/serving/exchange.py
@@ -41,6 +41,7 @@
     AnswerSource,
     CallerConnection,
     ENDED_REASON,
+    HeldBody,
 )
 from chervilrock.edges.serving.receiver import AnswerReceiver
 from chervilrock.edges.serving.retryreservation import RetryReservation
@@ -110,6 +111,7 @@
         *,
         context: Context,
         request: CallerRequest,
+        body: HeldBody,
         connection: CallerConnection,
     ) -> None:
         """Create an exchange that has not started.
@@ -117,8 +119,10 @@
         Args:
           context: objects that all requests of the node share.
           request: complete request.
+          body: counts the body of the request.
           connection: connection for the answer.
         """
+        self._body = body
         self._context = context
         self._state = context.state
         self._request = request
@@ -233,10 +237,10 @@
             STOPPING_REASON, self._search.find_stop_retry_after(read_clock())
         )
 
-    @property
-    def body_size(self) -> int:
-        """Size of the body of the request in bytes."""
-        return len(self._request.body)
+    def close(self) -> None:
+        """Let go of the answer after `run`, which may still be unsent."""
+        self._answer = self._answer_head = None
+        self._connection.release_source()
 
     def move_away(self, now: float) -> bool:
         """Move the stream away from a stalled group if it may be resumed.
@@ -462,7 +466,7 @@
             request_id=self.request_id,
             last_event=self._last_event,
             deliver=self._deliver,
-            progress=lambda: self._record_progress(endpoint, receiver),
+            progress=lambda receiver: self._record_progress(endpoint, receiver),
             record_facts=lambda facts: self._record_facts(endpoint, facts),
             record_collected=self._connection.record_collected,
         )
@@ -533,7 +537,7 @@
             request_id=self.request_id,
             last_event=self._last_event,
             deliver=self._deliver_from_node,
-            progress=lambda: None,
+            progress=lambda _receiver: None,
             record_collected=self._connection.record_collected,
         )
         transfer = Transfer(
@@ -632,6 +636,8 @@
             detector.record_sent(self.request_id, now)
         self._detector = detector
         running = loop.create_task(self._borrow_and_run(transfer))
+        # An abandoned transfer may outlive the exchange.
+        self._body.hold(running)
         _RUNNING.add(running)
         running.add_done_callback(_RUNNING.discard)
         try:
@@ -815,12 +821,12 @@
         self, transfer: Transfer, receiver: AnswerReceiver
     ) -> None:
         if transfer.head is not None and not receiver.is_relayed:
-            self._answer = bytes(receiver.body)
+            self._answer = receiver.body
             self._answer_head = transfer.head
             self._answer_status = transfer.head.status
         self._connection.record_collected(len(self._answer or b""))
 
-    _answer: bytes | None = None
+    _answer: bytes | bytearray | None = None
     _answer_head: Head | None = None
     _answer_status = 0
 
--- a/chervilrock/edges/serving/receiver.py
+++ b/chervilrock/edges/serving/receiver.py
@@ -37,7 +37,7 @@
         request_id: str,
         last_event: str,
         deliver: Callable[[Head, bytes], None],
-        progress: Callable[[], None],
+        progress: Callable[["AnswerReceiver"], None],
         record_facts: Callable[[AnswerFacts], None] = lambda _facts: None,
         record_collected: Callable[[int], None] = lambda _size: None,
     ) -> None:
@@ -48,7 +48,8 @@
           last_event: identifier of the last event that the caller has, empty
             for none.
           deliver: is called with complete events for the caller.
-          progress: is called whenever data is received.
+          progress: is called with this receiver whenever data is received. It
+            must not refer to it, as both would then outlive the send.
           record_facts: is called with the fields read from the head, also for
             an abandoned transfer.
           record_collected: is called with the size of a body that is buffered
@@ -88,11 +89,11 @@
         self.is_relayed = (
             outcome is SendOutcome.COMPLETE and self.facts.is_stream
         )
-        self._progress()
+        self._progress(self)
 
     def handle_data(self, data: bytes) -> None:
         """See base class."""
-        self._progress()
+        self._progress(self)
         if not self.is_relayed:
             self.is_too_long = len(self.body) + len(data) > MAX_BODY_BYTES
             if not self.is_too_long:
--- a/test/edges/test_answer_receiver.py
+++ b/test/edges/test_answer_receiver.py
@@ -21,7 +21,7 @@
         request_id=REQUEST_ID,
         last_event="",
         deliver=lambda _head, _events: None,
-        progress=lambda: None,
+        progress=lambda _receiver: None,
     )
 
 
--- a/test/tasks/overload.py
+++ b/test/tasks/overload.py
@@ -11,6 +11,7 @@
 import asyncio
 from collections.abc import Callable, Iterator
 import contextlib
+import math
 import random
 from typing import Any, NamedTuple, TYPE_CHECKING
 
@@ -40,6 +41,7 @@
 from chervilrock.edges.serving import receiver as receiver_module
 from chervilrock.edges.serving import slots as slots_module
 from chervilrock.edges.serving.callerrequest import CallerRequest
+from chervilrock.edges.serving.connection import CallerMemory, HeldBody
 from chervilrock.edges.serving.exchange import Context, Exchange
 from chervilrock.platform import headers as names
 from chervilrock.tasks.serving import state as state_module
@@ -487,6 +489,10 @@
             for number in range(fleet.nodes)
         ]
         self._exchanges: dict[Exchange, None] = {}
+        self._memory = CallerMemory(
+            budget=math.inf,
+            metrics=_NoMetrics(),  # type: ignore[arg-type]
+        )
         self._reported_loads = [ReportedLoads() for _ in self._nodes]
         self._load_totals: list[dict[str, int]] = [{}] * fleet.lag
         total_s = WARM_UP_S + load.duration_s + load.recovery_s
@@ -617,6 +623,7 @@
                 facts=names.read_request(pairs),
                 arrived=now,
             ),
+            body=HeldBody(size=0, memory=self._memory),
             connection=connection,  # type: ignore[arg-type]
         )
         self._exchanges[exchange] = None
