--- a/chervilrock/catalogue.py
+++ b/chervilrock/catalogue.py
@@ -356,6 +356,12 @@
         "server {server} has started again under its identifier; this node "
         "forgets what it stated before",
     )
+    SERVERS_ABSENT = EventSpec(
+        7318,
+        Level.WARNING,
+        "a snapshot of the store, read up to offset {offset}, has entries of "
+        "{after} of {before} known servers; without an entry: {servers}",
+    )
     WARMUP_BEGUN = EventSpec(
         7330,
         Level.INFO,
--- a/chervilrock/clients/serving.py
+++ b/chervilrock/clients/serving.py
@@ -51,12 +51,18 @@
         append such a record between the others.
       era: number of times that the store was restored from a backup. Offsets
         of different eras are not comparable.
+      unreadable_keys: keys of the records in a snapshot that could not be
+        decoded.
+      settled_at: offset up to which changes have to be read after a snapshot
+        before an absent key is known to be deleted.
     """
 
     records: tuple[KeyedRecord, ...]
     next_offset: int
     unreadable: tuple[int, ...] = ()
     era: int = 0
+    unreadable_keys: tuple[str, ...] = ()
+    settled_at: int = 0
 
 
 class KeyedStore(abc.ABC):
--- a/chervilrock/platform/store.py
+++ b/chervilrock/platform/store.py
@@ -87,7 +87,7 @@
     ) -> Result[KeyedPage, PlatformError]:
         """See base class."""
         records: list[KeyedRecord] = []
-        unreadable: list[int] = []
+        unreadable: list[_Item] = []
         after = ""
         end: int | None = None
         first_era: int | None = None
@@ -110,12 +110,25 @@
             for item in newest.items:
                 record = _decode_item(item)
                 if record is None:
-                    unreadable.append(item.offset)
+                    unreadable.append(item)
                 else:
                     records.append(record)
-            if not newest.has_more or not newest.items:
+            if not newest.has_more:
                 return Success(
-                    KeyedPage(tuple(records), end, tuple(unreadable), era)
+                    KeyedPage(
+                        records=tuple(records),
+                        next_offset=end,
+                        unreadable=tuple(item.offset for item in unreadable),
+                        era=era,
+                        unreadable_keys=tuple(item.key for item in unreadable),
+                        settled_at=max(end, newest.end),
+                    )
+                )
+            if not newest.items or newest.items[-1].key <= after:
+                # Keys that the store leaves out would seem to be deleted.
+                message = f"no further keys after {after!r}"
+                return Failure(
+                    PlatformError(PlatformErrorKind.BAD_ANSWER, message)
                 )
             after = newest.items[-1].key
 
--- a/chervilrock/standin/site/store.py
+++ b/chervilrock/standin/site/store.py
@@ -64,7 +64,8 @@
 
     def list_newest(self) -> list[_Record]:
         """Return the newest record of each key, without deleted keys."""
-        newest = {record.key: record for record in self.records}
+        newest = {record.key: record for record in self.compacted}
+        newest |= {record.key: record for record in self.records}
         return [record for record in newest.values() if record.value]
 
     def compact(self) -> None:
@@ -257,16 +258,13 @@
     def get(self) -> None:
         """Answer with the newest record of each key."""
         topic = self.find_topic()
-        newest = {record.key: record for record in topic.compacted}
-        newest |= {record.key: record for record in topic.records}
         items = [
             {
                 "key": record.key,
                 "value": base64.b64encode(record.value).decode(),
                 "offset": record.offset,
             }
-            for record in newest.values()
-            if record.value
+            for record in topic.list_newest()
         ]
         self.finish({"items": items, "has_more": False, "end": topic.end})
 
--- a/chervilrock/tasks/serving/leading.py
+++ b/chervilrock/tasks/serving/leading.py
@@ -6,7 +6,7 @@
 
 from returns.result import Failure
 
-from chervilrock.clients.serving import Topic
+from chervilrock.clients.serving import KeyedPage, Topic
 from chervilrock.decisions.serving.admission.priorityadmission import (
     WaitingCounts,
 )
@@ -28,6 +28,7 @@
     INTERVAL_S,
     ModelCount,
 )
+from chervilrock.decisions.serving.servers.absences import SnapshotAbsences
 from chervilrock.decisions.serving.servers.entries import NewestEntries
 from chervilrock.decisions.serving.servers.limitregistry import LimitRegistry
 from chervilrock.decisions.serving.servers.reportedpauses import ReportedPauses
@@ -70,6 +71,9 @@
 servers that still run write them again within two seconds."""
 
 
+MAX_LOGGED_SERVERS = 32
+"""Servers in a log line about those that a snapshot lacks."""
+
 MAX_LEADER_CUT_S = 1.0
 """Time without any server after which a leader lets another node lead, if there
 is one that reaches servers."""
@@ -147,6 +151,7 @@
         self._counted_at = float("-inf")
         self.host_counts: tuple[ModelCount, ...] = ()
         self._pending_removals: dict[str, float] = {}
+        self._absences = SnapshotAbsences()
         self._follower = outbound.follow(
             Topic.SERVERS, lambda: SERVERS_SCHEDULE
         )
@@ -224,7 +229,10 @@
         is_first_read = not self._has_servers
         self._has_servers = self._has_servers or read.is_snapshot
         self._check_restore(read, now)
+        if read.is_snapshot:
+            self._record_snapshot(read.page)
         for record in read.page.records:
+            self._absences.record_written(record.key)
             if not record.value:
                 self._pending_removals.setdefault(record.key, now)
                 continue
@@ -238,6 +246,31 @@
             entry = self._entries.update(decoded.unwrap())
             self._record_warmup(entry, now, is_first_read=is_first_read)
             self._controller.record_server(entry, now)
+        self._remove_absent(read.page.next_offset, now)
+
+    def _record_snapshot(self, page: KeyedPage) -> None:
+        """Find out which known servers have no entry in a snapshot."""
+        present = {record.key for record in page.records if record.value}
+        self._absences.record_snapshot(
+            [entry.server for entry in self._entries.list_present()],
+            present.union(page.unreadable_keys),
+            settled_at=page.settled_at,
+        )
+
+    def _remove_absent(self, next_offset: int, now: float) -> None:
+        """Remove the servers whose removal the store has deleted."""
+        absence = self._absences.take_gone(next_offset)
+        if absence is None:
+            return
+        emit(
+            Event.SERVERS_ABSENT,
+            offset=absence.offset,
+            before=absence.before,
+            after=absence.before - len(absence.servers),
+            servers=",".join(sorted(absence.servers)[:MAX_LOGGED_SERVERS]),
+        )
+        for server in absence.servers:
+            self._pending_removals.setdefault(server, now)
 
     def keep_known_servers(self, now: float) -> None:
         """Keep the servers that this process knew in its previous term.
--- a/test/platform/test_adapter.py
+++ b/test/platform/test_adapter.py
@@ -643,3 +643,48 @@
     text = ",".join(f"{number:x}:1" for number in range(100_000))
     facts = read_request([("X-Prompt-Prefix", text)])
     assert_that(len(facts.prompt_parts), Equals(MAX_PROMPT_PARTS))
+
+
+class FakePagesClient:
+    """HTTP client that answers with the given bodies in turn."""
+
+    def __init__(self, *pages: dict[str, Any]) -> None:
+        self._pages = iter(pages)
+
+    async def request(self, method: str, url: str, **options: Any) -> Any:
+        del method, url, options
+        body = msgspec.json.encode(next(self._pages))
+        return Success(HttpAnswer(200, body, 0.0, False, ""))
+
+
+def fetch_pages(*pages: dict[str, Any]) -> Any:
+    client: Any = FakePagesClient(*pages)
+    store = StoreClient(client=client, address="127.0.0.1:1")
+    return asyncio.run(store.fetch_newest(Topic.SERVERS))
+
+
+def make_item(key: str, offset: int, value: str = "QQ==") -> dict[str, Any]:
+    return {"key": key, "value": value, "offset": offset}
+
+
+def test_a_snapshot_tells_when_absent_keys_are_certain() -> None:
+    page = fetch_pages(
+        {"items": [make_item("a", 1)], "has_more": True, "end": 5},
+        {"items": [make_item("b", 7, "%")], "has_more": False, "end": 9},
+    ).unwrap()
+    assert_that(page.next_offset, Equals(5))
+    assert_that(page.settled_at, Equals(9))
+    assert_that(page.unreadable_keys, Equals(("b",)))
+    assert_that(page.unreadable, Equals((7,)))
+
+
+@pytest.mark.parametrize("items", [[], [make_item("a", 1)]])
+def test_a_snapshot_that_lacks_pages_is_rejected(
+    items: list[dict[str, Any]],
+) -> None:
+    # Failure: all servers on the missing pages count as gone.
+    result = fetch_pages(
+        {"items": [make_item("a", 1)], "has_more": True, "end": 5},
+        {"items": items, "has_more": True, "end": 5},
+    )
+    assert_that(result.failure().kind.value, Equals("bad_answer"))
