Ignore SIGHUP until a starting node handles it

Cause: the default action of the signal holds until the node installs its handler, after all imports. Change: the command ignores the signal first. The interpreter itself takes some hundredths of a second before that.

Measured: the new test, which sends the signal while the process reads its settings, fails on the code before and passes now.

--- a/chervilrock/ui/__init__.py
+++ b/chervilrock/ui/__init__.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Iterable, Sequence
 import os
+import signal
 import sys
 
 SERVE = "serve"
@@ -34,6 +35,8 @@
 
         return serve(given[1:], os.environ)
     if given[:1] == [NODE]:
+        # Ends the process by default until the node installs its own handler.
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
         leave_out(UNUSED_MODULES)
         from chervilrock.ui.node import run_node
 
--- a/test/ui/test_node_command.py
+++ b/test/ui/test_node_command.py
@@ -46,6 +46,24 @@
     )
 
 
+def test_sighup_during_the_start_does_not_end_a_node(
+    tmp_path: pathlib.Path,
+) -> None:
+    # Failure: it ends the process until the node has a handler of its own.
+    path = tmp_path / "settings.toml"
+    os.mkfifo(path)
+    process = start(str(path))
+    # Opens when the process has begun to read its settings.
+    with path.open("w") as settings:
+        process.send_signal(signal.SIGHUP)
+        settings.write(SETTINGS)
+    assert process.stdout is not None
+    first = json.loads(process.stdout.readline())
+    assert_that(first["event"], Equals("serving-started"))
+    process.send_signal(signal.SIGTERM)
+    assert_that(process.wait(EXIT_TIMEOUT_S), Equals(0))
+
+
 def test_a_node_serves_until_sigterm(
     tmp_path: pathlib.Path,
 ) -> None:
