Complete requests in progress when a task of a node has failed

Callers of `chervilrock serve` saw: their requests were cut when a task of the node failed, since the process closed all connections at once.

Change: the node leaves, rejects new requests and completes those in progress, for 30 s at the longest. It still ends with exit code 1.

Measured: the new test fails on the code before, which has no such stop; a request of some seconds is answered whole now.

--- a/chervilrock/node/__init__.py
+++ b/chervilrock/node/__init__.py
@@ -27,7 +27,7 @@
     for wait in waits:
         wait.cancel()
     if node.failed.is_set():
-        await node.kill()
+        await node.stop_after_failure()
         return _EXIT_FAILURE
     await node.stop()
     return 0
--- a/chervilrock/node/entry.py
+++ b/chervilrock/node/entry.py
@@ -22,6 +22,9 @@
 ADDRESS_EXPIRY_MARGIN_S = 0.5
 INCARNATION_BYTES = 6
 
+FAILED_DRAIN_TIMEOUT_S = 30.0
+"""Longest time for requests in progress after a task has failed."""
+
 
 class EntryNode:
     """An entry node in the running event loop.
@@ -157,7 +160,7 @@
             self.settings.address_ttl_s + ADDRESS_EXPIRY_MARGIN_S
         )
         self._parts.requests.reject_new()
-        aborted = await self._drain()
+        aborted = await self._drain(self.settings.drain_timeout_s)
         self._set_phase(NodePhase.STOPPED)
         await self._parts.peers.announce()
         await self.kill()
@@ -166,9 +169,26 @@
         )
         return aborted
 
-    async def _drain(self) -> int:
+    async def stop_after_failure(self) -> int:
+        """Stop after a task has failed; return the number of cut requests.
+
+        The node rejects new requests at once, as its view is not updated any
+        more, and completes those in progress.
+        """
+        self._set_phase(NodePhase.LEAVING)
+        self._parts.requests.reject_new()
+        aborted = await self._drain(
+            min(FAILED_DRAIN_TIMEOUT_S, self.settings.drain_timeout_s)
+        )
+        await self.kill()
+        events.emit(
+            events.Event.NODE_STOPPED, node=self.name, in_flight=aborted
+        )
+        return aborted
+
+    async def _drain(self, timeout_s: float) -> int:
         """Wait for the requests in progress; return the number left."""
-        deadline = self._clock() + self.settings.drain_timeout_s
+        deadline = self._clock() + timeout_s
         while self._path.in_flight and self._clock() < deadline:
             await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
         return self._path.in_flight
--- a/test/node/test_entry.py
+++ b/test/node/test_entry.py
@@ -231,6 +231,32 @@
     run_site(check)
 
 
+def test_requests_in_progress_are_answered_after_a_failed_task(run_site):
+    # Failure: the process exits at once and cuts all connections.
+    async def check(site):
+        node = await site.add_node()
+        await apply(site)
+        await wait_serving(site)
+        await wait_answer(site)
+        for engine in site.installation.engines.values():
+            engine.options = engine.options._replace(token_ms=20.0)
+        running = asyncio.create_task(wait_answer(site))
+        while not node._path.in_flight:
+            await asyncio.sleep(0)
+        task = asyncio.create_task(fail())
+        task.add_done_callback(node._handle_task_end)
+        await node.failed.wait()
+        cut = await node.stop_after_failure()
+        assert_that(cut, Equals(0))
+        assert_that(await running, Equals(expect_text()))
+
+    run_site(check)
+
+
+async def fail():
+    raise RuntimeError("a task of the node fails")
+
+
 def test_request_with_an_idempotency_key_runs_once_across_two_nodes(run_site):
     async def check(site):
         await site.add_node()
