Soak planned work: restarts at once, large bodies, deleted records

The tests missed the three faults of the review, since no run stopped all nodes at once, sent bodies of the greatest allowed size from several callers, or deleted a record between two reads. bench/rollingrestarts.py does so without any other fault, so that it may ask that no accepted request is lost; the random soak gets the first and the last as well (bench/plannedwork.py).

--- /dev/null
+++ b/bench/rollingrestarts.py
@@ -0,0 +1,432 @@
+"""A soak test of planned work alone, in which no accepted request may be lost.
+
+Nodes get SIGTERM one after the other, in overlapping series or all at once,
+while configurations and signals come, callers keep connections open and send
+bodies of the greatest allowed size, and servers leave in the moment in which
+the store deletes old records. `python -m bench.rollingrestarts --seeds 50`.
+"""
+
+import argparse
+import asyncio
+import collections
+import contextlib
+import pathlib
+import random
+import signal
+import sys
+import tempfile
+from typing import NamedTuple
+
+from bench.soak import find_ip, NodeProcess, supervise
+from bench.statements import Disturbances
+from chervilrock.standin.site.servers import SiteServer
+from chervilrock.standin.site.site import (
+    HOST,
+    KEY,
+    LARGE,
+    make_configuration,
+    PLAIN_SERVICE,
+    Site,
+    SMALL,
+)
+
+NODES = 4
+CALLERS = 16
+LARGE_CALLERS = 4
+LARGE_BODY_BYTES = 4_194_304
+"""`max_body_bytes` of the configuration."""
+
+MEMORY_MB = 300.0
+GRACE_S = 8.0
+WORK_S = 0.3
+START_S = 8.0
+"""Time until the nodes of a run serve."""
+
+LOSS_SLACK_S = 0.2
+"""Time after which a request that was read has to get an answer."""
+
+STABLE_S = 3.0
+DRAIN_S = 2.0
+SERVES_ON_S = 5.0
+"""Time for which a server serves after its entry was removed."""
+
+LIMIT_MS = 4000
+_NOT_RUN = frozenset({"408", "421", "429", "503"})
+_LIMITS = {
+    "max_header_bytes": 16_384,
+    "max_body_bytes": LARGE_BODY_BYTES,
+    "header_timeout_ms": 3_000,
+    "idle_timeout_ms": 15_000,
+}
+
+
+class Outcome(NamedTuple):
+    """Result of a run.
+
+    Attributes:
+      violations: broken guarantees.
+      statuses: count of each status; "closed" for a connection that was closed
+        without a complete answer, "refused" for one that was not accepted.
+      peak_mb: most memory of any node, in megabytes.
+    """
+
+    violations: tuple[str, ...]
+    statuses: dict[str, int]
+    peak_mb: float
+
+
+class Attempt(NamedTuple):
+    """A request that was sent completely.
+
+    Attributes:
+      request_id: its identifier.
+      sent: when its last byte was sent, on the clock of the event loop.
+      ended: when its answer or connection ended.
+      status: status of the answer, empty without a complete one.
+    """
+
+    request_id: str
+    sent: float
+    ended: float
+    status: str
+
+
+class Callers:
+    """Callers that keep their connections until a node closes them.
+
+    Attributes:
+      attempts: all requests that were sent.
+      refused: number of connections that were not accepted.
+    """
+
+    def __init__(self, *, addresses: list[str], seed: int) -> None:
+        """Create callers that have sent nothing.
+
+        Args:
+          addresses: addresses of the nodes.
+          seed: seed of a generator of their own.
+        """
+        self._addresses = addresses
+        self._seed = seed
+        self._generator = random.Random(f"callers of {seed}")
+        self._number = 0
+        self.attempts: list[Attempt] = []
+        self.refused = 0
+
+    async def run(self, body: bytes, pause_s: float) -> None:
+        """Send requests with a body until cancelled."""
+        while True:
+            address = self._generator.choice(self._addresses)
+            host, _, port = address.rpartition(":")
+            try:
+                streams = await asyncio.open_connection(host, int(port))
+            except OSError:
+                self.refused += 1
+                await asyncio.sleep(0.05)
+                continue
+            with contextlib.closing(streams[1]):
+                while await self._call(streams, body):
+                    await asyncio.sleep(
+                        self._generator.uniform(0.0, 2 * pause_s)
+                    )
+
+    async def _call(
+        self,
+        streams: tuple[asyncio.StreamReader, asyncio.StreamWriter],
+        body: bytes,
+    ) -> bool:
+        """Send a request; return whether the connection stays open."""
+        reader, writer = streams
+        loop = asyncio.get_running_loop()
+        self._number += 1
+        request_id = f"{self._seed:08x}{self._number:08x}"
+        head = self._make_head(request_id, len(body))
+        try:
+            writer.write(head + body)
+            await writer.drain()
+            # The kernel may hold a part of the body; an answer ends the wait.
+        except OSError:
+            return False
+        sent = loop.time()
+        status = ""
+        is_kept = False
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            status, is_kept = await _read_answer(reader)
+        self.attempts.append(Attempt(request_id, sent, loop.time(), status))
+        return bool(status) and is_kept
+
+    def _make_head(self, request_id: str, length: int) -> bytes:
+        kind = self._generator.choice(("draft", "draft", "book", "look"))
+        lines = [
+            f"POST /{kind}/x HTTP/1.1",
+            f"Host: {HOST}",
+            f"Api-Key: {KEY}",
+            f"X-Request-Id: {request_id}",
+            f"X-Deadline-Ms: {LIMIT_MS}",
+            f"Content-Length: {length}",
+        ]
+        if kind == "draft":
+            model = self._generator.choice((LARGE, SMALL))
+            tokens = self._generator.choice((5, 40, 120))
+            lines += [f"X-Model: {model}", f"X-Token-Count: 10,{tokens}"]
+        return "\r\n".join(lines).encode() + b"\r\n\r\n"
+
+
+async def _read_answer(reader: asyncio.StreamReader) -> tuple[str, bool]:
+    """Read a complete answer; return its status and whether to go on.
+
+    Raises:
+      IncompleteReadError: the connection was closed before its end.
+    """
+    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin1")
+    line, *others = head.split("\r\n")
+    pairs = (other.partition(":") for other in others if ":" in other)
+    headers = {name.lower(): text.strip() for name, _, text in pairs}
+    if "content-length" in headers:
+        await reader.readexactly(int(headers["content-length"]))
+    else:
+        while size := int(await reader.readuntil(b"\r\n"), 16):
+            await reader.readexactly(size + 2)
+        await reader.readexactly(2)
+    return line.split()[1], headers.get("connection", "") != "close"
+
+
+class PlatformWork:
+    """The planned work of a run, and checks of what nodes do meanwhile.
+
+    Attributes:
+      violations: broken guarantees.
+      peak_mb: most memory of any node, in megabytes.
+    """
+
+    def __init__(
+        self, *, site: Site, nodes: list[NodeProcess], seed: int
+    ) -> None:
+        """Create the work of a run."""
+        self._site = site
+        self._nodes = nodes
+        self._generator = random.Random(f"rolling restarts of {seed}")
+        self._version = 2
+        self._killing: set[asyncio.Task[None]] = set()
+        self.violations: list[str] = []
+        self.peak_mb = 0.0
+
+    async def run(self, rounds: int) -> None:
+        """Restart the nodes and let servers leave, by turns."""
+        for _ in range(rounds):
+            restart = self._generator.choice(
+                (self._stop_all, self._roll, self._overlap)
+            )
+            await asyncio.gather(restart(), self._disturb())
+            await asyncio.sleep(GRACE_S + 2 * STABLE_S)
+            await self._remove_server()
+
+    async def _stop_all(self) -> None:
+        """Stop all nodes at once, sometimes with a second signal."""
+        for node in self._nodes:
+            self._stop(node)
+        await asyncio.sleep(self._generator.uniform(0.0, 2.0))
+        self._generator.choice(self._nodes).signal(signal.SIGTERM)
+
+    async def _roll(self) -> None:
+        gap_s = self._generator.uniform(0.2, 2.0)
+        for node in self._generator.sample(self._nodes, len(self._nodes)):
+            self._stop(node)
+            await asyncio.sleep(gap_s)
+
+    async def _overlap(self) -> None:
+        await asyncio.gather(self._roll(), self._roll())
+
+    def _stop(self, node: NodeProcess) -> None:
+        pid = node.pid
+        if pid is None:
+            return
+        node.signal(signal.SIGTERM)
+        task = asyncio.create_task(self._kill_late(node, pid))
+        self._killing.add(task)
+        task.add_done_callback(self._killing.discard)
+
+    async def _kill_late(self, node: NodeProcess, pid: int) -> None:
+        """Kill a process that runs on after its grace period."""
+        await asyncio.sleep(GRACE_S)
+        if node.pid == pid:
+            self.violations.append(f"{node.address} was killed")
+            node.signal(signal.SIGKILL)
+
+    async def _disturb(self) -> None:
+        """Send SIGHUP, write configurations and delete old records."""
+        for _ in range(4):
+            await asyncio.sleep(self._generator.uniform(0.2, 1.5))
+            self._generator.choice(self._nodes).signal(signal.SIGHUP)
+            self._version += 1
+            document = make_configuration(self._version, limits=_LIMITS)
+            self._site.store.write_configuration(document)
+            self._site.store.topic("keyed.op").compact()
+
+    async def _remove_server(self) -> None:
+        """Let a server leave; the record of it is deleted at once."""
+        loop = asyncio.get_running_loop()
+        leaving = self._generator.choice(
+            [
+                server
+                for server in self._site.servers
+                if server.service == PLAIN_SERVICE
+            ]
+        )
+        leaving.unregister()
+        self._site.store.topic("keyed.servers").compact()
+        removed = loop.time()
+        self._site.add_server(
+            SiteServer(store=self._site.store, service=PLAIN_SERVICE)
+        ).work_s = WORK_S
+        self._site.servers.remove(leaving)
+        await asyncio.sleep(SERVES_ON_S)
+        late = [
+            arrival.request_id
+            for arrival in leaving.arrivals
+            if arrival.time > removed + DRAIN_S
+        ]
+        if late:
+            self.violations.append(f"{len(late)} requests reached a gone one")
+        await leaving.stop()
+
+    async def watch_memory(self) -> None:
+        """Sample the memory of the nodes until cancelled."""
+        while True:
+            await asyncio.sleep(0.02)
+            for node in self._nodes:
+                memory_mb = _read_memory_mb(node.pid)
+                self.peak_mb = max(self.peak_mb, memory_mb)
+                if memory_mb > MEMORY_MB:
+                    self.violations.append(
+                        f"{node.address} takes {memory_mb:.0f} MB"
+                    )
+                    node.signal(signal.SIGKILL)
+
+
+def _read_memory_mb(pid: int | None) -> float:
+    """Return the anonymous memory of a process, 0 if it does not run."""
+    with contextlib.suppress(OSError):
+        status = pathlib.Path(f"/proc/{pid}/status").read_text(encoding="ascii")
+        for line in status.splitlines():
+            if line.startswith("RssAnon:"):
+                return int(line.split()[1]) * 1024 / 1_000_000
+    return 0.0
+
+
+def find_lost(servers: list[SiteServer], callers: Callers) -> list[str]:
+    """Return what callers were not told, or were told wrongly."""
+    arrived = {
+        arrival.request_id for server in servers for arrival in server.arrivals
+    }
+    runs = collections.Counter(
+        run.request_id for server in servers for run in server.runs
+    )
+    found = []
+    for attempt in callers.attempts:
+        name = attempt.request_id
+        held_s = attempt.ended - attempt.sent
+        if not attempt.status and (name in arrived or held_s > LOSS_SLACK_S):
+            found.append(f"{name} was cut after {held_s:.2f} s")
+        if attempt.status in _NOT_RUN and runs[name]:
+            found.append(f"{name} ran, and was told not")
+    return found
+
+
+async def soak(
+    seed: int, folder: pathlib.Path, *, rounds: int, nodes: int = NODES
+) -> Outcome:
+    """Run one seed.
+
+    Args:
+      seed: seed of the run.
+      folder: where settings and logs of the nodes are written.
+      rounds: number of times that the nodes are restarted.
+      nodes: number of nodes.
+    """
+    site = Site()
+    processes: list[NodeProcess] = []
+    taken: set[int] = set()
+    tasks: list[asyncio.Task[None]] = []
+    site.start(model_servers=12, plain_servers=4)
+    servers = list(site.servers)
+    for server in servers:
+        server.work_s = WORK_S
+    site.store.write_configuration(make_configuration(2, limits=_LIMITS))
+    try:
+        processes += [
+            NodeProcess(
+                folder=folder,
+                name=f"n{number}",
+                store=site.store_address,
+                ip=find_ip(seed, number),
+                taken=taken,
+                disturbances=Disturbances(),
+                data_centre="a",
+                memory_mb=MEMORY_MB,
+            )
+            for number in range(nodes)
+        ]
+        tasks.append(asyncio.create_task(supervise(processes)))
+        await asyncio.sleep(START_S)
+        work = PlatformWork(site=site, nodes=processes, seed=seed)
+        callers = Callers(
+            addresses=[process.address for process in processes], seed=seed
+        )
+        tasks.append(asyncio.create_task(work.watch_memory()))
+        for number in range(CALLERS + LARGE_CALLERS):
+            is_large = number < LARGE_CALLERS
+            body = b"x" * LARGE_BODY_BYTES if is_large else b"body"
+            pause_s = 0.5 if is_large else 0.1
+            call = callers.run(body, pause_s)
+            tasks.append(asyncio.create_task(call))
+        await work.run(rounds)
+        servers += [one for one in site.servers if one not in servers]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+    finally:
+        for process in processes:
+            process.end()
+        await site.stop()
+    statuses = collections.Counter(
+        attempt.status or "closed" for attempt in callers.attempts
+    )
+    return Outcome(
+        violations=(*work.violations, *find_lost(servers, callers)),
+        statuses={**statuses, "refused": callers.refused},
+        peak_mb=round(work.peak_mb, 1),
+    )
+
+
+def main() -> int:
+    """Run seeds one after the other; return 1 if any of them failed."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", type=int, default=1)
+    parser.add_argument("--first", type=int, default=1)
+    parser.add_argument("--rounds", type=int, default=2)
+    parser.add_argument("--nodes", type=int, default=NODES)
+    arguments = parser.parse_args()
+    failed = 0
+    for seed in range(arguments.first, arguments.first + arguments.seeds):
+        with tempfile.TemporaryDirectory() as folder:
+            outcome = asyncio.run(
+                soak(
+                    seed,
+                    pathlib.Path(folder),
+                    rounds=arguments.rounds,
+                    nodes=arguments.nodes,
+                )
+            )
+        failed += bool(outcome.violations)
+        print(
+            seed,
+            "BROKEN" if outcome.violations else "held",
+            outcome,
+            flush=True,
+        )
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -12,6 +12,7 @@
 import collections
 from collections.abc import Sequence
 import contextlib
+import functools
 import os
 import pathlib
 import random
@@ -40,6 +41,7 @@
     STORE,
 )
 from bench.limits import LimitedServers
+from bench.plannedwork import PlannedWork
 from bench.slowreaders import Address, MEMORY_MB, SlowReaders
 from bench.statements import (
     CallerSends,
@@ -146,7 +148,7 @@
     most_held: int
 
 
-class _Process:
+class NodeProcess:
     """A node process and its settings, with the same ports at each start."""
 
     def __init__(
@@ -159,6 +161,7 @@
         taken: set[int],
         disturbances: Disturbances,
         data_centre: str,
+        memory_mb: float = MEMORY_MB,
     ) -> None:
         self._disturbances = disturbances
         self._ip = ip
@@ -174,7 +177,7 @@
             ports=ports,
             data_centre=data_centre,
             data_centres=DATA_CENTRES,
-            memory_mb=MEMORY_MB,
+            memory_mb=memory_mb,
         )
         self._path.write_text(_render(document), encoding="utf-8")
         self._log = (folder / f"{name}.log").open("ab")
@@ -194,6 +197,14 @@
                 stderr=self._log,
             )
 
+    @property
+    def pid(self) -> int | None:
+        """Identifier of the process, None while it does not run."""
+        process = self._process
+        if process is None or process.poll() is not None:
+            return None
+        return process.pid
+
     def signal(self, number: signal.Signals) -> None:
         """Send a signal to this process if it is running."""
         if self._process is not None and self._process.poll() is None:
@@ -224,7 +235,7 @@
         self.violations: list[str] = []
         self.statuses: collections.Counter[int] = collections.Counter()
 
-    async def run(self, nodes: list[_Process]) -> None:
+    async def run(self, nodes: list[NodeProcess]) -> None:
         """Send requests until cancelled."""
         while True:
             await self.call(self._generator.choice(nodes).address)
@@ -260,7 +271,7 @@
             self.violations.append(f"{request_id} was withheld")
         return status
 
-    async def call_all(self, nodes: list[_Process]) -> list[int]:
+    async def call_all(self, nodes: list[NodeProcess]) -> list[int]:
         """Send requests to all nodes by turns; return the statuses."""
         return [
             await self.call(nodes[number % len(nodes)].address)
@@ -327,7 +338,7 @@
         if body != wanted.encode():
             self.violations.append(f"{request_id} got {body[:80]!r}")
 
-    async def check_crashing(self, nodes: list[_Process]) -> None:
+    async def check_crashing(self, nodes: list[NodeProcess]) -> None:
         """Send each body that crashed a server to every node two more times."""
         crashes = [
             crash
@@ -373,7 +384,7 @@
         *,
         generator: random.Random,
         site: Site,
-        nodes: list[_Process],
+        nodes: list[NodeProcess],
         links: list[LinkProxy],
         callers: _Callers,
         disturbances: Disturbances,
@@ -500,7 +511,7 @@
             node.signal(signal.SIGCONT)
 
 
-async def _supervise(nodes: list[_Process]) -> None:
+async def supervise(nodes: list[NodeProcess]) -> None:
     """Restart each process that has exited, as the platform does."""
     while True:
         for node in nodes:
@@ -519,7 +530,7 @@
     site = Site()
     cuts = NodeCuts()
     links: list[LinkProxy] = []
-    nodes: list[_Process] = []
+    nodes: list[NodeProcess] = []
     taken: set[int] = set()
     callers = _Callers(site=site, generator=generator, seed=plan.seed)
     disturbances = Disturbances()
@@ -532,18 +543,18 @@
         await link.start()
         links.append(link)
         nodes += [
-            _Process(
+            NodeProcess(
                 folder=folder,
                 name=f"n{number}",
                 store=link.address,
-                ip=_find_ip(plan.seed, number),
+                ip=find_ip(plan.seed, number),
                 taken=taken,
                 disturbances=disturbances,
                 data_centre=DATA_CENTRES[number % len(DATA_CENTRES)],
             )
             for number in range(plan.nodes)
         ]
-        supervisor = asyncio.create_task(_supervise(nodes))
+        supervisor = asyncio.create_task(supervise(nodes))
         await asyncio.sleep(SETTLE_S)
         faults = _FaultInjector(
             generator=generator,
@@ -572,6 +583,13 @@
             send=callers.send_prompt,
             seed=plan.seed,
         )
+        planned = PlannedWork(
+            store=site.store,
+            stop=[
+                functools.partial(node.signal, signal.SIGTERM) for node in nodes
+            ],
+            seed=plan.seed,
+        )
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(plan.seconds):
                 async with asyncio.TaskGroup() as group:
@@ -583,6 +601,7 @@
                     group.create_task(evacuated.run())
                     group.create_task(slow.run())
                     group.create_task(cut_off.run())
+                    group.create_task(planned.run())
                     for _ in range(CALLERS):
                         group.create_task(callers.run(nodes))
         callers.violations += limited.end()
@@ -639,7 +658,7 @@
     )
 
 
-def _find_ip(seed: int, node: int) -> str:
+def find_ip(seed: int, node: int) -> str:
     """Return a loopback IP address for a node of a run.
 
     Concurrent runs use different addresses, so that none of them takes the
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -7,6 +7,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, HasLength
 
+from bench import rollingrestarts
 from bench import soak as soak_module
 from bench.soak import find_ports, Plan, soak
 
@@ -22,6 +23,14 @@
     assert_that(outcome.served_at_end, Equals(1.0))
 
 
+@pytest.mark.parametrize("seed", [1])
+def test_no_accepted_request_is_lost_in_planned_work(
+    seed: int, tmp_path: pathlib.Path
+) -> None:
+    outcome = asyncio.run(rollingrestarts.soak(seed, tmp_path, rounds=1))
+    assert_that(outcome.violations, HasLength(0))
+
+
 def test_no_two_nodes_of_a_run_get_the_same_port(monkeypatch) -> None:
     # Nodes choose their ports before any of them listens.
     monkeypatch.setattr(soak_module, "PORTS", (20_000, 20_100))
