Forward the path of a request unchanged

Cause: libcurl normalizes the path of the URL that it is given. Change: the request target is given to it apart from the URL.

Measured: two of the three cases of the new test fail on the code before, none now.

--- a/chervilrock/edges/relay.py
+++ b/chervilrock/edges/relay.py
@@ -221,7 +221,8 @@
         """Sets curl options that the client of Tornado does not support."""
         self._curl = curl
         curl.setopt(pycurl.NOPROXY, "*")
-        curl.setopt(pycurl.PATH_AS_IS, 1)
+        # libcurl would write percent-encoded octets in upper case.
+        curl.setopt(pycurl.REQUEST_TARGET, find_target(self._request.url))
         curl.setopt(pycurl.UPLOAD_BUFFERSIZE, SEND_BUFFER_BYTES)
         curl.setopt(pycurl.HTTPHEADER, format_headers(self._request.headers))
         curl.setopt(pycurl.PREREQFUNCTION, self._record_send)
@@ -302,6 +303,13 @@
                 return
 
 
+def find_target(url: str) -> str:
+    """Return the path and query of a URL, as they are written there."""
+    _, _, rest = url.partition("://")
+    _, _, target = rest.partition("/")
+    return f"/{target}"
+
+
 def use_own_connection(curl: pycurl.Curl) -> None:
     """Makes a transfer use a new connection that no other transfer reuses.
 
--- a/test/edges/test_relay.py
+++ b/test/edges/test_relay.py
@@ -57,7 +57,11 @@
 def run_transfer() -> Callable[..., None]:
     """Start a transfer to a server that the test answers for."""
 
-    def run(scenario: Scenario, may_send: Callable[[], bool]) -> None:
+    def run(
+        scenario: Scenario,
+        may_send: Callable[[], bool] = lambda: True,
+        target: str = "/",
+    ) -> None:
         async def run_all() -> None:
             connections: asyncio.Queue[tuple[bytes, asyncio.StreamWriter]] = (
                 asyncio.Queue()
@@ -75,7 +79,7 @@
             transfer = Transfer(
                 request=BackendRequest(
                     method="GET",
-                    url=f"http://127.0.0.1:{port}/",
+                    url=f"http://127.0.0.1:{port}{target}",
                     headers=(),
                     body=None,
                     timeout_s=TIMEOUT_S,
@@ -111,6 +115,22 @@
     run_transfer(scenario, lambda: False)
 
 
+@pytest.mark.parametrize(
+    "target", ["/look/%e9%2f%2F", "/a/../b//c?x=%3a&y=1#z", "/?q"]
+)
+def test_the_target_of_a_request_is_not_changed(run_transfer, target) -> None:
+    # Failure: the server gets percent-encoded octets in upper case, and
+    # nothing after a number sign.
+    async def scenario(sent: Sent) -> None:
+        received, writer = await sent.connections.get()
+        line = received.partition(b"\r\n")[0].decode()
+        assert_that(line, Equals(f"GET {target} HTTP/1.1"))
+        writer.write(HEAD + BODY)
+        await sent.end
+
+    run_transfer(scenario, target=target)
+
+
 def test_a_head_is_inspected_before_its_body_arrives(run_transfer) -> None:
     # Failure: a pause is obeyed only when the slow body is complete.
     async def scenario(sent: Sent) -> None:
