--- a/chervilrock/decisions/serving/admission/shutdown.py
+++ b/chervilrock/decisions/serving/admission/shutdown.py
@@ -85,7 +85,7 @@
         return self.serves_until - expected_s
 
     def may_exit(
-        self, now: float, *, is_busy: bool, has_successors: bool
+        self, now: float, *, is_busy: bool, has_other_nodes: bool
     ) -> bool:
         """Return whether the process may exit before the end of its grace.
 
@@ -94,25 +94,25 @@
         Args:
           now: current time.
           is_busy: whether it has requests, unsent answers or a duty.
-          has_successors: whether other nodes accept callers.
+          has_other_nodes: whether other nodes accept callers.
         """
         if is_busy:
             return False
         may_serve = self.serves_until > now
-        is_awaited = has_successors and may_serve
+        is_awaited = has_other_nodes and may_serve
         return not is_awaited or now - self._begun_at >= MIN_STOP_S
 
     def find_retry_after(
-        self, now: float, draw: float, *, has_successors: bool
+        self, now: float, draw: float, *, has_other_nodes: bool
     ) -> float:
         """Return after how many seconds a rejected caller may retry.
 
         Args:
           now: current time.
           draw: random number from 0 to 1, which spreads the callers.
-          has_successors: whether other nodes accept callers.
+          has_other_nodes: whether other nodes accept callers.
         """
-        if has_successors:
+        if has_other_nodes:
             return NEXT_NODE_SPREAD_S * draw
         remaining_s = max(0.0, min(self.exits_at, self.serves_until) - now)
         retry_after_s = min(
--- a/chervilrock/edges/serving/slots.py
+++ b/chervilrock/edges/serving/slots.py
@@ -252,7 +252,7 @@
         return self._state.shutdown.find_retry_after(
             now,
             self._state.generator.random(),
-            has_successors=self._state.has_other_nodes(),
+            has_other_nodes=self._state.has_other_nodes(),
         )
 
     def begin_send(self) -> bool:
--- a/chervilrock/node/serving.py
+++ b/chervilrock/node/serving.py
@@ -277,7 +277,7 @@
         return self._state.shutdown.may_exit(
             now,
             is_busy=is_busy,
-            has_successors=self._state.has_other_nodes(),
+            has_other_nodes=self._state.has_other_nodes(),
         )
 
     async def _send_last_answers(self) -> None:
--- a/chervilrock/tasks/serving/waitqueue.py
+++ b/chervilrock/tasks/serving/waitqueue.py
@@ -107,9 +107,3 @@
         for waiter in list(self._waiters):
             if not waiter.outcome.done() and waiter.attempt():
                 waiter.outcome.set_result(True)
-
-    def end_all(self) -> None:
-        """End all waits without a slot."""
-        for waiter in self._waiters:
-            if not waiter.outcome.done():
-                waiter.outcome.set_result(False)
--- a/test/decisions/serving/admission/test_shutdown.py
+++ b/test/decisions/serving/admission/test_shutdown.py
@@ -52,12 +52,12 @@
     assert_that(shutdown.find_latest_send(0.0), Equals(BEGIN))
     # Requests that were sent before still get their answers.
     assert_that(shutdown.answers_until, GreaterThan(BEGIN + 1.0))
-    idle = shutdown.may_exit(BEGIN, is_busy=False, has_successors=True)
+    idle = shutdown.may_exit(BEGIN, is_busy=False, has_other_nodes=True)
     assert_that(idle, Is(True))
 
 
 @pytest.mark.parametrize(
-    ("age_s", "is_busy", "has_successors", "expected"),
+    ("age_s", "is_busy", "has_other_nodes", "expected"),
     [
         (0.1, False, False, True),
         (0.1, False, True, False),
@@ -67,16 +67,16 @@
     ],
 )
 def test_a_node_exits_when_nobody_waits_for_it(
-    shutdown, age_s, is_busy, has_successors, expected
+    shutdown, age_s, is_busy, has_other_nodes, expected
 ) -> None:
     may_exit = shutdown.may_exit(
-        BEGIN + age_s, is_busy=is_busy, has_successors=has_successors
+        BEGIN + age_s, is_busy=is_busy, has_other_nodes=has_other_nodes
     )
     assert_that(may_exit, Is(expected))
 
 
 def test_callers_turn_to_another_node_at_once(shutdown) -> None:
-    retry_after_s = shutdown.find_retry_after(BEGIN, 0.5, has_successors=True)
+    retry_after_s = shutdown.find_retry_after(BEGIN, 0.5, has_other_nodes=True)
     assert_that(retry_after_s, LessThan(0.2))
 
 
@@ -84,5 +84,5 @@
     shutdown,
 ) -> None:
     late = shutdown.answers_until - 1.0
-    retry_after_s = shutdown.find_retry_after(late, 0.0, has_successors=False)
+    retry_after_s = shutdown.find_retry_after(late, 0.0, has_other_nodes=False)
     assert_that(retry_after_s, Equals(1.0 + START_RETRY_AFTER_S))
