Show in the soak that finished bodies leave the memory

Eight callers send bodies of the greatest size to one node for 20 s before the others begin: beside many small requests the garbage collector runs so often that the fault did not show (peaks of 124 to 149 MB).

--- a/bench/rollingrestarts.py
+++ b/bench/rollingrestarts.py
@@ -33,6 +33,11 @@
 NODES = 4
 CALLERS = 16
 LARGE_CALLERS = 4
+ALONE_CALLERS = 8
+ALONE_S = 20.0
+"""Time for which callers send large bodies to one node, and nobody else sends
+anything: other requests let the garbage collector run more often."""
+
 LARGE_BODY_BYTES = 4_194_304
 """`max_body_bytes` of the configuration."""
 
@@ -51,6 +56,7 @@
 """Time for which a server serves after its entry was removed."""
 
 LIMIT_MS = 4000
+_OTHER_IDENTIFIERS = 1 << 30
 _NOT_RUN = frozenset({"408", "421", "429", "503"})
 _LIMITS = {
     "max_header_bytes": 16_384,
@@ -349,6 +355,42 @@
     return found
 
 
+def make_nodes(
+    seed: int, folder: pathlib.Path, site: Site, count: int
+) -> list[NodeProcess]:
+    """Return the nodes of a run, which do not run yet."""
+    taken: set[int] = set()
+    return [
+        NodeProcess(
+            folder=folder,
+            name=f"n{number}",
+            store=site.store_address,
+            ip=find_ip(seed, number),
+            taken=taken,
+            disturbances=Disturbances(),
+            data_centre="a",
+            memory_mb=MEMORY_MB,
+        )
+        for number in range(count)
+    ]
+
+
+async def send_large_bodies(address: str, seed: int) -> list[Attempt]:
+    """Send bodies of the greatest size to one node; return the attempts."""
+    # The identifiers must differ from those of the other callers.
+    callers = Callers(addresses=[address], seed=seed + _OTHER_IDENTIFIERS)
+    body = b"x" * LARGE_BODY_BYTES
+    tasks = [
+        asyncio.create_task(callers.run(body, 0.5))
+        for _ in range(ALONE_CALLERS)
+    ]
+    await asyncio.sleep(ALONE_S)
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+    return callers.attempts
+
+
 async def soak(
     seed: int, folder: pathlib.Path, *, rounds: int, nodes: int = NODES
 ) -> Outcome:
@@ -362,7 +404,6 @@
     """
     site = Site()
     processes: list[NodeProcess] = []
-    taken: set[int] = set()
     tasks: list[asyncio.Task[None]] = []
     site.start(model_servers=12, plain_servers=4)
     servers = list(site.servers)
@@ -370,19 +411,7 @@
         server.work_s = WORK_S
     site.store.write_configuration(make_configuration(2, limits=_LIMITS))
     try:
-        processes += [
-            NodeProcess(
-                folder=folder,
-                name=f"n{number}",
-                store=site.store_address,
-                ip=find_ip(seed, number),
-                taken=taken,
-                disturbances=Disturbances(),
-                data_centre="a",
-                memory_mb=MEMORY_MB,
-            )
-            for number in range(nodes)
-        ]
+        processes += make_nodes(seed, folder, site, nodes)
         tasks.append(asyncio.create_task(supervise(processes)))
         await asyncio.sleep(START_S)
         work = PlatformWork(site=site, nodes=processes, seed=seed)
@@ -390,12 +419,11 @@
             addresses=[process.address for process in processes], seed=seed
         )
         tasks.append(asyncio.create_task(work.watch_memory()))
-        for number in range(CALLERS + LARGE_CALLERS):
-            is_large = number < LARGE_CALLERS
-            body = b"x" * LARGE_BODY_BYTES if is_large else b"body"
-            pause_s = 0.5 if is_large else 0.1
-            call = callers.run(body, pause_s)
-            tasks.append(asyncio.create_task(call))
+        callers.attempts += await send_large_bodies(processes[0].address, seed)
+        large = b"x" * LARGE_BODY_BYTES
+        calls = [callers.run(large, 0.5) for _ in range(LARGE_CALLERS)]
+        calls += [callers.run(b"body", 0.1) for _ in range(CALLERS)]
+        tasks += [asyncio.create_task(call) for call in calls]
         await work.run(rounds)
         servers += [one for one in site.servers if one not in servers]
         for task in tasks:
