--- a/bench/rollingrestarts.py
+++ b/bench/rollingrestarts.py
@@ -14,10 +14,9 @@
 import random
 import signal
 import sys
-import tempfile
 from typing import NamedTuple
 
-from bench.soak import find_ip, NodeProcess, supervise
+from bench.soak import find_ip, NodeProcess, open_folder, supervise
 from bench.statements import Disturbances
 from chervilrock.standin.site.servers import SiteServer
 from chervilrock.standin.site.site import (
@@ -156,7 +155,6 @@
         try:
             writer.write(head + body)
             await writer.drain()
-            # The kernel may hold a part of the body; an answer ends the wait.
         except OSError:
             return False
         sent = loop.time()
@@ -455,19 +453,11 @@
     arguments = parser.parse_args()
     failed = 0
     for seed in range(arguments.first, arguments.first + arguments.seeds):
-        with tempfile.TemporaryDirectory() as temporary:
-            folder = pathlib.Path(temporary)
-            if arguments.logs is not None:
-                folder = arguments.logs / str(seed)
-                folder.mkdir(parents=True, exist_ok=True)
-            outcome = asyncio.run(
-                soak(
-                    seed,
-                    folder,
-                    rounds=arguments.rounds,
-                    nodes=arguments.nodes,
-                )
+        with open_folder(arguments.logs, seed) as folder:
+            run = soak(
+                seed, folder, rounds=arguments.rounds, nodes=arguments.nodes
             )
+            outcome = asyncio.run(run)
         failed += bool(outcome.violations)
         print(
             seed,
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -10,7 +10,7 @@
 import argparse
 import asyncio
 import collections
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 import contextlib
 import functools
 import os
@@ -708,6 +708,18 @@
     return "\n".join(lines) + "\n"
 
 
+@contextlib.contextmanager
+def open_folder(logs: pathlib.Path | None, seed: int) -> Iterator[pathlib.Path]:
+    """Yield a folder for the files of a seed, a temporary one without logs."""
+    if logs is None:
+        with tempfile.TemporaryDirectory() as temporary:
+            yield pathlib.Path(temporary)
+        return
+    folder = logs / str(seed)
+    folder.mkdir(parents=True, exist_ok=True)
+    yield folder
+
+
 def main() -> int:
     """Run seeds one after the other; return 1 if any of them failed."""
     parser = argparse.ArgumentParser(description=__doc__)
@@ -720,11 +732,7 @@
     failed = 0
     for seed in range(arguments.first, arguments.first + arguments.seeds):
         plan = Plan(seed=seed, seconds=arguments.seconds, nodes=arguments.nodes)
-        with tempfile.TemporaryDirectory() as temporary:
-            folder = pathlib.Path(temporary)
-            if arguments.logs is not None:
-                folder = arguments.logs / str(seed)
-                folder.mkdir(parents=True, exist_ok=True)
+        with open_folder(arguments.logs, seed) as folder:
             outcome = asyncio.run(soak(plan, folder))
         is_broken = bool(outcome.violations) or outcome.served_at_end < 1.0
         failed += is_broken
--- a/chervilrock/edges/serving/exchange.py
+++ b/chervilrock/edges/serving/exchange.py
@@ -429,6 +429,8 @@
             return self._may_send()
         if rejection.is_early:
             self._context.metrics.count_early_rejection(self._service)
+        if rejection.is_stopping:
+            self._context.metrics.count_stop_rejection(self._service)
         is_passed_on = self._earlier_sends is not None
         extra = (
             (detours.STOPPING_PAIR,)
--- a/chervilrock/node/serving.py
+++ b/chervilrock/node/serving.py
@@ -477,6 +477,7 @@
         state = self._state
         metrics.running_requests.set(len(self._callers.exchanges))
         metrics.waiting_requests.set(len(self._waitqueue))
+        metrics.unsent_answers.set(len(self._callers.answers))
         metrics.leads.set(1 if self._task.is_leader else 0)
         metrics.set_host_counts(self._task.host_counts)
         metrics.set_store_ages(self._task.list_store_ages(now))
--- a/chervilrock/serving_metrics.py
+++ b/chervilrock/serving_metrics.py
@@ -121,6 +121,15 @@
             "or since the most urgent ones exceed them",
             "service",
         )
+        self._stop_rejections = self._counter(
+            "stop_rejections_total",
+            "Requests rejected since the node exits before they could end",
+            "service",
+        )
+        self.unsent_answers = self._gauge(
+            "answers_unsent",
+            "Answers to requests in progress, or that were not sent completely",
+        )
         self.blocked_pools = self._gauge(
             "priority_blocked",
             "Models and services whose slots more urgent requests need",
@@ -215,6 +224,10 @@
         """Count a request that was rejected at once for its priority."""
         self._early_rejections.labels(self._services.bound(service)).inc()
 
+    def count_stop_rejection(self, service: str) -> None:
+        """Count a request that was rejected because the node is stopping."""
+        self._stop_rejections.labels(self._services.bound(service)).inc()
+
     def count_withheld(self) -> None:
         """Count an attempt of a withheld request."""
         self._withheld_requests.inc()
--- a/test/node/test_stopping.py
+++ b/test/node/test_stopping.py
@@ -14,6 +14,7 @@
 
 from chervilrock.decisions.serving.admission.durations import MIN_SAMPLES
 from chervilrock.decisions.serving.admission.shutdown import MIN_STOP_S
+from chervilrock.standin.site.site import PLAIN_SERVICE
 from chervilrock.tasks.clock import read_clock
 from test.node.serving_site import Answer, run_world, World
 from test.node.test_slow_readers import Caller
@@ -50,6 +51,13 @@
     return calls
 
 
+async def request_large_answer(world: World) -> Caller:
+    caller = Caller(world)
+    body = b"pad-%d" % ANSWER_BYTES
+    await caller.send("/book/x", body=body, X_Model="", X_Token_Count="")
+    return caller
+
+
 def check_promises(world: World, answers: dict[str, Answer]) -> None:
     """Check that all requests have an answer, and 503 for those that ran not.
 
@@ -73,6 +81,9 @@
         assert_that(rejected, AfterPreprocessing(len, GreaterThan(0)))
         for answer in rejected:
             assert_that(answer.headers, Contains("Retry-After"))
+        counted = f'stop_rejections_total{{service="{PLAIN_SERVICE}"}}'
+        metrics = world.nodes[0]._metrics.render().decode()
+        assert_that(metrics, Contains(f"{counted} {len(rejected)}.0"))
 
     run_world(scenario, grace_s=2.0)
 
@@ -103,13 +114,7 @@
 def test_an_answer_is_sent_completely_before_a_node_exits() -> None:
     # Failure: it counts as done when it is buffered, and is cut at the exit.
     async def scenario(world: World) -> None:
-        caller = Caller(world)
-        await caller.send(
-            "/book/x",
-            body=b"pad-%d" % ANSWER_BYTES,
-            X_Model="",
-            X_Token_Count="",
-        )
+        caller = await request_large_answer(world)
         await caller.reader.readuntil(b"\r\n\r\n")
         stopping = asyncio.ensure_future(world.nodes[0].stop())
         received = 0
@@ -127,13 +132,7 @@
 
 def test_a_caller_that_reads_nothing_does_not_delay_the_exit() -> None:
     async def scenario(world: World) -> None:
-        caller = Caller(world)
-        await caller.send(
-            "/book/x",
-            body=b"pad-%d" % ANSWER_BYTES,
-            X_Model="",
-            X_Token_Count="",
-        )
+        caller = await request_large_answer(world)
         node = world.nodes[0]
         await world.wait(
             lambda: (
@@ -143,6 +142,7 @@
         )
         await node.stop()
         assert_that(read_clock(), LessThan(node.state.shutdown.answers_until))
+        caller.writer.close()
 
     run_world(scenario, grace_s=30.0)
 
