Test more ways to end, and a request that is passed on to a stopping node

A request of a node that is cut off goes to a third node when the second one is stopping: without the header of the stopping node the new test fails.

--- a/test/node/test_released_requests.py
+++ b/test/node/test_released_requests.py
@@ -14,6 +14,7 @@
 from chervilrock.edges.serving import connection, exchange, receiver
 from chervilrock.standin.site.proxy import LinkFault
 from chervilrock.standin.site.servers import ServerFault
+from chervilrock.standin.site.site import LARGE
 from test.node.serving_site import run_world, World
 from test.node.test_slow_readers import Caller
 
@@ -138,6 +139,48 @@
         caller.writer.close()
 
 
+async def move_stalled_streams(world: World) -> None:
+    for head in world.site.list_heads(LARGE):
+        head.fault = ServerFault.SILENT
+    calls = [
+        asyncio.create_task(world.call("/draft/x", headers=headers))
+        for headers in (
+            world.make_headers(X_Token_Count="10,100") for _ in range(3)
+        )
+    ]
+    await world.wait(
+        lambda: any(server.left for server in world.site.servers),
+        "a stream is moved away",
+    )
+    for server in world.site.servers:
+        server.fault = ServerFault.NONE
+    await asyncio.gather(*calls)
+
+
+async def exceed_memory(world: World) -> None:
+    callers = [Caller(world) for _ in range(8)]
+    for caller in callers:
+        await caller.send(
+            "/book/x", body=b"pad-600000", X_Model="", X_Token_Count=""
+        )
+    for caller in callers:
+        await caller.read()
+
+
+async def stop_node(world: World) -> None:
+    for server in world.list_plain_servers():
+        server.work_s = 30.0
+    calls = [
+        asyncio.create_task(world.call("/book/x", headers=headers))
+        for headers in (make_plain_headers(world) for _ in range(24))
+    ]
+    await world.wait(
+        lambda: len(world.nodes[0]._waitqueue) > 0, "requests wait"
+    )
+    await world.nodes[0].stop()
+    await asyncio.gather(*calls)
+
+
 def make_plain_headers(world: World, **changes: str) -> dict[str, str]:
     return world.make_headers(X_Model="", X_Token_Count="", **changes)
 
@@ -171,6 +214,7 @@
         pass_deadline,
         leave_midway,
         leave_while_waiting,
+        move_stalled_streams,
     ],
 )
 def test_a_finished_request_is_released(
@@ -210,3 +254,18 @@
     run_world(
         lambda world: check_released(world, tracker, scenario), memory_mb=4.0
     )
+
+
+def test_an_answer_that_ends_for_memory_is_released(tracker: Tracker) -> None:
+    run_world(
+        lambda world: check_released(world, tracker, exceed_memory),
+        memory_mb=4.0,
+    )
+
+
+def test_requests_that_end_with_their_node_are_released(
+    tracker: Tracker,
+) -> None:
+    run_world(
+        lambda world: check_released(world, tracker, stop_node), grace_s=1.5
+    )
--- a/test/node/test_stopping.py
+++ b/test/node/test_stopping.py
@@ -14,6 +14,7 @@
 
 from chervilrock.decisions.serving.admission.durations import MIN_SAMPLES
 from chervilrock.decisions.serving.admission.shutdown import MIN_STOP_S
+from chervilrock.standin.site.proxy import LinkFault
 from chervilrock.standin.site.site import PLAIN_SERVICE
 from chervilrock.tasks.clock import read_clock
 from test.node.serving_site import Answer, run_world, World
@@ -177,3 +178,20 @@
             assert_that(answer.status, Equals(502 if has_run else 503))
 
     run_world(scenario, grace_s=1.5)
+
+
+def test_a_request_that_is_passed_on_finds_a_node_that_is_not_stopping() -> (
+    None
+):
+    # Failure: a node that is cut off rejects what a stopping node rejects.
+    async def scenario(world: World) -> None:
+        cut_off, stopping, _ = world.nodes
+        world.cuts.cut(["127.0.1.1"], LinkFault.RESET)
+        while not cut_off.state.reachability.is_cut_off:
+            await world.call("/draft/x")
+        stopping.state.shutdown.begin(8.0, read_clock(), may_serve=False)
+        for _ in range(8):
+            answer = await world.call("/draft/x")
+            assert_that(answer.status, Equals(200))
+
+    run_world(scenario, nodes=3, has_own_ips=True)
