Log and count which answers a node ends after they have begun

Answers that a node had cut itself, at its exit or since a caller left a megabyte unread, were logged as if the caller had left (E7403 left), and whether an answer had begun was not logged at all. So a stop could not be told from a caller that leaves, nor a refused continuation from a rejection.

E7403 now has the cause of the cut, the last event and the time that was left; E7412 names the request; chervilrock_answers_cut_total counts by cause. Before an exit the node waits up to 0.1 s until the requests that it cuts are logged.

--- a/chervilrock/catalogue.py
+++ b/chervilrock/catalogue.py
@@ -431,8 +431,8 @@
         Level.INFO,
         "request {request_id} on {route} of workspace {workspace} ended with "
         "status {status} after {total_ms} ms ({reason}): {sends} sends, "
-        "waited {waited_ms} ms, first event after {first_event_ms} ms, "
-        "revision {revision}",
+        "waited {waited_ms} ms, first event after {first_event_ms} ms, last "
+        "event {after}, cut: {cut}, {left_ms} ms left, revision {revision}",
     )
     SEND_BROKEN = EventSpec(
         7404,
@@ -489,8 +489,8 @@
     ANSWER_ENDED = EventSpec(
         7412,
         Level.WARNING,
-        "an answer of which {size} bytes are held was ended, as the memory "
-        "for callers was used up",
+        "the answer to request {request_id}, of which {size} bytes are held, "
+        "was ended, as the memory for callers was used up",
     )
     BODY_REJECTED = EventSpec(
         7413,
--- a/chervilrock/edges/serving/callers.py
+++ b/chervilrock/edges/serving/callers.py
@@ -25,6 +25,9 @@
 MAX_DIGITS = 18
 """Digits of a stated length that are read; Tornado rejects such long bodies."""
 
+LAST_LINES_S = 0.1
+"""Longest time in which cut requests log their end before the process exits."""
+
 LINGER_S = 2.0
 """Time for which the rest of a rejected body is received and discarded. If the
 connection was closed at once, the caller would see a reset connection instead
@@ -146,6 +149,16 @@
         for exchange in list(self.exchanges.values()):
             exchange.end_at_shutdown()
 
+    async def wait_for_ends(self) -> None:
+        """Wait until requests whose connections were closed have ended."""
+        if self._tasks:
+            await asyncio.wait(set(self._tasks), timeout=LAST_LINES_S)
+
+    def record_exit(self) -> None:
+        """Record that the process exits and closes all connections."""
+        for exchange in list(self.exchanges.values()):
+            exchange.cut()
+
     def end_silent_sends(self, now: float) -> None:
         """End sends to servers that are silent; this node is cut off."""
         for exchange in list(self.exchanges.values()):
--- a/chervilrock/edges/serving/connection.py
+++ b/chervilrock/edges/serving/connection.py
@@ -3,6 +3,7 @@
 import abc
 import asyncio
 from collections.abc import Callable, Iterable
+import enum
 import fcntl
 import http.client
 import socket
@@ -31,6 +32,29 @@
 
 ENDED_REASON = "the memory for callers was used up"
 
+
+class CutCause(enum.Enum):
+    """Why a node ended an answer that had begun before it was complete.
+
+    Attributes:
+      NONE: it did not.
+      FAILED: no server completed it.
+      REJECTED: it got no slot to continue at another server.
+      LIMIT: its time limit was reached.
+      UNREAD: its caller left too much of it unread.
+      MEMORY: the memory for callers was used up.
+      EXIT: the process exits.
+    """
+
+    NONE = ""
+    FAILED = "failed"
+    REJECTED = "rejected"
+    LIMIT = "limit"
+    UNREAD = "unread"
+    MEMORY = "memory"
+    EXIT = "exit"
+
+
 LOG_INTERVAL_S = 1.0
 """Shortest time between two log lines about paused answers."""
 
@@ -42,7 +66,13 @@
 
 
 class AnswerSource(abc.ABC):
-    """Produces the answer that is written to a caller's connection."""
+    """Produces the answer that is written to a caller's connection.
+
+    Attributes:
+      request_id: identifier of the request.
+    """
+
+    request_id: str
 
     @abc.abstractmethod
     def pause(self) -> None:
@@ -66,6 +96,7 @@
       is_done: whether the answer is complete or the connection is closed.
       was_ended: whether the answer was ended because callers leave too many
         bytes unread.
+      cut: why this node ended the answer, which had begun.
     """
 
     def __init__(
@@ -93,6 +124,7 @@
         self.has_begun = False
         self.is_done = False
         self.was_ended = False
+        self.cut = CutCause.NONE
 
     def begin(
         self, status: int, headers: Iterable[tuple[str, str]], body: bytes
@@ -108,7 +140,7 @@
         self._discard_result(self._connection.write(data))
         unread = self.count_unread()
         if unread > MAX_UNSENT_BYTES:
-            self.abort()
+            self.abort(CutCause.UNREAD)
         else:
             self._memory.record_unread(self, unread)
 
@@ -140,14 +172,20 @@
         self._memory.record_collected(self, 0)
         self._write_head(status, headers, len(body), body)
 
-    def abort(self) -> None:
+    def abort(self, cause: CutCause) -> None:
         """Close the connection to mark the answer as incomplete."""
+        self.record_cut(cause)
         if self._is_delimited_by_close:
             self._reset()
             return
         self._connection.stream.close()
         self.close()
 
+    def record_cut(self, cause: CutCause) -> None:
+        """Record why the answer is about to be ended, unless it is known."""
+        if self.has_begun and not self.is_done and self.cut is CutCause.NONE:
+            self.cut = cause
+
     def release_source(self) -> None:
         """Let go of the source, which produces no more of the answer."""
         self.source = None
@@ -166,6 +204,7 @@
         Bytes that the system has accepted for it are discarded as well.
         """
         self.was_ended = True
+        self.record_cut(CutCause.MEMORY)
         source = self.source
         is_unfinished = source is not None and not self.is_done
         if self.has_begun:
@@ -173,6 +212,11 @@
         if source is not None and is_unfinished:
             source.end()
 
+    @property
+    def request_id(self) -> str:
+        """Identifier of the request, empty once the answer is complete."""
+        return "" if self.source is None else self.source.request_id
+
     @property
     def is_sent(self) -> bool:
         """Whether the answer has left this process, or cannot any more."""
@@ -374,7 +418,11 @@
             caller.sample()
         for caller in self._buffers.choose_ended():
             self._metrics.count_ended_answer()
-            emit(Event.ANSWER_ENDED, size=self._buffers.find_held(caller))
+            emit(
+                Event.ANSWER_ENDED,
+                request_id=caller.request_id,
+                size=self._buffers.find_held(caller),
+            )
             self._buffers.forget(caller)
             caller.end_early()
 
--- a/chervilrock/edges/serving/exchange.py
+++ b/chervilrock/edges/serving/exchange.py
@@ -40,6 +40,7 @@
 from chervilrock.edges.serving.connection import (
     AnswerSource,
     CallerConnection,
+    CutCause,
     ENDED_REASON,
     HeldBody,
 )
@@ -237,6 +238,10 @@
             STOPPING_REASON, self._search.find_stop_retry_after(read_clock())
         )
 
+    def cut(self) -> None:
+        """Record that the process exits before the answer is complete."""
+        self._connection.record_cut(CutCause.EXIT)
+
     def close(self) -> None:
         """Let go of the answer after `run`, which may still be unsent."""
         self._answer = self._answer_head = None
@@ -335,7 +340,9 @@
         if self._has_ended(status):
             return False
         if now >= self._expires:
-            self._fail(GATEWAY_TIMEOUT, "the time limit was reached")
+            self._fail(
+                GATEWAY_TIMEOUT, "the time limit was reached", CutCause.LIMIT
+            )
             return False
         next_step = decide_next(
             end,
@@ -370,7 +377,8 @@
                 self._fail(BAD_GATEWAY, ENDED_REASON)
             return True
         if self._is_caller_gone:
-            self._log_end("left", status)
+            cut = self._connection.cut
+            self._log_end("left" if cut is CutCause.NONE else cut.value, status)
             return True
         return False
 
@@ -414,7 +422,7 @@
         exchangelog.log_withheld(self.request_id, suspect)
         reason = f"{len(suspect.crashes)} servers ended under it"
         if self._progress.may_have_run:
-            self._fail(BAD_GATEWAY, reason)
+            self._fail(BAD_GATEWAY, reason, CutCause.REJECTED)
         else:
             self._reject(UNAVAILABLE, reason, WITHHELD_RETRY_AFTER_S)
 
@@ -600,7 +608,7 @@
     ) -> None:
         """Reject a request, or fail it if it may have run."""
         if self._progress.may_have_run or self._connection.has_begun:
-            self._fail(BAD_GATEWAY, reason)
+            self._fail(BAD_GATEWAY, reason, CutCause.REJECTED)
         else:
             self._reject(UNAVAILABLE, reason, retry_after_s, extra)
 
@@ -851,10 +859,12 @@
             return
         self._log_end(end.value, status)
 
-    def _fail(self, status: int, reason: str) -> None:
+    def _fail(
+        self, status: int, reason: str, cause: CutCause = CutCause.FAILED
+    ) -> None:
         """Abort the answer or send an error; the request may have run."""
         if self._connection.has_begun:
-            self._connection.abort()
+            self._connection.abort(cause)
         else:
             body = f'{{"error":"{reason}"}}'.encode()
             pairs = (("Content-Type", "application/json"),)
@@ -893,6 +903,9 @@
 
     def _log_end(self, reason: str, status: int) -> None:
         """Log and count the outcome of the request."""
+        cut = self._connection.cut.value
+        if cut:
+            self._context.metrics.count_cut_answer(cut)
         self._context.metrics.count_request(
             exchangelog.log_end(
                 exchangelog.EndedRequest(
@@ -904,6 +917,9 @@
                     sends=self._progress.sends,
                     waited_s=self._search.waited_s,
                     first_event=self._first_event,
+                    last_event=self._last_event,
+                    cut=cut,
+                    left_s=self._expires - read_clock(),
                     state=self._state,
                     now=read_clock(),
                 )
--- a/chervilrock/edges/serving/exchangelog.py
+++ b/chervilrock/edges/serving/exchangelog.py
@@ -38,6 +38,10 @@
       waited_s: time for which it waited for a slot, in seconds.
       first_event: time at which the first event was sent to the caller, None
         for none.
+      last_event: identifier of the last event that the caller has, empty for
+        none.
+      cut: why the node ended an answer that had begun, empty if it did not.
+      left_s: time until the time limit of the request, in seconds.
       state: state of the node.
       now: current time.
     """
@@ -50,6 +54,9 @@
     sends: int
     waited_s: float
     first_event: float | None
+    last_event: str
+    cut: str
+    left_s: float
     state: ServingState
     now: float
 
@@ -236,6 +243,9 @@
         waited_ms=round(ended.waited_s * _MS_PER_S),
         first_event_ms=None if first_s is None else round(first_s * _MS_PER_S),
         total_ms=round((ended.now - arrived) * _MS_PER_S),
+        after=ended.last_event,
+        cut=ended.cut,
+        left_ms=round(ended.left_s * _MS_PER_S),
         revision=-1 if routes is None else routes.configuration.revision,
     )
     return CompletedRequest(
--- a/chervilrock/node/serving.py
+++ b/chervilrock/node/serving.py
@@ -317,9 +317,11 @@
         """Cancel all tasks and close all connections."""
         for task in self._tasks:
             task.cancel()
+        self._callers.record_exit()
         for server in self._servers:
             server.stop()
             await server.close_all_connections()
+        await self._callers.wait_for_ends()
         self._client.close()
 
     def _handle_task_end(self, task: "asyncio.Task[None]") -> None:
--- a/chervilrock/serving_metrics.py
+++ b/chervilrock/serving_metrics.py
@@ -172,6 +172,11 @@
             "answers_ended_total",
             "Answers that were ended as the memory for callers was used up",
         )
+        self._cut_answers = self._counter(
+            "answers_cut_total",
+            "Answers that this node ended after they had begun, by cause",
+            "cause",
+        )
         self._rejected_bodies = self._counter(
             "bodies_rejected_total",
             "Requests that were rejected as their bodies did not fit",
@@ -243,6 +248,10 @@
         """Count an answer that ended as the memory was used up."""
         self._ended_answers.inc()
 
+    def count_cut_answer(self, cause: str) -> None:
+        """Count an answer that this node ended after it had begun."""
+        self._cut_answers.labels(cause).inc()
+
     def count_rejected_body(self) -> None:
         """Count a request whose body did not fit."""
         self._rejected_bodies.inc()
