--- a/test/node/test_cut_answers.py
+++ b/test/node/test_cut_answers.py
@@ -1,7 +1,5 @@
 """What the log says of answers that end before they are complete."""
 
-import asyncio
-
 import pytest
 from testtools.assertions import assert_that
 from testtools.matchers import Contains, HasLength, Not
