Let interrupted streams wait until their time limit

Cause: once a stream had left its server, it was treated as a request that waits. It was cut when no group served its model for a moment, after two seconds without a slot, when a server rejected it (a rejection used up its last attempt), when the retry budget was empty for a moment, when another node rejected it, or when this node was cut off and no other node reached servers either. And a cut-off node took the last attempt of a stream after a second of silence, though its server was sound. A request that waits can be repeated by its caller; a part of an answer is lost.

Change: an interrupted stream waits until its time limit, unless all servers have stated that they take nothing for longer than its caller waits. Rejections use up none of its attempts; it may return to a server that the node no longer avoids. A cut-off node takes a stream away only if it may be sent again.

--- a/chervilrock/decisions/serving/admission/attempts.py
+++ b/chervilrock/decisions/serving/admission/attempts.py
@@ -42,10 +42,23 @@
     Attributes:
       sends: number of servers that it was sent to.
       may_have_run: whether one of them may have run it.
+      rejected: number of these servers that rejected it without running it.
     """
 
     sends: int
     may_have_run: bool
+    rejected: int = 0
+
+    def count_attempts(self, *, has_begun: bool) -> int:
+        """Return how many attempts are used up.
+
+        A rejection uses up an attempt of a request that waits, which its caller
+        may repeat. A stream that has begun cannot be repeated.
+
+        Args:
+          has_begun: whether the caller has a part of the answer.
+        """
+        return self.sends - self.rejected if has_begun else self.sends
 
 
 _SUCCESSES = range(200, 300)
@@ -97,6 +110,7 @@
     progress: Progress,
     may_retry: bool,
     max_attempts: int,
+    has_begun: bool = False,
 ) -> NextStep:
     """Return what to do after a send, regardless of the retry budget.
 
@@ -106,12 +120,14 @@
       progress: the sends so far, this one included.
       may_retry: whether the request may run more than once.
       max_attempts: servers that it may be sent to.
+      has_begun: whether the caller has a part of the answer.
     """
     if end is SendOutcome.COMPLETE:
         return NextStep.FINISH
     if end is SendOutcome.HELD:
         return NextStep.RETRY
-    has_attempts = progress.sends < max_attempts
+    attempts = progress.count_attempts(has_begun=has_begun)
+    has_attempts = attempts < max_attempts
     if end is SendOutcome.NOT_RUN:
         is_retry_safe = may_retry or not progress.may_have_run
         return (
--- a/chervilrock/decisions/serving/admission/waiting.py
+++ b/chervilrock/decisions/serving/admission/waiting.py
@@ -7,6 +7,10 @@
 would give up; but when the existing groups have been full for longer than a
 repair takes, it is better to reject callers at once and ask them to retry
 later.
+
+An interrupted stream is different: its caller has a part of the answer, which
+is lost if the stream ends. It waits until its time limit, unless all servers
+have stated that they take nothing for longer than its caller waits.
 """
 
 import math
@@ -35,8 +39,8 @@
 MIN_WAIT_S = 0.005
 """Shortest wait; the time left to be on time may be close to zero."""
 
-MAX_BEGUN_WAIT_S = 2.0
-"""Longest wait of an interrupted stream; callers give it up after that."""
+BEGUN_PATIENCE_S = 2.0
+"""Time for which the caller of a stream at least waits for the next event."""
 
 RETRY_AFTER_S = 0.8
 """Time after which a rejected caller is asked to retry, a little more than
@@ -139,6 +143,12 @@
       availability: endpoints that it can expect.
       draw: random number from 0 to 1.
     """
+    if request.timeliness is Timeliness.BEGUN:
+        stated_s = max(availability.limit_wait_s, availability.pause_wait_s)
+        if stated_s > min(BEGUN_PATIENCE_S, request.limit_s):
+            retry_after_s = find_pause_retry_after(availability, draw)
+            return WaitDecision(0.0, retry_after_s)
+        return WaitDecision(request.limit_s, RETRY_AFTER_S)
     if not availability.has_endpoints and not availability.is_forming:
         return WaitDecision(0.0, REPAIR_S)
     if not _can_wait_for_limit(request, availability):
@@ -146,8 +156,6 @@
     max_wait_s = _find_max_wait(request)
     if availability.pause_wait_s > max_wait_s:
         return WaitDecision(0.0, find_pause_retry_after(availability, draw))
-    if request.timeliness is Timeliness.BEGUN:
-        return WaitDecision(max_wait_s, RETRY_AFTER_S)
     if availability.hopeless_s and availability.has_endpoints:
         return WaitDecision(0.0, _spread_retry(availability.hopeless_s, draw))
     if request.timeliness is Timeliness.ON_TIME:
@@ -168,8 +176,6 @@
 
 def _find_max_wait(request: WaitingRequest) -> float:
     """Return the longest time for which a request may wait, in seconds."""
-    if request.timeliness is Timeliness.BEGUN:
-        return min(MAX_BEGUN_WAIT_S, request.limit_s)
     return max(
         0.0, min(LATE_WAIT_FRACTION * request.limit_s, request.gives_up_s)
     )
@@ -193,14 +199,10 @@
 ) -> bool:
     """Return whether a request may get one of the few sends to limited servers.
 
-    Interrupted streams may, and requests that can still be on time.
+    Only requests that can still be on time may.
     """
     if not availability.limit_wait_s:
         return True
-    if request.timeliness is Timeliness.BEGUN:
-        return availability.limit_wait_s <= min(
-            MAX_BEGUN_WAIT_S, request.limit_s
-        )
     is_in_time = availability.limit_wait_s <= request.on_time_s
     return request.timeliness is Timeliness.ON_TIME and is_in_time
 
--- a/chervilrock/edges/serving/slots.py
+++ b/chervilrock/edges/serving/slots.py
@@ -40,6 +40,10 @@
 
 STOPPING_REASON = "the node is stopping"
 
+BEGUN_RECHECK_S = 0.1
+"""Interval at which an interrupted stream looks for a slot. Nothing announces
+the end of the time for which this node avoids a server."""
+
 Endpoint = GroupEndpoint | ServerEndpoint
 SlotChoice = Choice[GroupEndpoint] | Choice[ServerEndpoint]
 
@@ -184,6 +188,9 @@
             if decision.wait_s <= 0:
                 return rejection
             until = min(now + decision.wait_s, latest_send)
+            has_begun = timeliness is Timeliness.BEGUN
+            if has_begun:
+                until = min(until, now + BEGUN_RECHECK_S)
             await self._wait(admission, timeliness, until)
             if (
                 self.is_cancelled
@@ -191,7 +198,8 @@
                 or self._try_acquire()
             ):
                 return None
-            if self._is_wait_useless():
+            is_early = has_begun and read_clock() < self._expires
+            if is_early or self._is_wait_useless():
                 continue
             if timeliness is not Timeliness.ON_TIME:
                 return rejection
@@ -421,8 +429,10 @@
         if not (state.statements.pauses or state.evacuations):
             return False
         availability = self._find_availability(now)
-        if state.evacuations and not (
-            availability.has_endpoints or availability.is_forming
+        if (
+            state.evacuations
+            and not (availability.has_endpoints or availability.is_forming)
+            and not self._connection.has_begun
         ):
             return True
         return availability.pause_wait_s > max(0.0, self._wait_until - now)
@@ -431,7 +441,8 @@
         """Return a free slot, None if there is none.
 
         Servers that rejected the request and asked for a pause are the last
-        choice; they may take it when their pause has ended.
+        choice; they may take it when their pause has ended. An interrupted
+        stream may return to any server that this node does not avoid by now.
         """
         candidate = self._find_competitor(now)
         if candidate is not None and not self._state.admission.may_take(
@@ -444,6 +455,10 @@
         choice = self._choose_except(self._avoided | self._paused, now)
         if choice is None and self._paused:
             choice = self._choose_except(self._avoided, now)
+        if choice is None and self._connection.has_begun:
+            again = self._choose_except(set(), now)
+            if again is not None and not again.load.is_deprioritized:
+                choice = again
         return choice
 
     def _choose_except(
--- a/test/decisions/serving/test_decisions.py
+++ b/test/decisions/serving/test_decisions.py
@@ -458,3 +458,23 @@
         max_attempts=1,
     )
     assert_that(step, Is(NextStep.RETRY))
+
+
+# Failure: a stream was cut since the only server tried after its own one had
+# rejected it.
+@pytest.mark.parametrize(
+    ("has_begun", "following"),
+    [(True, NextStep.RETRY), (False, NextStep.GIVE_UP)],
+)
+def test_a_rejection_uses_up_no_attempt_of_a_stream_that_has_begun(
+    has_begun: bool, following: NextStep
+) -> None:
+    step = decide_next(
+        SendOutcome.NOT_RUN,
+        status=503,
+        progress=Progress(sends=2, may_have_run=True, rejected=1),
+        may_retry=True,
+        max_attempts=2,
+        has_begun=has_begun,
+    )
+    assert_that(step, Is(following))
