Leave streams of a stopping node at silent servers

A node that may send nothing any more, since it stops, still took streams away from groups without progress. They could not be sent again and were cut at once, with one run and an attempt left, although their servers went on (E7304, E7402 silent, E7403 the node is stopping).

Streams are now taken away only if they may be sent again.

--- a/chervilrock/edges/serving/exchange.py
+++ b/chervilrock/edges/serving/exchange.py
@@ -274,7 +274,11 @@
         attempts = 1 + self._progress.count_attempts(
             has_begun=self._connection.has_begun
         )
-        return route.is_resumable and attempts < route.max_attempts
+        return (
+            route.is_resumable
+            and attempts < route.max_attempts
+            and now <= self._search.find_latest_send(now)
+        )
 
     def end_silent_send(self, now: float) -> None:
         """End a send to a server that is silent; this node is cut off."""
