--- a/chervilrock/edges/serving/receiver.py
+++ b/chervilrock/edges/serving/receiver.py
@@ -95,7 +95,8 @@
         """See base class."""
         self._progress(self)
         if not self.is_relayed:
-            self.is_too_long = len(self.body) + len(data) > MAX_BODY_BYTES
+            if len(self.body) + len(data) > MAX_BODY_BYTES:
+                self.is_too_long = True
             if not self.is_too_long:
                 self.body += data
                 self._record_collected(len(self.body))
--- a/test/edges/test_answer_receiver.py
+++ b/test/edges/test_answer_receiver.py
@@ -7,7 +7,7 @@
 from chervilrock.decisions.serving.admission.attempts import SendOutcome
 from chervilrock.edges.heads import Head
 from chervilrock.edges.relay import BackendRequest, Transfer, TransferEnd
-from chervilrock.edges.serving.receiver import AnswerReceiver
+from chervilrock.edges.serving.receiver import AnswerReceiver, MAX_BODY_BYTES
 
 REQUEST_ID = "r1"
 EVENT = b"id: 1\ndata: x\n\n"
@@ -81,3 +81,30 @@
     end = TransferEnd(sent=True, head=head, error="abandoned")
     assert_that(receiver.is_broken_off(end), Is(False))
     assert_that(receiver.is_broken_off(SendOutcome.LOST), Is(False))
+
+
+def receive_body(
+    receiver: AnswerReceiver, status: int, sizes: list[int]
+) -> Head:
+    head = Head(
+        status=status,
+        headers=(("X-Request-Id", REQUEST_ID), ("X-Server-Stamp", "s")),
+    )
+    receiver.inspect_head(head)
+    receiver.handle_head(head)
+    for size in sizes:
+        receiver.handle_data(b"x" * size)
+    return head
+
+
+def test_a_body_that_has_lost_bytes_is_not_whole(
+    receiver: AnswerReceiver,
+) -> None:
+    # Failure: a piece beyond the limit was dropped, a later one that fitted was
+    # appended, and the rest counted as the whole answer.
+    head = receive_body(receiver, 200, [MAX_BODY_BYTES - 10, 100, 5])
+    request = BackendRequest("GET", "http://x/", (), None, 1.0, True)
+    transfer = Transfer(request=request, receiver=receiver)
+    transfer.sent = True
+    end = TransferEnd(sent=True, head=head, error="")
+    assert_that(receiver.classify(transfer, end), Equals(SendOutcome.LOST))
