End transfers of bytes that cannot become an answer

Servers in trouble may send bytes that are no answer, without end, until the node closes the connection.

The send counts as lost and as one that may have run; the server is avoided, also if the transfer was paused, and the group counts as one that fails by itself, with its backoff. Such a server was reached, so it does not make a node doubt its links. E7418 names the limit and the bytes. The part of an event that a node holds counts for the memory of callers.

--- a/chervilrock/edges/relay.py
+++ b/chervilrock/edges/relay.py
@@ -22,12 +22,19 @@
 SEND_BUFFER_BYTES = 16 * 1024
 """Smallest size that libcurl accepts; each transfer keeps one buffer."""
 
+MAX_HEAD_BYTES = 64 * 1024
+"""Most bytes of all heads and trailers of one answer; more are a fault of the
+backend server."""
+
 DEFAULT_CONNECT_TIMEOUT_S = 1.0
 
 _SEND_OK: int = pycurl.PREREQFUNC_OK
 _SEND_ABORT: int = pycurl.PREREQFUNC_ABORT
 _PAUSE: int = pycurl.WRITEFUNC_PAUSE
 _ABORT = -1
+_CONTINUE = None
+"""Result of a header callback that accepts the line."""
+
 _BROKEN_CONNECTION_ERRORS = frozenset(
     {
         pycurl.E_GOT_NOTHING,
@@ -38,6 +45,18 @@
 )
 """Errors of a connection that ended before the answer was complete."""
 
+_TOO_LARGE = 100
+"""CURLE_TOO_LARGE, which PycURL does not name."""
+
+_FAULTY_ANSWER_ERRORS = frozenset(
+    {
+        pycurl.E_FTP_WEIRD_SERVER_REPLY,
+        pycurl.E_UNSUPPORTED_PROTOCOL,
+        _TOO_LARGE,
+    }
+)
+"""Errors of an answer that libcurl itself does not accept."""
+
 _NO_SOCKET = -1
 
 
@@ -67,8 +86,14 @@
     """Receives an answer incrementally; called from within libcurl.
 
     No method may raise or block.
+
+    Attributes:
+      fault: why what is received cannot become a usable answer, empty while it
+        can; the rest is not read.
     """
 
+    fault: str = ""
+
     def inspect_head(self, head: Head) -> None:
         """Inspects the head of the answer as soon as it is complete.
 
@@ -99,6 +124,8 @@
         before the answer was complete.
       is_held: whether the request was not sent because the backend server
         wants none.
+      is_faulty: whether the transfer was ended since what the backend server
+        sent is no usable answer.
     """
 
     sent: bool
@@ -107,6 +134,7 @@
     repeated: bool = False
     is_broken: bool = False
     is_held: bool = False
+    is_faulty: bool = False
 
 
 class Transfer:
@@ -141,6 +169,8 @@
         self._final_head: Head | None = None
         self._curl: pycurl.Curl | None = None
         self._head_lines: list[bytes] = []
+        self._head_bytes = 0
+        self._fault = ""
         self._paused = False
         self._abandoned = False
         self._in_callback = False
@@ -172,7 +202,11 @@
             is_broken = (
                 error.errno in _BROKEN_CONNECTION_ERRORS and not self._abandoned
             )
-            return self._end(str(error), is_broken=is_broken)
+            return self._end(
+                str(error),
+                is_broken=is_broken,
+                is_faulty=error.errno in _FAULTY_ANSWER_ERRORS,
+            )
         except (HTTPClientError, ValueError) as error:
             return self._end(str(error) or type(error).__name__)
         finally:
@@ -206,15 +240,18 @@
             self._shut_down(self._curl)
             self._unpause(self._curl)
 
-    def _end(self, error: str, *, is_broken: bool = False) -> TransferEnd:
+    def _end(
+        self, error: str, *, is_broken: bool = False, is_faulty: bool = False
+    ) -> TransferEnd:
         self._parse_head_lines()
         return TransferEnd(
             sent=self.sent,
             head=self.head,
-            error=error,
+            error=self._fault or error,
             repeated=self._repeated,
             is_broken=is_broken,
             is_held=self._is_held,
+            is_faulty=is_faulty or bool(self._fault),
         )
 
     def _prepare(self, curl: pycurl.Curl) -> None:
@@ -242,13 +279,23 @@
         self.sent = True
         return _SEND_OK
 
-    def _receive_head_line(self, line: bytes) -> None:
-        """Handles a line of the head or of a trailer; called by libcurl."""
+    def _receive_head_line(self, line: bytes) -> int | None:
+        """Handles a line of a head or of a trailer; called by libcurl."""
+        self._head_bytes += len(line)
+        if self._head_bytes > MAX_HEAD_BYTES:
+            self._fault = (
+                f"the head has more than {MAX_HEAD_BYTES} bytes, "
+                f"{self._head_bytes} received"
+            )
+            return _ABORT
         if self._final_head is not None:
-            return
+            return _CONTINUE
         self._head_lines.append(line)
         if not line.strip():
             self._inspect_head()
+            # Lines of interim answers are not parsed again.
+            self._head_lines.clear()
+        return _CONTINUE
 
     def _inspect_head(self) -> None:
         """Passes the final head to the receiver for inspection, once."""
@@ -270,7 +317,8 @@
             self._receiver.handle_data(data)
         finally:
             self._in_callback = False
-        return _ABORT if self._abandoned else len(data)
+        self._fault = self._receiver.fault
+        return _ABORT if self._abandoned or self._fault else len(data)
 
     def _parse_head_lines(self) -> None:
         """Passes the final head to the receiver once it is received."""
--- a/chervilrock/edges/serving/exchange.py
+++ b/chervilrock/edges/serving/exchange.py
@@ -554,6 +554,8 @@
             return False
         if isinstance(end, SendOutcome):
             return receiver.facts is None or end is SendOutcome.STALLED
+        if end.is_faulty:
+            return False
         return receiver.is_broken_off(end) or not (
             receiver.facts or end.is_held
         )
@@ -839,8 +841,13 @@
         if transfer.sent and outcome is not SendOutcome.NOT_RUN:
             self._progress = self._progress._replace(may_have_run=True)
         status = 0 if facts is None else facts.status
+        is_faulty = isinstance(end, TransferEnd) and end.is_faulty
         self._avoid_after_failure(
-            outcome, status, endpoint, was_paused=transfer.was_paused
+            outcome,
+            status,
+            endpoint,
+            was_paused=transfer.was_paused,
+            is_faulty=is_faulty,
         )
         self._keep_answer(transfer, receiver)
         return outcome, status
@@ -852,6 +859,7 @@
         endpoint: Endpoint,
         *,
         was_paused: bool,
+        is_faulty: bool,
     ) -> None:
         """Avoid an endpoint for a while if it did not answer, or failed."""
         now = read_clock()
@@ -860,7 +868,9 @@
         if isinstance(endpoint, GroupEndpoint):
             if end is SendOutcome.COMPLETE:
                 self._state.record_success(endpoint.group)
-            elif end is SendOutcome.FAILED and is_server_error(status):
+            elif is_faulty or (
+                end is SendOutcome.FAILED and is_server_error(status)
+            ):
                 self._state.record_failure(endpoint.group, now)
         is_lost = end in (
             SendOutcome.NOT_RUN,
@@ -874,7 +884,7 @@
         if asked_for_pause:
             # The server works; the leader need not verify its group.
             return
-        if was_paused:
+        if was_paused and not is_faulty:
             # A server may cut off an answer that this node does not read.
             return
         is_cancelled = self._is_caller_gone or self._is_shut_down
--- a/chervilrock/edges/serving/receiver.py
+++ b/chervilrock/edges/serving/receiver.py
@@ -16,6 +16,12 @@
 MAX_BODY_BYTES = 16 * 1024 * 1024
 """Largest answer that is buffered until it is complete."""
 
+MAX_UNUSED_BYTES = 64 * 1024
+"""Most bytes that are read of a body that nobody needs, such as that of
+a rejection."""
+
+_USED_OUTCOMES = (SendOutcome.COMPLETE, SendOutcome.FAILED)
+
 
 class AnswerReceiver(Receiver):
     """Receives the answer of a server to one send.
@@ -28,7 +34,6 @@
       facts: fields read from the head, None before it was received.
       body: the body if it is buffered.
       is_relayed: whether events are forwarded as they arrive.
-      is_too_long: whether the body is longer than MAX_BODY_BYTES.
     """
 
     def __init__(
@@ -52,8 +57,8 @@
             must not refer to it, as both would then outlive the send.
           record_facts: is called with the fields read from the head, also for
             an abandoned transfer.
-          record_collected: is called with the size of a body that is buffered
-            until it is complete, whenever it grows.
+          record_collected: is called with the size of a body or event that is
+            buffered until it is complete, whenever it changes.
         """
         self._record_collected = record_collected
         self._request_id = request_id
@@ -64,7 +69,9 @@
         self.facts: AnswerFacts | None = None
         self.body = bytearray()
         self.is_relayed = False
-        self.is_too_long = False
+        self._is_used = True
+        self._size = 0
+        self._held = 0
         self._head_at: float | None = None
 
     def find_duration(self, now: float) -> float | None:
@@ -86,6 +93,7 @@
         outcome = classify_answer(
             self.facts, request_id=self._request_id, is_whole=True
         )
+        self._is_used = outcome in _USED_OUTCOMES
         self.is_relayed = (
             outcome is SendOutcome.COMPLETE and self.facts.is_stream
         )
@@ -93,17 +101,31 @@
 
     def handle_data(self, data: bytes) -> None:
         """See base class."""
+        if self.fault:
+            return
         self._progress(self)
-        if not self.is_relayed:
-            if len(self.body) + len(data) > MAX_BODY_BYTES:
-                self.is_too_long = True
-            if not self.is_too_long:
-                self.body += data
-                self._record_collected(len(self.body))
+        if self.is_relayed:
+            events = self.splitter.feed(data)
+            self.fault = self.splitter.fault
+            if events:
+                self._deliver(self._head, events)
+            self._record_held(self.splitter.held)
             return
-        events = self.splitter.feed(data)
-        if events:
-            self._deliver(self._head, events)
+        self._size += len(data)
+        limit = MAX_BODY_BYTES if self._is_used else MAX_UNUSED_BYTES
+        if self._size > limit:
+            self.fault = (
+                f"the body has more than {limit} bytes, {self._size} received"
+            )
+            self.body.clear()
+        elif self._is_used:
+            self.body += data
+        self._record_held(len(self.body))
+
+    def _record_held(self, size: int) -> None:
+        if size != self._held:
+            self._held = size
+            self._record_collected(size)
 
     def find_error(self, end: TransferEnd | SendOutcome) -> str:
         """Return why the answer is not complete, empty if it may be.
@@ -116,6 +138,8 @@
         """
         if isinstance(end, SendOutcome):
             return ""
+        if self.fault:
+            return self.fault
         if end.error or not self.is_relayed or self.facts is None:
             return end.error
         splitter = self.splitter
@@ -131,7 +155,7 @@
         Args:
           end: end of the transfer, or the outcome for which it was abandoned.
         """
-        if isinstance(end, SendOutcome):
+        if isinstance(end, SendOutcome) or end.is_faulty:
             return False
         return end.is_broken or bool(self.find_error(end) and not end.error)
 
@@ -150,9 +174,8 @@
             return SendOutcome.HELD if end.is_held else SendOutcome.NOT_RUN
         if self.facts is None:
             return SendOutcome.LOST
-        is_whole = not (
-            self.find_error(end) or self.splitter.is_faulty or self.is_too_long
-        )
         return classify_answer(
-            self.facts, request_id=self._request_id, is_whole=is_whole
+            self.facts,
+            request_id=self._request_id,
+            is_whole=not self.find_error(end),
         )
--- a/chervilrock/standin/site/servers.py
+++ b/chervilrock/standin/site/servers.py
@@ -12,6 +12,7 @@
 from tornado import httpserver, netutil, web
 from tornado.iostream import StreamClosedError
 
+from chervilrock.standin.site.floods import Flood, write_flood
 from chervilrock.standin.site.store import SiteStore
 
 EVENT_INTERVAL_S = 0.01
@@ -150,6 +151,9 @@
       running: number of requests that are running.
       streams: identifiers of the streams that are running.
       cut: streams that ran when the server left its group.
+      flood: bytes without end that the server sends as an answer, None for
+        proper answers.
+      flooded: number of bytes that it has sent in this way, by request.
       work_s: time that a plain request runs, in seconds.
       patience_s: time for which an event may stay unread before the server
         cuts off the stream.
@@ -192,6 +196,8 @@
         self.domain = domain
         self.data_centre = data_centre
         self.fault = ServerFault.NONE
+        self.flood: Flood | None = None
+        self.flooded: dict[str, int] = {}
         self.crashing_bodies = crashing_bodies
         self.crashing_parts = crashing_parts
         self.crashes: list[Crash] = []
@@ -588,7 +594,9 @@
         self.set_header("X-Server-Stamp", f"{server.server}.{request_id}")
         server.running += 1
         try:
-            if "X-Model" in headers:
+            if server.flood is not None:
+                await self._flood(run, server.flood)
+            elif "X-Model" in headers:
                 await self._stream(run)
             else:
                 await self._answer(run)
@@ -657,6 +665,15 @@
                 return
         self.finish()
 
+    async def _flood(self, run: Run, flood: Flood) -> None:
+        self.server.runs.append(run)
+        if "X-Model" in self.request.headers:
+            self.set_header("Content-Type", "text/event-stream")
+        self.clear_header("Content-Length")
+        headers = list(self._headers.get_all())
+        written = await write_flood(self.detach(), flood, headers)
+        self.server.flooded[run.request_id] = written
+
     def _find_padding(self) -> int:
         """Return how many bytes the request adds to each event or answer."""
         body = self.request.body
--- a/test/edges/test_answer_receiver.py
+++ b/test/edges/test_answer_receiver.py
@@ -2,12 +2,16 @@
 
 import pytest
 from testtools.assertions import assert_that
-from testtools.matchers import Equals, Is
+from testtools.matchers import Contains, Equals, HasLength, Is
 
 from chervilrock.decisions.serving.admission.attempts import SendOutcome
 from chervilrock.edges.heads import Head
 from chervilrock.edges.relay import BackendRequest, Transfer, TransferEnd
-from chervilrock.edges.serving.receiver import AnswerReceiver, MAX_BODY_BYTES
+from chervilrock.edges.serving.receiver import (
+    AnswerReceiver,
+    MAX_BODY_BYTES,
+    MAX_UNUSED_BYTES,
+)
 
 REQUEST_ID = "r1"
 EVENT = b"id: 1\ndata: x\n\n"
@@ -108,3 +112,38 @@
     transfer.sent = True
     end = TransferEnd(sent=True, head=head, error="")
     assert_that(receiver.classify(transfer, end), Equals(SendOutcome.LOST))
+    assert_that(receiver.find_error(end), Contains(str(MAX_BODY_BYTES + 90)))
+    assert_that(receiver.body, HasLength(0))
+
+
+@pytest.mark.parametrize("status", [200, 503])
+def test_a_body_that_nobody_needs_is_not_kept(status: int) -> None:
+    # Failure: 16 MiB were buffered of answers that cannot be used.
+    held: list[int] = []
+    receiver = AnswerReceiver(
+        request_id="another",
+        last_event="",
+        deliver=lambda _head, _events: None,
+        progress=lambda _receiver: None,
+        record_collected=held.append,
+    )
+    receive_body(receiver, status, [MAX_UNUSED_BYTES, 1])
+    assert_that(receiver.fault, Contains(str(MAX_UNUSED_BYTES)))
+    assert_that(receiver.body, HasLength(0))
+    assert_that(held, HasLength(0))
+
+
+def test_the_part_of_an_event_counts_as_memory() -> None:
+    # Failure: many streams without the end of an event exceeded the memory,
+    # each within its own limit.
+    held: list[int] = []
+    receiver = AnswerReceiver(
+        request_id=REQUEST_ID,
+        last_event="",
+        deliver=lambda _head, _events: None,
+        progress=lambda _receiver: None,
+        record_collected=held.append,
+    )
+    receive(receiver, CHUNKED, b"id: 1\n" + b"x" * 1000)
+    receiver.handle_data(b"\n\nid: 2\n")
+    assert_that(held, Equals([1006, 6]))
--- a/test/edges/test_relay.py
+++ b/test/edges/test_relay.py
@@ -7,12 +7,21 @@
 
 import pytest
 from testtools.assertions import assert_that
-from testtools.matchers import Contains, Equals, HasLength, Is, IsInstance
+from testtools.matchers import (
+    Contains,
+    Equals,
+    HasLength,
+    Is,
+    IsInstance,
+    LessThan,
+)
 
 from chervilrock.clients.curlpool import CurlPool
-from chervilrock.edges.heads import Head
+from chervilrock.edges import relay
+from chervilrock.edges.heads import Head, parse_head
 from chervilrock.edges.relay import (
     BackendRequest,
+    MAX_HEAD_BYTES,
     Receiver,
     Transfer,
     TransferEnd,
@@ -178,3 +187,63 @@
             writer.close()
 
     run_transfer(scenario, lambda: True)
+
+
+INTERIM = b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
+
+
+def test_interim_answers_without_end_are_read_once(
+    run_transfer, monkeypatch
+) -> None:
+    # Failure: all earlier ones were parsed again with each further one.
+    parsed = 0
+
+    def count(lines: list[bytes]) -> Head | None:
+        nonlocal parsed
+        parsed += len(lines)
+        return parse_head(lines)
+
+    monkeypatch.setattr(relay, "parse_head", count)
+
+    async def scenario(sent: Sent) -> None:
+        _, writer = await sent.connections.get()
+        with contextlib.suppress(OSError):
+            while not sent.end.done():
+                writer.write(INTERIM * 100)
+                await writer.drain()
+                await asyncio.sleep(0)
+        end = await sent.end
+        assert_that(end.is_faulty, Is(True))
+        assert_that(end.error, Contains(str(MAX_HEAD_BYTES)))
+        assert_that(end.is_broken, Is(False))
+        # Each line of an interim answer has eight bytes at least.
+        assert_that(parsed, LessThan(MAX_HEAD_BYTES // 8))
+
+    run_transfer(scenario)
+
+
+def test_the_final_head_may_follow_interim_answers(run_transfer) -> None:
+    async def scenario(sent: Sent) -> None:
+        _, writer = await sent.connections.get()
+        writer.write(INTERIM * 100 + HEAD + BODY)
+        end = await sent.end
+        assert_that(end.error, Equals(""))
+        assert_that(sent.receiver.heads, HasLength(1))
+        assert_that(sent.receiver.heads[0].status, Equals(503))
+        assert_that(sent.receiver.data, Equals(BODY))
+
+    run_transfer(scenario)
+
+
+def test_a_transfer_ends_when_its_receiver_finds_a_fault(run_transfer) -> None:
+    # Failure: what was known to be no answer was read until the time limit.
+    async def scenario(sent: Sent) -> None:
+        _, writer = await sent.connections.get()
+        sent.receiver.fault = "no answer"
+        writer.write(b"HTTP/1.1 200 OK\r\n\r\nx")
+        await writer.drain()
+        end = await sent.end
+        assert_that(end.is_faulty, Is(True))
+        assert_that(end.error, Equals("no answer"))
+
+    run_transfer(scenario)
--- /dev/null
+++ b/test/node/test_floods.py
@@ -0,0 +1,98 @@
+"""Servers that answer with bytes without end which are no answer.
+
+Failure: nodes read and kept them until the time limit of the request, searched
+them again with each piece, and served nobody else meanwhile.
+"""
+
+import asyncio
+from typing import Any
+
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import (
+    AllMatch,
+    Contains,
+    Equals,
+    HasLength,
+    Is,
+    LessThan,
+    MatchesAny,
+)
+
+from chervilrock.standin.site.floods import COMMENT, Flood
+from chervilrock.standin.site.site import LARGE, PLAIN_SERVICE
+from test.node.serving_site import make_events, run_world, World
+
+EVENTS = 8
+MAX_READ_BYTES = 8 * 1024 * 1024
+"""Most bytes that a server may get rid of: the limit of an event, and what the
+sockets hold."""
+
+MAX_BODY_READ_BYTES = 24 * 1024 * 1024
+"""The same for answers that are no streams."""
+
+REQUESTS = 12
+
+
+async def check_streams(world: World) -> None:
+    """Send streams; each must be answered by a sound server, or fail."""
+    names = []
+    calls = []
+    for _ in range(REQUESTS):
+        headers = world.make_headers(X_Token_Count=f"10,{EVENTS}")
+        names.append(headers["X-Request-Id"])
+        calls.append(world.call("/draft/x", headers=headers))
+    answers = await asyncio.gather(*calls)
+    for name, answer in zip(names, answers, strict=True):
+        assert_that(answer.status, Equals(200))
+        body = answer.body.replace(COMMENT, b"")
+        assert_that(body, Equals(make_events(name, EVENTS)))
+
+
+# The bytes are counted, as the time depends on the machine.
+@pytest.mark.parametrize("flood", Flood)
+def test_streams_go_on_when_a_server_sends_no_answer(log_lines, flood) -> None:
+    async def scenario(world: World) -> None:
+        bad, *_ = world.site.list_heads(LARGE)
+        bad.flood = flood
+        await check_streams(world)
+        await world.wait(
+            lambda: len(bad.flooded) == len(bad.runs), "all floods ended"
+        )
+        assert_that(bad.runs[:1], HasLength(1))
+        read = list(bad.flooded.values())
+        assert_that(read, AllMatch(LessThan(MAX_READ_BYTES)))
+        failed = [line for line in log_lines if "E7418" in line]
+        limit: Any = MatchesAny(Contains("received"), Contains("Too many"))
+        assert_that(failed, AllMatch(limit))
+        assert_that(world.nodes[0].state.reachability.is_cut_off, Is(False))
+
+    run_world(scenario, model_servers=12)
+
+
+@pytest.mark.parametrize("flood", [Flood.BODY, Flood.CHUNKS, Flood.INTERIM])
+def test_a_plain_answer_without_end_is_a_failure(flood) -> None:
+    async def scenario(world: World) -> None:
+        bad, *_ = [
+            server
+            for server in world.site.servers
+            if server.service == PLAIN_SERVICE
+        ]
+        bad.flood = flood
+        headers = world.make_headers(X_Model="", X_Token_Count="")
+        calls = [
+            world.call(
+                "/look/x", headers=headers | {"X-Request-Id": f"{number:016x}"}
+            )
+            for number in range(REQUESTS)
+        ]
+        answers = await asyncio.gather(*calls)
+        statuses = {answer.status for answer in answers}
+        assert_that(statuses, Equals({200}))
+        await world.wait(
+            lambda: len(bad.flooded) == len(bad.runs), "all floods ended"
+        )
+        read = list(bad.flooded.values())
+        assert_that(read, AllMatch(LessThan(MAX_BODY_READ_BYTES)))
+
+    run_world(scenario)
