Accept identifiers of events that are no numbers

An identifier such as a superscript two, or one of more than 4,300 digits, made the comparison of two events raise ValueError within the callback of the HTTP client (shown for both on the code before). Only ASCII digits count as a number now, and an identifier of more than 256 characters, which is sent in a header when the stream is resumed, is a fault of the server.

--- a/chervilrock/decisions/serving/admission/streams.py
+++ b/chervilrock/decisions/serving/admission/streams.py
@@ -20,6 +20,11 @@
 fault of the server."""
 
 
+MAX_IDENTIFIER_CHARS = 256
+"""Most characters of the identifier of an event; it is sent in a header when
+the stream is resumed."""
+
+
 class EventSplitter:
     """Splits the bytes of a stream into complete events.
 
@@ -86,6 +91,9 @@
             self._unnamed += len(event)
             return True
         name = found.group(1).decode("latin1").strip()
+        if len(name) > MAX_IDENTIFIER_CHARS:
+            self.fault = f"an identifier of an event has {len(name)} characters"
+            return False
         if not _follows(name, self.last_event):
             self.fault = f"event {name} does not follow event {self.last_event}"
             return False
@@ -106,6 +114,10 @@
 
 def _follows(name: str, last: str) -> bool:
     """Return whether an event may follow another one."""
-    if not (name.isdigit() and last.isdigit()):
+    if not (_is_number(name) and _is_number(last)):
         return True
     return int(name) > int(last)
+
+
+def _is_number(name: str) -> bool:
+    return name.isascii() and name.isdigit()
--- a/test/decisions/serving/admission/test_streams.py
+++ b/test/decisions/serving/admission/test_streams.py
@@ -108,3 +108,15 @@
     assert_that(splitter.feed(b"id: 4\n\n"), Equals(b""))
     assert_that(splitter.feed(b"id: 5\n\n"), Equals(b""))
     assert_that(splitter.last_event, Equals("4"))
+
+
+# Failure: comparing them raised an error within the HTTP client.
+@pytest.mark.parametrize(
+    ("name", "is_faulty"), [(b"\xb2", False), (b"9" * 5000, True)]
+)
+def test_identifiers_that_are_no_numbers_raise_no_error(
+    name: bytes, is_faulty: bool
+) -> None:
+    splitter = EventSplitter(last_event="1")
+    splitter.feed(b"id: " + name + b"\n\n")
+    assert_that(splitter.is_faulty, Is(is_faulty))
