--- a/chervilrock/edges/enginecalls.py
+++ b/chervilrock/edges/enginecalls.py
@@ -136,6 +136,10 @@
             self.handle_answer(data)
         elif len(self._error_body) < MAX_ERROR_BYTES:
             self._error_body += data
+        else:
+            self.fault = (
+                f"the body of an error has more than {MAX_ERROR_BYTES} bytes"
+            )
 
     @abc.abstractmethod
     def handle_answer(self, data: bytes) -> None:
--- a/chervilrock/edges/servicecalls.py
+++ b/chervilrock/edges/servicecalls.py
@@ -191,11 +191,17 @@
         if self.started:
             self._sink.write(data)
             return
-        self._buffered.append(data)
         self._size += len(data)
-        too_large = self._size > MAX_BUFFERED_BYTES
-        if too_large and self._judge_head() is AttemptEnd.COMPLETE:
+        if self._size <= MAX_BUFFERED_BYTES:
+            self._buffered.append(data)
+        elif self._judge_head() is AttemptEnd.COMPLETE:
+            self._buffered.append(data)
             self._start()
+        else:
+            self.fault = (
+                f"the body of a failure has more than {MAX_BUFFERED_BYTES} "
+                f"bytes, {self._size} received"
+            )
 
     def judge(self, end: TransferEnd) -> AttemptEnd:
         """Returns how the send ended."""
