Do not take a standstill of the node for silence of its groups

A node that had stood still for 0.4 s, on a busy or paused host, found that no group had made progress, and took its streams from several groups in one moment (E7304 with all streams moved). Each used up the attempt that it would have needed later: the form of the record, one node, several servers, one moment.

Time for which the periodic check itself was late, by an interval of 50 ms or more, does not count now. E7010 and chervilrock_standstill_seconds_total show it, so that a busy host can be told from silent servers.

--- a/chervilrock/catalogue.py
+++ b/chervilrock/catalogue.py
@@ -222,6 +222,12 @@
         "the store was restored from a backup: era {era} after {former}; "
         "nodes read everything again and rewrite lost records",
     )
+    NODE_STOOD_STILL = EventSpec(
+        7010,
+        Level.INFO,
+        "this node stood still for {duration_ms} ms with {running} requests in "
+        "progress; the time does not count as silence of groups",
+    )
     REVISION_IN_FORCE = EventSpec(
         7101,
         Level.INFO,
--- a/chervilrock/decisions/serving/groups/stalls.py
+++ b/chervilrock/decisions/serving/groups/stalls.py
@@ -5,6 +5,9 @@
 batch, so that all of them have an event every pass; when none has one for
 several passes, the group has stalled. A single stalled stream proves nothing,
 as the engine may have preempted it.
+
+A node that stands still itself, on a host that is too busy or while a large
+configuration is put in force, reads no events either. Such time does not count.
 """
 
 from collections.abc import Iterable
@@ -52,6 +55,12 @@
         """Remove a stream that ended or was moved away."""
         self._sent_at.pop(request_id, None)
 
+    def exclude(self, seconds: float) -> None:
+        """Leave out a time that just ended, in which this node read nothing."""
+        self._last_progress_at += seconds
+        for request_id in self._sent_at:
+            self._sent_at[request_id] += seconds
+
     def is_stalled(self, limits: "StallLimits", now: float) -> bool:
         """Return whether no stream had an event for longer than the limits."""
         if not self._sent_at:
@@ -66,6 +75,30 @@
         return tuple(self._sent_at)
 
 
+class StandstillMeter:
+    """Measures by a periodic check how long this node stood still."""
+
+    def __init__(self, *, interval_s: float) -> None:
+        """Create a meter before the first check.
+
+        Args:
+          interval_s: interval of the checks in seconds.
+        """
+        self._interval_s = interval_s
+        self._checked_at: float | None = None
+
+    def measure(self, now: float) -> float:
+        """Return for how many seconds it stood still since the last check.
+
+        A check that is late by less than an interval shows no standstill.
+        """
+        before, self._checked_at = self._checked_at, now
+        if before is None:
+            return 0.0
+        late_s = now - before - self._interval_s
+        return late_s if late_s >= self._interval_s else 0.0
+
+
 class StallLimits(NamedTuple):
     """Longest times without an event at a healthy group, in seconds.
 
--- a/chervilrock/node/serving.py
+++ b/chervilrock/node/serving.py
@@ -15,7 +15,10 @@
 from chervilrock.clients.httpclient import HttpClient
 from chervilrock.clients.liveness import ConnectionLiveness
 from chervilrock.decisions.serving.admission.callerbuffers import find_budget
-from chervilrock.decisions.serving.groups.stalls import compute_stall_limits
+from chervilrock.decisions.serving.groups.stalls import (
+    compute_stall_limits,
+    StandstillMeter,
+)
 from chervilrock.decisions.serving.servers.evacuations import Evacuations
 from chervilrock.decisions.serving.servers.warmups import WarmupBounds
 from chervilrock.decisions.serving.view import GroupEndpoint, NodeEntry
@@ -73,6 +76,9 @@
 """Time after which an idle connection is closed. Callers reuse a connection for
 less than the limit of the configuration, about 10 s."""
 
+LOGGED_STANDSTILL_S = 0.1
+"""Shortest time for which this node stood still that is logged."""
+
 WATCH_INTERVAL_S = 0.05
 """Interval between two checks for groups that have stalled."""
 
@@ -337,9 +343,11 @@
 
     async def _watch_groups(self) -> None:
         """Check periodically what callers read, and which groups stalled."""
+        meter = StandstillMeter(interval_s=WATCH_INTERVAL_S)
         while True:
             await asyncio.sleep(WATCH_INTERVAL_S)
             now = read_clock()
+            self._exclude_standstill(meter.measure(now))
             self._callers.memory.update(now)
             self._callers.answers.update()
             if self._state.reachability.is_cut_off:
@@ -358,6 +366,20 @@
             for group in set(draining) - set(self._state.watches):
                 del draining[group]
 
+    def _exclude_standstill(self, seconds: float) -> None:
+        """Record that this node stood still, and so did its streams."""
+        if not seconds:
+            return
+        for detector in self._state.watches.values():
+            detector.exclude(seconds)
+        self._metrics.count_standstill(seconds)
+        if seconds >= LOGGED_STANDSTILL_S:
+            emit(
+                Event.NODE_STOOD_STILL,
+                duration_ms=round(seconds * 1000),
+                running=len(self._callers.exchanges),
+            )
+
     def _watch_group(self, endpoint: GroupEndpoint, now: float) -> None:
         detector = self._state.watches.get(endpoint.group)
         engine = self._state.find_engine(endpoint.service)
--- a/chervilrock/serving_metrics.py
+++ b/chervilrock/serving_metrics.py
@@ -177,6 +177,10 @@
             "Answers that this node ended after they had begun, by cause",
             "cause",
         )
+        self._standstills = self._counter(
+            "standstill_seconds_total",
+            "Time for which the event loop of this node stood still",
+        )
         self._rejected_bodies = self._counter(
             "bodies_rejected_total",
             "Requests that were rejected as their bodies did not fit",
@@ -252,6 +256,10 @@
         """Count an answer that this node ended after it had begun."""
         self._cut_answers.labels(cause).inc()
 
+    def count_standstill(self, seconds: float) -> None:
+        """Count time for which this node stood still."""
+        self._standstills.inc(seconds)
+
     def count_rejected_body(self) -> None:
         """Count a request whose body did not fit."""
         self._rejected_bodies.inc()
--- a/test/decisions/serving/test_decisions.py
+++ b/test/decisions/serving/test_decisions.py
@@ -34,6 +34,7 @@
     compute_stall_limits,
     StallDetector,
     StallLimits,
+    StandstillMeter,
 )
 from chervilrock.decisions.serving.messages import AnswerFacts
 from chervilrock.decisions.serving.nodes.leadership import (
@@ -293,6 +294,31 @@
     assert_that(watch.is_stalled(LIMITS, 5.6), Is(True))
 
 
+# Failure: a node that had stood still took all its streams from all groups at
+# once, and so used up the attempt that they needed later.
+@pytest.mark.parametrize("standstill_s", [0.0, 0.06, 0.4, 2.0])
+def test_a_standstill_of_the_node_is_no_stall(standstill_s: float) -> None:
+    meter = StandstillMeter(interval_s=0.05)
+    watch = StallDetector()
+    watch.record_sent("a", 0.0)
+    watch.record_progress(0.1)
+    for checked_at in (0.1, 0.15, 0.2 + standstill_s):
+        watch.exclude(meter.measure(checked_at))
+        assert_that(watch.is_stalled(LIMITS, checked_at), Is(False))
+    # The group is silent for longer than the standstill.
+    checked_at = 0.45 + standstill_s
+    watch.exclude(meter.measure(0.25 + standstill_s))
+    assert_that(watch.is_stalled(LIMITS, checked_at), Is(True))
+
+
+def test_a_standstill_extends_the_time_to_the_first_event() -> None:
+    watch = StallDetector()
+    watch.record_sent("a", 0.0)
+    watch.exclude(0.4)
+    assert_that(watch.is_stalled(LIMITS, 0.4 + 0.3), Is(False))
+    assert_that(watch.is_stalled(LIMITS, 0.4 + 9.0), Is(True))
+
+
 def test_the_stall_limit_leaves_time_within_the_longest_pause() -> None:
     large = compute_stall_limits(
         ENGINE, time_factor=LARGE.time_factor, running=6
