Count no attempt of a stream for servers that the node was cut off from

A stream under way was cut when its node lost its links: the first stream to notice it spends its last attempt before it is known whether the node is cut off (E7402 silent or lost, then E7403 with two sends, the second one without a head).

--- a/chervilrock/decisions/serving/admission/attempts.py
+++ b/chervilrock/decisions/serving/admission/attempts.py
@@ -42,12 +42,13 @@
     Attributes:
       sends: number of servers that it was sent to.
       may_have_run: whether one of them may have run it.
-      rejected: number of these servers that rejected it without running it.
+      uncounted: sends that use up no attempt of a stream that has begun: the
+        server rejected it, or this node was cut off before it answered.
     """
 
     sends: int
     may_have_run: bool
-    rejected: int = 0
+    uncounted: int = 0
 
     def count_attempts(self, *, has_begun: bool) -> int:
         """Return how many attempts are used up.
@@ -58,7 +59,7 @@
         Args:
           has_begun: whether the caller has a part of the answer.
         """
-        return self.sends - self.rejected if has_begun else self.sends
+        return self.sends - self.uncounted if has_begun else self.sends
 
 
 _SUCCESSES = range(200, 300)
--- a/chervilrock/edges/serving/exchange.py
+++ b/chervilrock/edges/serving/exchange.py
@@ -82,6 +82,8 @@
 """Time without a byte of the answer after which a node that is cut off ends a
 send that it made before."""
 
+_UNANSWERED = (SendOutcome.LOST, SendOutcome.STALLED)
+
 UNAVAILABLE = 503
 BAD_GATEWAY = 502
 GATEWAY_TIMEOUT = 504
@@ -268,10 +270,17 @@
     def _can_resume(self, admission: Admission, now: float) -> bool:
         """Return whether the stream may be sent again if its send ends now."""
         route = admission.route
-        # The present send counts as one of the attempts.
-        attempts = 1 + self._progress.count_attempts(
-            has_begun=self._connection.has_begun
+        has_begun = self._connection.has_begun
+        transfer = self._transfer
+        is_excused = (
+            has_begun
+            and transfer is not None
+            and transfer.head is None
+            and self._state.reachability.is_cut_off
         )
+        attempts = self._progress.count_attempts(has_begun=has_begun)
+        if not is_excused:
+            attempts += 1
         return (
             route.is_resumable
             and attempts < route.max_attempts
@@ -315,7 +324,8 @@
         """Send the request until it is answered or abandoned."""
         await self._check.wait_for_verdict(self._expires)
         while True:
-            if self._state.reachability.is_cut_off:
+            is_direct = not self._state.reachability.is_cut_off
+            if not is_direct:
                 result = await self._send_through_node(admission)
             elif await self._find_slot(admission):
                 result = await self._send(admission)
@@ -331,10 +341,21 @@
                     self._expires - read_clock()
                 )
                 await self._wait_for_probes()
+                if is_direct and end in _UNANSWERED and not status:
+                    self._excuse_send()
             if not await self._should_continue(admission, end, status):
                 return
             await self._check.wait_for_verdict(self._expires)
 
+    def _excuse_send(self) -> None:
+        """Count no attempt if the last send failed since this node is cut off.
+
+        The servers that got the request cannot be reached any more.
+        """
+        if self._state.reachability.is_cut_off:
+            progress = self._progress
+            self._progress = progress._replace(uncounted=progress.uncounted + 1)
+
     async def _wait_for_probes(self) -> None:
         """Wait while it is unknown whether this node reaches any server."""
         reachability = self._state.reachability
@@ -787,7 +808,7 @@
             is_rejected = outcome is SendOutcome.NOT_RUN
             self._progress = progress._replace(
                 sends=progress.sends + 1,
-                rejected=progress.rejected + is_rejected,
+                uncounted=progress.uncounted + is_rejected,
             )
         self._state.durations.record_ended(
             self, read_clock(), is_complete=outcome is SendOutcome.COMPLETE
