--- a/bench/slowreaders.py
+++ b/bench/slowreaders.py
@@ -12,6 +12,7 @@
 
 from chervilrock.clients.curlpool import QuietCurlClient
 from chervilrock.decisions.serving.admission.callerbuffers import find_budget
+from chervilrock.standin.site.floods import remove_comments
 from chervilrock.standin.site.servers import PADDED
 from chervilrock.standin.site.site import HOST, KEY, LARGE, SMALL
 
@@ -141,6 +142,7 @@
             for number in range(1, EVENTS + 1)
         ).encode()
         body, is_whole = _remove_chunking(rest)
+        body = remove_comments(body)
         self.ends["whole" if is_whole else "cut"] += 1
         if not events.startswith(body) or (is_whole and body != events):
             self.violations.append(
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -59,7 +59,7 @@
 from chervilrock.clients.curlpool import QuietCurlClient
 from chervilrock.platform.settings import SOURCE_IP_VARIABLE, VARIABLE
 from chervilrock.standin.site.cuts import NodeCuts
-from chervilrock.standin.site.floods import COMMENT
+from chervilrock.standin.site.floods import remove_comments
 from chervilrock.standin.site.proxy import LinkFault, LinkProxy
 from chervilrock.standin.site.servers import ServerFault
 from chervilrock.standin.site.site import (
@@ -337,7 +337,7 @@
                 f"id: {number}\ndata: {request_id}-{number}\n\n"
                 for number in range(1, EVENTS + 1)
             )
-        if body.replace(COMMENT, b"") != wanted.encode():
+        if remove_comments(body) != wanted.encode():
             self.violations.append(f"{request_id} got {body[:80]!r}")
 
     async def check_crashing(self, nodes: list[NodeProcess]) -> None:
--- a/chervilrock/standin/site/floods.py
+++ b/chervilrock/standin/site/floods.py
@@ -63,6 +63,16 @@
 }
 
 
+def remove_comments(data: bytes) -> bytes:
+    """Return what a caller received without the comments of a flood.
+
+    The last one may be incomplete, as its connection was closed.
+    """
+    data = data.replace(COMMENT, b"")
+    head, end, tail = data.rpartition(b"\n\n")
+    return head + end if COMMENT.startswith(tail) else data
+
+
 async def write_flood(
     stream: IOStream, flood: Flood, headers: Iterable[tuple[str, str]]
 ) -> int:
--- a/test/node/test_floods.py
+++ b/test/node/test_floods.py
@@ -20,7 +20,7 @@
     Not,
 )
 
-from chervilrock.standin.site.floods import COMMENT, Flood
+from chervilrock.standin.site.floods import Flood, remove_comments
 from chervilrock.standin.site.site import (
     LARGE,
     MODEL_SERVICE,
@@ -61,7 +61,7 @@
     answers = await asyncio.gather(*calls)
     for name, answer in zip(names, answers, strict=True):
         assert_that(answer.status, Equals(200))
-        body = answer.body.replace(COMMENT, b"")
+        body = remove_comments(answer.body)
         assert_that(body, Equals(make_events(name, EVENTS)))
 
 
