--- a/chervilrock/edges/serving/callers.py
+++ b/chervilrock/edges/serving/callers.py
@@ -157,7 +157,7 @@
     def record_exit(self) -> None:
         """Record that the process exits and closes all connections."""
         for exchange in list(self.exchanges.values()):
-            exchange.cut()
+            exchange.record_exit()
 
     def end_silent_sends(self, now: float) -> None:
         """End sends to servers that are silent; this node is cut off."""
--- a/chervilrock/edges/serving/exchange.py
+++ b/chervilrock/edges/serving/exchange.py
@@ -238,7 +238,7 @@
             STOPPING_REASON, self._search.find_stop_retry_after(read_clock())
         )
 
-    def cut(self) -> None:
+    def record_exit(self) -> None:
         """Record that the process exits before the answer is complete."""
         self._connection.record_cut(CutCause.EXIT)
 
@@ -324,6 +324,7 @@
         """Send the request until it is answered or abandoned."""
         await self._check.wait_for_verdict(self._expires)
         while True:
+            sends = self._progress.sends
             is_direct = not self._state.reachability.is_cut_off
             if not is_direct:
                 result = await self._send_through_node(admission)
@@ -341,7 +342,8 @@
                     self._expires - read_clock()
                 )
                 await self._wait_for_probes()
-                if is_direct and end in _UNANSWERED and not status:
+                is_sent = self._progress.sends > sends
+                if is_direct and is_sent and end in _UNANSWERED and not status:
                     self._excuse_send()
             if not await self._should_continue(admission, end, status):
                 return
