--- a/chervilrock/edges/relay.py
+++ b/chervilrock/edges/relay.py
@@ -185,7 +185,8 @@
         try:
             http_request = HTTPRequest(
                 request.url,
-                method=request.method,
+                # Tornado accepts no body for GET; `_prepare` sets the method.
+                method="POST" if self._is_get_with_body else request.method,
                 body=request.body,
                 connect_timeout=min(
                     request.connect_timeout_s, request.timeout_s
@@ -213,6 +214,10 @@
             self._curl = None
         return self._end("abandoned" if self._abandoned else "")
 
+    @property
+    def _is_get_with_body(self) -> bool:
+        return self._request.method == "GET" and self._request.body is not None
+
     @property
     def paused(self) -> bool:
         """Whether reading of the answer is paused."""
@@ -265,6 +270,8 @@
         curl.setopt(pycurl.PREREQFUNCTION, self._record_send)
         curl.setopt(pycurl.HEADERFUNCTION, self._receive_head_line)
         curl.setopt(pycurl.WRITEFUNCTION, self._receive)
+        if self._is_get_with_body:
+            curl.setopt(pycurl.CUSTOMREQUEST, self._request.method)
         if self._request.send_once:
             use_own_connection(curl)
 
--- a/test/edges/test_relay.py
+++ b/test/edges/test_relay.py
@@ -70,6 +70,7 @@
         scenario: Scenario,
         may_send: Callable[[], bool] = lambda: True,
         target: str = "/",
+        body: bytes | None = None,
     ) -> None:
         async def run_all() -> None:
             connections: asyncio.Queue[tuple[bytes, asyncio.StreamWriter]] = (
@@ -90,7 +91,7 @@
                     method="GET",
                     url=f"http://127.0.0.1:{port}{target}",
                     headers=(),
-                    body=None,
+                    body=body,
                     timeout_s=TIMEOUT_S,
                     send_once=True,
                 ),
@@ -189,6 +190,22 @@
     run_transfer(scenario, lambda: True)
 
 
+def test_a_body_of_a_get_request_is_sent(run_transfer) -> None:
+    # Failure: it was sent to no server, and its caller was told that all are
+    # full.
+    async def scenario(sent: Sent) -> None:
+        received, writer = await sent.connections.get()
+        head, _, body = received.partition(b"\r\n\r\n")
+        assert_that(head, Contains(b"GET / HTTP/1.1\r\n"))
+        assert_that(head, Contains(b"Content-Length: 4"))
+        assert_that(body, Equals(b"body"))
+        writer.write(HEAD + BODY)
+        end = await sent.end
+        assert_that(end.error, Equals(""))
+
+    run_transfer(scenario, body=b"body")
+
+
 INTERIM = b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
 
 
