Log and count calls that the transport sends again, and held removals

Whether libcurl had sent a call twice was in no log line, and neither was how long the removal of a server was held back. E7011 tells how often a call was sent, how long it took and its limit; E7303 tells for how long a removal was held; chervilrock_calls_sent_again counts. What a lost read of one topic and an outage have in common, E7005, can be told apart by E7006 of each topic, which is there already. Nothing is decided differently.

--- a/chervilrock/catalogue.py
+++ b/chervilrock/catalogue.py
@@ -228,6 +228,12 @@
         "this node stood still for {duration_ms} ms with {running} requests in "
         "progress; the time does not count as silence of groups",
     )
+    CALL_SENT_AGAIN = EventSpec(
+        7011,
+        Level.INFO,
+        "the transport sent a call to {url} {sends} times; it ended after "
+        "{seconds} s, its limit is {limit_s} s",
+    )
     REVISION_IN_FORCE = EventSpec(
         7101,
         Level.INFO,
@@ -282,7 +288,8 @@
     SERVER_GONE = EventSpec(
         7303,
         Level.INFO,
-        "server {server} removed: its entry is gone from the store",
+        "server {server} removed: its entry is gone from the store; held back "
+        "for {held_s} s",
     )
     GROUP_SILENT = EventSpec(
         7304,
--- a/chervilrock/clients/httpclient.py
+++ b/chervilrock/clients/httpclient.py
@@ -18,6 +18,7 @@
 from chervilrock.clients.curlpool import CurlPool
 from chervilrock.clients.errors import PlatformError, PlatformErrorKind
 from chervilrock.clients.sendguard import SendGuard
+from chervilrock.events import emit, Event
 
 DEFAULT_MAX_CLIENTS = 256
 DEFAULT_CONNECT_TIMEOUT_S = 1.0
@@ -93,6 +94,9 @@
 
     Cancelling a caller does not cancel its request, which continues in the
     background.
+
+    Attributes:
+      calls_sent_again: number of calls that libcurl sent more than once.
     """
 
     def __init__(
@@ -110,6 +114,7 @@
             wait without a timeout, so the limit has to be generous.
           source_ip: IP address to connect from, empty for any.
         """
+        self.calls_sent_again = 0
         self._connect_timeout_s = connect_timeout_s
         self._pool = CurlPool(
             max_requests=max_clients,
@@ -171,6 +176,8 @@
             decompress_response=decompress,
             prepare_curl_callback=prepare,
         )
+        loop = asyncio.get_running_loop()
+        began = loop.time()
         try:
             # The request continues and keeps its handle on cancellation.
             response = await asyncio.shield(self._pool.fetch(request))
@@ -178,6 +185,11 @@
             return Failure(_describe_error(error, guard.sent, url))
         except UnicodeError as error:
             return Failure(PlatformError(PlatformErrorKind.REFUSED, str(error)))
+        finally:
+            if guard.sends > 1:
+                self._record_sent_again(
+                    url, guard.sends, loop.time() - began, timeout_s
+                )
         return Success(
             HttpAnswer(
                 status=response.code,
@@ -188,6 +200,19 @@
             )
         )
 
+    def _record_sent_again(
+        self, url: str, sends: int, seconds: float, limit_s: float
+    ) -> None:
+        """Log and count a call that libcurl sent more than once."""
+        self.calls_sent_again += 1
+        emit(
+            Event.CALL_SENT_AGAIN,
+            url=url.partition("?")[0],
+            sends=sends,
+            seconds=round(seconds, 3),
+            limit_s=limit_s,
+        )
+
 
 def _merge_headers(
     body: bytes | None, headers: Mapping[str, str] | None
--- a/chervilrock/clients/sendguard.py
+++ b/chervilrock/clients/sendguard.py
@@ -16,11 +16,11 @@
     """Records and limits the sends of one request.
 
     Attributes:
-      sent: whether libcurl has begun to send; while it is False, no byte of
-        the request has been sent.
+      sends: how often libcurl has begun to send; while it is 0, no byte of the
+        request has been sent.
     """
 
-    __slots__ = ("sent", "_fresh", "_once")
+    __slots__ = ("sends", "_fresh", "_once")
 
     def __init__(self, *, once: bool, fresh: bool = False) -> None:
         """Create a guard for one request.
@@ -31,10 +31,15 @@
             earlier or later requests. On a reused connection, `once` alone
             also fails when the remote side closed it before the send.
         """
-        self.sent = False
+        self.sends = 0
         self._once = once
         self._fresh = fresh
 
+    @property
+    def sent(self) -> bool:
+        """Whether any byte of the request can have been sent."""
+        return self.sends > 0
+
     def prepare(self, curl: pycurl.Curl) -> None:
         """Configure a handle; used as `prepare_curl_callback` of a request."""
         curl.setopt(pycurl.NOPROXY, "*")
@@ -46,5 +51,5 @@
     def _record_send(self, *_addresses: object) -> int:
         if self.sent and self._once:
             return _ABORT
-        self.sent = True
+        self.sends += 1
         return _SEND
--- a/chervilrock/node/serving.py
+++ b/chervilrock/node/serving.py
@@ -520,6 +520,7 @@
         metrics.leaving_servers.set(len(statements.departures))
         metrics.cut_off.set(1 if state.reachability.is_cut_off else 0)
         metrics.withheld_suspects.set(self._state.suspects.count_withheld())
+        metrics.calls_sent_again.set(self._client.calls_sent_again)
         metrics.lines_dropped.set(self._count_dropped_lines())
         routes = self._state.routes
         if routes is not None:
--- a/chervilrock/serving_metrics.py
+++ b/chervilrock/serving_metrics.py
@@ -181,6 +181,11 @@
             "standstill_seconds_total",
             "Time for which the event loop of this node stood still",
         )
+        self.calls_sent_again = self._gauge(
+            "calls_sent_again",
+            "Calls to the store, servers and nodes that were sent twice by the "
+            "transport",
+        )
         self._rejected_bodies = self._counter(
             "bodies_rejected_total",
             "Requests that were rejected as their bodies did not fit",
--- a/chervilrock/tasks/serving/leading.py
+++ b/chervilrock/tasks/serving/leading.py
@@ -396,8 +396,12 @@
         is_lost = self._store.unavailable_since is not None
         if is_lost or now - self._store.recovered_at < OUTAGE_GRACE_S:
             return
-        for server in self._pending_removals:
-            emit(Event.SERVER_GONE, server=server)
+        for server, read_at in self._pending_removals.items():
+            emit(
+                Event.SERVER_GONE,
+                server=server,
+                held_s=round(now - read_at, 3),
+            )
             self._entries.record_gone(server)
             self._controller.record_removed(server)
         self._pending_removals.clear()
