--- a/test/tasks/installation.py
+++ b/test/tasks/installation.py
@@ -123,13 +123,21 @@
 
     Attributes:
       calls: number of calls that were made.
+      timeouts: number of calls that were not answered in time.
     """
 
     def __init__(self, *, store: Store) -> None:
         self._store = store
         self._fault: Fault | None = None
         self._broken = asyncio.Event()
+        self._lost = {topic: asyncio.Event() for topic in Topic}
         self.calls = 0
+        self.timeouts = 0
+
+    def lose_read(self, topic: Topic) -> None:
+        """Lose the answer to the pending read of a topic."""
+        self._lost[topic].set()
+        self._lost[topic] = asyncio.Event()
 
     def begin_fault(self, fault: Fault) -> None:
         """Begin a fault that affects pending and later calls."""
@@ -146,29 +154,32 @@
         self._broken = asyncio.Event()
 
     async def fetch_newest(self, topic: Topic) -> Any:
-        return await self._call(self._list_newest(topic), TIMEOUT_S)
+        return await self._call(self._list_newest(topic), TIMEOUT_S, topic)
 
     async def read(self, topic: Topic, start: int, wait_s: float) -> Any:
         call = self._wait_for(topic, start, wait_s)
-        return await self._call(call, TIMEOUT_S + wait_s)
+        return await self._call(call, TIMEOUT_S + wait_s, topic)
 
     async def append(
         self, topic: Topic, key: str, value: bytes, expected_end: int | None
     ) -> Any:
         call = self._append(topic, key, value, expected_end)
-        return await self._call(call, TIMEOUT_S)
+        return await self._call(call, TIMEOUT_S, topic)
 
-    async def _call(self, operation: Any, timeout_s: float) -> Any:
+    async def _call(
+        self, operation: Any, timeout_s: float, topic: Topic
+    ) -> Any:
         self.calls += 1
         loop = asyncio.get_running_loop()
         deadline = loop.time() + timeout_s
         fault = self._fault
         broken = asyncio.ensure_future(self._broken.wait())
+        lost = asyncio.ensure_future(self._lost[topic].wait())
         call = asyncio.ensure_future(operation)
         try:
             if fault is None:
                 await asyncio.wait(
-                    {call, broken},
+                    {call, broken, lost},
                     timeout=timeout_s,
                     return_when=asyncio.FIRST_COMPLETED,
                 )
@@ -178,10 +189,11 @@
             if fault is Fault.BUSY or (fault is Fault.RESET and broken.done()):
                 return _make_failure(PlatformErrorKind.OUTAGE, "no service")
             await asyncio.sleep(max(0.0, deadline - loop.time()))
+            self.timeouts += 1
             return _make_failure(PlatformErrorKind.TIMEOUT, "no answer")
         finally:
-            call.cancel()
-            broken.cancel()
+            for pending in (call, broken, lost):
+                pending.cancel()
 
     async def _list_newest(self, topic: Topic) -> KeyedPage:
         await asyncio.sleep(self._store.fetch_newest_s.get(topic, STORE_S))
@@ -333,7 +345,7 @@
         self.running_nodes: dict[str, RunningNode] = {}
         self.failures: list[BaseException | None] = []
         self.generator = random.Random(seed)
-        self._entry = STAYING
+        self._entry: bytes | None = STAYING
         self._starts = 0
         self._confirmed: dict[int, float] = {}
         self._in_force: dict[tuple[str, int], float] = {}
@@ -362,6 +374,11 @@
         self._entry = LEAVING
         self.store.append(Topic.SERVERS, "s", LEAVING)
 
+    def remove_server(self) -> None:
+        """Remove the entry of the only server, which leaves unannounced."""
+        self._entry = None
+        self.store.append(Topic.SERVERS, "s", b"")
+
     def has_no_server(self) -> bool:
         """Return whether no node has the leaving server in its view."""
         return all(
@@ -477,7 +494,9 @@
 
     async def _write_heartbeats(self) -> None:
         while True:
-            self.store.append(Topic.SERVERS, "s", self._entry)
+            # Other servers go on to write.
+            key = "s" if self._entry is not None else "other"
+            self.store.append(Topic.SERVERS, key, self._entry or LEAVING)
             await asyncio.sleep(HEARTBEAT_S)
 
     async def _watch_revisions(self) -> None:
--- /dev/null
+++ b/test/tasks/test_lost_reads.py
@@ -0,0 +1,64 @@
+"""A read of the store is lost while the store answers all other calls."""
+
+import asyncio
+import itertools
+
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import LessThan
+
+from chervilrock.clients.serving import Topic
+from chervilrock.decisions.serving.store.polling import MIN_LONG_POLL_S
+from chervilrock.platform.store import TIMEOUT_S
+from test.tasks.installation import Installation
+from test.tasks.virtual_time import run_virtually
+
+BOUND_S = 2.0
+"""Time after which a server that has left may get no requests."""
+
+WARM_UP_S = 5.0
+LONGEST_READ_S = TIMEOUT_S + MIN_LONG_POLL_S
+
+
+DELAYS_S = (0.0, 0.05, 0.2, 0.5)
+"""Times from the end of the lost read to the removal of the server."""
+
+
+async def measure_removal(
+    monkeypatch: pytest.MonkeyPatch, topic: Topic, delay_s: float
+) -> float:
+    """Return the seconds until no node uses a server whose entry was removed.
+
+    Args:
+      monkeypatch: replaces the clock.
+      topic: topic of which the leader loses a read.
+      delay_s: time from the end of that read to the removal.
+    """
+    site = Installation(monkeypatch=monkeypatch, seed=6)
+    await site.start(nodes=6, data_centres=3)
+    await asyncio.sleep(WARM_UP_S)
+    leader = site.find_leader()
+    assert leader is not None
+    connection = site.running_nodes[leader].connection
+    connection.lose_read(topic)
+    await site.wait_until(lambda: connection.timeouts > 0, LONGEST_READ_S)
+    assert connection.timeouts > 0
+    await asyncio.sleep(delay_s)
+    site.remove_server()
+    removed_at = site.loop.time()
+    await site.wait_until(site.has_no_server, 2 * LONGEST_READ_S)
+    await site.stop()
+    return site.loop.time() - removed_at
+
+
+def test_a_lost_read_does_not_keep_a_server_in_use(monkeypatch) -> None:
+    # The leader took one failed read for an outage of the store, and held the
+    # removals of servers back for 2.3 s.
+    late = {
+        (topic, delay_s): run_virtually(
+            measure_removal(monkeypatch, topic, delay_s)
+        )
+        for topic, delay_s in itertools.product(Topic, DELAYS_S)
+    }
+    worst = max(late, key=late.__getitem__)
+    assert_that(late[worst], LessThan(BOUND_S), f"{worst}")
