Send each call once per limit, and keep limits apart from libcurl

Nodes discarded answers of the store that came 20 s after a reset of their connections: E7005 with a time of 36 s and a limit of 21 s. Callers saw a server get requests after it had left, together with the next fault.

Cause: libcurl sends a request again when a kept connection is closed after the request was read, and counts its time limit from that second send. A long poll went on as a second one of the same length, under a limit that its caller did not know of.

HttpClient now aborts each second send of libcurl. It repeats a call itself, on a new connection, with the time that is left; a long poll is not repeated, since its answer would come too late, but fails at once and is read again. The limit holds around the whole call, also while it waits for a handle, and a call that has ended is not sent later. E7011 counts what is sent again.

--- a/chervilrock/catalogue.py
+++ b/chervilrock/catalogue.py
@@ -231,8 +231,8 @@
     CALL_SENT_AGAIN = EventSpec(
         7011,
         Level.INFO,
-        "the transport sent a call to {url} {sends} times; it ended after "
-        "{seconds} s, its limit is {limit_s} s",
+        "a call to {url} was sent again as its kept connection was closed; it "
+        "ended after {seconds} s",
     )
     REVISION_IN_FORCE = EventSpec(
         7101,
--- a/chervilrock/clients/http.py
+++ b/chervilrock/clients/http.py
@@ -109,6 +109,8 @@
             "GET",
             f"{self._format_url(stream)}?{query}",
             timeout_s=self._timeout_s + wait_ms / _MS_PER_S,
+            # The answer to a second long poll would come after the timeout.
+            send_once=wait_ms > 0,
         )
         return result.bind(decode_page).bind(
             lambda page: _check_page(page, start)
--- a/chervilrock/clients/httpclient.py
+++ b/chervilrock/clients/httpclient.py
@@ -85,18 +85,38 @@
             self.not_run = value == b"true"
 
 
+class _Call(NamedTuple):
+    """A request as the caller of the client gave it.
+
+    Attributes:
+      method: HTTP method.
+      url: URL with an IP address.
+      body: body in JSON, or None.
+      headers: additional headers.
+      decompress: whether the remote side may compress its response.
+      wanted_header: name of a response header to return, or empty.
+    """
+
+    method: str
+    url: str
+    body: bytes | None
+    headers: Mapping[str, str] | None
+    decompress: bool
+    wanted_header: str
+
+
 class HttpClient:
     """Client for short requests, shared by all clients of a process.
 
     It keeps connections open and reuses them. When a reused connection turns
-    out to be closed, libcurl sends the request again on another one, unless
-    `send_once` is set.
+    out to be closed, the request is sent again on a new one within its time
+    limit, unless `send_once` is set.
 
-    Cancelling a caller does not cancel its request, which continues in the
-    background.
+    Cancelling a caller does not cancel a request that was sent, which continues
+    in the background.
 
     Attributes:
-      calls_sent_again: number of calls that libcurl sent more than once.
+      calls_sent_again: number of calls that were sent a second time.
     """
 
     def __init__(
@@ -111,7 +131,7 @@
         Args:
           connect_timeout_s: connect timeout in seconds.
           max_clients: maximum number of concurrent requests. Further requests
-            wait without a timeout, so the limit has to be generous.
+            wait until their time limit, so the number has to be generous.
           source_ip: IP address to connect from, empty for any.
         """
         self.calls_sent_again = 0
@@ -144,7 +164,7 @@
         Args:
           method: HTTP method.
           url: URL with an IP address.
-          timeout_s: timeout of the request in seconds.
+          timeout_s: time limit in seconds, also for a second send.
           body: body in JSON, or None.
           headers: additional headers.
           send_once: whether to fail instead of sending a second time.
@@ -155,41 +175,75 @@
         Returns:
           The response, whatever its status, or the error if there was none.
         """
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + timeout_s
+        call = _Call(
+            method=method,
+            url=url,
+            body=body,
+            headers=headers,
+            decompress=decompress,
+            wanted_header=wanted_header,
+        )
+        guard = SendGuard(fresh=is_fresh)
+        result = await self._send(call, guard, deadline)
+        if send_once or not guard.is_repeat_aborted or loop.time() >= deadline:
+            return result
+        # Other kept connections were probably closed as well.
+        result = await self._send(call, SendGuard(fresh=True), deadline)
+        self._record_sent_again(url, loop.time() - deadline + timeout_s)
+        return result
+
+    async def _send(
+        self, call: _Call, guard: SendGuard, deadline: float
+    ) -> Result[HttpAnswer, PlatformError]:
+        """Send a request once and wait for its response.
+
+        Args:
+          call: the request.
+          guard: prevents further sends.
+          deadline: when to fail without a response, in seconds of the clock
+            of the event loop.
+        """
         if self._pool.is_closed:
             # Tasks may still send requests while the process shuts down.
             return Failure(PlatformError(PlatformErrorKind.REFUSED, "closed"))
-        guard = SendGuard(once=send_once, fresh=is_fresh)
-        answer_headers = _HeaderParser(wanted_header)
+        answer_headers = _HeaderParser(call.wanted_header)
 
         def prepare(curl: pycurl.Curl) -> None:
             guard.prepare(curl)
             curl.setopt(pycurl.HEADERFUNCTION, answer_headers.record_line)
 
         request = HTTPRequest(
-            url,
-            method=method,
-            body=body,
-            headers=_merge_headers(body, headers),
+            call.url,
+            method=call.method,
+            body=call.body,
+            headers=_merge_headers(call.body, call.headers),
             connect_timeout=self._connect_timeout_s,
-            request_timeout=timeout_s,
+            request_timeout=deadline - asyncio.get_running_loop().time(),
             follow_redirects=False,
-            decompress_response=decompress,
+            decompress_response=call.decompress,
             prepare_curl_callback=prepare,
         )
-        loop = asyncio.get_running_loop()
-        began = loop.time()
         try:
-            # The request continues and keeps its handle on cancellation.
-            response = await asyncio.shield(self._pool.fetch(request))
+            # libcurl starts its limit anew when it connects again, and does
+            # not count the wait for a handle.
+            async with asyncio.timeout_at(deadline):
+                # The request continues and keeps its handle on cancellation.
+                response = await asyncio.shield(self._pool.fetch(request))
+        except TimeoutError:
+            message = f"{call.url}: no answer in time"
+            if not guard.sent:
+                return Failure(
+                    PlatformError(PlatformErrorKind.REFUSED, message)
+                )
+            return Failure(PlatformError(PlatformErrorKind.TIMEOUT, message))
         except HTTPClientError as error:
-            return Failure(_describe_error(error, guard.sent, url))
+            return Failure(_describe_error(error, guard, call.url))
         except UnicodeError as error:
             return Failure(PlatformError(PlatformErrorKind.REFUSED, str(error)))
         finally:
-            if guard.sends > 1:
-                self._record_sent_again(
-                    url, guard.sends, loop.time() - began, timeout_s
-                )
+            guard.end()
         return Success(
             HttpAnswer(
                 status=response.code,
@@ -200,17 +254,13 @@
             )
         )
 
-    def _record_sent_again(
-        self, url: str, sends: int, seconds: float, limit_s: float
-    ) -> None:
-        """Log and count a call that libcurl sent more than once."""
+    def _record_sent_again(self, url: str, seconds: float) -> None:
+        """Log and count a call that was sent twice."""
         self.calls_sent_again += 1
         emit(
             Event.CALL_SENT_AGAIN,
             url=url.partition("?")[0],
-            sends=sends,
             seconds=round(seconds, 3),
-            limit_s=limit_s,
         )
 
 
@@ -222,11 +272,14 @@
 
 
 def _describe_error(
-    error: HTTPClientError, sent: bool, url: str
+    error: HTTPClientError, guard: SendGuard, url: str
 ) -> PlatformError:
     message = f"{url}: {error.message}"
-    if not sent:
+    if not guard.sent:
         return PlatformError(PlatformErrorKind.REFUSED, message)
+    if guard.is_repeat_aborted:
+        message = f"{url}: the connection was closed before an answer"
+        return PlatformError(PlatformErrorKind.OUTAGE, message)
     errno = error.errno if isinstance(error, CurlError) else 0
     if errno == pycurl.E_OPERATION_TIMEDOUT:
         return PlatformError(PlatformErrorKind.TIMEOUT, message)
--- a/chervilrock/clients/sendguard.py
+++ b/chervilrock/clients/sendguard.py
@@ -1,9 +1,10 @@
 """Control of the automatic retries of libcurl.
 
 libcurl sends a request again when a reused connection turns out to be closed,
-even if the remote side has already executed it. It invokes a callback right
-before each send, on new and reused connections alike. The callback records
-whether any byte can have been sent, and can abort the second send.
+even if the remote side has already read it, and starts its time limit anew. It
+invokes a callback right before each send, on new and reused connections alike.
+The callback records whether any byte can have been sent, and aborts a second
+send.
 """
 
 import pycurl
@@ -13,32 +14,33 @@
 
 
 class SendGuard:
-    """Records and limits the sends of one request.
+    """Lets one request be sent at most once.
 
     Attributes:
-      sends: how often libcurl has begun to send; while it is 0, no byte of the
-        request has been sent.
+      sent: whether libcurl has begun to send; while it is False, no byte of
+        the request has been sent.
+      is_repeat_aborted: whether libcurl would have sent it again, since a
+        reused connection was closed before an answer.
     """
 
-    __slots__ = ("sends", "_fresh", "_once")
+    __slots__ = ("sent", "is_repeat_aborted", "_fresh", "_has_ended")
 
-    def __init__(self, *, once: bool, fresh: bool = False) -> None:
+    def __init__(self, *, fresh: bool = False) -> None:
         """Create a guard for one request.
 
         Args:
-          once: whether to fail instead of sending a second time.
           fresh: whether to use a dedicated connection that is not shared with
-            earlier or later requests. On a reused connection, `once` alone
-            also fails when the remote side closed it before the send.
+            earlier or later requests. On a reused connection, the request also
+            fails when the remote side closed it before the send.
         """
-        self.sends = 0
-        self._once = once
+        self.sent = False
+        self.is_repeat_aborted = False
         self._fresh = fresh
+        self._has_ended = False
 
-    @property
-    def sent(self) -> bool:
-        """Whether any byte of the request can have been sent."""
-        return self.sends > 0
+    def end(self) -> None:
+        """Prevent the send if it has not begun."""
+        self._has_ended = True
 
     def prepare(self, curl: pycurl.Curl) -> None:
         """Configure a handle; used as `prepare_curl_callback` of a request."""
@@ -49,7 +51,8 @@
             curl.setopt(pycurl.FORBID_REUSE, 1)
 
     def _record_send(self, *_addresses: object) -> int:
-        if self.sent and self._once:
+        if self.sent or self._has_ended:
+            self.is_repeat_aborted = self.sent
             return _ABORT
-        self.sends += 1
+        self.sent = True
         return _SEND
--- a/chervilrock/platform/store.py
+++ b/chervilrock/platform/store.py
@@ -155,7 +155,14 @@
             "max_kb": str(PAGE_KB),
             "wait_ms": str(int(wait_s * _MS_PER_S)),
         }
-        answer = await self._call("GET", "/log-read", query, TIMEOUT_S + wait_s)
+        answer = await self._call(
+            "GET",
+            "/log-read",
+            query,
+            TIMEOUT_S + wait_s,
+            # The answer to a second long poll would come after the timeout.
+            send_once=wait_s > 0,
+        )
         if isinstance(answer, Failure):
             return answer
         era = self._era or 0
@@ -197,6 +204,8 @@
         query: dict[str, str],
         timeout_s: float,
         body: bytes | None = None,
+        *,
+        send_once: bool = False,
     ) -> Result[HttpAnswer, PlatformError]:
         url = f"{self._base_url}{path}?{urllib.parse.urlencode(query)}"
         answer = await self._client.request(
@@ -207,6 +216,7 @@
             headers={"Content-Type": "application/octet-stream"}
             if body is not None
             else None,
+            send_once=send_once,
             wanted_header=_ERA_HEADER,
         )
         return answer.bind(self._check_era)
--- a/chervilrock/serving_metrics.py
+++ b/chervilrock/serving_metrics.py
@@ -183,8 +183,7 @@
         )
         self.calls_sent_again = self._gauge(
             "calls_sent_again",
-            "Calls to the store, servers and nodes that were sent twice by the "
-            "transport",
+            "Calls to the store, servers and nodes that were sent again",
         )
         self._rejected_bodies = self._counter(
             "bodies_rejected_total",
