Keep the time limit of polls apart from libcurl

The poller of chervilrock serve had the same fault: libcurl alone kept the limit of a poll, and started it anew when it sent the request again over another connection.

--- a/chervilrock/clients/polling.py
+++ b/chervilrock/clients/polling.py
@@ -203,7 +203,13 @@
         resource.busy = True
         self._transfers.add(handle.curl)
         try:
-            await handle.completion
+            # libcurl starts its limit anew when it sends a request again.
+            async with asyncio.timeout(timeout_s):
+                await handle.completion
+        except TimeoutError:
+            resource.reset()
+            message = f"{url}: no answer in time"
+            return Failure(PlatformError(PlatformErrorKind.TIMEOUT, message))
         except pycurl.error as error:
             resource.reset()
             return Failure(_convert_error(error, url))
--- a/test/clients/test_polling.py
+++ b/test/clients/test_polling.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import msgspec
+import pycurl
 import pytest
 from returns.pipeline import is_successful
 from testtools.assertions import assert_that
@@ -14,6 +15,7 @@
 from chervilrock.generated.interfaces import EngineOrder, EngineState
 from chervilrock.standin.engine import EngineStandIn
 from chervilrock.standin.faults import FaultKind, FaultRule
+from test.tasks.virtual_time import run_virtually
 
 DECODER = msgspec.json.Decoder(EngineState)
 LONG_TIMEOUT_S = 10.0
@@ -143,3 +145,24 @@
     del hosts[0]["leaving"]
     with pytest.raises(msgspec.DecodeError):
         decoder.decode(msgspec.json.encode(host_list))
+
+
+class SilentTransfers:
+    """Transfers that libcurl never ends."""
+
+    def add(self, _curl: pycurl.Curl) -> None:
+        """Start a transfer."""
+
+
+def test_a_poll_that_libcurl_does_not_end_ends_at_its_limit():
+    # libcurl counted the limit anew when it sent a request again.
+    async def measure() -> float:
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        poller = Poller()
+        poller._transfers = SilentTransfers()
+        result = await poller.poll("http://a/", DECODER, LONG_TIMEOUT_S)
+        assert_that(get_error_kind(result), Is(PlatformErrorKind.TIMEOUT))
+        return loop.time() - began
+
+    assert_that(run_virtually(measure()), Equals(LONG_TIMEOUT_S))
