Keep the time limit of transfers that libcurl repeats

Requests of chervilrock serve that may run more than once use kept connections. When one is reset, libcurl sends the request again and starts the time limit anew, so that the transfer outlasts the caller's limit and the caller gets nothing in time. A second send now ends at the limit of the first. The sends of nodes on the platform are not affected: each uses a connection of its own and is sent once.

--- a/chervilrock/edges/relay.py
+++ b/chervilrock/edges/relay.py
@@ -7,6 +7,7 @@
 """
 
 import abc
+import asyncio
 from collections.abc import Callable
 import os
 import socket
@@ -68,7 +69,8 @@
       url: URL with an IP address.
       headers: names and values of the headers.
       body: body, None for none.
-      timeout_s: timeout of the whole transfer in seconds.
+      timeout_s: time limit of the whole transfer in seconds, also if libcurl
+        sends the request again.
       send_once: whether it must not be sent a second time.
       connect_timeout_s: timeout to connect in seconds.
     """
@@ -175,6 +177,9 @@
         self._abandoned = False
         self._in_callback = False
         self._repeated = False
+        self._deadline = float("inf")
+        self._expiry: asyncio.TimerHandle | None = None
+        self._has_expired = False
         self.sent = False
         self.head: Head | None = None
         self.was_paused = False
@@ -182,6 +187,7 @@
     async def run(self, client: CurlAsyncHTTPClient) -> TransferEnd:
         """Sends the request and waits for the end of its answer."""
         request = self._request
+        self._deadline = asyncio.get_running_loop().time() + request.timeout_s
         try:
             http_request = HTTPRequest(
                 request.url,
@@ -200,11 +206,11 @@
             response = await client.fetch(http_request, raise_error=False)
             break_error_cycle(response)
         except CurlError as error:
-            is_broken = (
-                error.errno in _BROKEN_CONNECTION_ERRORS and not self._abandoned
+            is_broken = error.errno in _BROKEN_CONNECTION_ERRORS and not (
+                self._abandoned or self._has_expired
             )
             return self._end(
-                str(error),
+                "no whole answer in time" if self._has_expired else str(error),
                 is_broken=is_broken,
                 is_faulty=error.errno in _FAULTY_ANSWER_ERRORS,
             )
@@ -212,6 +218,8 @@
             return self._end(str(error) or type(error).__name__)
         finally:
             self._curl = None
+            if self._expiry is not None:
+                self._expiry.cancel()
         return self._end("abandoned" if self._abandoned else "")
 
     @property
@@ -241,6 +249,15 @@
         if self._abandoned:
             return
         self._abandoned = True
+        self._end_now()
+
+    def _expire(self) -> None:
+        """Ends a transfer that libcurl repeated, at its time limit."""
+        self._has_expired = True
+        self._end_now()
+
+    def _end_now(self) -> None:
+        """Closes the connection, so that libcurl ends the transfer."""
         if self._curl is not None and not self._in_callback:
             self._shut_down(self._curl)
             self._unpause(self._curl)
@@ -277,7 +294,9 @@
 
     def _record_send(self, *_addresses: object) -> int:
         """Records a send; called by libcurl right before it sends."""
-        if self._abandoned or (self.sent and self._request.send_once):
+        if self._abandoned:
+            return _SEND_ABORT
+        if self.sent and (self._request.send_once or not self._limit_repeat()):
             return _SEND_ABORT
         if not self._may_send():
             self._is_held = True
@@ -286,6 +305,20 @@
         self.sent = True
         return _SEND_OK
 
+    def _limit_repeat(self) -> bool:
+        """Keeps the time limit of a second send, which libcurl starts anew.
+
+        Returns:
+          Whether there is time left for it.
+        """
+        loop = asyncio.get_running_loop()
+        remaining_s = self._deadline - loop.time()
+        if self._has_expired or remaining_s <= 0:
+            return False
+        if self._expiry is None:
+            self._expiry = loop.call_later(remaining_s, self._expire)
+        return True
+
     def _receive_head_line(self, line: bytes) -> int | None:
         """Handles a line of a head or of a trailer; called by libcurl."""
         self._head_bytes += len(line)
@@ -313,7 +346,7 @@
 
     def _receive(self, data: bytes) -> int:
         """Handles bytes of the body; called by libcurl."""
-        if self._abandoned:
+        if self._abandoned or self._has_expired:
             return _ABORT
         if self._paused:
             return _PAUSE
--- a/test/edges/test_relay.py
+++ b/test/edges/test_relay.py
@@ -3,8 +3,9 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 import contextlib
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
+import pycurl
 import pytest
 from testtools.assertions import assert_that
 from testtools.matchers import (
@@ -15,6 +16,8 @@
     IsInstance,
     LessThan,
 )
+from tornado.curl_httpclient import CurlError
+from tornado.httpclient import HTTPRequest
 
 from chervilrock.clients.curlpool import CurlPool
 from chervilrock.edges import relay
@@ -26,6 +29,7 @@
     Transfer,
     TransferEnd,
 )
+from test.tasks.virtual_time import run_virtually
 
 TIMEOUT_S = 10.0
 HEAD = b"HTTP/1.1 503 Busy\r\nRetry-After: 3\r\nContent-Length: 4\r\n\r\n"
@@ -264,3 +268,63 @@
         assert_that(end.error, Equals("no answer"))
 
     run_transfer(scenario)
+
+
+class HandleThatRepeats:
+    """A libcurl handle whose request is sent twice and never answered.
+
+    Attributes:
+      ended: the future of the transfer.
+    """
+
+    def __init__(self, *, repeats_after_s: float) -> None:
+        self._repeats_after_s = repeats_after_s
+        self._send: Callable[[], int] = lambda: pycurl.PREREQFUNC_OK
+        loop = asyncio.get_running_loop()
+        self.ended: asyncio.Future[Any] = loop.create_future()
+
+    def fetch(
+        self, request: HTTPRequest, **_options: Any
+    ) -> "asyncio.Future[Any]":
+        """Stand for the client of Tornado."""
+        assert request.prepare_curl_callback is not None
+        request.prepare_curl_callback(self)
+        self._send()
+        loop = asyncio.get_running_loop()
+        loop.call_later(self._repeats_after_s, self._send)
+        return self.ended
+
+    def setopt(self, option: int, value: Any) -> None:
+        if option == pycurl.PREREQFUNCTION:
+            self._send = value
+
+    def getinfo(self, _option: int) -> int:
+        return -1
+
+    def pause(self, _state: int) -> None:
+        if not self.ended.done():
+            error = CurlError(pycurl.E_RECV_ERROR, "the connection is closed")
+            self.ended.set_exception(error)
+
+
+def test_a_transfer_that_libcurl_repeats_ends_at_its_limit() -> None:
+    # The limit was counted from the second send: a caller's connection was
+    # closed without an answer after the time that the caller waited.
+    async def measure() -> float:
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        client: Any = HandleThatRepeats(repeats_after_s=0.75 * TIMEOUT_S)
+        request = BackendRequest(
+            method="GET",
+            url="http://127.0.0.1:1/",
+            headers=(),
+            body=None,
+            timeout_s=TIMEOUT_S,
+            send_once=False,
+        )
+        transfer = Transfer(request=request, receiver=RecordingReceiver())
+        end = await transfer.run(client)
+        assert_that((end.repeated, end.is_broken), Equals((True, False)))
+        return loop.time() - began
+
+    assert_that(run_virtually(measure()), Equals(TIMEOUT_S))
