Hold removals back only for entries that may have lapsed

Cause: each answer after a failed read, of any topic, counted as the end of an outage of the store, and all removals waited for the 2.3 s that servers need to write again after one. That is longer than a server may stay in use.

An entry can lapse only if the store is away for longer than its server's pauses between writes. A removal is now held only after an outage that two reads of the entries in a row have shown, and only if its server has not announced that it leaves.

--- a/chervilrock/decisions/serving/groups/controller.py
+++ b/chervilrock/decisions/serving/groups/controller.py
@@ -146,6 +146,11 @@
         if membership is not None:
             self._registry.record_membership(server.server, membership)
 
+    def is_leaving(self, server: str) -> bool:
+        """Return whether a server has said that it leaves."""
+        entry = self._registry.hosts.servers.get(server)
+        return entry is not None and entry.is_leaving
+
     def record_removed(self, server: str) -> None:
         """Record that the entry of a server was removed."""
         self._registry.hosts.remove_entry(server)
--- a/chervilrock/decisions/serving/store/storehealth.py
+++ b/chervilrock/decisions/serving/store/storehealth.py
@@ -40,8 +40,10 @@
 
     Attributes:
       answered_at: when the store last answered.
-      unavailable_since: since when it does not answer, None while it does.
-      recovered_at: when it last recovered.
+      unavailable_since: when a call first failed since the last answer, None
+        if none has.
+      recovered_at: when it last answered after calls had failed for
+        `MIN_OUTAGE_S`; one failed read is no outage.
       recoveries: how often it recovered from an outage, in the current term
         or shortly before.
     """
@@ -70,8 +72,9 @@
         if self.unavailable_since is None and not had_timed_out:
             return False
         has_recovered = had_timed_out or gap_s >= MIN_OUTAGE_S
+        if now - (self.unavailable_since or now) >= MIN_OUTAGE_S:
+            self.recovered_at = now
         self.unavailable_since = None
-        self.recovered_at = now
         if has_recovered:
             self.recoveries += 1
             self._unreliable_at = now
--- a/chervilrock/tasks/serving/leading.py
+++ b/chervilrock/tasks/serving/leading.py
@@ -31,6 +31,7 @@
 from chervilrock.decisions.serving.servers.absences import SnapshotAbsences
 from chervilrock.decisions.serving.servers.entries import NewestEntries
 from chervilrock.decisions.serving.servers.limitregistry import LimitRegistry
+from chervilrock.decisions.serving.servers.removals import Removals
 from chervilrock.decisions.serving.servers.reportedpauses import ReportedPauses
 from chervilrock.decisions.serving.servers.serverlimits import LimitedServer
 from chervilrock.decisions.serving.servers.warmups import find_usable, Warmups
@@ -66,11 +67,6 @@
 from chervilrock.tasks.serving.state import ServingState
 from chervilrock.tasks.serving.waitqueue import WaitQueue
 
-OUTAGE_GRACE_S = 2.3
-"""Time after a recovery of the store for entries that lapsed in the meantime:
-servers that still run write them again within two seconds."""
-
-
 MAX_LOGGED_SERVERS = 32
 """Servers in a log line about those that a snapshot lacks."""
 
@@ -101,6 +97,7 @@
         outbound: Outbound,
         decode_server: DecodeServer,
         entries: NewestEntries,
+        now: float,
     ) -> None:
         """Start to lead: read the server entries and call the nodes.
 
@@ -112,6 +109,7 @@
           outbound: makes calls.
           decode_server: decodes the entry of a server.
           entries: newest entries that this process has read.
+          now: current time.
         """
         self._entries = entries
         self._servers_era: int | None = None
@@ -150,7 +148,7 @@
         self._first_act_at: float | None = None
         self._counted_at = float("-inf")
         self.host_counts: tuple[ModelCount, ...] = ()
-        self._pending_removals: dict[str, float] = {}
+        self._removals = Removals(recovered_at=store.recovered_at, now=now)
         self._absences = SnapshotAbsences()
         self._follower = outbound.follow(
             Topic.SERVERS, lambda: SERVERS_SCHEDULE
@@ -226,6 +224,7 @@
 
     def record_servers(self, read: RecordsRead, now: float) -> None:
         """Apply changed and removed entries of servers."""
+        self._removals.record_answer(now)
         is_first_read = not self._has_servers
         self._has_servers = self._has_servers or read.is_snapshot
         self._check_restore(read, now)
@@ -234,7 +233,7 @@
         for record in read.page.records:
             self._absences.record_written(record.key)
             if not record.value:
-                self._pending_removals.setdefault(record.key, now)
+                self._record_removed(record.key, now)
                 continue
             decoded = self._decode_server(record.key, record.value)
             if isinstance(decoded, Failure):
@@ -242,7 +241,7 @@
                 emit(Event.RECORD_UNREADABLE, key=record.key, reason=reason)
                 continue
             # An entry that names no server does not undo a removal.
-            self._pending_removals.pop(record.key, None)
+            self._removals.record_written(record.key)
             entry = self._entries.update(decoded.unwrap())
             self._record_warmup(entry, now, is_first_read=is_first_read)
             self._controller.record_server(entry, now)
@@ -270,17 +269,27 @@
             servers=",".join(sorted(absence.servers)[:MAX_LOGGED_SERVERS]),
         )
         for server in absence.servers:
-            self._pending_removals.setdefault(server, now)
+            self._record_removed(server, now)
+
+    def _record_removed(self, server: str, now: float) -> None:
+        self._removals.record_removed(
+            server, now, is_announced=self._controller.is_leaving(server)
+        )
+
+    def record_failed_read(self) -> None:
+        """Record that a read of the server entries was not answered."""
+        self._removals.record_failure()
 
     def keep_known_servers(self, now: float) -> None:
         """Keep the servers that this process knew in its previous term.
 
         The store was restored from a backup, which lacks some of them.
         """
+        self._removals.record_restore(now)
         for entry in self._entries.list_present():
             self._record_warmup(entry, now, is_first_read=True)
             self._controller.record_server(entry, now)
-            self._pending_removals.setdefault(entry.server, now)
+            self._removals.record_removed(entry.server, now)
 
     def _record_warmup(
         self, entry: BackendServer, now: float, *, is_first_read: bool
@@ -306,8 +315,9 @@
         self._servers_era = read.page.era
         if former_era is None or read.page.era == former_era:
             return
+        self._removals.record_restore(now)
         for entry in self._entries.list_present():
-            self._pending_removals.setdefault(entry.server, now)
+            self._removals.record_removed(entry.server, now)
 
     def record_answered(self, answered: PeerAnswered, now: float) -> None:
         """Record the outcome of an announcement."""
@@ -393,18 +403,14 @@
 
     def _remove_servers(self, now: float) -> None:
         """Remove the servers whose entries were deleted and not rewritten."""
-        is_lost = self._store.unavailable_since is not None
-        if is_lost or now - self._store.recovered_at < OUTAGE_GRACE_S:
-            return
-        for server, read_at in self._pending_removals.items():
+        for removal in self._removals.take_due(now):
             emit(
                 Event.SERVER_GONE,
-                server=server,
-                held_s=round(now - read_at, 3),
+                server=removal.server,
+                held_s=round(removal.held_s, 3),
             )
-            self._entries.record_gone(server)
-            self._controller.record_removed(server)
-        self._pending_removals.clear()
+            self._entries.record_gone(removal.server)
+            self._controller.record_removed(removal.server)
 
     def _log_new_relays(self, former: frozenset[str]) -> None:
         """Log the newly chosen relays."""
--- a/chervilrock/tasks/serving/node.py
+++ b/chervilrock/tasks/serving/node.py
@@ -383,6 +383,11 @@
                 self._handle_records(message, now)
             case ReadFailed():
                 self._reads.record_failure(message, now)
+                if (
+                    self._leader_role is not None
+                    and message.topic is Topic.SERVERS
+                ):
+                    self._leader_role.record_failed_read()
             case OrderAnswered():
                 self._handle_order_answer(message, now)
             case ServerAnswered():
@@ -586,6 +591,7 @@
             outbound=self._outbound,
             decode_server=self._ports.decode_server,
             entries=self._entries,
+            now=now,
         )
         if was_leading:
             self._leader_role.keep_known_servers(now)
--- a/test/clients/test_polling.py
+++ b/test/clients/test_polling.py
@@ -160,7 +160,7 @@
         loop = asyncio.get_running_loop()
         began = loop.time()
         poller = Poller()
-        poller._transfers = SilentTransfers()
+        poller._transfers = SilentTransfers()  # type: ignore[assignment]
         result = await poller.poll("http://a/", DECODER, LONG_TIMEOUT_S)
         assert_that(get_error_kind(result), Is(PlatformErrorKind.TIMEOUT))
         return loop.time() - began
--- a/test/decisions/serving/store/test_storehealth.py
+++ b/test/decisions/serving/store/test_storehealth.py
@@ -89,3 +89,11 @@
     assert_that(monitor.recoveries, Equals(1))
     monitor.begin_term(5.0 + MAX_READ_S)
     assert_that(monitor.recoveries, Equals(0))
+
+
+def test_one_failed_read_is_no_outage() -> None:
+    # The store answered the next read 0.1 s later.
+    monitor = StoreMonitor(now=0.0)
+    monitor.record_failure("nodes", 20.0, is_timeout=True)
+    assert_that(monitor.record_answer("nodes", 20.1), Is(True))
+    assert_that(monitor.recovered_at, Equals(float("-inf")))
--- a/test/tasks/installation.py
+++ b/test/tasks/installation.py
@@ -135,9 +135,8 @@
         self.timeouts = 0
 
     def lose_read(self, topic: Topic) -> None:
-        """Lose the answer to the pending read of a topic."""
+        """Lose the answer to the pending call for a topic, or the next one."""
         self._lost[topic].set()
-        self._lost[topic] = asyncio.Event()
 
     def begin_fault(self, fault: Fault) -> None:
         """Begin a fault that affects pending and later calls."""
@@ -183,7 +182,9 @@
                     timeout=timeout_s,
                     return_when=asyncio.FIRST_COMPLETED,
                 )
-                if call.done():
+                if lost.done():
+                    self._lost[topic].clear()
+                elif call.done():
                     return Success(call.result())
                 fault = self._fault
             if fault is Fault.BUSY or (fault is Fault.RESET and broken.done()):
