Read the store over a new connection after a failed read

An outage is shown by two failed reads of the entries in a row. When all kept connections of a node are dead at once, the second read would go out on another of them and fail as well, while the store answers new connections. A failed call is therefore followed by one over a new connection.

--- a/chervilrock/platform/store.py
+++ b/chervilrock/platform/store.py
@@ -81,6 +81,7 @@
         self._client = client
         self._base_url = f"http://{address}"
         self._era: int | None = None
+        self._failed: set[Topic] = set()
 
     async def fetch_newest(
         self, topic: Topic
@@ -138,7 +139,7 @@
         query = {"topic": _TOPIC_NAMES[topic], "part": "0"}
         if after:
             query["after"] = after
-        answer = await self._call("GET", "/log-newest", query, TIMEOUT_S)
+        answer = await self._call(topic, "GET", "/log-newest", query, TIMEOUT_S)
         era = self._era or 0
         return answer.bind(
             lambda success: decode_success(_NEWEST_DECODER, success)
@@ -156,6 +157,7 @@
             "wait_ms": str(int(wait_s * _MS_PER_S)),
         }
         answer = await self._call(
+            topic,
             "GET",
             "/log-read",
             query,
@@ -182,6 +184,7 @@
         if expected_end is not None:
             query["at"] = str(expected_end)
         answer = await self._call(
+            topic,
             "POST",
             "/log-append",
             query,
@@ -199,6 +202,7 @@
 
     async def _call(
         self,
+        topic: Topic,
         method: str,
         path: str,
         query: dict[str, str],
@@ -217,8 +221,15 @@
             if body is not None
             else None,
             send_once=send_once,
+            # A second failure then shows that the store is away, and not that
+            # another kept connection is dead.
+            is_fresh=topic in self._failed,
             wanted_header=_ERA_HEADER,
         )
+        if isinstance(answer, Failure):
+            self._failed.add(topic)
+        else:
+            self._failed.discard(topic)
         return answer.bind(self._check_era)
 
     def _check_era(
--- a/test/clients/test_repeated_calls.py
+++ b/test/clients/test_repeated_calls.py
@@ -9,6 +9,7 @@
 
 import pycurl
 import pytest
+from returns.result import Failure
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
 from tornado.curl_httpclient import CurlError
@@ -23,7 +24,13 @@
 LIMIT_S = 20.0
 """Time limit of calls that end before it, and of each test."""
 
+KEPT = 4
+"""Number of connections that a client keeps."""
+
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+EMPTY_PAGE = b"HTTP/1.1 200 OK\r\nContent-Length: 16\r\n\r\n" + struct.pack(
+    ">QQ", 0, 0
+)
 _LINGER = struct.pack("ii", 1, 0)
 
 
@@ -150,6 +157,50 @@
     run(scenario, answers=False)
 
 
+def test_a_read_after_a_failed_one_uses_a_new_connection() -> None:
+    # Other kept connections may be dead as well. A second failure over one of
+    # them looked like an outage of the store.
+    connections: list[asyncio.StreamWriter] = []
+    heads: list[tuple[int, bytes]] = []
+
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        connections.append(writer)
+        number = len(connections)
+        with contextlib.suppress(asyncio.IncompleteReadError):
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                heads.append((number, head))
+                if b"wait_ms=0" in head:
+                    while len(connections) < KEPT:
+                        await asyncio.sleep(0)
+                    writer.write(EMPTY_PAGE)
+                else:
+                    writer.close()
+                    return
+
+    async def check() -> None:
+        async with asyncio.timeout(LIMIT_S):
+            listener = await asyncio.start_server(serve, "127.0.0.1", 0)
+            host, port = listener.sockets[0].getsockname()
+            client = HttpClient()
+            store = StoreClient(client=client, address=f"{host}:{port}")
+            await asyncio.gather(
+                *(store.read(Topic.NODES, 0, 0.0) for _ in range(KEPT))
+            )
+            failed = await store.read(Topic.NODES, 0, LIMIT_S)
+            assert_that(isinstance(failed, Failure), Equals(True))
+            await store.read(Topic.NODES, 0, 0.0)
+            client.close()
+            for writer in connections:
+                writer.close()
+            listener.close()
+
+    asyncio.run(check())
+    assert_that([number for number, _ in heads][-1], Equals(KEPT + 1))
+
+
 class _Handle:
     """A libcurl handle of which only the callback before a send is used."""
 
