Do not let one lost read make a leader give up its place

A leader with one failed read, of any topic, told nodes that had just started that another one had to replace it, until the next answer of the store. Found by looking for the cause of the held removals elsewhere.

--- a/chervilrock/decisions/serving/store/storehealth.py
+++ b/chervilrock/decisions/serving/store/storehealth.py
@@ -11,6 +11,8 @@
 
 from typing import NamedTuple
 
+from chervilrock.decisions.serving.nodes.leadership import STORE_TIMEOUT_S
+
 MIN_OUTAGE_S = 1.0
 """Least time without an answer after which pending reads are restarted if calls
 failed at once. A store that rejects single calls answers others between them,
@@ -58,6 +60,10 @@
         self._timed_out_topics: set[str] = set()
         self._leader_status: StoreStatus | None = None
 
+    def is_unreachable(self, now: float) -> bool:
+        """Return whether a leader that gets no answer has to be replaced."""
+        return now - self.answered_at > STORE_TIMEOUT_S
+
     def record_answer(self, topic: str, now: float) -> bool:
         """Record an answer for a topic; return whether the store has recovered.
 
--- a/chervilrock/tasks/serving/leading.py
+++ b/chervilrock/tasks/serving/leading.py
@@ -21,7 +21,6 @@
     find_interval,
     find_min_interval,
     MISSED_INTERVALS,
-    STORE_TIMEOUT_S,
 )
 from chervilrock.decisions.serving.nodes.relays import Recipients, RelayTable
 from chervilrock.decisions.serving.planning.hostcounts import (
@@ -581,8 +580,7 @@
             revision=max(state.revision, self._summary.revision),
             has_traffic=state.has_traffic,
             is_stopping=state.is_stopping or self._is_cut_off_alone(now),
-            is_store_unreachable=now - self._store.answered_at
-            > STORE_TIMEOUT_S,
+            is_store_unreachable=self._store.is_unreachable(now),
             lost_after_s=MISSED_INTERVALS * interval_s,
             is_relay=False,
             store_recoveries=self._store.recoveries,
--- a/chervilrock/tasks/serving/node.py
+++ b/chervilrock/tasks/serving/node.py
@@ -238,7 +238,7 @@
         # Nodes should not wait for a leader that another one has to replace.
         is_staying = (
             not self._state.is_stopping
-            and self._reads.store.unavailable_since is None
+            and not self._reads.store.is_unreachable(now)
         )
         return self.leader_probe.find_contact(
             now, is_leader=self.is_leader and is_staying
--- a/test/tasks/test_lost_reads.py
+++ b/test/tasks/test_lost_reads.py
@@ -5,12 +5,12 @@
 
 import pytest
 from testtools.assertions import assert_that
-from testtools.matchers import LessThan
+from testtools.matchers import Equals, LessThan
 
 from chervilrock.clients.serving import Topic
 from chervilrock.decisions.serving.store.polling import MIN_LONG_POLL_S
 from chervilrock.platform.store import TIMEOUT_S
-from test.tasks.installation import Installation
+from test.tasks.installation import Installation, STORE_S
 from test.tasks.virtual_time import run_virtually
 
 BOUND_S = 2.0
@@ -24,6 +24,22 @@
 """Times from the end of the lost read to the removal of the server."""
 
 
+async def lose_read_of_leader(
+    monkeypatch: pytest.MonkeyPatch, topic: Topic
+) -> Installation:
+    """Return an installation whose leader has just lost a read of a topic."""
+    site = Installation(monkeypatch=monkeypatch, seed=6)
+    await site.start(nodes=6, data_centres=3)
+    await asyncio.sleep(WARM_UP_S)
+    leader = site.find_leader()
+    assert leader is not None
+    connection = site.running_nodes[leader].connection
+    connection.lose_read(topic)
+    await site.wait_until(lambda: connection.timeouts > 0, LONGEST_READ_S)
+    assert connection.timeouts > 0
+    return site
+
+
 async def measure_removal(
     monkeypatch: pytest.MonkeyPatch, topic: Topic, delay_s: float
 ) -> float:
@@ -34,15 +50,7 @@
       topic: topic of which the leader loses a read.
       delay_s: time from the end of that read to the removal.
     """
-    site = Installation(monkeypatch=monkeypatch, seed=6)
-    await site.start(nodes=6, data_centres=3)
-    await asyncio.sleep(WARM_UP_S)
-    leader = site.find_leader()
-    assert leader is not None
-    connection = site.running_nodes[leader].connection
-    connection.lose_read(topic)
-    await site.wait_until(lambda: connection.timeouts > 0, LONGEST_READ_S)
-    assert connection.timeouts > 0
+    site = await lose_read_of_leader(monkeypatch, topic)
     await asyncio.sleep(delay_s)
     site.remove_server()
     removed_at = site.loop.time()
@@ -62,3 +70,19 @@
     }
     worst = max(late, key=late.__getitem__)
     assert_that(late[worst], LessThan(BOUND_S), f"{worst}")
+
+
+@pytest.mark.parametrize("topic", [Topic.CONFIGURATION, Topic.NODES])
+def test_a_leader_that_loses_a_read_stays(monkeypatch, topic) -> None:
+    # It told nodes that had just started that another one has to replace it.
+    async def ask_leader() -> bool:
+        site = await lose_read_of_leader(monkeypatch, topic)
+        # Until the next answer of the store.
+        await asyncio.sleep(STORE_S / 2)
+        leader = site.find_leader()
+        assert leader is not None
+        contact = site.running_nodes[leader].task.find_contact(site.loop.time())
+        await site.stop()
+        return contact.has_contact
+
+    assert_that(run_virtually(ask_leader()), Equals(True))
