Accept an answer that arrives as the time limit passes

An answer that completes in the same turn of the event loop as the limit of its call was discarded: the limit cancelled the wait before the result was looked at. Found by review.

--- a/chervilrock/clients/httpclient.py
+++ b/chervilrock/clients/httpclient.py
@@ -227,17 +227,17 @@
         )
         try:
             # libcurl starts its limit anew when it connects again, and does
-            # not count the wait for a handle.
-            async with asyncio.timeout_at(deadline):
-                # The request continues and keeps its handle on cancellation.
-                response = await asyncio.shield(self._pool.fetch(request))
-        except TimeoutError:
-            message = f"{call.url}: no answer in time"
-            if not guard.sent:
-                return Failure(
-                    PlatformError(PlatformErrorKind.REFUSED, message)
-                )
-            return Failure(PlatformError(PlatformErrorKind.TIMEOUT, message))
+            # not count the wait for a handle. The request continues and keeps
+            # its handle at the limit and on cancellation.
+            fetched = self._pool.fetch(request)
+            await asyncio.wait({fetched}, timeout=request.request_timeout)
+            if not fetched.done():
+                kind = PlatformErrorKind.TIMEOUT
+                if not guard.sent:
+                    kind = PlatformErrorKind.REFUSED
+                message = f"{call.url}: no answer in time"
+                return Failure(PlatformError(kind, message))
+            response = fetched.result()
         except HTTPClientError as error:
             return Failure(_describe_error(error, guard, call.url))
         except UnicodeError as error:
--- a/chervilrock/clients/polling.py
+++ b/chervilrock/clients/polling.py
@@ -198,23 +198,26 @@
             message = f"{url} is being polled"
             return Failure(PlatformError(PlatformErrorKind.REFUSED, message))
         handle = self._acquire_handle()
-        handle.completion = self._loop.create_future()
+        completion = handle.completion = self._loop.create_future()
         handle.begin(resource, timeout_s)
         resource.busy = True
         self._transfers.add(handle.curl)
         try:
             # libcurl starts its limit anew when it sends a request again.
-            async with asyncio.timeout(timeout_s):
-                await handle.completion
-        except TimeoutError:
-            resource.reset()
-            message = f"{url}: no answer in time"
-            return Failure(PlatformError(PlatformErrorKind.TIMEOUT, message))
+            await asyncio.wait({completion}, timeout=timeout_s)
+            if not completion.done():
+                resource.reset()
+                message = f"{url}: no answer in time"
+                return Failure(
+                    PlatformError(PlatformErrorKind.TIMEOUT, message)
+                )
+            completion.result()
         except pycurl.error as error:
             resource.reset()
             return Failure(_convert_error(error, url))
         finally:
             resource.busy = False
+            completion.cancel()
             self._release_handle(handle)
         return resource.apply(handle.finish(), handle.tag, decoder)
 
