Ask one question for planning and forming whether a host is free

Cause: the planner took a host for free if the membership in its entry had ended or named a managed group, whether or not the host was a member of it. Forming asked for the membership in the last report instead. Where the two differ (a report that is older than the entry, or that is another server's; a member that an adopted group lacks), the host was planned and its group was dissolved in the same step, again in each step.

Change: GroupRegistry.is_in_other_group looks at both memberships, and both the planner and forming ask it. A host that it holds back is in no new group until the membership has ended or a new report, queried once a second, names none.

--- a/chervilrock/decisions/serving/groups/controller.py
+++ b/chervilrock/decisions/serving/groups/controller.py
@@ -55,6 +55,10 @@
 """Time after which an order that was answered is sent again if the group still
 needs it."""
 
+CONTRADICTORY_QUERY_INTERVAL_S = 1.0
+"""Time between two status queries of a host that is held back because its entry
+or its last report contradicts the groups. Reports are up to 0.6 s old."""
+
 UNRESPONSIVE_QUERY_INTERVAL_S = 1.0
 """Time between two status queries of a free host that did not answer the last
 one. Each query has a cost, and the entry of a lost host is removed within some
@@ -567,6 +571,10 @@
                 else UNRESPONSIVE_QUERY_INTERVAL_S
             )
             effects += self._registry.query(host.server, interval_s, now)
+        for host in plan.contradictory:
+            effects += self._registry.query(
+                host.server, CONTRADICTORY_QUERY_INTERVAL_S, now
+            )
         for formation in plan.formations:
             effects += self._forming.start_group(
                 service, engine, formation, now
--- a/chervilrock/decisions/serving/groups/forming.py
+++ b/chervilrock/decisions/serving/groups/forming.py
@@ -115,8 +115,8 @@
                     group, "its data centre is evacuated", now
                 )
                 return True
-            if server not in group.joined and self._is_in_other_group(
-                group, server
+            if server not in group.joined and self._registry.is_in_other_group(
+                server, group.epoch
             ):
                 self._registry.dissolve(
                     group, f"{server} is in another group", now
@@ -124,11 +124,6 @@
                 return True
         return False
 
-    def _is_in_other_group(self, group: ManagedGroup, server: str) -> bool:
-        """Return whether a server has reported that it is in another group."""
-        reported = self._registry.hosts.find_reported_membership(server)
-        return reported is not None and reported.epoch != group.epoch
-
     def _order_join(
         self, group: ManagedGroup, server: str, now: float
     ) -> list[Effect]:
--- a/chervilrock/decisions/serving/groups/groupregistry.py
+++ b/chervilrock/decisions/serving/groups/groupregistry.py
@@ -53,6 +53,32 @@
             return False
         return self.hosts.may_be_in_open_group(host)
 
+    def is_in_other_group(self, server: str, epoch: int | None = None) -> bool:
+        """Return whether a server may be in a group that it must not leave yet.
+
+        This may be a group that was adopted without the server, or one that
+        only its last report names. A standby host is free, since its group ends
+        when it is taken.
+
+        Args:
+          server: identifier of the server.
+          epoch: membership that does not count, None if each one does.
+        """
+        return any(
+            membership.epoch != epoch
+            and not self._is_standby(server, membership)
+            for membership in self.hosts.list_memberships(server)
+        )
+
+    def _is_standby(self, server: str, membership: Membership) -> bool:
+        """Return whether a membership is that of a standby host."""
+        group = self.groups.get(membership.group)
+        return (
+            group is not None
+            and group.phase is Phase.STANDBY
+            and group.head == server
+        )
+
     def record_change(
         self, step: GroupStep, group: ManagedGroup, reason: str = ""
     ) -> None:
--- a/chervilrock/decisions/serving/planning/planning.py
+++ b/chervilrock/decisions/serving/planning/planning.py
@@ -67,6 +67,7 @@
 
     Attributes:
       unreported: free hosts whose status has to be queried first.
+      contradictory: hosts in no known group whose entry or report names one.
       formations: groups to form.
       preparations: hosts that should become standby hosts.
       moves: groups to dissolve in favour of another model.
@@ -74,6 +75,7 @@
     """
 
     unreported: tuple[BackendServer, ...] = ()
+    contradictory: tuple[BackendServer, ...] = ()
     formations: tuple[Formation, ...] = ()
     preparations: tuple[Preparation, ...] = ()
     moves: tuple[Move, ...] = ()
@@ -126,9 +128,11 @@
             if self._hosts.has_reported(server):
                 del self._query_times[server]
         queried: list[str] = []
+        contradictory: list[BackendServer] = []
         placed: list[DomainHosts] = []
         for domain, hosts in sorted(domains.items()):
-            free = self._list_free(hosts, occupied, standby)
+            free, unexplained = self._list_free(hosts, occupied, standby)
+            contradictory += unexplained
             unreported = [
                 host.server
                 for host in free
@@ -154,7 +158,7 @@
         if not self.has_traffic and self._should_wait_for(queried, now):
             # Plan all domains together: a domain that is planned before the
             # others have reported gets more groups than its share.
-            return Plan(unreported=servers)
+            return Plan(unreported=servers, contradictory=tuple(contradictory))
         total = sum(len(hosts) for hosts in domains.values())
         needs = self._get_demand(service).find_needs(
             engine, _count_groups(placed), total, now
@@ -162,6 +166,7 @@
         plan = self._plan_groups(service, engine, placed, needs, now)
         return plan._replace(
             unreported=(*servers, *plan.unreported),
+            contradictory=tuple(contradictory),
             stagings=self._choose_stagings(engine, domains, placed, needs, now),
         )
 
@@ -404,17 +409,25 @@
         hosts: Iterable[BackendServer],
         occupied: set[str],
         standby: set[str],
-    ) -> list[FreeHost]:
-        """Return the hosts that are in no group, and the standby hosts."""
+    ) -> tuple[list[FreeHost], list[BackendServer]]:
+        """Return the free hosts, and those that no group explains.
+
+        Standby hosts are free. No group explains a host that is in none, but
+        would be refused as a member of a new one.
+        """
         free = []
+        contradictory = []
         for host in hosts:
             if host.server in occupied or self._registry.is_unknown_member(
                 host
             ):
                 continue
+            if self._registry.is_in_other_group(host.server):
+                contradictory.append(host)
+                continue
             is_standby = host.server in standby
             free.append(self._describe_host(host.server, is_standby=is_standby))
-        return free
+        return free, contradictory
 
     def _choose_stagings(
         self,
--- a/chervilrock/decisions/serving/servers/hosts.py
+++ b/chervilrock/decisions/serving/servers/hosts.py
@@ -316,6 +316,23 @@
         reported = self._reported.get(server)
         return reported if self._may_be_open_member(server, reported) else None
 
+    def list_memberships(self, server: str) -> list[Membership]:
+        """Return the memberships of a server that may not have ended.
+
+        Its entry and its last report may name different groups.
+        """
+        entry = self.servers.get(server)
+        named = (
+            None if entry is None else entry.membership,
+            self._reported.get(server),
+        )
+        return [
+            membership
+            for membership in named
+            if membership is not None
+            and self._may_be_open_member(server, membership)
+        ]
+
     def _may_be_open_member(
         self, server: str, membership: Membership | None
     ) -> bool:
--- a/test/decisions/serving/fleet.py
+++ b/test/decisions/serving/fleet.py
@@ -13,7 +13,11 @@
 from typing import Any, NamedTuple
 
 from chervilrock.decisions.serving.groups.controller import Controller
-from chervilrock.decisions.serving.groups.effects import Command, StatusQuery
+from chervilrock.decisions.serving.groups.effects import (
+    Command,
+    GroupChange,
+    StatusQuery,
+)
 from chervilrock.decisions.serving.groups.orders import (
     Close,
     Join,
@@ -100,6 +104,8 @@
         self.is_unreachable = False
         self.is_leaving = False
         self.stale_entry: BackendServer | None = None
+        self.has_entry = True
+        self.successor = ""  # server that has taken over its address
         self.busy_until = 0.0
 
 
@@ -117,6 +123,7 @@
     ) -> None:
         self.data_centres = data_centres
         self.orders: list[tuple[str, Order]] = []
+        self.changes: list[GroupChange] = []
         self.generator = random.Random(seed)
         self.now = 100.0
         self.faults = Faults()
@@ -226,6 +233,8 @@
     def obey(self, name: str, order: Order) -> OrderReply:
         """Execute an order and check the guarantees."""
         server = self.servers[name]
+        if server.successor:
+            return OrderReply.MISDIRECTED
         if server.domain in self.data_centres:
             self.orders.append((name, order))
         match order:
@@ -350,6 +359,8 @@
     def _carry_out(self, effect: object) -> None:
         if isinstance(effect, Command):
             self._send_command(effect)
+        elif isinstance(effect, GroupChange):
+            self.changes.append(effect)
         elif isinstance(effect, StatusQuery):
             name = effect.server.server
             server = self.servers[name]
@@ -395,7 +406,8 @@
                     self._report(name, is_lost)
 
     def _report(self, name: str, is_lost: bool) -> None:
-        server = self.servers[name]
+        # A report does not say whose it is.
+        server = self.servers[self.servers[name].successor or name]
         report = None
         if not is_lost:
             report = ServerReport(
@@ -425,5 +437,5 @@
 
     def _send_entries(self) -> None:
         for server in self.servers.values():
-            if not server.is_dead:
+            if server.has_entry and not server.is_dead:
                 self.controller.record_server(self.make_entry(server), self.now)
