Use no host whose address another server has taken

Cause: a server that answers 421 to an order is not the one whose entry names the address, but the leader held that host back for 2 s only. A report does not say whose it is, so the one that the other server then gave let the host be planned again.

Change: the registry keeps the address that was found to be another server's. While the entry of the host names it, the host is in no plan and reports from there count as no answer. An entry with another address, as of a server that is known to have moved, ends this.

--- a/chervilrock/decisions/serving/groups/controller.py
+++ b/chervilrock/decisions/serving/groups/controller.py
@@ -190,9 +190,9 @@
             return
         self._registry.dispatcher.finish_order(server, order)
         if reply is OrderReply.MISDIRECTED:
-            # Another server has its address. Its entry remains until it
-            # expires, and the host would be planned again.
-            self._registry.hosts.record_unresponsive(server, now)
+            # Its entry remains until it expires, and the host would be planned
+            # again.
+            self._registry.hosts.record_misdirected(server, now)
         group = self._registry.groups.get(order.group)
         if group is None or group.epoch != order.epoch:
             return
@@ -215,6 +215,9 @@
     ) -> None:
         """Record the state of a server, None when it did not answer."""
         self._registry.dispatcher.finish_query(server)
+        if self._registry.hosts.is_misdirected(server):
+            # The report is that of the server which now has its address.
+            report = None
         if report is not None:
             if self._is_former_incarnation(server, report.started_ms, now):
                 return
--- a/chervilrock/decisions/serving/servers/hosts.py
+++ b/chervilrock/decisions/serving/servers/hosts.py
@@ -88,6 +88,7 @@
         self._restarted_at: dict[str, float] = {}
         self._departed: set[str] = set()
         self._unanswered: set[str] = set()
+        self._misdirected: dict[str, str] = {}
         self._reported_at: dict[str, float] = {}
         self._slow_seen_at = float("-inf")
 
@@ -274,6 +275,24 @@
         self._reporting.discard(server)
         self._unanswered.add(server)
 
+    def record_misdirected(self, server: str, now: float) -> None:
+        """Record that another server has the address of a server.
+
+        The server has ended, whatever an old entry says, and reports from this
+        address are those of the other one.
+        """
+        entry = self.find(server)
+        if entry is not None:
+            self._misdirected[server] = entry.address
+        self.record_unresponsive(server, now)
+
+    def is_misdirected(self, server: str) -> bool:
+        """Return whether another server has the address of a server."""
+        entry = self.find(server)
+        return (
+            entry is not None and self._misdirected.get(server) == entry.address
+        )
+
     def record_unanswered(self, server: str) -> None:
         """Record that a server did not answer a status query."""
         self._unanswered.add(server)
@@ -357,6 +376,7 @@
                 server.is_leaving
                 or server.data_centre in self.evacuated
                 or self._unresponsive.get(name, now) > now
+                or self.is_misdirected(name)
                 or self.is_slow(name, now)
             )
             if server.service == service and not is_unusable:
--- a/test/decisions/serving/groups/test_forming.py
+++ b/test/decisions/serving/groups/test_forming.py
@@ -119,3 +119,18 @@
     fleet.run(1.0)
     assert host.membership is not None
     assert_that(host.membership.epoch, GreaterThan(groupnames.make_epoch(2, 0)))
+
+
+def test_no_group_is_planned_again_for_a_host_whose_address_is_taken(
+    fleet: Fleet,
+) -> None:
+    # The server that has the address is in no group, nor known to the leader.
+    fleet.add("other", "d0").has_entry = False
+    lost = fleet.add("lost", "d0")
+    lost.stale_entry = fleet.make_entry(lost)
+    lost.successor = "other"
+    assert_that(count_planned(fleet, "lost", 8.0), Equals(1))
+    lost.stale_entry = lost.stale_entry._replace(address="lost:2")
+    lost.successor = ""
+    fleet.run(2.0)
+    assert lost.membership is not None
