Let each member leave when another server answers for the head

Cause: a new leader may take an ended server for the head of a group, by the report of the head, which now has that address. The order to leave was answered 421, and this counted as the head having left. So the head itself and the members were free for other groups while the head served.

Change: a 421 to an order to leave says only that the ended server is in no group. The group counts as having lost its head, so each member has to confirm that it leaves.

The test failed on the code before.

--- a/chervilrock/decisions/serving/groups/controller.py
+++ b/chervilrock/decisions/serving/groups/controller.py
@@ -428,9 +428,15 @@
             # A conflict also means that the server is not in this group.
             group.awaited.discard(server)
             self._registry.hosts.record_left(server, group.epoch, now)
-            if server == group.head and group.has_head:
-                group.head_out = True
-                self._registry.hosts.record_head_out(group.members)
+            if server != group.head or not group.has_head:
+                return
+            if reply is OrderReply.MISDIRECTED:
+                # The report that made it the head may be that of the server
+                # which now has its address, so each member has to leave.
+                group.has_head = False
+                return
+            group.head_out = True
+            self._registry.hosts.record_head_out(group.members)
 
     def _apply_closing_report(
         self, group: ManagedGroup, report: ServerReport | None, now: float
--- a/test/decisions/serving/groups/test_forming.py
+++ b/test/decisions/serving/groups/test_forming.py
@@ -134,3 +134,25 @@
     lost.successor = ""
     fleet.run(2.0)
     assert lost.membership is not None
+
+
+def test_no_head_that_serves_joins_another_group_after_a_foreign_report() -> (
+    None
+):
+    # Guards against an order to leave that another server answers, and that
+    # counts as obeyed by the head. A new leader finds the entry of an ended
+    # server first, whose address the head now has.
+    fleet = Fleet(domains=1, hosts=0, seed=1, term=2)
+    fleet.start_traffic()
+    ended = fleet.add("a", "d0")
+    ended.stale_entry = fleet.make_entry(ended)
+    ended.successor = "b"
+    head = fleet.add("b", "d0")
+    head.has_entry = False
+    head.membership = make_membership("small", 1)
+    head.membership = head.membership._replace(state=MemberState.OPEN)
+    head.members = ("b", "c")
+    fleet.run(1.5)
+    head.has_entry = True
+    fleet.run(5.0)
+    assert_that(fleet.violations, HasLength(0))
