--- a/chervilrock/decisions/serving/groups/controller.py
+++ b/chervilrock/decisions/serving/groups/controller.py
@@ -55,6 +55,10 @@
 """Time after which an order that was answered is sent again if the group still
 needs it."""
 
+CONTRADICTORY_QUERY_INTERVAL_S = 1.0
+"""Time between two status queries of a host that is held back because its entry
+or its last report contradicts the groups. Reports are up to 0.6 s old."""
+
 UNRESPONSIVE_QUERY_INTERVAL_S = 1.0
 """Time between two status queries of a free host that did not answer the last
 one. Each query has a cost, and the entry of a lost host is removed within some
@@ -186,9 +190,9 @@
             return
         self._registry.dispatcher.finish_order(server, order)
         if reply is OrderReply.MISDIRECTED:
-            # Another server has its address. Its entry remains until it
-            # expires, and the host would be planned again.
-            self._registry.hosts.record_unresponsive(server, now)
+            # Its entry remains until it expires, and the host would be planned
+            # again.
+            self._registry.hosts.record_misdirected(server, now)
         group = self._registry.groups.get(order.group)
         if group is None or group.epoch != order.epoch:
             return
@@ -211,6 +215,9 @@
     ) -> None:
         """Record the state of a server, None when it did not answer."""
         self._registry.dispatcher.finish_query(server)
+        if self._registry.hosts.is_misdirected(server):
+            # The report is that of the server which now has its address.
+            report = None
         if report is not None:
             if self._is_former_incarnation(server, report.started_ms, now):
                 return
@@ -421,9 +428,15 @@
             # A conflict also means that the server is not in this group.
             group.awaited.discard(server)
             self._registry.hosts.record_left(server, group.epoch, now)
-            if server == group.head and group.has_head:
-                group.head_out = True
-                self._registry.hosts.record_head_out(group.members)
+            if server != group.head or not group.has_head:
+                return
+            if reply is OrderReply.MISDIRECTED:
+                # The report that made it the head may be that of the server
+                # which now has its address, so each member has to leave.
+                group.has_head = False
+                return
+            group.head_out = True
+            self._registry.hosts.record_head_out(group.members)
 
     def _apply_closing_report(
         self, group: ManagedGroup, report: ServerReport | None, now: float
@@ -567,6 +580,10 @@
                 else UNRESPONSIVE_QUERY_INTERVAL_S
             )
             effects += self._registry.query(host.server, interval_s, now)
+        for host in plan.contradictory:
+            effects += self._registry.query(
+                host.server, CONTRADICTORY_QUERY_INTERVAL_S, now
+            )
         for formation in plan.formations:
             effects += self._forming.start_group(
                 service, engine, formation, now
