Use a host again that starts anew at its former address

A host whose address had answered for another server stayed out of use while its entry named that address, also after it had started again there under its identifier. A new start now clears it.

--- a/chervilrock/decisions/serving/servers/hosts.py
+++ b/chervilrock/decisions/serving/servers/hosts.py
@@ -127,6 +127,7 @@
         self.loaded.pop(server, None)
         self.obeyed.pop(server, None)
         self._unanswered.discard(server)
+        self._misdirected.pop(server, None)
         for times in (self._left_at, self._unresponsive, self._slow_until):
             times.pop(server, None)
         self._reported.pop(server, None)
--- a/test/decisions/serving/groups/test_forming.py
+++ b/test/decisions/serving/groups/test_forming.py
@@ -8,6 +8,7 @@
 from chervilrock.decisions.serving.groups.controller import Controller
 from chervilrock.decisions.serving.groups.effects import GroupStep
 from chervilrock.decisions.serving.groups.orders import ServerReport
+from chervilrock.decisions.serving.servers.hosts import HostRegistry
 from chervilrock.decisions.serving.site import Membership, MemberState
 from test.decisions.serving.fleet import CONFIGURATION, FakeServer, Fleet
 
@@ -136,6 +137,19 @@
     assert lost.membership is not None
 
 
+def test_a_host_that_starts_again_at_its_former_address_is_used() -> None:
+    hosts = HostRegistry()
+    entry = Fleet(domains=1, hosts=1, seed=1).make_entry(
+        FakeServer(server="a", domain="d0")
+    )
+    for started_ms in (1, 2):
+        hosts.record_incarnation("a", started_ms, 0.0)
+        hosts.apply_entry(entry, 0.0)
+        assert_that(hosts.is_misdirected("a"), Equals(False))
+        hosts.record_misdirected("a", 0.0)
+    assert_that(hosts.is_misdirected("a"), Equals(True))
+
+
 def test_no_head_that_serves_joins_another_group_after_a_foreign_report() -> (
     None
 ):
