Let the stand-in reset connections with a request read

Nothing in tests or soak reset a kept connection whose request had been read, so that no run showed that libcurl sent such calls again by itself.

The store resets long polls that wait, and appends and reads as soon as they are read or after they took effect; the servers do the same with requests, orders and reports. The store counts long polls that come again after their reset: after a failed read a node reads without a long poll first, so none may come. The proxy's RESET acts at another moment: it drops requests that come meanwhile before they are forwarded, and leaves long polls that wait alone; its description says so.

--- a/chervilrock/standin/site/proxy.py
+++ b/chervilrock/standin/site/proxy.py
@@ -19,7 +19,9 @@
       SILENT: bytes are delayed in both directions until the fault changes.
       ONE_WAY: requests are forwarded; answers are delayed until the fault
         changes.
-      RESET: open connections and new ones are closed.
+      RESET: new connections are closed, and open ones with their next bytes:
+        a request that comes meanwhile is not forwarded, and one that was
+        forwarded before gets its answer unless that comes meanwhile.
       REFUSED: new connections are closed, and open ones go on.
     """
 
@@ -47,7 +49,11 @@
     """
 
     def __init__(
-        self, *, target: str, cuts: Mapping[str, LinkFault] = _NO_CUTS
+        self,
+        *,
+        target: str,
+        cuts: Mapping[str, LinkFault] = _NO_CUTS,
+        keeps_source: bool = False,
     ) -> None:
         """Create a proxy; `start` listens.
 
@@ -55,7 +61,10 @@
           target: IP:port that connections are forwarded to.
           cuts: faults of the connections from single IP addresses, which may
             change at any time; they go before `fault`.
+          keeps_source: whether to connect to the target from the IP address of
+            the caller.
         """
+        self._keeps_source = keeps_source
         self._cuts = cuts
         host, _, port = target.rpartition(":")
         self._target = (host, int(port))
@@ -95,7 +104,8 @@
             if self._find_fault(source) in _CLOSING:
                 return
             target_reader, target_writer = await asyncio.open_connection(
-                *self._target
+                *self._target,
+                local_addr=(source, 0) if self._keeps_source else None,
             )
             try:
                 async with asyncio.TaskGroup() as group:
--- a/chervilrock/standin/site/servers.py
+++ b/chervilrock/standin/site/servers.py
@@ -13,6 +13,7 @@
 from tornado.iostream import StreamClosedError
 
 from chervilrock.standin.site.floods import Flood, write_flood
+from chervilrock.standin.site.resets import reset_connection, ResetMoment
 from chervilrock.standin.site.store import SiteStore
 
 EVENT_INTERVAL_S = 0.01
@@ -159,6 +160,9 @@
         cuts off the stream.
       cut_off: streams that the server cut off because they stayed unread.
       orders: orders in the sequence of their arrival.
+      resets: when the connections of requests are reset, None while they are
+        not.
+      control_resets: the same for the connections of orders and reports.
       lost_orders: number of next orders that are carried out but not
         answered.
       crashing_bodies: bodies of requests that crash any server that runs
@@ -213,6 +217,8 @@
         self.cold_periods: list[ColdPeriod] = []
         self.warmup_statement: object = None
         self.orders: list[dict[str, object]] = []
+        self.resets: ResetMoment | None = None
+        self.control_resets: ResetMoment | None = None
         self.lost_orders = 0
         self.is_leaving = False
         self.staged: list[str] = []
@@ -501,6 +507,12 @@
         if self.server.leaving:
             self.set_header("Server-Leaving", self.server.leaving)
 
+    def reset_if(self, is_due: bool) -> bool:
+        """Reset the connection if that is due; return whether it was."""
+        if is_due:
+            reset_connection(self)
+        return is_due
+
     def reject_misdirected(self) -> bool:
         """Reject a request meant for another server; return whether it was."""
         expected = self.request.headers.get("X-Expect-Instance", "")
@@ -515,6 +527,8 @@
 class _ReportHandler(_Handler):
     def get(self) -> None:
         """Answer with the status of the server."""
+        if self.reset_if(self.server.control_resets is not None):
+            return
         server = self.server
         self.finish(
             {
@@ -543,11 +557,16 @@
         """Carry out an order."""
         if self.reject_misdirected():
             return
+        moment = self.server.control_resets
+        if self.reset_if(moment is ResetMoment.READ):
+            return
         status = self.server.obey(msgspec.json.decode(self.request.body))
         if self.server.lost_orders > 0:
             self.server.lost_orders -= 1
             self.request.connection.stream.close()  # type: ignore[union-attr]
             return
+        if self.reset_if(moment is ResetMoment.DONE):
+            return
         self.set_status(status)
         self.finish()
 
@@ -587,6 +606,10 @@
             server.runs.append(run)
             self.request.connection.stream.close()  # type: ignore[union-attr]
             return
+        if self.reset_if(server.resets is ResetMoment.READ):
+            # Whoever sent it cannot know that it was not run.
+            server.runs.append(run)
+            return
         self.clear_header("Date")
         self.set_header("X-Request-Id", request_id)
         if server.fault is ServerFault.FOREIGN:
@@ -615,6 +638,8 @@
             return
         if self.server.fault is ServerFault.FAIL:
             self.set_status(500)
+        if self.reset_if(self.server.resets is ResetMoment.DONE):
+            return
         padding = b"." * self._find_padding()
         self.finish(b"answer to " + run.request_id.encode() + padding)
 
@@ -629,6 +654,8 @@
         server.streams.add(run.request_id)
         self._stream_request_id = run.request_id
         self.set_header("Content-Type", "text/event-stream")
+        if self.reset_if(server.resets is ResetMoment.DONE):
+            return
         if self._is_crashing():
             await self.flush()
             await self._crash()
--- a/chervilrock/standin/site/store.py
+++ b/chervilrock/standin/site/store.py
@@ -10,6 +10,8 @@
 import msgspec
 from tornado import web
 
+from chervilrock.standin.site.resets import reset_connection, ResetMoment
+
 _LENGTH = struct.Struct(">I")
 _OFFSETS = struct.Struct(">QQ")
 _MS_PER_S = 1000.0
@@ -85,12 +87,24 @@
     compacted: list[_Record] = []
 
 
+class _Reader(NamedTuple):
+    """A topic that is read from an IP address."""
+
+    source: str
+    topic: str
+
+
 class StoreDoor:
     """An address of the store with faults of its own.
 
     Attributes:
       calls: number of calls received.
       outages: number of times that the fault was set to `DOWN`.
+      resets: when the connections of appends and reads are reset, None while
+        they are not.
+      polls_reset: number of long polls that were reset while they waited.
+      sent_again: descriptions of long polls that came again after that. A node
+        must not send them again, as their time limit has begun before.
     """
 
     def __init__(self) -> None:
@@ -98,6 +112,45 @@
         self._fault = StoreFault.NONE
         self.calls = 0
         self.outages = 0
+        self.resets: ResetMoment | None = None
+        self.polls_reset = 0
+        self.sent_again: list[str] = []
+        self._reads: dict[_Reader, _ReadHandler | None] = {}
+        self._reset_polls: set[_Reader] = set()
+
+    def record_read(
+        self, reader: _Reader, poll: "_ReadHandler | None" = None
+    ) -> None:
+        """Record a read, and whether it repeats a long poll that was reset.
+
+        Args:
+          reader: who reads, and what.
+          poll: the long poll, None for another read.
+        """
+        self._reads[reader] = poll
+        if reader in self._reset_polls and poll is not None:
+            self.sent_again.append(f"{reader.source} {reader.topic}")
+        self._reset_polls.discard(reader)
+
+    def end_poll(self, reader: _Reader, poll: "_ReadHandler") -> None:
+        """Record that a long poll does not wait any more."""
+        if self._reads.get(reader) is poll:
+            self._reads[reader] = None
+
+    def reset_polls(self, since: float) -> None:
+        """Reset the connections of the long polls that wait.
+
+        Long polls after which their reader has sent another read are left out.
+
+        Args:
+          since: time of the event loop; earlier long polls are left out.
+        """
+        for reader, poll in self._reads.items():
+            if poll is not None and poll.began >= since and not poll.is_closed:
+                reset_connection(poll)
+                self._reads[reader] = None
+                self._reset_polls.add(reader)
+                self.polls_reset += 1
 
     @property
     def fault(self) -> StoreFault:
@@ -177,6 +230,7 @@
         """Set the store and the address that this handler serves."""
         self.store = store
         self.door = door
+        self.began = asyncio.get_running_loop().time()
 
     async def prepare(self) -> None:
         """Count the call and apply the fault of the address."""
@@ -188,9 +242,28 @@
         elif self.door.fault is StoreFault.DOWN:
             await self._leave_unanswered()
 
+    @property
+    def is_closed(self) -> bool:
+        """Whether the connection was closed."""
+        stream = self.request.connection.stream  # type: ignore[union-attr]
+        return bool(stream.closed())
+
+    @property
+    def reader(self) -> _Reader:
+        """Who sent the call, and for which topic."""
+        source = self.request.remote_ip or ""
+        return _Reader(source, self.get_query_argument("topic"))
+
+    def reset_at(self, moment: ResetMoment) -> bool:
+        """Reset the connection if that is due; return whether it was."""
+        if self.door.resets is not moment:
+            return False
+        reset_connection(self)
+        return True
+
     async def _leave_unanswered(self) -> None:
         """Leave the call unanswered until the caller closes the connection."""
-        while not self.request.connection.stream.closed():  # type: ignore[union-attr]
+        while not self.is_closed:
             await asyncio.sleep(0.02)
         raise web.Finish
 
@@ -202,6 +275,8 @@
 class _AppendHandler(_Handler):
     async def post(self) -> None:
         """Append the records of the body."""
+        if self.reset_at(ResetMoment.READ):
+            return
         topic = self.find_topic()
         expected = self.get_query_argument("at", "")
         if expected and int(expected) != topic.end:
@@ -214,6 +289,8 @@
             topic.append(key, value)
         if self.door.fault is StoreFault.LOSSY:
             await self._leave_unanswered()
+        if self.reset_at(ResetMoment.DONE):
+            return
         self.finish({"offset": offset, "end": topic.end})
 
 
@@ -223,6 +300,9 @@
         topic = self.find_topic()
         start = int(self.get_query_argument("from"))
         wait_s = float(self.get_query_argument("wait_ms", "0")) / _MS_PER_S
+        self.door.record_read(self.reader, self if wait_s else None)
+        if self.reset_at(ResetMoment.READ):
+            return
         if self._reject_out_of_range(topic, start):
             return
         outages = self.door.outages
@@ -233,6 +313,7 @@
                     await changed.wait()
             except TimeoutError:
                 pass
+        self.door.end_poll(self.reader, self)
         if self.door.outages > outages:
             await self._leave_unanswered()
         self.set_header("Store-Era", str(self.store.era))
@@ -257,6 +338,9 @@
 class _NewestHandler(_Handler):
     def get(self) -> None:
         """Answer with the newest record of each key."""
+        self.door.record_read(self.reader)
+        if self.reset_at(ResetMoment.READ):
+            return
         topic = self.find_topic()
         items = [
             {
