Reset kept connections in the soak, and check what follows

The soak never reset a connection over which a request had been read, and counted nothing that arrived against what was called.

The store resets long polls and calls, the servers requests, orders and reports, drawn from generators of its own, so that other draws stay as they are. The soak checks that no long poll comes again after its reset and that no E7005 tells of a timeout above the limit; servers count what they read and reset as run, so that the check of requests that may run once covers it. The link to the store keeps the IP addresses of the nodes, which tells their reads apart.

The tests of the check of E7005 pass.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -41,6 +41,7 @@
     STORE,
 )
 from bench.floods import FloodingServers
+from bench.keptconnections import KeptConnections
 from bench.limits import LimitedServers
 from bench.plannedwork import PlannedWork
 from bench.slowreaders import Address, MEMORY_MB, SlowReaders
@@ -541,7 +542,7 @@
         site.store.write_configuration(configure_warmups(1))
         await cuts.start(site.servers)
         links += cuts.links
-        link = LinkProxy(target=site.store_address)
+        link = LinkProxy(target=site.store_address, keeps_source=True)
         await link.start()
         links.append(link)
         nodes += [
@@ -586,6 +587,9 @@
             send=callers.send_prompt,
             seed=plan.seed,
         )
+        kept = KeptConnections(
+            site=site, disturbances=disturbances, seed=plan.seed
+        )
         planned = PlannedWork(
             store=site.store,
             stop=[
@@ -606,17 +610,20 @@
                     group.create_task(slow.run())
                     group.create_task(cut_off.run())
                     group.create_task(planned.run())
+                    group.create_task(kept.run())
                     for _ in range(CALLERS):
                         group.create_task(callers.run(nodes))
         callers.violations += limited.end()
         callers.violations += slow.violations
         slow.close()
         stating.end()
+        kept.end()
         flooding.end()
         evacuated.end()
         faults.remove_faults()
         cut_off.restore()
         await asyncio.sleep(SETTLE_S / 4)
+        kept.reset_polls()
         evacuated.end()
         # Any data centre that is left would get these few requests anyway, and
         # the check would hold without the evacuation.
@@ -635,6 +642,7 @@
         final_statuses = await callers.call_all(nodes)
         callers.check_runs()
         callers.violations += flooding.find_violations()
+        callers.violations += kept.find_violations(folder.glob("*.log"))
         callers.violations += find_broken_pauses(
             site.servers, callers.sends, disturbances.has_any
         )
