Test which removals count as announced

With announced removals passed on as unannounced, no test failed (found by review); this one does. The recovery of the store no longer depends on the clock being above zero.

--- a/chervilrock/decisions/serving/store/storehealth.py
+++ b/chervilrock/decisions/serving/store/storehealth.py
@@ -78,7 +78,10 @@
         if self.unavailable_since is None and not had_timed_out:
             return False
         has_recovered = had_timed_out or gap_s >= MIN_OUTAGE_S
-        if now - (self.unavailable_since or now) >= MIN_OUTAGE_S:
+        since = (
+            now if self.unavailable_since is None else self.unavailable_since
+        )
+        if now - since >= MIN_OUTAGE_S:
             self.recovered_at = now
         self.unavailable_since = None
         if has_recovered:
--- a/test/node/test_missed_removals.py
+++ b/test/node/test_missed_removals.py
@@ -5,6 +5,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Contains, Equals, HasLength
 
+from chervilrock.decisions.serving.servers.removals import Removals
 from chervilrock.standin.site.servers import SiteServer
 from chervilrock.standin.site.site import LARGE
 from chervilrock.standin.site.store import StoreFault
@@ -100,3 +101,31 @@
         assert_that(list_viewed(world), Contains(first.server))
 
     run_world(scenario)
+
+
+def test_only_an_announced_removal_counts_as_such(monkeypatch) -> None:
+    # Others may be entries that lapsed in an outage of the store.
+    announced: dict[str, bool] = {}
+    record_removed = Removals.record_removed
+
+    def observe(
+        removals: Removals, server: str, now: float, *, is_announced: bool
+    ) -> None:
+        announced[server] = is_announced
+        record_removed(removals, server, now, is_announced=is_announced)
+
+    monkeypatch.setattr(Removals, "record_removed", observe)
+
+    async def scenario(world: World) -> None:
+        first, second = world.list_plain_servers()
+        first.leave()
+        await world.wait(
+            lambda: first.server not in list_viewed(world), "it leaves"
+        )
+        for server in (first, second):
+            server.unregister()
+        await world.wait(lambda: len(announced) == 2, "both removals")
+        expected = {first.server: True, second.server: False}
+        assert_that(announced, Equals(expected))
+
+    run_world(scenario)
