Cut requests in the hasty stop of the histories

The mutation calls kill(), which waits for the tasks of the node before it closes connections.

The mutation now closes the connections first, and both stops of the script wait until a request to the controller is in progress. The check is the same.

--- a/test/history/failures.py
+++ b/test/history/failures.py
@@ -72,7 +72,7 @@
     """Start a node and gracefully stop the controller; twice."""
     for _ in range(2):
         await site.start_node()
-        controller = await site.find_controller()
+        controller = await site.find_busy_controller()
         stopping = asyncio.create_task(site.stop_node(controller))
         await site.wait_progress(STEP_SHARE)
         await stopping
--- a/test/history/mutations.py
+++ b/test/history/mutations.py
@@ -110,6 +110,8 @@
     """Stop without waiting for requests in progress."""
 
     async def stop(self):
+        # kill() lets requests go on until all tasks of the node have ended.
+        await self._server.close_all_connections()
         await self.kill()
         return 0
 
--- a/test/history/sites.py
+++ b/test/history/sites.py
@@ -4,6 +4,7 @@
 from collections.abc import Awaitable, Callable
 import itertools
 import random
+import time
 
 from bench.history_client import CallerClient
 from bench.history_installation import (
@@ -21,10 +22,12 @@
     ApplyTold,
     FaultsEnded,
     Frozen,
+    Got,
     History,
     Killed,
     NodeStarted,
     Resumed,
+    Sent,
     StopBegan,
     StopEnded,
 )
@@ -34,6 +37,9 @@
 
 CALLERS = 12
 SLOW_CALLER_S = 0.05
+IN_PROGRESS_S = 0.03
+"""Age at which a request of a caller has reached its node."""
+
 LEASE_MS = 800
 WARM_UP_SHARE = 0.15
 """Share of the load before the first failure (0 to 1)."""
@@ -179,6 +185,33 @@
 
         await self.wait(is_lapsed, "the lease does not lapse")
 
+    async def find_busy_controller(self) -> Node:
+        """Return the controller once a request to it is in progress."""
+        found: list[Node] = []
+
+        async def is_busy() -> bool:
+            controller = await self.find_controller()
+            found[:] = [controller]
+            return self._has_request_in_progress(controller)
+
+        await self.wait(is_busy, "the controller gets no requests")
+        return found[0]
+
+    def _has_request_in_progress(self, node: Node) -> bool:
+        sent_by = time.monotonic() - IN_PROGRESS_S
+        answered = {
+            entry.event.attempt
+            for entry in self.history.entries
+            if isinstance(entry.event, Got)
+        }
+        return any(
+            isinstance(entry.event, Sent)
+            and entry.event.node == node.address
+            and entry.event.attempt not in answered
+            for entry in self.history.entries
+            if entry.at <= sent_by
+        )
+
     async def apply_next(self, name: str) -> ApplyTold:
         """Apply a configuration based on the latest revision."""
         base = await self.read_revision()
