Count answers since the first failed round of probes

Callers were sent away from nodes that reached their servers: with all hosts of groups lost and slow plain servers, a node took itself for cut off.

Cause: a node is cut off after two failed rounds of probes, unless a send that began after the start of the last round was answered. Servers that take 0.3 s to answer a probe take about as long for a send, so the answers that arrive during the last round belong to sends from before it. The probes of the first round ask heads only, all of which are lost, so one timeout decided.

An answer to a send that began after the first failed round now voids that round, as no answer gets through in a cut. The last round then is the first of a new series. The time to detect a cut is unchanged without such answers.

Evidence: the two new tests failed before.

--- a/chervilrock/decisions/serving/nodes/reachability.py
+++ b/chervilrock/decisions/serving/nodes/reachability.py
@@ -159,6 +159,7 @@
         self._answered_at = float("-inf")
         self._is_probing = False
         self._failed_rounds = 0
+        self._rounds_began = float("-inf")
         self._probe_at = float("-inf")
         self._probe_pause_s = PROBE_PAUSE_S
         self._restored_at = float("-inf")
@@ -258,8 +259,12 @@
         if self.is_cut_off:
             self._probe_at = now + RECHECK_INTERVAL_S
             return False
-        if self._reached_at >= probes.began:
+        if self._failed_rounds and self._reached_at >= self._rounds_began:
+            # Servers that take long to answer probes still answer sends.
             self._failed_rounds = 0
+        if not self._failed_rounds:
+            self._rounds_began = probes.began
+        if self._reached_at >= probes.began:
             return False
         self._failed_rounds += 1
         if self._failed_rounds < ROUNDS_TO_CUT:
--- a/test/decisions/serving/nodes/test_reachability.py
+++ b/test/decisions/serving/nodes/test_reachability.py
@@ -184,6 +184,33 @@
     assert_that(reachability.is_cut_off, Is(False))
 
 
+def test_an_answer_to_a_send_since_the_first_round_proves_it_too(
+    reachability: ServerReachability,
+) -> None:
+    """Failure: with slow servers, a node took itself for cut off."""
+    fail_sends(reachability, NOW)
+    assert_that(probe(reachability, NONE, NOW, seconds=0.2), Is(False))
+    reachability.record_sent("answered", NOW + 0.1)
+    reachability.record_answered("answered", NOW + 0.4)
+    second = NOW + 0.2
+    assert_that(
+        probe(reachability, NONE, second, seconds=PROBE_TIMEOUT_S), Is(False)
+    )
+    assert_that(reachability.is_cut_off, Is(False))
+
+
+def test_a_round_after_the_last_answer_is_the_first_of_a_new_series(
+    reachability: ServerReachability,
+) -> None:
+    fail_sends(reachability, NOW)
+    probe(reachability, NONE, NOW)
+    reachability.record_sent("answered", NOW + 0.1)
+    reachability.record_answered("answered", NOW + 0.15)
+    for number in range(1, ROUNDS_TO_CUT):
+        assert_that(probe(reachability, NONE, NOW + number), Is(False))
+    assert_that(probe(reachability, NONE, NOW + ROUNDS_TO_CUT), Is(True))
+
+
 def test_a_frozen_node_draws_no_conclusion(
     reachability: ServerReachability,
 ) -> None:
