Split the sends of a request off from its exchange

ExchangeState holds what the parts of an exchange share, ActiveSend runs one transfer until its end, an interruption or the time limit, ServerSender sends to a server and records what the send shows of it, and DetourSender sends through another node. Context moves to a module of its own. The behaviour is unchanged; the replay of overload replaces clock and transfer in the modules that use them now.

--- a/chervilrock/edges/serving/callers.py
+++ b/chervilrock/edges/serving/callers.py
@@ -14,7 +14,8 @@
     CallerMemory,
     HeldBody,
 )
-from chervilrock.edges.serving.exchange import Context, Exchange
+from chervilrock.edges.serving.context import Context
+from chervilrock.edges.serving.exchange import Exchange
 from chervilrock.edges.serving.unsentanswers import UnsentAnswers
 from chervilrock.events import emit, Event
 from chervilrock.platform import headers as names
--- a/chervilrock/node/serving.py
+++ b/chervilrock/node/serving.py
@@ -23,7 +23,7 @@
 from chervilrock.decisions.serving.servers.warmups import WarmupBounds
 from chervilrock.decisions.serving.view import GroupEndpoint, NodeEntry
 from chervilrock.edges.serving.callers import CallerEdge
-from chervilrock.edges.serving.exchange import Context
+from chervilrock.edges.serving.context import Context
 from chervilrock.edges.serving.simpleedge import Reply, SimpleEdge
 from chervilrock.events import emit, Event
 from chervilrock.metrics import CONTENT_TYPE
--- a/test/tasks/overload.py
+++ b/test/tasks/overload.py
@@ -36,9 +36,11 @@
 )
 from chervilrock.edges.heads import Head
 from chervilrock.edges.relay import BackendRequest, TransferEnd
+from chervilrock.edges.serving import detoursender as detoursender_module
 from chervilrock.edges.serving import exchange as exchange_module
 from chervilrock.edges.serving import exchangelog
 from chervilrock.edges.serving import receiver as receiver_module
+from chervilrock.edges.serving import serversender as serversender_module
 from chervilrock.edges.serving import slots as slots_module
 from chervilrock.edges.serving.callerrequest import CallerRequest
 from chervilrock.edges.serving.connection import (
@@ -46,7 +48,8 @@
     CutCause,
     HeldBody,
 )
-from chervilrock.edges.serving.exchange import Context, Exchange
+from chervilrock.edges.serving.context import Context
+from chervilrock.edges.serving.exchange import Exchange
 from chervilrock.platform import headers as names
 from chervilrock.tasks.serving import state as state_module
 from chervilrock.tasks.serving import waitqueue as waitqueue_module
@@ -737,7 +740,9 @@
     def read_virtual_clock() -> float:
         return asyncio.get_running_loop().time()
 
+    senders = (serversender_module, detoursender_module)
     for module in (
+        *senders,
         exchange_module,
         slots_module,
         receiver_module,
@@ -746,7 +751,8 @@
         monkeypatch.setattr(module, "read_clock", read_virtual_clock)
     for module in (exchangelog, state_module):
         monkeypatch.setattr(module, "emit", lambda *_, **__: None)
-    monkeypatch.setattr(exchange_module, "Transfer", SimulatedTransfer)
+    for module in senders:
+        monkeypatch.setattr(module, "Transfer", SimulatedTransfer)
 
     async def run() -> Outcome:
         running = Replay(fleet=fleet, load=load, seed=seed)
