--- a/test/node/test_server_statements.py
+++ b/test/node/test_server_statements.py
@@ -10,7 +10,7 @@
 from bench.statements import DRAIN_S, find_broken_pauses, find_late_arrivals
 from chervilrock.decisions.serving.admission.waiting import MAX_RETRY_AFTER_S
 from chervilrock.standin.site.servers import RESTART_DELAY_S, SiteServer
-from chervilrock.standin.site.site import LARGE, make_configuration
+from chervilrock.standin.site.site import LARGE, make_configuration, SMALL
 from test.node.serving_site import run_world, World
 
 NODES = 2
@@ -31,6 +31,18 @@
     return find_broken_pauses(world.site.servers, world.sends)
 
 
+def has_due_order(server: SiteServer) -> bool:
+    """Return whether the leader still has to form or stage on a host."""
+    group = server.group
+    if group is None or group["state"] not in ("ready", "open"):
+        return True
+    kind, _, model = str(group["name"]).split(".")
+    serves = kind == "g" and group["rank"] == 0
+    if serves and group["state"] != "open":
+        return True
+    return server.staged != [SMALL if model == LARGE else LARGE]
+
+
 def test_servers_that_ask_for_a_pause_get_no_requests_until_it_ends() -> None:
     # Failure: a node avoids the server for a fixed time, and only while others
     # are free.
@@ -116,6 +128,11 @@
 ) -> None:
     # Failure: the leader takes the group for one that has stalled.
     async def scenario(world: World) -> None:
+        hosts = [server for server in world.site.servers if server.domain]
+        await world.wait(
+            lambda: not any(has_due_order(host) for host in hosts),
+            "all groups open, and a second model staged on all hosts",
+        )
         heads = world.site.list_heads(LARGE)
         orders = {head.server: len(head.orders) for head in heads}
         for head in heads:
