--- a/Makefile
+++ b/Makefile
@@ -8,6 +8,8 @@
 PACKAGE_FILES := $(shell find chervilrock -type f -not -name '*.py[co]')
 # Where the binary unpacks itself unless SHIV_ROOT is set.
 BINARY_ROOT := /tmp/chervilrock
+# Processes that run tests, each with up to one busy processor.
+WORKERS ?= 4
 SOURCES := chervilrock bench tools
 CODE := $(wildcard $(SOURCES) test)
 COMPILE := $(BIN)/uv pip compile --quiet --no-config --universal \
@@ -62,7 +64,7 @@
 	$(BIN)/mypy $(CODE)
 
 unit: $(STAMP)  ## Run the tests alone.
-	$(BIN)/python -m pytest -q
+	$(BIN)/python -m pytest -q -n $(WORKERS) --dist worksteal
 
 generate: $(STAMP)  ## Write chervilrock/generated from the schema.
 	$(BIN)/python tools/generate.py
