Run the histories in one test process, and wait for each run apart

The histories' runs are started together by the first test that needs one.

Now these tests stay in one process, the runs start in the order in which tests wait for them, in five processes, and a test of its own waits for each run. All checks stay as they are; one is added, that each run has a history.

--- a/Makefile
+++ b/Makefile
@@ -64,7 +64,7 @@
 	$(BIN)/mypy $(CODE)
 
 unit: $(STAMP)  ## Run the tests alone.
-	$(BIN)/python -m pytest -q -n $(WORKERS) --dist worksteal
+	$(BIN)/python -m pytest -q -n $(WORKERS) --dist loadgroup
 
 generate: $(STAMP)  ## Write chervilrock/generated from the schema.
 	$(BIN)/python tools/generate.py
--- a/test/history/conftest.py
+++ b/test/history/conftest.py
@@ -13,7 +13,7 @@
 )
 from test.history.runs import BROKEN_RUNS, carry_out, RUNS
 
-WORKERS = 7
+WORKERS = 5
 """Number of worker processes; each run has an event loop of its own."""
 
 EXCHANGES = (repeat_silently, repeat_key_in_outage)
@@ -23,17 +23,17 @@
 
 @pytest.fixture(scope="session")
 def started() -> Iterator[Started]:
-    """Starts all runs and exchanges in the background, longest runs first."""
+    """Starts all exchanges and runs in the background, as tests need them."""
     context = multiprocessing.get_context("forkserver")
     context.set_forkserver_preload(["test.history.runs"])
     with concurrent.futures.ProcessPoolExecutor(WORKERS, context) as pool:
         runs = {**RUNS, **BROKEN_RUNS}
         yield {
-            **{name: pool.submit(carry_out, runs[name]) for name in runs},
             **{
                 exchange: pool.submit(run_exchange, exchange)
                 for exchange in EXCHANGES
             },
+            **{name: pool.submit(carry_out, runs[name]) for name in runs},
         }
 
 
--- a/test/history/test_promises.py
+++ b/test/history/test_promises.py
@@ -2,13 +2,15 @@
 
 import pytest
 from testtools.assertions import assert_that
-from testtools.matchers import Contains, Equals, GreaterThan
+from testtools.matchers import Contains, Equals, GreaterThan, HasLength, Not
 
 from chervilrock.standin.history import Ended, Told
 from chervilrock.standin.history_checks import check_history
 from chervilrock.standin.history_findings import Finding, Promise
 from test.history.runs import BROKEN_RUNS, Run, RUNS
 
+pytestmark = pytest.mark.xdist_group("history")
+
 MIN_REQUESTS = 2000
 
 FOUND = {
@@ -30,6 +32,11 @@
     return check_history(get_history(name), blind=run.options.blind)
 
 
+@pytest.mark.parametrize("name", RUNS)
+def test_run_has_a_history(get_history, name):
+    assert_that(get_history(name), Not(HasLength(0)))
+
+
 @pytest.mark.parametrize(
     "promise", Promise, ids=lambda promise: promise.name.lower()
 )
