Answer HEAD requests without a body

Tornado closes a connection on which more than the stated length is written, and the length of an answer to HEAD is 0. Answers that the node writes itself leave their body out now.

--- a/chervilrock/edges/serving/connection.py
+++ b/chervilrock/edges/serving/connection.py
@@ -283,6 +283,9 @@
             headers["Content-Length"] = str(length)
         if self._is_stopping():
             headers["Connection"] = "close"
+        if self._is_for_head:
+            # Tornado closes the connection if it gets a body.
+            body = b""
         reason = http.client.responses.get(status, "Unknown")
         line = httputil.ResponseStartLine("HTTP/1.1", status, reason)
         self.has_begun = True
@@ -298,6 +301,12 @@
             length is None and not self._connection._chunking_output
         )
 
+    @property
+    def _is_for_head(self) -> bool:
+        """Whether the request is a HEAD request, whose answer has no body."""
+        line = self._connection._request_start_line
+        return line is not None and line.method == "HEAD"
+
     def _reset(self) -> None:
         """Reset the connection; closed, an answer of HTTP/1.0 looks whole."""
         stream = self._connection.stream
