Show requests that run after their connection was closed

Tornado reads further requests from the buffer of a connection that it has closed. They are sent to servers, which run them, and no answer can be sent.

--- a/test/node/test_unanswered_requests.py
+++ b/test/node/test_unanswered_requests.py
@@ -1,12 +1,17 @@
 """Requests that were read and got no answer, though nothing had failed."""
 
+import asyncio
+
 from testtools.assertions import assert_that
-from testtools.matchers import Equals
+from testtools.matchers import Equals, HasLength
 
 from chervilrock.standin.site.site import HOST
 from test.edges.raw import exchange
 from test.node.serving_site import run_world, World
 
+SETTLE_S = 0.3
+"""Time in which a request would have reached a server."""
+
 
 def format_request(
     world: World, path: str, method: str = "POST", **changes: str
@@ -31,3 +36,17 @@
             assert_that(answer.partition(b"\r\n\r\n")[2], Equals(b""))
 
     run_world(scenario)
+
+
+def test_a_request_read_after_its_connection_was_closed_is_not_run() -> None:
+    # It was sent to a server, and its end was logged as complete.
+    async def scenario(world: World) -> None:
+        first = format_request(world, "/book/x", Connection="close")
+        second = format_request(world, "/book/x", X_Request_Id="second")
+        address = world.nodes[0].own.callers_address
+        answer = await exchange(address, first + second)
+        assert_that(answer.count(b"HTTP/1.1 200"), Equals(1))
+        await asyncio.sleep(SETTLE_S)
+        assert_that(world.find_runs("second"), HasLength(0))
+
+    run_world(scenario)
