Do not run requests that are read from a closed connection

The node or the caller has closed the connection, so that no answer can be sent, and no close callback ends the send.

test_a_request_read_after_its_connection_was_closed_is_not_run: failed 1 of 1 on the commit before, passes 1 of 1.

--- a/chervilrock/edges/serving/callers.py
+++ b/chervilrock/edges/serving/callers.py
@@ -223,6 +223,10 @@
         if self._is_rejected:
             self._end_rejected()
             return
+        if self._connection.stream.closed():
+            # Tornado reads what a closed connection has buffered.
+            self._release()
+            return
         pairs = tuple(self._headers.get_all())
         request = CallerRequest(
             method=self._line.method,
