--- a/chervilrock/catalogue.py
+++ b/chervilrock/catalogue.py
@@ -548,6 +548,12 @@
         "request {request_id} is passed on to node {node} after {sends} sends "
         "and event {after}, as this node reaches no server",
     )
+    REQUEST_ERROR = EventSpec(
+        7420,
+        Level.ERROR,
+        "an error in the handling of request {request_id} ended it: {error} "
+        "in {place}",
+    )
     EVENT_MALFORMED = EventSpec(
         9001, Level.ERROR, "event {event_name} has wrong fields: {difference}"
     )
--- a/chervilrock/edges/serving/callers.py
+++ b/chervilrock/edges/serving/callers.py
@@ -169,6 +169,8 @@
         self.exchanges[exchange.request_id] = exchange
         try:
             await exchange.run()
+        except Exception as error:  # noqa: BLE001
+            exchange.fail(error)
         finally:
             exchange.close()
             if self.exchanges.get(exchange.request_id) is exchange:
--- a/chervilrock/edges/serving/exchange.py
+++ b/chervilrock/edges/serving/exchange.py
@@ -202,6 +202,16 @@
             STOPPING_REASON, self._search.find_stop_retry_after(read_clock())
         )
 
+    def fail(self, error: Exception) -> None:
+        """End the request after an error in its handling.
+
+        It may have run, whatever is recorded of its sends.
+        """
+        exchangelog.log_error(self.request_id, error)
+        self._active.interrupt(SendOutcome.LOST)
+        if not self._connection.is_done:
+            self._fail(BAD_GATEWAY, "an internal error")
+
     def record_exit(self) -> None:
         """Record that the process exits before the answer is complete."""
         self._connection.record_cut(CutCause.EXIT)
--- a/chervilrock/edges/serving/exchangelog.py
+++ b/chervilrock/edges/serving/exchangelog.py
@@ -1,5 +1,6 @@
 """Log events of requests: where they are sent and how they end."""
 
+import traceback
 from typing import NamedTuple
 
 from chervilrock.decisions.serving.admission.attempts import SendOutcome
@@ -114,6 +115,17 @@
     )
 
 
+def log_error(request_id: str, error: Exception) -> None:
+    """Log an error in the handling of a request, and where it was raised."""
+    frames = traceback.extract_tb(error.__traceback__)
+    emit(
+        Event.REQUEST_ERROR,
+        request_id=request_id,
+        error=repr(error),
+        place=" ".join(f"{frame.name}:{frame.lineno}" for frame in frames),
+    )
+
+
 class FailedSend(NamedTuple):
     """A send without a usable answer.
 
