Show callers that are cut off for long numbers and long idle times

Numbers of more than 308 digits in X-Deadline-Ms, or 4300 in X-Token-Count, raise an error while the request is read. Connections are closed after 60 s without a request, also where the configuration allows more.

--- a/test/node/test_unanswered_requests.py
+++ b/test/node/test_unanswered_requests.py
@@ -5,13 +5,22 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, HasLength
 
-from chervilrock.standin.site.site import HOST, PLAIN_SERVICE
+from chervilrock.node import serving
+from chervilrock.standin.site.site import (
+    HOST,
+    make_configuration,
+    PLAIN_SERVICE,
+)
 from test.edges.raw import exchange
 from test.node.serving_site import run_world, World
+from test.node.test_begun_streams import has_revision
 
 ANSWER_S = 3.0
 """Longest time to an answer, less than the time limit of the caller."""
 
+IDLE_S = 1.5
+"""Time for which a caller leaves its connection idle."""
+
 SETTLE_S = 0.3
 """Time in which a request would have reached a server."""
 
@@ -93,3 +102,42 @@
         listener.close()
 
     run_world(scenario)
+
+
+def test_a_request_with_very_long_numbers_is_answered() -> None:
+    # The connection was closed, as the numbers could not be converted.
+    async def scenario(world: World) -> None:
+        for name, value in (
+            ("X_Deadline_Ms", "9" * 400),
+            ("X_Token_Count", f"{'9' * 5000},1"),
+        ):
+            request = format_request(
+                world, "/book/x", Connection="close", **{name: value}
+            )
+            answer = await exchange(world.nodes[0].own.callers_address, request)
+            assert_that(answer[:12], Equals(b"HTTP/1.1 200"))
+
+    run_world(scenario)
+
+
+def test_a_connection_stays_open_for_the_configured_idle_time(
+    monkeypatch,
+) -> None:
+    # The node closed it after a time of its own, also with a request read.
+    monkeypatch.setattr(serving, "IDLE_CONNECTION_TIMEOUT_S", 0.5)
+
+    async def scenario(world: World) -> None:
+        limits = {"idle_timeout_ms": 2000}
+        document = make_configuration(2, limits=limits)
+        world.site.store.write_configuration(document)
+        node = world.nodes[0]
+        await world.wait(lambda: has_revision(node, 2), "the limit is in force")
+        host, port = node.own.callers_address.split(":")
+        reader, writer = await asyncio.open_connection(host, port)
+        await asyncio.sleep(IDLE_S)
+        writer.write(format_request(world, "/book/x", Connection="close"))
+        answer = await reader.read()
+        writer.close()
+        assert_that(answer[:12], Equals(b"HTTP/1.1 200"))
+
+    run_world(scenario)
