Read numbers of any length in the headers of callers

Only 15 digits are read; a longer number counts as the largest one. Without a bound the conversion raised an error, and Tornado closed the connection.

--- a/chervilrock/platform/headers.py
+++ b/chervilrock/platform/headers.py
@@ -36,6 +36,11 @@
 MAX_PART_DIGITS = 32
 """Hexadecimal digits of the identifier of a part."""
 
+MAX_COUNT_DIGITS = 15
+"""Digits of a number that are read; such numbers are exact as floats."""
+
+_MAX_COUNT: int = 10**MAX_COUNT_DIGITS - 1
+
 _HEX_DIGITS = frozenset("0123456789abcdef")
 
 _HOP_BY_HOP = frozenset(
@@ -186,6 +191,14 @@
 
 
 def _parse_count(text: str) -> int | None:
-    """Return the value of ASCII decimal digits, None for anything else."""
+    """Return the value of ASCII decimal digits, None for anything else.
+
+    A longer number than is read counts as the largest one.
+    """
     text = text.strip()
-    return int(text) if text.isascii() and text.isdigit() else None
+    if not (text.isascii() and text.isdigit()):
+        return None
+    text = text.lstrip("0")
+    if len(text) > MAX_COUNT_DIGITS:
+        return _MAX_COUNT
+    return int(text or "0")
