Keep idle connections as long as the configuration allows

A node closed connections 60 s after their last request, whatever the idle limit of the configuration said.

--- a/chervilrock/edges/serving/callers.py
+++ b/chervilrock/edges/serving/callers.py
@@ -44,13 +44,18 @@
       answers: answers that have not been sent completely.
     """
 
-    def __init__(self, *, context: Context, budget: float) -> None:
+    def __init__(
+        self, *, context: Context, budget: float, idle_timeout_s: float
+    ) -> None:
         """Create an edge without requests.
 
         Args:
           context: objects that all requests of the node share.
           budget: bytes that may be held for callers, inf for any number.
+          idle_timeout_s: shortest time after which an idle connection is
+            closed, in seconds; the configuration may allow a longer one.
         """
+        self._idle_timeout_s = idle_timeout_s
         self._context = context
         self.memory = CallerMemory(budget=budget, metrics=context.metrics)
         self._tasks: set[asyncio.Task[None]] = set()
@@ -66,8 +71,20 @@
         del server_conn
         if not isinstance(request_conn, HTTP1Connection):
             raise TypeError("connection is not an HTTP/1 connection")
+        # Tornado starts to wait for the next request after this call.
+        request_conn.params.header_timeout = self._find_idle_timeout()
         return _RequestReader(edge=self, connection=request_conn)
 
+    def _find_idle_timeout(self) -> float:
+        """Return after how many seconds an idle connection is closed.
+
+        A request that arrives just then would be lost.
+        """
+        routes = self._context.state.routes
+        if routes is None:
+            return self._idle_timeout_s
+        return max(self._idle_timeout_s, routes.configuration.limits.idle_s)
+
     def start(
         self, request: CallerRequest, connection: HTTP1Connection
     ) -> None:
--- a/chervilrock/node/serving.py
+++ b/chervilrock/node/serving.py
@@ -73,8 +73,8 @@
 """Interval between two checks whether the last answers were sent."""
 
 IDLE_CONNECTION_TIMEOUT_S = 60.0
-"""Time after which an idle connection is closed. Callers reuse a connection for
-less than the limit of the configuration, about 10 s."""
+"""Time after which an idle connection is closed, unless the configuration
+allows a longer one."""
 
 LOGGED_STANDSTILL_S = 0.1
 """Shortest time for which this node stood still that is logged."""
@@ -164,7 +164,9 @@
             poisondetector=self._task.poisondetector,
         )
         self._callers = CallerEdge(
-            context=context, budget=find_budget(settings.memory_mb)
+            context=context,
+            budget=find_budget(settings.memory_mb),
+            idle_timeout_s=IDLE_CONNECTION_TIMEOUT_S,
         )
         self._servers: list[httpserver.HTTPServer] = []
         self._tasks: list[asyncio.Task[None]] = []
