--- a/chervilrock/edges/serving/callers.py
+++ b/chervilrock/edges/serving/callers.py
@@ -44,13 +44,18 @@
       answers: answers that have not been sent completely.
     """
 
-    def __init__(self, *, context: Context, budget: float) -> None:
+    def __init__(
+        self, *, context: Context, budget: float, idle_timeout_s: float
+    ) -> None:
         """Create an edge without requests.
 
         Args:
           context: objects that all requests of the node share.
           budget: bytes that may be held for callers, inf for any number.
+          idle_timeout_s: shortest time after which an idle connection is
+            closed, in seconds; the configuration may allow a longer one.
         """
+        self._idle_timeout_s = idle_timeout_s
         self._context = context
         self.memory = CallerMemory(budget=budget, metrics=context.metrics)
         self._tasks: set[asyncio.Task[None]] = set()
@@ -66,8 +71,20 @@
         del server_conn
         if not isinstance(request_conn, HTTP1Connection):
             raise TypeError("connection is not an HTTP/1 connection")
+        # Tornado starts to wait for the next request after this call.
+        request_conn.params.header_timeout = self._find_idle_timeout()
         return _RequestReader(edge=self, connection=request_conn)
 
+    def _find_idle_timeout(self) -> float:
+        """Return after how many seconds an idle connection is closed.
+
+        A request that arrives just then would be lost.
+        """
+        routes = self._context.state.routes
+        if routes is None:
+            return self._idle_timeout_s
+        return max(self._idle_timeout_s, routes.configuration.limits.idle_s)
+
     def start(
         self, request: CallerRequest, connection: HTTP1Connection
     ) -> None:
@@ -169,6 +186,8 @@
         self.exchanges[exchange.request_id] = exchange
         try:
             await exchange.run()
+        except Exception as error:  # noqa: BLE001
+            exchange.fail(error)
         finally:
             exchange.close()
             if self.exchanges.get(exchange.request_id) is exchange:
@@ -223,6 +242,10 @@
         if self._is_rejected:
             self._end_rejected()
             return
+        if self._connection.stream.closed():
+            # Tornado reads what a closed connection has buffered.
+            self._release()
+            return
         pairs = tuple(self._headers.get_all())
         request = CallerRequest(
             method=self._line.method,
