--- a/chervilrock/edges/serving/callers.py
+++ b/chervilrock/edges/serving/callers.py
@@ -186,7 +186,7 @@
         self.exchanges[exchange.request_id] = exchange
         try:
             await exchange.run()
-        except Exception as error:  # noqa: BLE001
+        except Exception as error:
             exchange.fail(error)
         finally:
             exchange.close()
