Reject a configuration whose engine reads nothing or whose model has no host

All requests of the node were cut. Such a document is now invalid as others are: the one in force stays.

Two cases of test_an_invalid_configuration_is_rejected failed before.

--- a/chervilrock/platform/operator.py
+++ b/chervilrock/platform/operator.py
@@ -1,6 +1,6 @@
 """Decodes the site configuration that the operator writes to the store."""
 
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
 from returns.result import Failure, Result, Success
@@ -55,7 +55,7 @@
 
 class _Model(msgspec.Struct):
     name: str
-    size: int = 1
+    size: Annotated[int, msgspec.Meta(ge=1)] = 1
     share: float = 1.0  # of the initial workload, not of the requests
     pace: float = 1.0
     load_s: float = 0.0
@@ -72,7 +72,7 @@
     step_ms: float = 10.0
     per_seq_ms: float = 0.0
     stride: int = 1
-    read_per_s: float = 10000.0
+    read_per_s: Annotated[float, msgspec.Meta(gt=0.0)] = 10000.0
     chunk: int = 2048
     usual: _UsualRequest = msgspec.field(default_factory=_UsualRequest)
     loads_per_s: float = 1.0
--- a/test/platform/test_adapter.py
+++ b/test/platform/test_adapter.py
@@ -169,6 +169,19 @@
                 }
             ]
         },
+        # Nodes divide by these.
+        {"services": [{"name": "s", "engine": {"slots": 1, "read_per_s": 0}}]},
+        {
+            "services": [
+                {
+                    "name": "s",
+                    "engine": {
+                        "slots": 1,
+                        "models": [{"name": "m", "size": 0}],
+                    },
+                }
+            ]
+        },
     ],
 )
 def test_an_invalid_configuration_is_rejected(change: dict[str, Any]) -> None:
