Take no single timeout of a probe for a cut

A node with lost hosts of groups and slow plain servers took itself for cut off.

Cause: the probes of the first round are refused at once by lost heads, and the second round decides. Slow servers then have the 0.3 s of one probe to answer, so a single timeout stands for the state of all servers.

Where the rounds took from 0.15 s to 0.45 s together, one more round is needed, 0.3 s after the begin of the last one at the earliest. Requests wait for it as for any round. Two refused rounds still decide at once, and two timeouts after 0.6 s; a refused round and a timeout, in either order, decide after 0.6 s instead of 0.3 s.

Evidence: test_one_timeout_after_refused_probes_is_no_cut failed before and passes (test_reachability.py: 1 of 37 failed, 37 passed).

--- a/chervilrock/decisions/serving/nodes/reachability.py
+++ b/chervilrock/decisions/serving/nodes/reachability.py
@@ -38,6 +38,14 @@
 """Time for a server to answer a probe; a lost packet is sent again after 0.2 s.
 """
 
+MAX_REFUSED_S = PROBE_TIMEOUT_S / 2
+"""Time within which `ROUNDS_TO_CUT` rounds end whose probes were refused; such
+rounds decide at once."""
+
+MIN_SPAN_S = 1.5 * PROBE_TIMEOUT_S
+"""Least time from the begin of the first failed round to a verdict by probes
+that were not answered in time. Slow servers answer a send meanwhile."""
+
 MAX_ROUND_S = 2 * PROBE_TIMEOUT_S
 """Time after which the outcome of a round is ignored: the process was frozen or
 slow meanwhile."""
@@ -219,7 +227,8 @@
     def is_in_doubt(self, now: float) -> bool:
         """Return whether a verdict on suspicious sends is still to come."""
         is_due = self._is_probing or now >= self._probe_at
-        return is_due and self.is_suspected(now)
+        is_undecided = self._failed_rounds >= ROUNDS_TO_CUT
+        return (is_due or is_undecided) and self.is_suspected(now)
 
     def is_probe_due(self, now: float) -> bool:
         """Return whether to probe servers now."""
@@ -269,6 +278,9 @@
         self._failed_rounds += 1
         if self._failed_rounds < ROUNDS_TO_CUT:
             return False
+        if MAX_REFUSED_S <= now - self._rounds_began < MIN_SPAN_S:
+            self._probe_at = max(now, probes.began + PROBE_TIMEOUT_S)
+            return False
         self._failed_rounds = 0
         self._begin_cut(now)
         return True
--- a/test/decisions/serving/nodes/test_reachability.py
+++ b/test/decisions/serving/nodes/test_reachability.py
@@ -199,6 +199,51 @@
     assert_that(reachability.is_cut_off, Is(False))
 
 
+def test_one_timeout_after_refused_probes_is_no_cut(
+    reachability: ServerReachability,
+) -> None:
+    """Failure: with lost heads and slow servers, one timeout decided."""
+    fail_sends(reachability, NOW)
+    probe(reachability, NONE, NOW, seconds=0.001)
+    reachability.record_sent("answered", NOW + 0.01)
+    second = NOW + 0.001
+    assert_that(probe(reachability, NONE, second, seconds=0.301), Is(False))
+    assert_that(reachability.is_in_doubt(NOW + 0.302), Is(True))
+    reachability.record_answered("answered", NOW + 0.37)
+    third = NOW + 0.302
+    assert_that(probe(reachability, NONE, third, seconds=0.3), Is(False))
+    assert_that(reachability.is_cut_off, Is(False))
+
+
+@pytest.mark.parametrize(
+    ("first_s", "later_s", "detected_s"),
+    [
+        (0.001, 0.001, 0.002),
+        (0.3, 0.3, 0.6),
+        (0.001, 0.3, 0.601),
+        (0.3, 0.001, 0.601),
+        (0.08, 0.08, 0.46),
+    ],
+)
+def test_a_cut_is_detected_soon_however_its_probes_fail(
+    reachability: ServerReachability,
+    first_s: float,
+    later_s: float,
+    detected_s: float,
+) -> None:
+    fail_sends(reachability, NOW)
+    probe(reachability, NONE, NOW, seconds=first_s)
+    now = NOW + first_s
+    while not reachability.is_cut_off:
+        assert_that(reachability.is_in_doubt(now), Is(True))
+        if reachability.is_probe_due(now):
+            probe(reachability, NONE, now, seconds=later_s)
+            now += later_s
+        else:
+            now += 0.001
+    assert_that(now - NOW, LessThan(detected_s + 0.002))
+
+
 def test_a_round_after_the_last_answer_is_the_first_of_a_new_series(
     reachability: ServerReachability,
 ) -> None:
