Forget failed rounds of probes after two seconds

A node could be cut off by a single failed round.

Cause: the count of failed rounds was cleared by an answered round or an answered send only. Where the suspicion ended otherwise, such as by a caller that left, a failed round counted together with one of any time later.

Rounds count together if at most 2 s lie between them: silent sends whose callers leave before a verdict cause a round each second or so.

Evidence: test_a_failed_round_of_long_ago_decides_nothing failed before and passes (test_reachability.py: 1 of 39 failed, 39 passed).

--- a/chervilrock/decisions/serving/nodes/reachability.py
+++ b/chervilrock/decisions/serving/nodes/reachability.py
@@ -46,6 +46,10 @@
 """Least time from the begin of the first failed round to a verdict by probes
 that were not answered in time. Slow servers answer a send meanwhile."""
 
+MAX_ROUND_GAP_S = 2 * SILENCE_S
+"""Time after a failed round until which a further one counts together with it.
+Sends whose callers leave cause a round each `SILENCE_S` or so."""
+
 MAX_ROUND_S = 2 * PROBE_TIMEOUT_S
 """Time after which the outcome of a round is ignored: the process was frozen or
 slow meanwhile."""
@@ -168,6 +172,7 @@
         self._is_probing = False
         self._failed_rounds = 0
         self._rounds_began = float("-inf")
+        self._rounds_ended = float("-inf")
         self._probe_at = float("-inf")
         self._probe_pause_s = PROBE_PAUSE_S
         self._restored_at = float("-inf")
@@ -268,6 +273,9 @@
         if self.is_cut_off:
             self._probe_at = now + RECHECK_INTERVAL_S
             return False
+        if probes.began - self._rounds_ended > MAX_ROUND_GAP_S:
+            self._failed_rounds = 0
+        self._rounds_ended = now
         if self._failed_rounds and self._reached_at >= self._rounds_began:
             # Servers that take long to answer probes still answer sends.
             self._failed_rounds = 0
--- a/test/decisions/serving/nodes/test_reachability.py
+++ b/test/decisions/serving/nodes/test_reachability.py
@@ -12,6 +12,7 @@
     choose_targets,
     HOLD_S,
     MAX_HOLD_S,
+    MAX_ROUND_GAP_S,
     MAX_ROUND_S,
     PROBE_COUNT,
     PROBE_TIMEOUT_S,
@@ -256,6 +257,33 @@
     assert_that(probe(reachability, NONE, NOW + ROUNDS_TO_CUT), Is(True))
 
 
+def test_a_failed_round_of_long_ago_decides_nothing(
+    reachability: ServerReachability,
+) -> None:
+    """Failure: a single failed round decided, minutes after another one."""
+    fail_sends(reachability, NOW)
+    probe(reachability, NONE, NOW)
+    later = NOW + MAX_ROUND_GAP_S + 0.2
+    for number in range(ROUNDS_TO_CUT - 1):
+        assert_that(probe(reachability, NONE, later + number), Is(False))
+    assert_that(probe(reachability, NONE, later + 1.0), Is(True))
+
+
+def test_a_silence_that_callers_do_not_wait_out_is_a_cut(
+    reachability: ServerReachability,
+) -> None:
+    """Each caller leaves during the round that its send causes."""
+    now = NOW
+    for caller in range(ROUNDS_TO_CUT):
+        reachability.record_sent(caller, now)
+        now += SILENCE_S
+        assert_that(reachability.is_probe_due(now), Is(True))
+        probe(reachability, NONE, now, seconds=PROBE_TIMEOUT_S)
+        now += PROBE_TIMEOUT_S
+        reachability.record_ended(caller, now, is_lost=False)
+    assert_that(reachability.is_cut_off, Is(True))
+
+
 def test_a_frozen_node_draws_no_conclusion(
     reachability: ServerReachability,
 ) -> None:
