Pause between rounds of probes that answers contradict

Beside failing sends and slow servers, rounds of probes followed each other without a pause, and retries waited for a verdict all the time.

Cause: a round that an answered send voids was followed by the next one at once, as if it had failed.

The next round is 0.3 s later, and nothing waits for it. The pause of 1 s of an answered round would delay the detection of a cut that begins meanwhile by 1 s, this one by 0.3 s. Answers before the begin of a round void the earlier ones at its begin, so that they cause no second pause after it.

Evidence: test_slow_servers_are_not_probed_without_a_pause failed before (2 of 2) and passes; test_reachability.py: 43 passed.

--- a/chervilrock/decisions/serving/nodes/reachability.py
+++ b/chervilrock/decisions/serving/nodes/reachability.py
@@ -61,6 +61,10 @@
 MAX_PROBE_PAUSE_S = 8.0
 """Longest such time."""
 
+VOIDED_PAUSE_S = PROBE_TIMEOUT_S
+"""Time after a failed round that an answered send contradicts without another
+one. A longer one would delay the detection of a cut that begins meanwhile."""
+
 RECHECK_INTERVAL_S = 0.5
 """Interval between rounds of probes of a node that is cut off."""
 
@@ -249,6 +253,9 @@
     def record_probing(self) -> None:
         """Record that a round of probes begins."""
         self._is_probing = True
+        if self._reached_at >= self._rounds_began:
+            # Known before the round, so its failure is followed by the next.
+            self._failed_rounds = 0
 
     def record_probed(self, probes: ProbeRound, now: float) -> bool:
         """Record the outcome of a round of probes.
@@ -279,9 +286,11 @@
         if self._failed_rounds and self._reached_at >= self._rounds_began:
             # Servers that take long to answer probes still answer sends.
             self._failed_rounds = 0
+            self._probe_at = now + VOIDED_PAUSE_S
         if not self._failed_rounds:
             self._rounds_began = probes.began
         if self._reached_at >= probes.began:
+            self._probe_at = now + VOIDED_PAUSE_S
             return False
         self._failed_rounds += 1
         if self._failed_rounds < ROUNDS_TO_CUT:
--- a/test/decisions/serving/nodes/test_reachability.py
+++ b/test/decisions/serving/nodes/test_reachability.py
@@ -21,6 +21,7 @@
     ROUNDS_TO_CUT,
     ServerReachability,
     SILENCE_S,
+    VOIDED_PAUSE_S,
 )
 from chervilrock.decisions.serving.site import Service
 from chervilrock.decisions.serving.view import (
@@ -257,6 +258,66 @@
     assert_that(probe(reachability, NONE, NOW + ROUNDS_TO_CUT), Is(True))
 
 
+@pytest.mark.parametrize("sent_after_s", [-0.1, 0.1])
+def test_slow_servers_are_not_probed_without_a_pause(
+    reachability: ServerReachability, sent_after_s: float
+) -> None:
+    """Failure: beside failing sends, rounds and waits had no pause."""
+    now = NOW
+    fail_sends(reachability, now)
+    probe(reachability, NONE, now, seconds=PROBE_TIMEOUT_S)
+    now += PROBE_TIMEOUT_S
+    for number in range(10):
+        reachability.record_probing()
+        reachability.record_sent(number, now + sent_after_s)
+        reachability.record_answered(number, now + 0.25)
+        fail_sends(reachability, now + 0.28)
+        probes = ProbeRound(PROBE_COUNT, False, now)
+        now += PROBE_TIMEOUT_S
+        assert_that(reachability.record_probed(probes, now), Is(False))
+        assert_that(reachability.is_suspected(now), Is(True))
+        assert_that(reachability.is_in_doubt(now), Is(False))
+        now += VOIDED_PAUSE_S
+        assert_that(reachability.is_probe_due(now), Is(True))
+
+
+@pytest.mark.parametrize(
+    ("answered_s", "detected_s"),
+    [
+        (0.2, VOIDED_PAUSE_S + PROBE_TIMEOUT_S),
+        (0.4, VOIDED_PAUSE_S + 2 * PROBE_TIMEOUT_S),
+    ],
+)
+def test_a_cut_after_contradicted_rounds_is_detected_after_one_pause(
+    reachability: ServerReachability, answered_s: float, detected_s: float
+) -> None:
+    """The last answer arrives in a round, or in the pause after it."""
+    fail_sends(reachability, NOW)
+    probe(reachability, NONE, NOW, seconds=PROBE_TIMEOUT_S)
+    began = NOW + PROBE_TIMEOUT_S
+    reachability.record_probing()
+    reachability.record_sent("earlier", began - 0.1)
+    reachability.record_sent("later", began + 0.1)
+    reachability.record_answered("earlier", began + 0.2)
+    if answered_s < PROBE_TIMEOUT_S:
+        reachability.record_ended("later", began + 0.25, is_lost=True)
+    fail_sends(reachability, began + 0.25)
+    ended = began + PROBE_TIMEOUT_S
+    probes = ProbeRound(PROBE_COUNT, False, began)
+    reachability.record_probed(probes, ended)
+    if answered_s > PROBE_TIMEOUT_S:
+        reachability.record_answered("later", began + answered_s)
+        fail_sends(reachability, began + answered_s)
+    now = ended
+    while not reachability.is_cut_off:
+        if reachability.is_probe_due(now):
+            probe(reachability, NONE, now, seconds=PROBE_TIMEOUT_S)
+            now += PROBE_TIMEOUT_S
+        else:
+            now += 0.001
+    assert_that(now - ended, LessThan(detected_s + 0.01))
+
+
 def test_a_failed_round_of_long_ago_decides_nothing(
     reachability: ServerReachability,
 ) -> None:
