Check crashes of plain servers against plain ones too

With all hosts of groups lost, the crash of a plain server was not counted, so a request that crashes plain servers could go on to the next one.

Cause: a server counts as crashed if another one answers a query begun at the same time, and those asked were heads of groups while there are four of them.

For a plain server two of the four are plain ones, as in the second round of probes. For a head all four stay heads: with many heads lost their checks would take slots of the few plain servers.

--- a/chervilrock/tasks/serving/poisondetector.py
+++ b/chervilrock/tasks/serving/poisondetector.py
@@ -185,10 +185,18 @@
                 check.sends.append(broken)
         else:
             self._checks[broken.server] = _Check(now, [broken])
+            # Not for a head: with many heads lost, the checks would take the
+            # few slots of plain servers.
+            is_plain = any(
+                entry.server == broken.server
+                for entry in self._state.view.servers
+            )
             self._outbound.check_server(
                 broken.server,
                 broken.address,
-                self._state.choose_probe_targets(without=broken.server),
+                self._state.choose_probe_targets(
+                    without=broken.server, is_mixed=is_plain
+                ),
             )
 
     def record_completion(self, content: str) -> None:
--- a/test/tasks/test_poisondetector.py
+++ b/test/tasks/test_poisondetector.py
@@ -1,5 +1,6 @@
 """How one node handles sends whose connections broke."""
 
+from collections import Counter
 from collections.abc import Callable, Sequence
 import random
 from typing import Any
@@ -15,7 +16,13 @@
     CrashReport,
     ServerCrash,
 )
-from chervilrock.decisions.serving.view import NodeEntry
+from chervilrock.decisions.serving.nodes.reachability import ProbeTarget
+from chervilrock.decisions.serving.view import (
+    GroupEndpoint,
+    NodeEntry,
+    ServerEndpoint,
+    ServingView,
+)
 from chervilrock.tasks.serving.messages import (
     CrashReportAnswered,
     ServerChecked,
@@ -47,14 +54,16 @@
 
     def __init__(self) -> None:
         self.checked: list[str] = []
+        self.references: list[tuple[ProbeTarget, ...]] = []
         self.reports: list[tuple[str, CrashReport]] = []
         self.written: list[tuple[str, bool]] = []
 
     def check_server(
-        self, server: str, address: str, references: object
+        self, server: str, address: str, references: tuple[ProbeTarget, ...]
     ) -> None:
-        del address, references
+        del address
         self.checked.append(server)
+        self.references.append(references)
 
     def send_crash_report(self, entry: NodeEntry, report: CrashReport) -> None:
         self.reports.append((entry.node, report))
@@ -231,6 +240,33 @@
     assert_that(contents, Equals([CONTENT]))
 
 
+@pytest.mark.parametrize(
+    ("server", "heads", "plain"), [("p0", 2, 2), ("h0", 4, 0)]
+)
+def test_the_crash_of_a_plain_server_is_checked_against_plain_ones_too(
+    poisondetector: PoisonDetector,
+    state: ServingState,
+    calls: RecordedCalls,
+    server: str,
+    heads: int,
+    plain: int,
+) -> None:
+    """Failure: with all hosts of groups lost it was not counted."""
+    groups = tuple(
+        GroupEndpoint(f"g{n}", 1, "m", "s", f"h{n}", f"x:{n}", "a")
+        for n in range(9)
+    )
+    servers = tuple(
+        ServerEndpoint(f"p{n}", "desk", f"y:{n}", "a", 4) for n in range(3)
+    )
+    state.apply_view(ServingView(1, 1, groups, servers), NOW)
+    break_send(poisondetector, server)
+    (references,) = calls.references
+    assert_that(server in {target.server for target in references}, Is(False))
+    counts = Counter(target.is_head for target in references)
+    assert_that((counts[True], counts[False]), Equals((heads, plain)))
+
+
 PART = "brokers/part:5c1e"
 
 
