Log when the last answered send and the failed rounds began

The log of a node could not show whether its verdict that it reaches no server was right: E7337 told when the last answer came, not when its send had begun, and answers to old sends prove nothing.

E7337 now also states when the last send or probe that was answered began, and when the first failed round of probes did.

Evidence: the new test fails without the change, as the functions are missing; test_events.py compares the catalogue with docs/events.md.

--- a/chervilrock/catalogue.py
+++ b/chervilrock/catalogue.py
@@ -417,7 +417,9 @@
         7337,
         Level.WARNING,
         "this node reaches no server: none of {probed} answered a probe, the "
-        "last answer came {answered_ms} ms ago, {running} requests were sent",
+        "last answer came {answered_ms} ms ago, the last send or probe that "
+        "was answered began {reached_ms} ms ago and the first failed round of "
+        "probes {probing_ms} ms ago, {running} requests were sent",
     )
     SERVERS_REACHED = EventSpec(
         7338,
--- a/chervilrock/decisions/serving/nodes/reachability.py
+++ b/chervilrock/decisions/serving/nodes/reachability.py
@@ -334,8 +334,21 @@
 
     def find_silence_ms(self, now: float) -> int | None:
         """Return the milliseconds since the last answer, None before one."""
-        silence_s = now - self._answered_at
-        return None if math.isinf(silence_s) else round(silence_s * _MS_PER_S)
+        return _find_age_ms(self._answered_at, now)
+
+    def find_reached_ms(self, now: float) -> int | None:
+        """Return the milliseconds since the last reached connection began.
+
+        Its send or its probes were answered. None before one.
+        """
+        return _find_age_ms(self._reached_at, now)
+
+    def find_probing_ms(self, now: float) -> int | None:
+        """Return the milliseconds since the first failed round began.
+
+        The first one of the last rounds in a row; None before one.
+        """
+        return _find_age_ms(self._rounds_began, now)
 
     def describe(self, now: float) -> Mapping[str, Any]:
         """Return the state for a dump."""
@@ -347,3 +360,8 @@
             "failures": self._failures,
             "unanswered": len(self._waiting),
         }
+
+
+def _find_age_ms(since: float, now: float) -> int | None:
+    """Return the milliseconds since a time, None for minus infinity."""
+    return None if math.isinf(since) else round((now - since) * _MS_PER_S)
--- a/chervilrock/tasks/serving/serverprobes.py
+++ b/chervilrock/tasks/serving/serverprobes.py
@@ -50,6 +50,8 @@
                 Event.SERVERS_LOST,
                 probed=probed.probes.probed,
                 answered_ms=reachability.find_silence_ms(now),
+                reached_ms=reachability.find_reached_ms(now),
+                probing_ms=reachability.find_probing_ms(now),
                 running=sum(self._state.own_loads.values()),
             )
         else:
--- a/test/decisions/serving/nodes/test_reachability.py
+++ b/test/decisions/serving/nodes/test_reachability.py
@@ -345,6 +345,25 @@
     assert_that(reachability.is_cut_off, Is(True))
 
 
+def find_ages(reachability: ServerReachability, now: float) -> str:
+    ages = (
+        reachability.find_silence_ms(now),
+        reachability.find_reached_ms(now),
+        reachability.find_probing_ms(now),
+    )
+    return " ".join(str(age) for age in ages)
+
+
+def test_the_log_shows_that_no_send_since_the_first_round_was_answered(
+    reachability: ServerReachability,
+) -> None:
+    assert_that(find_ages(reachability, NOW), Equals("None None None"))
+    reachability.record_sent("answered", NOW - 0.3)
+    reachability.record_answered("answered", NOW - 0.1)
+    cut_off(reachability)
+    assert_that(find_ages(reachability, NOW + 0.1), Equals("200 400 100"))
+
+
 def test_a_frozen_node_draws_no_conclusion(
     reachability: ServerReachability,
 ) -> None:
