Merge the verdict of a node with slow servers

Rounds of probes need a span in which slow servers answer sends, expire after two seconds, and pause after an answer contradicts them.

--- a/chervilrock/decisions/serving/nodes/reachability.py
+++ b/chervilrock/decisions/serving/nodes/reachability.py
@@ -38,6 +38,18 @@
 """Time for a server to answer a probe; a lost packet is sent again after 0.2 s.
 """
 
+MAX_REFUSED_S = PROBE_TIMEOUT_S / 2
+"""Time within which `ROUNDS_TO_CUT` rounds end whose probes were refused; such
+rounds decide at once."""
+
+MIN_SPAN_S = 1.5 * PROBE_TIMEOUT_S
+"""Least time from the begin of the first failed round to a verdict by probes
+that were not answered in time. Slow servers answer a send meanwhile."""
+
+MAX_ROUND_GAP_S = 2 * SILENCE_S
+"""Time after a failed round until which a further one counts together with it.
+Sends whose callers leave cause a round each `SILENCE_S` or so."""
+
 MAX_ROUND_S = 2 * PROBE_TIMEOUT_S
 """Time after which the outcome of a round is ignored: the process was frozen or
 slow meanwhile."""
@@ -49,6 +61,10 @@
 MAX_PROBE_PAUSE_S = 8.0
 """Longest such time."""
 
+VOIDED_PAUSE_S = PROBE_TIMEOUT_S
+"""Time after a failed round that an answered send contradicts without another
+one. A longer one would delay the detection of a cut that begins meanwhile."""
+
 RECHECK_INTERVAL_S = 0.5
 """Interval between rounds of probes of a node that is cut off."""
 
@@ -160,6 +176,7 @@
         self._is_probing = False
         self._failed_rounds = 0
         self._rounds_began = float("-inf")
+        self._rounds_ended = float("-inf")
         self._probe_at = float("-inf")
         self._probe_pause_s = PROBE_PAUSE_S
         self._restored_at = float("-inf")
@@ -219,7 +236,8 @@
     def is_in_doubt(self, now: float) -> bool:
         """Return whether a verdict on suspicious sends is still to come."""
         is_due = self._is_probing or now >= self._probe_at
-        return is_due and self.is_suspected(now)
+        is_undecided = self._failed_rounds >= ROUNDS_TO_CUT
+        return (is_due or is_undecided) and self.is_suspected(now)
 
     def is_probe_due(self, now: float) -> bool:
         """Return whether to probe servers now."""
@@ -235,6 +253,9 @@
     def record_probing(self) -> None:
         """Record that a round of probes begins."""
         self._is_probing = True
+        if self._reached_at >= self._rounds_began:
+            # Known before the round, so its failure is followed by the next.
+            self._failed_rounds = 0
 
     def record_probed(self, probes: ProbeRound, now: float) -> bool:
         """Record the outcome of a round of probes.
@@ -259,16 +280,24 @@
         if self.is_cut_off:
             self._probe_at = now + RECHECK_INTERVAL_S
             return False
+        if probes.began - self._rounds_ended > MAX_ROUND_GAP_S:
+            self._failed_rounds = 0
+        self._rounds_ended = now
         if self._failed_rounds and self._reached_at >= self._rounds_began:
             # Servers that take long to answer probes still answer sends.
             self._failed_rounds = 0
+            self._probe_at = now + VOIDED_PAUSE_S
         if not self._failed_rounds:
             self._rounds_began = probes.began
         if self._reached_at >= probes.began:
+            self._probe_at = now + VOIDED_PAUSE_S
             return False
         self._failed_rounds += 1
         if self._failed_rounds < ROUNDS_TO_CUT:
             return False
+        if MAX_REFUSED_S <= now - self._rounds_began < MIN_SPAN_S:
+            self._probe_at = max(now, probes.began + PROBE_TIMEOUT_S)
+            return False
         self._failed_rounds = 0
         self._begin_cut(now)
         return True
@@ -305,8 +334,21 @@
 
     def find_silence_ms(self, now: float) -> int | None:
         """Return the milliseconds since the last answer, None before one."""
-        silence_s = now - self._answered_at
-        return None if math.isinf(silence_s) else round(silence_s * _MS_PER_S)
+        return _find_age_ms(self._answered_at, now)
+
+    def find_reached_ms(self, now: float) -> int | None:
+        """Return the milliseconds since the last reached connection began.
+
+        Its send or its probes were answered. None before one.
+        """
+        return _find_age_ms(self._reached_at, now)
+
+    def find_probing_ms(self, now: float) -> int | None:
+        """Return the milliseconds since the first failed round began.
+
+        The first one of the last rounds in a row; None before one.
+        """
+        return _find_age_ms(self._rounds_began, now)
 
     def describe(self, now: float) -> Mapping[str, Any]:
         """Return the state for a dump."""
@@ -318,3 +360,8 @@
             "failures": self._failures,
             "unanswered": len(self._waiting),
         }
+
+
+def _find_age_ms(since: float, now: float) -> int | None:
+    """Return the milliseconds since a time, None for minus infinity."""
+    return None if math.isinf(since) else round((now - since) * _MS_PER_S)
--- a/test/decisions/serving/nodes/test_reachability.py
+++ b/test/decisions/serving/nodes/test_reachability.py
@@ -12,6 +12,7 @@
     choose_targets,
     HOLD_S,
     MAX_HOLD_S,
+    MAX_ROUND_GAP_S,
     MAX_ROUND_S,
     PROBE_COUNT,
     PROBE_TIMEOUT_S,
@@ -20,6 +21,7 @@
     ROUNDS_TO_CUT,
     ServerReachability,
     SILENCE_S,
+    VOIDED_PAUSE_S,
 )
 from chervilrock.decisions.serving.site import Service
 from chervilrock.decisions.serving.view import (
@@ -199,6 +201,51 @@
     assert_that(reachability.is_cut_off, Is(False))
 
 
+def test_one_timeout_after_refused_probes_is_no_cut(
+    reachability: ServerReachability,
+) -> None:
+    """Failure: with lost heads and slow servers, one timeout decided."""
+    fail_sends(reachability, NOW)
+    probe(reachability, NONE, NOW, seconds=0.001)
+    reachability.record_sent("answered", NOW + 0.01)
+    second = NOW + 0.001
+    assert_that(probe(reachability, NONE, second, seconds=0.301), Is(False))
+    assert_that(reachability.is_in_doubt(NOW + 0.302), Is(True))
+    reachability.record_answered("answered", NOW + 0.37)
+    third = NOW + 0.302
+    assert_that(probe(reachability, NONE, third, seconds=0.3), Is(False))
+    assert_that(reachability.is_cut_off, Is(False))
+
+
+@pytest.mark.parametrize(
+    ("first_s", "later_s", "detected_s"),
+    [
+        (0.001, 0.001, 0.002),
+        (0.3, 0.3, 0.6),
+        (0.001, 0.3, 0.601),
+        (0.3, 0.001, 0.601),
+        (0.08, 0.08, 0.46),
+    ],
+)
+def test_a_cut_is_detected_soon_however_its_probes_fail(
+    reachability: ServerReachability,
+    first_s: float,
+    later_s: float,
+    detected_s: float,
+) -> None:
+    fail_sends(reachability, NOW)
+    probe(reachability, NONE, NOW, seconds=first_s)
+    now = NOW + first_s
+    while not reachability.is_cut_off:
+        assert_that(reachability.is_in_doubt(now), Is(True))
+        if reachability.is_probe_due(now):
+            probe(reachability, NONE, now, seconds=later_s)
+            now += later_s
+        else:
+            now += 0.001
+    assert_that(now - NOW, LessThan(detected_s + 0.002))
+
+
 def test_a_round_after_the_last_answer_is_the_first_of_a_new_series(
     reachability: ServerReachability,
 ) -> None:
@@ -211,6 +258,112 @@
     assert_that(probe(reachability, NONE, NOW + ROUNDS_TO_CUT), Is(True))
 
 
+@pytest.mark.parametrize("sent_after_s", [-0.1, 0.1])
+def test_slow_servers_are_not_probed_without_a_pause(
+    reachability: ServerReachability, sent_after_s: float
+) -> None:
+    """Failure: beside failing sends, rounds and waits had no pause."""
+    now = NOW
+    fail_sends(reachability, now)
+    probe(reachability, NONE, now, seconds=PROBE_TIMEOUT_S)
+    now += PROBE_TIMEOUT_S
+    for number in range(10):
+        reachability.record_probing()
+        reachability.record_sent(number, now + sent_after_s)
+        reachability.record_answered(number, now + 0.25)
+        fail_sends(reachability, now + 0.28)
+        probes = ProbeRound(PROBE_COUNT, False, now)
+        now += PROBE_TIMEOUT_S
+        assert_that(reachability.record_probed(probes, now), Is(False))
+        assert_that(reachability.is_suspected(now), Is(True))
+        assert_that(reachability.is_in_doubt(now), Is(False))
+        now += VOIDED_PAUSE_S
+        assert_that(reachability.is_probe_due(now), Is(True))
+
+
+@pytest.mark.parametrize(
+    ("answered_s", "detected_s"),
+    [
+        (0.2, VOIDED_PAUSE_S + PROBE_TIMEOUT_S),
+        (0.4, VOIDED_PAUSE_S + 2 * PROBE_TIMEOUT_S),
+    ],
+)
+def test_a_cut_after_contradicted_rounds_is_detected_after_one_pause(
+    reachability: ServerReachability, answered_s: float, detected_s: float
+) -> None:
+    """The last answer arrives in a round, or in the pause after it."""
+    fail_sends(reachability, NOW)
+    probe(reachability, NONE, NOW, seconds=PROBE_TIMEOUT_S)
+    began = NOW + PROBE_TIMEOUT_S
+    reachability.record_probing()
+    reachability.record_sent("earlier", began - 0.1)
+    reachability.record_sent("later", began + 0.1)
+    reachability.record_answered("earlier", began + 0.2)
+    if answered_s < PROBE_TIMEOUT_S:
+        reachability.record_ended("later", began + 0.25, is_lost=True)
+    fail_sends(reachability, began + 0.25)
+    ended = began + PROBE_TIMEOUT_S
+    probes = ProbeRound(PROBE_COUNT, False, began)
+    reachability.record_probed(probes, ended)
+    if answered_s > PROBE_TIMEOUT_S:
+        reachability.record_answered("later", began + answered_s)
+        fail_sends(reachability, began + answered_s)
+    now = ended
+    while not reachability.is_cut_off:
+        if reachability.is_probe_due(now):
+            probe(reachability, NONE, now, seconds=PROBE_TIMEOUT_S)
+            now += PROBE_TIMEOUT_S
+        else:
+            now += 0.001
+    assert_that(now - ended, LessThan(detected_s + 0.01))
+
+
+def test_a_failed_round_of_long_ago_decides_nothing(
+    reachability: ServerReachability,
+) -> None:
+    """Failure: a single failed round decided, minutes after another one."""
+    fail_sends(reachability, NOW)
+    probe(reachability, NONE, NOW)
+    later = NOW + MAX_ROUND_GAP_S + 0.2
+    for number in range(ROUNDS_TO_CUT - 1):
+        assert_that(probe(reachability, NONE, later + number), Is(False))
+    assert_that(probe(reachability, NONE, later + 1.0), Is(True))
+
+
+def test_a_silence_that_callers_do_not_wait_out_is_a_cut(
+    reachability: ServerReachability,
+) -> None:
+    """Each caller leaves during the round that its send causes."""
+    now = NOW
+    for caller in range(ROUNDS_TO_CUT):
+        reachability.record_sent(caller, now)
+        now += SILENCE_S
+        assert_that(reachability.is_probe_due(now), Is(True))
+        probe(reachability, NONE, now, seconds=PROBE_TIMEOUT_S)
+        now += PROBE_TIMEOUT_S
+        reachability.record_ended(caller, now, is_lost=False)
+    assert_that(reachability.is_cut_off, Is(True))
+
+
+def find_ages(reachability: ServerReachability, now: float) -> str:
+    ages = (
+        reachability.find_silence_ms(now),
+        reachability.find_reached_ms(now),
+        reachability.find_probing_ms(now),
+    )
+    return " ".join(str(age) for age in ages)
+
+
+def test_the_log_shows_that_no_send_since_the_first_round_was_answered(
+    reachability: ServerReachability,
+) -> None:
+    assert_that(find_ages(reachability, NOW), Equals("None None None"))
+    reachability.record_sent("answered", NOW - 0.3)
+    reachability.record_answered("answered", NOW - 0.1)
+    cut_off(reachability)
+    assert_that(find_ages(reachability, NOW + 0.1), Equals("200 400 100"))
+
+
 def test_a_frozen_node_draws_no_conclusion(
     reachability: ServerReachability,
 ) -> None:
