Let lost requests wait for a retry that is expected soon

The retry budget of a node is empty just after its start. A caller whose three attempts met three crashes was not served at all.

Such a request now waits if its turn is expected within two seconds and within half of the time that it has left; otherwise it fails at once as before. The expectation counts the requests that wait already and the tokens that the share of the slack and recent requests bring. Streams that have begun wait in the same order, until their limit as before. Requests that a server failed or rejected do not wait.

Nothing is added to the buckets, so the bound over all nodes holds by the same arithmetic: what a chain of processes uses in a window is at most the maximum balance and what is refilled within the window.

--- a/chervilrock/edges/serving/exchange.py
+++ b/chervilrock/edges/serving/exchange.py
@@ -335,7 +335,9 @@
             max_attempts=route.max_attempts,
             has_begun=self._connection.has_begun,
         )
-        may_retry = next_step is NextStep.RETRY and await self._reserve_retry()
+        may_retry = next_step is NextStep.RETRY and await self._reserve_retry(
+            end
+        )
         if self._has_ended(status):
             return False
         if read_clock() >= self._current.expires:
@@ -357,28 +359,52 @@
         self._give_up(end)
         return False
 
-    async def _reserve_retry(self) -> bool:
-        """Reserve a retry; an interrupted stream waits until it is allowed.
+    async def _reserve_retry(self, end: SendOutcome) -> bool:
+        """Reserve a retry; wait for it if the caller has no other answer.
+
+        Args:
+          end: outcome of the last send.
 
         Returns:
           Whether the request may be sent again.
         """
-        # If no byte was sent, the next send is the first one.
-        while (
-            self._current.progress.sends
-            and not self._retry_reservation.reserve()
-        ):
-            if not self._may_wait():
-                return False
-            await asyncio.sleep(POLL_INTERVAL_S)
+        reservation = self._retry_reservation
+        wait_end = self._find_wait_end(end, read_clock())
+        try:
+            # If no byte was sent, the next send is the first one.
+            while self._current.progress.sends and not reservation.reserve():
+                if not self._is_awaited() or read_clock() >= wait_end:
+                    return False
+                reservation.wait()
+                await asyncio.sleep(POLL_INTERVAL_S)
+        finally:
+            reservation.stop_waiting()
         return True
 
+    def _find_wait_end(self, end: SendOutcome, now: float) -> float:
+        """Return until when the request waits for a retry.
+
+        A caller of a stream that has begun has only this answer. One that has
+        nothing yet may turn to another node, so it waits only for a retry that
+        is expected soon.
+        """
+        expires = self._current.expires
+        if self._connection.has_begun:
+            return expires
+        if end not in _UNANSWERED:
+            return now
+        latest = min(expires, self._search.find_latest_send(now))
+        return self._retry_reservation.find_wait_end(latest, now)
+
     def _may_wait(self) -> bool:
         """Return whether a stream has begun that a caller still waits for."""
-        connection = self._connection
+        return self._connection.has_begun and self._is_awaited()
+
+    def _is_awaited(self) -> bool:
+        """Return whether a caller still waits for the answer."""
         return (
-            connection.has_begun
-            and not connection.is_done
+            not self._connection.is_done
+            and not self._connection.was_ended
             and not self._current.is_shut_down
             and read_clock() < self._current.expires
         )
--- a/chervilrock/edges/serving/retryreservation.py
+++ b/chervilrock/edges/serving/retryreservation.py
@@ -40,9 +40,21 @@
         """Reserve a retry; return False if the budget is used up."""
         if not self._is_reserved:
             budget = self._state.budget(self._service)
-            self._is_reserved = budget.reserve()
+            self._is_reserved = budget.reserve(self)
         return self._is_reserved
 
+    def find_wait_end(self, latest: float, now: float) -> float:
+        """Return until when the request may wait, as `RetryBudget` does."""
+        return self._state.budget(self._service).find_wait_end(latest, now)
+
+    def wait(self) -> None:
+        """Let the request wait for its turn to reserve a retry."""
+        self._state.budget(self._service).wait(self)
+
+    def stop_waiting(self) -> None:
+        """Give up the turn of the request."""
+        self._state.budget(self._service).stop_waiting(self)
+
     def begin_send(self, *, is_retry: bool) -> None:
         """Spend the reserved retry, or release it if the send is none.
 
--- a/test/decisions/serving/admission/test_retrybudget.py
+++ b/test/decisions/serving/admission/test_retrybudget.py
@@ -6,12 +6,17 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, GreaterThan, Is, LessThan
 
-from chervilrock.decisions.serving.admission.retrybudget import RetryBudget
+from chervilrock.decisions.serving.admission.retrybudget import (
+    MAX_WAIT_S,
+    RetryBudget,
+)
 from test.decisions.serving.retry_fleet import (
     Fleet,
+    LIMIT_S,
     RATIO,
     Size,
     SIZES,
+    STEP_S,
     WINDOW_S,
 )
 
@@ -100,6 +105,27 @@
         assert_within_bound(fleet)
 
 
+@pytest.mark.parametrize(
+    "restarts_s",
+    [(), (4.0,), (1.0, 4.0, 7.0, 10.0, 13.0)],
+    ids=["none", "at once", "in series"],
+)
+def test_retries_that_wait_for_a_refill_stay_within_the_bound(
+    restarts_s,
+) -> None:
+    for size in SIZES:
+        fleet = Fleet(size=size)
+        fleet.waits = True
+        fleet.simulate(
+            until_s=HEALTHY_S + 20.0,
+            fails_from_s=HEALTHY_S,
+            restarts={
+                HEALTHY_S + time: range(size.nodes) for time in restarts_s
+            },
+        )
+        assert_within_bound(fleet)
+
+
 def test_most_of_the_allowed_retries_are_used() -> None:
     for size in SIZES:
         excess = simulate_restarts(size, {}).find_excess()
@@ -135,3 +161,53 @@
     budget.refill(7, 0.0)
     budget.refill(7, 5.0)
     assert_that(budget.reserve(), Is(False))
+
+
+def test_a_request_that_is_cut_just_after_a_start_gets_a_retry(budget) -> None:
+    # Its caller got 502, and again for each attempt until the first refill.
+    budget.refill(7, 0.0)
+    budget.record_request(0.0)
+    end = budget.find_wait_end(LIMIT_S, 0.0)
+    assert_that(end, Equals(MAX_WAIT_S))
+    budget.wait("request")
+    now = 0.0
+    while now < end and not budget.reserve("request"):
+        now += STEP_S
+        budget.record_request(now)
+        budget.refill(7, now)
+    assert_that(now, LessThan(end))
+
+
+def test_only_as_many_wait_as_get_retries_soon(budget) -> None:
+    budget.refill(1, 0.0)
+    refill_per_s = 0.25 * 105.0 / WINDOW_S
+    waiting = 0
+    while budget.find_wait_end(LIMIT_S, 0.0) > 0.0:
+        budget.wait(waiting)
+        waiting += 1
+    assert_that(waiting, Equals(int(refill_per_s * MAX_WAIT_S)))
+    budget.stop_waiting(0)
+    assert_that(budget.find_wait_end(LIMIT_S, 0.0), GreaterThan(0.0))
+
+
+def test_no_request_waits_without_a_refill(budget) -> None:
+    assert_that(budget.find_wait_end(LIMIT_S, 0.0), Equals(0.0))
+
+
+def test_half_of_the_time_left_remains_for_the_server(budget) -> None:
+    budget.refill(1, 0.0)
+    assert_that(budget.find_wait_end(1.0, 0.0), Equals(0.5))
+    assert_that(budget.find_wait_end(0.5, 0.0), Equals(0.0))
+    assert_that(budget.find_wait_end(-1.0, 0.0), Equals(0.0))
+
+
+def test_requests_that_wait_get_retries_in_their_order(budget) -> None:
+    budget.wait("first")
+    budget.wait("second")
+    budget.wait("first")
+    budget.refill(1, 0.0)
+    budget.refill(1, 5.0)
+    reserved = [budget.reserve(name) for name in (None, "second", "first")]
+    assert_that(reserved, Equals([False, False, True]))
+    assert_that(budget.reserve("second"), Is(True))
+    assert_that(budget.reserve(), Is(True))
--- a/test/decisions/serving/retry_fleet.py
+++ b/test/decisions/serving/retry_fleet.py
@@ -2,6 +2,7 @@
 
 import bisect
 from collections.abc import Iterable, Mapping
+import itertools
 import math
 import random
 from typing import NamedTuple
@@ -11,6 +12,8 @@
 RATIO = 0.2
 WINDOW_S = 10.0
 STEP_S = 0.05
+LIMIT_S = 4.0
+"""Time within which callers want an answer."""
 
 
 class Size(NamedTuple):
@@ -51,6 +54,7 @@
       no_contact_from_s: time from which nodes do not know how many others there
         are, except for those that were added, which know all.
       slots_from_s: time from which there are slots for retries.
+      waits: whether requests wait for retries that are expected soon.
     """
 
     def __init__(self, *, size: Size, seed: int = 1) -> None:
@@ -61,7 +65,10 @@
         self.arrivals: list[float] = []
         self.no_contact_from_s = math.inf
         self.slots_from_s = 0.0
+        self.waits = False
+        self._wait_ends: dict[RetryBudget, dict[int, float]] = {}
         self._waiting: list[RetryBudget] = []
+        self._number = itertools.count()
         self._budgets = [self._make_budget() for _ in range(size.nodes)]
 
     def _make_budget(self) -> RetryBudget:
@@ -117,6 +124,8 @@
 
     def _retry(self, now: float) -> None:
         for budget in self._budgets:
+            if self.waits:
+                self._let_wait(budget, now)
             while budget.reserve():
                 self._waiting.append(budget)
         if now >= self.slots_from_s:
@@ -125,6 +134,24 @@
                 self.arrivals.append(now)
             self._waiting.clear()
 
+    def _let_wait(self, budget: RetryBudget, now: float) -> None:
+        """Let as many requests wait as may; retry those whose turn it is."""
+        ends = self._wait_ends.setdefault(budget, {})
+        for request, end in list(ends.items()):
+            if budget.reserve(request):
+                self._waiting.append(budget)
+            elif now < end:
+                continue
+            budget.stop_waiting(request)
+            del ends[request]
+        while (end := budget.find_wait_end(now + LIMIT_S, now)) > now:
+            if budget.reserve():
+                self._waiting.append(budget)
+                continue
+            request = next(self._number)
+            budget.wait(request)
+            ends[request] = end
+
     def find_excess(self) -> Excess:
         """Return the window that exceeds the bound most, or comes closest."""
         found = Excess(0.0, 0, float("inf"))
--- a/test/node/test_crashing_requests.py
+++ b/test/node/test_crashing_requests.py
@@ -19,6 +19,8 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
 
+from chervilrock.standin.site.servers import ServerFault
+from chervilrock.standin.site.site import MODEL_SERVICE
 from test.node.serving_site import make_events, run_world, World
 
 CRASHING = b"crashing"
@@ -101,3 +103,27 @@
         assert_that(len(crashes), Equals(ALLOWED_CRASHES))
 
     run_world(scenario, nodes=NODES, **SERVERS)
+
+
+def test_a_request_whose_server_ends_waits_for_a_retry() -> None:
+    # An empty retry budget let its caller get 502 though it had time left.
+    async def scenario(world: World) -> None:
+        for server in world.site.servers:
+            server.fault = ServerFault.SILENT
+        headers = world.make_headers()
+        request_id = headers["X-Request-Id"]
+        call = asyncio.create_task(world.call("/draft/x", headers=headers))
+        await world.wait(lambda: bool(world.find_runs(request_id)), "it runs")
+        ((lost, _),) = world.find_runs(request_id)
+        for server in world.site.servers:
+            if server is not lost:
+                server.fault = ServerFault.NONE
+        budget = world.nodes[0].state.budget(MODEL_SERVICE)
+        while budget.reserve():
+            budget.spend()
+        lost.crash(b"")
+        answer = await call
+        assert_that(answer.body, Equals(make_events(request_id, 8)))
+        assert_that(answer.status, Equals(200))
+
+    run_world(scenario, **SERVERS)
