Try a withheld common part again with single requests

Nodes that have just started can't tell a part that all prompts share from one that crashes servers: with three bad parts and no sound request beside them, the common part has more crashes than each of them. It was withheld for an hour, as nothing tried it again.

The leader now lets one node after the other send a single request that has none of the features which explain some of the crashes as well. A request that runs normally clears the part everywhere, and the leader remembers that it has passed. The trials end with the third crash, also under a new leader; so a cause reaches servers at most three times more, and once more for each 2 s that a server takes to crash.

--- a/chervilrock/decisions/serving/admission/suspects.py
+++ b/chervilrock/decisions/serving/admission/suspects.py
@@ -8,7 +8,7 @@
 no or little of its answer by then, and no request with it runs normally.
 """
 
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Iterator, Sequence
 import heapq
 import itertools
 from typing import NamedTuple
@@ -48,6 +48,21 @@
 MAX_TRIALS = 2
 """Trials of a feature; as each may crash servers, there are no more of them."""
 
+MAX_SINGLE_TRIALS = 3
+"""Servers that may crash under single requests that try whether a withheld
+part, which nothing tells from a common one, is the cause."""
+
+FIRST_SINGLE_TRIAL_S = 0.5
+"""Time after which the first of them is sent; TRIAL_FACTOR times longer for
+each one that crashed a server."""
+
+SINGLE_TRIAL_S = 2.0
+"""Time in which one node may send such a request before the next node may."""
+
+MAX_AVOIDED = 16
+"""Features that a request on trial may not have; those of the latest crashes
+come first."""
+
 MIN_ANNOUNCED_CRASHES = 2
 """Crashes from which on all nodes have a request in their list, so that the
 node that observes the third crash withholds it, and a normal completion
@@ -125,6 +140,22 @@
     position: int = 0
 
 
+class Trial(NamedTuple):
+    """A permission to send one request with a withheld feature.
+
+    Attributes:
+      number: number of the permission.
+      node: node that has it, empty while there is none.
+      avoids: features that the request may not have.
+      failures: servers that crashed under such requests before.
+    """
+
+    number: int
+    node: str
+    avoids: tuple[str, ...]
+    failures: int
+
+
 class Suspect(NamedTuple):
     """A feature of requests under which servers crashed.
 
@@ -135,6 +166,7 @@
       requires: features that a request must have as well to be withheld, as
         nothing tells yet which of them is the cause.
       has_passed: whether requests with it ran normally before the crashes.
+      trial: which request with it may be sent all the same, None for none.
     """
 
     content: str
@@ -142,6 +174,7 @@
     is_withheld: bool
     requires: tuple[str, ...] = ()
     has_passed: bool = False
+    trial: Trial | None = None
 
     @property
     def servers(self) -> str:
@@ -185,6 +218,10 @@
         self.trials = 0
         self.trial_crashes = 0
         self.requires: tuple[str, ...] = ()
+        self.trial: Trial | None = None
+        self.trial_ends_at = now
+        self.failed_trials = 0
+        self.is_tried_singly = False
         self._score: tuple[float, float] | None = None
 
     @property
@@ -225,14 +262,38 @@
         if now < self.withheld_at + wait_s:
             return False
         self.trials += 1
-        while len(self.crashes) > MAX_DOUBTFUL_CRASHES:
-            del self.crashes[next(iter(self.crashes))]
-        self._score = None
+        self._trim(MAX_DOUBTFUL_CRASHES)
         self.trial_crashes = len(self.crashes)
         return True
 
+    def may_try_singly(self, now: float) -> bool:
+        """Return whether a node may try a single request with the feature."""
+        if self.failed_trials >= MAX_SINGLE_TRIALS or self.has_passed:
+            return False
+        if not self.is_unsure and not self.is_tried_singly:
+            return False
+        since = self.last_crash_at if self.failed_trials else self.withheld_at
+        wait_s = FIRST_SINGLE_TRIAL_S * TRIAL_FACTOR**self.failed_trials
+        return now >= since + wait_s
+
+    def begin_trial(self, trial: Trial, now: float) -> None:
+        """Permit a single request; the next crash ends the permission."""
+        self.trial = trial
+        self.trial_ends_at = now + SINGLE_TRIAL_S
+        self.is_tried_singly = True
+        self._trim(MAX_RECORDED_CRASHES - MAX_SINGLE_TRIALS)
+
+    def _trim(self, count: int) -> None:
+        """Remove the oldest crashes, so that further ones are recorded."""
+        while len(self.crashes) > count:
+            del self.crashes[next(iter(self.crashes))]
+        self._score = None
+
     def add(self, crash: ServerCrash, now: float) -> None:
         """Add a crash of another server."""
+        if self.trial is not None:
+            self.failed_trials += 1
+            self.trial = None
         self.crashes[crash.server] = crash
         self.last_crash_at = now
         self.has_run |= crash.has_passed
@@ -245,6 +306,9 @@
         self.crashes[crash.server] = known._replace(
             # An announced crash does not state them.
             companions=known.companions or crash.companions,
+            is_unsure=(
+                known.is_unsure if known.companions else crash.is_unsure
+            ),
             survived_s=max(known.survived_s, crash.survived_s),
         )
 
@@ -283,6 +347,7 @@
         self._crashed_at: dict[str, float] = {}
         self._fastest_s: dict[str, float] = {}
         self._settled_at = float("-inf")
+        self._trial_number = 0
 
     def __len__(self) -> int:
         return len(self._records)
@@ -342,6 +407,11 @@
             record.requires = suspect.requires
             record.has_run |= suspect.has_passed
             record.was_withheld |= suspect.is_withheld
+            if suspect.trial is not None:
+                record.is_tried_singly = True
+                record.failed_trials = max(
+                    record.failed_trials, suspect.trial.failures
+                )
 
     def record_pass(
         self, feature: str, sent_at: float, survived_s: float
@@ -396,7 +466,9 @@
             return True
         return not record.has_passed and now < record.last_crash_at + wait_s
 
-    def evaluate(self, now: float) -> tuple[Suspect, ...]:
+    def evaluate(
+        self, now: float, nodes: Sequence[str] = ()
+    ) -> tuple[Suspect, ...]:
         """Return the features with several crashes, and which are withheld.
 
         The one with most crashes that are not explained yet is withheld first;
@@ -408,6 +480,10 @@
         to the same content began later than its own. Everything is evaluated
         anew each time, so that a bystander is released as soon as the cause is
         known.
+
+        Args:
+          now: current time.
+          nodes: nodes that may try single requests with a withheld part.
         """
         self._expire(now)
         suspects = {
@@ -450,12 +526,57 @@
         for record in suspects.values():
             record.is_withheld = record in withheld
             record.was_withheld |= record.is_withheld
+        for content, record in suspects.items():
+            if record.is_withheld and is_shared(content) and nodes:
+                self._update_trial(record, nodes, now)
+            else:
+                record.trial = None
         return self._list(suspects)
 
     def begin_term(self, now: float) -> None:
         """Wait for the reports of all nodes before common features count."""
         self._settled_at = now + PASS_WAIT_S
 
+    def _update_trial(
+        self, record: _Record, nodes: Sequence[str], now: float
+    ) -> None:
+        """Let one node after the other try a request with a withheld part.
+
+        Other features of the requests that crashed servers may explain all of
+        its crashes as well. Without a request that has none of them, nothing
+        would ever tell the part from its bystanders.
+        """
+        avoids = self._find_avoided(record)
+        if not avoids or not record.may_try_singly(now):
+            record.trial = None
+        elif record.trial is not None and now < record.trial_ends_at:
+            record.trial = record.trial._replace(avoids=avoids)
+        else:
+            self._trial_number += 1
+            node = nodes[self._trial_number % len(nodes)]
+            record.begin_trial(
+                Trial(self._trial_number, node, avoids, record.failed_trials),
+                now,
+            )
+
+    def _find_avoided(self, record: _Record) -> tuple[str, ...]:
+        """Return features that may be the causes instead of a shared one.
+
+        These are the parts that were on some of its servers, and the contents
+        that would be withheld by themselves.
+        """
+        avoided: dict[str, None] = {}
+        for crash in reversed(record.crashes.values()):
+            for feature in crash.companions:
+                other = self._records.get(feature)
+                if other is None or other.has_passed:
+                    continue
+                if other.crashes.keys() >= record.crashes.keys():
+                    continue
+                if is_shared(feature) or len(other.crashes) >= MAX_CRASHES:
+                    avoided[feature] = None
+        return tuple(itertools.islice(avoided, MAX_AVOIDED))
+
     def _is_survivor(self, crash: ServerCrash) -> bool:
         """Return whether a crash is probably due to another request."""
         fastest_s = self._fastest_s.get(crash.server, float("inf"))
@@ -597,6 +718,7 @@
                 is_withheld=record.is_withheld,
                 requires=record.requires,
                 has_passed=record.has_passed,
+                trial=_describe_trial(record),
             )
             for content, record in reversed(suspects.items())
         ]
@@ -629,6 +751,13 @@
         del self._records[min(sizes, key=sizes.__getitem__)]
 
 
+def _describe_trial(record: _Record) -> Trial | None:
+    """Return the trial to announce, for the next leader also a former one."""
+    if record.trial is None and record.is_tried_singly:
+        return Trial(0, "", (), record.failed_trials)
+    return record.trial
+
+
 def _find_latest_due(record: _Record) -> float:
     """Return when to stop waiting for the report of a rival."""
     return record.settles_at + RIVAL_SETTLE_S
@@ -702,6 +831,7 @@
         self.version = (-1, 0)
         self.announced: tuple[Suspect, ...] = ()
         self._withheld: dict[str, Suspect] = {}
+        self._tried: dict[str, tuple[int, int]] = {}
 
     def __bool__(self) -> bool:
         return bool(self._withheld)
@@ -725,6 +855,11 @@
             for suspect in reversed(both)
             if suspect.is_withheld
         }
+        self._tried = {
+            content: number
+            for content, number in self._tried.items()
+            if content in self._withheld
+        }
         newly_withheld = tuple(
             suspect
             for content, suspect in self._withheld.items()
@@ -743,12 +878,53 @@
           content: identifier of its content.
           parts: identifiers of its other features.
         """
+        return next(self._iterate_withheld({content, *parts}), None)
+
+    def begin_trial(
+        self, node: str, content: str, parts: Iterable[str]
+    ) -> Suspect | None:
+        """Let a withheld request try whether a feature crashes servers.
+
+        Args:
+          node: this node.
+          content: identifier of its content.
+          parts: identifiers of its other features.
+
+        Returns:
+          The feature, None if the request is not permitted.
+        """
         features = {content, *parts}
+        withheld = tuple(self._iterate_withheld(features))
+        if len(withheld) != 1:
+            return None
+        suspect = withheld[0]
+        trial = suspect.trial
+        if trial is None or trial.node != node:
+            return None
+        number = (self.version[0], trial.number)
+        if self._tried.get(suspect.content) == number:
+            return None
+        others = features.difference((suspect.content, *suspect.requires))
+        if not others.isdisjoint(trial.avoids) or any(
+            other.content in others for other in self.announced
+        ):
+            return None
+        self._tried[suspect.content] = number
+        return suspect
+
+    def is_on_trial(self, tried: Suspect) -> bool:
+        """Return whether the trial of a feature that has begun still holds."""
+        suspect = self._withheld.get(tried.content)
+        if suspect is None or suspect.trial is None or tried.trial is None:
+            return False
+        return suspect.trial.number == tried.trial.number
+
+    def _iterate_withheld(self, features: set[str]) -> Iterator[Suspect]:
+        """Iterate over the reasons for which a request is withheld."""
         for feature in features & self._withheld.keys():
             suspect = self._withheld[feature]
             if features.issuperset(suspect.requires):
-                return suspect
-        return None
+                yield suspect
 
     def is_announced_withheld(self, content: str) -> bool:
         """Return whether the leader withholds a request."""
--- a/chervilrock/edges/serving/suspectcheck.py
+++ b/chervilrock/edges/serving/suspectcheck.py
@@ -46,6 +46,7 @@
         self._request = request
         self._workspace = ""
         self._is_broken = False
+        self._tried: Suspect | None = None
         self._survives_at = MIN_SURVIVAL_S
 
     def admit(self, workspace: Workspace | None) -> None:
@@ -57,7 +58,24 @@
         suspects = self._state.suspects
         if not suspects:
             return None
-        return suspects.find_withheld(self._content, self._parts)
+        suspect = suspects.find_withheld(self._content, self._parts)
+        if suspect is None or self._may_try(suspect):
+            return None
+        return suspect
+
+    def _may_try(self, suspect: Suspect) -> bool:
+        """Return whether a withheld request is sent once, as a trial."""
+        suspects = self._state.suspects
+        if self._tried is None:
+            self._tried = suspects.begin_trial(
+                self._state.own.node, self._content, self._parts
+            )
+        return (
+            self._tried is not None
+            and self._tried.content == suspect.content
+            and suspects.is_on_trial(self._tried)
+            and not self._is_broken
+        )
 
     async def wait_for_verdict(self, until: float) -> None:
         """Wait before a send for the verdict whether to withhold the request.
--- a/chervilrock/tasks/serving/poisondetector.py
+++ b/chervilrock/tasks/serving/poisondetector.py
@@ -285,6 +285,8 @@
         self, content: str, crash: ServerCrash, now: float
     ) -> None:
         settle_s = SETTLE_S if self._is_leading else FOLLOWER_SETTLE_S
+        if is_shared(content) and self._passed.has_passed(content, now):
+            crash = crash._replace(has_passed=True)
         if self._tracker.record_crash(content, crash, now, settle_s=settle_s):
             self._evaluate_at = float("-inf")
 
@@ -294,6 +296,7 @@
         """Record the crashes and completions that another node reports."""
         for content, crash in report.crashes:
             self._record_crash(content, crash, now)
+        self._passed.record(report.cleared, now)
         for content in report.cleared:
             self._clear(content)
         if not self._is_leading:
@@ -418,7 +421,9 @@
             return False
         if is_new_term:
             self._tracker.begin_term(now)
-        suspects = self._tracker.evaluate(now)
+        # Only the leader can give each trial to one node.
+        nodes = () if term is None else [one.node for one in self._state.nodes]
+        suspects = self._tracker.evaluate(now, nodes)
         self._evaluate_at = self._find_next_evaluation(now)
         if term is None:
             # The leader knows of more crashes, and of more requests that ran
--- a/test/decisions/serving/admission/test_suspect_parts.py
+++ b/test/decisions/serving/admission/test_suspect_parts.py
@@ -8,16 +8,21 @@
 from testtools.matchers import Equals, GreaterThan, HasLength, Is, Not
 
 from chervilrock.decisions.serving.admission.suspects import (
+    FIRST_SINGLE_TRIAL_S,
     FIRST_TRIAL_S,
     MAX_CANDIDATES,
     MAX_CONTENTS,
     MAX_DOUBTFUL_CRASHES,
     MAX_RIVALS,
+    MAX_SINGLE_TRIALS,
     PASS_WAIT_S,
     ServerCrash,
     SETTLE_S,
+    SINGLE_TRIAL_S,
+    Suspect,
     SuspectTable,
     SuspectTracker,
+    Trial,
     TRIAL_FACTOR,
     UNSURE_WAIT_S,
 )
@@ -47,6 +52,7 @@
     since_first_byte_s: float = 0.001,
     since_sent_s: float = 0.2,
     passed: Sequence[str] = (),
+    is_unsure: bool = False,
 ) -> None:
     """Let servers, named by letters, crash under requests with some parts."""
     for server in servers:
@@ -59,6 +65,7 @@
                 since_sent_s=since_sent_s,
                 companions=tuple(one for one in features if one != feature),
                 has_passed=feature in passed,
+                is_unsure=is_unsure,
                 position=features.index(feature),
             )
             tracker.record_crash(feature, crash, now)
@@ -340,3 +347,104 @@
     assert_that(early, Equals(["a/part:one"]))
     late = list_withheld(tracker, doubtful_at + UNSURE_WAIT_S + SETTLE_S)
     assert_that(sorted(late), Equals([CAUSE, "a/part:one"]))
+
+
+NODES = ("n1", "n2")
+CHILDREN = ("a/part:one", "a/part:two", "a/part:three")
+WITHHELD_AT = NOW + UNSURE_WAIT_S + SETTLE_S
+TRIED_AT = WITHHELD_AT + FIRST_SINGLE_TRIAL_S
+
+
+@pytest.fixture
+def common_tracker(tracker: SuspectTracker) -> SuspectTracker:
+    """Return a tracker that withholds the first part of all prompts."""
+    for servers, child in zip(("AB", "CD", "E"), CHILDREN, strict=True):
+        crash_request(tracker, servers, [COMMON, child], is_unsure=True)
+    assert_that(list_withheld(tracker, WITHHELD_AT), Equals([COMMON]))
+    return tracker
+
+
+def find_common(tracker: SuspectTracker, now: float) -> Suspect:
+    return next(
+        suspect
+        for suspect in tracker.evaluate(now, NODES)
+        if suspect.content == COMMON
+    )
+
+
+def find_trial(tracker: SuspectTracker, now: float) -> Trial | None:
+    return find_common(tracker, now).trial
+
+
+# Failure: nothing tried the first part of all prompts again within the hour.
+def test_a_part_that_others_explain_as_well_is_tried_by_one_node_at_a_time(
+    common_tracker: SuspectTracker,
+) -> None:
+    assert_that(find_trial(common_tracker, TRIED_AT - 0.1) is None, Is(True))
+    nodes = []
+    for number in range(3):
+        common = find_common(common_tracker, TRIED_AT + number * SINGLE_TRIAL_S)
+        assert_that(common.is_withheld, Is(True))
+        assert_that(common.trial is not None, Is(True))
+        if common.trial is not None:
+            nodes.append(common.trial.node)
+            assert_that(set(common.trial.avoids), Equals(set(CHILDREN)))
+    assert_that(nodes, Equals(["n2", "n1", "n2"]))
+
+
+def test_trials_of_a_part_crash_a_few_servers_only(
+    common_tracker: SuspectTracker,
+) -> None:
+    crashes = 0
+    for now in range(int(TRIED_AT) + 1, int(TRIED_AT) + 600):
+        trial = find_trial(common_tracker, float(now))
+        if trial is not None and trial.node:
+            crashes += 1
+            parts = [COMMON, f"a/part:new{crashes}"]
+            crash_request(
+                common_tracker, f"{crashes}", parts, now=float(now) + 0.5
+            )
+    assert_that(crashes, Equals(MAX_SINGLE_TRIALS))
+
+
+def test_a_new_leader_knows_of_failed_trials(
+    common_tracker: SuspectTracker,
+) -> None:
+    find_trial(common_tracker, TRIED_AT)
+    crash_request(common_tracker, "X", [COMMON], now=TRIED_AT + 0.5)
+    successor = SuspectTracker()
+    now = TRIED_AT + 1.0
+    successor.record_suspect(find_common(common_tracker, now), now)
+    trial = find_trial(successor, now)
+    assert_that(trial is not None and trial.failures == 1, Is(True))
+
+
+def test_a_part_that_no_other_explains_is_not_tried(
+    tracker: SuspectTracker,
+) -> None:
+    crash_request(tracker, "ABC", [CAUSE], is_unsure=True)
+    for late in range(100):
+        suspects = tracker.evaluate(TRIED_AT + late, NODES)
+        assert_that([one.trial is None for one in suspects], Equals([True]))
+
+
+def test_one_request_without_other_suspected_features_is_tried(
+    common_tracker: SuspectTracker,
+) -> None:
+    table = SuspectTable()
+    table.announced = common_tracker.evaluate(TRIED_AT, NODES)
+    table.update(table.announced, ())
+    common = table.find_withheld("a/x", (COMMON,))
+    assert_that(common is not None, Is(True))
+    for node, parts, is_tried in (
+        ("n1", (COMMON,), False),
+        ("n2", (COMMON, CHILDREN[2]), False),
+        ("n2", (COMMON, "a/part:sound"), True),
+        ("n2", (COMMON,), False),
+    ):
+        tried = table.begin_trial(node, "a/x", parts)
+        assert_that(tried is not None, Is(is_tried))
+    assert_that(common is not None and table.is_on_trial(common), Is(True))
+    table.announced = common_tracker.evaluate(TRIED_AT + SINGLE_TRIAL_S, NODES)
+    table.update(table.announced, ())
+    assert_that(common is not None and table.is_on_trial(common), Is(False))
--- a/test/node/crashing_parts.py
+++ b/test/node/crashing_parts.py
@@ -93,12 +93,14 @@
       before: sound requests before the first one with such a part, as served
         and sent.
       after: those from twice STABLE_S after the fifth crash.
+      delayed: those from twice STABLE_S after the first sound request.
     """
 
     sends: dict[str, int]
     late_sends: dict[str, int]
     before: tuple[int, int]
     after: tuple[int, int]
+    delayed: tuple[int, int]
 
 
 class PartTraffic:
@@ -249,6 +251,10 @@
             },
             before=self._count_served(0.0, self._began),
             after=self._count_served(last + 2 * STABLE_S, float("inf")),
+            delayed=self._count_served(
+                min(one.sent_at for one in self._sound) + 2 * STABLE_S,
+                float("inf"),
+            ),
         )
 
     def _count_served(self, begin: float, end: float) -> tuple[int, int]:
--- a/test/node/test_crashing_parts.py
+++ b/test/node/test_crashing_parts.py
@@ -73,4 +73,5 @@
     # Nothing ran before, so that what runs later is compared with all of it.
     outcome = play(scenario)._replace(before=(1, 1))
     assert_that(list_violations(outcome), HasLength(0), str(outcome))
-    assert_that(outcome.after[1], GreaterThan(0))
+    served, sent = outcome.delayed
+    assert_that(served, GreaterThan(MIN_SERVED_SHARE * sent), str(outcome))
--- a/test/tasks/part_traffic.py
+++ b/test/tasks/part_traffic.py
@@ -139,7 +139,10 @@
             if address not in self._site.running_nodes:
                 return
             suspects = member.state.suspects
-            is_withheld = suspects.find_withheld(content, parts) is not None
+            is_withheld = (
+                suspects.find_withheld(content, parts) is not None
+                and suspects.begin_trial(address, content, parts) is None
+            )
             if is_withheld:
                 break
             if await self._send(member, content, parts, cause):
--- a/test/tasks/test_crashing_parts_at_size.py
+++ b/test/tasks/test_crashing_parts_at_size.py
@@ -142,6 +142,58 @@
     assert_that(traffic.count_withheld_sound(), Equals(0))
 
 
+# Failure: the first part of all prompts was withheld from nodes that had just
+# started, and no request with it was tried within the hour.
+@pytest.mark.parametrize("nodes", NODE_COUNTS)
+def test_a_common_part_that_no_request_has_passed_is_tried_again(
+    monkeypatch, nodes
+):
+    bad = ("bad1", "bad2", "bad3")
+
+    async def play() -> tuple[PartTraffic, float]:
+        site, traffic = await start(monkeypatch, nodes, warm_up_s=0.0)
+        attacks = [
+            asyncio.ensure_future(
+                traffic.send_crashing(
+                    3 * SECONDS, RATE / 3, [COMMON, part], part
+                )
+            )
+            for part in bad
+        ]
+        await asyncio.sleep(SECONDS)
+        since = site.loop.time() + 2 * STABLE_S
+        await traffic.send_sound(2 * SECONDS, SOUND_RATE, SOUND)
+        await asyncio.gather(*attacks)
+        await site.stop()
+        return traffic, since
+
+    traffic, since = run_virtually(play())
+    for part in bad:
+        assert_that(traffic.count_late(part), LessThan(ALLOWED_SENDS + 1))
+    assert_that(traffic.count_withheld_sound(since), Equals(0))
+
+
+@pytest.mark.parametrize("nodes", NODE_COUNTS)
+def test_trials_of_a_cause_with_many_companions_are_bounded(monkeypatch, nodes):
+    companions = [f"50f{number}" for number in range(60)]
+
+    async def play() -> PartTraffic:
+        site, traffic = await start(monkeypatch, nodes, warm_up_s=0.0)
+        await asyncio.gather(
+            *(
+                traffic.send_crashing(
+                    5 * SECONDS, RATE / len(companions), [BAD, companion], BAD
+                )
+                for companion in companions
+            )
+        )
+        await site.stop()
+        return traffic
+
+    traffic = run_virtually(play())
+    assert_that(traffic.count_late(BAD), LessThan(ALLOWED_SENDS + 1))
+
+
 # Failure: one content that all callers send was withheld after three servers
 # had crashed within seconds for other reasons.
 @pytest.mark.parametrize("nodes", NODE_COUNTS)
