--- a/test/node/crashing_parts.py
+++ b/test/node/crashing_parts.py
@@ -55,6 +55,8 @@
       is_same_content: whether all of these requests have the same content.
       other_crashes_per_s: heads of groups that crash for other reasons.
       kills_leader: whether the node that leads is lost after the second crash.
+      sound_delay_s: time after the first of these requests until sound ones
+        begin, which then have not run before; 0 if they run before it.
     """
 
     form: CrashForm
@@ -67,6 +69,7 @@
     is_same_content: bool = False
     other_crashes_per_s: float = 0.0
     kills_leader: bool = False
+    sound_delay_s: float = 0.0
 
 
 class SoundRequest(NamedTuple):
@@ -90,12 +93,14 @@
       before: sound requests before the first one with such a part, as served
         and sent.
       after: those from twice STABLE_S after the fifth crash.
+      delayed: those from twice STABLE_S after the first sound request.
     """
 
     sends: dict[str, int]
     late_sends: dict[str, int]
     before: tuple[int, int]
     after: tuple[int, int]
+    delayed: tuple[int, int]
 
 
 class PartTraffic:
@@ -121,7 +126,8 @@
             asyncio.create_task(self._keep_sending())
             for _ in range(scenario.sound_callers)
         ]
-        await asyncio.sleep(WARM_UP_S)
+        if not scenario.sound_delay_s:
+            await asyncio.sleep(WARM_UP_S)
         self._began = loop.time()
         await asyncio.gather(self._attack(), self._crash_others(), self._kill())
         self._is_over = True
@@ -130,6 +136,7 @@
 
     async def _keep_sending(self) -> None:
         loop = asyncio.get_running_loop()
+        await asyncio.sleep(self._scenario.sound_delay_s)
         while not self._is_over:
             second = f"50f{self._random.randrange(SOUND_PARTS)}"
             parts = [COMMON, second]
@@ -244,6 +251,10 @@
             },
             before=self._count_served(0.0, self._began),
             after=self._count_served(last + 2 * STABLE_S, float("inf")),
+            delayed=self._count_served(
+                min(one.sent_at for one in self._sound) + 2 * STABLE_S,
+                float("inf"),
+            ),
         )
 
     def _count_served(self, begin: float, end: float) -> tuple[int, int]:
