Let interrupted streams wait through long pauses and limits of servers

A stream that had begun was closed, seconds before its time limit, when all servers had stated a pause of more than two seconds (E7403 "all pause", cut rejected).

Cause: what servers state was taken for all that can happen until the limit. Groups that form and servers that come meanwhile have stated nothing, and callers wait for two seconds at least, not at most.

Two tests asked for the end of such a stream and now cover requests that have not begun; test_a_stream_that_has_begun_waits_until_its_time_limit asks for the whole wait in the same states. Its three new cases failed before.

--- a/chervilrock/decisions/serving/admission/waiting.py
+++ b/chervilrock/decisions/serving/admission/waiting.py
@@ -9,8 +9,8 @@
 later.
 
 An interrupted stream is different: its caller has a part of the answer, which
-is lost if the stream ends. It waits until its time limit, unless all servers
-have stated that they take nothing for longer than its caller waits.
+is lost if the stream ends. It waits until its time limit, also while all servers
+pause for longer: groups that form meanwhile have not stated a pause.
 """
 
 import math
@@ -39,9 +39,6 @@
 MIN_WAIT_S = 0.005
 """Shortest wait; the time left to be on time may be close to zero."""
 
-BEGUN_PATIENCE_S = 2.0
-"""Time for which the caller of a stream at least waits for the next event."""
-
 RETRY_AFTER_S = 0.8
 """Time after which a rejected caller is asked to retry, a little more than
 half of a repair. Callers wait up to a third of the time that they have
@@ -144,10 +141,6 @@
       draw: random number from 0 to 1.
     """
     if request.timeliness is Timeliness.BEGUN:
-        stated_s = max(availability.limit_wait_s, availability.pause_wait_s)
-        if stated_s > min(BEGUN_PATIENCE_S, request.limit_s):
-            retry_after_s = find_pause_retry_after(availability, draw)
-            return WaitDecision(0.0, retry_after_s)
         return WaitDecision(request.limit_s, RETRY_AFTER_S)
     if not availability.has_endpoints and not availability.is_forming:
         return WaitDecision(0.0, REPAIR_S)
