--- a/chervilrock/decisions/serving/admission/waiting.py
+++ b/chervilrock/decisions/serving/admission/waiting.py
@@ -9,8 +9,8 @@
 later.
 
 An interrupted stream is different: its caller has a part of the answer, which
-is lost if the stream ends. It waits until its time limit, also while all servers
-pause for longer: groups that form meanwhile have not stated a pause.
+is lost if the stream ends. It waits until its time limit, also while all
+servers pause for longer: groups that form meanwhile have not stated a pause.
 """
 
 import math
--- a/test/node/test_begun_streams.py
+++ b/test/node/test_begun_streams.py
@@ -22,6 +22,12 @@
 REPAIR_S = 2.6
 """Time until the servers work again: longer than a request waits for a slot."""
 
+BREAK_S = 0.1
+"""Time within which a server breaks off its streams."""
+
+PAUSE_S = 5.0
+"""Longer than callers may wait for the next event, and less than the limit."""
+
 SILENCE_S = 1.3
 
 
@@ -91,6 +97,22 @@
     run_world(scenario, model_servers=12)
 
 
+def test_a_begun_stream_outlasts_long_pauses_of_all_servers() -> None:
+    # Failure: it was cut when all pauses were longer than two seconds.
+    async def scenario(world: World) -> None:
+        stream, server = await begin_stream(world)
+        for other in world.site.servers:
+            other.pause = str(PAUSE_S)
+        set_rejections(world, 1)
+        server.fault = ServerFault.BREAK
+        await asyncio.sleep(BREAK_S)
+        server.fault = ServerFault.NONE
+        answer = await stream.answer
+        assert_that(answer.body, Equals(stream.wanted))
+
+    run_world(scenario, model_servers=12)
+
+
 def test_a_begun_stream_waits_for_a_group_of_its_model(monkeypatch) -> None:
     # Failure: it was cut at once, as no group served its model.
     async def scenario(world: World) -> None:
