Split the tracker of crashes from the table of suspects

The records of crashes are in crashrecords.py, what a leader decides from them in suspecttracker.py, and what nodes exchange and look up stays in suspects.py.

--- a/chervilrock/edges/serving/suspectcheck.py
+++ b/chervilrock/edges/serving/suspectcheck.py
@@ -4,10 +4,10 @@
 
 from chervilrock.decisions.serving.admission.contents import identify_content
 from chervilrock.decisions.serving.admission.features import identify_parts
-from chervilrock.decisions.serving.admission.suspects import (
+from chervilrock.decisions.serving.admission.suspects import Suspect
+from chervilrock.decisions.serving.admission.suspecttracker import (
     MAX_CRASHES,
     MIN_ANNOUNCED_CRASHES,
-    Suspect,
 )
 from chervilrock.decisions.serving.site import Workspace
 from chervilrock.decisions.serving.view import GroupEndpoint, ServerEndpoint
--- a/chervilrock/tasks/serving/poisondetector.py
+++ b/chervilrock/tasks/serving/poisondetector.py
@@ -21,10 +21,12 @@
 )
 from chervilrock.decisions.serving.admission.suspects import (
     CrashReport,
-    MAX_ANNOUNCED_SUSPECTS,
     ServerCrash,
-    SETTLE_S,
     Suspect,
+)
+from chervilrock.decisions.serving.admission.suspecttracker import (
+    MAX_ANNOUNCED_SUSPECTS,
+    SETTLE_S,
     SuspectTracker,
 )
 from chervilrock.decisions.serving.view import NodeEntry
--- a/test/decisions/serving/admission/test_suspect_parts.py
+++ b/test/decisions/serving/admission/test_suspect_parts.py
@@ -7,24 +7,28 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, GreaterThan, HasLength, Is, Not
 
-from chervilrock.decisions.serving.admission.suspects import (
+from chervilrock.decisions.serving.admission.crashrecords import (
     FIRST_SINGLE_TRIAL_S,
     FIRST_TRIAL_S,
-    MAX_CANDIDATES,
-    MAX_CONTENTS,
     MAX_DOUBTFUL_CRASHES,
-    MAX_RIVALS,
     MAX_SINGLE_TRIALS,
     PASS_WAIT_S,
-    ServerCrash,
-    SETTLE_S,
     SINGLE_TRIAL_S,
+    TRIAL_FACTOR,
+    UNSURE_WAIT_S,
+)
+from chervilrock.decisions.serving.admission.suspects import (
+    ServerCrash,
     Suspect,
     SuspectTable,
-    SuspectTracker,
     Trial,
-    TRIAL_FACTOR,
-    UNSURE_WAIT_S,
+)
+from chervilrock.decisions.serving.admission.suspecttracker import (
+    MAX_CANDIDATES,
+    MAX_CONTENTS,
+    MAX_RIVALS,
+    SETTLE_S,
+    SuspectTracker,
 )
 
 CAUSE = "a/part:bad"
--- a/test/decisions/serving/admission/test_suspects.py
+++ b/test/decisions/serving/admission/test_suspects.py
@@ -9,17 +9,19 @@
     MAX_SHOWN_CHARACTERS,
 )
 from chervilrock.decisions.serving.admission.suspects import (
+    ServerCrash,
+    Suspect,
+    SuspectTable,
+    Trial,
+)
+from chervilrock.decisions.serving.admission.suspecttracker import (
     FORGET_S,
     MAX_ANNOUNCED_SUSPECTS,
     MAX_CONTENTS,
     MAX_CRASHES,
     RIVAL_SETTLE_S,
-    ServerCrash,
     SETTLE_S,
-    Suspect,
-    SuspectTable,
     SuspectTracker,
-    Trial,
     WITHHELD_S,
 )
 
--- a/test/tasks/crashing_requests.py
+++ b/test/tasks/crashing_requests.py
@@ -9,7 +9,7 @@
 import random
 from typing import NamedTuple
 
-from chervilrock.decisions.serving.admission.suspects import (
+from chervilrock.decisions.serving.admission.suspecttracker import (
     MAX_CRASHES,
     MIN_ANNOUNCED_CRASHES,
 )
--- a/test/tasks/part_traffic.py
+++ b/test/tasks/part_traffic.py
@@ -12,7 +12,7 @@
 from typing import NamedTuple
 
 from chervilrock.decisions.serving.admission.features import identify_parts
-from chervilrock.decisions.serving.admission.suspects import (
+from chervilrock.decisions.serving.admission.suspecttracker import (
     MAX_CRASHES,
     MIN_ANNOUNCED_CRASHES,
 )
--- a/test/tasks/sweep_crashes.py
+++ b/test/tasks/sweep_crashes.py
@@ -14,7 +14,7 @@
 
 import pytest
 
-from chervilrock.decisions.serving.admission.suspects import MAX_CRASHES
+from chervilrock.decisions.serving.admission.suspecttracker import MAX_CRASHES
 from test.tasks.crashing_requests import attempt_repeatedly, CrashingRequest
 from test.tasks.installation import Fault, Installation
 from test.tasks.virtual_time import run_virtually
--- a/test/tasks/test_cut_off_nodes.py
+++ b/test/tasks/test_cut_off_nodes.py
@@ -7,7 +7,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, HasLength, Not
 
-from chervilrock.decisions.serving.admission.suspects import MAX_CRASHES
+from chervilrock.decisions.serving.admission.suspecttracker import MAX_CRASHES
 from chervilrock.decisions.serving.nodes.reachability import (
     HOLD_S,
     RECHECK_INTERVAL_S,
