Count each crash under single trials of a withheld part

A node that may send a request with a withheld part is followed by the next one after two seconds, also while the server of the first request has not begun its answer. The first crash ended the permission, and the crashes of the other requests in progress were not counted, so that more servers crashed under a part than MAX_SINGLE_TRIALS.

Count a crash as well if its request was sent after the first permission.

--- a/chervilrock/decisions/serving/admission/suspects.py
+++ b/chervilrock/decisions/serving/admission/suspects.py
@@ -226,7 +226,7 @@
         self.trial: Trial | None = None
         self.trial_ends_at = now
         self.failed_trials = 0
-        self.is_tried_singly = False
+        self.tried_singly_at = float("inf")
         self._score: tuple[float, float] | None = None
 
     @property
@@ -239,6 +239,11 @@
         """Whether only nodes that have seen few requests reported crashes."""
         return all(crash.is_unsure for crash in self.crashes.values())
 
+    @property
+    def is_tried_singly(self) -> bool:
+        """Whether single requests with the feature were permitted."""
+        return self.tried_singly_at < float("inf")
+
     @property
     def may_be_common(self) -> bool:
         """Whether requests with the feature may run normally."""
@@ -285,9 +290,13 @@
         """Permit a single request; the next crash ends the permission."""
         self.trial = trial
         self.trial_ends_at = now + SINGLE_TRIAL_S
-        self.is_tried_singly = True
+        self.record_tried_singly(now)
         self._trim(MAX_RECORDED_CRASHES - MAX_SINGLE_TRIALS)
 
+    def record_tried_singly(self, now: float) -> None:
+        """Record that single requests are permitted, here or elsewhere."""
+        self.tried_singly_at = min(self.tried_singly_at, now)
+
     def _trim(self, count: int) -> None:
         """Remove the oldest crashes, so that further ones are recorded."""
         while len(self.crashes) > count:
@@ -296,7 +305,9 @@
 
     def add(self, crash: ServerCrash, now: float) -> None:
         """Add a crash of another server."""
-        if self.trial is not None:
+        # Several requests on trial may be in progress at once.
+        is_sent_since = now - crash.since_sent_s >= self.tried_singly_at
+        if self.trial is not None or is_sent_since:
             self.failed_trials += 1
             self.trial = None
         self.crashes[crash.server] = crash
@@ -413,7 +424,7 @@
             record.has_run |= suspect.has_passed
             record.was_withheld |= suspect.is_withheld
             if suspect.trial is not None:
-                record.is_tried_singly = True
+                record.record_tried_singly(now)
                 record.failed_trials = max(
                     record.failed_trials, suspect.trial.failures
                 )
--- a/test/decisions/serving/admission/test_suspect_parts.py
+++ b/test/decisions/serving/admission/test_suspect_parts.py
@@ -407,6 +407,28 @@
     assert_that(crashes, Equals(MAX_SINGLE_TRIALS))
 
 
+# Failure: while servers took long to begin their answers, several nodes sent a
+# request with the cause, and all of their crashes counted as one.
+def test_trials_whose_servers_crash_late_crash_a_few_servers_only(
+    common_tracker: SuspectTracker,
+) -> None:
+    due: list[float] = []
+    numbers = set()
+    crashes = 0
+    for step in range(600):
+        now = TRIED_AT + step
+        while due and due[0] <= now:
+            due.pop(0)
+            crashes += 1
+            parts = [COMMON, f"a/part:new{crashes}"]
+            crash_request(common_tracker, f"{crashes}", parts, now=now)
+        trial = find_trial(common_tracker, now)
+        if trial is not None and trial.node and trial.number not in numbers:
+            numbers.add(trial.number)
+            due.append(now + 3 * SINGLE_TRIAL_S)
+    assert_that(crashes, Equals(MAX_SINGLE_TRIALS))
+
+
 def test_a_new_leader_knows_of_failed_trials(
     common_tracker: SuspectTracker,
 ) -> None:
