End the extension of a message with the last field that differs

Nodes that know five fields of a suspect reject an extension with a sixth one as a whole. The leader sent the sixth field as null wherever the fourth or fifth one differed from its default, so these nodes withheld all requests with a part instead of those that have another one as well, and got none of the other extended fields.

Leave out the fields after the last one that differs.

--- a/chervilrock/tasks/serving/peermessages.py
+++ b/chervilrock/tasks/serving/peermessages.py
@@ -175,9 +175,13 @@
     if length is None or len(fields) == length:
         return fields
     defaults = getattr(value, "_field_defaults", {})
-    names = getattr(value, "_fields", ())[length:]
-    if any(getattr(value, name) != defaults.get(name) for name in names):
-        additions.append(_Addition(path, list(value[length:])))
+    names = getattr(value, "_fields", ())
+    end = len(names)
+    # Nodes reject the whole extension for a field that they do not know.
+    while end > length and value[end - 1] == defaults.get(names[end - 1]):
+        end -= 1
+    if end > length:
+        additions.append(_Addition(path, list(value[length:end])))
     return fields[:length]
 
 
--- a/test/tasks/test_peermessages.py
+++ b/test/tasks/test_peermessages.py
@@ -7,6 +7,10 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, Is
 
+from chervilrock.decisions.serving.admission.suspects import (
+    ServerCrash,
+    Suspect,
+)
 from chervilrock.decisions.serving.view import (
     Acknowledgement,
     Announcement,
@@ -98,6 +102,21 @@
     assert decode_announcement(body, sent.extension) == extended
 
 
+# Failure: nodes that know five fields of a suspect rejected the extension, so
+# they withheld all requests with a part instead of those with two.
+def test_the_extension_ends_with_the_last_field_that_differs(
+    announcement: Announcement,
+) -> None:
+    crash = ServerCrash("i-1", "n", 0.0, 0.1)
+    suspect = Suspect("a/part:1", (crash,), True, requires=("a/part:2",))
+    extended = announcement._replace(suspects=(suspect,))
+    sent = encode_announcement(extended)
+    additions = msgspec.json.decode(sent.extension)
+    assert_that(additions, Equals([[[16, 0], [["a/part:2"]]]]))
+    body = gzip.decompress(sent.body)
+    assert decode_announcement(body, sent.extension) == extended
+
+
 @pytest.mark.parametrize(
     "extension", ["x", "[[[99],[1]]]", "[[[0],[1]]]", "[[[],[1,2,3,4,5,6,7]]]"]
 )
