--- a/chervilrock/decisions/serving/admission/crashrecords.py
+++ b/chervilrock/decisions/serving/admission/crashrecords.py
@@ -67,7 +67,7 @@
         self.trial: Trial | None = None
         self.trial_ends_at = now
         self.failed_trials = 0
-        self.is_tried_singly = False
+        self.tried_singly_at = float("inf")
         self._score: tuple[float, float] | None = None
 
     @property
@@ -80,6 +80,11 @@
         """Whether only nodes that have seen few requests reported crashes."""
         return all(crash.is_unsure for crash in self.crashes.values())
 
+    @property
+    def is_tried_singly(self) -> bool:
+        """Whether single requests with the feature were permitted."""
+        return self.tried_singly_at < float("inf")
+
     @property
     def may_be_common(self) -> bool:
         """Whether requests with the feature may run normally."""
@@ -126,9 +131,13 @@
         """Permit a single request; the next crash ends the permission."""
         self.trial = trial
         self.trial_ends_at = now + SINGLE_TRIAL_S
-        self.is_tried_singly = True
+        self.record_tried_singly(now)
         self._trim(MAX_RECORDED_CRASHES - MAX_SINGLE_TRIALS)
 
+    def record_tried_singly(self, now: float) -> None:
+        """Record that single requests are permitted, here or elsewhere."""
+        self.tried_singly_at = min(self.tried_singly_at, now)
+
     def _trim(self, count: int) -> None:
         """Remove the oldest crashes, so that further ones are recorded."""
         while len(self.crashes) > count:
@@ -137,7 +146,9 @@
 
     def add(self, crash: ServerCrash, now: float) -> None:
         """Add a crash of another server."""
-        if self.trial is not None:
+        # Several requests on trial may be in progress at once.
+        is_sent_since = now - crash.since_sent_s >= self.tried_singly_at
+        if self.trial is not None or is_sent_since:
             self.failed_trials += 1
             self.trial = None
         self.crashes[crash.server] = crash
--- a/chervilrock/decisions/serving/admission/suspecttracker.py
+++ b/chervilrock/decisions/serving/admission/suspecttracker.py
@@ -166,7 +166,7 @@
             record.has_run |= suspect.has_passed
             record.was_withheld |= suspect.is_withheld
             if suspect.trial is not None:
-                record.is_tried_singly = True
+                record.record_tried_singly(now)
                 record.failed_trials = max(
                     record.failed_trials, suspect.trial.failures
                 )
