End the trial of a part with the term of its leader

The table compares the term as well.

test_one_request_without_other_suspected_features_is_tried failed with a check of it before.

--- a/chervilrock/decisions/serving/admission/suspects.py
+++ b/chervilrock/decisions/serving/admission/suspects.py
@@ -205,7 +205,9 @@
         suspect = self._withheld.get(tried.content)
         if suspect is None or suspect.trial is None or tried.trial is None:
             return False
-        return suspect.trial.number == tried.trial.number
+        # A new leader counts its trials anew.
+        number = (self.version[0], suspect.trial.number)
+        return self._tried.get(tried.content) == number
 
     def _iterate_withheld(self, features: set[str]) -> Iterator[Suspect]:
         """Iterate over the reasons for which a request is withheld."""
