--- a/chervilrock/decisions/serving/admission/crashrecords.py
+++ b/chervilrock/decisions/serving/admission/crashrecords.py
@@ -30,15 +30,16 @@
 """Trials of a feature; as each may crash servers, there are no more of them."""
 
 MAX_SINGLE_TRIALS = 3
-"""Servers that may crash under single requests that try whether a withheld
-part, which nothing tells from a common one, is the cause."""
+"""Servers that may crash under single requests that test whether a withheld
+part is the cause, or one that most requests share."""
 
 FIRST_SINGLE_TRIAL_S = 0.5
-"""Time after which the first of them is sent; TRIAL_FACTOR times longer for
-each one that crashed a server."""
+"""Time after which the first single request is sent; TRIAL_FACTOR times longer
+for each one that crashed a server."""
 
 SINGLE_TRIAL_S = 2.0
-"""Time in which one node may send such a request before the next node may."""
+"""Time for which one node may send a single request before the next node
+may."""
 
 _SCORE_DIGITS = 2
 """Digits of the seconds since the first byte that are compared: a server that
