Start the runs of the histories in one test process only

Tests are given out by file now. Exchanges and runs, which two files use, start in pools of their own.

--- a/Makefile
+++ b/Makefile
@@ -64,7 +64,7 @@
 	$(BIN)/mypy $(CODE)
 
 unit: $(STAMP)  ## Run the tests alone.
-	$(BIN)/python -m pytest -q -n $(WORKERS) --dist loadgroup
+	$(BIN)/python -m pytest -q -n $(WORKERS) --dist loadfile
 
 generate: $(STAMP)  ## Write chervilrock/generated from the schema.
 	$(BIN)/python tools/generate.py
--- a/test/history/test_exchanges.py
+++ b/test/history/test_exchanges.py
@@ -1,14 +1,11 @@
 """What callers of single requests are told after certain failures."""
 
-import pytest
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
 
 from chervilrock.standin.history import Told
 from test.history import exchanges
 
-pytestmark = pytest.mark.xdist_group("history")
-
 
 def test_lost_answer_is_not_told_not_run(get_told):
     told = get_told(exchanges.repeat_silently)
--- a/test/history/test_promises.py
+++ b/test/history/test_promises.py
@@ -9,8 +9,6 @@
 from chervilrock.standin.history_findings import Finding, Promise
 from test.history.runs import BROKEN_RUNS, Run, RUNS
 
-pytestmark = pytest.mark.xdist_group("history")
-
 MIN_REQUESTS = 2000
 
 FOUND = {
