Log what the exit of a node cuts, and how it was accepted

The log could not tell why the exit cut an answer: whether the request came late, took longer than was expected of it, was sent a second time, or whether the process ended before its time.

E7421 states for each answer that the exit cuts when the request arrived and was last sent since the node began to stop, when the answer was expected to be complete, how often it was sent, and for how long its server has sent nothing. E7002 states the grace period, E7003 how much of it was left.

--- a/chervilrock/catalogue.py
+++ b/chervilrock/catalogue.py
@@ -192,12 +192,14 @@
     SERVING_STOPPING = EventSpec(
         7002,
         Level.INFO,
-        "node {node} is stopping; {running} requests in progress",
+        "node {node} is stopping within {grace_s} s; {running} requests in "
+        "progress",
     )
     SERVING_STOPPED = EventSpec(
         7003,
         Level.INFO,
-        "node {node} stopped after {seconds} s; {cut} requests were aborted",
+        "node {node} stopped after {seconds} s, {left_s} s before the end of "
+        "its grace period; {cut} requests were aborted",
     )
     SETTINGS_RELOADED = EventSpec(
         7004, Level.INFO, "node {node} was notified of changed settings"
@@ -556,6 +558,15 @@
         "an error in the handling of request {request_id} ended it: {error} "
         "in {place}",
     )
+    ANSWER_CUT_AT_EXIT = EventSpec(
+        7421,
+        Level.WARNING,
+        "the exit of the node cuts the answer to request {request_id} after "
+        "{sends} sends: since the node began to stop, it arrived after "
+        "{arrived_ms} ms, was last sent after {sent_ms} ms and expected to end "
+        "after {expected_ms} ms; its server has sent nothing for {silent_ms} "
+        "ms",
+    )
     EVENT_MALFORMED = EventSpec(
         9001, Level.ERROR, "event {event_name} has wrong fields: {difference}"
     )
--- a/chervilrock/decisions/serving/admission/shutdown.py
+++ b/chervilrock/decisions/serving/admission/shutdown.py
@@ -39,6 +39,8 @@
     """Whether a node is stopping, and until when it may answer requests.
 
     Attributes:
+      begun_at: time at which the node began to stop, inf unless it is
+        stopping.
       serves_until: time up to which an accepted request has to end, inf unless
         it is stopping.
       answers_until: time at which requests without an answer get one, inf
@@ -51,12 +53,12 @@
         self.serves_until = math.inf
         self.answers_until = math.inf
         self.exits_at = math.inf
-        self._begun_at = math.inf
+        self.begun_at = math.inf
 
     @property
     def is_begun(self) -> bool:
         """Whether the node is stopping."""
-        return not math.isinf(self._begun_at)
+        return not math.isinf(self.begun_at)
 
     def begin(self, grace_s: float, now: float, *, may_serve: bool) -> None:
         """Begin to stop; a second call changes nothing.
@@ -68,7 +70,7 @@
         """
         if self.is_begun:
             return
-        self._begun_at = now
+        self.begun_at = now
         self.answers_until = now + grace_s - STOP_MARGIN_S
         self.serves_until = self.answers_until if may_serve else now
         self.exits_at = now + grace_s - EXIT_MARGIN_S
@@ -101,7 +103,7 @@
             return False
         may_serve = self.serves_until > now
         is_awaited = has_other_nodes and may_serve
-        return not is_awaited or now - self._begun_at >= MIN_STOP_S
+        return not is_awaited or now - self.begun_at >= MIN_STOP_S
 
     def find_retry_after(
         self, now: float, draw: float, *, has_other_nodes: bool
--- a/chervilrock/edges/serving/activesend.py
+++ b/chervilrock/edges/serving/activesend.py
@@ -120,6 +120,14 @@
         """Record that a part of the answer was received."""
         self._progress_at = now
 
+    def find_silence(self, now: float) -> float | None:
+        """Return for how many seconds the server has sent nothing.
+
+        Returns:
+          None without a send in progress.
+        """
+        return None if self.transfer is None else now - self._progress_at
+
     def is_silent(self, now: float) -> bool:
         """Return whether nothing was received for a while."""
         return now - self._progress_at >= SILENT_SEND_S
--- a/chervilrock/edges/serving/callers.py
+++ b/chervilrock/edges/serving/callers.py
@@ -172,10 +172,10 @@
         if self._tasks:
             await asyncio.wait(set(self._tasks), timeout=LAST_LINES_S)
 
-    def record_exit(self) -> None:
+    def record_exit(self, now: float) -> None:
         """Record that the process exits and closes all connections."""
         for exchange in list(self.exchanges.values()):
-            exchange.record_exit()
+            exchange.record_exit(now)
 
     def end_silent_sends(self, now: float) -> None:
         """End sends to servers that are silent; this node is cut off."""
--- a/chervilrock/edges/serving/exchange.py
+++ b/chervilrock/edges/serving/exchange.py
@@ -212,9 +212,22 @@
         if not self._connection.is_done:
             self._fail(BAD_GATEWAY, "an internal error")
 
-    def record_exit(self) -> None:
+    def record_exit(self, now: float) -> None:
         """Record that the process exits before the answer is complete."""
         self._connection.record_cut(CutCause.EXIT)
+        if self._connection.cut is CutCause.EXIT:
+            exchangelog.log_cut_at_exit(
+                exchangelog.CutAnswer(
+                    request_id=self.request_id,
+                    sends=self._current.progress.sends
+                    + (self._active.transfer is not None),
+                    stopping_at=self._state.shutdown.begun_at,
+                    arrived=self._request.arrived,
+                    sent_at=self._current.sent_at,
+                    expected_at=self._current.expected_at,
+                    silent_s=self._active.find_silence(now),
+                )
+            )
 
     def close(self) -> None:
         """Let go of the answer after `run`, which may still be unsent."""
--- a/chervilrock/edges/serving/exchangelog.py
+++ b/chervilrock/edges/serving/exchangelog.py
@@ -235,6 +235,47 @@
     )
 
 
+class CutAnswer(NamedTuple):
+    """An answer that had begun when the process exited; times in seconds.
+
+    Attributes:
+      request_id: the request.
+      sends: number of sends, including one in progress.
+      stopping_at: time at which the node began to stop.
+      arrived: time at which the request was received.
+      sent_at: time of the last send.
+      expected_at: time at which the answer was expected to be complete, None if
+        it was sent before the node began to stop.
+      silent_s: time since the server last sent a part of the answer, None
+        without a send in progress.
+    """
+
+    request_id: str
+    sends: int
+    stopping_at: float
+    arrived: float
+    sent_at: float
+    expected_at: float | None
+    silent_s: float | None
+
+
+def log_cut_at_exit(cut: CutAnswer) -> None:
+    """Log how a request that the exit cuts was accepted, sent and served."""
+    emit(
+        Event.ANSWER_CUT_AT_EXIT,
+        request_id=cut.request_id,
+        sends=cut.sends,
+        arrived_ms=round((cut.arrived - cut.stopping_at) * _MS_PER_S),
+        sent_ms=round((cut.sent_at - cut.stopping_at) * _MS_PER_S),
+        expected_ms=None
+        if cut.expected_at is None
+        else round((cut.expected_at - cut.stopping_at) * _MS_PER_S),
+        silent_ms=None
+        if cut.silent_s is None
+        else round(cut.silent_s * _MS_PER_S),
+    )
+
+
 def log_end(ended: EndedRequest) -> CompletedRequest:
     """Log the end of a request and return its values for the metrics."""
     arrived = ended.request.arrived
--- a/chervilrock/edges/serving/exchangestate.py
+++ b/chervilrock/edges/serving/exchangestate.py
@@ -23,6 +23,8 @@
       progress: sends so far.
       last_event: last event that the caller has, empty for none.
       sent_at: time of the last send.
+      expected_at: time at which a stopping node expected the answer to the last
+        send to be complete, None if the node was not stopping.
       first_event: time of the first event for the caller, None before it.
       is_caller_gone: whether the caller has disconnected.
       is_shut_down: whether the request was answered as the process exits.
@@ -51,6 +53,7 @@
         self.progress = Progress(sends=sends, may_have_run=sends > 0)
         self.last_event = request.facts.last_event
         self.sent_at = request.arrived
+        self.expected_at: float | None = None
         self.first_event: float | None = None
         self.is_caller_gone = False
         self.is_shut_down = False
--- a/chervilrock/edges/serving/serversender.py
+++ b/chervilrock/edges/serving/serversender.py
@@ -64,6 +64,9 @@
         exchange = self._exchange
         endpoint = slot.endpoint
         exchange.sent_at = now
+        if self._state.shutdown.is_begun:
+            expected_s = self._search.estimate_duration(admission, now)
+            exchange.expected_at = now + expected_s
         exchangelog.log_send(
             exchange.request_id,
             admission.route.name,
--- a/chervilrock/edges/serving/slots.py
+++ b/chervilrock/edges/serving/slots.py
@@ -227,6 +227,15 @@
             return math.inf
         if self._connection.has_begun:
             return shutdown.serves_until
+        return shutdown.find_latest_send(self.estimate_duration(admission, now))
+
+    def estimate_duration(self, admission: Admission, now: float) -> float:
+        """Return the seconds that an answer takes, at most to the time limit.
+
+        Args:
+          admission: route and workspace of the request.
+          now: current time.
+        """
         kind = self.describe_kind(admission)
         default_s = self._compute_duration(admission)
         durations = self._state.durations
@@ -234,8 +243,7 @@
             expected_s = durations.estimate_usual(kind, default_s)
         else:
             expected_s = durations.estimate_longest(kind, default_s, now)
-        limit_s = max(0.0, self._expires - now)
-        return shutdown.find_latest_send(min(expected_s, limit_s))
+        return min(expected_s, max(0.0, self._expires - now))
 
     def _compute_duration(self, admission: Admission) -> float:
         """Return the duration at a busy group, inf for a plain service."""
--- a/chervilrock/node/serving.py
+++ b/chervilrock/node/serving.py
@@ -258,6 +258,7 @@
         emit(
             Event.SERVING_STOPPING,
             node=self._own.node,
+            grace_s=self._settings.stop_within_s,
             running=len(self._callers.exchanges),
         )
         await self._task.resign()
@@ -268,11 +269,15 @@
                 break
             await asyncio.sleep(WATCH_INTERVAL_S)
         await self._send_last_answers()
+        stopped_at = read_clock()
         emit(
             Event.SERVING_STOPPED,
             node=self._own.node,
             cut=len(self._callers.answers),
-            seconds=round(read_clock() - started_at, 3),
+            seconds=round(stopped_at - started_at, 3),
+            left_s=round(
+                started_at + self._settings.stop_within_s - stopped_at, 3
+            ),
         )
         await self.close()
 
@@ -325,7 +330,7 @@
         """Cancel all tasks and close all connections."""
         for task in self._tasks:
             task.cancel()
-        self._callers.record_exit()
+        self._callers.record_exit(read_clock())
         for server in self._servers:
             server.stop()
             await server.close_all_connections()
