Play servers that fall silent while nodes stop

No soak let sound servers fall silent beside the stops of nodes, with streams of several lengths sent long after SIGTERM over kept connections. The new run stops six nodes at an interval of 1 to 8 s that does not wait for their exits, and lets some or all servers fall silent for 0.6 to 2.0 s, 3.2 to 6 s after each SIGTERM.

--- a/bench/rollingrestarts.py
+++ b/bench/rollingrestarts.py
@@ -59,6 +59,8 @@
 """Time for which a server serves after its entry was removed."""
 
 LIMIT_MS = 4000
+KINDS = ("draft", "draft", "book", "look")
+TOKENS = (5, 40, 120)
 _OTHER_IDENTIFIERS = 1 << 30
 _NOT_RUN = frozenset({"408", "421", "429", "503"})
 _LIMITS = {
@@ -109,17 +111,32 @@
     """Callers that keep their connections until a node closes them.
 
     Attributes:
+      limit_ms: time limit of a request in milliseconds.
       attempts: all requests that were sent.
       refused: number of connections that were not accepted.
     """
 
-    def __init__(self, *, addresses: list[str], seed: int) -> None:
+    def __init__(
+        self,
+        *,
+        addresses: list[str],
+        seed: int,
+        limit_ms: int = LIMIT_MS,
+        kinds: tuple[str, ...] = KINDS,
+        tokens: tuple[int, ...] = TOKENS,
+    ) -> None:
         """Create callers that have sent nothing.
 
         Args:
           addresses: addresses of the nodes.
           seed: seed of a generator of their own.
+          limit_ms: time limit of a request in milliseconds.
+          kinds: first parts of the paths that they choose from.
+          tokens: lengths of streams that they choose from, in events.
         """
+        self.limit_ms = limit_ms
+        self._kinds = kinds
+        self._tokens = tokens
         self._addresses = addresses
         self._seed = seed
         self._generator = random.Random(f"callers of {seed}")
@@ -172,18 +189,18 @@
         return bool(status) and is_kept
 
     def _make_head(self, request_id: str, length: int) -> bytes:
-        kind = self._generator.choice(("draft", "draft", "book", "look"))
+        kind = self._generator.choice(self._kinds)
         lines = [
             f"POST /{kind}/x HTTP/1.1",
             f"Host: {HOST}",
             f"Api-Key: {KEY}",
             f"X-Request-Id: {request_id}",
-            f"X-Deadline-Ms: {LIMIT_MS}",
+            f"X-Deadline-Ms: {self.limit_ms}",
             f"Content-Length: {length}",
         ]
         if kind == "draft":
             model = self._generator.choice((LARGE, SMALL))
-            tokens = self._generator.choice((5, 40, 120))
+            tokens = self._generator.choice(self._tokens)
             lines += [f"X-Model: {model}", f"X-Token-Count: 10,{tokens}"]
         return "\r\n".join(lines).encode() + b"\r\n\r\n"
 
@@ -368,7 +385,7 @@
         name = attempt.request_id
         held_s = attempt.ended - attempt.sent
         # A stream that reaches its time limit is cut.
-        is_over_limit = attempt.ended - attempt.begun >= LIMIT_MS / 1000
+        is_over_limit = attempt.ended - attempt.begun >= callers.limit_ms / 1000
         if (
             not attempt.status
             and not is_over_limit
--- /dev/null
+++ b/bench/silentservers.py
@@ -0,0 +1,170 @@
+"""A soak test of servers that fall silent while nodes stop.
+
+Nodes get SIGTERM one after the other, at an interval that does not wait for
+their exits, so that several stop at a time. Beside that, groups of servers send
+nothing for up to two seconds and then go on. Callers keep their connections
+until a node closes them and send streams of several lengths to any node. No
+other fault is played, so that no accepted request may be lost.
+`python -m bench.silentservers --seeds 50`.
+"""
+
+import argparse
+import asyncio
+import collections
+import pathlib
+import random
+import signal
+import sys
+from typing import NamedTuple
+
+from bench.rollingrestarts import Callers, find_lost, make_nodes
+from bench.soak import NodeProcess, open_folder, supervise
+from chervilrock.standin.site.servers import ServerFault
+from chervilrock.standin.site.site import make_configuration, Site
+
+NODES = 6
+MODEL_SERVERS = 24
+CALLERS = 60
+GRACE_S = 8.0
+START_S = 8.0
+"""Time until the nodes of a run serve."""
+
+GAP_S = (1.0, 8.0)
+"""Time between two SIGTERM."""
+
+LIMIT_MS = 8000
+TOKENS = (5, 40, 120, 180)
+SILENCE_S = (0.6, 2.0)
+SILENT_AFTER_S = (3.2, 6.0)
+"""Time from a SIGTERM to the begin of a silence."""
+
+
+class Outcome(NamedTuple):
+    """Result of a run.
+
+    Attributes:
+      violations: broken guarantees.
+      statuses: count of each status; "closed" for a connection that was closed
+        without a complete answer, "refused" for one that was not accepted.
+      silences: number of silences of servers.
+    """
+
+    violations: tuple[str, ...]
+    statuses: dict[str, int]
+    silences: int
+
+
+async def silence_servers(
+    site: Site, generator: random.Random, silences: list[float]
+) -> None:
+    """Let some servers fall silent together, a while after a SIGTERM."""
+    await asyncio.sleep(generator.uniform(*SILENT_AFTER_S))
+    heads = [server for server in site.servers if server.is_head]
+    chosen = generator.sample(heads, generator.randint(1, len(heads)))
+    seconds = generator.uniform(*SILENCE_S)
+    silences.append(seconds)
+    for server in chosen:
+        server.fault = ServerFault.SILENT
+    await asyncio.sleep(seconds)
+    for server in chosen:
+        server.fault = ServerFault.NONE
+
+
+async def restart_all(
+    site: Site,
+    nodes: list[NodeProcess],
+    generator: random.Random,
+    silences: list[float],
+) -> None:
+    """Stop all nodes one after the other, and wait until they serve again."""
+    tasks = []
+    gap_s = generator.uniform(*GAP_S)
+    for node in generator.sample(nodes, len(nodes)):
+        node.signal(signal.SIGTERM)
+        silence = silence_servers(site, generator, silences)
+        tasks.append(asyncio.create_task(silence))
+        await asyncio.sleep(gap_s)
+    await asyncio.gather(*tasks)
+    await asyncio.sleep(GRACE_S)
+
+
+async def soak(
+    seed: int, folder: pathlib.Path, *, rounds: int = 1, nodes: int = NODES
+) -> Outcome:
+    """Run one seed.
+
+    Args:
+      seed: seed of the run.
+      folder: where settings and logs of the nodes are written.
+      rounds: number of times that the nodes are restarted.
+      nodes: number of nodes.
+    """
+    generator = random.Random(f"silent servers of {seed}")
+    site = Site()
+    processes: list[NodeProcess] = []
+    tasks: list[asyncio.Task[None]] = []
+    silences: list[float] = []
+    site.start(model_servers=MODEL_SERVERS, plain_servers=2)
+    document = make_configuration(2)
+    document["routes"][0]["timeout_ms"] = LIMIT_MS
+    site.store.write_configuration(document)
+    try:
+        processes += make_nodes(seed, folder, site, nodes)
+        tasks.append(asyncio.create_task(supervise(processes)))
+        await asyncio.sleep(START_S)
+        callers = Callers(
+            addresses=[process.address for process in processes],
+            seed=seed,
+            limit_ms=LIMIT_MS,
+            kinds=("draft",),
+            tokens=TOKENS,
+        )
+        calls = [callers.run(b"body", 0.1) for _ in range(CALLERS)]
+        tasks += [asyncio.create_task(call) for call in calls]
+        for _ in range(rounds):
+            await restart_all(site, processes, generator, silences)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+    finally:
+        for process in processes:
+            process.end()
+        await site.stop()
+    statuses = collections.Counter(
+        attempt.status or "closed" for attempt in callers.attempts
+    )
+    return Outcome(
+        violations=tuple(find_lost(site.servers, callers)),
+        statuses={**statuses, "refused": callers.refused},
+        silences=len(silences),
+    )
+
+
+def main() -> int:
+    """Run seeds one after the other; return 1 if any of them failed."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", type=int, default=1)
+    parser.add_argument("--first", type=int, default=1)
+    parser.add_argument("--rounds", type=int, default=1)
+    parser.add_argument("--nodes", type=int, default=NODES)
+    parser.add_argument("--logs", type=pathlib.Path)
+    arguments = parser.parse_args()
+    failed = 0
+    for seed in range(arguments.first, arguments.first + arguments.seeds):
+        with open_folder(arguments.logs, seed) as folder:
+            run = soak(
+                seed, folder, rounds=arguments.rounds, nodes=arguments.nodes
+            )
+            outcome = asyncio.run(run)
+        failed += bool(outcome.violations)
+        print(
+            seed,
+            "BROKEN" if outcome.violations else "held",
+            outcome,
+            flush=True,
+        )
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
