Accept no stream late in a stop that may outlast the node

Cause: a stopping node accepted a request until the end of its grace period less an estimate of how long it takes, the slowest recent one of its route. Nothing keeps such a promise: a server falls silent or slows down after the request was accepted, and the exit cuts the stream.

Change: for 2.8 s after SIGTERM a node accepts by estimate, and keeps a sixth of the grace period free for servers that fall silent. After that it accepts only requests whose own time limit ends before the exit, so that no server can make them outlast it; others get 503 at once, near 0 s to retry while other nodes serve. Without other nodes it still accepts by estimate what is no stream: such an answer is sent when it is whole, and a late one becomes 502.

Evidence: test_streams_of_silent_servers_are_not_cut_by_the_exit: 8 of 8 streams cut before, 8 of 8 rejected with 503 after.

--- a/chervilrock/decisions/serving/admission/shutdown.py
+++ b/chervilrock/decisions/serving/admission/shutdown.py
@@ -2,8 +2,13 @@
 
 Load pattern: a process has some seconds between SIGTERM and SIGKILL. Callers
 keep its address for a while after it was withdrawn, and when all nodes stop at
-once they have no other. A request is accepted as long as it can be answered
-before the process exits, and is rejected as soon as it cannot.
+once they have no other. A request is accepted as long as it should be answered
+before the process exits, and is rejected as soon as that cannot be expected.
+
+A server may fall silent or slow down after the request was accepted, so that no
+estimate bounds how long it takes. A stream that is late would be cut. So it is
+accepted only while most of the grace period is left, or if its own time limit
+ends before the process exits.
 """
 
 import math
@@ -23,6 +28,14 @@
 if answers are still being sent. Closing all connections takes half a second on
 a busy host."""
 
+RESERVE_FRACTION = 1 / 6
+"""Part of the grace period in which no accepted request is expected to run, for
+servers that fall silent or slow down."""
+
+ACCEPT_S = 2.8
+"""Time for which a stopping node accepts requests that may outlast it. Most
+callers stop using its address within three times the announced lifetime."""
+
 MIN_STOP_S = 3.2
 """Minimum time for which a stopping node continues to serve while others do.
 Callers may cache its address for three times the announced lifetime."""
@@ -41,6 +54,10 @@
     Attributes:
       begun_at: time at which the node began to stop, inf unless it is
         stopping.
+      accepts_until: time up to which requests are accepted that may last longer
+        than the process, inf unless it is stopping.
+      planned_end: time by which requests that are accepted should end, inf
+        unless it is stopping.
       serves_until: time up to which an accepted request has to end, inf unless
         it is stopping.
       answers_until: time at which requests without an answer get one, inf
@@ -50,6 +67,8 @@
 
     def __init__(self) -> None:
         """Create the state of a node that is not stopping."""
+        self.accepts_until = math.inf
+        self.planned_end = math.inf
         self.serves_until = math.inf
         self.answers_until = math.inf
         self.exits_at = math.inf
@@ -73,19 +92,32 @@
         self.begun_at = now
         self.answers_until = now + grace_s - STOP_MARGIN_S
         self.serves_until = self.answers_until if may_serve else now
+        self.accepts_until = min(now + ACCEPT_S, self.serves_until)
+        self.planned_end = self.serves_until - RESERVE_FRACTION * grace_s
         self.exits_at = now + grace_s - EXIT_MARGIN_S
 
     def end_serving(self, now: float) -> None:
         """Record that no request is accepted any more."""
+        self.accepts_until = min(self.accepts_until, now)
         self.serves_until = min(self.serves_until, now)
 
-    def find_latest_send(self, expected_s: float) -> float:
+    def find_latest_send(
+        self, expected_s: float, expires: float, *, may_exceed: bool
+    ) -> float:
         """Return until when a request may be sent to a server.
 
         Args:
           expected_s: time until its answer is complete, in seconds.
+          expires: latest time at which its caller gets an answer.
+          may_exceed: whether to rely on the estimate for as long as it fits:
+            the request was accepted before, or a late answer is an error and
+            not a cut one, and its caller has no other node.
         """
-        return self.serves_until - expected_s
+        if expires <= self.serves_until:
+            return self.serves_until
+        if may_exceed:
+            return self.serves_until - expected_s
+        return min(self.planned_end - expected_s, self.accepts_until)
 
     def may_exit(
         self, now: float, *, is_busy: bool, has_other_nodes: bool
--- a/chervilrock/edges/serving/exchange.py
+++ b/chervilrock/edges/serving/exchange.py
@@ -107,8 +107,7 @@
         self._search = SlotSearch(
             state=context.state,
             waitqueue=context.waitqueue,
-            request=request,
-            connection=connection,
+            exchange=self._current,
             check=self._check,
         )
         self._detour = detours.Detour(state=context.state, request=request)
--- a/chervilrock/edges/serving/slots.py
+++ b/chervilrock/edges/serving/slots.py
@@ -31,8 +31,7 @@
 from chervilrock.decisions.serving.servers.serverlimits import SendPermit
 from chervilrock.decisions.serving.site import RouteKind
 from chervilrock.decisions.serving.view import GroupEndpoint, ServerEndpoint
-from chervilrock.edges.serving.callerrequest import CallerRequest
-from chervilrock.edges.serving.connection import CallerConnection
+from chervilrock.edges.serving.exchangestate import ExchangeState
 from chervilrock.edges.serving.suspectcheck import SuspectCheck
 from chervilrock.tasks.clock import read_clock
 from chervilrock.tasks.serving.state import ServingState
@@ -79,8 +78,7 @@
         *,
         state: ServingState,
         waitqueue: WaitQueue,
-        request: CallerRequest,
-        connection: CallerConnection,
+        exchange: ExchangeState,
         check: SuspectCheck,
     ) -> None:
         """Create a search without a slot.
@@ -88,15 +86,14 @@
         Args:
           state: state of the node.
           waitqueue: queue of the requests of the node that wait for a slot.
-          request: the request.
-          connection: connection of the caller, which shows whether the caller
-            has received any event.
+          exchange: state of the request.
           check: check whether the request is withheld.
         """
         self._state = state
         self._waitqueue = waitqueue
-        self._request = request
-        self._connection = connection
+        self._exchange = exchange
+        self._request = request = exchange.request
+        self._connection = exchange.connection
         self._check = check
         self._admission: Admission | None = None
         self._service = ""
@@ -227,7 +224,16 @@
             return math.inf
         if self._connection.has_begun:
             return shutdown.serves_until
-        return shutdown.find_latest_send(self.estimate_duration(admission, now))
+        # Only a stream is forwarded before it is complete, and can be cut.
+        is_whole = admission.route.kind is not RouteKind.STREAM
+        may_exceed = self._exchange.progress.may_have_run or (
+            is_whole and not self._state.has_other_nodes()
+        )
+        return shutdown.find_latest_send(
+            self.estimate_duration(admission, now),
+            self._expires,
+            may_exceed=may_exceed,
+        )
 
     def estimate_duration(self, admission: Admission, now: float) -> float:
         """Return the seconds that an answer takes, at most to the time limit.
--- a/test/node/test_stopping.py
+++ b/test/node/test_stopping.py
@@ -13,8 +13,12 @@
 )
 
 from chervilrock.decisions.serving.admission.durations import MIN_SAMPLES
-from chervilrock.decisions.serving.admission.shutdown import MIN_STOP_S
+from chervilrock.decisions.serving.admission.shutdown import (
+    ACCEPT_S,
+    MIN_STOP_S,
+)
 from chervilrock.standin.site.proxy import LinkFault
+from chervilrock.standin.site.servers import ServerFault
 from chervilrock.standin.site.site import PLAIN_SERVICE
 from chervilrock.tasks.clock import read_clock
 from test.node.serving_site import Answer, run_world, World
@@ -23,6 +27,12 @@
 ANSWER_BYTES = 4_000_000
 READ_BYTES = 16_384
 READ_INTERVAL_S = 0.1
+LATE_S = ACCEPT_S + 0.1
+SLOW_EVENTS = 320
+"""Events of a stream during which a node does not exit as idle."""
+
+SILENT_AFTER_S = 0.2
+"""Time after which streams have begun and have not ended."""
 
 
 def make_plain_headers(world: World) -> dict[str, str]:
@@ -59,6 +69,11 @@
     return caller
 
 
+async def call_for_events(world: World, events: int) -> Answer:
+    headers = world.make_headers(X_Token_Count=f"10,{events}")
+    return await world.call("/draft/x", headers=headers)
+
+
 def check_promises(world: World, answers: dict[str, Answer]) -> None:
     """Check that all requests have an answer, and 503 for those that ran not.
 
@@ -112,6 +127,58 @@
     run_world(scenario, grace_s=2.0)
 
 
+def test_streams_of_silent_servers_are_not_cut_by_the_exit() -> None:
+    # Failure: they are accepted late, as streams are known to be short, and
+    # their servers fall silent.
+    async def scenario(world: World) -> None:
+        for _ in range(MIN_SAMPLES):
+            await world.call("/draft/x")
+        stopping = asyncio.ensure_future(world.nodes[0].stop())
+        await asyncio.sleep(LATE_S)
+        # This one ends before the exit, whatever its server does.
+        limited = world.make_headers(X_Deadline_Ms="400")
+        answer = await world.call("/draft/x", headers=limited)
+        assert_that(answer.status, Equals(200))
+        calls = [
+            asyncio.create_task(call_for_events(world, 60)) for _ in range(8)
+        ]
+        await asyncio.sleep(SILENT_AFTER_S)
+        for server in world.site.servers:
+            server.fault = ServerFault.SILENT
+        await stopping
+        for answer in await asyncio.gather(*calls):
+            assert_that(answer.status, Equals(503))
+            assert_that(float(answer.headers["Retry-After"]), LessThan(0.2))
+
+    run_world(scenario, nodes=2, grace_s=5.0)
+
+
+def test_without_other_nodes_late_requests_are_whole_or_failed() -> None:
+    # Failure: streams begin late, their servers fall silent, and the exit cuts
+    # them.
+    async def scenario(world: World) -> None:
+        for _ in range(MIN_SAMPLES):
+            await world.call("/draft/x")
+            await world.call("/look/x", headers=make_plain_headers(world))
+        call = asyncio.create_task(call_for_events(world, SLOW_EVENTS))
+        exchanges = world.nodes[0]._callers.exchanges
+        await world.wait(lambda: bool(exchanges), "a long stream runs")
+        stopping = asyncio.ensure_future(world.nodes[0].stop())
+        await asyncio.sleep(LATE_S)
+        set_work(world, 30.0)
+        stream, plain = await asyncio.gather(
+            call_for_events(world, 60),
+            world.call("/look/x", headers=make_plain_headers(world)),
+        )
+        assert_that(stream.status, Equals(503))
+        assert_that(float(stream.headers["Retry-After"]), GreaterThan(1.0))
+        assert_that(plain.status, Equals(502))
+        await stopping
+        await call
+
+    run_world(scenario, grace_s=5.0)
+
+
 def test_an_answer_is_sent_completely_before_a_node_exits() -> None:
     # Failure: it counts as done when it is buffered, and is cut at the exit.
     async def scenario(world: World) -> None:
