--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -5,9 +5,9 @@
 
 import pytest
 from testtools.assertions import assert_that
-from testtools.matchers import Equals, HasLength
+from testtools.matchers import Equals, GreaterThan, HasLength
 
-from bench import rollingrestarts
+from bench import rollingrestarts, silentservers
 from bench import soak as soak_module
 from bench.soak import find_ports, Plan, soak
 
@@ -31,6 +31,15 @@
     assert_that(outcome.violations, HasLength(0))
 
 
+@pytest.mark.parametrize("seed", [4])
+def test_no_accepted_request_is_lost_while_servers_fall_silent(
+    seed: int, tmp_path: pathlib.Path
+) -> None:
+    outcome = asyncio.run(silentservers.soak(seed, tmp_path))
+    assert_that(outcome.violations, HasLength(0))
+    assert_that(outcome.silences, GreaterThan(0))
+
+
 def test_no_two_nodes_of_a_run_get_the_same_port(monkeypatch) -> None:
     # Nodes choose their ports before any of them listens.
     monkeypatch.setattr(soak_module, "PORTS", (20_000, 20_100))
