Do not count standstills as waiting for the verdict on a cut

Streams of a node that is cut off, without an event so far, got 502 although other nodes serve. A request waits 0.75 s for the verdict whether its node reaches any server. If the node stands still meanwhile (E7010), the probes are late as well, and the request was sent again before the verdict and spent its last attempt. Standstills now extend the wait.

--- a/chervilrock/edges/serving/exchange.py
+++ b/chervilrock/edges/serving/exchange.py
@@ -16,6 +16,7 @@
 from chervilrock.decisions.serving.admission.waiting import (
     START_RETRY_AFTER_S,
 )
+from chervilrock.decisions.serving.groups.stalls import StandstillMeter
 from chervilrock.decisions.serving.nodes.detours import find_retry_after
 from chervilrock.decisions.serving.nodes.reachability import (
     PROBE_TIMEOUT_S,
@@ -336,13 +337,20 @@
             self._current.excuse_send()
 
     async def _wait_for_probes(self) -> None:
-        """Wait while it is unknown whether this node reaches any server."""
+        """Wait while it is unknown whether this node reaches any server.
+
+        Time for which the node stands still delays the probes as well, and does
+        not count.
+        """
         reachability = self._state.reachability
+        meter = StandstillMeter(interval_s=POLL_INTERVAL_S)
         now = read_clock()
-        until = min(self._current.expires, now + PROBES_WAIT_S)
-        while now < until and reachability.is_in_doubt(now):
+        until = now + PROBES_WAIT_S + meter.measure(now)
+        expires = self._current.expires
+        while now < min(expires, until) and reachability.is_in_doubt(now):
             await asyncio.sleep(POLL_INTERVAL_S)
             now = read_clock()
+            until += meter.measure(now)
 
     async def _should_continue(
         self, admission: Admission, end: SendOutcome, status: int
--- a/test/node/test_cut_off_nodes.py
+++ b/test/node/test_cut_off_nodes.py
@@ -9,6 +9,7 @@
 from collections.abc import Awaitable, Callable, Collection
 import itertools
 import random
+import time
 
 import pytest
 from testtools.assertions import assert_that
@@ -31,6 +32,7 @@
     MIN_RATIO,
 )
 from chervilrock.edges.serving.detours import HEADER
+from chervilrock.edges.serving.exchange import PROBES_WAIT_S
 from chervilrock.standin.site.proxy import LinkFault
 from chervilrock.standin.site.site import LARGE, MODEL_SERVICE, SMALL
 from test.node.serving_site import Answer, make_events, run_world, World
@@ -319,6 +321,39 @@
     run_cut_world(scenario)
 
 
+def test_streams_wait_for_the_verdict_of_a_node_that_stood_still() -> None:
+    # Failure: the standstill counts as waiting time, and streams are sent again
+    # to servers that are not reached.
+    async def scenario(world: World) -> None:
+        node = world.nodes[1]
+        budget = node.state.budget(MODEL_SERVICE)
+        await world.wait(
+            lambda: budget.describe().left >= STREAMS,
+            "the retry budget allows to resume all streams",
+        )
+        headers = world.make_headers(X_Token_Count=f"10,{LONG_EVENTS}")
+        call = world.call("/draft/x", node=1, headers=headers)
+        stream = asyncio.create_task(call)
+        await world.wait(
+            lambda: bool(world.find_runs(headers["X-Request-Id"])),
+            "the stream runs",
+        )
+        cut(world, (1,), LinkFault.SILENT)
+        (exchange,) = node._callers.exchanges.values()
+        await world.wait(
+            lambda: bool(exchange._current.progress.sends),
+            "the stream is taken from its server",
+        )
+        assert_that(node.state.reachability.is_cut_off, Equals(False))
+        time.sleep(PROBES_WAIT_S)
+        answer = await stream
+        wanted = make_events(headers["X-Request-Id"], LONG_EVENTS)
+        assert_that(answer.body, Equals(wanted))
+        assert_that(exchange._current.progress.sends, Equals(2))
+
+    run_cut_world(scenario)
+
+
 @pytest.mark.parametrize("fault", [LinkFault.RESET, LinkFault.SILENT])
 def test_another_node_leads_while_the_leader_is_cut_off(
     fault: LinkFault,
