Close a node that does not stop while a stream runs

A node that was closed without a stop raised OverflowError, as the log line for cut answers (E7421) had no time of a stop to count from; only tests close nodes so. The line is written for nodes that stop.

test_a_node_that_does_not_stop_is_closed_while_a_stream_runs: OverflowError 1 of 1 before, passes 1 of 1 after.

--- a/chervilrock/edges/serving/exchange.py
+++ b/chervilrock/edges/serving/exchange.py
@@ -215,7 +215,8 @@
     def record_exit(self, now: float) -> None:
         """Record that the process exits before the answer is complete."""
         self._connection.record_cut(CutCause.EXIT)
-        if self._connection.cut is CutCause.EXIT:
+        is_cut = self._connection.cut is CutCause.EXIT
+        if is_cut and self._state.shutdown.is_begun:
             exchangelog.log_cut_at_exit(
                 exchangelog.CutAnswer(
                     request_id=self.request_id,
--- a/test/node/test_stopping.py
+++ b/test/node/test_stopping.py
@@ -21,7 +21,7 @@
 from chervilrock.standin.site.servers import ServerFault
 from chervilrock.standin.site.site import PLAIN_SERVICE
 from chervilrock.tasks.clock import read_clock
-from test.node.serving_site import Answer, run_world, World
+from test.node.serving_site import Answer, CUT, run_world, World
 from test.node.test_slow_readers import Caller
 
 ANSWER_BYTES = 4_000_000
@@ -160,9 +160,7 @@
         for _ in range(MIN_SAMPLES):
             await world.call("/draft/x")
             await world.call("/look/x", headers=make_plain_headers(world))
-        call = asyncio.create_task(call_for_events(world, SLOW_EVENTS))
-        exchanges = world.nodes[0]._callers.exchanges
-        await world.wait(lambda: bool(exchanges), "a long stream runs")
+        call = await start_long_stream(world)
         stopping = asyncio.ensure_future(world.nodes[0].stop())
         await asyncio.sleep(LATE_S)
         set_work(world, 30.0)
@@ -198,6 +196,42 @@
     run_world(scenario)
 
 
+async def start_long_stream(world: World) -> asyncio.Task[Answer]:
+    call = asyncio.create_task(call_for_events(world, SLOW_EVENTS))
+    exchanges = world.nodes[0]._callers.exchanges
+    await world.wait(
+        lambda: any(one._connection.has_begun for one in exchanges.values()),
+        "a long stream has begun",
+    )
+    return call
+
+
+def test_a_stream_that_the_exit_cuts_is_logged_with_its_times(
+    log_lines: list[str],
+) -> None:
+    async def scenario(world: World) -> None:
+        call = await start_long_stream(world)
+        await world.nodes[0].stop()
+        assert_that((await call).status, Equals(CUT))
+        (line,) = [line for line in log_lines if "answer-cut-at-exit" in line]
+        # It was sent before the node began to stop.
+        assert_that(line, Contains("arrived_ms=-"))
+        assert_that(line, Contains("expected_ms=None"))
+        assert_that(line, Contains("silent_ms="))
+
+    run_world(scenario, grace_s=1.5)
+
+
+def test_a_node_that_does_not_stop_is_closed_while_a_stream_runs() -> None:
+    # Failure: it has no time of a stop to log, and is not closed.
+    async def scenario(world: World) -> None:
+        call = await start_long_stream(world)
+        await world.nodes[0].close()
+        assert_that((await call).status, Equals(CUT))
+
+    run_world(scenario)
+
+
 def test_a_caller_that_reads_nothing_does_not_delay_the_exit() -> None:
     async def scenario(world: World) -> None:
         caller = await request_large_answer(world)
