--- a/bench/silentservers.py
+++ b/bench/silentservers.py
@@ -29,13 +29,13 @@
 START_S = 8.0
 """Time until the nodes of a run serve."""
 
-SOON_S = 3.0
-LATE_FRACTION = 5 / 6
-"""Part of the grace period after which a server that still runs a stream that
-was sent within `SOON_S` excuses its end."""
+ALLOWED_SENT_S = 3.0
+ALLOWED_CUT_FRACTION = 5 / 6
+"""A node may cut a stream that was sent at most `ALLOWED_SENT_S` after SIGTERM
+and that its server still runs after this part of the grace period."""
 
 GAP_S = (1.0, 8.0)
-"""Time between two SIGTERM."""
+"""Time between the signals to two nodes."""
 
 LIMIT_MS = 8000
 TOKENS = (5, 40, 120, 180)
@@ -78,8 +78,8 @@
     """Return whether a stopping node may cut a stream at its exit."""
     return any(
         stop.address == attempt.address
-        and attempt.sent <= stop.time + SOON_S
-        and stop.time + LATE_FRACTION * GRACE_S <= attempt.ended
+        and attempt.sent <= stop.time + ALLOWED_SENT_S
+        and stop.time + ALLOWED_CUT_FRACTION * GRACE_S <= attempt.ended
         and attempt.ended <= stop.time + GRACE_S
         for stop in stops
     )
--- a/chervilrock/decisions/serving/admission/shutdown.py
+++ b/chervilrock/decisions/serving/admission/shutdown.py
@@ -102,20 +102,20 @@
         self.serves_until = min(self.serves_until, now)
 
     def find_latest_send(
-        self, expected_s: float, expires: float, *, may_exceed: bool
+        self, expected_s: float, expires: float, *, trusts_estimate: bool
     ) -> float:
         """Return until when a request may be sent to a server.
 
         Args:
           expected_s: time until its answer is complete, in seconds.
           expires: latest time at which its caller gets an answer.
-          may_exceed: whether to rely on the estimate for as long as it fits:
-            the request was accepted before, or a late answer is an error and
-            not a cut one, and its caller has no other node.
+          trusts_estimate: whether the estimate alone decides: the request may
+            have run, or its caller has no other node and gets an error instead
+            of a cut answer if it is late.
         """
         if expires <= self.serves_until:
             return self.serves_until
-        if may_exceed:
+        if trusts_estimate:
             return self.serves_until - expected_s
         return min(self.planned_end - expected_s, self.accepts_until)
 
--- a/chervilrock/edges/serving/exchange.py
+++ b/chervilrock/edges/serving/exchange.py
@@ -346,7 +346,8 @@
         reachability = self._state.reachability
         meter = StandstillMeter(interval_s=POLL_INTERVAL_S)
         now = read_clock()
-        until = now + PROBES_WAIT_S + meter.measure(now)
+        meter.measure(now)
+        until = now + PROBES_WAIT_S
         expires = self._current.expires
         while now < min(expires, until) and reachability.is_in_doubt(now):
             await asyncio.sleep(POLL_INTERVAL_S)
--- a/chervilrock/edges/serving/slots.py
+++ b/chervilrock/edges/serving/slots.py
@@ -226,13 +226,13 @@
             return shutdown.serves_until
         # Only a stream is forwarded before it is complete, and can be cut.
         is_whole = admission.route.kind is not RouteKind.STREAM
-        may_exceed = self._exchange.progress.may_have_run or (
+        trusts_estimate = self._exchange.progress.may_have_run or (
             is_whole and not self._state.has_other_nodes()
         )
         return shutdown.find_latest_send(
             self.estimate_duration(admission, now),
             self._expires,
-            may_exceed=may_exceed,
+            trusts_estimate=trusts_estimate,
         )
 
     def estimate_duration(self, admission: Admission, now: float) -> float:
--- a/test/decisions/serving/admission/test_shutdown.py
+++ b/test/decisions/serving/admission/test_shutdown.py
@@ -27,14 +27,14 @@
 
 
 def test_a_node_that_is_not_stopping_may_send_at_any_time() -> None:
-    latest = Shutdown().find_latest_send(5.0, math.inf, may_exceed=False)
+    latest = Shutdown().find_latest_send(5.0, math.inf, trusts_estimate=False)
     assert_that(latest, Equals(math.inf))
 
 
 def test_requests_are_sent_only_as_long_as_they_can_end(shutdown) -> None:
-    latest = shutdown.find_latest_send(5.0, math.inf, may_exceed=True)
+    latest = shutdown.find_latest_send(5.0, math.inf, trusts_estimate=True)
     assert_that(latest, Equals(BEGIN + GRACE_S - STOP_MARGIN_S - 5.0))
-    planned = shutdown.find_latest_send(5.0, math.inf, may_exceed=False)
+    planned = shutdown.find_latest_send(5.0, math.inf, trusts_estimate=False)
     assert_that(planned, Equals(shutdown.planned_end - 5.0))
     assert_that(planned, LessThan(latest))
 
@@ -43,9 +43,9 @@
     shutdown,
 ) -> None:
     # Failure: a server falls silent after the request was accepted.
-    latest = shutdown.find_latest_send(0.1, math.inf, may_exceed=False)
+    latest = shutdown.find_latest_send(0.1, math.inf, trusts_estimate=False)
     assert_that(latest, Equals(BEGIN + ACCEPT_S))
-    latest = shutdown.find_latest_send(0.1, math.inf, may_exceed=True)
+    latest = shutdown.find_latest_send(0.1, math.inf, trusts_estimate=True)
     assert_that(latest, Equals(shutdown.serves_until - 0.1))
 
 
@@ -53,7 +53,7 @@
     shutdown,
 ) -> None:
     expires = shutdown.serves_until
-    latest = shutdown.find_latest_send(9.0, expires, may_exceed=False)
+    latest = shutdown.find_latest_send(9.0, expires, trusts_estimate=False)
     assert_that(latest, Equals(shutdown.serves_until))
 
 
@@ -70,7 +70,7 @@
 def test_a_node_without_a_working_task_accepts_nothing() -> None:
     shutdown = Shutdown()
     shutdown.begin(GRACE_S, BEGIN, may_serve=False)
-    latest = shutdown.find_latest_send(0.0, math.inf, may_exceed=True)
+    latest = shutdown.find_latest_send(0.0, math.inf, trusts_estimate=True)
     assert_that(latest, Equals(BEGIN))
     # Requests that were sent before still get their answers.
     assert_that(shutdown.answers_until, GreaterThan(BEGIN + 1.0))
