Allow three known failures

KNOWN-RED.txt has three lines since, so its limit goes from four to three, and the test of the limit with it.

--- a/test/known_red.py
+++ b/test/known_red.py
@@ -2,7 +2,7 @@
 
 Each line of the file reads `test-id: cause, issue`. A listed test that fails
 is reported as an expected failure, and each listed test is printed when the
-run ends. A file of more than four lines, or with a line of another form,
+run ends. A file of more than three lines, or with a line of another form,
 stops the run.
 """
 
@@ -12,7 +12,7 @@
 import pytest
 
 FILE_NAME = "KNOWN-RED.txt"
-MAX_LINES = 4
+MAX_LINES = 3
 
 
 class KnownFailure(NamedTuple):
--- a/test/test_known_red.py
+++ b/test/test_known_red.py
@@ -62,7 +62,7 @@
 @pytest.mark.parametrize(
     ("lines", "finding"),
     [
-        ([BAD] * 5, "5 lines, at most 4 allowed"),
+        ([BAD] * 4, "4 lines, at most 3 allowed"),
         (["test_suite.py::test_bad"], "is not of the form"),
         (["test_suite.py::test_bad: no issue named"], "is not of the form"),
     ],
