Excuse cuts of the soak only while a server runs the request

The soak of silent servers let pass each stream that was sent within 3 s of SIGTERM and cut late in the grace period, also one that no server ran any more, which the rule counts. It now samples what servers run in the last sixth of the grace period, and lets pass only these.

--- a/bench/silentservers.py
+++ b/bench/silentservers.py
@@ -34,6 +34,8 @@
 """A node may cut a stream that was sent at most `ALLOWED_SENT_S` after SIGTERM
 and that its server still runs after this part of the grace period."""
 
+WATCH_INTERVAL_S = 0.02
+
 GAP_S = (1.0, 8.0)
 """Time between the signals to two nodes."""
 
@@ -50,10 +52,13 @@
     Attributes:
       address: its address for callers.
       time: when it got the signal, on the clock of the event loop.
+      running: identifiers of the requests that servers still ran late in its
+        grace period.
     """
 
     address: str
     time: float
+    running: set[str]
 
 
 class Outcome(NamedTuple):
@@ -79,12 +84,22 @@
     return any(
         stop.address == attempt.address
         and attempt.sent <= stop.time + ALLOWED_SENT_S
-        and stop.time + ALLOWED_CUT_FRACTION * GRACE_S <= attempt.ended
         and attempt.ended <= stop.time + GRACE_S
+        and attempt.request_id in stop.running
         for stop in stops
     )
 
 
+async def watch_servers(site: Site, stop: Stop) -> None:
+    """Record what servers run late in the grace period of a node."""
+    loop = asyncio.get_running_loop()
+    await asyncio.sleep(ALLOWED_CUT_FRACTION * GRACE_S)
+    while loop.time() < stop.time + GRACE_S:
+        for server in site.servers:
+            stop.running.update(server.streams)
+        await asyncio.sleep(WATCH_INTERVAL_S)
+
+
 async def silence_servers(
     site: Site, generator: random.Random, silences: list[float]
 ) -> None:
@@ -113,10 +128,12 @@
     tasks = []
     gap_s = generator.uniform(*GAP_S)
     for node in generator.sample(nodes, len(nodes)):
-        stops.append(Stop(node.address, loop.time()))
+        stop = Stop(node.address, loop.time(), set())
+        stops.append(stop)
         node.signal(signal.SIGTERM)
         silence = silence_servers(site, generator, silences)
         tasks.append(asyncio.create_task(silence))
+        tasks.append(asyncio.create_task(watch_servers(site, stop)))
         await asyncio.sleep(gap_s)
     await asyncio.gather(*tasks)
     await asyncio.sleep(GRACE_S)
