Accept no passed-on stream late for its earlier sends

Callers of a cut-off node could have a stream cut by the exit of the node that it was passed on to. A stopping node sends again by estimate what it has accepted and what may have run. It took a request that another node had already sent for such a one, although it had arrived late. Now the request has to have arrived while the node still accepted requests by estimate.

test_a_stream_that_another_node_has_sent_before_is_not_accepted_late: cut at the exit (E7421) 1 of 1 before, 502 and not run 1 of 1 after.

--- a/chervilrock/decisions/serving/admission/shutdown.py
+++ b/chervilrock/decisions/serving/admission/shutdown.py
@@ -109,9 +109,9 @@
         Args:
           expected_s: time until its answer is complete, in seconds.
           expires: latest time at which its caller gets an answer.
-          trusts_estimate: whether the estimate alone decides: the request may
-            have run, or its caller has no other node and gets an error instead
-            of a cut answer if it is late.
+          trusts_estimate: whether the estimate alone decides: the request was
+            accepted and may have run, or its caller has no other node and gets
+            an error instead of a cut answer if it is late.
         """
         if expires <= self.serves_until:
             return self.serves_until
--- a/chervilrock/edges/serving/slots.py
+++ b/chervilrock/edges/serving/slots.py
@@ -226,7 +226,11 @@
             return shutdown.serves_until
         # Only a stream is forwarded before it is complete, and can be cut.
         is_whole = admission.route.kind is not RouteKind.STREAM
-        trusts_estimate = self._exchange.progress.may_have_run or (
+        was_accepted = (
+            self._exchange.progress.may_have_run
+            and self._request.arrived <= shutdown.accepts_until
+        )
+        trusts_estimate = was_accepted or (
             is_whole and not self._state.has_other_nodes()
         )
         return shutdown.find_latest_send(
--- a/test/node/test_stopping.py
+++ b/test/node/test_stopping.py
@@ -17,6 +17,7 @@
     ACCEPT_S,
     MIN_STOP_S,
 )
+from chervilrock.edges.serving.detours import HEADER
 from chervilrock.standin.site.proxy import LinkFault
 from chervilrock.standin.site.servers import ServerFault
 from chervilrock.standin.site.site import PLAIN_SERVICE
@@ -153,6 +154,28 @@
     run_world(scenario, nodes=2, grace_s=5.0)
 
 
+def test_a_stream_that_another_node_has_sent_before_is_not_accepted_late() -> (
+    None
+):
+    # Failure: a stopping node takes it for one that it has accepted, and the
+    # exit cuts it.
+    async def scenario(world: World) -> None:
+        for _ in range(MIN_SAMPLES):
+            await world.call("/draft/x")
+        stopping = asyncio.ensure_future(world.nodes[0].stop())
+        await asyncio.sleep(LATE_S)
+        headers = world.make_headers(X_Token_Count="10,60", **{HEADER: "1"})
+        call = asyncio.create_task(world.call("/draft/x", headers=headers))
+        await asyncio.sleep(SILENT_AFTER_S)
+        for server in world.site.servers:
+            server.fault = ServerFault.SILENT
+        await stopping
+        assert_that((await call).status, Equals(502))
+        assert_that(world.find_runs(headers["X-Request-Id"]), HasLength(0))
+
+    run_world(scenario, nodes=2, grace_s=5.0)
+
+
 def test_without_other_nodes_late_requests_are_whole_or_failed() -> None:
     # Failure: streams begin late, their servers fall silent, and the exit cuts
     # them.
