Share what the three soaks do with seeds

The new soak repeated the loop over seeds, the arguments and the count of statuses of the others. bench/seeds.py has them once. No change of what is played or checked.

One seed of each by hand: bench.soak 7 for 4 s, bench.rollingrestarts 2 and bench.silentservers 4, all held.

--- a/bench/rollingrestarts.py
+++ b/bench/rollingrestarts.py
@@ -7,7 +7,6 @@
 `python -m bench.rollingrestarts --seeds 50`.
 """
 
-import argparse
 import asyncio
 import collections
 import contextlib
@@ -17,7 +16,8 @@
 import sys
 from typing import NamedTuple
 
-from bench.soak import find_ip, NodeProcess, open_folder, supervise
+from bench.seeds import make_parser, play_seeds
+from bench.soak import find_ip, NodeProcess, supervise
 from bench.statements import Disturbances
 from chervilrock.standin.site.servers import SiteServer
 from chervilrock.standin.site.site import (
@@ -146,6 +146,13 @@
         self.attempts: list[Attempt] = []
         self.refused = 0
 
+    def count_statuses(self) -> dict[str, int]:
+        """Return how often each status came; see `Outcome`."""
+        counts = collections.Counter(
+            attempt.status or "closed" for attempt in self.attempts
+        )
+        return {**counts, "refused": self.refused}
+
     async def run(self, body: bytes, pause_s: float) -> None:
         """Send requests with a body until cancelled."""
         while True:
@@ -479,12 +486,9 @@
         for process in processes:
             process.end()
         await site.stop()
-    statuses = collections.Counter(
-        attempt.status or "closed" for attempt in callers.attempts
-    )
     return Outcome(
         violations=(*work.violations, *find_lost(servers, callers)),
-        statuses={**statuses, "refused": callers.refused},
+        statuses=callers.count_statuses(),
         peak_mb=round(work.peak_mb, 1),
         killed=work.killed,
     )
@@ -492,28 +496,17 @@
 
 def main() -> int:
     """Run seeds one after the other; return 1 if any of them failed."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--seeds", type=int, default=1)
-    parser.add_argument("--first", type=int, default=1)
+    parser = make_parser(__doc__)
     parser.add_argument("--rounds", type=int, default=2)
     parser.add_argument("--nodes", type=int, default=NODES)
-    parser.add_argument("--logs", type=pathlib.Path)
     arguments = parser.parse_args()
-    failed = 0
-    for seed in range(arguments.first, arguments.first + arguments.seeds):
-        with open_folder(arguments.logs, seed) as folder:
-            run = soak(
-                seed, folder, rounds=arguments.rounds, nodes=arguments.nodes
-            )
-            outcome = asyncio.run(run)
-        failed += bool(outcome.violations)
-        print(
-            seed,
-            "BROKEN" if outcome.violations else "held",
-            outcome,
-            flush=True,
-        )
-    return 1 if failed else 0
+    return play_seeds(
+        arguments,
+        lambda seed, folder: soak(
+            seed, folder, rounds=arguments.rounds, nodes=arguments.nodes
+        ),
+        lambda outcome: bool(outcome.violations),
+    )
 
 
 if __name__ == "__main__":
--- a/bench/silentservers.py
+++ b/bench/silentservers.py
@@ -8,9 +8,7 @@
 `python -m bench.silentservers --seeds 50`.
 """
 
-import argparse
 import asyncio
-import collections
 import pathlib
 import random
 import signal
@@ -18,7 +16,8 @@
 from typing import NamedTuple
 
 from bench.rollingrestarts import Attempt, Callers, find_lost, make_nodes
-from bench.soak import NodeProcess, open_folder, supervise
+from bench.seeds import make_parser, play_seeds
+from bench.soak import NodeProcess, supervise
 from chervilrock.standin.site.servers import ServerFault
 from chervilrock.standin.site.site import make_configuration, Site
 
@@ -182,9 +181,7 @@
         for process in processes:
             process.end()
         await site.stop()
-    statuses = collections.Counter(
-        attempt.status or "closed" for attempt in callers.attempts
-    )
+    statuses = callers.count_statuses()
     allowed = [
         attempt
         for attempt in callers.attempts
@@ -193,7 +190,7 @@
     callers.attempts = [one for one in callers.attempts if one not in allowed]
     return Outcome(
         violations=tuple(find_lost(site.servers, callers)),
-        statuses={**statuses, "refused": callers.refused},
+        statuses=statuses,
         allowed=len(allowed),
         silences=len(silences),
     )
@@ -201,28 +198,17 @@
 
 def main() -> int:
     """Run seeds one after the other; return 1 if any of them failed."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--seeds", type=int, default=1)
-    parser.add_argument("--first", type=int, default=1)
+    parser = make_parser(__doc__)
     parser.add_argument("--rounds", type=int, default=1)
     parser.add_argument("--nodes", type=int, default=NODES)
-    parser.add_argument("--logs", type=pathlib.Path)
     arguments = parser.parse_args()
-    failed = 0
-    for seed in range(arguments.first, arguments.first + arguments.seeds):
-        with open_folder(arguments.logs, seed) as folder:
-            run = soak(
-                seed, folder, rounds=arguments.rounds, nodes=arguments.nodes
-            )
-            outcome = asyncio.run(run)
-        failed += bool(outcome.violations)
-        print(
-            seed,
-            "BROKEN" if outcome.violations else "held",
-            outcome,
-            flush=True,
-        )
-    return 1 if failed else 0
+    return play_seeds(
+        arguments,
+        lambda seed, folder: soak(
+            seed, folder, rounds=arguments.rounds, nodes=arguments.nodes
+        ),
+        lambda outcome: bool(outcome.violations),
+    )
 
 
 if __name__ == "__main__":
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -7,10 +7,9 @@
 for a short time.
 """
 
-import argparse
 import asyncio
 import collections
-from collections.abc import Iterator, Sequence
+from collections.abc import Sequence
 import contextlib
 import functools
 import os
@@ -20,7 +19,6 @@
 import socket
 import subprocess
 import sys
-import tempfile
 from typing import NamedTuple
 
 import msgspec
@@ -44,6 +42,7 @@
 from bench.keptconnections import KeptConnections
 from bench.limits import LimitedServers
 from bench.plannedwork import PlannedWork
+from bench.seeds import make_parser, play_seeds
 from bench.slowreaders import Address, MEMORY_MB, SlowReaders
 from bench.statements import (
     CallerSends,
@@ -722,36 +721,20 @@
     return "\n".join(lines) + "\n"
 
 
-@contextlib.contextmanager
-def open_folder(logs: pathlib.Path | None, seed: int) -> Iterator[pathlib.Path]:
-    """Yield a folder for the files of a seed, a temporary one without logs."""
-    if logs is None:
-        with tempfile.TemporaryDirectory() as temporary:
-            yield pathlib.Path(temporary)
-        return
-    folder = logs / str(seed)
-    folder.mkdir(parents=True, exist_ok=True)
-    yield folder
-
-
 def main() -> int:
     """Run seeds one after the other; return 1 if any of them failed."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--seeds", type=int, default=1)
-    parser.add_argument("--first", type=int, default=1)
+    parser = make_parser(__doc__)
     parser.add_argument("--seconds", type=float, default=20.0)
     parser.add_argument("--nodes", type=int, default=NODES)
-    parser.add_argument("--logs", type=pathlib.Path)
     arguments = parser.parse_args()
-    failed = 0
-    for seed in range(arguments.first, arguments.first + arguments.seeds):
-        plan = Plan(seed=seed, seconds=arguments.seconds, nodes=arguments.nodes)
-        with open_folder(arguments.logs, seed) as folder:
-            outcome = asyncio.run(soak(plan, folder))
-        is_broken = bool(outcome.violations) or outcome.served_at_end < 1.0
-        failed += is_broken
-        print(seed, "BROKEN" if is_broken else "held", outcome, flush=True)
-    return 1 if failed else 0
+    return play_seeds(
+        arguments,
+        lambda seed, folder: soak(
+            Plan(seed=seed, seconds=arguments.seconds, nodes=arguments.nodes),
+            folder,
+        ),
+        lambda outcome: bool(outcome.violations) or outcome.served_at_end < 1.0,
+    )
 
 
 if __name__ == "__main__":
