Dissolve closing groups only after the time limits of their requests

What callers saw: a stream that still ran 5 s after its group began to close, as a host left or was needed for another model, was taken from its server, and was cut where it may not be resumed. No request outlasts its own time limit, so a closing group is kept for the longest limit of all routes and the time until nodes know that it closes.

An order to close that was lost is now repeated for all groups, as the head would stay open for longer otherwise.

The quick close of test/node/test_evacuations.py replaces the new limit as it did the former one.

--- a/chervilrock/decisions/serving/groups/controller.py
+++ b/chervilrock/decisions/serving/groups/controller.py
@@ -8,6 +8,7 @@
 """
 
 from collections.abc import Mapping
+import math
 
 from chervilrock.decisions.serving.groups.adoption import Adoption
 from chervilrock.decisions.serving.groups.effects import (
@@ -67,9 +68,9 @@
 CLOSING_QUERY_INTERVAL_S = 0.25
 """Time between two status queries of a head that is finishing its requests."""
 
-CLOSE_TIMEOUT_S = 5.0
-"""Time after which a closing group is dissolved even with requests left, unless
-its data centre was evacuated."""
+CLOSE_MARGIN_S = 1.0
+"""Time beyond the time limits of its requests after which a closing group is
+dissolved. Nodes send to it until they know that it closes."""
 
 EVACUATION_CLOSE_S = 3.0
 """Time after which the groups of an evacuated data centre close. By then others
@@ -512,7 +513,7 @@
             return []
         if self._registry.hosts.is_evacuated(group.head):
             group.must_finish = True
-        if not group.must_finish and now - group.since > CLOSE_TIMEOUT_S:
+        if now - group.since > self._find_close_timeout(group):
             self._registry.dissolve(
                 group, "its head did not finish in time", now
             )
@@ -523,11 +524,20 @@
         effects = self._registry.query(
             group.head, CLOSING_QUERY_INTERVAL_S, now
         )
-        if group.must_finish and self._is_reported_open(group):
-            # The order was lost, and no time limit dissolves the group.
+        if self._is_reported_open(group):
+            # The order was lost.
             effects += self._registry.command(group.head, order, now)
         return effects
 
+    def _find_close_timeout(self, group: ManagedGroup) -> float:
+        """Return the time for which a closing group is kept, in seconds.
+
+        All requests that its head has accepted end within their time limits.
+        """
+        if group.must_finish:
+            return math.inf
+        return self._registry.find_longest_timeout() + CLOSE_MARGIN_S
+
     def _is_reported_open(self, group: ManagedGroup) -> bool:
         """Return whether the head of a group last reported it as open."""
         reported = self._registry.hosts.find_reported_membership(group.head)
--- a/chervilrock/decisions/serving/groups/groupregistry.py
+++ b/chervilrock/decisions/serving/groups/groupregistry.py
@@ -46,6 +46,13 @@
         known = self.configuration.services.get(service)
         return None if known is None else known.engine
 
+    def find_longest_timeout(self) -> float:
+        """Return the longest time limit of all routes, in seconds."""
+        if self.configuration is None:
+            return 0.0
+        routes = self.configuration.routes
+        return max((route.timeout_s for route in routes), default=0.0)
+
     def is_unknown_member(self, host: BackendServer) -> bool:
         """Return whether a host may be in an open group not yet adopted."""
         membership = host.membership
--- a/test/decisions/serving/fleet.py
+++ b/test/decisions/serving/fleet.py
@@ -35,8 +35,11 @@
     Membership,
     MemberState,
     ModelShape,
+    Route,
+    RouteKind,
     Service,
     SiteConfiguration,
+    WeightedService,
 )
 
 SERVICE = "drafts"
@@ -64,9 +67,24 @@
     models={"large": LARGE, "small": SMALL},
 )
 
+ROUTE = Route(
+    name="drafts",
+    host="drafts.example",
+    prefix="/draft/",
+    kind=RouteKind.STREAM,
+    services=(WeightedService(SERVICE, 1.0),),
+    timeout_s=8.0,
+    target_s=0.5,
+    longest_pause_s=0.3,
+    priority=1,
+    max_attempts=2,
+    is_public=True,
+    is_resumable=False,
+)
+
 CONFIGURATION = SiteConfiguration(
     revision=1,
-    routes=(),
+    routes=(ROUTE,),
     services={SERVICE: Service(SERVICE, ENGINE)},
     keys=None,
     limits=Limits(idle_s=15.0),
--- a/test/decisions/serving/groups/test_controller.py
+++ b/test/decisions/serving/groups/test_controller.py
@@ -28,8 +28,8 @@
     HostRegistry,
     IncarnationOrder,
 )
-from chervilrock.decisions.serving.site import BackendServer
-from test.decisions.serving.fleet import Faults, Fleet, STEP_S
+from chervilrock.decisions.serving.site import BackendServer, MemberState
+from test.decisions.serving.fleet import FakeServer, Faults, Fleet, STEP_S
 
 
 @pytest.fixture
@@ -264,6 +264,44 @@
     assert_that(fleet.violations, HasLength(0))
 
 
+def close_busy_group(fleet: Fleet, busy_s: float) -> FakeServer:
+    """Let a member of a group leave; return its head, which has requests."""
+    members = find_group(fleet, "large")
+    head = fleet.servers[members[0]]
+    head.busy_until = fleet.now + busy_s
+    fleet.servers[members[1]].is_leaving = True
+    fleet.run(0.5)
+    return head
+
+
+def is_closing(server: FakeServer) -> bool:
+    """Return whether a server finishes its requests as a head."""
+    membership = server.membership
+    return membership is not None and membership.state is MemberState.CLOSING
+
+
+def test_requests_of_a_closing_group_are_not_cut(fleet: Fleet) -> None:
+    head = close_busy_group(fleet, 7.9)
+    fleet.run(7.0)
+    assert_that(is_closing(head), Is(True))
+    assert_that(fleet.violations, HasLength(0))
+
+
+def test_a_group_that_never_finishes_is_dissolved(fleet: Fleet) -> None:
+    head = close_busy_group(fleet, 60.0)
+    fleet.run(10.0)
+    assert_that(is_closing(head), Is(False))
+
+
+def test_a_lost_order_to_close_is_sent_again(fleet: Fleet) -> None:
+    head = fleet.servers[find_group(fleet, "large")[0]]
+    head.is_unreachable = True
+    close_busy_group(fleet, 3.0)
+    head.is_unreachable = False
+    fleet.run(1.0)
+    assert_that(is_closing(head), Is(True))
+
+
 def test_a_new_leader_keeps_the_groups_that_serve(fleet: Fleet) -> None:
     before = {
         endpoint.group for endpoint in fleet.controller.list_groups(fleet.now)
--- a/test/node/test_evacuations.py
+++ b/test/node/test_evacuations.py
@@ -17,6 +17,7 @@
 )
 
 from chervilrock.decisions.serving.groups import controller
+from chervilrock.decisions.serving.groups.groupregistry import GroupRegistry
 from chervilrock.decisions.serving.servers.evacuations import Evacuations
 from chervilrock.standin.site.servers import ServerFault, SiteServer
 from chervilrock.standin.site.site import make_configuration, SMALL
@@ -38,7 +39,8 @@
 def quick_close(monkeypatch: pytest.MonkeyPatch) -> None:
     """Close groups sooner, and cut the streams of others sooner."""
     monkeypatch.setattr(controller, "EVACUATION_CLOSE_S", 0.8)
-    monkeypatch.setattr(controller, "CLOSE_TIMEOUT_S", 0.3)
+    monkeypatch.setattr(GroupRegistry, "find_longest_timeout", lambda *_: 0.0)
+    monkeypatch.setattr(controller, "CLOSE_MARGIN_S", 0.3)
 
 
 def list_servers(world: World, data_centre: str = "b") -> list[SiteServer]:
