Let groups that a new leader finds closing finish their requests

What callers saw: when the leader changed while a group was closing, the new leader dissolved the group at once, and its streams were taken from the server; what may not be resumed was cut. In a rolling restart beside a release both come together. Only groups of evacuated data centres were spared.

A new leader now continues to close each complete group that it finds closing, within the same limit as its own.

Measured: test_a_new_leader_cuts_no_requests_of_closing_groups failed before in one run; the tests of groups and evacuations pass (138).

--- a/chervilrock/decisions/serving/groups/adoption.py
+++ b/chervilrock/decisions/serving/groups/adoption.py
@@ -118,8 +118,8 @@
             group.enter(Phase.SERVING, now)
             self._registry.record_change(GroupStep.SERVING, group, "found open")
             self._verifier.verify(group, "it was found", now)
-        elif state is MemberState.CLOSING and head.data_centre in self.drained:
-            group.must_finish = True
+        elif state is MemberState.CLOSING:
+            group.must_finish = head.data_centre in self.drained
             group.enter(Phase.CLOSING, now, "found closing")
             self._registry.record_change(GroupStep.CLOSING, group, group.reason)
         else:
--- a/test/decisions/serving/groups/test_controller.py
+++ b/test/decisions/serving/groups/test_controller.py
@@ -302,6 +302,18 @@
     assert_that(is_closing(head), Is(True))
 
 
+def test_a_new_leader_cuts_no_requests_of_closing_groups(
+    fleet: Fleet,
+) -> None:
+    head = close_busy_group(fleet, 7.0)
+    fleet.make_controller(term=2)
+    fleet.run(6.0)
+    assert_that(is_closing(head), Is(True))
+    fleet.run(2.0)
+    assert_that(is_closing(head), Is(False))
+    assert_that(fleet.violations, HasLength(0))
+
+
 def test_a_new_leader_keeps_the_groups_that_serve(fleet: Fleet) -> None:
     before = {
         endpoint.group for endpoint in fleet.controller.list_groups(fleet.now)
