Give the server of unread streams small buffers

test_streams_that_nobody_reads_are_held_back failed beside other runs: streams that counted as blocked had 1 token and then 5. Traced: its server writes to 1,000 connections until the kernel takes no more, which fills the memory that the system has for TCP (529,067 pages with one run; tcp_mem allows 575,748). In two runs at once the kernel took 2,432 of the 8,216 bytes of a first event, so that the node counted the stream as blocked after 1 token, rightly; when the other run ended, it took the rest, and the stream went on to 5 tokens: 448 and 363 of 1,000 streams in two trials. So the node was right, and the test had exhausted the machine.

What the node may accept of a stream is checked as before; these buffers lie before the node and are no part of it. With pausing taken out of the node the test does not end, as streams are never blocked.

--- a/test/edges/test_many_slow_callers.py
+++ b/test/edges/test_many_slow_callers.py
@@ -86,10 +86,12 @@
 
 async def count_buffered_events(site: Site) -> int:
     """Returns the largest number of events the node accepted of a stream."""
-    server = await asyncio.start_server(
-        stream_until_blocked, "127.0.0.1", 0, backlog=STREAMS
-    )
-    port = server.sockets[0].getsockname()[1]
+    listener = socket.create_server(("127.0.0.1", 0), backlog=STREAMS)
+    # Accepted connections inherit the size. Without it, the events that the
+    # server has written take 2 GB of the memory that the system has for TCP.
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, BUFFER_BYTES)
+    server = await asyncio.start_server(stream_until_blocked, sock=listener)
+    port = listener.getsockname()[1]
     address = f"127.0.0.1:{port}"
     site.context.set_serving(
         [make_endpoint(number, address) for number in range(GROUPS)]
