Share how soaks that restart nodes begin, end and play seeds

bench/silentservers.py and bench/rollingrestarts.py had the start of nodes, their end and the arguments in common.

--- a/bench/rollingrestarts.py
+++ b/bench/rollingrestarts.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import collections
+from collections.abc import AsyncIterator
 import contextlib
 import pathlib
 import random
@@ -16,7 +17,7 @@
 import sys
 from typing import NamedTuple
 
-from bench.seeds import make_parser, play_seeds
+from bench.seeds import play_restarts
 from bench.soak import find_ip, NodeProcess, supervise
 from bench.statements import Disturbances
 from chervilrock.standin.site.servers import SiteServer
@@ -427,6 +428,48 @@
     ]
 
 
+class Run(NamedTuple):
+    """Node processes of a run and what goes on beside them.
+
+    Attributes:
+      nodes: the processes.
+      tasks: tasks that end with the run.
+    """
+
+    nodes: list[NodeProcess]
+    tasks: list[asyncio.Task[None]]
+
+    async def end_tasks(self) -> None:
+        """Cancel all tasks and wait until they have ended."""
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+
+@contextlib.asynccontextmanager
+async def run_nodes(
+    seed: int, folder: pathlib.Path, site: Site, count: int
+) -> AsyncIterator[Run]:
+    """Run nodes at a started site until they serve; end both afterwards.
+
+    Args:
+      seed: seed of the run.
+      folder: where settings and logs of the nodes are written.
+      site: the site.
+      count: number of nodes.
+    """
+    run = Run([], [])
+    try:
+        run.nodes.extend(make_nodes(seed, folder, site, count))
+        run.tasks.append(asyncio.create_task(supervise(run.nodes)))
+        await asyncio.sleep(START_S)
+        yield run
+    finally:
+        for node in run.nodes:
+            node.end()
+        await site.stop()
+
+
 async def send_large_bodies(address: str, seed: int) -> list[Attempt]:
     """Send bodies of the greatest size to one node; return the attempts."""
     # The identifiers must differ from those of the other callers.
@@ -455,37 +498,27 @@
       nodes: number of nodes.
     """
     site = Site()
-    processes: list[NodeProcess] = []
-    tasks: list[asyncio.Task[None]] = []
     site.start(model_servers=12, plain_servers=4)
     servers = list(site.servers)
     for server in servers:
         server.work_s = WORK_S
     site.store.write_configuration(make_configuration(2, limits=_LIMITS))
-    try:
-        processes += make_nodes(seed, folder, site, nodes)
-        tasks.append(asyncio.create_task(supervise(processes)))
-        await asyncio.sleep(START_S)
-        work = PlatformWork(site=site, nodes=processes, seed=seed)
+    async with run_nodes(seed, folder, site, nodes) as run:
+        work = PlatformWork(site=site, nodes=run.nodes, seed=seed)
         callers = Callers(
-            addresses=[process.address for process in processes], seed=seed
+            addresses=[node.address for node in run.nodes], seed=seed
         )
-        tasks.append(asyncio.create_task(work.watch_memory()))
-        tasks.append(asyncio.create_task(work.write_revisions()))
-        callers.attempts += await send_large_bodies(processes[0].address, seed)
+        run.tasks.append(asyncio.create_task(work.watch_memory()))
+        run.tasks.append(asyncio.create_task(work.write_revisions()))
+        address = run.nodes[0].address
+        callers.attempts += await send_large_bodies(address, seed)
         large = b"x" * LARGE_BODY_BYTES
         calls = [callers.run(large, 0.5) for _ in range(LARGE_CALLERS)]
         calls += [callers.run(b"body", 0.1) for _ in range(CALLERS)]
-        tasks += [asyncio.create_task(call) for call in calls]
+        run.tasks.extend(asyncio.create_task(call) for call in calls)
         await work.run(rounds)
         servers += [one for one in site.servers if one not in servers]
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
-    finally:
-        for process in processes:
-            process.end()
-        await site.stop()
+        await run.end_tasks()
     return Outcome(
         violations=(*work.violations, *find_lost(servers, callers)),
         statuses=callers.count_statuses(),
@@ -496,17 +529,7 @@
 
 def main() -> int:
     """Run seeds one after the other; return 1 if any of them failed."""
-    parser = make_parser(__doc__)
-    parser.add_argument("--rounds", type=int, default=2)
-    parser.add_argument("--nodes", type=int, default=NODES)
-    arguments = parser.parse_args()
-    return play_seeds(
-        arguments,
-        lambda seed, folder: soak(
-            seed, folder, rounds=arguments.rounds, nodes=arguments.nodes
-        ),
-        lambda outcome: bool(outcome.violations),
-    )
+    return play_restarts(__doc__, soak, rounds=2, nodes=NODES)
 
 
 if __name__ == "__main__":
--- a/bench/seeds.py
+++ b/bench/seeds.py
@@ -6,7 +6,7 @@
 import contextlib
 import pathlib
 import tempfile
-from typing import Any, TypeVar
+from typing import Any, Protocol, TypeVar
 
 OutcomeT = TypeVar("OutcomeT")
 
@@ -52,3 +52,48 @@
         result = "BROKEN" if is_broken(outcome) else "held"
         print(seed, result, outcome, flush=True)
     return 1 if broken else 0
+
+
+class Checked(Protocol):
+    """An outcome of a seed with the guarantees that it has broken."""
+
+    @property
+    def violations(self) -> tuple[str, ...]:
+        """Broken guarantees."""
+
+
+class Restarts(Protocol):
+    """Plays a seed of a soak test that restarts nodes."""
+
+    def __call__(
+        self, seed: int, folder: pathlib.Path, *, rounds: int, nodes: int
+    ) -> Coroutine[Any, Any, Checked]:
+        """Play a seed, with a folder for its files."""
+
+
+def play_restarts(
+    description: str | None,
+    play: Restarts,
+    *,
+    rounds: int,
+    nodes: int,
+) -> int:
+    """Play a soak test by its arguments; return 1 if any seed is broken.
+
+    Args:
+      description: what the test does.
+      play: plays a seed.
+      rounds: usual number of times that the nodes are restarted.
+      nodes: usual number of nodes.
+    """
+    parser = make_parser(description)
+    parser.add_argument("--rounds", type=int, default=rounds)
+    parser.add_argument("--nodes", type=int, default=nodes)
+    arguments = parser.parse_args()
+    return play_seeds(
+        arguments,
+        lambda seed, folder: play(
+            seed, folder, rounds=arguments.rounds, nodes=arguments.nodes
+        ),
+        lambda outcome: bool(outcome.violations),
+    )
--- a/bench/silentservers.py
+++ b/bench/silentservers.py
@@ -15,9 +15,9 @@
 import sys
 from typing import NamedTuple
 
-from bench.rollingrestarts import Attempt, Callers, find_lost, make_nodes
-from bench.seeds import make_parser, play_seeds
-from bench.soak import NodeProcess, supervise
+from bench.rollingrestarts import Attempt, Callers, find_lost, run_nodes
+from bench.seeds import play_restarts
+from bench.soak import NodeProcess
 from chervilrock.standin.site.servers import ServerFault
 from chervilrock.standin.site.site import make_configuration, Site
 
@@ -25,9 +25,6 @@
 MODEL_SERVERS = 24
 CALLERS = 60
 GRACE_S = 8.0
-START_S = 8.0
-"""Time until the nodes of a run serve."""
-
 ALLOWED_SENT_S = 3.0
 ALLOWED_CUT_FRACTION = 5 / 6
 """A node may cut a stream that was sent at most `ALLOWED_SENT_S` after SIGTERM
@@ -151,36 +148,25 @@
     """
     generator = random.Random(f"silent servers of {seed}")
     site = Site()
-    processes: list[NodeProcess] = []
-    tasks: list[asyncio.Task[None]] = []
     silences: list[float] = []
     stops: list[Stop] = []
     site.start(model_servers=MODEL_SERVERS, plain_servers=2)
     document = make_configuration(2)
     document["routes"][0]["timeout_ms"] = LIMIT_MS
     site.store.write_configuration(document)
-    try:
-        processes += make_nodes(seed, folder, site, nodes)
-        tasks.append(asyncio.create_task(supervise(processes)))
-        await asyncio.sleep(START_S)
+    async with run_nodes(seed, folder, site, nodes) as run:
         callers = Callers(
-            addresses=[process.address for process in processes],
+            addresses=[node.address for node in run.nodes],
             seed=seed,
             limit_ms=LIMIT_MS,
             kinds=("draft",),
             tokens=TOKENS,
         )
         calls = [callers.run(b"body", 0.1) for _ in range(CALLERS)]
-        tasks += [asyncio.create_task(call) for call in calls]
+        run.tasks.extend(asyncio.create_task(call) for call in calls)
         for _ in range(rounds):
-            await restart_all(site, processes, generator, silences, stops)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
-    finally:
-        for process in processes:
-            process.end()
-        await site.stop()
+            await restart_all(site, run.nodes, generator, silences, stops)
+        await run.end_tasks()
     statuses = callers.count_statuses()
     allowed = [
         attempt
@@ -198,17 +184,7 @@
 
 def main() -> int:
     """Run seeds one after the other; return 1 if any of them failed."""
-    parser = make_parser(__doc__)
-    parser.add_argument("--rounds", type=int, default=1)
-    parser.add_argument("--nodes", type=int, default=NODES)
-    arguments = parser.parse_args()
-    return play_seeds(
-        arguments,
-        lambda seed, folder: soak(
-            seed, folder, rounds=arguments.rounds, nodes=arguments.nodes
-        ),
-        lambda outcome: bool(outcome.violations),
-    )
+    return play_restarts(__doc__, soak, rounds=1, nodes=NODES)
 
 
 if __name__ == "__main__":
