Reject passed-on requests that a node has not sent itself

What callers saw: streams of a cut-off node ended with seconds left. A node passed its streams on to another one, which reached no server either and failed them with 502 for the send that the first node had made. The first node took that for a lost send that had used up all attempts. Class: a node answers for sends of another one, whose state it does not know.

Sends of another node still use up attempts, but only what this node has sent itself counts as possibly run. Otherwise it rejects the request with 503 and its mark, so that the stream goes to a third node or waits. The node that passed it on keeps its own record, and tells the caller 502 where it must.

--- a/chervilrock/edges/serving/exchangestate.py
+++ b/chervilrock/edges/serving/exchangestate.py
@@ -20,7 +20,8 @@
       service: service that the request is sent to, empty before its route is
         known.
       expires: latest time at which the caller gets an answer.
-      progress: sends so far.
+      progress: sends so far. Those of another node use up attempts, but only
+        that node answers for them.
       last_event: last event that the caller has, empty for none.
       sent_at: time of the last send.
       expected_at: time at which a stopping node expected the answer to the last
@@ -50,7 +51,7 @@
         self.answer = ExchangeAnswer(connection=connection)
         self.service = ""
         self.expires = request.arrived
-        self.progress = Progress(sends=sends, may_have_run=sends > 0)
+        self.progress = Progress(sends=sends, may_have_run=False)
         self.last_event = request.facts.last_event
         self.sent_at = request.arrived
         self.expected_at: float | None = None
--- a/test/node/test_begun_streams.py
+++ b/test/node/test_begun_streams.py
@@ -77,6 +77,10 @@
     )
 
 
+def is_cut_off(node: ServingNode) -> bool:
+    return node.state.reachability.is_cut_off
+
+
 def set_rejections(world: World, count: int) -> None:
     for server in world.site.servers:
         server.to_reject = count
@@ -148,6 +152,30 @@
     run_world(scenario, has_own_ips=True, model_servers=12)
 
 
+def test_a_begun_stream_outlasts_a_cut_that_all_nodes_know() -> None:
+    # Failure: it ended, as a cut-off node to which it was passed on failed it
+    # for the earlier send.
+    async def scenario(world: World) -> None:
+        ips = [f"127.0.1.{number}" for number in (1, 2, 3)]
+        world.cuts.cut(ips[1:], LinkFault.SILENT)
+        await asyncio.gather(
+            *(world.call("/draft/x", node=node) for node in (1, 2))
+        )
+        await world.wait(
+            lambda: all(is_cut_off(node) for node in world.nodes[1:]),
+            "the other nodes know that they are cut off",
+        )
+        stream, _ = await begin_stream(world)
+        world.cuts.cut(ips, LinkFault.SILENT)
+        await world.wait(lambda: is_cut_off(world.nodes[0]), "all know")
+        await asyncio.sleep(0.5)
+        world.cuts.restore(ips)
+        answer = await stream.answer
+        assert_that(answer.body, Equals(stream.wanted))
+
+    run_world(scenario, nodes=3, has_own_ips=True, model_servers=12)
+
+
 def test_a_stopping_node_leaves_streams_at_silent_servers() -> None:
     # Failure: it took them away and then had no time to send them again.
     async def scenario(world: World) -> None:
