Tell in the log how much of an answer was received

The record of cut answers cannot distinguish its hypotheses: E7418 and E7403 have the status of an answer only.

E7418 now says whether the node abandoned the transfer, how much of the head came, which request the head names, what delimits the body and how many bytes of it came; E7403 says the same of the last answer. chervilrock_partial_heads_total counts answers whose connection ended within their head. What states the end of a body is now one value, in which a transfer coding other than chunked counts as delimited by the connection (RFC 9112, 6.3).

--- a/chervilrock/catalogue.py
+++ b/chervilrock/catalogue.py
@@ -449,7 +449,8 @@
         "request {request_id} on {route} of workspace {workspace} ended with "
         "status {status} after {total_ms} ms ({reason}): {sends} sends, "
         "waited {waited_ms} ms, first event after {first_event_ms} ms, last "
-        "event {after}, cut: {cut}, {left_ms} ms left, revision {revision}",
+        "event {after}, cut: {cut}, {left_ms} ms left, revision {revision}; "
+        "last answer: head {head}, framing {framing}, {body_bytes} bytes",
     )
     SEND_BROKEN = EventSpec(
         7404,
@@ -544,7 +545,8 @@
         Level.INFO,
         "request {request_id} got no usable answer of server {server} within "
         "{ran_ms} ms ({outcome}); connected: {connected}, status {status}: "
-        "{error}",
+        "{error}; abandoned: {abandoned}, head {head} for request {addressee}, "
+        "framing {framing}, {body_bytes} bytes",
     )
     REQUEST_DETOURED = EventSpec(
         7419,
--- a/chervilrock/decisions/serving/messages.py
+++ b/chervilrock/decisions/serving/messages.py
@@ -1,5 +1,6 @@
 """The relevant contents of the headers of requests and answers."""
 
+import enum
 from typing import NamedTuple
 
 
@@ -87,6 +88,22 @@
 """States nothing, not even that there is no limit."""
 
 
+class Framing(enum.Enum):
+    """What states where the body of an answer ends.
+
+    Attributes:
+      LENGTH: its length.
+      CHUNKS: the last of its chunks.
+      CONNECTION: the end of the connection, whether or not it is complete.
+      NO_BODY: its status, which allows no body.
+    """
+
+    LENGTH = "length"
+    CHUNKS = "chunks"
+    CONNECTION = "connection"
+    NO_BODY = "none"
+
+
 class AnswerFacts(NamedTuple):
     """Contents of the headers of an answer of a server.
 
@@ -98,8 +115,7 @@
       is_encoded: whether the body was changed on the way.
       is_stream: whether the body is a stream of events.
       statement: what the server states of itself.
-      is_delimited: whether the head states where the body ends; otherwise it
-        ends with its connection, whether or not it is complete.
+      framing: what states where the body ends.
     """
 
     status: int
@@ -109,7 +125,7 @@
     is_encoded: bool
     is_stream: bool
     statement: ServerStatement = NO_STATEMENT
-    is_delimited: bool = True
+    framing: Framing = Framing.LENGTH
 
 
 class ForwardedFields(NamedTuple):
--- a/chervilrock/edges/relay.py
+++ b/chervilrock/edges/relay.py
@@ -9,6 +9,7 @@
 import abc
 import asyncio
 from collections.abc import Callable
+import enum
 import os
 import socket
 from typing import NamedTuple
@@ -113,6 +114,20 @@
         """Handles the next bytes of the body."""
 
 
+class HeadState(enum.Enum):
+    """How much of the final head of an answer was received.
+
+    Attributes:
+      NONE: no line of it.
+      PARTIAL: some lines, without the blank one that ends it.
+      WHOLE: all of it.
+    """
+
+    NONE = "none"
+    PARTIAL = "partial"
+    WHOLE = "whole"
+
+
 class TransferEnd(NamedTuple):
     """Result of a transfer.
 
@@ -145,6 +160,7 @@
     Attributes:
       sent: whether a byte of the request may have been sent.
       head: head of the answer, None until it is received.
+      head_state: how much of the head was received.
       was_paused: whether it was ever paused, so that its speed is not that of
         the backend server.
     """
@@ -182,6 +198,7 @@
         self._has_expired = False
         self.sent = False
         self.head: Head | None = None
+        self.head_state = HeadState.NONE
         self.was_paused = False
 
     async def run(self, client: CurlAsyncHTTPClient) -> TransferEnd:
@@ -331,8 +348,11 @@
         if self._final_head is not None:
             return _CONTINUE
         self._head_lines.append(line)
+        self.head_state = HeadState.PARTIAL
         if not line.strip():
             self._inspect_head()
+            is_interim = self._final_head is None
+            self.head_state = HeadState.NONE if is_interim else HeadState.WHOLE
             # Lines of interim answers are not parsed again.
             self._head_lines.clear()
         return _CONTINUE
--- a/chervilrock/edges/serving/detoursender.py
+++ b/chervilrock/edges/serving/detoursender.py
@@ -109,6 +109,7 @@
         """Return the outcome and status as `send` does."""
         exchange = self._exchange
         exchange.last_event = receiver.splitter.last_event
+        exchange.received = receiver.summarize(transfer)
         outcome = self._detour.classify(transfer, receiver, end)
         if self._detour.is_rejected and not exchange.connection.has_begun:
             return None
--- a/chervilrock/edges/serving/exchange.py
+++ b/chervilrock/edges/serving/exchange.py
@@ -654,6 +654,7 @@
                     first_event=self._current.first_event,
                     last_event=self._current.last_event,
                     cut=cut,
+                    received=self._current.received,
                     left_s=self._current.expires - read_clock(),
                     state=self._state,
                     now=read_clock(),
--- a/chervilrock/edges/serving/exchangelog.py
+++ b/chervilrock/edges/serving/exchangelog.py
@@ -15,6 +15,7 @@
 )
 from chervilrock.edges.relay import TransferEnd
 from chervilrock.edges.serving.callerrequest import CallerRequest
+from chervilrock.edges.serving.receiver import AnswerSummary
 from chervilrock.events import emit, Event
 from chervilrock.serving_metrics import CompletedRequest
 from chervilrock.tasks.serving.poisondetector import BrokenSend
@@ -42,6 +43,7 @@
       last_event: identifier of the last event that the caller has, empty for
         none.
       cut: why the node ended an answer that had begun, empty if it did not.
+      received: what was received of the answer to the last send.
       left_s: time until the time limit of the request, in seconds.
       state: state of the node.
       now: current time.
@@ -57,6 +59,7 @@
     first_event: float | None
     last_event: str
     cut: str
+    received: AnswerSummary
     left_s: float
     state: ServingState
     now: float
@@ -135,6 +138,8 @@
       is_connected: whether the connection was established.
       status: status of the answer, 0 without one.
       error: error of the connection, empty for none.
+      is_abandoned: whether this node ended the transfer.
+      answer: what was received of the answer.
       seconds: time since the send began.
     """
 
@@ -143,6 +148,8 @@
     is_connected: bool
     status: int
     error: str
+    is_abandoned: bool
+    answer: AnswerSummary
     seconds: float
 
 
@@ -156,6 +163,11 @@
         connected=failed.is_connected,
         status=failed.status,
         error=failed.error,
+        abandoned=failed.is_abandoned,
+        head=failed.answer.head.value,
+        addressee=failed.answer.addressee,
+        framing=failed.answer.framing,
+        body_bytes=failed.answer.size,
         ran_ms=round(failed.seconds * _MS_PER_S),
     )
 
@@ -298,6 +310,9 @@
         total_ms=round((ended.now - arrived) * _MS_PER_S),
         after=ended.last_event,
         cut=ended.cut,
+        head=ended.received.head.value,
+        framing=ended.received.framing,
+        body_bytes=ended.received.size,
         left_ms=round(ended.left_s * _MS_PER_S),
         revision=-1 if routes is None else routes.configuration.revision,
     )
--- a/chervilrock/edges/serving/exchangestate.py
+++ b/chervilrock/edges/serving/exchangestate.py
@@ -7,6 +7,7 @@
 from chervilrock.edges.serving.answer import ExchangeAnswer
 from chervilrock.edges.serving.callerrequest import CallerRequest
 from chervilrock.edges.serving.connection import CallerConnection
+from chervilrock.edges.serving.receiver import NO_ANSWER
 
 
 class ExchangeState:
@@ -23,6 +24,7 @@
       progress: sends so far. Those of another node use up attempts, but only
         that node answers for them.
       last_event: last event that the caller has, empty for none.
+      received: what was received of the answer to the last send.
       sent_at: time of the last send.
       expected_at: time at which a stopping node expected the answer to the last
         send to be complete, None if the node was not stopping.
@@ -53,6 +55,7 @@
         self.expires = request.arrived
         self.progress = Progress(sends=sends, may_have_run=False)
         self.last_event = request.facts.last_event
+        self.received = NO_ANSWER
         self.sent_at = request.arrived
         self.expected_at: float | None = None
         self.first_event: float | None = None
--- a/chervilrock/edges/serving/receiver.py
+++ b/chervilrock/edges/serving/receiver.py
@@ -1,15 +1,16 @@
 """Receives the answer of a server to one send."""
 
 from collections.abc import Callable
+from typing import NamedTuple
 
 from chervilrock.decisions.serving.admission.attempts import (
     classify_answer,
     SendOutcome,
 )
 from chervilrock.decisions.serving.admission.streams import EventSplitter
-from chervilrock.decisions.serving.messages import AnswerFacts
+from chervilrock.decisions.serving.messages import AnswerFacts, Framing
 from chervilrock.edges.heads import Head
-from chervilrock.edges.relay import Receiver, Transfer, TransferEnd
+from chervilrock.edges.relay import HeadState, Receiver, Transfer, TransferEnd
 from chervilrock.platform import headers as names
 from chervilrock.tasks.clock import read_clock, read_unix_time
 
@@ -23,6 +24,25 @@
 _USED_OUTCOMES = (SendOutcome.COMPLETE, SendOutcome.FAILED)
 
 
+class AnswerSummary(NamedTuple):
+    """What was received of an answer, for log events.
+
+    Attributes:
+      head: how much of the head was received.
+      addressee: request that the head names: `own`, `other` or `none`.
+      framing: what states where the body ends, empty without a head.
+      size: bytes of the body that were received.
+    """
+
+    head: HeadState = HeadState.NONE
+    addressee: str = "none"
+    framing: str = ""
+    size: int = 0
+
+
+NO_ANSWER = AnswerSummary()
+
+
 class AnswerReceiver(Receiver):
     """Receives the answer of a server to one send.
 
@@ -34,6 +54,7 @@
       facts: fields read from the head, None before it was received.
       body: the body if it is buffered.
       is_relayed: whether events are forwarded as they arrive.
+      size: bytes of the body that were received.
     """
 
     def __init__(
@@ -70,7 +91,7 @@
         self.body = bytearray()
         self.is_relayed = False
         self._is_used = True
-        self._size = 0
+        self.size = 0
         self._held = 0
         self._head_at: float | None = None
 
@@ -104,6 +125,7 @@
         if self.fault:
             return
         self._progress(self)
+        self.size += len(data)
         if self.is_relayed:
             events = self.splitter.feed(data)
             self.fault = self.splitter.fault
@@ -111,11 +133,10 @@
                 self._deliver(self._head, events)
             self._record_held(self.splitter.held)
             return
-        self._size += len(data)
         limit = MAX_BODY_BYTES if self._is_used else MAX_UNUSED_BYTES
-        if self._size > limit:
+        if self.size > limit:
             self.fault = (
-                f"the body has more than {limit} bytes, {self._size} received"
+                f"the body has more than {limit} bytes, {self.size} received"
             )
             self.body.clear()
         elif self._is_used:
@@ -127,6 +148,23 @@
             self._held = size
             self._record_collected(size)
 
+    def summarize(self, transfer: Transfer) -> AnswerSummary:
+        """Return what was received of the answer.
+
+        Args:
+          transfer: the transfer of the send.
+        """
+        facts = self.facts
+        if facts is None:
+            return AnswerSummary(head=transfer.head_state, size=self.size)
+        addressee = "none"
+        if facts.request_id:
+            is_own = facts.request_id == self._request_id
+            addressee = "own" if is_own else "other"
+        return AnswerSummary(
+            transfer.head_state, addressee, facts.framing.value, self.size
+        )
+
     def find_error(self, end: TransferEnd | SendOutcome) -> str:
         """Return why the answer is not complete, empty if it may be.
 
@@ -145,7 +183,8 @@
         splitter = self.splitter
         if splitter.has_partial_event:
             return "the stream ended inside an event"
-        if not (self.facts.is_delimited or splitter.last_event):
+        is_undelimited = self.facts.framing is Framing.CONNECTION
+        if is_undelimited and not splitter.last_event:
             return "the stream ended before its first event"
         return ""
 
--- a/chervilrock/edges/serving/serversender.py
+++ b/chervilrock/edges/serving/serversender.py
@@ -5,7 +5,12 @@
 from chervilrock.decisions.serving.messages import AnswerFacts, ForwardedFields
 from chervilrock.decisions.serving.view import GroupEndpoint
 from chervilrock.edges.heads import Head
-from chervilrock.edges.relay import BackendRequest, Transfer, TransferEnd
+from chervilrock.edges.relay import (
+    BackendRequest,
+    HeadState,
+    Transfer,
+    TransferEnd,
+)
 from chervilrock.edges.serving import exchangelog
 from chervilrock.edges.serving.activesend import ActiveSend
 from chervilrock.edges.serving.backendrequests import (
@@ -214,6 +219,10 @@
         self._state.durations.record_ended(
             self, read_clock(), is_complete=outcome is SendOutcome.COMPLETE
         )
+        exchange.received = receiver.summarize(transfer)
+        is_abandoned = isinstance(end, SendOutcome)
+        if exchange.received.head is HeadState.PARTIAL and not is_abandoned:
+            self._context.metrics.count_partial_head(exchange.service)
         if outcome is not SendOutcome.COMPLETE:
             exchangelog.log_failed_send(
                 exchange.request_id,
@@ -223,6 +232,8 @@
                     is_connected=transfer.sent,
                     status=status,
                     error=receiver.find_error(end),
+                    is_abandoned=is_abandoned,
+                    answer=exchange.received,
                     seconds=read_clock() - exchange.sent_at,
                 ),
             )
--- a/chervilrock/platform/headers.py
+++ b/chervilrock/platform/headers.py
@@ -1,10 +1,11 @@
 """Decodes and encodes the headers of requests and answers."""
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 
 from chervilrock.decisions.serving.messages import (
     AnswerFacts,
     ForwardedFields,
+    Framing,
     RequestFacts,
 )
 from chervilrock.platform.statements import MISDIRECTED, read_statement
@@ -27,7 +28,8 @@
 _MS_PER_S = 1000.0
 
 _NOT_EXECUTED_STATUSES = frozenset({MISDIRECTED})
-_DELIMITERS = frozenset({"content-length", "transfer-encoding"})
+_CHUNKED = "chunked"
+_STATUSES_WITHOUT_BODY = frozenset({204, 304})
 _EVENT_STREAM = "text/event-stream"
 
 MAX_PROMPT_PARTS = 64
@@ -145,10 +147,21 @@
         is_encoded="content-encoding" in values,
         is_stream=content_type.startswith(_EVENT_STREAM),
         statement=read_statement(status, pairs, unix_time_s),
-        is_delimited=not _DELIMITERS.isdisjoint(values),
+        framing=_find_framing(status, values),
     )
 
 
+def _find_framing(status: int, values: Mapping[str, str]) -> Framing:
+    """Return what states where the body ends (RFC 9112, section 6.3)."""
+    if status in _STATUSES_WITHOUT_BODY:
+        return Framing.NO_BODY
+    coding = values.get("transfer-encoding")
+    if coding is not None:
+        last = coding.lower().rpartition(",")[2].strip()
+        return Framing.CHUNKS if last == _CHUNKED else Framing.CONNECTION
+    return Framing.LENGTH if "content-length" in values else Framing.CONNECTION
+
+
 def make_caller_headers(pairs: Iterable[tuple[str, str]]) -> HeaderPairs:
     """Return the headers of a server's answer as sent to the caller."""
     return tuple(_drop_hop_by_hop(pairs, frozenset()))
--- a/chervilrock/serving_metrics.py
+++ b/chervilrock/serving_metrics.py
@@ -177,6 +177,11 @@
             "Answers that this node ended after they had begun, by cause",
             "cause",
         )
+        self._partial_heads = self._counter(
+            "partial_heads_total",
+            "Answers of servers whose connection ended within their head",
+            "service",
+        )
         self._standstills = self._counter(
             "standstill_seconds_total",
             "Time for which the event loop of this node stood still",
@@ -260,6 +265,10 @@
         """Count an answer that this node ended after it had begun."""
         self._cut_answers.labels(cause).inc()
 
+    def count_partial_head(self, service: str) -> None:
+        """Count an answer whose connection ended within its head."""
+        self._partial_heads.labels(self._services.bound(service)).inc()
+
     def count_standstill(self, seconds: float) -> None:
         """Count time for which this node stood still."""
         self._standstills.inc(seconds)
