--- /dev/null
+++ b/test/edges/test_cut_heads.py
@@ -0,0 +1,146 @@
+"""Servers that end the connection within the head of their answer.
+
+Failure: callers got a 200 with an empty body, or a stream that ended as
+complete before its last event.
+"""
+
+import asyncio
+import itertools
+import socket
+import struct
+from typing import Any, NamedTuple
+
+from testtools.assertions import assert_that
+from testtools.matchers import HasLength
+
+from chervilrock.clients.curlpool import CurlPool
+from chervilrock.decisions.serving.admission.attempts import SendOutcome
+from chervilrock.edges.relay import BackendRequest, Transfer, TransferEnd
+from chervilrock.edges.serving.receiver import AnswerReceiver
+
+REQUEST_ID = "9c41d07be2a35f68"
+TIMEOUT_S = 10.0
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+STATUS = b"HTTP/1.1 200 OK\r\n"
+OWN_HEADERS = (
+    b"X-Request-Id: 9c41d07be2a35f68\r\n"
+    b"X-Server-Stamp: 3e1b.07.5a2.600.0.c9f2a4d1\r\n"
+)
+STREAM = b"Content-Type: text/event-stream\r\n"
+PLAIN = b"Content-Type: text/plain\r\n"
+LENGTH = b"Content-Length: 800\r\n"
+CHUNKED = b"Transfer-Encoding: chunked\r\n"
+CLOSED = b"Connection: close\r\n"
+BLANK = b"\r\n"
+
+
+class Judged(NamedTuple):
+    """How an answer was judged."""
+
+    outcome: SendOutcome
+    is_broken_off: bool
+    end: TransferEnd
+
+
+async def receive(
+    sent: bytes, *, send_once: bool, last_event: str, resets: bool
+) -> Judged:
+    """Send a request to a server that writes some bytes and closes."""
+
+    async def answer(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(sent)
+        await writer.drain()
+        if resets:
+            connection = writer.get_extra_info("socket")
+            connection.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+            )
+        writer.close()
+
+    server = await asyncio.start_server(answer, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    receiver = AnswerReceiver(
+        request_id=REQUEST_ID,
+        last_event=last_event,
+        deliver=lambda _head, _events: None,
+        progress=lambda _receiver: None,
+    )
+    transfer = Transfer(
+        request=BackendRequest(
+            method="POST",
+            url=f"http://127.0.0.1:{port}/",
+            headers=(),
+            body=b"",
+            timeout_s=TIMEOUT_S,
+            send_once=send_once,
+        ),
+        receiver=receiver,
+    )
+    pool = CurlPool(max_requests=4, max_body_size=1 << 20)
+    with pool.borrow() as client:
+        end = await transfer.run(client)
+    pool.close()
+    server.close()
+    return Judged(
+        receiver.classify(transfer, end), receiver.is_broken_off(end), end
+    )
+
+
+def receive_each(
+    answers: list[bytes],
+    *,
+    send_once: bool = True,
+    last_event: str = "",
+    resets: bool = False,
+) -> list[Judged]:
+    """Return how each of some answers is judged."""
+
+    async def receive_all() -> list[Judged]:
+        return [
+            await receive(
+                answer,
+                send_once=send_once,
+                last_event=last_event,
+                resets=resets,
+            )
+            for answer in answers
+        ]
+
+    return asyncio.run(receive_all())
+
+
+def cut(head: bytes) -> list[bytes]:
+    """Return all beginnings of a head."""
+    return [head[:length] for length in range(len(head))]
+
+
+def list_wrong(heads: list[bytes], **options: Any) -> list[bytes]:
+    """Return the heads whose end does not count as that of the server."""
+    return [
+        head
+        for head, judged in zip(
+            heads, receive_each(heads, **options), strict=True
+        )
+        if judged.outcome is not SendOutcome.LOST or not judged.is_broken_off
+    ]
+
+
+def test_an_answer_that_is_cut_in_its_head_is_broken_off() -> None:
+    wrong = []
+    for content, framing, last_event, send_once in itertools.product(
+        [PLAIN, STREAM], [LENGTH, CHUNKED, CLOSED], ["", "3"], [True, False]
+    ):
+        head = STATUS + OWN_HEADERS + content + framing + BLANK
+        wrong += list_wrong(
+            cut(head), send_once=send_once, last_event=last_event
+        )
+    assert_that(wrong, HasLength(0))
+
+
+def test_an_answer_that_is_reset_in_its_head_is_broken_off() -> None:
+    head = STATUS + OWN_HEADERS + STREAM + CHUNKED + BLANK
+    assert_that(list_wrong(cut(head), resets=True), HasLength(0))
