Take no head for whole whose connection ended within it

Callers got a 200 with an empty body, framed by its length, and streams that end as complete before their last event.

Cause: libcurl reports no error for a connection that ends within the head of an answer, and a transfer parsed whatever lines it had as the final head. A stream without its content type counted as a plain answer of no bytes; one that was resumed counted as complete.

A transfer now has a head only once the blank line that ends it was received. A connection that ends before is broken off by the server, as one that ends within a body is: the request is sent again where it may be repeated, and the end counts for crashes of contents and parts. An answer without a final head, such as a 101, ends with an error as well.

--- a/chervilrock/edges/relay.py
+++ b/chervilrock/edges/relay.py
@@ -59,6 +59,8 @@
 )
 """Errors of an answer that libcurl itself does not accept."""
 
+_BLANK_LINES = (b"\r\n", b"\n")
+
 _NO_SOCKET = -1
 
 
@@ -237,7 +239,22 @@
             self._curl = None
             if self._expiry is not None:
                 self._expiry.cancel()
-        return self._end("abandoned" if self._abandoned else "")
+        return self._end_without_error()
+
+    def _end_without_error(self) -> TransferEnd:
+        """Return the result of a transfer for which libcurl reports no error.
+
+        It reports none for a connection that ends within the head.
+        """
+        if self._abandoned:
+            return self._end("abandoned")
+        if self.head_state is HeadState.PARTIAL:
+            return self._end(
+                "the connection ended within the head", is_broken=True
+            )
+        if self.head_state is HeadState.NONE:
+            return self._end("no final answer", is_faulty=True)
+        return self._end("")
 
     @property
     def _is_get_with_body(self) -> bool:
@@ -282,7 +299,7 @@
     def _end(
         self, error: str, *, is_broken: bool = False, is_faulty: bool = False
     ) -> TransferEnd:
-        self._parse_head_lines()
+        self._pass_on_head()
         return TransferEnd(
             sent=self.sent,
             head=self.head,
@@ -349,20 +366,21 @@
             return _CONTINUE
         self._head_lines.append(line)
         self.head_state = HeadState.PARTIAL
-        if not line.strip():
-            self._inspect_head()
-            is_interim = self._final_head is None
-            self.head_state = HeadState.NONE if is_interim else HeadState.WHOLE
-            # Lines of interim answers are not parsed again.
-            self._head_lines.clear()
+        # libcurl also delivers a carriage return without its line feed.
+        if line in _BLANK_LINES:
+            self._finish_head()
         return _CONTINUE
 
-    def _inspect_head(self) -> None:
-        """Passes the final head to the receiver for inspection, once."""
-        if self._final_head is None:
-            self._final_head = parse_head(self._head_lines)
-            if self._final_head is not None:
-                self._receiver.inspect_head(self._final_head)
+    def _finish_head(self) -> None:
+        """Handles the blank line that ends an interim or the final head."""
+        head = parse_head(self._head_lines)
+        self._head_lines.clear()
+        if head is None:
+            self.head_state = HeadState.NONE
+            return
+        self.head_state = HeadState.WHOLE
+        self._final_head = head
+        self._receiver.inspect_head(head)
 
     def _receive(self, data: bytes) -> int:
         """Handles bytes of the body; called by libcurl."""
@@ -372,18 +390,16 @@
             return _PAUSE
         self._in_callback = True
         try:
-            if self.head is None:
-                self._parse_head_lines()
+            self._pass_on_head()
             self._receiver.handle_data(data)
         finally:
             self._in_callback = False
         self._fault = self._receiver.fault
         return _ABORT if self._abandoned or self._fault else len(data)
 
-    def _parse_head_lines(self) -> None:
-        """Passes the final head to the receiver once it is received."""
+    def _pass_on_head(self) -> None:
+        """Passes the final head to the receiver, once."""
         if self.head is None:
-            self._inspect_head()
             self.head = self._final_head
             if self.head is not None and not self._abandoned:
                 self._receiver.handle_head(self.head)
--- a/test/edges/test_cut_heads.py
+++ b/test/edges/test_cut_heads.py
@@ -10,6 +10,7 @@
 import struct
 from typing import Any, NamedTuple
 
+import pytest
 from testtools.assertions import assert_that
 from testtools.matchers import HasLength
 
@@ -32,6 +33,7 @@
 LENGTH = b"Content-Length: 800\r\n"
 CHUNKED = b"Transfer-Encoding: chunked\r\n"
 CLOSED = b"Connection: close\r\n"
+INTERIM = b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
 BLANK = b"\r\n"
 
 
@@ -144,3 +146,19 @@
 def test_an_answer_that_is_reset_in_its_head_is_broken_off() -> None:
     head = STATUS + OWN_HEADERS + STREAM + CHUNKED + BLANK
     assert_that(list_wrong(cut(head), resets=True), HasLength(0))
+
+
+def test_an_answer_that_is_cut_after_an_interim_one_is_broken_off() -> None:
+    head = STATUS + OWN_HEADERS + PLAIN + LENGTH + BLANK
+    answers = [INTERIM + beginning for beginning in cut(head)]
+    assert_that(list_wrong(answers), HasLength(0))
+
+
+@pytest.mark.parametrize("framing", [LENGTH, CHUNKED, CLOSED])
+def test_a_rejection_that_is_cut_in_its_head_promises_nothing(
+    framing: bytes,
+) -> None:
+    # A repeat of the request could run it twice.
+    lines = b"X-Not-Executed: 1\r\nRetry-After: 1\r\n"
+    head = b"HTTP/1.1 503 Busy\r\n" + lines + framing + BLANK
+    assert_that(list_wrong(cut(head)), HasLength(0))
