Complete a begun stream only with a stream

A stream that was sent again ended as complete after the events of the first send, though the second answer held nothing of it.

Cause: the check of an answer with neither a length nor chunks asked whether the caller has any event, not whether this answer brought one, and an answer that is no stream (a 204, a plain body) counted as complete; the caller's stream was then cut instead of resumed.

An answer that is delimited by its connection must bring an event itself, and what continues a begun stream must be a stream; otherwise the send is lost, and the stream goes on elsewhere while it may. Four of nine cases of the new test failed before.

--- a/chervilrock/edges/serving/detoursender.py
+++ b/chervilrock/edges/serving/detoursender.py
@@ -73,6 +73,7 @@
         receiver = AnswerReceiver(
             request_id=exchange.request_id,
             last_event=exchange.last_event,
+            is_continuation=exchange.connection.has_begun,
             deliver=self._deliver,
             progress=lambda _receiver: None,
             record_collected=exchange.connection.record_collected,
--- a/chervilrock/edges/serving/receiver.py
+++ b/chervilrock/edges/serving/receiver.py
@@ -62,6 +62,7 @@
         *,
         request_id: str,
         last_event: str,
+        is_continuation: bool = False,
         deliver: Callable[[Head, bytes], None],
         progress: Callable[["AnswerReceiver"], None],
         record_facts: Callable[[AnswerFacts], None] = lambda _facts: None,
@@ -73,6 +74,8 @@
           request_id: identifier of the request.
           last_event: identifier of the last event that the caller has, empty
             for none.
+          is_continuation: whether the caller has a part of the answer, which
+            only a stream can continue.
           deliver: is called with complete events for the caller.
           progress: is called with this receiver whenever data is received. It
             must not refer to it, as both would then outlive the send.
@@ -83,6 +86,7 @@
         """
         self._record_collected = record_collected
         self._request_id = request_id
+        self._is_continuation = is_continuation
         self._deliver = deliver
         self._progress = progress
         self._record_facts = record_facts
@@ -184,7 +188,7 @@
         if splitter.has_partial_event:
             return "the stream ended inside an event"
         is_undelimited = self.facts.framing is Framing.CONNECTION
-        if is_undelimited and not splitter.last_event:
+        if is_undelimited and not splitter.events:
             return "the stream ended before its first event"
         return ""
 
@@ -213,8 +217,16 @@
             return SendOutcome.HELD if end.is_held else SendOutcome.NOT_RUN
         if self.facts is None:
             return SendOutcome.LOST
-        return classify_answer(
+        outcome = classify_answer(
             self.facts,
             request_id=self._request_id,
             is_whole=not self.find_error(end),
         )
+        if outcome is SendOutcome.COMPLETE and not self._may_complete:
+            return SendOutcome.LOST
+        return outcome
+
+    @property
+    def _may_complete(self) -> bool:
+        """Whether the answer can complete what the caller has of it."""
+        return self.is_relayed or not self._is_continuation
--- a/chervilrock/edges/serving/serversender.py
+++ b/chervilrock/edges/serving/serversender.py
@@ -84,6 +84,7 @@
         receiver = AnswerReceiver(
             request_id=exchange.request_id,
             last_event=exchange.last_event,
+            is_continuation=exchange.connection.has_begun,
             deliver=self._deliver,
             progress=lambda receiver: self._record_progress(endpoint, receiver),
             record_facts=lambda facts: self._record_facts(endpoint, facts),
--- a/test/edges/test_answer_receiver.py
+++ b/test/edges/test_answer_receiver.py
@@ -30,14 +30,19 @@
 
 
 def receive(
-    receiver: AnswerReceiver, framing: tuple[str, str], data: bytes
+    receiver: AnswerReceiver,
+    framing: tuple[str, str],
+    data: bytes,
+    *,
+    status: int = 200,
+    content: str = "text/event-stream",
 ) -> Head:
     head = Head(
-        status=200,
+        status=status,
         headers=(
             ("X-Request-Id", REQUEST_ID),
             ("X-Server-Stamp", "s"),
-            ("Content-Type", "text/event-stream"),
+            ("Content-Type", content),
             framing,
         ),
     )
@@ -48,6 +53,13 @@
     return head
 
 
+def classify(receiver: AnswerReceiver, end: TransferEnd) -> SendOutcome:
+    request = BackendRequest("GET", "http://x/", (), None, 1.0, True)
+    transfer = Transfer(request=request, receiver=receiver)
+    transfer.sent = True
+    return receiver.classify(transfer, end)
+
+
 # Failure: a server that crashed while it answered with neither a length nor
 # chunks was not counted; 35 crashed under one request.
 @pytest.mark.parametrize(
@@ -70,12 +82,45 @@
 ) -> None:
     head = receive(receiver, framing, data)
     end = TransferEnd(sent=True, head=head, error="")
-    request = BackendRequest("GET", "http://x/", (), None, 1.0, True)
-    transfer = Transfer(request=request, receiver=receiver)
-    transfer.sent = True
     outcome = SendOutcome.LOST if is_broken_off else SendOutcome.COMPLETE
     assert_that(receiver.is_broken_off(end), Is(is_broken_off))
-    assert_that(receiver.classify(transfer, end), Equals(outcome))
+    assert_that(classify(receiver, end), Equals(outcome))
+
+
+# Failure: a stream that was sent again ended as complete after the events of
+# the first send.
+@pytest.mark.parametrize(
+    ("status", "content", "framing", "data", "is_complete"),
+    [
+        (200, "text/event-stream", CLOSED, b"", False),
+        (200, "text/event-stream", CLOSED, b"id: 4\nda", False),
+        (200, "text/event-stream", CLOSED, b"id: 4\ndata: x\n\n", True),
+        (200, "text/event-stream", CHUNKED, b"", True),
+        (206, "text/event-stream", CHUNKED, b"id: 4\ndata: x\n\n", True),
+        (204, "text/event-stream", CLOSED, b"", True),
+        (204, "", CLOSED, b"", False),
+        (200, "text/plain", CHUNKED, b"x", False),
+        (200, "", CLOSED, b"id: 4\ndata: x\n\n", False),
+    ],
+)
+def test_only_a_stream_completes_one_that_has_begun(
+    status: int,
+    content: str,
+    framing: tuple[str, str],
+    data: bytes,
+    is_complete: bool,
+) -> None:
+    receiver = AnswerReceiver(
+        request_id=REQUEST_ID,
+        last_event="3",
+        is_continuation=True,
+        deliver=lambda _head, _events: None,
+        progress=lambda _receiver: None,
+    )
+    head = receive(receiver, framing, data, status=status, content=content)
+    end = TransferEnd(sent=True, head=head, error="")
+    outcome = SendOutcome.COMPLETE if is_complete else SendOutcome.LOST
+    assert_that(classify(receiver, end), Equals(outcome))
 
 
 def test_a_transfer_that_was_abandoned_is_not_broken_off(
@@ -107,11 +152,8 @@
     # Failure: a piece beyond the limit was dropped, a later one that fitted was
     # appended, and the rest counted as the whole answer.
     head = receive_body(receiver, 200, [MAX_BODY_BYTES - 10, 100, 5])
-    request = BackendRequest("GET", "http://x/", (), None, 1.0, True)
-    transfer = Transfer(request=request, receiver=receiver)
-    transfer.sent = True
     end = TransferEnd(sent=True, head=head, error="")
-    assert_that(receiver.classify(transfer, end), Equals(SendOutcome.LOST))
+    assert_that(classify(receiver, end), Equals(SendOutcome.LOST))
     assert_that(receiver.find_error(end), Contains(str(MAX_BODY_BYTES + 90)))
     assert_that(receiver.body, HasLength(0))
 
