Take no answer without the identifier of its request

An extra answer of a server may arrive late, where the answer to the next request on the connection is expected; its identifier tells whose it is.

Cause: an answer without X-Request-Id counted as the request's own, and a statement that nothing was executed was believed without looking at the identifier, so that a late rejection of another request was taken for that of a request which runs.

Success and failure now need the identifier, which servers echo. A rejection may lack it, as the users' examples do, but must not name another request. The test of attempts asked that an answer without an identifier counts as complete. That was wrong: it proves nothing of whose it is.

--- a/chervilrock/decisions/serving/admission/attempts.py
+++ b/chervilrock/decisions/serving/admission/attempts.py
@@ -73,14 +73,17 @@
 ) -> SendOutcome:
     """Return the outcome of a send that got the head of an answer.
 
+    Servers echo the identifier of a request in what they answer to it, except
+    in rejections. An answer that names another request is a late one.
+
     Args:
       facts: what the head states.
       request_id: the request that was sent.
       is_whole: whether the body was received in full without an error.
     """
-    if facts.is_not_run:
+    is_own = facts.request_id == request_id
+    if facts.is_not_run and (is_own or not facts.request_id):
         return SendOutcome.NOT_RUN
-    is_own = not facts.request_id or facts.request_id == request_id
     if not is_own or not is_whole or not facts.has_receipt or facts.is_encoded:
         return SendOutcome.LOST
     if facts.status in _SUCCESSES:
--- a/test/decisions/serving/test_decisions.py
+++ b/test/decisions/serving/test_decisions.py
@@ -158,7 +158,8 @@
     ("change", "is_whole", "end"),
     [
         ({}, True, SendOutcome.COMPLETE),
-        ({"request_id": ""}, True, SendOutcome.COMPLETE),
+        ({"request_id": ""}, True, SendOutcome.LOST),
+        ({"request_id": "", "status": 500}, True, SendOutcome.LOST),
         ({"request_id": "other"}, True, SendOutcome.LOST),
         ({"has_receipt": False}, True, SendOutcome.LOST),
         ({"is_encoded": True}, True, SendOutcome.LOST),
@@ -166,6 +167,8 @@
         ({"status": 500}, True, SendOutcome.FAILED),
         ({"status": 404}, True, SendOutcome.FAILED),
         ({"status": 503, "is_not_run": True}, True, SendOutcome.NOT_RUN),
+        ({"request_id": "", "is_not_run": True}, True, SendOutcome.NOT_RUN),
+        ({"request_id": "other", "is_not_run": True}, True, SendOutcome.LOST),
         ({"status": 503}, True, SendOutcome.LOST),
         ({"status": 429}, True, SendOutcome.LOST),
         ({"status": 408}, True, SendOutcome.LOST),
