Tell in one place whether the head of an answer is complete

The clients of the store and of the control interfaces need to know it as well, and must not repeat how it is found.

The state of a head, the blank line that ends it and the statuses of interim answers now stand in clients/heads.py. Transfer uses them; it decides nothing else than before.

--- a/chervilrock/edges/heads.py
+++ b/chervilrock/edges/heads.py
@@ -3,9 +3,7 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
-_MIN_STATUS_PARTS = 2
-_STATUS_DIGITS = 3
-_STATUS_OK = 200
+from chervilrock.clients.heads import is_final_status, parse_status
 
 
 class Head(NamedTuple):
@@ -66,7 +64,7 @@
     if first is None:
         return None
     status = parse_status(lines[first])
-    if status is None or status < _STATUS_OK:
+    if status is None or not is_final_status(status):
         return None
     pairs = []
     for line in lines[first + 1 :]:
@@ -74,11 +72,3 @@
         if colon:
             pairs.append((name.strip(), value.strip()))
     return Head(status=status, headers=tuple(pairs))
-
-
-def parse_status(line: bytes) -> int | None:
-    """Parses the status code of a line such as `HTTP/1.1 200 OK`."""
-    parts = line.split(maxsplit=2)
-    if len(parts) < _MIN_STATUS_PARTS or not parts[1].isdigit():
-        return None
-    return int(parts[1]) if len(parts[1]) == _STATUS_DIGITS else None
--- a/chervilrock/edges/relay.py
+++ b/chervilrock/edges/relay.py
@@ -9,7 +9,6 @@
 import abc
 import asyncio
 from collections.abc import Callable
-import enum
 import os
 import socket
 from typing import NamedTuple
@@ -19,6 +18,7 @@
 from tornado.httpclient import HTTPClientError, HTTPRequest
 
 from chervilrock.clients.curlpool import break_error_cycle
+from chervilrock.clients.heads import HeadProgress, HeadState
 from chervilrock.edges.heads import format_headers, Head, parse_head
 
 SEND_BUFFER_BYTES = 16 * 1024
@@ -59,8 +59,6 @@
 )
 """Errors of an answer that libcurl itself does not accept."""
 
-_BLANK_LINES = (b"\r\n", b"\n")
-
 _NO_SOCKET = -1
 
 
@@ -116,20 +114,6 @@
         """Handles the next bytes of the body."""
 
 
-class HeadState(enum.Enum):
-    """How much of the final head of an answer was received.
-
-    Attributes:
-      NONE: no line of it.
-      PARTIAL: some lines, without the blank one that ends it.
-      WHOLE: all of it.
-    """
-
-    NONE = "none"
-    PARTIAL = "partial"
-    WHOLE = "whole"
-
-
 class TransferEnd(NamedTuple):
     """Result of a transfer.
 
@@ -162,7 +146,6 @@
     Attributes:
       sent: whether a byte of the request may have been sent.
       head: head of the answer, None until it is received.
-      head_state: how much of the head was received.
       was_paused: whether it was ever paused, so that its speed is not that of
         the backend server.
     """
@@ -189,6 +172,7 @@
         self._final_head: Head | None = None
         self._curl: pycurl.Curl | None = None
         self._head_lines: list[bytes] = []
+        self._head_progress = HeadProgress()
         self._head_bytes = 0
         self._fault = ""
         self._paused = False
@@ -200,7 +184,6 @@
         self._has_expired = False
         self.sent = False
         self.head: Head | None = None
-        self.head_state = HeadState.NONE
         self.was_paused = False
 
     async def run(self, client: CurlAsyncHTTPClient) -> TransferEnd:
@@ -248,13 +231,16 @@
         """
         if self._abandoned:
             return self._end("abandoned")
-        if self.head_state is HeadState.PARTIAL:
-            return self._end(
-                "the connection ended within the head", is_broken=True
-            )
-        if self.head_state is HeadState.NONE:
-            return self._end("no final answer", is_faulty=True)
-        return self._end("")
+        return self._end(
+            self._head_progress.describe_error(),
+            is_broken=self.head_state is HeadState.PARTIAL,
+            is_faulty=self.head_state is HeadState.NONE,
+        )
+
+    @property
+    def head_state(self) -> HeadState:
+        """How much of the final head was received."""
+        return self._head_progress.state
 
     @property
     def _is_get_with_body(self) -> bool:
@@ -365,9 +351,8 @@
         if self._final_head is not None:
             return _CONTINUE
         self._head_lines.append(line)
-        self.head_state = HeadState.PARTIAL
-        # libcurl also delivers a carriage return without its line feed.
-        if line in _BLANK_LINES:
+        state = self._head_progress.record_line(line)
+        if state is not HeadState.PARTIAL:
             self._finish_head()
         return _CONTINUE
 
@@ -375,12 +360,9 @@
         """Handles the blank line that ends an interim or the final head."""
         head = parse_head(self._head_lines)
         self._head_lines.clear()
-        if head is None:
-            self.head_state = HeadState.NONE
-            return
-        self.head_state = HeadState.WHOLE
-        self._final_head = head
-        self._receiver.inspect_head(head)
+        if head is not None:
+            self._final_head = head
+            self._receiver.inspect_head(head)
 
     def _receive(self, data: bytes) -> int:
         """Handles bytes of the body; called by libcurl."""
--- a/chervilrock/edges/serving/receiver.py
+++ b/chervilrock/edges/serving/receiver.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from chervilrock.clients.heads import HeadState
 from chervilrock.decisions.serving.admission.attempts import (
     classify_answer,
     SendOutcome,
@@ -10,7 +11,7 @@
 from chervilrock.decisions.serving.admission.streams import EventSplitter
 from chervilrock.decisions.serving.messages import AnswerFacts, Framing
 from chervilrock.edges.heads import Head
-from chervilrock.edges.relay import HeadState, Receiver, Transfer, TransferEnd
+from chervilrock.edges.relay import Receiver, Transfer, TransferEnd
 from chervilrock.platform import headers as names
 from chervilrock.tasks.clock import read_clock, read_unix_time
 
--- a/chervilrock/edges/serving/serversender.py
+++ b/chervilrock/edges/serving/serversender.py
@@ -1,16 +1,12 @@
 """Sends a request to the server of its slot."""
 
+from chervilrock.clients.heads import HeadState
 from chervilrock.decisions.serving.admission.attempts import SendOutcome
 from chervilrock.decisions.serving.admission.routes import Admission
 from chervilrock.decisions.serving.messages import AnswerFacts, ForwardedFields
 from chervilrock.decisions.serving.view import GroupEndpoint
 from chervilrock.edges.heads import Head
-from chervilrock.edges.relay import (
-    BackendRequest,
-    HeadState,
-    Transfer,
-    TransferEnd,
-)
+from chervilrock.edges.relay import BackendRequest, Transfer, TransferEnd
 from chervilrock.edges.serving import exchangelog
 from chervilrock.edges.serving.activesend import ActiveSend
 from chervilrock.edges.serving.backendrequests import (
