Take no answer to a call whose connection ended within its head

A call whose answer was cut in its head got the status of it, an empty body and those headers that had come: an append was rejected (412) or its topic cut (410) without a whole answer, an order carried out, an attempt cancelled, a server reached, and the era of the store was missing.

Cause: libcurl reports no error for a connection that ends within the head, as in Transfer. A call now has an answer only once the blank line of its final head was received; else it fails as an outage, so that it may have been carried out.

--- a/chervilrock/clients/httpclient.py
+++ b/chervilrock/clients/httpclient.py
@@ -17,6 +17,7 @@
 
 from chervilrock.clients.curlpool import CurlPool
 from chervilrock.clients.errors import PlatformError, PlatformErrorKind
+from chervilrock.clients.heads import HeadProgress
 from chervilrock.clients.sendguard import SendGuard
 from chervilrock.events import emit, Event
 
@@ -60,11 +61,21 @@
 
     Parsing only these instead of all headers saves about a fifth of the time
     of a request.
+
+    Attributes:
+      progress: how much of the head was received.
     """
 
-    __slots__ = ("retry_after_s", "not_run", "value", "_wanted_name")
+    __slots__ = (
+        "progress",
+        "retry_after_s",
+        "not_run",
+        "value",
+        "_wanted_name",
+    )
 
     def __init__(self, wanted: str) -> None:
+        self.progress = HeadProgress()
         self.retry_after_s = 0.0
         self.not_run = False
         self.value = ""
@@ -72,6 +83,7 @@
 
     def record_line(self, line: bytes) -> None:
         """Parse a header line; libcurl calls this for each of them."""
+        self.progress.record_line(line)
         wanted = self._wanted_name
         if wanted and line[: len(wanted) + 1].lower() == wanted + b":":
             self.value = line[len(wanted) + 1 :].strip().decode("latin-1")
@@ -244,6 +256,10 @@
             return Failure(PlatformError(PlatformErrorKind.REFUSED, str(error)))
         finally:
             guard.end()
+        head_error = answer_headers.progress.describe_error()
+        if head_error:
+            message = f"{call.url}: {head_error}"
+            return Failure(PlatformError(PlatformErrorKind.OUTAGE, message))
         return Success(
             HttpAnswer(
                 status=response.code,
