Take no answer to a poll whose connection ended within its head

A poll whose answer was cut in its head got the status of it: a cut 304 confirmed the former value, and a cut 200 was an empty body, a malformed one (bad answer) rather than a broken connection.

Cause: as for calls, libcurl reports no error. A poll has an answer only with a whole head; else it fails as an outage and forgets the former answer and its tag, as after any failure, so that the next one comes with its body.

--- a/chervilrock/clients/polling.py
+++ b/chervilrock/clients/polling.py
@@ -15,6 +15,7 @@
 
 from chervilrock.clients.curlloop import CurlLoop
 from chervilrock.clients.errors import PlatformError, PlatformErrorKind
+from chervilrock.clients.heads import HeadProgress
 from chervilrock.clients.httpclient import check_status, HttpAnswer
 
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
@@ -117,11 +118,13 @@
       completion: future that is done when the current request ends, None
         without a request
       tag: entity tag of the response
+      progress: how much of the head of the response was received
     """
 
     def __init__(self) -> None:
         self.completion: asyncio.Future[None] | None = None
         self.tag = b""
+        self.progress = HeadProgress()
         self.curl = pycurl.Curl()
         self._body = bytearray()
         for option, value in (
@@ -135,6 +138,7 @@
     def begin(self, resource: _Resource, timeout_s: float) -> None:
         """Configure the handle for a request."""
         self.tag = b""
+        self.progress = HeadProgress()
         self._body = bytearray()
         timeout_ms = round(timeout_s * _MS_PER_S)
         self.curl.setopt(pycurl.URL, resource.url)
@@ -160,6 +164,7 @@
         return len(chunk)
 
     def _read_header_line(self, line: bytes) -> None:
+        self.progress.record_line(line)
         if line[: len(_TAG_HEADER)].lower() == _TAG_HEADER:
             self.tag = line[len(_TAG_HEADER) :].strip()
 
@@ -219,6 +224,12 @@
             resource.busy = False
             completion.cancel()
             self._release_handle(handle)
+        head_error = handle.progress.describe_error()
+        if head_error:
+            resource.reset()
+            return Failure(
+                PlatformError(PlatformErrorKind.OUTAGE, f"{url}: {head_error}")
+            )
         return resource.apply(handle.finish(), handle.tag, decoder)
 
     def close(self) -> None:
--- a/test/clients/test_cut_answers.py
+++ b/test/clients/test_cut_answers.py
@@ -11,6 +11,7 @@
 import struct
 from typing import TypeVar
 
+import msgspec
 import pytest
 from returns.result import Result, Success
 from testtools.assertions import assert_that
@@ -19,6 +20,7 @@
 from chervilrock.clients.errors import PlatformError, PlatformErrorKind
 from chervilrock.clients.http import HttpModelEngine
 from chervilrock.clients.httpclient import HttpClient
+from chervilrock.clients.polling import Poller
 from chervilrock.clients.serving import Topic
 from chervilrock.platform.store import StoreClient
 
@@ -183,7 +185,16 @@
     return await engine.cancel(address, "attempt")
 
 
-CALLS = [request, request_once, append, read, fetch_newest, cancel]
+async def poll(_client: HttpClient, address: str):
+    poller = Poller()
+    result = await poller.poll(
+        f"http://{address}/", msgspec.json.Decoder(), LIMIT_S
+    )
+    poller.close()
+    return result
+
+
+CALLS = [request, request_once, append, read, fetch_newest, cancel, poll]
 
 
 @pytest.mark.parametrize("call", CALLS)
@@ -267,3 +278,29 @@
         )
         assert_that(result.unwrap().body, Equals(b"{}"))
         assert_that(arrived, Equals(2))
+
+
+@pytest.mark.parametrize("status", [b"200 OK", b"304 NM"])
+def test_a_poll_whose_answer_is_cut_in_its_head_forgets_the_former_one(
+    status: bytes,
+) -> None:
+    # The former value, or the tag of the cut answer, would seem to be current.
+    async def check(answer: bytes) -> None:
+        async with run_server(keeps=1) as server:
+            poller = Poller()
+            url = f"http://{server.address}/"
+            decoder: msgspec.json.Decoder = msgspec.json.Decoder()
+            server.answers = [WHOLE, answer, WHOLE]
+            await poller.poll(url, decoder, LIMIT_S)
+            result = await poller.poll(url, decoder, LIMIT_S)
+            assert_that(result.failure().kind, Equals(PlatformErrorKind.OUTAGE))
+            await poller.poll(url, decoder, LIMIT_S)
+            poller.close()
+        conditional = [
+            b"if-none-match" in head.lower() for head in server.arrived
+        ]
+        assert_that(conditional, Equals([False, True, False]))
+
+    head = make_head(status, b"ETag: y\r\n", LENGTH)
+    for answer in cut(head)[len(STATUS_LINE) :]:
+        asyncio.run(check(answer))
