Read no headers of a call from its interim answers

A 103 with X-Not-Run, Retry-After, an era or a tag before the final answer gave that answer these headers: a 500 counted as not run.

Cause: the header lines of all heads were read alike. The headers of an interim answer are now forgotten where its head ends.

--- a/chervilrock/clients/httpclient.py
+++ b/chervilrock/clients/httpclient.py
@@ -17,7 +17,7 @@
 
 from chervilrock.clients.curlpool import CurlPool
 from chervilrock.clients.errors import PlatformError, PlatformErrorKind
-from chervilrock.clients.heads import HeadProgress
+from chervilrock.clients.heads import HeadProgress, HeadState
 from chervilrock.clients.sendguard import SendGuard
 from chervilrock.events import emit, Event
 
@@ -76,14 +76,19 @@
 
     def __init__(self, wanted: str) -> None:
         self.progress = HeadProgress()
+        self._wanted_name = wanted.lower().encode()
+        self._forget()
+
+    def _forget(self) -> None:
+        """Forget the headers of an interim answer."""
         self.retry_after_s = 0.0
         self.not_run = False
         self.value = ""
-        self._wanted_name = wanted.lower().encode()
 
     def record_line(self, line: bytes) -> None:
         """Parse a header line; libcurl calls this for each of them."""
-        self.progress.record_line(line)
+        if self.progress.record_line(line) is HeadState.NONE:
+            self._forget()
         wanted = self._wanted_name
         if wanted and line[: len(wanted) + 1].lower() == wanted + b":":
             self.value = line[len(wanted) + 1 :].strip().decode("latin-1")
--- a/chervilrock/clients/polling.py
+++ b/chervilrock/clients/polling.py
@@ -15,7 +15,7 @@
 
 from chervilrock.clients.curlloop import CurlLoop
 from chervilrock.clients.errors import PlatformError, PlatformErrorKind
-from chervilrock.clients.heads import HeadProgress
+from chervilrock.clients.heads import HeadProgress, HeadState
 from chervilrock.clients.httpclient import check_status, HttpAnswer
 
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
@@ -164,7 +164,8 @@
         return len(chunk)
 
     def _read_header_line(self, line: bytes) -> None:
-        self.progress.record_line(line)
+        if self.progress.record_line(line) is HeadState.NONE:
+            self.tag = b""
         if line[: len(_TAG_HEADER)].lower() == _TAG_HEADER:
             self.tag = line[len(_TAG_HEADER) :].strip()
 
--- a/test/clients/test_cut_answers.py
+++ b/test/clients/test_cut_answers.py
@@ -15,7 +15,7 @@
 import pytest
 from returns.result import Result, Success
 from testtools.assertions import assert_that
-from testtools.matchers import Equals, HasLength
+from testtools.matchers import Equals, HasLength, Is
 
 from chervilrock.clients.errors import PlatformError, PlatformErrorKind
 from chervilrock.clients.http import HttpModelEngine
@@ -280,6 +280,23 @@
         assert_that(arrived, Equals(2))
 
 
+def test_headers_of_an_interim_answer_are_not_those_of_the_final_one() -> None:
+    interim = make_head(b"103 Hints", b"X-Not-Run: true\r\nStore-Era: 9\r\n")
+    final = make_head(b"500 No", b"Content-Length: 0\r\n")
+
+    async def call(client: HttpClient, address: str):
+        return await client.request(
+            "GET",
+            f"http://{address}/",
+            timeout_s=LIMIT_S,
+            wanted_header="Store-Era",
+        )
+
+    answer = call_each(call, [interim + final])[0].unwrap()
+    assert_that(answer.not_run, Equals(False))
+    assert_that(answer.header, Equals(""))
+
+
 @pytest.mark.parametrize("status", [b"200 OK", b"304 NM"])
 def test_a_poll_whose_answer_is_cut_in_its_head_forgets_the_former_one(
     status: bytes,
@@ -304,3 +321,21 @@
     head = make_head(status, b"ETag: y\r\n", LENGTH)
     for answer in cut(head)[len(STATUS_LINE) :]:
         asyncio.run(check(answer))
+
+
+def test_the_tag_of_an_interim_answer_is_not_that_of_the_final_one() -> None:
+    interim = make_head(b"103 Hints", b"ETag: y\r\n")
+    final = make_head(b"200 OK", LENGTH) + b"{}"
+
+    async def check() -> None:
+        async with run_server(keeps=1) as server:
+            poller = Poller()
+            url = f"http://{server.address}/"
+            decoder: msgspec.json.Decoder = msgspec.json.Decoder()
+            server.answers = [interim + final, WHOLE]
+            await poller.poll(url, decoder, LIMIT_S)
+            await poller.poll(url, decoder, LIMIT_S)
+            poller.close()
+        assert_that(b"if-none-match" in server.arrived[1].lower(), Is(False))
+
+    asyncio.run(check())
