Judge no conflict of an engine without the code in its body

A caller got backend_denied, outcome failed, for a request that the engine had not run: its 409 not_leader was cut in its body, or ended within a body that is delimited by its connection.

Cause: the code, which alone tells a refusal from a denial, was read from whatever was received, and a missing one meant a denial, after which nothing is sent again. A conflict whose body is not whole now counts as lost; other errors are told by their status, as before.

--- a/chervilrock/decisions/requests/outcomes.py
+++ b/chervilrock/decisions/requests/outcomes.py
@@ -86,7 +86,7 @@
 
 
 def judge_engine_answer(
-    status: int, *, not_run_header: bool, code: str
+    status: int, *, not_run_header: bool, code: str, is_whole: bool
 ) -> AttemptEnd:
     """Returns how an attempt ended, from the answer of an engine.
 
@@ -94,15 +94,18 @@
       status: HTTP status of the answer.
       not_run_header: whether the answer carries `X-Not-Run: true`.
       code: error code in the body, empty if there is none.
+      is_whole: whether the body was received in full.
 
     Returns:
       `COMPLETE` for a success, `REFUSED` for answers that prove that nothing
-      ran, else `ERROR` or `DENIED`.
+      ran, `LOST` for a conflict of unknown code, else `ERROR` or `DENIED`.
     """
     if status in _SUCCESSES:
         return AttemptEnd.COMPLETE
     if status == STATUS_CONFLICT and code in REFUSAL_CODES:
         return AttemptEnd.REFUSED
+    if status == STATUS_CONFLICT and not is_whole:
+        return AttemptEnd.LOST
     if status == STATUS_TOO_MANY_REQUESTS:
         return AttemptEnd.REFUSED
     if status == STATUS_UNAVAILABLE and not_run_header:
--- a/chervilrock/edges/enginecalls.py
+++ b/chervilrock/edges/enginecalls.py
@@ -166,6 +166,8 @@
             self._head.status,
             not_run_header=has_not_run_header(self._head),
             code=self.error_reply.code,
+            is_whole=not end.error
+            and (self._head.is_delimited or is_json(self._error_body)),
         )
         return outcomes.judge_attempt_end(judged, repeated=end.repeated)
 
@@ -297,6 +299,15 @@
     return ErrorReply(head.status, code, message, float(retry_after))
 
 
+def is_json(body: bytes) -> bool:
+    """Returns whether a body is a whole JSON value."""
+    try:
+        msgspec.json.decode(body)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
+        return False
+    return True
+
+
 def has_not_run_header(head: Head) -> bool:
     """Returns whether a backend server guarantees that nothing was run."""
     return head.find("x-not-run") == "true"
--- a/chervilrock/edges/heads.py
+++ b/chervilrock/edges/heads.py
@@ -4,6 +4,8 @@
 from typing import NamedTuple
 
 from chervilrock.clients.heads import is_final_status, parse_status
+from chervilrock.decisions.serving.messages import Framing
+from chervilrock.platform.headers import find_framing
 
 
 class Head(NamedTuple):
@@ -29,6 +31,12 @@
                 return value
         return default
 
+    @property
+    def is_delimited(self) -> bool:
+        """Whether it states where the body ends, other than by closing."""
+        values = {name.lower(): value for name, value in self.headers}
+        return find_framing(self.status, values) is not Framing.CONNECTION
+
 
 def format_headers(headers: Sequence[tuple[str, str]]) -> list[bytes]:
     """Returns header lines for libcurl.
--- a/chervilrock/platform/headers.py
+++ b/chervilrock/platform/headers.py
@@ -147,12 +147,17 @@
         is_encoded="content-encoding" in values,
         is_stream=content_type.startswith(_EVENT_STREAM),
         statement=read_statement(status, pairs, unix_time_s),
-        framing=_find_framing(status, values),
+        framing=find_framing(status, values),
     )
 
 
-def _find_framing(status: int, values: Mapping[str, str]) -> Framing:
-    """Return what states where the body ends (RFC 9112, section 6.3)."""
+def find_framing(status: int, values: Mapping[str, str]) -> Framing:
+    """Return what states where the body ends (RFC 9112, section 6.3).
+
+    Args:
+      status: HTTP status.
+      values: headers by their names in lower case.
+    """
     if status in _STATUSES_WITHOUT_BODY:
         return Framing.NO_BODY
     coding = values.get("transfer-encoding")
--- a/test/decisions/requests/test_guarantees.py
+++ b/test/decisions/requests/test_guarantees.py
@@ -1,7 +1,7 @@
 from hypothesis import given, Phase, settings
 import pytest
 from testtools.assertions import assert_that
-from testtools.matchers import Equals
+from testtools.matchers import Equals, Is
 
 from chervilrock.decisions.requests import attempts, outcomes
 from chervilrock.decisions.requests.attempts import (
@@ -109,11 +109,23 @@
     status: int, header: bool, code: str, end: AttemptEnd
 ) -> None:
     result = outcomes.judge_engine_answer(
-        status, not_run_header=header, code=code
+        status, not_run_header=header, code=code, is_whole=True
     )
     assert result is end
 
 
+@pytest.mark.parametrize(("status", "header", "code", "end"), ENGINE_ANSWERS)
+def test_end_of_an_attempt_from_an_error_that_is_cut_in_its_body(
+    status: int, header: bool, code: str, end: AttemptEnd
+) -> None:
+    # Only the code, which is in the body, tells whether a conflict was run.
+    result = outcomes.judge_engine_answer(
+        status, not_run_header=header, code=code, is_whole=False
+    )
+    is_unknown = status == outcomes.STATUS_CONFLICT and not code
+    assert_that(result, Is(AttemptEnd.LOST if is_unknown else end))
+
+
 def test_answers_of_plain_services_are_forwarded() -> None:
     for status in (200, 409, 429, 500, 503):
         result = outcomes.judge_service_answer(status, not_run_header=False)
