Complete no event stream of a service that ends inside an event

A stream of a plain service with neither a length nor chunks whose connection ended inside an event, or before the first one, was passed on as complete.

Cause: libcurl reports no error for the end of such a body, and only the framing was looked at. A stream that is delimited by its connection is now complete only if its last event is; else it is broken, as one that is cut within its length. No other body of this kind tells whether it is whole.

--- a/chervilrock/edges/servicecalls.py
+++ b/chervilrock/edges/servicecalls.py
@@ -22,6 +22,8 @@
 streamed to the caller."""
 
 EVENT_STREAM = "text/event-stream"
+_EVENT_ENDS = (b"\n\n", b"\r\r", b"\r\n\r\n")
+_EVENT_END_BYTES = max(len(end) for end in _EVENT_ENDS)
 
 _HOP_BY_HOP = frozenset(
     {
@@ -174,6 +176,7 @@
         self._matches_send = False
         self._buffered: list[bytes] = []
         self._size = 0
+        self._tail = b""
         self.error_reply = ErrorReply()
         self.started = False
 
@@ -188,6 +191,7 @@
 
     def handle_data(self, data: bytes) -> None:
         """See base class."""
+        self._tail = (self._tail + data[-_EVENT_END_BYTES:])[-_EVENT_END_BYTES:]
         if self.started:
             self._sink.write(data)
             return
@@ -208,7 +212,8 @@
         if self._head is None:
             return AttemptEnd.LOST if end.sent else AttemptEnd.NOT_SENT
         judged = self._judge_head()
-        if judged is AttemptEnd.COMPLETE and end.error:
+        is_cut = end.error or self._ends_inside_event()
+        if judged is AttemptEnd.COMPLETE and is_cut:
             return AttemptEnd.BROKEN
         return judge_attempt_end(judged, repeated=end.repeated)
 
@@ -220,6 +225,16 @@
         self.started = True
         self._sink.answer(self._make_head(whole=True), b"".join(self._buffered))
 
+    def _ends_inside_event(self) -> bool:
+        """Returns whether a stream of unknown length has no whole last event.
+
+        Only its connection tells where it ends, whether or not it is whole.
+        """
+        assert self._head is not None
+        if not self._is_stream() or self._head.is_delimited or self._is_head:
+            return False
+        return not self._tail.endswith(_EVENT_ENDS)
+
     def _is_stream(self) -> bool:
         assert self._head is not None
         content_type = self._head.find("content-type")
--- a/test/edges/test_cut_service_answers.py
+++ b/test/edges/test_cut_service_answers.py
@@ -285,6 +285,22 @@
     assert_that(list_wrong(make, answers, LOST), HasLength(0))
 
 
+@pytest.mark.parametrize("line_end", [b"\n", b"\r\n", b"\r"])
+def test_an_event_stream_of_a_service_that_ends_inside_an_event_is_broken(
+    line_end: bytes,
+) -> None:
+    events = EVENTS.replace(b"\n", line_end)
+    event_end = 2 * line_end
+    head = make_answer(b"200 OK", OWN, STREAM, CLOSED)
+    beginnings = [*cut(events), events]
+    ends = judge_each(make_service_receiver, [head + b for b in beginnings])
+    expected = [
+        AttemptEnd.COMPLETE if b.endswith(event_end) else AttemptEnd.BROKEN
+        for b in beginnings
+    ]
+    assert_that(ends, Equals(expected))
+
+
 @pytest.mark.parametrize(
     ("lines", "end"),
     [
