Pass on streams of services in whole events

A stream of a plain service that was cut inside an event ended with an error event that the caller could not see: its lines followed the part of the event that had been passed on, and became a part of it.

Cause: the bytes of services were passed on as they came.

--- a/chervilrock/edges/servicecalls.py
+++ b/chervilrock/edges/servicecalls.py
@@ -23,7 +23,6 @@
 
 EVENT_STREAM = "text/event-stream"
 _EVENT_ENDS = (b"\n\n", b"\r\r", b"\r\n\r\n")
-_EVENT_END_BYTES = max(len(end) for end in _EVENT_ENDS)
 
 _HOP_BY_HOP = frozenset(
     {
@@ -143,6 +142,18 @@
     return frozenset(options)
 
 
+def is_event_stream(head: Head) -> bool:
+    """Returns whether the body of an answer is a stream of events."""
+    content_type = head.find("content-type")
+    return content_type.partition(";")[0].strip().lower() == EVENT_STREAM
+
+
+def find_events_length(data: bytes) -> int:
+    """Returns the length of the whole events at the start of some data."""
+    ends = (data.rfind(end) + len(end) for end in _EVENT_ENDS if end in data)
+    return max(ends, default=0)
+
+
 class ServiceReceiver(Receiver):
     """Receives the answer to one send and forwards it to the caller.
 
@@ -174,26 +185,28 @@
         self._sink = sink
         self._head: Head | None = None
         self._matches_send = False
+        self._is_event_stream = False
         self._buffered: list[bytes] = []
         self._size = 0
-        self._tail = b""
+        self._partial_event = b""
+        self._has_event = False
         self.error_reply = ErrorReply()
         self.started = False
 
     def handle_head(self, head: Head) -> None:
         """See base class."""
         self._head = head
+        self._is_event_stream = is_event_stream(head)
         self._matches_send = all(
             head.find(name, value) == value for name, value in self._expected
         )
-        if self._is_stream() and self._judge_head() is AttemptEnd.COMPLETE:
+        if self._is_event_stream and self._judge_head() is AttemptEnd.COMPLETE:
             self._start()
 
     def handle_data(self, data: bytes) -> None:
         """See base class."""
-        self._tail = (self._tail + data[-_EVENT_END_BYTES:])[-_EVENT_END_BYTES:]
         if self.started:
-            self._sink.write(data)
+            self._forward(data)
             return
         self._size += len(data)
         if self._size <= MAX_BUFFERED_BYTES:
@@ -220,25 +233,46 @@
     def finish(self) -> None:
         """Forwards the buffered rest of a complete answer and its end."""
         if self.started:
+            if self._partial_event:
+                self._sink.write(self._partial_event)
             self._sink.finish()
             return
         self.started = True
         self._sink.answer(self._make_head(whole=True), b"".join(self._buffered))
 
+    def _forward(self, data: bytes) -> None:
+        """Forwards data of a started answer, of a stream only whole events.
+
+        An error event could not follow a part of an event.
+        """
+        if not self._is_event_stream:
+            self._sink.write(data)
+            return
+        data = self._partial_event + data
+        length = find_events_length(data)
+        self._partial_event = data[length:]
+        if length:
+            self._has_event = True
+            self._sink.write(data[:length])
+        if len(self._partial_event) > MAX_BUFFERED_BYTES:
+            self.fault = (
+                f"an event has more than {MAX_BUFFERED_BYTES} bytes, "
+                f"{len(self._partial_event)} received"
+            )
+
     def _ends_inside_event(self) -> bool:
         """Returns whether a stream of unknown length has no whole last event.
 
         Only its connection tells where it ends, whether or not it is whole.
         """
         assert self._head is not None
-        if not self._is_stream() or self._head.is_delimited or self._is_head:
+        if (
+            not self._is_event_stream
+            or self._head.is_delimited
+            or self._is_head
+        ):
             return False
-        return not self._tail.endswith(_EVENT_ENDS)
-
-    def _is_stream(self) -> bool:
-        assert self._head is not None
-        content_type = self._head.find("content-type")
-        return content_type.partition(";")[0].strip().lower() == EVENT_STREAM
+        return bool(self._partial_event) or not self._has_event
 
     def _judge_head(self) -> AttemptEnd:
         assert self._head is not None
@@ -273,7 +307,7 @@
         return AnswerHead(
             status=self._head.status,
             headers=tuple(headers),
-            events=self._is_stream(),
+            events=self._is_event_stream,
         )
 
     def _find_content_length(self, whole: bool) -> str | None:
--- a/test/edges/test_cut_service_answers.py
+++ b/test/edges/test_cut_service_answers.py
@@ -11,7 +11,7 @@
 
 import pytest
 from testtools.assertions import assert_that
-from testtools.matchers import Equals, HasLength
+from testtools.matchers import Equals, HasLength, Is
 
 from chervilrock.clients.curlpool import CurlPool
 from chervilrock.decisions.requests.attempts import Send, SendMode
@@ -301,6 +301,37 @@
     assert_that(ends, Equals(expected))
 
 
+@pytest.mark.parametrize("framing", [by_length(EVENTS), CHUNKED, CLOSED])
+def test_a_caller_gets_no_part_of_an_event_before_the_error_event(
+    framing: bytes,
+) -> None:
+    # The error event would have become a part of it.
+    sinks: list[ListSink] = []
+
+    def make() -> ServiceReceiver:
+        sinks.append(ListSink())
+        return ServiceReceiver(method="POST", expected=EXPECTED, sink=sinks[-1])
+
+    body = in_chunks(EVENTS) if framing is CHUNKED else EVENTS
+    head = make_answer(b"200 OK", OWN, STREAM, framing)
+    judge_each(make, [head + beginning for beginning in cut(body)])
+    first = EVENTS[: -len(LAST_EVENT)]
+    assert_that({sink.body for sink in sinks} <= {b"", first, EVENTS}, Is(True))
+
+
+def test_a_whole_stream_of_a_service_is_passed_on_unchanged() -> None:
+    # Its length tells that it is whole, with any end.
+    sink = ListSink()
+    receiver = ServiceReceiver(method="POST", expected=EXPECTED, sink=sink)
+    body = EVENTS + b"data: x"
+    answer = make_answer(b"200 OK", OWN, STREAM, by_length(body), body=body)
+    ends = judge_each(lambda: receiver, [answer])
+    receiver.finish()
+    assert_that(ends, Equals([AttemptEnd.COMPLETE]))
+    assert_that(sink.body, Equals(body))
+    assert_that(sink.is_finished, Is(True))
+
+
 @pytest.mark.parametrize(
     ("lines", "end"),
     [
