Take no error of an engine that names another attempt

An idempotent request over a kept connection took the late 429 or 503 of an engine to another attempt for its own, as a promise that it had not run.

Cause: only successes were checked for the identifiers that engines echo. An error that names another request or attempt is now foreign to the send; one without identifiers is taken as before, since rejections need not have them.

--- a/chervilrock/edges/enginecalls.py
+++ b/chervilrock/edges/enginecalls.py
@@ -112,11 +112,11 @@
           fence: fencing number that the request carries.
           send: the send.
         """
-        self._expected = {
+        self._identifiers = {
             ("x-request-id", view.request_id),
             ("x-attempt-id", send.attempt),
-            ("x-fence", str(fence)),
         }
+        self._expected = {*self._identifiers, ("x-fence", str(fence))}
         self._head: Head | None = None
         self._matches_send = False
         self._error_body = b""
@@ -159,7 +159,7 @@
             return AttemptEnd.LOST if end.sent else AttemptEnd.NOT_SENT
         if self._matches_send:
             return self.judge_answer(not end.error)
-        if self._head.status in _SUCCESSES:
+        if self._head.status in _SUCCESSES or self._names_another_send():
             return AttemptEnd.FOREIGN
         self.error_reply = parse_error_reply(self._head, self._error_body)
         judged = outcomes.judge_engine_answer(
@@ -171,6 +171,17 @@
         )
         return outcomes.judge_attempt_end(judged, repeated=end.repeated)
 
+    def _names_another_send(self) -> bool:
+        """Returns whether the answer is a late one to another send.
+
+        Rejections may lack the identifiers that engines echo.
+        """
+        assert self._head is not None
+        return any(
+            self._head.find(name, value) != value
+            for name, value in self._identifiers
+        )
+
 
 class StreamReceiver(EngineReceiver):
     """Forwards the events of a streamed answer as they arrive.
--- a/test/edges/test_cut_service_answers.py
+++ b/test/edges/test_cut_service_answers.py
@@ -360,3 +360,23 @@
         b"200 OK", lines, by_length(WHOLE_BODY), body=WHOLE_BODY
     )
     assert_that(judge_each(make, [answer]), Equals([AttemptEnd.FOREIGN]))
+
+
+@pytest.mark.parametrize("make", RECEIVERS[1:])
+@pytest.mark.parametrize(
+    ("lines", "end"),
+    [
+        (b"", AttemptEnd.REFUSED),
+        (OWN, AttemptEnd.REFUSED),
+        (b"X-Request-Id: r1\r\nX-Fence: 9\r\n", AttemptEnd.REFUSED),
+        (b"X-Request-Id: r2\r\n", AttemptEnd.FOREIGN),
+        (OWN.replace(b"r1.1", b"r1.2"), AttemptEnd.FOREIGN),
+    ],
+)
+@pytest.mark.parametrize("status", [b"429 No", b"503 No"])
+def test_a_late_rejection_of_another_attempt_promises_nothing(
+    make, status, lines, end
+) -> None:
+    lines += b"X-Not-Run: true\r\n"
+    answer = make_answer(status, lines, by_length(b""))
+    assert_that(judge_each(make, [answer]), Equals([end]))
