Say that nothing was applied if only the status was asked

`chervilrock apply` warned that the configuration may have been accepted when the connection broke as it asked for the revision in force, before it sent anything.

Cause: each broken call counted as one that may have had an effect, a read too. Only the call that applies has one now.

The tests play cut answers to `status`, `dump` and `apply`, at each byte of a head and every ninth of a body, in each framing: each is an error with a message and exit code 5, and nothing is printed.

--- a/chervilrock/ui/client.py
+++ b/chervilrock/ui/client.py
@@ -68,7 +68,9 @@
             body=msgspec.json.encode(request),
             send_once=True,
         )
-        return result.alt(self._describe_failure).bind(self._read_apply)
+        return result.alt(
+            lambda error: self._describe_failure(error, error.effect_possible)
+        ).bind(self._read_apply)
 
     def _read_apply(
         self, answer: HttpAnswer
@@ -85,7 +87,9 @@
         result = await self._http.request(
             "GET", self._format_url(path), timeout_s=READ_TIMEOUT_S
         )
-        return result.alt(self._describe_failure).bind(self._check_status)
+        return result.alt(
+            lambda error: self._describe_failure(error, False)
+        ).bind(self._check_status)
 
     def _check_status(self, answer: HttpAnswer) -> Result[bytes, ClientError]:
         """Returns the body if the status is 200, otherwise an error."""
@@ -103,10 +107,12 @@
             text = f"{self._address} does not answer as a node: {error}"
             return Failure(ClientError(text, effect_possible))
 
-    def _describe_failure(self, error: PlatformError) -> ClientError:
+    def _describe_failure(
+        self, error: PlatformError, effect_possible: bool
+    ) -> ClientError:
         """Returns the error for a request without an answer."""
         text = f"node {self._address} cannot be reached: {error.message}"
-        return ClientError(text, error.effect_possible)
+        return ClientError(text, effect_possible)
 
     def _describe_status(
         self, answer: HttpAnswer, effect_possible: bool
