Play cut answers to orders, reports and probes of servers

An order whose answer was cut in its head counted as carried out, in conflict, stale or misdirected, by its status, and a probe as one that reached the server.

They use the calls that now fail without a whole head: an order is resent, a report is missing, a server is not reached, as with any broken connection.

--- a/test/clients/test_cut_answers.py
+++ b/test/clients/test_cut_answers.py
@@ -22,6 +22,9 @@
 from chervilrock.clients.httpclient import HttpClient
 from chervilrock.clients.polling import Poller
 from chervilrock.clients.serving import Topic
+from chervilrock.decisions.serving.groups.orders import Leave
+from chervilrock.decisions.serving.site import BackendServer
+from chervilrock.platform.engines import HttpEngineControl
 from chervilrock.platform.store import StoreClient
 
 LIMIT_S = 10.0
@@ -194,7 +197,42 @@
     return result
 
 
-CALLS = [request, request_once, append, read, fetch_newest, cancel, poll]
+def make_server(address: str) -> BackendServer:
+    return BackendServer(
+        server="s",
+        service="m",
+        address=address,
+        data_centre="a",
+        domain="",
+        is_leaving=False,
+        slots=1,
+        staged=(),
+        membership=None,
+    )
+
+
+async def order(client: HttpClient, address: str):
+    control = HttpEngineControl(client=client)
+    leave = Leave(group="g", epoch=1)
+    return await control.send_order(make_server(address), leave, LIMIT_S)
+
+
+async def fetch_report(client: HttpClient, address: str):
+    control = HttpEngineControl(client=client)
+    return await control.fetch_report(make_server(address), LIMIT_S)
+
+
+CALLS = [
+    request,
+    request_once,
+    append,
+    read,
+    fetch_newest,
+    cancel,
+    order,
+    fetch_report,
+    poll,
+]
 
 
 @pytest.mark.parametrize("call", CALLS)
@@ -297,6 +335,16 @@
     assert_that(answer.header, Equals(""))
 
 
+def test_a_server_that_cuts_the_head_of_its_answer_is_not_reached() -> None:
+    async def is_reached(client: HttpClient, address: str):
+        control = HttpEngineControl(client=client)
+        return Success(await control.is_reached("s", address, "/", LIMIT_S))
+
+    head = make_head(b"200 OK", b"Content-Length: 0\r\n")
+    reached = [r.unwrap() for r in call_each(is_reached, [*cut(head), head])]
+    assert_that(reached, Equals([False] * len(head) + [True]))
+
+
 @pytest.mark.parametrize("status", [b"200 OK", b"304 NM"])
 def test_a_poll_whose_answer_is_cut_in_its_head_forgets_the_former_one(
     status: bytes,
