--- a/chervilrock/edges/servicecalls.py
+++ b/chervilrock/edges/servicecalls.py
@@ -22,6 +22,7 @@
 streamed to the caller."""
 
 EVENT_STREAM = "text/event-stream"
+_EVENT_ENDS = (b"\n\n", b"\r\r", b"\r\n\r\n")
 
 _HOP_BY_HOP = frozenset(
     {
@@ -141,6 +142,18 @@
     return frozenset(options)
 
 
+def is_event_stream(head: Head) -> bool:
+    """Returns whether the body of an answer is a stream of events."""
+    content_type = head.find("content-type")
+    return content_type.partition(";")[0].strip().lower() == EVENT_STREAM
+
+
+def find_events_length(data: bytes) -> int:
+    """Returns the length of the whole events at the start of some data."""
+    ends = (data.rfind(end) + len(end) for end in _EVENT_ENDS if end in data)
+    return max(ends, default=0)
+
+
 class ServiceReceiver(Receiver):
     """Receives the answer to one send and forwards it to the caller.
 
@@ -172,24 +185,28 @@
         self._sink = sink
         self._head: Head | None = None
         self._matches_send = False
+        self._is_event_stream = False
         self._buffered: list[bytes] = []
         self._size = 0
+        self._partial_event = b""
+        self._has_event = False
         self.error_reply = ErrorReply()
         self.started = False
 
     def handle_head(self, head: Head) -> None:
         """See base class."""
         self._head = head
+        self._is_event_stream = is_event_stream(head)
         self._matches_send = all(
             head.find(name, value) == value for name, value in self._expected
         )
-        if self._is_stream() and self._judge_head() is AttemptEnd.COMPLETE:
+        if self._is_event_stream and self._judge_head() is AttemptEnd.COMPLETE:
             self._start()
 
     def handle_data(self, data: bytes) -> None:
         """See base class."""
         if self.started:
-            self._sink.write(data)
+            self._forward(data)
             return
         self._size += len(data)
         if self._size <= MAX_BUFFERED_BYTES:
@@ -208,22 +225,54 @@
         if self._head is None:
             return AttemptEnd.LOST if end.sent else AttemptEnd.NOT_SENT
         judged = self._judge_head()
-        if judged is AttemptEnd.COMPLETE and end.error:
+        is_cut = end.error or self._ends_inside_event()
+        if judged is AttemptEnd.COMPLETE and is_cut:
             return AttemptEnd.BROKEN
         return judge_attempt_end(judged, repeated=end.repeated)
 
     def finish(self) -> None:
         """Forwards the buffered rest of a complete answer and its end."""
         if self.started:
+            if self._partial_event:
+                self._sink.write(self._partial_event)
             self._sink.finish()
             return
         self.started = True
         self._sink.answer(self._make_head(whole=True), b"".join(self._buffered))
 
-    def _is_stream(self) -> bool:
+    def _forward(self, data: bytes) -> None:
+        """Forwards data of a started answer, of a stream only whole events.
+
+        An error event could not follow a part of an event.
+        """
+        if not self._is_event_stream:
+            self._sink.write(data)
+            return
+        data = self._partial_event + data
+        length = find_events_length(data)
+        self._partial_event = data[length:]
+        if length:
+            self._has_event = True
+            self._sink.write(data[:length])
+        if len(self._partial_event) > MAX_BUFFERED_BYTES:
+            self.fault = (
+                f"an event has more than {MAX_BUFFERED_BYTES} bytes, "
+                f"{len(self._partial_event)} received"
+            )
+
+    def _ends_inside_event(self) -> bool:
+        """Returns whether a stream of unknown length has no whole last event.
+
+        Only its connection tells where it ends, whether or not it is whole.
+        """
         assert self._head is not None
-        content_type = self._head.find("content-type")
-        return content_type.partition(";")[0].strip().lower() == EVENT_STREAM
+        if (
+            not self._is_event_stream
+            or self._head.is_delimited
+            or self._is_head
+        ):
+            return False
+        return bool(self._partial_event) or not self._has_event
 
     def _judge_head(self) -> AttemptEnd:
         assert self._head is not None
@@ -258,7 +307,7 @@
         return AnswerHead(
             status=self._head.status,
             headers=tuple(headers),
-            events=self._is_stream(),
+            events=self._is_event_stream,
         )
 
     def _find_content_length(self, whole: bool) -> str | None:
