Decode what other programs write in one place

All nodes ended, and ended again after each start, while a record of the operator's topic held a field that is nested 100,000 times, even one that is not read; requests were served no more.

Cause: each of some 30 decoders listed the exceptions of msgspec itself, and most lists lacked RecursionError. A warm-up time that is nested just less than too deeply was decoded, but could not be shown in the log.

The module decoding wraps msgspec and raises one error for whatever a text can cause: errors of msgspec and of UTF-8, deep nesting, long numbers. All places use it and handle that error. Malformed lists and objects are shown to a depth of some levels. Valid texts give what they gave before. The test of the polled host list names the new error in place of msgspec's.

--- a/chervilrock/clients/http.py
+++ b/chervilrock/clients/http.py
@@ -15,6 +15,7 @@
     HttpAnswer,
     HttpClient,
 )
+from chervilrock.decisions.decoding import Decoder
 from chervilrock.decisions.records import decode_stored
 from chervilrock.generated.interfaces import (
     EngineLoad,
@@ -49,15 +50,15 @@
     phase: base.AttemptPhase
 
 
-_PAGE_DECODER = msgspec.json.Decoder(_LogReadBody)
-_RAW_PAGE_DECODER = msgspec.json.Decoder(_RawLogReadBody)
-_APPENDED_DECODER = msgspec.json.Decoder(LogAppended)
-_HOST_LIST_DECODER = msgspec.json.Decoder(HostList)
-_CATALOGUE_DECODER = msgspec.json.Decoder(base.Catalogue)
-_STATE_DECODER = msgspec.json.Decoder(EngineState)
-_LOAD_DECODER = msgspec.json.Decoder(EngineLoad)
-_EVENTS_DECODER = msgspec.json.Decoder(base.CacheEventPage)
-_ATTEMPT_DECODER = msgspec.json.Decoder(_AttemptBody)
+_PAGE_DECODER = Decoder(_LogReadBody)
+_RAW_PAGE_DECODER = Decoder(_RawLogReadBody)
+_APPENDED_DECODER = Decoder(LogAppended)
+_HOST_LIST_DECODER = Decoder(HostList)
+_CATALOGUE_DECODER = Decoder(base.Catalogue)
+_STATE_DECODER = Decoder(EngineState)
+_LOAD_DECODER = Decoder(EngineLoad)
+_EVENTS_DECODER = Decoder(base.CacheEventPage)
+_ATTEMPT_DECODER = Decoder(_AttemptBody)
 
 
 class HttpLogService(base.LogService):
--- a/chervilrock/clients/httpclient.py
+++ b/chervilrock/clients/httpclient.py
@@ -9,7 +9,6 @@
 from collections.abc import Mapping
 from typing import NamedTuple, TypeVar
 
-import msgspec
 import pycurl
 from returns.result import Failure, Result, Success
 from tornado.curl_httpclient import CurlError
@@ -18,6 +17,7 @@
 from chervilrock.clients.curlpool import CurlPool
 from chervilrock.clients.errors import PlatformError, PlatformErrorKind
 from chervilrock.clients.sendguard import SendGuard
+from chervilrock.decisions.decoding import Decoder, UnreadableError
 from chervilrock.events import emit, Event
 
 DEFAULT_MAX_CLIENTS = 256
@@ -316,18 +316,17 @@
 
 
 def decode(
-    decoder: msgspec.json.Decoder[_T], answer: HttpAnswer
+    decoder: Decoder[_T], answer: HttpAnswer
 ) -> Result[_T, PlatformError]:
     """Decodes the body of a response; a malformed body is an error."""
     try:
         return Success(decoder.decode(answer.body))
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
-        # RecursionError: values that are nested some thousand times.
+    except UnreadableError as error:
         return Failure(PlatformError(PlatformErrorKind.BAD_ANSWER, str(error)))
 
 
 def decode_success(
-    decoder: msgspec.json.Decoder[_T], answer: HttpAnswer
+    decoder: Decoder[_T], answer: HttpAnswer
 ) -> Result[_T, PlatformError]:
     """Decodes the body of a response if its status is 2xx."""
     return check_status(answer).bind(lambda success: decode(decoder, success))
--- a/chervilrock/clients/polled.py
+++ b/chervilrock/clients/polled.py
@@ -15,6 +15,7 @@
 )
 from chervilrock.clients.httpclient import HttpClient
 from chervilrock.clients.polling import Poller
+from chervilrock.decisions.decoding import Decoder
 from chervilrock.generated.interfaces import (
     EngineLoad,
     EngineState,
@@ -23,9 +24,9 @@
     ServiceEntry,
 )
 
-_STATE_DECODER = msgspec.json.Decoder(EngineState)
-_LOAD_DECODER = msgspec.json.Decoder(EngineLoad)
-_HOST_DECODER = msgspec.json.Decoder(HostEntry)
+_STATE_DECODER = Decoder(EngineState)
+_LOAD_DECODER = Decoder(EngineLoad)
+_HOST_DECODER = Decoder(HostEntry)
 
 
 class _HostRegion(TypedDict):
@@ -42,8 +43,8 @@
     age_ms: int
 
 
-_REGION_DECODER = msgspec.json.Decoder(_HostRegion)
-_RAW_HOST_LIST_DECODER = msgspec.json.Decoder(_RawHostList)
+_REGION_DECODER = Decoder(_HostRegion)
+_RAW_HOST_LIST_DECODER = Decoder(_RawHostList)
 
 
 class PolledModelEngine(HttpModelEngine):
@@ -98,7 +99,7 @@
         """Return the list with only the hosts of the region.
 
         Raises:
-          msgspec.DecodeError: the body is not a valid host list.
+          UnreadableError: the body is not a valid host list.
         """
         raw_list = _RAW_HOST_LIST_DECODER.decode(body)
         return HostList(
--- a/chervilrock/clients/polling.py
+++ b/chervilrock/clients/polling.py
@@ -9,13 +9,13 @@
 import asyncio
 from typing import Any, Protocol, TypeVar
 
-import msgspec
 import pycurl
 from returns.result import Failure, Result, Success
 
 from chervilrock.clients.curlloop import CurlLoop
 from chervilrock.clients.errors import PlatformError, PlatformErrorKind
 from chervilrock.clients.httpclient import check_status, HttpAnswer
+from chervilrock.decisions.decoding import UnreadableError
 
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 MAX_COMPARED_BYTES = 4096
@@ -41,7 +41,7 @@
         """Return the decoded value.
 
         Raises:
-          msgspec.DecodeError: the body is malformed.
+          UnreadableError: the body is malformed.
         """
 
 
@@ -306,5 +306,5 @@
 def _decode(decoder: Decoder[_T], body: bytes) -> Result[_T, PlatformError]:
     try:
         return Success(decoder.decode(body))
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except UnreadableError as error:
         return Failure(PlatformError(PlatformErrorKind.BAD_ANSWER, str(error)))
--- a/chervilrock/decisions/configurations.py
+++ b/chervilrock/decisions/configurations.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from chervilrock.decisions.decoding import convert, Decoder, UnreadableError
 from chervilrock.decisions.records import (
     decode_body,
     SeenRecords,
@@ -81,6 +82,9 @@
     seen: tuple[RecordId, ...]
 
 
+_IMAGE_DECODER = Decoder(ConfigurationImage)
+
+
 class ConfigurationFold:
     """Folded state of the stream `config`.
 
@@ -196,9 +200,9 @@
         """Return the state that `export` wrote.
 
         Raises:
-          msgspec.DecodeError: the text is not a valid state.
+          UnreadableError: the text is not a valid state.
         """
-        image = msgspec.json.decode(text, type=ConfigurationImage)
+        image = _IMAGE_DECODER.decode(text)
         fold = cls()
         fold.upto = image.upto
         fold._seen.restore(image.seen)
@@ -206,9 +210,7 @@
             return fold
         fold._folded = read_accepted(image.accepted)
         if fold._folded is None:
-            raise msgspec.ValidationError(
-                "snapshot record holds no configuration"
-            )
+            raise UnreadableError("snapshot record holds no configuration")
         return fold
 
     def _judge_base(
@@ -240,8 +242,8 @@
     if not isinstance(body, ConfigurationApplied):
         return None
     try:
-        document = msgspec.convert(body.document, type=Configuration)
-    except (msgspec.ValidationError, RecursionError):
+        document = convert(body.document, Configuration)
+    except UnreadableError:
         return None
     return AcceptedConfiguration(
         revision=stored.offset,
--- a/chervilrock/decisions/membership/fetchpolicy.py
+++ b/chervilrock/decisions/membership/fetchpolicy.py
@@ -7,8 +7,7 @@
 
 from typing import Any
 
-import msgspec
-
+from chervilrock.decisions.decoding import convert, UnreadableError
 from chervilrock.decisions.membership.localconfiguration import (
     LocalConfiguration,
 )
@@ -47,6 +46,6 @@
     if raw is None:
         return None
     try:
-        return msgspec.convert(raw, StoredRecord)
-    except msgspec.ValidationError:
+        return convert(raw, StoredRecord)
+    except UnreadableError:
         return None
--- a/chervilrock/decisions/records.py
+++ b/chervilrock/decisions/records.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from chervilrock.decisions.decoding import convert, UnreadableError
 from chervilrock.generated.records import (
     ConfigurationApplied,
     ControllerClaimed,
@@ -108,8 +109,8 @@
     if body_type is None:
         return None
     try:
-        return msgspec.convert(record.body, type=body_type)
-    except (msgspec.ValidationError, RecursionError):
+        return convert(record.body, body_type)
+    except UnreadableError:
         return None
 
 
@@ -126,8 +127,8 @@
       None if not even the offset can be decoded.
     """
     try:
-        return msgspec.convert(raw, type=StoredRecord)
-    except (msgspec.ValidationError, RecursionError):
+        return convert(raw, StoredRecord)
+    except UnreadableError:
         pass
     if not isinstance(raw, list | tuple) or not raw:
         return None
--- a/chervilrock/decisions/region.py
+++ b/chervilrock/decisions/region.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from chervilrock.decisions.decoding import Decoder
 from chervilrock.decisions.owners import OwnerTable
 from chervilrock.decisions.ownership import (
     Controller,
@@ -25,6 +26,8 @@
     StoredRecord,
 )
 
+_IMAGE_DECODER = Decoder(RegionImage)
+
 
 class RegionState:
     """Folded state of a region stream.
@@ -99,9 +102,9 @@
         """Return the state that `export` wrote.
 
         Raises:
-          msgspec.DecodeError: the text is not a valid state.
+          UnreadableError: the text is not a valid state.
         """
-        image = msgspec.json.decode(text, type=RegionImage)
+        image = _IMAGE_DECODER.decode(text)
         state = cls()
         state.upto = image.upto
         state.epoch = image.epoch
--- a/chervilrock/decisions/requests/transcript.py
+++ b/chervilrock/decisions/requests/transcript.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from chervilrock.decisions.decoding import Decoder, UnreadableError
 from chervilrock.decisions.requests import positions
 
 MAX_TEXT_CHARS = 4 * 1024 * 1024
@@ -60,7 +61,7 @@
     choices: tuple[_Choice, ...] = ()
 
 
-_DECODER = msgspec.json.Decoder(_Event)
+_DECODER = Decoder(_Event)
 
 
 class Transcript:
@@ -113,7 +114,7 @@
             return True
         try:
             choices = _DECODER.decode(data).choices
-        except (msgspec.DecodeError, UnicodeDecodeError):
+        except UnreadableError:
             return False
         return all(self._add_choice(choice) for choice in choices)
 
--- a/chervilrock/decisions/streams.py
+++ b/chervilrock/decisions/streams.py
@@ -9,8 +9,7 @@
 import enum
 from typing import Generic, NamedTuple, Protocol, Self, TypeVar
 
-import msgspec
-
+from chervilrock.decisions.decoding import UnreadableError
 from chervilrock.decisions.records import decode_body, Page
 from chervilrock.decisions.snapshots import (
     is_usable,
@@ -172,7 +171,7 @@
             return False
         try:
             fold = type(self.fold).restore(snapshot.text)
-        except msgspec.MsgspecError:
+        except UnreadableError:
             return False
         if fold.upto != snapshot.upto:
             return False
--- a/chervilrock/edges/bodies.py
+++ b/chervilrock/edges/bodies.py
@@ -5,6 +5,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from chervilrock.decisions.decoding import decode_plain, UnreadableError
 from chervilrock.edges.parsing import (
     Finding,
     Findings,
@@ -53,8 +54,8 @@
       chat: whether the body contains messages instead of a prompt.
     """
     try:
-        decoded = msgspec.json.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        decoded = decode_plain(body)
+    except UnreadableError as error:
         return Failure((Finding("body", f"is not JSON: {error}"),))
     if not isinstance(decoded, dict):
         return Failure((Finding("body", "is not a JSON object"),))
@@ -205,6 +206,6 @@
       events: number of events that the caller has received.
       text: text of these events.
     """
-    decoded = msgspec.json.decode(body)
+    decoded = decode_plain(body)
     decoded[_CONTINUATION_FIELD] = {"events": events, "text": text}
     return msgspec.json.encode(decoded)
--- a/chervilrock/edges/enginecalls.py
+++ b/chervilrock/edges/enginecalls.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from chervilrock.decisions.decoding import Decoder, UnreadableError
 from chervilrock.decisions.requests import outcomes
 from chervilrock.decisions.requests.attempts import Send, SendMode
 from chervilrock.decisions.requests.outcomes import AttemptEnd
@@ -49,8 +50,8 @@
     usage: Any = None
 
 
-_ERROR_DECODER = msgspec.json.Decoder(_EngineErrorBody)
-_WHOLE_DECODER = msgspec.json.Decoder(_WholeBody)
+_ERROR_DECODER = Decoder(_EngineErrorBody)
+_WHOLE_DECODER = Decoder(_WholeBody)
 
 
 def make_request(
@@ -267,7 +268,7 @@
         self.body = b"".join(self._chunks)
         try:
             answer = _WHOLE_DECODER.decode(self.body)
-        except (msgspec.DecodeError, UnicodeDecodeError):
+        except UnreadableError:
             return AttemptEnd.BROKEN
         if answer.id != self._request_id:
             return AttemptEnd.FOREIGN
@@ -291,7 +292,7 @@
         error = _ERROR_DECODER.decode(body).error
         code = str(error.code or "")
         message = (error.message or "")[:MAX_MESSAGE_CHARS]
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
+    except UnreadableError:
         message = ""
     retry_after = parse_count(head.find("retry-after")) or 0
     return ErrorReply(head.status, code, message, float(retry_after))
--- a/chervilrock/edges/operators.py
+++ b/chervilrock/edges/operators.py
@@ -7,6 +7,7 @@
 from tornado import routing, web
 
 from chervilrock import metrics
+from chervilrock.decisions.decoding import Decoder, UnreadableError
 from chervilrock.edges.errors import CallerError, ErrorCode, make_body
 from chervilrock.generated.interfaces import Outcome
 from chervilrock.generated.operators import (
@@ -16,7 +17,7 @@
     StatusAnswer,
 )
 
-_APPLY_DECODER = msgspec.json.Decoder(ApplyRequest)
+_APPLY_DECODER = Decoder(ApplyRequest)
 _STATUS_CONFLICT = 409
 _STATUS_BAD_REQUEST = 400
 _STATUS_UNAVAILABLE = 503
@@ -80,7 +81,7 @@
     async def post(self) -> None:
         try:
             request = _APPLY_DECODER.decode(self.request.body)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        except UnreadableError as error:
             self.write_json(
                 make_bad_request_answer(str(error)), _STATUS_BAD_REQUEST
             )
--- a/chervilrock/platform/amounts.py
+++ b/chervilrock/platform/amounts.py
@@ -1,5 +1,7 @@
 """Reads optional numbers of documents that other programs write."""
 
+import reprlib
+
 _MAX_AMOUNT = 1e12  # a greater time or rate is malformed
 _MAX_SHOWN_CHARS = 40  # characters kept of a malformed value
 
@@ -17,7 +19,19 @@
     if value is None:
         return None, ""
     if isinstance(value, bool) or not isinstance(value, (int, float)):
-        return None, repr(value)[:_MAX_SHOWN_CHARS]
+        return None, _show(value)
     if 0 <= value <= _MAX_AMOUNT:
         return float(value), ""
-    return None, repr(value)[:_MAX_SHOWN_CHARS]
+    return None, _show(value)
+
+
+def _show(value: object) -> str:
+    """Return the start of a malformed value as text.
+
+    Lists and objects are shown to a depth of a few levels: `repr` raises for
+    those that are nested deeply.
+    """
+    text = (
+        reprlib.repr(value) if isinstance(value, (dict, list)) else repr(value)
+    )
+    return text[:_MAX_SHOWN_CHARS]
--- a/chervilrock/platform/engines.py
+++ b/chervilrock/platform/engines.py
@@ -12,6 +12,7 @@
     HttpClient,
 )
 from chervilrock.clients.serving import EngineControl
+from chervilrock.decisions.decoding import Decoder
 from chervilrock.decisions.serving.groups.orders import (
     Close,
     Join,
@@ -47,7 +48,7 @@
     born: int = 0  # start of the server, in Unix milliseconds
 
 
-_REPORT_DECODER = msgspec.json.Decoder(_ReportBody)
+_REPORT_DECODER = Decoder(_ReportBody)
 
 
 class HttpEngineControl(EngineControl):
--- a/chervilrock/platform/operator.py
+++ b/chervilrock/platform/operator.py
@@ -5,6 +5,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from chervilrock.decisions.decoding import Decoder, UnreadableError
 from chervilrock.decisions.serving.servers.evacuations import EvacuationRecord
 from chervilrock.decisions.serving.site import (
     EngineProfile,
@@ -107,8 +108,8 @@
     tenants: list[_Tenant] | None = None
 
 
-_DECODER = msgspec.json.Decoder(_Document)
-_EVACUATION_DECODER = msgspec.json.Decoder(dict[str, msgspec.Raw])
+_DECODER = Decoder(_Document)
+_EVACUATION_DECODER = Decoder(dict[str, msgspec.Raw])
 
 
 def decode_configuration(document: bytes) -> Result[SiteConfiguration, str]:
@@ -116,7 +117,7 @@
     try:
         decoded = _DECODER.decode(document)
         routes = tuple(_make_route(route) for route in decoded.routes)
-    except (msgspec.DecodeError, UnicodeDecodeError, ValueError) as error:
+    except (UnreadableError, ValueError) as error:
         return Failure(str(error))
     ignored: list[IgnoredField] = []
     services = {
@@ -152,7 +153,7 @@
     if value:
         try:
             _EVACUATION_DECODER.decode(value)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        except UnreadableError as error:
             problem = problem or str(error)
     return EvacuationRecord(zone, is_evacuated=bool(value), problem=problem)
 
--- a/chervilrock/platform/servers.py
+++ b/chervilrock/platform/servers.py
@@ -6,6 +6,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from chervilrock.decisions.decoding import Decoder, UnreadableError
 from chervilrock.decisions.serving.site import (
     BackendServer,
     Membership,
@@ -64,7 +65,7 @@
 
 
 _MS_PER_S = 1000.0
-_DECODER = msgspec.json.Decoder(_Entry)
+_DECODER = Decoder(_Entry)
 
 
 def decode_server(server: str, entry: bytes) -> Result[BackendServer, str]:
@@ -81,9 +82,7 @@
         return Failure(f"{server[:MAX_TEXT]!r} is no identifier of a server")
     try:
         decoded = _DECODER.decode(entry)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
-        # Values that are nested some thousand times exceed the recursion
-        # limit, also in fields that are not read.
+    except UnreadableError as error:
         return Failure(str(error))
     problem = _find_problem(decoded)
     if problem:
--- a/chervilrock/platform/store.py
+++ b/chervilrock/platform/store.py
@@ -21,6 +21,7 @@
     KeyedStore,
     Topic,
 )
+from chervilrock.decisions.decoding import Decoder
 from chervilrock.platform import operator, servers
 
 TIMEOUT_S = 1.0
@@ -69,8 +70,8 @@
     end: int
 
 
-_NEWEST_DECODER = msgspec.json.Decoder(_Newest)
-_APPENDED_DECODER = msgspec.json.Decoder(_Appended)
+_NEWEST_DECODER = Decoder(_Newest)
+_APPENDED_DECODER = Decoder(_Appended)
 
 
 class StoreClient(KeyedStore):
--- a/chervilrock/standin/enginehandlers.py
+++ b/chervilrock/standin/enginehandlers.py
@@ -4,8 +4,7 @@
 from urllib.parse import unquote
 import uuid
 
-import msgspec
-
+from chervilrock.decisions.decoding import Decoder
 from chervilrock.generated.interfaces import EngineOrder, EnginePhase
 from chervilrock.standin.answers import (
     Answer,
@@ -57,7 +56,7 @@
 
 
 class _OrderHandler(_EngineHandler):
-    _decoder = msgspec.json.Decoder(EngineOrder)
+    _decoder = Decoder(EngineOrder)
 
     async def post(self) -> None:
         order = self.decode(self._decoder)
@@ -103,7 +102,7 @@
 
     chat = False
     _delayed_event = b""
-    _decoder = msgspec.json.Decoder(CompletionRequest)
+    _decoder = Decoder(CompletionRequest)
 
     async def post(self) -> None:
         """Runs, resumes or continues a request."""
--- a/chervilrock/standin/history_sources.py
+++ b/chervilrock/standin/history_sources.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from chervilrock.decisions.decoding import Decoder
 from chervilrock.generated.interfaces import EngineShard
 from chervilrock.generated.records import Record, RecordKind
 from chervilrock.standin.answers import Answer
@@ -31,6 +32,7 @@
 TRY_HEADER = "X-Try"
 CONFIGURATION_STREAM = "config"
 
+_RECORD_DECODER = Decoder(Record)
 _PROMPT_MARK = re.compile(r"\[(\d+)/(\d+)\]")
 _PATH_MARK = re.compile(r"/entries/(\d+)")
 
@@ -179,9 +181,7 @@
         offsets = super().append(name, records)
         if name == CONFIGURATION_STREAM:
             for offset, raw in zip(offsets, records, strict=True):
-                self._record_append(
-                    offset, msgspec.json.decode(raw, type=Record)
-                )
+                self._record_append(offset, _RECORD_DECODER.decode(raw))
         return offsets
 
     def _record_append(self, offset: int, record: Record) -> None:
--- a/chervilrock/standin/platform.py
+++ b/chervilrock/standin/platform.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from chervilrock.clients.base import ModelEntry
+from chervilrock.decisions.decoding import Decoder
 from chervilrock.generated.interfaces import HostEntry, HostList, ServiceEntry
 from chervilrock.standin.budget import Budget
 from chervilrock.standin.faults import Faults
@@ -209,7 +210,7 @@
 
 
 class _LogHandler(_PlatformHandler):
-    _decoder = msgspec.json.Decoder(tuple[msgspec.Raw, ...])
+    _decoder = Decoder(tuple[msgspec.Raw, ...])
 
     async def post(self, name: str) -> None:
         records = self.decode(self._decoder)
@@ -242,7 +243,7 @@
 
 
 class _TrimHandler(_PlatformHandler):
-    _decoder = msgspec.json.Decoder(TrimOrder)
+    _decoder = Decoder(TrimOrder)
 
     async def prepare(self) -> None:
         """Injects no fault."""
@@ -256,7 +257,7 @@
 
 
 class _HostsHandler(_PlatformHandler):
-    _decoder = msgspec.json.Decoder(HostList)
+    _decoder = Decoder(HostList)
 
     async def get(self) -> None:
         await self.reply_after_effect(200, self.standin.list_hosts())
--- a/chervilrock/standin/server.py
+++ b/chervilrock/standin/server.py
@@ -12,6 +12,7 @@
 from tornado.netutil import bind_sockets
 from tornado.web import Application, RequestHandler
 
+from chervilrock.decisions.decoding import Decoder, UnreadableError
 from chervilrock.standin.faults import (
     FaultKind,
     FaultOrder,
@@ -229,11 +230,11 @@
         if not self._finished:
             self.detach().close()
 
-    def decode(self, decoder: msgspec.json.Decoder[_T]) -> _T | None:
+    def decode(self, decoder: Decoder[_T]) -> _T | None:
         """Decodes the body, or answers 400 and returns None."""
         try:
             return decoder.decode(self.request.body)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        except UnreadableError as error:
             self.reply(
                 STATUS_BAD_REQUEST,
                 {"error": {"code": "bad_request", "message": str(error)}},
@@ -261,7 +262,7 @@
 class FaultsHandler(StandInHandler):
     """Sets faults; also works while the stand-in is frozen or in outage."""
 
-    _decoder = msgspec.json.Decoder(FaultOrder)
+    _decoder = Decoder(FaultOrder)
 
     async def prepare(self) -> None:
         """Injects no fault."""
--- a/chervilrock/standin/site/servers.py
+++ b/chervilrock/standin/site/servers.py
@@ -12,6 +12,7 @@
 from tornado import httpserver, netutil, web
 from tornado.iostream import StreamClosedError
 
+from chervilrock.decisions.decoding import decode_plain
 from chervilrock.standin.site.floods import Flood, write_flood
 from chervilrock.standin.site.resets import reset_connection, ResetMoment
 from chervilrock.standin.site.store import SiteStore
@@ -560,7 +561,7 @@
         moment = self.server.control_resets
         if self.reset_if(moment is ResetMoment.READ):
             return
-        status = self.server.obey(msgspec.json.decode(self.request.body))
+        status = self.server.obey(decode_plain(self.request.body))
         if self.server.lost_orders > 0:
             self.server.lost_orders -= 1
             self.request.connection.stream.close()  # type: ignore[union-attr]
--- a/chervilrock/tasks/peers.py
+++ b/chervilrock/tasks/peers.py
@@ -11,6 +11,7 @@
 from chervilrock import events
 from chervilrock.clients.errors import PlatformError, PlatformErrorKind
 from chervilrock.clients.httpclient import check_status, HttpClient
+from chervilrock.decisions.decoding import Decoder, UnreadableError
 from chervilrock.decisions.membership.exchange import Message, PeerExchange
 from chervilrock.decisions.membership.links import PeerLinks
 from chervilrock.decisions.membership.localconfiguration import (
@@ -43,7 +44,7 @@
 MAX_RUNNING_EXCHANGES = 8
 """Maximum number of concurrent exchanges that this node starts."""
 
-_DIGEST_DECODER = msgspec.json.Decoder(PeerDigest)
+_DIGEST_DECODER = Decoder(PeerDigest)
 
 
 class PeerChannel(abc.ABC):
@@ -81,7 +82,7 @@
     """Decode a digest; a malformed one is a failure, never an exception."""
     try:
         digest = _DIGEST_DECODER.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+    except UnreadableError as error:
         return Failure(PlatformError(PlatformErrorKind.BAD_ANSWER, str(error)))
     if not is_valid_digest(digest):
         message = "a value of the digest is out of bounds"
--- a/chervilrock/tasks/serving/noderecords.py
+++ b/chervilrock/tasks/serving/noderecords.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from chervilrock.decisions.decoding import Decoder, UnreadableError
 from chervilrock.decisions.serving.nodes.leadership import Claim, Leadership
 from chervilrock.decisions.serving.nodes.terms import make_term
 from chervilrock.decisions.serving.store.polling import is_designated
@@ -18,8 +19,8 @@
 from chervilrock.tasks.serving.poisondetector import PoisonDetector
 from chervilrock.tasks.serving.state import ServingState
 
-_NODE_DECODER = msgspec.json.Decoder(NodeEntry)
-_LEADER_DECODER = msgspec.json.Decoder(LeaderEntry)
+_NODE_DECODER = Decoder(NodeEntry)
+_LEADER_DECODER = Decoder(LeaderEntry)
 
 
 class NodeRecords:
@@ -88,7 +89,7 @@
                     make_term(read.page.era, record.offset),
                     now,
                 )
-            except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            except UnreadableError as error:
                 emit(Event.RECORD_UNREADABLE, key=record.key, reason=str(error))
         # This process may itself be the successor of the leader's process.
         self._leadership.record_node(self._leadership.own_entry, now)
@@ -129,8 +130,7 @@
         """Apply a record.
 
         Raises:
-          msgspec.DecodeError: the value cannot be decoded.
-          UnicodeDecodeError: a text in it cannot be decoded.
+          UnreadableError: the value cannot be decoded.
         """
         if key == LEADER_KEY:
             self._apply_claim(Claim(term, _LEADER_DECODER.decode(value)), now)
--- a/chervilrock/tasks/serving/peermessages.py
+++ b/chervilrock/tasks/serving/peermessages.py
@@ -11,6 +11,12 @@
 
 import msgspec
 
+from chervilrock.decisions.decoding import (
+    convert,
+    decode_plain,
+    Decoder,
+    UnreadableError,
+)
 from chervilrock.decisions.serving.admission.suspects import (
     CrashReport,
     ServerCrash,
@@ -87,15 +93,15 @@
     values: list[Any]
 
 
-_ANNOUNCEMENT = msgspec.json.Decoder(Announcement)
-_ACKNOWLEDGEMENT = msgspec.json.Decoder(Acknowledgement)
-_ADDITIONS = msgspec.json.Decoder(tuple[_Addition, ...])
-_CONTACT = msgspec.json.Decoder(LeaderContact)
-_CRASH_REPORT = msgspec.json.Decoder(CrashReport)
-_STATEMENTS: dict[str, msgspec.json.Decoder[StatementReport]] = {
-    "limit": msgspec.json.Decoder(LimitReported),
-    "departure": msgspec.json.Decoder(DepartureReported),
-    "pauses": msgspec.json.Decoder(PausesReported),
+_ANNOUNCEMENT = Decoder(Announcement)
+_ACKNOWLEDGEMENT = Decoder(Acknowledgement)
+_ADDITIONS = Decoder(tuple[_Addition, ...])
+_CONTACT = Decoder(LeaderContact)
+_CRASH_REPORT = Decoder(CrashReport)
+_STATEMENTS: dict[str, Decoder[StatementReport]] = {
+    "limit": Decoder(LimitReported),
+    "departure": Decoder(DepartureReported),
+    "pauses": Decoder(PausesReported),
 }
 """Decoders of the reports of statements, by the name in their path."""
 
@@ -143,7 +149,7 @@
     """Decode a report of a statement; None for an invalid body."""
     try:
         return _STATEMENTS[name].decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except UnreadableError:
         return None
 
 
@@ -186,28 +192,25 @@
 
 
 def _decode(
-    body: bytes, extension: str, decoder: msgspec.json.Decoder[_Message]
+    body: bytes, extension: str, decoder: Decoder[_Message]
 ) -> _Message | None:
     """Decode a message; without its extension if that is not valid."""
     try:
         message = decoder.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except UnreadableError:
         return None
     if not extension:
         return message
     try:
-        arrays = msgspec.json.decode(body)
+        arrays = decode_plain(body)
         for path, values in _ADDITIONS.decode(extension):
             target = arrays
             for index in path:
                 target = target[index]
             target.extend(values)
-        extended: _Message = msgspec.convert(
-            arrays, type(message), str_keys=True
-        )
+        extended: _Message = convert(arrays, type(message), str_keys=True)
     except (
-        msgspec.DecodeError,
-        msgspec.ValidationError,
+        UnreadableError,
         AttributeError,
         IndexError,
         TypeError,
@@ -221,7 +224,7 @@
     """Decode what a node states of the leader; None for an invalid body."""
     try:
         return _CONTACT.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except UnreadableError:
         return None
 
 
@@ -229,7 +232,7 @@
     """Decode a crash report; None for an invalid body."""
     try:
         return _CRASH_REPORT.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except UnreadableError:
         return None
 
 
--- a/chervilrock/tasks/serving/poisondetector.py
+++ b/chervilrock/tasks/serving/poisondetector.py
@@ -13,8 +13,7 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-import msgspec
-
+from chervilrock.decisions.decoding import Decoder
 from chervilrock.decisions.serving.admission.features import (
     is_shared,
     PassedFeatures,
@@ -64,7 +63,7 @@
 
 _MS_PER_S = 1000
 
-_SUSPECT_DECODER = msgspec.json.Decoder(Suspect)
+_SUSPECT_DECODER = Decoder(Suspect)
 
 
 class BrokenSend(NamedTuple):
@@ -370,7 +369,7 @@
           now: current time.
 
         Raises:
-          msgspec.DecodeError: the record cannot be decoded.
+          UnreadableError: the record cannot be decoded.
         """
         if not value:
             self._stored.discard(content)
--- a/chervilrock/ui/check.py
+++ b/chervilrock/ui/check.py
@@ -98,11 +98,11 @@
     Raises:
       InputError: the file cannot be read or does not match the type.
     """
-    import msgspec
+    from chervilrock.decisions.decoding import Decoder, UnreadableError
 
     try:
-        return msgspec.json.decode(read_bytes(file), type=kind)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return Decoder(kind).decode(read_bytes(file))
+    except UnreadableError as error:
         raise InputError(f"{render_name(file)}: {error}") from error
 
 
--- a/chervilrock/ui/client.py
+++ b/chervilrock/ui/client.py
@@ -7,6 +7,7 @@
 
 from chervilrock.clients.errors import PlatformError
 from chervilrock.clients.httpclient import HttpAnswer, HttpClient
+from chervilrock.decisions.decoding import Decoder, UnreadableError
 from chervilrock.generated.interfaces import ErrorBody, Outcome
 from chervilrock.generated.operators import (
     ApplyAnswer,
@@ -21,6 +22,8 @@
 
 T = TypeVar("T")
 
+_ERROR_DECODER = Decoder(ErrorBody)
+
 
 class ClientError(NamedTuple):
     """Why a node gave no usable answer.
@@ -98,8 +101,8 @@
     ) -> Result[T, ClientError]:
         """Returns the decoded body, or an error that names the node."""
         try:
-            return Success(msgspec.json.decode(body, type=kind))
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            return Success(Decoder(kind).decode(body))
+        except UnreadableError as error:
             text = f"{self._address} does not answer as a node: {error}"
             return Failure(ClientError(text, effect_possible))
 
@@ -113,8 +116,8 @@
     ) -> ClientError:
         """Returns the error for an unsuccessful answer."""
         try:
-            body = msgspec.json.decode(answer.body, type=ErrorBody)
-        except (msgspec.DecodeError, UnicodeDecodeError):
+            body = _ERROR_DECODER.decode(answer.body)
+        except UnreadableError:
             text = f"node {self._address} answered status {answer.status}"
             return ClientError(text, effect_possible)
         detail = body["error"]
--- a/chervilrock/ui/demonstration/caller.py
+++ b/chervilrock/ui/demonstration/caller.py
@@ -1,7 +1,6 @@
 """A caller that follows the documented rules for callers."""
 
 import asyncio
-import json
 import random
 import time
 from typing import Any, NamedTuple
@@ -12,6 +11,11 @@
 
 from chervilrock.clients.errors import PlatformErrorKind
 from chervilrock.clients.httpclient import HttpAnswer, HttpClient
+from chervilrock.decisions.decoding import (
+    decode_plain,
+    Decoder,
+    UnreadableError,
+)
 from chervilrock.generated.interfaces import AddressAnswer, Outcome, Ticket
 from chervilrock.ui.demonstration.operations import (
     Ending,
@@ -28,6 +32,9 @@
 MAX_WAIT_S = 1.0
 STATUS_OK = 200
 
+_ADDRESS_DECODER = Decoder(AddressAnswer)
+_TICKET_DECODER = Decoder(Ticket)
+
 
 class Attempt(NamedTuple):
     """Outcome of one request of an operation.
@@ -86,7 +93,7 @@
         answer = result.unwrap()
         if answer.status != STATUS_OK:
             return None
-        return msgspec.json.decode(answer.body, type=AddressAnswer)
+        return _ADDRESS_DECODER.read(answer.body).value_or(None)
 
 
 class Caller:
@@ -145,7 +152,8 @@
         answer = result.unwrap()
         if answer.status != STATUS_OK:
             return ""
-        return msgspec.json.decode(answer.body, type=Ticket)["ticket"]
+        ticket = _TICKET_DECODER.read(answer.body)
+        return "" if isinstance(ticket, Failure) else ticket.unwrap()["ticket"]
 
     async def _send(
         self, operation: Operation, address: str, ticket: str
@@ -172,8 +180,20 @@
 
 def interpret_answer(operation: Operation, answer: HttpAnswer) -> Attempt:
     """Return the outcome of a request from its answer."""
+    try:
+        return _interpret(operation, answer)
+    except UnreadableError:
+        return Attempt(Ending.UNKNOWN)
+
+
+def _interpret(operation: Operation, answer: HttpAnswer) -> Attempt:
+    """Return the outcome of a request from its answer.
+
+    Raises:
+      UnreadableError: the answer is no JSON.
+    """
     if answer.status != STATUS_OK:
-        return _read_error(json.loads(answer.body))
+        return _read_error(decode_plain(answer.body))
     if operation.kind is OperationKind.STREAM:
         text = read_stream(answer.body)
         if text is None:
@@ -181,7 +201,7 @@
     elif operation.kind is OperationKind.COMPLETION:
         text = read_completion(answer.body)
     else:
-        uri = json.loads(answer.body)["uri"]
+        uri = decode_plain(answer.body)["uri"]
         is_own = operation.path.endswith(uri)
         return Attempt(Ending.WHOLE if is_own else Ending.FOREIGN)
     return Attempt(Ending.WHOLE if text == operation.answer else Ending.FOREIGN)
--- a/chervilrock/ui/demonstration/operations.py
+++ b/chervilrock/ui/demonstration/operations.py
@@ -1,10 +1,10 @@
 """The operations of the demonstration and their outcomes."""
 
 import enum
-import json
 import random
 from typing import Any, NamedTuple
 
+from chervilrock.decisions.decoding import decode_plain
 from chervilrock.generated.configuration import Configuration
 from chervilrock.standin.text import expected_text, format_prompt
 
@@ -141,7 +141,11 @@
 
 
 def read_stream(body: bytes) -> str | None:
-    """Return the text of a streamed answer, None if it is incomplete."""
+    """Return the text of a streamed answer, None if it is incomplete.
+
+    Raises:
+      UnreadableError: an event is no JSON.
+    """
     pieces: list[str] = []
     for line in body.decode(errors="replace").splitlines():
         if not line.startswith("data: "):
@@ -149,7 +153,7 @@
         data = line.removeprefix("data: ")
         if data == "[DONE]":
             return "".join(pieces)
-        event = json.loads(data)
+        event = decode_plain(data)
         if "error" in event:
             return None
         for choice in event.get("choices", ()):
@@ -158,6 +162,10 @@
 
 
 def read_completion(body: bytes) -> str:
-    """Return the text of an answer that was not streamed."""
-    text = json.loads(body)["choices"][0]["message"]["content"]
+    """Return the text of an answer that was not streamed.
+
+    Raises:
+      UnreadableError: the answer is no JSON.
+    """
+    text = decode_plain(body)["choices"][0]["message"]["content"]
     return str(text)
--- a/chervilrock/ui/demonstration/site.py
+++ b/chervilrock/ui/demonstration/site.py
@@ -6,12 +6,12 @@
 import time
 from typing import NamedTuple
 
-import msgspec
 from returns.result import Failure
 
 from chervilrock.clients.base import Catalogue
 from chervilrock.clients.httpclient import HttpClient
 from chervilrock.configuration.check import check
+from chervilrock.decisions.decoding import Decoder
 from chervilrock.generated.configuration import Configuration
 from chervilrock.generated.interfaces import HostList
 from chervilrock.generated.operators import ApplyRequest, StatusAnswer
@@ -47,11 +47,11 @@
 def load_example(name: str = EXAMPLE) -> Example:
     """Load and check an example that is shipped with the package."""
     folder = resources.files("chervilrock") / "examples"
-    hosts = msgspec.json.decode(
-        (folder / f"{name}-hosts.json").read_bytes(), type=HostList
+    hosts = Decoder(HostList).decode(
+        (folder / f"{name}-hosts.json").read_bytes()
     )
-    weights = msgspec.json.decode(
-        (folder / f"{name}-weights.json").read_bytes(), type=Catalogue
+    weights = Decoder(Catalogue).decode(
+        (folder / f"{name}-weights.json").read_bytes()
     )
     file_name = f"{name}.yaml"
     configuration, findings = check(
--- a/test/clients/test_polling.py
+++ b/test/clients/test_polling.py
@@ -12,12 +12,13 @@
 from chervilrock.clients.errors import PlatformErrorKind
 from chervilrock.clients.polled import RegionHostDecoder
 from chervilrock.clients.polling import Poller
+from chervilrock.decisions.decoding import Decoder, UnreadableError
 from chervilrock.generated.interfaces import EngineOrder, EngineState
 from chervilrock.standin.engine import EngineStandIn
 from chervilrock.standin.faults import FaultKind, FaultRule
 from test.tasks.virtual_time import run_virtually
 
-DECODER = msgspec.json.Decoder(EngineState)
+DECODER = Decoder(EngineState)
 LONG_TIMEOUT_S = 10.0
 SHORT_TIMEOUT_S = 0.02
 
@@ -141,7 +142,7 @@
     )
     assert_that(decoded["age_ms"], Equals(5))
     del hosts[0]["leaving"]
-    with pytest.raises(msgspec.DecodeError):
+    with pytest.raises(UnreadableError):
         decoder.decode(msgspec.json.encode(host_list))
 
 
