Go on without a record, message or call that fails

Nodes ended (E1006) when an exception that nobody expected was raised for one record of the store, and again after each start, as the record stays. For an odd answer of the store, such as an era of 6,000 digits, or an address with NUL in the entry of a node, only the task that read or asked ended, without a word: the node stopped to follow the topic.

Cause: a record was applied together with all others of its page, in the task on which the node depends, and the tasks of calls were never looked at again.

Records are now applied one by one in one place. A record that cannot be decoded is named by topic and key (E7103); an unexpected exception is logged as a fault (E7012) with its place, and counted by kind of work. The others are applied, and the topic is followed. The same holds for messages, calls, reads and what other nodes send. An HTTP call fails instead of raising for what cannot be sent. So that nothing hides behind this, the tests' installations fail when a node has survived a fault, unless the test provokes one.

--- a/chervilrock/catalogue.py
+++ b/chervilrock/catalogue.py
@@ -236,6 +236,12 @@
         "a call to {url} was sent again as its kept connection was closed; it "
         "ended after {seconds} s",
     )
+    FAULT_SURVIVED = EventSpec(
+        7012,
+        Level.ERROR,
+        "an error in the handling of {work} {name}: {error} in {place}; this "
+        "node goes on without it",
+    )
     REVISION_IN_FORCE = EventSpec(
         7101,
         Level.INFO,
@@ -246,7 +252,9 @@
         7102, Level.ERROR, "configuration from {source} unreadable: {reason}"
     )
     RECORD_UNREADABLE = EventSpec(
-        7103, Level.WARNING, "record {key} of the store unreadable: {reason}"
+        7103,
+        Level.WARNING,
+        "record {key} of topic {topic} of the store unreadable: {reason}",
     )
     VIEW_IN_FORCE = EventSpec(
         7104,
--- a/chervilrock/clients/httpclient.py
+++ b/chervilrock/clients/httpclient.py
@@ -240,7 +240,8 @@
             response = fetched.result()
         except HTTPClientError as error:
             return Failure(_describe_error(error, guard, call.url))
-        except UnicodeError as error:
+        except ValueError as error:
+            # The URL or a header holds characters that cannot be sent.
             return Failure(PlatformError(PlatformErrorKind.REFUSED, str(error)))
         finally:
             guard.end()
--- a/chervilrock/clients/liveness.py
+++ b/chervilrock/clients/liveness.py
@@ -32,7 +32,8 @@
                 reader, writer = await asyncio.open_connection(
                     host, int(port), local_addr=self._local_address
                 )
-        except OSError:
+        except (OSError, ValueError, OverflowError):
+            # Also for an address without a port that exists.
             return False
         try:
             async with asyncio.timeout(STABLE_CONNECTION_S):
--- a/chervilrock/edges/serving/exchangelog.py
+++ b/chervilrock/edges/serving/exchangelog.py
@@ -1,6 +1,5 @@
 """Log events of requests: where they are sent and how they end."""
 
-import traceback
 from typing import NamedTuple
 
 from chervilrock.decisions.serving.admission.attempts import SendOutcome
@@ -18,6 +17,7 @@
 from chervilrock.edges.serving.receiver import AnswerSummary
 from chervilrock.events import emit, Event
 from chervilrock.serving_metrics import CompletedRequest
+from chervilrock.tasks.serving.faults import find_place
 from chervilrock.tasks.serving.poisondetector import BrokenSend
 from chervilrock.tasks.serving.state import ServingState
 
@@ -120,12 +120,11 @@
 
 def log_error(request_id: str, error: Exception) -> None:
     """Log an error in the handling of a request, and where it was raised."""
-    frames = traceback.extract_tb(error.__traceback__)
     emit(
         Event.REQUEST_ERROR,
         request_id=request_id,
         error=repr(error),
-        place=" ".join(f"{frame.name}:{frame.lineno}" for frame in frames),
+        place=find_place(error),
     )
 
 
--- a/chervilrock/node/serving.py
+++ b/chervilrock/node/serving.py
@@ -39,6 +39,7 @@
 from chervilrock.platform.store import StoreClient
 from chervilrock.serving_metrics import ServingMetrics
 from chervilrock.tasks.clock import read_clock
+from chervilrock.tasks.serving.faults import Work
 from chervilrock.tasks.serving.messages import StallReported
 from chervilrock.tasks.serving.node import NodeTask
 from chervilrock.tasks.serving.outbound import CONTACT_PATH, Ports
@@ -82,6 +83,9 @@
 WATCH_INTERVAL_S = 0.05
 """Interval between two checks for groups that have stalled."""
 
+AnswerFunction = Callable[[str, dict[str, str], bytes], Reply]
+"""Answers a request from its path, query and body."""
+
 
 class ServingNode:
     """Listening sockets, tasks and request handlers of one process."""
@@ -209,8 +213,10 @@
           OSError: the address for metrics is in use.
         """
         settings = self._settings
-        peers = SimpleEdge(answer=self._answer_peer, field=EXTENSION)
-        lookups = SimpleEdge(answer=self._answer_platform)
+        peers = SimpleEdge(
+            answer=self._guard(self._answer_peer), field=EXTENSION
+        )
+        lookups = SimpleEdge(answer=self._guard(self._answer_platform))
         if settings.memory_mb:
             for listener in self._callers_binding.sockets:
                 # Accepted sockets inherit it.
@@ -414,6 +420,20 @@
                 limit_ms=round(limits.between_events_s * 1000),
             )
 
+    def _guard(self, answer: AnswerFunction) -> AnswerFunction:
+        """Return a function that answers 500 where another one raises."""
+
+        def answer_always(
+            path: str, query: dict[str, str], body: bytes
+        ) -> Reply:
+            try:
+                return answer(path, query, body)
+            except Exception as error:
+                self._state.faults.record(Work.REQUEST, path, error)
+                return Reply(status=500)
+
+        return answer_always
+
     def _answer_platform(
         self, path: str, query: dict[str, str], body: bytes
     ) -> Reply:
@@ -528,6 +548,8 @@
         metrics.cut_off.set(1 if state.reachability.is_cut_off else 0)
         metrics.withheld_suspects.set(self._state.suspects.count_withheld())
         metrics.calls_sent_again.set(self._client.calls_sent_again)
+        metrics.set_faults(state.faults.count_by_work())
+        metrics.set_unreadable(state.faults.count_unreadable())
         metrics.lines_dropped.set(self._count_dropped_lines())
         routes = self._state.routes
         if routes is not None:
--- a/chervilrock/platform/store.py
+++ b/chervilrock/platform/store.py
@@ -37,6 +37,7 @@
     Topic.NODES: "keyed.chervilrock",
 }
 _ERA_HEADER = "Store-Era"  # rises with each restore from a backup
+_MAX_ERA_DIGITS = 18
 _GONE = 410
 _UNEXPECTED_END = 412
 _MS_PER_S = 1000
@@ -244,9 +245,10 @@
         text = answer.header
         if not text and self._era is None:
             return Success(answer)
-        era = int(text) if text.isascii() and text.isdigit() else -1
+        is_number = text.isascii() and text.isdigit()
+        era = int(text) if is_number and len(text) <= _MAX_ERA_DIGITS else -1
         if era < (self._era or 0):
-            message = f"era {text!r} after {self._era}"
+            message = f"era {text[:_MAX_ERA_DIGITS]!r} after {self._era}"
             return Failure(PlatformError(PlatformErrorKind.BAD_ANSWER, message))
         self._era = era
         return Success(answer)
--- a/chervilrock/serving_metrics.py
+++ b/chervilrock/serving_metrics.py
@@ -88,6 +88,12 @@
             "Time since the last answer of the store to a read",
             "topic",
         )
+        self._faults = self._labelled_gauge(
+            "faults", "Faults of the program that this node survived", "work"
+        )
+        self._unreadable = self._labelled_gauge(
+            "records_unreadable", "Records that could not be decoded", "topic"
+        )
         self._hosts = self._labelled_gauge(
             "hosts", "Hosts by model and state, on the leader", "model", "state"
         )
@@ -283,6 +289,16 @@
         for topic, age in ages.items():
             self._store_ages.labels(topic).set(age)
 
+    def set_faults(self, counts: Mapping[str, int]) -> None:
+        """Set the number of survived faults, by kind of work."""
+        for work, count in counts.items():
+            self._faults.labels(work).set(count)
+
+    def set_unreadable(self, counts: Mapping[str, int]) -> None:
+        """Set the number of records that could not be decoded, by topic."""
+        for topic, count in counts.items():
+            self._unreadable.labels(topic).set(count)
+
     def set_host_counts(self, counts: Iterable[ModelCount]) -> None:
         """Set the host and group counts; only the leader has any."""
         for gauge in (self._hosts, self._groups, self._needed):
--- a/chervilrock/tasks/serving/evacuationkeeper.py
+++ b/chervilrock/tasks/serving/evacuationkeeper.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 
+from chervilrock.clients.serving import KeyedRecord
 from chervilrock.decisions.serving.servers.evacuations import Evacuation
 from chervilrock.decisions.serving.view import Acknowledgement, Announcement
 from chervilrock.events import emit, Event
@@ -31,34 +32,16 @@
     def apply(self, read: RecordsRead, now: float) -> None:
         """Apply records of the configuration topic."""
         evacuations = self._evacuations
-        present = set()
-        for record in read.page.records:
-            evacuation = self._decode(record.key, record.value)
-            if evacuation is None:
-                continue
-            name = evacuation.data_centre
-            # Also for a record that is not valid: the state stays as it is.
-            present.add(name)
-            problem = evacuation.problem
-            if not problem and not self._is_known(name):
-                problem = "the data centre is unknown"
-            if problem:
-                emit(
-                    Event.EVACUATION_UNREADABLE,
-                    key=record.key,
-                    reason=problem,
-                )
-                continue
-            if evacuations.record(
-                evacuation,
-                (read.page.era, record.offset),
-                now,
-                is_snapshot=read.is_snapshot,
-            ):
-                self._log_change(name, _STORE)
+        present: set[str] = set()
+        is_whole = self._state.faults.apply_records(
+            read, lambda record: self._apply_record(record, read, present, now)
+        )
         if not read.is_snapshot:
             return
         evacuations.is_informed = True
+        if not is_whole:
+            # A record that was passed over may be that of an evacuation.
+            return
         for name in evacuations.end_absent(
             present,
             era=read.page.era,
@@ -67,6 +50,34 @@
         ):
             self._log_change(name, _STORE)
 
+    def _apply_record(
+        self,
+        record: KeyedRecord,
+        read: RecordsRead,
+        present: set[str],
+        now: float,
+    ) -> None:
+        """Apply a record, and add the data centre that it names to a set."""
+        evacuation = self._decode(record.key, record.value)
+        if evacuation is None:
+            return
+        name = evacuation.data_centre
+        # Also for a record that is not valid: the state stays as it is.
+        present.add(name)
+        problem = evacuation.problem
+        if not problem and not self._is_known(name):
+            problem = "the data centre is unknown"
+        if problem:
+            emit(Event.EVACUATION_UNREADABLE, key=record.key, reason=problem)
+            return
+        if self._evacuations.record(
+            evacuation,
+            (read.page.era, record.offset),
+            now,
+            is_snapshot=read.is_snapshot,
+        ):
+            self._log_change(name, _STORE)
+
     def merge_announced(self, announcement: Announcement, now: float) -> None:
         """Apply what a leader announces, directly or through a relay."""
         self._evacuations.is_informed = True
--- a/chervilrock/tasks/serving/follower.py
+++ b/chervilrock/tasks/serving/follower.py
@@ -10,6 +10,7 @@
 from chervilrock.clients.serving import KeyedPage, KeyedStore, Topic
 from chervilrock.decisions.serving.store.polling import PollSchedule
 from chervilrock.tasks.mailbox import Outbox
+from chervilrock.tasks.serving.faults import Faults, Work
 from chervilrock.tasks.serving.messages import Message, ReadFailed, RecordsRead
 
 FIRST_RETRY_S = 0.1
@@ -31,6 +32,7 @@
         topic: Topic,
         choose_schedule: Callable[[], PollSchedule],
         outbox: Outbox[Message],
+        faults: Faults,
     ) -> None:
         """Create a follower that has read nothing.
 
@@ -39,7 +41,9 @@
           topic: topic to follow.
           choose_schedule: returns the polling schedule; called for each read.
           outbox: receives `RecordsRead` and `ReadFailed`.
+          faults: records the faults of reads.
         """
+        self._faults = faults
         self._store = store
         self._topic = topic
         self._outbox = outbox
@@ -54,10 +58,21 @@
         """Read until cancelled; a later run continues after the last page."""
         self._retry_s = FIRST_RETRY_S
         while True:
-            if self._position is None:
-                await self._read_snapshot()
-            else:
-                await self._read_changes(self._position)
+            try:
+                await self._read_next()
+            except Exception as error:
+                # Whatever the store answers, the reads go on.
+                self._faults.record(Work.CALL, self._topic.value, error)
+                await self._record_failure(
+                    PlatformError(PlatformErrorKind.BAD_ANSWER, repr(error))
+                )
+
+    async def _read_next(self) -> None:
+        """Read the newest records, or the changes since the last read."""
+        if self._position is None:
+            await self._read_snapshot()
+        else:
+            await self._read_changes(self._position)
 
     async def _read_snapshot(self) -> None:
         """Read the newest records."""
--- a/chervilrock/tasks/serving/leading.py
+++ b/chervilrock/tasks/serving/leading.py
@@ -6,7 +6,8 @@
 
 from returns.result import Failure
 
-from chervilrock.clients.serving import KeyedPage, Topic
+from chervilrock.clients.serving import KeyedPage, KeyedRecord, Topic
+from chervilrock.decisions.decoding import UnreadableError
 from chervilrock.decisions.serving.admission.priorityadmission import (
     WaitingCounts,
 )
@@ -229,23 +230,35 @@
         self._check_restore(read, now)
         if read.is_snapshot:
             self._record_snapshot(read.page)
-        for record in read.page.records:
-            self._absences.record_written(record.key)
-            if not record.value:
-                self._record_removed(record.key, now)
-                continue
-            decoded = self._decode_server(record.key, record.value)
-            if isinstance(decoded, Failure):
-                reason = decoded.failure()
-                emit(Event.RECORD_UNREADABLE, key=record.key, reason=reason)
-                continue
-            # An entry that names no server does not undo a removal.
-            self._removals.record_written(record.key)
-            entry = self._entries.update(decoded.unwrap())
-            self._record_warmup(entry, now, is_first_read=is_first_read)
-            self._controller.record_server(entry, now)
+        self._state.faults.apply_records(
+            read,
+            lambda record: self._apply_record(
+                record, now, is_first_read=is_first_read
+            ),
+        )
         self._remove_absent(read.page.next_offset, now)
 
+    def _apply_record(
+        self, record: KeyedRecord, now: float, *, is_first_read: bool
+    ) -> None:
+        """Apply the entry of a server.
+
+        Raises:
+          UnreadableError: the entry names no server.
+        """
+        self._absences.record_written(record.key)
+        if not record.value:
+            self._record_removed(record.key, now)
+            return
+        decoded = self._decode_server(record.key, record.value)
+        if isinstance(decoded, Failure):
+            raise UnreadableError(decoded.failure())
+        # An entry that names no server does not undo a removal.
+        self._removals.record_written(record.key)
+        entry = self._entries.update(decoded.unwrap())
+        self._record_warmup(entry, now, is_first_read=is_first_read)
+        self._controller.record_server(entry, now)
+
     def _record_snapshot(self, page: KeyedPage) -> None:
         """Find out which known servers have no entry in a snapshot."""
         present = {record.key for record in page.records if record.value}
--- a/chervilrock/tasks/serving/node.py
+++ b/chervilrock/tasks/serving/node.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterable
 from typing import Any
 
-from chervilrock.clients.serving import Topic
+from chervilrock.clients.serving import KeyedRecord, Topic
 from chervilrock.decisions.serving.groups.orders import Stage
 from chervilrock.decisions.serving.nodes.leadercontact import LeaderContact
 from chervilrock.decisions.serving.nodes.leadership import (
@@ -29,6 +29,7 @@
 from chervilrock.tasks.serving.configuration import ConfigurationKeeper
 from chervilrock.tasks.serving.election import Election
 from chervilrock.tasks.serving.evacuationkeeper import EvacuationKeeper
+from chervilrock.tasks.serving.faults import Work
 from chervilrock.tasks.serving.following import LeaderFollowing
 from chervilrock.tasks.serving.leaderprobe import LeaderProbe
 from chervilrock.tasks.serving.leading import LeaderRole
@@ -102,7 +103,9 @@
         self._leader_role: LeaderRole | None = None
         self._entries = NewestEntries()
         self._store_era: int | None = None
-        self._outbound = Outbound(ports=ports, outbox=self.mailbox)
+        self._outbound = Outbound(
+            ports=ports, outbox=self.mailbox, faults=state.faults
+        )
         self._reads = StoreReads(
             outbound=self._outbound,
             describe_reader=self._describe_reader,
@@ -376,6 +379,11 @@
     # Messages.
 
     def _handle(self, message: Message, now: float) -> None:
+        """Handle a message; a fault in it does not end the node."""
+        with self._state.faults.survive(Work.MESSAGE, type(message).__name__):
+            self._dispatch(message, now)
+
+    def _dispatch(self, message: Message, now: float) -> None:
         match message:
             case RecordsRead():
                 self._record_store_answer(message.topic, now)
@@ -445,16 +453,14 @@
 
     def _handle_records(self, read: RecordsRead, now: float) -> None:
         for offset in read.page.unreadable:
-            emit(
-                Event.RECORD_UNREADABLE,
-                key=f"at {offset} of {read.topic.value}",
-                reason="no key or value",
+            self._state.faults.record_unreadable(
+                read.topic, f"at {offset}", "no key or value"
             )
         match read.topic:
             case Topic.CONFIGURATION:
-                for record in read.page.records:
-                    if record.key == _CONFIGURATION_KEY:
-                        self._apply_document(record.value, "the store", now)
+                self._state.faults.apply_records(
+                    read, lambda record: self._apply_configuration(record, now)
+                )
                 self._evacuations.apply(read, now)
             case Topic.NODES:
                 if self._records.apply(read, now):
@@ -463,6 +469,11 @@
                 if self._leader_role is not None:
                     self._leader_role.record_servers(read, now)
 
+    def _apply_configuration(self, record: KeyedRecord, now: float) -> None:
+        """Apply a record of the operator's topic if it is a configuration."""
+        if record.key == _CONFIGURATION_KEY:
+            self._apply_document(record.value, "the store", now)
+
     def _apply_claim(self, claim: Claim, now: float) -> None:
         former = self._leadership.claim
         if not self._leadership.record_claim(claim, now):
--- a/chervilrock/tasks/serving/noderecords.py
+++ b/chervilrock/tasks/serving/noderecords.py
@@ -4,12 +4,11 @@
 
 import msgspec
 
-from chervilrock.decisions.decoding import Decoder, UnreadableError
+from chervilrock.decisions.decoding import Decoder
 from chervilrock.decisions.serving.nodes.leadership import Claim, Leadership
 from chervilrock.decisions.serving.nodes.terms import make_term
 from chervilrock.decisions.serving.store.polling import is_designated
 from chervilrock.decisions.serving.view import LeaderEntry, NodeEntry
-from chervilrock.events import emit, Event
 from chervilrock.tasks.serving.messages import RecordsRead
 from chervilrock.tasks.serving.outbound import (
     LEADER_KEY,
@@ -81,16 +80,15 @@
             self._poisondetector.forget_stored()
         if read.is_snapshot and not is_restored:
             self._state.known_nodes.clear()
-        for record in read.page.records:
-            try:
-                self._apply_record(
-                    record.key,
-                    record.value,
-                    make_term(read.page.era, record.offset),
-                    now,
-                )
-            except UnreadableError as error:
-                emit(Event.RECORD_UNREADABLE, key=record.key, reason=str(error))
+        self._state.faults.apply_records(
+            read,
+            lambda record: self._apply_record(
+                record.key,
+                record.value,
+                make_term(read.page.era, record.offset),
+                now,
+            ),
+        )
         # This process may itself be the successor of the leader's process.
         self._leadership.record_node(self._leadership.own_entry, now)
         self.next_offset = read.page.next_offset
--- a/chervilrock/tasks/serving/outbound.py
+++ b/chervilrock/tasks/serving/outbound.py
@@ -43,6 +43,7 @@
 )
 from chervilrock.events import emit, Event
 from chervilrock.tasks.mailbox import Outbox
+from chervilrock.tasks.serving.faults import Faults, Work
 from chervilrock.tasks.serving.follower import FollowerTask, TopicFollower
 from chervilrock.tasks.serving.messages import (
     ClaimAnswered,
@@ -139,13 +140,17 @@
 class Outbound:
     """Starts calls and sends their outcomes to a mailbox."""
 
-    def __init__(self, *, ports: Ports, outbox: Outbox[Message]) -> None:
+    def __init__(
+        self, *, ports: Ports, outbox: Outbox[Message], faults: Faults
+    ) -> None:
         """Create an object without pending calls.
 
         Args:
           ports: clients for the store, servers and other nodes.
           outbox: receives the outcomes of the calls.
+          faults: records the faults of calls.
         """
+        self._faults = faults
         self._ports = ports
         self._outbox = outbox
         self._tasks: set[asyncio.Task[Any]] = set()
@@ -168,6 +173,7 @@
             topic=topic,
             choose_schedule=choose_schedule,
             outbox=self._outbox,
+            faults=self._faults,
         )
         return FollowerTask(follower=follower, start=self._start)
 
@@ -246,9 +252,16 @@
     def _start(self, work: Coroutine[Any, Any, _T]) -> "asyncio.Task[_T]":
         task = asyncio.create_task(work)
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(self._record_end)
         return task
 
+    def _record_end(self, task: "asyncio.Task[Any]") -> None:
+        """Forget a call, and record the exception that ended it."""
+        self._tasks.discard(task)
+        error = None if task.cancelled() else task.exception()
+        if isinstance(error, Exception):
+            self._faults.record(Work.CALL, repr(task.get_coro()), error)
+
     async def _write_node(self, own: NodeEntry) -> None:
         key = f"{NODE_PREFIX}{own.node}"
         value = msgspec.json.encode(own)
--- a/chervilrock/tasks/serving/state.py
+++ b/chervilrock/tasks/serving/state.py
@@ -69,6 +69,7 @@
     ServingView,
 )
 from chervilrock.events import emit, Event
+from chervilrock.tasks.serving.faults import Faults
 
 Endpoint = TypeVar("Endpoint", GroupEndpoint, ServerEndpoint)
 
@@ -123,6 +124,7 @@
       startup: late requests in the seconds after the start.
       admission: decides which priorities may take free slots.
       reachability: whether this node reaches the servers.
+      faults: faults of the program that this node survived.
     """
 
     def __init__(
@@ -151,6 +153,7 @@
         self.nodes: tuple[NodeEntry, ...] = ()
         self.nodes_version = (-1, 0)
         self.known_nodes: dict[str, NodeEntry] = {}
+        self.faults = Faults()
         self.is_stopping = False
         self.has_traffic = False
         self.generator = generator
--- a/test/node/serving_site.py
+++ b/test/node/serving_site.py
@@ -59,6 +59,7 @@
         self.memory_mb = memory_mb
         self.has_own_ips = has_own_ips
         self.cuts = NodeCuts()
+        self.may_fault = False
         self.site = Site()
         self.nodes: list[ServingNode] = []
         self.client = QuietCurlClient(force_instance=True, max_clients=50)
@@ -266,6 +267,11 @@
             await node.close()
         self.cuts.stop()
         await self.site.stop()
+        assert self.may_fault or not self.count_faults(), "faults survived"
+
+    def count_faults(self) -> int:
+        """Return the number of faults that the nodes survived."""
+        return sum(node.state.faults.counts.total() for node in self.nodes)
 
 
 def run_world(
--- a/test/tasks/installation.py
+++ b/test/tasks/installation.py
@@ -332,6 +332,7 @@
       cut_links: pairs of addresses of nodes that do not reach each other.
       running_nodes: the running nodes by address.
       failures: errors with which node tasks have ended.
+      may_fault: whether nodes may survive faults.
     """
 
     def __init__(self, *, monkeypatch: Any, seed: int) -> None:
@@ -345,6 +346,7 @@
         self.store = Store()
         self.running_nodes: dict[str, RunningNode] = {}
         self.failures: list[BaseException | None] = []
+        self.may_fault = False
         self.generator = random.Random(seed)
         self._entry: bytes | None = STAYING
         self._is_writing = True
@@ -467,6 +469,14 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
         assert not self.failures, self.failures
+        assert self.may_fault or not self.count_faults(), "faults survived"
+
+    def count_faults(self) -> int:
+        """Return the number of faults that the running nodes survived."""
+        return sum(
+            node.state.faults.counts.total()
+            for node in self.running_nodes.values()
+        )
 
     def _collect_failure(self, running: "asyncio.Task[None]") -> None:
         if not running.cancelled():
