Show that the newest configuration is not understood

A configuration that cannot be read was logged once (E7102), and nothing told operators afterwards that an older one was still in force.

Cause: the keeper of configurations forgot the reason. It now keeps it until a configuration is understood; the gauge chervilrock_configuration_unreadable and the state dump show it, also when an unexpected error ends its application.

--- a/chervilrock/node/serving.py
+++ b/chervilrock/node/serving.py
@@ -534,6 +534,9 @@
         metrics.set_store_ages(self._task.list_store_ages(now))
         metrics.revision_age.set(self._task.find_revision_age(now))
         metrics.revision_lag.set(self._task.find_revision_lag(now))
+        metrics.configuration_unreadable.set(
+            1 if self._task.is_configuration_unreadable else 0
+        )
         metrics.leader_probes.set(self._task.leader_probe.probes)
         metrics.startup_rejections.set(self._state.startup.rejected)
         statements = self._state.statements
--- a/chervilrock/serving_metrics.py
+++ b/chervilrock/serving_metrics.py
@@ -83,6 +83,10 @@
             "revision_lag_seconds",
             "Time for which another node has had a newer revision",
         )
+        self.configuration_unreadable = self._gauge(
+            "configuration_unreadable",
+            "1 while the newest configuration is not understood",
+        )
         self._store_ages = self._labelled_gauge(
             "store_answer_age_seconds",
             "Time since the last answer of the store to a read",
--- a/chervilrock/tasks/serving/configuration.py
+++ b/chervilrock/tasks/serving/configuration.py
@@ -11,12 +11,15 @@
 from chervilrock.tasks.serving.outbound import Decode, Outbound
 from chervilrock.tasks.serving.state import ServingState
 
+_NOT_APPLIED = "an error occurred while it was applied"
+
 
 class ConfigurationKeeper:
     """Keeps the newest configuration that a node could get.
 
     Attributes:
       document: encoded document of the configuration in force, empty for none.
+      unreadable: why the last document was not understood, empty if it was.
     """
 
     def __init__(
@@ -44,23 +47,32 @@
         self._revisions = RevisionTracker()
         self._in_force_since = now
         self.document: bytes = b""
+        self.unreadable = ""
 
     def apply(
         self, document: bytes, source: str, now: float
     ) -> SiteConfiguration | None:
-        """Put a configuration into force; return it if it is newer."""
+        """Put a configuration into force; return it if it is newer.
+
+        One that is not understood changes nothing.
+        """
         if not document:
             return None
+        # Also if an unexpected exception ends this function.
+        self.unreadable = _NOT_APPLIED
         decoded = self._decode(document)
         if isinstance(decoded, Failure):
             reason = decoded.failure()
+            self.unreadable = reason
             emit(Event.CONFIGURATION_UNREADABLE, source=source, reason=reason)
             return None
         configuration = decoded.unwrap()
         if configuration.revision <= self._state.revision:
+            self.unreadable = ""
             return None
         self._state.routes = RouteTable(configuration=configuration)
         self.document = document
+        self.unreadable = ""
         self._in_force_since = now
         for field, value in configuration.ignored:
             emit(Event.CONFIGURATION_FIELD_IGNORED, field=field, value=value)
--- a/chervilrock/tasks/serving/node.py
+++ b/chervilrock/tasks/serving/node.py
@@ -277,6 +277,11 @@
             return self.is_leader
         return self._reads.is_read(topic)
 
+    @property
+    def is_configuration_unreadable(self) -> bool:
+        """Whether the last configuration that was read is not understood."""
+        return bool(self._configuration.unreadable)
+
     def find_revision_age(self, now: float) -> float:
         """Return the seconds since the revision came into force here."""
         return self._configuration.find_age(now)
@@ -297,6 +302,7 @@
             "leader": self._leadership.claim,
             "leader_probe": self.leader_probe.describe(),
             "revision": state.revision,
+            "configuration_unreadable": self._configuration.unreadable,
             "revision_age_s": round(self.find_revision_age(now), 3),
             "revision_lag_s": round(self.find_revision_lag(now), 3),
             "store_ages_s": {
