--- a/chervilrock/ui/demonstration/caller.py
+++ b/chervilrock/ui/demonstration/caller.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 import time
-from typing import Any, NamedTuple
+from typing import NamedTuple, TypedDict
 from urllib.parse import quote
 
 import msgspec
@@ -12,11 +12,15 @@
 from chervilrock.clients.errors import PlatformErrorKind
 from chervilrock.clients.httpclient import HttpAnswer, HttpClient
 from chervilrock.decisions.decoding import (
-    decode_plain,
     Decoder,
     UnreadableError,
 )
-from chervilrock.generated.interfaces import AddressAnswer, Outcome, Ticket
+from chervilrock.generated.interfaces import (
+    AddressAnswer,
+    ErrorBody,
+    Outcome,
+    Ticket,
+)
 from chervilrock.ui.demonstration.operations import (
     Ending,
     Operation,
@@ -34,6 +38,16 @@
 
 _ADDRESS_DECODER = Decoder(AddressAnswer)
 _TICKET_DECODER = Decoder(Ticket)
+_ERROR_DECODER = Decoder(ErrorBody)
+
+
+class _Echo(TypedDict):
+    """Answer of a service: the path of its request."""
+
+    uri: str
+
+
+_ECHO_DECODER = Decoder(_Echo)
 
 
 class Attempt(NamedTuple):
@@ -193,7 +207,7 @@
       UnreadableError: the answer is no JSON.
     """
     if answer.status != STATUS_OK:
-        return _read_error(decode_plain(answer.body))
+        return _read_error(_ERROR_DECODER.decode(answer.body))
     if operation.kind is OperationKind.STREAM:
         text = read_stream(answer.body)
         if text is None:
@@ -201,21 +215,21 @@
     elif operation.kind is OperationKind.COMPLETION:
         text = read_completion(answer.body)
     else:
-        uri = decode_plain(answer.body)["uri"]
+        uri = _ECHO_DECODER.decode(answer.body)["uri"]
         is_own = operation.path.endswith(uri)
         return Attempt(Ending.WHOLE if is_own else Ending.FOREIGN)
     return Attempt(Ending.WHOLE if text == operation.answer else Ending.FOREIGN)
 
 
-def _read_error(body: Any) -> Attempt:
+def _read_error(body: ErrorBody) -> Attempt:
     detail = body["error"]
-    wait_s = detail["retry_after_ms"] / 1000
+    wait_s = min(detail["retry_after_ms"], MAX_WAIT_S * 1000) / 1000
     endings = {
         Outcome.NOT_RUN: Ending.NOT_RUN,
         Outcome.UNKNOWN: Ending.UNKNOWN,
         Outcome.FAILED: Ending.FAILED,
     }
     return Attempt(
-        endings[Outcome(detail["outcome"])],
-        min(MAX_WAIT_S, max(MIN_WAIT_S, wait_s)),
+        endings[detail["outcome"]],
+        max(MIN_WAIT_S, wait_s),
     )
--- a/chervilrock/ui/demonstration/operations.py
+++ b/chervilrock/ui/demonstration/operations.py
@@ -4,7 +4,9 @@
 import random
 from typing import Any, NamedTuple
 
-from chervilrock.decisions.decoding import decode_plain
+import msgspec
+
+from chervilrock.decisions.decoding import Decoder
 from chervilrock.generated.configuration import Configuration
 from chervilrock.standin.text import expected_text, format_prompt
 
@@ -67,6 +69,38 @@
     tries: int
 
 
+class _Delta(msgspec.Struct):
+    content: str | None = None
+
+
+class _EventChoice(msgspec.Struct):
+    delta: _Delta
+
+
+class _Event(msgspec.Struct):
+    """An event of a stream."""
+
+    error: Any = None
+    choices: tuple[_EventChoice, ...] = ()
+
+
+class _Message(msgspec.Struct):
+    content: str
+
+
+class _AnswerChoice(msgspec.Struct):
+    message: _Message
+
+
+class _Answer(msgspec.Struct):
+    """An answer that was not streamed; it has one choice."""
+
+    choices: tuple[_AnswerChoice]
+
+
+_EVENT_DECODER = Decoder(_Event)
+_ANSWER_DECODER = Decoder(_Answer)
+
 KIND_WEIGHTS = (
     (OperationKind.STREAM, 5),
     (OperationKind.COMPLETION, 2),
@@ -153,11 +187,10 @@
         data = line.removeprefix("data: ")
         if data == "[DONE]":
             return "".join(pieces)
-        event = decode_plain(data)
-        if "error" in event:
+        event = _EVENT_DECODER.decode(data)
+        if event.error is not None:
             return None
-        for choice in event.get("choices", ()):
-            pieces.append(choice["delta"].get("content") or "")
+        pieces.extend(choice.delta.content or "" for choice in event.choices)
     return None
 
 
@@ -167,5 +200,7 @@
     Raises:
       UnreadableError: the answer is no JSON.
     """
-    text = decode_plain(body)["choices"][0]["message"]["content"]
-    return str(text)
+    return "".join(
+        choice.message.content
+        for choice in _ANSWER_DECODER.decode(body).choices
+    )
--- a/test/decisions/test_decoding.py
+++ b/test/decisions/test_decoding.py
@@ -7,7 +7,7 @@
 import pytest
 from returns.result import Failure, Success
 from testtools.assertions import assert_that
-from testtools.matchers import Equals, IsInstance
+from testtools.matchers import Equals, Is
 
 from chervilrock.decisions.decoding import (
     convert,
@@ -37,7 +37,8 @@
     # Failure: RecursionError, which no caller expected, ended the nodes.
     with pytest.raises(UnreadableError, match="."):
         Decoder(kind).decode(text)
-    assert_that(Decoder(kind).read(text), IsInstance(Failure))
+    result = Decoder(kind).read(text)
+    assert_that(isinstance(result, Failure), Is(True))
 
 
 @given(st.binary())
@@ -67,7 +68,7 @@
     # Failure: the values of valid texts change.
     assert_that(decode_plain(b'{"a": [1, 2.5]}'), Equals({"a": [1, 2.5]}))
     decoded = Decoder(dict[str, int]).read(b'{"a": 1}')
-    assert_that(decoded, Equals(Success({"a": 1})))
+    assert_that(decoded == Success({"a": 1}), Is(True))
     assert_that(
         convert({"1": 2}, dict[int, int], str_keys=True), Equals({1: 2})
     )
--- a/test/platform/test_operator.py
+++ b/test/platform/test_operator.py
@@ -6,7 +6,7 @@
 import pytest
 from returns.result import Failure
 from testtools.assertions import assert_that
-from testtools.matchers import Equals, IsInstance, Not
+from testtools.matchers import Equals, Is, Not
 
 from chervilrock.platform.operator import (
     decode_configuration,
@@ -41,7 +41,8 @@
 def test_a_deep_configuration_is_rejected(field: str) -> None:
     # Failure: RecursionError ended all nodes, also at each start.
     document = encode(DOCUMENT | {field: "PLACE"}, DEEP_LISTS)
-    assert_that(decode_configuration(document), IsInstance(Failure))
+    result = decode_configuration(document)
+    assert_that(isinstance(result, Failure), Is(True))
 
 
 def test_a_deep_evacuation_states_a_problem() -> None:
--- a/test/tasks/test_faults.py
+++ b/test/tasks/test_faults.py
@@ -142,7 +142,7 @@
             node.task.mailbox.offer(StallReported("g"))
             await asyncio.sleep(1.0)
         faults = node.state.faults.counts[Work.MESSAGE]
-        assert_that(site.find_leader(), Equals(leader))
+        assert_that(site.find_leader() == leader, Equals(True))
         await site.stop()
         return faults
 
