Keep the numbers of a configuration within bounds

With a time limit of 1e300 ms every request of the route without a deadline of its own got 502 (E7420, OverflowError in libcurl's options). With 0 slots a leader ended with ZeroDivisionError, and so would each next one; with slots, a stride or a model's size of 400 digits nodes ended with OverflowError.

Cause: the adapter passed on whatever number a field held, though libcurl, timers and floats cannot hold all of them.

Times, counts, rates, factors and weights are now bounded where the document is decoded: a number out of bounds is replaced by the nearest that a node can work with and named (E7339), so that the rest of the configuration is in force. Only a version below 0 or above 63 bits is rejected, as it could never be followed by another. Numbers of reports and offsets of the store have bounds as well.

--- a/chervilrock/catalogue.py
+++ b/chervilrock/catalogue.py
@@ -437,6 +437,12 @@
         "this node reaches servers again, {seconds} s after it found that it "
         "reached none",
     )
+    CONFIGURATION_FIELD_BOUNDED = EventSpec(
+        7339,
+        Level.WARNING,
+        "field {field} of the configuration is {value}, which is out of "
+        "bounds; {used} is used",
+    )
     REQUEST_SENT = EventSpec(
         7401,
         Level.INFO,
--- a/chervilrock/decisions/serving/site.py
+++ b/chervilrock/decisions/serving/site.py
@@ -170,6 +170,20 @@
     value: str
 
 
+class BoundedField(NamedTuple):
+    """A number of a configuration that is out of bounds.
+
+    Attributes:
+      field: place in the document.
+      value: the number as it is logged.
+      used: the number that is used in its place.
+    """
+
+    field: str
+    value: str
+    used: float
+
+
 class SiteConfiguration(NamedTuple):
     """A configuration of the operator.
 
@@ -180,6 +194,7 @@
       keys: workspaces by key, None if no keys are required.
       limits: limits on the connections of callers.
       ignored: fields with a malformed value, which count as absent.
+      bounded: numbers that are out of bounds.
     """
 
     revision: int
@@ -188,6 +203,7 @@
     keys: Mapping[str, Workspace] | None
     limits: Limits
     ignored: tuple[IgnoredField, ...] = ()
+    bounded: tuple[BoundedField, ...] = ()
 
 
 class MemberState(enum.Enum):
--- a/chervilrock/platform/engines.py
+++ b/chervilrock/platform/engines.py
@@ -1,6 +1,6 @@
 """Sends orders to backend servers and fetches their reports over HTTP."""
 
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
 from returns.result import Failure, Result, Success
@@ -25,7 +25,7 @@
 )
 from chervilrock.decisions.serving.site import BackendServer
 from chervilrock.platform.headers import EXPECTED_SERVER
-from chervilrock.platform.servers import decode_membership, GroupField
+from chervilrock.platform.servers import Count, decode_membership, GroupField
 from chervilrock.platform.statements import LEAVING, LEAVING_VALUE
 
 _REPLY_BY_STATUS = {
@@ -37,15 +37,18 @@
     421: OrderReply.MISDIRECTED,
 }
 
+MAX_PACE = 1e9
+"""Greatest factor on its times that a server reports."""
+
 
 class _ReportBody(msgspec.Struct):
     group: GroupField | None = None
     staged: list[str] = []
-    sequence: int = 0  # counts orders carried out, not reports
-    running: int = 0
-    waiting: int = 0
-    pace: float = 1.0
-    born: int = 0  # start of the server, in Unix milliseconds
+    sequence: Count = 0  # counts orders carried out, not reports
+    running: Count = 0
+    waiting: Count = 0
+    pace: Annotated[float, msgspec.Meta(ge=0.0, le=MAX_PACE)] = 1.0
+    born: Count = 0  # start of the server, in Unix milliseconds
 
 
 _REPORT_DECODER = Decoder(_ReportBody)
--- a/chervilrock/platform/operator.py
+++ b/chervilrock/platform/operator.py
@@ -19,13 +19,29 @@
     WeightedService,
     Workspace,
 )
-from chervilrock.platform.amounts import read_amount
+from chervilrock.platform.amounts import Bounds, read_amount
+from chervilrock.platform.servers import MAX_INT
 
 TOPIC = "keyed.op"
 KEY = "config"
 EVACUATION_PREFIX = "evacuate/"
 
 _MS_PER_S = 1000.0
+
+MAX_MS = 1e9
+"""Longest time in a configuration, some eleven days. libcurl and timers can
+hold it."""
+
+MAX_COUNT = 65535
+"""Greatest number of slots, hosts, attempts or steps."""
+
+_MIN_TIMEOUT_MS = 1.0
+_MAX_FACTOR = 1e6
+_MIN_FACTOR = 1e-3
+_MAX_RATE = 1e9  # a second
+_MIN_RATE = 1e-3
+_MAX_WEIGHT = 1e9
+_MAX_TOKENS = 10**9
 _ROUTE_KINDS = {
     "streaming": RouteKind.STREAM,
     "idempotent": RouteKind.IDEMPOTENT,
@@ -101,7 +117,7 @@
 
 
 class _Document(msgspec.Struct):
-    version: int
+    version: Annotated[int, msgspec.Meta(ge=0, le=MAX_INT)]
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = msgspec.field(default_factory=_Limits)
@@ -113,15 +129,20 @@
 
 
 def decode_configuration(document: bytes) -> Result[SiteConfiguration, str]:
-    """Return the configuration, or a description of the first error."""
+    """Return the configuration, or a description of the first error.
+
+    Numbers that a node cannot work with are replaced by the nearest with which
+    it can, so that the rest of the configuration is in force.
+    """
+    bounds = Bounds()
     try:
         decoded = _DECODER.decode(document)
-        routes = tuple(_make_route(route) for route in decoded.routes)
+        routes = tuple(_make_route(route, bounds) for route in decoded.routes)
     except (UnreadableError, ValueError) as error:
         return Failure(str(error))
     ignored: list[IgnoredField] = []
     services = {
-        service.name: _make_service(service, ignored)
+        service.name: _make_service(service, ignored, bounds)
         for service in decoded.services
     }
     return Success(
@@ -129,9 +150,16 @@
             revision=decoded.version,
             routes=routes,
             services=services,
-            keys=_make_keys(decoded.tenants),
-            limits=Limits(idle_s=decoded.limits.idle_timeout_ms / _MS_PER_S),
+            keys=_make_keys(decoded.tenants, bounds),
+            limits=Limits(
+                idle_s=_bound_ms(
+                    bounds,
+                    "limits.idle_timeout_ms",
+                    decoded.limits.idle_timeout_ms,
+                )
+            ),
             ignored=tuple(ignored),
+            bounded=tuple(bounds.bounded),
         )
     )
 
@@ -158,7 +186,14 @@
     return EvacuationRecord(zone, is_evacuated=bool(value), problem=problem)
 
 
-def _make_route(route: _Route) -> Route:
+def _bound_ms(
+    bounds: Bounds, place: str, value_ms: float, low_ms: float = 0.0
+) -> float:
+    """Return a time of a document in seconds, within bounds."""
+    return bounds.bound(place, value_ms, low_ms, MAX_MS) / _MS_PER_S
+
+
+def _make_route(route: _Route, bounds: Bounds) -> Route:
     """Translate a route.
 
     Raises:
@@ -169,31 +204,51 @@
         raise ValueError(
             f"route {route.name}: unknown kind {route.route_type!r}"
         )
+    place = f"routes[{route.name}]"
     targets = route.backends or [_Target(service=route.service)]
     services = tuple(
-        WeightedService(service=target.service, weight=target.weight)
+        WeightedService(
+            service=target.service,
+            weight=bounds.bound(
+                f"{place}.weight", target.weight, 0.0, _MAX_WEIGHT
+            ),
+        )
         for target in targets
         if target.service
     )
     if not services:
         raise ValueError(f"route {route.name}: names no service")
+    timeout_s = _bound_ms(
+        bounds, f"{place}.timeout_ms", route.timeout_ms, _MIN_TIMEOUT_MS
+    )
     return Route(
         name=route.name,
         host=route.host.lower(),
         prefix=route.path_prefix,
         kind=kind,
         services=services,
-        timeout_s=route.timeout_ms / _MS_PER_S,
-        target_s=(route.slo_target_ms or route.timeout_ms) / _MS_PER_S,
-        longest_pause_s=route.gap_aim_ms / _MS_PER_S,
-        priority=route.priority,
-        max_attempts=max(1, route.max_attempts),
+        timeout_s=timeout_s,
+        target_s=_bound_ms(
+            bounds, f"{place}.slo_target_ms", route.slo_target_ms
+        )
+        or timeout_s,
+        longest_pause_s=_bound_ms(
+            bounds, f"{place}.gap_aim_ms", route.gap_aim_ms
+        ),
+        priority=bounds.bound(
+            f"{place}.priority", route.priority, 0, MAX_COUNT
+        ),
+        max_attempts=bounds.bound(
+            f"{place}.max_attempts", route.max_attempts, 1, MAX_COUNT
+        ),
         is_public=route.auth_exempt,
         is_resumable=kind is RouteKind.STREAM and route.stream_resume,
     )
 
 
-def _make_service(service: _Service, ignored: list[IgnoredField]) -> Service:
+def _make_service(
+    service: _Service, ignored: list[IgnoredField], bounds: Bounds
+) -> Service:
     """Translate a service; append its malformed fields to `ignored`."""
 
     def read(field: str, value: object) -> float:
@@ -206,47 +261,79 @@
     engine = service.engine
     return Service(
         name=service.name,
-        engine=None if engine is None else _make_engine(engine),
+        engine=None
+        if engine is None
+        else _make_engine(engine, f"services[{service.name}].engine", bounds),
         status_path=service.health_path,
         warmup_s=read("warmup_s", service.warmup_s),
         warmup_rate=read("warmup_per_s", service.warmup_per_s),
     )
 
 
-def _make_engine(engine: _Engine) -> EngineProfile:
+def _make_engine(engine: _Engine, place: str, bounds: Bounds) -> EngineProfile:
+    def count(field: str, value: int, low: int = 1) -> int:
+        return bounds.bound(f"{place}.{field}", value, low, MAX_COUNT)
+
+    def seconds(field: str, value_ms: float) -> float:
+        return _bound_ms(bounds, f"{place}.{field}", value_ms)
+
+    def rate(field: str, value: float) -> float:
+        return bounds.bound(f"{place}.{field}", value, _MIN_RATE, _MAX_RATE)
+
     return EngineProfile(
-        slots=engine.slots,
-        step_s=engine.step_ms / _MS_PER_S,
-        per_request_s=engine.per_seq_ms / _MS_PER_S,
-        steps_per_pass=engine.stride,
-        prompt_tokens_per_s=engine.read_per_s,
-        prompt_chunk=engine.chunk,
-        usual_prompt_tokens=engine.usual.prompt,
-        form_s=engine.form_ms / _MS_PER_S,
-        loads_per_s=engine.loads_per_s,
-        loads_at_once=engine.loads_at_once,
-        staged_models=engine.keeps,
-        models={model.name: _make_model(model) for model in engine.models},
+        slots=count("slots", engine.slots),
+        step_s=seconds("step_ms", engine.step_ms),
+        per_request_s=seconds("per_seq_ms", engine.per_seq_ms),
+        steps_per_pass=count("stride", engine.stride),
+        prompt_tokens_per_s=rate("read_per_s", engine.read_per_s),
+        prompt_chunk=bounds.bound(
+            f"{place}.chunk", engine.chunk, 1, _MAX_TOKENS
+        ),
+        usual_prompt_tokens=bounds.bound(
+            f"{place}.usual.prompt",
+            engine.usual.prompt,
+            0.0,
+            float(_MAX_TOKENS),
+        ),
+        form_s=seconds("form_ms", engine.form_ms),
+        loads_per_s=rate("loads_per_s", engine.loads_per_s),
+        loads_at_once=count("loads_at_once", engine.loads_at_once),
+        staged_models=count("keeps", engine.keeps, 0),
+        models={
+            model.name: _make_model(
+                model, f"{place}.models[{model.name}]", bounds
+            )
+            for model in engine.models
+        },
     )
 
 
-def _make_model(model: _Model) -> ModelShape:
+def _make_model(model: _Model, place: str, bounds: Bounds) -> ModelShape:
+    def bound(field: str, value: float, low: float, high: float) -> float:
+        return bounds.bound(f"{place}.{field}", value, low, high)
+
     return ModelShape(
         name=model.name,
-        size=model.size,
-        time_factor=model.pace,
-        share=model.share,
-        load_s=model.load_s,
-        warm_s=model.warm_s,
+        size=bounds.bound(f"{place}.size", model.size, 1, MAX_COUNT),
+        time_factor=bound("pace", model.pace, _MIN_FACTOR, _MAX_FACTOR),
+        share=bound("share", model.share, 0.0, _MAX_WEIGHT),
+        load_s=bound("load_s", model.load_s, 0.0, MAX_MS / _MS_PER_S),
+        warm_s=bound("warm_s", model.warm_s, 0.0, MAX_MS / _MS_PER_S),
     )
 
 
-def _make_keys(tenants: list[_Tenant] | None) -> dict[str, Workspace] | None:
+def _make_keys(
+    tenants: list[_Tenant] | None, bounds: Bounds
+) -> dict[str, Workspace] | None:
     """Return workspaces by API key; None if the document has no tenants."""
     if tenants is None:
         return None
     keys: dict[str, Workspace] = {}
     for tenant in tenants:
-        workspace = Workspace(name=tenant.name, priority=tenant.priority)
+        priority = tenant.priority
+        if priority is not None:
+            place = f"tenants[{tenant.name}].priority"
+            priority = bounds.bound(place, priority, 0, MAX_COUNT)
+        workspace = Workspace(name=tenant.name, priority=priority)
         keys.update(dict.fromkeys(tenant.api_keys, workspace))
     return keys
--- a/chervilrock/platform/servers.py
+++ b/chervilrock/platform/servers.py
@@ -36,7 +36,9 @@
 
 
 _Text = Annotated[str, msgspec.Meta(max_length=MAX_TEXT)]
-_Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_INT)]
+Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_INT)]
+"""A number of an entry or a report that is not negative."""
+
 _Domain = Annotated[int, msgspec.Meta(ge=-MAX_INT, le=MAX_INT)]
 
 
@@ -44,8 +46,8 @@
     """Group membership of a server, in its entry and in its report."""
 
     name: _Text = ""
-    epoch: _Count = 0
-    rank: _Count = 0
+    epoch: Count = 0
+    rank: Count = 0
     state: _Text = ""
 
 
@@ -56,12 +58,12 @@
     version: _Text  # of the software, not of the weights
     state: _Text
     slots: Annotated[int, msgspec.Meta(ge=0, le=MAX_SLOTS)]
-    sequence: _Count  # counts the writes of this entry
+    sequence: Count  # counts the writes of this entry
     warmup_left_ms: float
     domain: _Text | _Domain = ""
     staged: list[_Text] = []
     group: GroupField | None = None
-    born: _Count = 0  # start of the server, in Unix milliseconds
+    born: Count = 0  # start of the server, in Unix milliseconds
 
 
 _MS_PER_S = 1000.0
--- a/chervilrock/platform/store.py
+++ b/chervilrock/platform/store.py
@@ -48,17 +48,17 @@
 class _Item(msgspec.Struct):
     key: str
     value: str
-    offset: int
+    offset: servers.Count
 
 
 class _Newest(msgspec.Struct):
     items: list[_Item]
-    end: int
+    end: servers.Count
     has_more: bool = False
 
 
 class _Appended(msgspec.Struct):
-    offset: int
+    offset: servers.Count
 
 
 class _NewestPage(NamedTuple):
--- a/chervilrock/tasks/serving/configuration.py
+++ b/chervilrock/tasks/serving/configuration.py
@@ -76,6 +76,13 @@
         self._in_force_since = now
         for field, value in configuration.ignored:
             emit(Event.CONFIGURATION_FIELD_IGNORED, field=field, value=value)
+        for field, value, used in configuration.bounded:
+            emit(
+                Event.CONFIGURATION_FIELD_BOUNDED,
+                field=field,
+                value=value,
+                used=used,
+            )
         keys = configuration.keys
         emit(
             Event.REVISION_IN_FORCE,
