--- a/chervilrock/clients/httpclient.py
+++ b/chervilrock/clients/httpclient.py
@@ -9,7 +9,6 @@
 from collections.abc import Mapping
 from typing import NamedTuple, TypeVar
 
-import msgspec
 import pycurl
 from returns.result import Failure, Result, Success
 from tornado.curl_httpclient import CurlError
@@ -19,6 +18,7 @@
 from chervilrock.clients.errors import PlatformError, PlatformErrorKind
 from chervilrock.clients.heads import HeadProgress, HeadState
 from chervilrock.clients.sendguard import SendGuard
+from chervilrock.decisions.decoding import Decoder, UnreadableError
 from chervilrock.events import emit, Event
 
 DEFAULT_MAX_CLIENTS = 256
@@ -257,7 +257,8 @@
             response = fetched.result()
         except HTTPClientError as error:
             return Failure(_describe_error(error, guard, call.url))
-        except UnicodeError as error:
+        except ValueError as error:
+            # The URL or a header holds characters that cannot be sent.
             return Failure(PlatformError(PlatformErrorKind.REFUSED, str(error)))
         finally:
             guard.end()
@@ -337,18 +338,17 @@
 
 
 def decode(
-    decoder: msgspec.json.Decoder[_T], answer: HttpAnswer
+    decoder: Decoder[_T], answer: HttpAnswer
 ) -> Result[_T, PlatformError]:
     """Decodes the body of a response; a malformed body is an error."""
     try:
         return Success(decoder.decode(answer.body))
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
-        # RecursionError: values that are nested some thousand times.
+    except UnreadableError as error:
         return Failure(PlatformError(PlatformErrorKind.BAD_ANSWER, str(error)))
 
 
 def decode_success(
-    decoder: msgspec.json.Decoder[_T], answer: HttpAnswer
+    decoder: Decoder[_T], answer: HttpAnswer
 ) -> Result[_T, PlatformError]:
     """Decodes the body of a response if its status is 2xx."""
     return check_status(answer).bind(lambda success: decode(decoder, success))
--- a/chervilrock/platform/servers.py
+++ b/chervilrock/platform/servers.py
@@ -6,6 +6,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from chervilrock.decisions.decoding import Decoder, UnreadableError
 from chervilrock.decisions.serving.site import (
     BackendServer,
     Membership,
@@ -35,7 +36,9 @@
 
 
 _Text = Annotated[str, msgspec.Meta(max_length=MAX_TEXT)]
-_Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_INT)]
+Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_INT)]
+"""A number of an entry or a report that is not negative."""
+
 _Domain = Annotated[int, msgspec.Meta(ge=-MAX_INT, le=MAX_INT)]
 
 
@@ -43,8 +46,8 @@
     """Group membership of a server, in its entry and in its report."""
 
     name: _Text = ""
-    epoch: _Count = 0
-    rank: _Count = 0
+    epoch: Count = 0
+    rank: Count = 0
     state: _Text = ""
 
 
@@ -55,16 +58,16 @@
     version: _Text  # of the software, not of the weights
     state: _Text
     slots: Annotated[int, msgspec.Meta(ge=0, le=MAX_SLOTS)]
-    sequence: _Count  # counts the writes of this entry
+    sequence: Count  # counts the writes of this entry
     warmup_left_ms: float
     domain: _Text | _Domain = ""
     staged: list[_Text] = []
     group: GroupField | None = None
-    born: _Count = 0  # start of the server, in Unix milliseconds
+    born: Count = 0  # start of the server, in Unix milliseconds
 
 
 _MS_PER_S = 1000.0
-_DECODER = msgspec.json.Decoder(_Entry)
+_DECODER = Decoder(_Entry)
 
 
 def decode_server(server: str, entry: bytes) -> Result[BackendServer, str]:
@@ -81,9 +84,7 @@
         return Failure(f"{server[:MAX_TEXT]!r} is no identifier of a server")
     try:
         decoded = _DECODER.decode(entry)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
-        # Values that are nested some thousand times exceed the recursion
-        # limit, also in fields that are not read.
+    except UnreadableError as error:
         return Failure(str(error))
     problem = _find_problem(decoded)
     if problem:
--- a/chervilrock/platform/store.py
+++ b/chervilrock/platform/store.py
@@ -21,6 +21,7 @@
     KeyedStore,
     Topic,
 )
+from chervilrock.decisions.decoding import Decoder
 from chervilrock.platform import operator, servers
 
 TIMEOUT_S = 1.0
@@ -36,6 +37,7 @@
     Topic.NODES: "keyed.chervilrock",
 }
 _ERA_HEADER = "Store-Era"  # rises with each restore from a backup
+_MAX_ERA_DIGITS = 18
 _GONE = 410
 _UNEXPECTED_END = 412
 _MS_PER_S = 1000
@@ -46,17 +48,17 @@
 class _Item(msgspec.Struct):
     key: str
     value: str
-    offset: int
+    offset: servers.Count
 
 
 class _Newest(msgspec.Struct):
     items: list[_Item]
-    end: int
+    end: servers.Count
     has_more: bool = False
 
 
 class _Appended(msgspec.Struct):
-    offset: int
+    offset: servers.Count
 
 
 class _NewestPage(NamedTuple):
@@ -69,8 +71,8 @@
     end: int
 
 
-_NEWEST_DECODER = msgspec.json.Decoder(_Newest)
-_APPENDED_DECODER = msgspec.json.Decoder(_Appended)
+_NEWEST_DECODER = Decoder(_Newest)
+_APPENDED_DECODER = Decoder(_Appended)
 
 
 class StoreClient(KeyedStore):
@@ -243,9 +245,10 @@
         text = answer.header
         if not text and self._era is None:
             return Success(answer)
-        era = int(text) if text.isascii() and text.isdigit() else -1
+        is_number = text.isascii() and text.isdigit()
+        era = int(text) if is_number and len(text) <= _MAX_ERA_DIGITS else -1
         if era < (self._era or 0):
-            message = f"era {text!r} after {self._era}"
+            message = f"era {text[:_MAX_ERA_DIGITS]!r} after {self._era}"
             return Failure(PlatformError(PlatformErrorKind.BAD_ANSWER, message))
         self._era = era
         return Success(answer)
--- a/chervilrock/tasks/serving/noderecords.py
+++ b/chervilrock/tasks/serving/noderecords.py
@@ -4,11 +4,11 @@
 
 import msgspec
 
+from chervilrock.decisions.decoding import Decoder
 from chervilrock.decisions.serving.nodes.leadership import Claim, Leadership
 from chervilrock.decisions.serving.nodes.terms import make_term
 from chervilrock.decisions.serving.store.polling import is_designated
 from chervilrock.decisions.serving.view import LeaderEntry, NodeEntry
-from chervilrock.events import emit, Event
 from chervilrock.tasks.serving.messages import RecordsRead
 from chervilrock.tasks.serving.outbound import (
     LEADER_KEY,
@@ -18,8 +18,8 @@
 from chervilrock.tasks.serving.poisondetector import PoisonDetector
 from chervilrock.tasks.serving.state import ServingState
 
-_NODE_DECODER = msgspec.json.Decoder(NodeEntry)
-_LEADER_DECODER = msgspec.json.Decoder(LeaderEntry)
+_NODE_DECODER = Decoder(NodeEntry)
+_LEADER_DECODER = Decoder(LeaderEntry)
 
 
 class NodeRecords:
@@ -80,16 +80,15 @@
             self._poisondetector.forget_stored()
         if read.is_snapshot and not is_restored:
             self._state.known_nodes.clear()
-        for record in read.page.records:
-            try:
-                self._apply_record(
-                    record.key,
-                    record.value,
-                    make_term(read.page.era, record.offset),
-                    now,
-                )
-            except (msgspec.DecodeError, UnicodeDecodeError) as error:
-                emit(Event.RECORD_UNREADABLE, key=record.key, reason=str(error))
+        self._state.faults.apply_records(
+            read,
+            lambda record: self._apply_record(
+                record.key,
+                record.value,
+                make_term(read.page.era, record.offset),
+                now,
+            ),
+        )
         # This process may itself be the successor of the leader's process.
         self._leadership.record_node(self._leadership.own_entry, now)
         self.next_offset = read.page.next_offset
@@ -129,8 +128,7 @@
         """Apply a record.
 
         Raises:
-          msgspec.DecodeError: the value cannot be decoded.
-          UnicodeDecodeError: a text in it cannot be decoded.
+          UnreadableError: the value cannot be decoded.
         """
         if key == LEADER_KEY:
             self._apply_claim(Claim(term, _LEADER_DECODER.decode(value)), now)
--- a/chervilrock/ui/demonstration/caller.py
+++ b/chervilrock/ui/demonstration/caller.py
@@ -1,10 +1,9 @@
 """A caller that follows the documented rules for callers."""
 
 import asyncio
-import json
 import random
 import time
-from typing import Any, NamedTuple
+from typing import NamedTuple, TypedDict
 from urllib.parse import quote
 
 import msgspec
@@ -12,7 +11,16 @@
 
 from chervilrock.clients.errors import PlatformErrorKind
 from chervilrock.clients.httpclient import HttpAnswer, HttpClient
-from chervilrock.generated.interfaces import AddressAnswer, Outcome, Ticket
+from chervilrock.decisions.decoding import (
+    Decoder,
+    UnreadableError,
+)
+from chervilrock.generated.interfaces import (
+    AddressAnswer,
+    ErrorBody,
+    Outcome,
+    Ticket,
+)
 from chervilrock.ui.demonstration.operations import (
     Ending,
     Operation,
@@ -28,6 +36,19 @@
 MAX_WAIT_S = 1.0
 STATUS_OK = 200
 
+_ADDRESS_DECODER = Decoder(AddressAnswer)
+_TICKET_DECODER = Decoder(Ticket)
+_ERROR_DECODER = Decoder(ErrorBody)
+
+
+class _Echo(TypedDict):
+    """Answer of a service: the path of its request."""
+
+    uri: str
+
+
+_ECHO_DECODER = Decoder(_Echo)
+
 
 class Attempt(NamedTuple):
     """Outcome of one request of an operation.
@@ -86,7 +107,7 @@
         answer = result.unwrap()
         if answer.status != STATUS_OK:
             return None
-        return msgspec.json.decode(answer.body, type=AddressAnswer)
+        return _ADDRESS_DECODER.read(answer.body).value_or(None)
 
 
 class Caller:
@@ -145,7 +166,8 @@
         answer = result.unwrap()
         if answer.status != STATUS_OK:
             return ""
-        return msgspec.json.decode(answer.body, type=Ticket)["ticket"]
+        ticket = _TICKET_DECODER.read(answer.body)
+        return "" if isinstance(ticket, Failure) else ticket.unwrap()["ticket"]
 
     async def _send(
         self, operation: Operation, address: str, ticket: str
@@ -172,8 +194,20 @@
 
 def interpret_answer(operation: Operation, answer: HttpAnswer) -> Attempt:
     """Return the outcome of a request from its answer."""
+    try:
+        return _interpret(operation, answer)
+    except UnreadableError:
+        return Attempt(Ending.UNKNOWN)
+
+
+def _interpret(operation: Operation, answer: HttpAnswer) -> Attempt:
+    """Return the outcome of a request from its answer.
+
+    Raises:
+      UnreadableError: the answer is no JSON.
+    """
     if answer.status != STATUS_OK:
-        return _read_error(json.loads(answer.body))
+        return _read_error(_ERROR_DECODER.decode(answer.body))
     if operation.kind is OperationKind.STREAM:
         text = read_stream(answer.body)
         if text is None:
@@ -181,21 +215,21 @@
     elif operation.kind is OperationKind.COMPLETION:
         text = read_completion(answer.body)
     else:
-        uri = json.loads(answer.body)["uri"]
+        uri = _ECHO_DECODER.decode(answer.body)["uri"]
         is_own = operation.path.endswith(uri)
         return Attempt(Ending.WHOLE if is_own else Ending.FOREIGN)
     return Attempt(Ending.WHOLE if text == operation.answer else Ending.FOREIGN)
 
 
-def _read_error(body: Any) -> Attempt:
+def _read_error(body: ErrorBody) -> Attempt:
     detail = body["error"]
-    wait_s = detail["retry_after_ms"] / 1000
+    wait_s = min(detail["retry_after_ms"], MAX_WAIT_S * 1000) / 1000
     endings = {
         Outcome.NOT_RUN: Ending.NOT_RUN,
         Outcome.UNKNOWN: Ending.UNKNOWN,
         Outcome.FAILED: Ending.FAILED,
     }
     return Attempt(
-        endings[Outcome(detail["outcome"])],
-        min(MAX_WAIT_S, max(MIN_WAIT_S, wait_s)),
+        endings[detail["outcome"]],
+        max(MIN_WAIT_S, wait_s),
     )
