Play servers that stutter against nodes, from socket to socket

Callers got a 200 with an empty body, or a stream that ended as complete before its last event, when a server ended its connection within a head. The tests of the transfer alone showed it; none did with a node between caller and server.

The stand-in's servers can now spoil answers: cut in the head (at any byte, after the status line or the receipt, in the name of the framing, before the blank line, after an interim answer), cut in the body, sent with neither a length nor chunks, or followed by another answer. Connections end with a FIN or a reset.

A cut of a plain body with neither a length nor chunks isn't played, as nothing tells it from the end. A node uses each connection to a server for one request, so an extra answer comes with the end of the first one or not at all.

--- a/chervilrock/standin/site/resets.py
+++ b/chervilrock/standin/site/resets.py
@@ -5,6 +5,7 @@
 import struct
 
 from tornado import web
+from tornado.iostream import IOStream
 
 _LINGER = struct.pack("ii", 1, 0)
 
@@ -24,8 +25,12 @@
 def reset_connection(handler: web.RequestHandler) -> None:
     """Reset the connection of a request."""
     stream = handler.request.connection.stream  # type: ignore[union-attr]
-    if stream.closed():
-        return
-    # Closing with SO_LINGER of 0 sends a reset.
-    stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER)
+    prepare_reset(stream)
     stream.close()
+
+
+def prepare_reset(stream: IOStream) -> None:
+    """Let the end of a connection be a reset."""
+    if not stream.closed():
+        # Closing with SO_LINGER of 0 sends a reset.
+        stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER)
--- a/chervilrock/standin/site/servers.py
+++ b/chervilrock/standin/site/servers.py
@@ -15,6 +15,7 @@
 from chervilrock.standin.site.floods import Flood, write_flood
 from chervilrock.standin.site.resets import reset_connection, ResetMoment
 from chervilrock.standin.site.store import SiteStore
+from chervilrock.standin.site.stutters import Answer, Stutters
 
 EVENT_INTERVAL_S = 0.01
 """Interval between stream events, and the usual time of a plain request."""
@@ -155,6 +156,7 @@
       flood: bytes without end that the server sends as an answer, None for
         proper answers.
       flooded: number of bytes that it has sent in this way, by request.
+      stutters: spoiled answers that it draws, None for proper answers.
       work_s: time that a plain request runs, in seconds.
       patience_s: time for which an event may stay unread before the server
         cuts off the stream.
@@ -202,6 +204,7 @@
         self.fault = ServerFault.NONE
         self.flood: Flood | None = None
         self.flooded: dict[str, int] = {}
+        self.stutters: Stutters | None = None
         self.crashing_bodies = crashing_bodies
         self.crashing_parts = crashing_parts
         self.crashes: list[Crash] = []
@@ -641,7 +644,9 @@
         if self.reset_if(self.server.resets is ResetMoment.DONE):
             return
         padding = b"." * self._find_padding()
-        self.finish(b"answer to " + run.request_id.encode() + padding)
+        body = b"answer to " + run.request_id.encode() + padding
+        if not await self._stutter(run, [body]):
+            self.finish(body)
 
     async def _stream(self, run: Run) -> None:
         server = self.server
@@ -667,14 +672,16 @@
         events = int(
             self.request.headers.get("X-Token-Count", "1,5").split(",")[1]
         )
-        for number in range(run.after + 1, events + 1):
+        numbers = range(run.after + 1, events + 1)
+        if await self._stutter(
+            run, [self._make_event(run, n) for n in numbers]
+        ):
+            return
+        for number in numbers:
             await self._wait_for_event()
             if self._is_closed:
                 return
-            padding = "." * self._find_padding()
-            event = (
-                f"id: {number}\ndata: {run.request_id}-{number}{padding}\n\n"
-            )
+            event = self._make_event(run, number)
             if server.fault is ServerFault.BREAK and number > 2:
                 self.write(event[: len(event) // 2])
                 await self.flush()
@@ -692,6 +699,24 @@
                 return
         self.finish()
 
+    def _make_event(self, run: Run, number: int) -> bytes:
+        padding = "." * self._find_padding()
+        data = f"{run.request_id}-{number}{padding}"
+        return f"id: {number}\ndata: {data}\n\n".encode()
+
+    async def _stutter(self, run: Run, pieces: list[bytes]) -> bool:
+        """Spoil the answer if that is drawn; return whether it was."""
+        stutters = self.server.stutters
+        stutter = stutters and stutters.draw(run.request_id)
+        if not stutters or not stutter:
+            return False
+        is_stream = "X-Model" in self.request.headers
+        self.clear_header("Content-Length")
+        headers = tuple(self._headers.get_all())
+        answer = Answer(headers, tuple(pieces), is_stream)
+        await stutters.write(self.detach(), stutter, answer)
+        return True
+
     async def _flood(self, run: Run, flood: Flood) -> None:
         self.server.runs.append(run)
         if "X-Model" in self.request.headers:
--- /dev/null
+++ b/chervilrock/standin/site/stutters.py
@@ -0,0 +1,257 @@
+"""Answers of servers that stutter: cut, unframed, or followed by another."""
+
+import asyncio
+from collections.abc import Sequence
+import contextlib
+import enum
+import random
+from typing import NamedTuple
+
+from tornado.iostream import IOStream, StreamClosedError
+
+from chervilrock.standin.site.resets import prepare_reset
+
+PIECE_INTERVAL_S = 0.01
+"""Interval between the pieces of a body."""
+
+LATE_S = 0.5
+"""Longest wait for the next request on a connection that gets an extra answer
+late."""
+
+BROKEN_AFTER = 3
+"""Pieces of a body that are whole when it breaks off."""
+
+_STATUS = b"HTTP/1.1 200 OK\r\n"
+_INTERIM = b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
+_CHUNKED = b"Transfer-Encoding: chunked\r\n"
+_CONTENT_TYPE = "content-type"
+_STAMP = b"x-server-stamp:"
+_REQUEST_ID = "x-request-id"
+_BLANK_LINE = b"\r\n\r\n"
+
+
+class Stutter(enum.Enum):
+    """What a server does in place of a proper answer.
+
+    An answer with neither a length nor chunks is cut inside an event only:
+    elsewhere, nothing tells its end from the proper one.
+
+    Attributes:
+      HEAD: ends the connection after any byte of the head.
+      STATUS: after the status line.
+      STAMP: after the receipt.
+      FRAMING: in the name of the header that tells the framing.
+      BLANK: before the blank line.
+      UNFRAMED_BLANK: before the blank line of a head without framing.
+      INTERIM: after an interim answer.
+      INTERIM_HEAD: after an interim answer and any byte of the final head.
+      BROKEN: after some pieces of the body, without an end.
+      INSIDE: inside a piece of the body.
+      UNFRAMED: sends the body with neither a length nor chunks.
+      UNFRAMED_INSIDE: the same, ended inside an event of a stream.
+      EXTRA: answers twice on the same connection, the second time at once or
+        late.
+      EXTRA_HEAD: the same, and ends the connection in the second head.
+      EXTRA_NAMELESS: the same as `EXTRA`; the second answer names no request.
+    """
+
+    HEAD = "head"
+    STATUS = "status"
+    STAMP = "stamp"
+    FRAMING = "framing"
+    BLANK = "blank"
+    UNFRAMED_BLANK = "unframed blank"
+    INTERIM = "interim"
+    INTERIM_HEAD = "interim head"
+    BROKEN = "broken"
+    INSIDE = "inside"
+    UNFRAMED = "unframed"
+    UNFRAMED_INSIDE = "unframed inside"
+    EXTRA = "extra"
+    EXTRA_HEAD = "extra head"
+    EXTRA_NAMELESS = "extra nameless"
+
+
+HEAD_CUTS = (
+    Stutter.HEAD,
+    Stutter.STATUS,
+    Stutter.STAMP,
+    Stutter.FRAMING,
+    Stutter.BLANK,
+    Stutter.UNFRAMED_BLANK,
+    Stutter.INTERIM,
+    Stutter.INTERIM_HEAD,
+)
+BODY_CUTS = (Stutter.BROKEN, Stutter.INSIDE, Stutter.UNFRAMED_INSIDE)
+EXTRAS = (Stutter.EXTRA, Stutter.EXTRA_HEAD, Stutter.EXTRA_NAMELESS)
+WHOLE = (Stutter.UNFRAMED, *EXTRAS)
+"""Those whose first answer is complete."""
+
+
+class Answer(NamedTuple):
+    """A proper answer, before it is spoiled.
+
+    Attributes:
+      headers: its headers, without those that tell the framing.
+      pieces: its body; the events of a stream.
+      is_stream: whether it is a stream, which is sent in chunks.
+    """
+
+    headers: tuple[tuple[str, str], ...]
+    pieces: tuple[bytes, ...]
+    is_stream: bool
+
+
+class Stutters:
+    """Stutters that servers draw for their requests.
+
+    Attributes:
+      share: share of the requests that are answered in this way.
+      played: what was drawn, by request, in the order of the sends.
+    """
+
+    def __init__(
+        self,
+        *,
+        generator: random.Random,
+        kinds: Sequence[Stutter],
+        share: float = 1.0,
+    ) -> None:
+        """Create stutters of which none was drawn.
+
+        Args:
+          generator: generator of all draws.
+          kinds: those that are drawn.
+          share: share of the requests that are answered in this way.
+        """
+        self._generator = generator
+        self._kinds = kinds
+        self.share = share
+        self.played: dict[str, list[Stutter]] = {}
+
+    def draw(self, request_id: str) -> Stutter | None:
+        """Return what to do for a request, None for a proper answer."""
+        if self._generator.random() >= self.share:
+            return None
+        stutter = self._generator.choice(self._kinds)
+        self.played.setdefault(request_id, []).append(stutter)
+        return stutter
+
+    async def write(
+        self, stream: IOStream, stutter: Stutter, answer: Answer
+    ) -> None:
+        """Answer a request, and close its connection.
+
+        Args:
+          stream: connection of the request.
+          stutter: how the answer is spoiled.
+          answer: the proper answer.
+        """
+        with contextlib.suppress(StreamClosedError):
+            *pieces, last = self._spoil(stutter, answer)
+            for piece in pieces:
+                await stream.write(piece)
+                await asyncio.sleep(PIECE_INTERVAL_S)
+            extra = b""
+            if stutter in EXTRAS:
+                extra = self._make_extra(stutter, answer)
+            if extra and self._generator.random() < 0.5:
+                await stream.write(last)
+                await _wait_for_request(stream)
+                last = b""
+            await stream.write(last + extra)
+        if stutter not in WHOLE and self._generator.random() < 0.5:
+            prepare_reset(stream)
+        stream.close()
+
+    def _spoil(self, stutter: Stutter, answer: Answer) -> list[bytes]:
+        """Return the pieces of an answer that are sent."""
+        if stutter in HEAD_CUTS:
+            return [self._cut_head(stutter, answer)]
+        pieces = list(answer.pieces)
+        head = _make_head(answer)
+        if stutter in (Stutter.UNFRAMED, Stutter.UNFRAMED_INSIDE):
+            head += b"\r\n"
+            if stutter is Stutter.UNFRAMED_INSIDE and answer.is_stream:
+                pieces = self._cut_pieces(pieces)
+            return [head, *pieces]
+        head += _make_framing(answer) + b"\r\n"
+        if stutter is Stutter.BROKEN and len(pieces) > BROKEN_AFTER:
+            pieces = pieces[:BROKEN_AFTER]
+        elif stutter in BODY_CUTS:
+            pieces = self._cut_pieces(pieces)
+        if answer.is_stream:
+            pieces = [_make_chunk(piece) for piece in pieces]
+            if stutter not in BODY_CUTS:
+                pieces.append(_make_chunk(b""))
+        return [head, *pieces]
+
+    def _cut_pieces(self, pieces: list[bytes]) -> list[bytes]:
+        """Return a body without its end, cut inside a piece."""
+        if not pieces:
+            return []
+        last = self._generator.randrange(len(pieces))
+        length = self._generator.randrange(1, len(pieces[last]))
+        return [*pieces[:last], pieces[last][:length]]
+
+    def _cut_head(self, stutter: Stutter, answer: Answer) -> bytes:
+        lines = _make_head(answer)
+        framing = _make_framing(answer)
+        head = lines + framing
+        at = len(head)
+        if stutter is Stutter.STATUS:
+            at = len(_STATUS)
+        elif stutter is Stutter.STAMP:
+            at = lines.index(b"\r\n", lines.lower().index(_STAMP)) + 2
+        elif stutter is Stutter.FRAMING:
+            name = framing.index(b":")
+            at = len(lines) + self._generator.randrange(1, name)
+        elif stutter is Stutter.UNFRAMED_BLANK:
+            at = len(lines)
+        elif stutter is Stutter.INTERIM:
+            at = 0
+        elif stutter in (Stutter.HEAD, Stutter.INTERIM_HEAD):
+            at = self._generator.randrange(1, len(head))
+        is_interim = stutter in (Stutter.INTERIM, Stutter.INTERIM_HEAD)
+        return _INTERIM * is_interim + head[:at]
+
+    def _make_extra(self, stutter: Stutter, answer: Answer) -> bytes:
+        """Return the answer that comes after the first one."""
+        headers = answer.headers
+        if stutter is Stutter.EXTRA_NAMELESS:
+            headers = tuple(
+                header for header in headers if header[0].lower() != _REQUEST_ID
+            )
+        extra = answer._replace(headers=headers)
+        if stutter is Stutter.EXTRA_HEAD:
+            return self._cut_head(Stutter.HEAD, extra)
+        return b"".join(self._spoil(stutter, extra))
+
+
+async def _wait_for_request(stream: IOStream) -> None:
+    """Wait for the next request on a connection; it is not run."""
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(LATE_S):
+            await stream.read_until(_BLANK_LINE)
+
+
+def _make_head(answer: Answer) -> bytes:
+    """Return the head of an answer without its framing and blank line."""
+    # The content type comes last, as a cut before it hides a stream.
+    headers = sorted(
+        answer.headers, key=lambda header: header[0].lower() == _CONTENT_TYPE
+    )
+    return _STATUS + b"".join(
+        f"{name}: {value}\r\n".encode() for name, value in headers
+    )
+
+
+def _make_framing(answer: Answer) -> bytes:
+    if answer.is_stream:
+        return _CHUNKED
+    length = sum(len(piece) for piece in answer.pieces)
+    return f"Content-Length: {length}\r\n".encode()
+
+
+def _make_chunk(data: bytes) -> bytes:
+    return b"%x\r\n%b\r\n" % (len(data), data)
