Soak stuttering servers while nodes stop

Nothing played servers that stutter beside stops, signals and revisions, so that the joints of these (a stream that goes on elsewhere, a request that a stopping node passes on) were not shown to hold with cut answers.

bench/stutters.py takes the nodes, callers and series of stops from rollingrestarts.py, whose callers now keep what they received. It checks of each answer the identifier, the receipt and the body, that a stream holds each event once and in order, and all of them if it ends as complete, that a non-idempotent request ran at most once, that 408, 421, 429 and 503 tell of requests that did not run, that 502 comes only where a server cut an answer, and that no other connection is cut. A run ends with an error if one of its tasks failed, which hid before.

--- a/bench/rollingrestarts.py
+++ b/bench/rollingrestarts.py
@@ -90,6 +90,24 @@
     killed: int
 
 
+class Answer:
+    """What a caller received of an answer.
+
+    Attributes:
+      status: its status, empty without a complete head.
+      headers: its headers, by names in lower case.
+      body: its body so far.
+      is_whole: whether it is complete.
+    """
+
+    def __init__(self) -> None:
+        """Create an answer of which nothing was received."""
+        self.status = ""
+        self.headers: dict[str, str] = {}
+        self.body = bytearray()
+        self.is_whole = False
+
+
 class Attempt(NamedTuple):
     """A request that was sent completely.
 
@@ -100,6 +118,9 @@
       sent: when its last byte was sent.
       ended: when its answer or connection ended.
       status: status of the answer, empty without a complete one.
+      kind: first part of its path.
+      tokens: length of the stream that it asked for, 0 for none.
+      answer: what was received.
     """
 
     request_id: str
@@ -108,6 +129,9 @@
     sent: float
     ended: float
     status: str
+    kind: str
+    tokens: int
+    answer: Answer
 
 
 class Callers:
@@ -154,8 +178,13 @@
         )
         return {**counts, "refused": self.refused}
 
-    async def run(self, body: bytes, pause_s: float) -> None:
-        """Send requests with a body until cancelled."""
+    async def run(self, body: bytes | None, pause_s: float) -> None:
+        """Send requests until cancelled.
+
+        Args:
+          body: their body, None for one that differs from all others.
+          pause_s: average time between two requests, in seconds.
+        """
         while True:
             address = self._generator.choice(self._addresses)
             host, _, port = address.rpartition(":")
@@ -175,31 +204,46 @@
         self,
         address: str,
         streams: tuple[asyncio.StreamReader, asyncio.StreamWriter],
-        body: bytes,
+        body: bytes | None,
     ) -> bool:
         """Send a request; return whether the connection stays open."""
         reader, writer = streams
         loop = asyncio.get_running_loop()
         self._number += 1
         request_id = f"{self._seed:08x}{self._number:08x}"
-        head = self._make_head(request_id, len(body))
+        kind, tokens, head = self._make_head(request_id)
+        if body is None:
+            body = request_id.encode()
         begun = loop.time()
         try:
-            writer.write(head + body)
+            writer.write(b"%bContent-Length: %d\r\n\r\n" % (head, len(body)))
+            writer.write(body)
             await writer.drain()
         except OSError:
             return False
         sent = loop.time()
-        status = ""
-        is_kept = False
+        answer = Answer()
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
-            status, is_kept = await _read_answer(reader)
+            await _read_answer(reader, answer)
         self.attempts.append(
-            Attempt(request_id, address, begun, sent, loop.time(), status)
+            Attempt(
+                request_id,
+                address,
+                begun,
+                sent,
+                loop.time(),
+                answer.status if answer.is_whole else "",
+                kind,
+                tokens,
+                answer,
+            )
         )
-        return bool(status) and is_kept
+        is_kept = answer.headers.get("connection", "") != "close"
+        return answer.is_whole and is_kept
 
-    def _make_head(self, request_id: str, length: int) -> bytes:
+    def _make_head(self, request_id: str) -> tuple[str, int, bytes]:
+        """Return the kind, the tokens and the head, but for the length."""
+        tokens = 0
         kind = self._generator.choice(self._kinds)
         lines = [
             f"POST /{kind}/x HTTP/1.1",
@@ -207,17 +251,16 @@
             f"Api-Key: {KEY}",
             f"X-Request-Id: {request_id}",
             f"X-Deadline-Ms: {self.limit_ms}",
-            f"Content-Length: {length}",
         ]
         if kind == "draft":
             model = self._generator.choice((LARGE, SMALL))
             tokens = self._generator.choice(self._tokens)
             lines += [f"X-Model: {model}", f"X-Token-Count: 10,{tokens}"]
-        return "\r\n".join(lines).encode() + b"\r\n\r\n"
+        return kind, tokens, "\r\n".join(lines).encode() + b"\r\n"
 
 
-async def _read_answer(reader: asyncio.StreamReader) -> tuple[str, bool]:
-    """Read a complete answer; return its status and whether to go on.
+async def _read_answer(reader: asyncio.StreamReader, answer: Answer) -> None:
+    """Read an answer.
 
     Raises:
       IncompleteReadError: the connection was closed before its end.
@@ -226,13 +269,15 @@
     line, *others = head.split("\r\n")
     pairs = (other.partition(":") for other in others if ":" in other)
     headers = {name.lower(): text.strip() for name, _, text in pairs}
+    answer.status, answer.headers = line.split()[1], headers
     if "content-length" in headers:
-        await reader.readexactly(int(headers["content-length"]))
+        length = int(headers["content-length"])
+        answer.body += await reader.readexactly(length)
     else:
         while size := int(await reader.readuntil(b"\r\n"), 16):
-            await reader.readexactly(size + 2)
+            answer.body += (await reader.readexactly(size + 2))[:-2]
         await reader.readexactly(2)
-    return line.split()[1], headers.get("connection", "") != "close"
+    answer.is_whole = True
 
 
 class PlatformWork:
@@ -261,13 +306,17 @@
     async def run(self, rounds: int) -> None:
         """Restart the nodes and let servers leave, by turns."""
         for _ in range(rounds):
-            restart = self._generator.choice(
-                (self._stop_all, self._roll, self._overlap)
-            )
-            await asyncio.gather(restart(), self._disturb())
+            await self.restart()
             await asyncio.sleep(GRACE_S + 2 * STABLE_S)
             await self._remove_server()
 
+    async def restart(self) -> None:
+        """Restart the nodes while signals and revisions come."""
+        restart = self._generator.choice(
+            (self._stop_all, self._roll, self._overlap)
+        )
+        await asyncio.gather(restart(), self._disturb())
+
     async def _stop_all(self) -> None:
         """Stop all nodes at once, sometimes with a second signal."""
         for node in self._nodes:
@@ -440,10 +489,17 @@
     tasks: list[asyncio.Task[None]]
 
     async def end_tasks(self) -> None:
-        """Cancel all tasks and wait until they have ended."""
+        """Cancel all tasks and wait until they have ended.
+
+        Raises:
+          Exception: a task had failed.
+        """
         for task in self.tasks:
             task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
+        ends = await asyncio.gather(*self.tasks, return_exceptions=True)
+        for end in ends:
+            if isinstance(end, Exception):
+                raise end
 
 
 @contextlib.asynccontextmanager
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -7,7 +7,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, GreaterThan, HasLength
 
-from bench import rollingrestarts, silentservers
+from bench import rollingrestarts, silentservers, stutters
 from bench import soak as soak_module
 from bench.soak import find_ports, Plan, soak
 
@@ -40,6 +40,16 @@
     assert_that(outcome.silences, GreaterThan(0))
 
 
+@pytest.mark.parametrize("seed", [2])
+def test_no_spoiled_answer_passes_for_a_complete_one(
+    seed: int, tmp_path: pathlib.Path
+) -> None:
+    plan = stutters.Plan(seed=seed, seconds=SHORT_S)
+    outcome = asyncio.run(stutters.soak(plan, tmp_path))
+    assert_that(outcome.violations, HasLength(0))
+    assert_that(outcome.spoiled, GreaterThan(0))
+
+
 def test_no_two_nodes_of_a_run_get_the_same_port(monkeypatch) -> None:
     # Nodes choose their ports before any of them listens.
     monkeypatch.setattr(soak_module, "PORTS", (20_000, 20_100))
