Decode the bodies of engines' conflicts in the one place

It uses the project's decoder now, and is named in the list of decoders; the tests of polls use it as well.

--- a/chervilrock/edges/enginecalls.py
+++ b/chervilrock/edges/enginecalls.py
@@ -6,7 +6,11 @@
 
 import msgspec
 
-from chervilrock.decisions.decoding import Decoder, UnreadableError
+from chervilrock.decisions.decoding import (
+    decode_plain,
+    Decoder,
+    UnreadableError,
+)
 from chervilrock.decisions.requests import outcomes
 from chervilrock.decisions.requests.attempts import Send, SendMode
 from chervilrock.decisions.requests.outcomes import AttemptEnd
@@ -314,8 +318,8 @@
 def is_json(body: bytes) -> bool:
     """Returns whether a body is a whole JSON value."""
     try:
-        msgspec.json.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
+        decode_plain(body)
+    except UnreadableError:
         return False
     return True
 
--- a/test/clients/test_cut_answers.py
+++ b/test/clients/test_cut_answers.py
@@ -11,7 +11,6 @@
 import struct
 from typing import TypeVar
 
-import msgspec
 import pytest
 from returns.result import Result, Success
 from testtools.assertions import assert_that
@@ -22,6 +21,7 @@
 from chervilrock.clients.httpclient import HttpClient
 from chervilrock.clients.polling import Poller
 from chervilrock.clients.serving import Topic
+from chervilrock.decisions.decoding import Decoder
 from chervilrock.decisions.serving.groups.orders import Leave
 from chervilrock.decisions.serving.site import BackendServer
 from chervilrock.platform.engines import HttpEngineControl
@@ -190,9 +190,7 @@
 
 async def poll(_client: HttpClient, address: str):
     poller = Poller()
-    result = await poller.poll(
-        f"http://{address}/", msgspec.json.Decoder(), LIMIT_S
-    )
+    result = await poller.poll(f"http://{address}/", Decoder(object), LIMIT_S)
     poller.close()
     return result
 
@@ -354,7 +352,7 @@
         async with run_server(keeps=1) as server:
             poller = Poller()
             url = f"http://{server.address}/"
-            decoder: msgspec.json.Decoder = msgspec.json.Decoder()
+            decoder = Decoder(object)
             server.answers = [WHOLE, answer, WHOLE]
             await poller.poll(url, decoder, LIMIT_S)
             result = await poller.poll(url, decoder, LIMIT_S)
@@ -379,7 +377,7 @@
         async with run_server(keeps=1) as server:
             poller = Poller()
             url = f"http://{server.address}/"
-            decoder: msgspec.json.Decoder = msgspec.json.Decoder()
+            decoder = Decoder(object)
             server.answers = [interim + final, WHOLE]
             await poller.poll(url, decoder, LIMIT_S)
             await poller.poll(url, decoder, LIMIT_S)
--- a/test/test_decoders.py
+++ b/test/test_decoders.py
@@ -405,6 +405,7 @@
     ),
     "chervilrock.edges.enginecalls:_ERROR_DECODER": (parse_error,),
     "chervilrock.edges.enginecalls:_WHOLE_DECODER": (judge_whole,),
+    "chervilrock.edges.enginecalls:is_json": (enginecalls.is_json,),
     "chervilrock.edges.operators:_APPLY_DECODER": (
         decode(operators._APPLY_DECODER),
     ),
