--- a/test/test_decoders.py
+++ b/test/test_decoders.py
@@ -654,6 +654,7 @@
     "chervilrock.decisions.records:decode_stored": StoredRecord,
     "chervilrock.edges.bodies:add_continuation": Any,
     "chervilrock.edges.bodies:parse_completion": Any,
+    "chervilrock.edges.enginecalls:is_json": Any,
     f"{STANDIN}.site.servers:_OrderHandler.post": Any,
     f"{PEERS}:_decode": tuple[peermessages._Addition, ...],
     f"{PEERS}:_STATEMENTS": LimitReported,
