Play odd records against running nodes

One odd entry of another writer ended all nodes, or stopped them following a topic; tests fed odd values to one decoder only, and stand-ins and benches write valid records.

The nodes serve over 0.99 of the requests meanwhile, survive no fault, follow later configurations, evacuations and servers, and a node that starts then serves.

--- a/test/node/test_odd_records.py
+++ b/test/node/test_odd_records.py
@@ -6,10 +6,12 @@
 
 import pytest
 from testtools.assertions import assert_that
-from testtools.matchers import Contains, Equals, Is
+from testtools.matchers import Contains, Equals, HasLength, Is
 
-from chervilrock.standin.site.site import make_configuration
+from chervilrock.standin.site.servers import SiteServer
+from chervilrock.standin.site.site import make_configuration, PLAIN_SERVICE
 from test.node.serving_site import run_world, World
+from test.test_decoders import list_documents, ODD_LITERALS
 
 DEEP = 100_000
 DEEP_LISTS = b"[" * DEEP + b"]" * DEEP
@@ -119,3 +121,194 @@
             await world.stop()
 
     asyncio.run(run())
+
+
+async def call_during(
+    world: World, records: list[tuple[str, str, bytes]]
+) -> list[int]:
+    """Append records to topics while requests run; return the statuses."""
+    calls = asyncio.create_task(
+        world.call_in_turn(seconds=len(records) * INTERVAL_S)
+    )
+    for topic, key, value in records:
+        world.site.store.topic(topic).append(key, value)
+        await asyncio.sleep(INTERVAL_S)
+    return await calls
+
+
+INTERVAL_S = 0.015
+"""Time between two odd records."""
+
+OPERATOR = "keyed.op"
+SERVERS = "keyed.servers"
+NODES = "keyed.chervilrock"
+
+ODD_VALUES = [
+    literal
+    for name, literal in ODD_LITERALS.items()
+    if name not in ("nothing", "huge text")
+]
+ODD_FIELDS = (
+    "deep list",
+    "nearly too deep",
+    "4000 digits",
+    "-1",
+    "NUL",
+    "no UTF-8",
+    "port 70000",
+)
+SMALL_TEXT = b'"' + b"x" * 100_000 + b'"'
+
+
+def list_odd_records() -> list[tuple[str, str, bytes]]:
+    """Return odd records of all topics: their topics, keys and values."""
+    whole = [
+        (topic, key, value)
+        for topic, key in (
+            (OPERATOR, "config"),
+            (OPERATOR, "evacuate/z9"),
+            (OPERATOR, "evacuate/"),
+            (OPERATOR, "other"),
+            (SERVERS, "i-odd"),
+            (SERVERS, "i\0odd"),
+            (NODES, "leader"),
+            (NODES, "node/odd"),
+            (NODES, "node/"),
+            (NODES, "withheld/odd"),
+            (NODES, "other"),
+        )
+        for value in (*ODD_VALUES, SMALL_TEXT, DEEP_FIELD)
+    ]
+    return [*whole, *list_odd_fields()]
+
+
+def list_odd_fields() -> list[tuple[str, str, bytes]]:
+    """Return records with an odd value in one of their fields."""
+    literals = [ODD_LITERALS[name] for name in ODD_FIELDS]
+    return [
+        (topic, key, document)
+        for topic, key, decoder in (
+            (OPERATOR, "config", "chervilrock.platform.operator:_DECODER"),
+            (SERVERS, "i-odd", "chervilrock.platform.servers:_DECODER"),
+            (
+                NODES,
+                "node/odd",
+                "chervilrock.tasks.serving.noderecords:_NODE_DECODER",
+            ),
+            (
+                NODES,
+                "withheld/odd",
+                "chervilrock.tasks.serving.poisondetector:_SUSPECT_DECODER",
+            ),
+        )
+        for document in list_documents(decoder, literals)
+        # A valid configuration may well leave no route.
+        if key != "config" or b'"version": 1,' not in document
+    ]
+
+
+def test_nodes_serve_and_follow_the_store_behind_odd_records(
+    log_lines: list[str],
+) -> None:
+    # Failure: all nodes ended again and again, or stopped to follow a topic.
+    async def scenario(world: World) -> None:
+        statuses = await call_during(world, list_odd_records())
+        assert_that(statuses.count(200) / len(statuses) > 0.99, Is(True))
+        for node in world.nodes:
+            assert_that(node.failed.is_set(), Is(False))
+        store = world.site.store
+        store.topic(NODES).append("node/odd", b"")
+        store.write_configuration(make_configuration(2))
+        await world.wait(
+            lambda: all(node.state.revision == 2 for node in world.nodes),
+            "a later configuration is in force",
+        )
+        store.write_evacuation("b")
+        await world.wait(
+            lambda: all(
+                node.state.evacuations.is_evacuated("b") for node in world.nodes
+            ),
+            "a later evacuation is followed",
+        )
+        store.write_evacuation("b", is_evacuated=False)
+        added = world.site.add_server(
+            SiteServer(
+                store=store,
+                service=PLAIN_SERVICE,
+                data_centre="a",
+                crashing_bodies=world.site.crashing_bodies,
+                crashing_parts=world.site.crashing_parts,
+            )
+        )
+        await world.wait(
+            lambda: all(
+                added.server
+                in {server.server for server in node.state.view.servers}
+                for node in world.nodes
+            ),
+            "a later server is in the view",
+        )
+        node = world.add_node()
+        await world.wait(
+            lambda: node.state.revision == 2 and world.serves_all(),
+            "a node that starts now serves",
+        )
+        assert_that(set(await world.call_in_turn(seconds=0.5)), Equals({200}))
+
+    run_world(scenario, nodes=3, data_centres=("a", "b"), evac_ms=2000)
+    for number in ("E1006", "E7012", "E7420"):
+        lines = [line for line in log_lines if number in line]
+        assert_that(lines, HasLength(0))
+    topics = {
+        topic
+        for topic in ("configuration", "servers", "nodes")
+        if any(
+            "E7103" in line and f"topic={topic}" in line for line in log_lines
+        )
+    }
+    assert_that(topics, Equals({"servers", "nodes"}))
+
+
+MESSAGES = "chervilrock.tasks.serving.peermessages"
+MESSAGE_DECODERS = {
+    "announcement": f"{MESSAGES}:_ANNOUNCEMENT",
+    "ends": f"{MESSAGES}:_CRASH_REPORT",
+    "limit": f"{MESSAGES}:_STATEMENTS",
+    "departure": f"{MESSAGES}:_STATEMENTS",
+    "pauses": f"{MESSAGES}:_STATEMENTS",
+}
+
+
+def test_nodes_serve_behind_odd_messages(log_lines: list[str]) -> None:
+    # Failure: an odd message ended a node, or the connection without answer.
+    literals = [ODD_LITERALS[name] for name in ODD_FIELDS]
+
+    async def scenario(world: World) -> None:
+        calls = asyncio.create_task(world.call_in_turn(seconds=2.0))
+        for path, decoder in MESSAGE_DECODERS.items():
+            for number, body in enumerate(
+                (*ODD_VALUES, *list_documents(decoder, literals))
+            ):
+                node = world.nodes[number % len(world.nodes)]
+                answer = await world.call_address(
+                    node.own.peer_address,
+                    f"/peer/{path}",
+                    headers={},
+                    body=body,
+                )
+                assert_that(answer.status in (200, 400), Is(True))
+        await calls
+        for node in world.nodes:
+            assert_that(node.failed.is_set(), Is(False))
+        world.site.store.write_configuration(make_configuration(2))
+        await world.wait(
+            lambda: all(node.state.revision == 2 for node in world.nodes),
+            "a later configuration is in force",
+        )
+        await world.wait(world.serves_all, "all models served")
+        assert_that(set(await world.call_in_turn(seconds=0.5)), Equals({200}))
+
+    run_world(scenario, nodes=2)
+    for number in ("E1006", "E7012", "E7420"):
+        lines = [line for line in log_lines if number in line]
+        assert_that(lines, HasLength(0))
