Pass on no answer to a ticket without its end

A node that passes a request on to the node of its ticket took an answer with neither a length nor chunks for whole, wherever it ended.

Cause: libcurl reports no error for such an end. Nodes always state where an answer ends, so an answer without this is not a whole one of a node: the caller gets ticket_unknown with the outcome unknown, as for any broken answer.

The test cuts such an answer at each byte, and those with a length and chunks; before, a part of the body was passed on with status 200.

--- a/chervilrock/edges/tickets.py
+++ b/chervilrock/edges/tickets.py
@@ -134,7 +134,9 @@
         sink.attach(transfer)
         result = await self._path.transmit(transfer)
         sink.attach(None)
-        if result.head is None or result.error:
+        head = result.head
+        # Nodes state where their answers end.
+        if head is None or result.error or not head.is_delimited:
             detachedruns.fail(sink, UNREACHABLE)
         else:
             receiver.finish()
--- a/test/edges/test_tickets.py
+++ b/test/edges/test_tickets.py
@@ -9,6 +9,7 @@
 from chervilrock.standin.faults import FaultKind, FaultRule
 from chervilrock.standin.text import expected_text
 from test.edges.sites import join_stream, read_error, Site
+from test.edges.test_cut_heads import cut
 from test.standin.calls import Call
 
 EXPECTED = "".join(expected_text("m", "hello", 6))
@@ -154,3 +155,48 @@
 
     expected = (2, {EXPECTED}, {"unknown"})
     assert_that(loop.run(call_two_nodes()), Equals(expected))
+
+
+def test_an_answer_that_the_node_of_a_ticket_cuts_is_unknown(
+    loop: asyncio.Runner, site: Site
+) -> None:
+    # Failure: a body without a length or chunks was taken for whole, though
+    # nodes state where their answers end.
+    body = b'{"id":"r","choices":[]}'
+    chunks = b"%x\r\n%b\r\n0\r\n\r\n" % (len(body), body)
+    answers: list[bytes] = []
+    for framing, framed in (
+        (b"Content-Length: %d\r\n" % len(body), body),
+        (b"Transfer-Encoding: chunked\r\n", chunks),
+    ):
+        answers += cut(b"HTTP/1.1 200 OK\r\n" + framing + b"\r\n" + framed)
+    closed = b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + body
+    answers += [*cut(closed), closed]
+    whole = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
+
+    async def forward_all() -> list[Call]:
+        remaining = [*answers, whole]
+
+        async def answer(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(remaining.pop(0))
+            await writer.drain()
+            writer.close()
+            await writer.wait_closed()
+
+        server = await asyncio.start_server(answer, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        site.context.peers["gone"] = f"127.0.0.1:{port}"
+        headers = {"Idempotency-Key": "tk.gone.1"}
+        forwarded = [await site.complete(headers) for _ in (*answers, whole)]
+        server.close()
+        return forwarded
+
+    *cut_ones, last = loop.run(forward_all())
+    assert_that(last.body, Equals(b"{}"))
+    assert_that(
+        {read_error(answer)["outcome"] for answer in cut_ones},
+        Equals({"unknown"}),
+    )
