Close the connections that tests of transfers and calls accept

test_positions and test_keys failed (two of two runs of 983 tests in two processes) with "AST constructor recursion depth mismatch" in a module that pytest rewrites at its import.

Cause: test_relay and test_repeated_calls left connections open when their event loop was closed. When the garbage collector finds one, its error is formatted with ast.parse; if it runs within another ast.parse, Python 3.11 fails that one.

--- a/test/clients/test_repeated_calls.py
+++ b/test/clients/test_repeated_calls.py
@@ -24,6 +24,9 @@
 LIMIT_S = 20.0
 """Time limit of calls that end before it, and of each test."""
 
+SETTLE_S = 0.01
+"""Time after which an opened connection has reached its server."""
+
 KEPT = 4
 """Number of connections that a client keeps."""
 
@@ -68,8 +71,9 @@
                 if len(self.arrived) == 1 or self._answers:
                     writer.write(ANSWER)
 
-    def close(self) -> None:
-        """Close all connections."""
+    async def close(self) -> None:
+        """Close all connections, also one that was just opened."""
+        await asyncio.sleep(SETTLE_S)
         for writer in self._writers:
             writer.close()
 
@@ -83,7 +87,7 @@
     try:
         yield server
     finally:
-        server.close()
+        await server.close()
         listener.close()
 
 
--- a/test/edges/test_relay.py
+++ b/test/edges/test_relay.py
@@ -81,9 +81,12 @@
                 asyncio.Queue()
             )
 
+            writers: list[asyncio.StreamWriter] = []
+
             async def accept(
                 reader: asyncio.StreamReader, writer: asyncio.StreamWriter
             ) -> None:
+                writers.append(writer)
                 connections.put_nowait((await reader.read(1024), writer))
 
             server = await asyncio.start_server(accept, "127.0.0.1", 0)
@@ -108,6 +111,8 @@
                     await scenario(Sent(transfer, receiver, end, connections))
             pool.close()
             server.close()
+            for writer in writers:
+                writer.close()
 
         asyncio.run(run_all())
 
