--- a/chervilrock/standin/site/stutters.py
+++ b/chervilrock/standin/site/stutters.py
@@ -49,6 +49,7 @@
       INSIDE: inside a piece of the body.
       UNFRAMED: sends the body with neither a length nor chunks.
       UNFRAMED_INSIDE: the same, ended inside an event of a stream.
+      NAMELESS: names no request, as a late answer to another may.
       EXTRA: answers twice on the same connection, the second time at once or
         late.
       EXTRA_HEAD: the same, and ends the connection in the second head.
@@ -67,6 +68,7 @@
     INSIDE = "inside"
     UNFRAMED = "unframed"
     UNFRAMED_INSIDE = "unframed inside"
+    NAMELESS = "nameless"
     EXTRA = "extra"
     EXTRA_HEAD = "extra head"
     EXTRA_NAMELESS = "extra nameless"
@@ -168,6 +170,8 @@
         """Return the pieces of an answer that are sent."""
         if stutter in HEAD_CUTS:
             return [self._cut_head(stutter, answer)]
+        if stutter is Stutter.NAMELESS:
+            answer = _remove_name(answer)
         pieces = list(answer.pieces)
         head = _make_head(answer)
         if stutter in (Stutter.UNFRAMED, Stutter.UNFRAMED_INSIDE):
@@ -217,12 +221,9 @@
 
     def _make_extra(self, stutter: Stutter, answer: Answer) -> bytes:
         """Return the answer that comes after the first one."""
-        headers = answer.headers
+        extra = answer
         if stutter is Stutter.EXTRA_NAMELESS:
-            headers = tuple(
-                header for header in headers if header[0].lower() != _REQUEST_ID
-            )
-        extra = answer._replace(headers=headers)
+            extra = _remove_name(answer)
         if stutter is Stutter.EXTRA_HEAD:
             return self._cut_head(Stutter.HEAD, extra)
         return b"".join(self._spoil(stutter, extra))
@@ -235,6 +236,14 @@
             await stream.read_until(_BLANK_LINE)
 
 
+def _remove_name(answer: Answer) -> Answer:
+    """Return an answer that does not name its request."""
+    headers = tuple(
+        header for header in answer.headers if header[0].lower() != _REQUEST_ID
+    )
+    return answer._replace(headers=headers)
+
+
 def _make_head(answer: Answer) -> bytes:
     """Return the head of an answer without its framing and blank line."""
     # The content type comes last, as a cut before it hides a stream.
--- a/test/node/test_stuttering_servers.py
+++ b/test/node/test_stuttering_servers.py
@@ -33,12 +33,13 @@
 REQUESTS = 4
 PLAIN_SERVERS = 3
 ROUNDS = 8
-FAMILIES = [HEAD_CUTS, BODY_CUTS, WHOLE]
-FAMILY_NAMES = ["head", "body", "whole"]
+NAMELESS = (Stutter.NAMELESS,)
+FAMILIES = [HEAD_CUTS, BODY_CUTS, NAMELESS, WHOLE]
+FAMILY_NAMES = ["head", "body", "nameless", "whole"]
 
 # Nothing tells a cut of a plain body with neither a length nor chunks.
-CUT_FAMILIES = [HEAD_CUTS, (Stutter.BROKEN, Stutter.INSIDE)]
-CUT_FAMILY_NAMES = ["head", "body"]
+CUT_FAMILIES = [HEAD_CUTS, (Stutter.BROKEN, Stutter.INSIDE), NAMELESS]
+CUT_FAMILY_NAMES = ["head", "body", "nameless"]
 
 
 def make_stutters(
@@ -139,7 +140,7 @@
 
 def test_a_stream_that_is_cut_again_does_not_end_as_complete() -> None:
     async def scenario(world: World) -> None:
-        for kind in [*HEAD_CUTS, *BODY_CUTS]:
+        for kind in [*HEAD_CUTS, *BODY_CUTS, *NAMELESS]:
             await wait_for_retries(world, MODEL_SERVICE)
             servers = world.site.servers
             stutters = make_stutters(servers, [Stutter.BROKEN])
--- a/test/standin/test_site_stutters.py
+++ b/test/standin/test_site_stutters.py
@@ -8,6 +8,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import (
     Contains,
+    EndsWith,
     Equals,
     HasLength,
     Is,
@@ -96,6 +97,13 @@
     assert_that(written, Equals(HEAD + b"\r\n" + body))
 
 
+def test_a_nameless_answer_is_whole() -> None:
+    written = write(Stutter.NAMELESS, 1)
+    assert_that(written, Not(Contains(b"X-Request-Id")))
+    assert_that(written, Contains(ANSWER.pieces[-1]))
+    assert_that(written, EndsWith(b"\r\n0\r\n\r\n"))
+
+
 @pytest.mark.parametrize("stutter", EXTRAS)
 def test_an_extra_answer_follows_a_whole_one(stutter: Stutter) -> None:
     answers = [write(stutter, seed) for seed in range(SEEDS)]
