--- a/bench/rollingrestarts.py
+++ b/bench/rollingrestarts.py
@@ -287,6 +287,8 @@
       violations: broken guarantees.
       peak_mb: most memory of any node, in megabytes.
       killed: processes that ran until the end of their grace period.
+      stops: when nodes got their first SIGTERM, by address, on the clock of the
+        event loop.
     """
 
     def __init__(
@@ -299,6 +301,8 @@
         self._version = 2
         self._storm_generator = random.Random(f"revisions of {seed}")
         self._killing: set[asyncio.Task[None]] = set()
+        self._stopped: set[int] = set()
+        self.stops: dict[str, list[float]] = {}
         self.violations: list[str] = []
         self.peak_mb = 0.0
         self.killed = 0
@@ -337,6 +341,10 @@
         pid = node.pid
         if pid is None:
             return
+        if pid not in self._stopped:
+            self._stopped.add(pid)
+            now = asyncio.get_running_loop().time()
+            self.stops.setdefault(node.address, []).append(now)
         node.signal(signal.SIGTERM)
         task = asyncio.create_task(self._kill_late(node, pid))
         self._killing.add(task)
