Complete no answer that this node ends at its limit

An answer with neither a length nor chunks, to a request that libcurl sent again, counted as complete if the time limit ended it in the middle.

Cause: a transfer shuts its connection down at that limit, as libcurl may count its own limit from the second send. libcurl then sees a connection that ends a body which nothing else delimits, and reports no error. It concerns requests that may be repeated on kept connections (services, tickets, completions); the sends of exchanges use connections of their own.

The limit is now looked at in both ways in which libcurl ends a transfer. With real sockets (probe) an expiry at 0.4 s of 5 s gave COMPLETE with a part of the body.

--- a/chervilrock/edges/relay.py
+++ b/chervilrock/edges/relay.py
@@ -60,6 +60,7 @@
 """Errors of an answer that libcurl itself does not accept."""
 
 _NO_SOCKET = -1
+_TOO_LATE = "no whole answer in time"
 
 
 class BackendRequest(NamedTuple):
@@ -212,7 +213,7 @@
                 self._abandoned or self._has_expired
             )
             return self._end(
-                "no whole answer in time" if self._has_expired else str(error),
+                _TOO_LATE if self._has_expired else str(error),
                 is_broken=is_broken,
                 is_faulty=error.errno in _FAULTY_ANSWER_ERRORS,
             )
@@ -227,10 +228,13 @@
     def _end_without_error(self) -> TransferEnd:
         """Return the result of a transfer for which libcurl reports no error.
 
-        It reports none for a connection that ends within the head.
+        It reports none for a connection that ends within the head, nor for one
+        that this node ends within a body that nothing delimits.
         """
         if self._abandoned:
             return self._end("abandoned")
+        if self._has_expired:
+            return self._end(_TOO_LATE)
         return self._end(
             self._head_progress.describe_error(),
             is_broken=self.head_state is HeadState.PARTIAL,
--- a/test/edges/test_relay.py
+++ b/test/edges/test_relay.py
@@ -17,7 +17,7 @@
     LessThan,
 )
 from tornado.curl_httpclient import CurlError
-from tornado.httpclient import HTTPRequest
+from tornado.httpclient import HTTPRequest, HTTPResponse
 
 from chervilrock.clients.curlpool import CurlPool
 from chervilrock.edges import relay
@@ -333,3 +333,45 @@
         return loop.time() - began
 
     assert_that(run_virtually(measure()), Equals(TIMEOUT_S))
+
+
+class HandleThatEndsQuietly(HandleThatRepeats):
+    """The same, of an answer that nothing but its connection delimits."""
+
+    def fetch(
+        self, request: HTTPRequest, **options: Any
+    ) -> "asyncio.Future[Any]":
+        """Stand for the client of Tornado."""
+        self._sent = request
+        return super().fetch(request, **options)
+
+    def setopt(self, option: int, value: Any) -> None:
+        super().setopt(option, value)
+        if option == pycurl.HEADERFUNCTION:
+            value(b"HTTP/1.1 200 OK\r\n")
+            value(b"\r\n")
+
+    def pause(self, _state: int) -> None:
+        if not self.ended.done():
+            self.ended.set_result(HTTPResponse(self._sent, 200))
+
+
+def test_an_answer_that_ends_with_its_time_is_not_complete() -> None:
+    # Failure: a node that closes the connection at the limit of a repeated
+    # send took the cut body for a whole one.
+    async def receive() -> TransferEnd:
+        client: Any = HandleThatEndsQuietly(repeats_after_s=0.75 * TIMEOUT_S)
+        request = BackendRequest(
+            method="GET",
+            url="http://127.0.0.1:1/",
+            headers=(),
+            body=None,
+            timeout_s=TIMEOUT_S,
+            send_once=False,
+        )
+        transfer = Transfer(request=request, receiver=RecordingReceiver())
+        return await transfer.run(client)
+
+    end = run_virtually(receive())
+    assert_that(end.error, Equals("no whole answer in time"))
+    assert_that(end.is_broken, Is(False))
