Take no body for whole whose stated framing libcurl ignores

A caller could get a 200 with a part of the server's body, or with its chunks as the body, framed by its length, and a cut stream that ends as complete.

Cause: libcurl reads up to the end of the connection, and reports no error, if a length is greater than it can hold, stands beside a coding such as identity, or if a space follows the name of Content-Length or Transfer-Encoding. The facts of the head then said that a length or chunks delimit the body.

A transfer now compares the bytes of a body with the stated length wherever no chunks delimit it (not for HEAD, 204 and 304), and ends as faulty at a coding that libcurl does not undo. Bodies of the stated length stay complete, in the same odd forms as well.

--- a/chervilrock/edges/heads.py
+++ b/chervilrock/edges/heads.py
@@ -1,12 +1,16 @@
 """Status lines and headers of HTTP messages of backend servers."""
 
 from collections.abc import Sequence
+import re
 from typing import NamedTuple
 
 from chervilrock.clients.heads import is_final_status, parse_status
 from chervilrock.decisions.serving.messages import Framing
 from chervilrock.platform.headers import find_framing
 
+_WITHOUT_LENGTH = (Framing.CHUNKS, Framing.NO_BODY)
+_IGNORED_CODING = re.compile(rb"transfer-encoding[ \t]+:", re.IGNORECASE)
+
 
 class Head(NamedTuple):
     """Status and headers of an answer.
@@ -37,6 +41,26 @@
         values = {name.lower(): value for name, value in self.headers}
         return find_framing(self.status, values) is not Framing.CONNECTION
 
+    def find_length_error(self, size: int) -> str:
+        """Return why a body is not of the stated length, empty if it may be.
+
+        libcurl ignores a length that is too great for it, whose name a space
+        follows, or that stands beside a coding.
+
+        Args:
+          size: bytes of the body that were received.
+        """
+        values = {name.lower(): value for name, value in self.headers}
+        if find_framing(self.status, values) in _WITHOUT_LENGTH:
+            return ""
+        for name, value in self.headers:
+            if name.lower() != "content-length":
+                continue
+            for stated in value.split(","):
+                if (stated.strip().lstrip("0") or "0") != str(size):
+                    return f"the body has {size} bytes, not as stated"
+        return ""
+
 
 def format_headers(headers: Sequence[tuple[str, str]]) -> list[bytes]:
     """Returns header lines for libcurl.
@@ -80,3 +104,12 @@
         if colon:
             pairs.append((name.strip(), value.strip()))
     return Head(status=status, headers=tuple(pairs))
+
+
+def has_ignored_coding(lines: Sequence[bytes]) -> bool:
+    """Return whether libcurl does not undo the coding that a head states.
+
+    It ignores a name that a space follows, and chunks would be taken for the
+    body.
+    """
+    return any(_IGNORED_CODING.match(line) for line in lines)
--- a/chervilrock/edges/relay.py
+++ b/chervilrock/edges/relay.py
@@ -19,7 +19,12 @@
 
 from chervilrock.clients.curlpool import break_error_cycle
 from chervilrock.clients.heads import HeadProgress, HeadState
-from chervilrock.edges.heads import format_headers, Head, parse_head
+from chervilrock.edges.heads import (
+    format_headers,
+    has_ignored_coding,
+    Head,
+    parse_head,
+)
 
 SEND_BUFFER_BYTES = 16 * 1024
 """Smallest size that libcurl accepts; each transfer keeps one buffer."""
@@ -175,6 +180,7 @@
         self._head_lines: list[bytes] = []
         self._head_progress = HeadProgress()
         self._head_bytes = 0
+        self._body_bytes = 0
         self._fault = ""
         self._paused = False
         self._abandoned = False
@@ -235,12 +241,21 @@
             return self._end("abandoned")
         if self._has_expired:
             return self._end(_TOO_LATE)
+        length_error = self._find_length_error()
+        if length_error:
+            return self._end(length_error, is_broken=True)
         return self._end(
             self._head_progress.describe_error(),
             is_broken=self.head_state is HeadState.PARTIAL,
             is_faulty=self.head_state is HeadState.NONE,
         )
 
+    def _find_length_error(self) -> str:
+        """Return why the body is not of its stated length, empty if it is."""
+        if self._final_head is None or self._request.method == "HEAD":
+            return ""
+        return self._final_head.find_length_error(self._body_bytes)
+
     @property
     def head_state(self) -> HeadState:
         """How much of the final head was received."""
@@ -358,11 +373,14 @@
         state = self._head_progress.record_line(line)
         if state is not HeadState.PARTIAL:
             self._finish_head()
-        return _CONTINUE
+        return _ABORT if self._fault else _CONTINUE
 
     def _finish_head(self) -> None:
         """Handles the blank line that ends an interim or the final head."""
         head = parse_head(self._head_lines)
+        if has_ignored_coding(self._head_lines):
+            self._fault = "a space follows the name of the transfer coding"
+            head = None
         self._head_lines.clear()
         if head is not None:
             self._final_head = head
@@ -377,6 +395,7 @@
         self._in_callback = True
         try:
             self._pass_on_head()
+            self._body_bytes += len(data)
             self._receiver.handle_data(data)
         finally:
             self._in_callback = False
--- a/test/edges/test_cut_heads.py
+++ b/test/edges/test_cut_heads.py
@@ -12,7 +12,7 @@
 
 import pytest
 from testtools.assertions import assert_that
-from testtools.matchers import HasLength
+from testtools.matchers import HasLength, Is
 
 from chervilrock.clients.curlpool import CurlPool
 from chervilrock.decisions.serving.admission.attempts import SendOutcome
@@ -162,3 +162,40 @@
     lines = b"X-Not-Executed: 1\r\nRetry-After: 1\r\n"
     head = b"HTTP/1.1 503 Busy\r\n" + lines + framing + BLANK
     assert_that(list_wrong(cut(head)), HasLength(0))
+
+
+# Failure: libcurl ignores these lengths, so that a body that was cut, or
+# chunks, counted as the whole body.
+@pytest.mark.parametrize("content", [PLAIN, STREAM])
+@pytest.mark.parametrize(
+    "framing",
+    [
+        b"Content-Length: 99999999999999999999999\r\n",
+        b"Content-Length : 800\r\n",
+        b"Content-Length: 800\r\nTransfer-Encoding: identity\r\n",
+        b"Transfer-Encoding : chunked\r\n",
+    ],
+)
+def test_a_body_that_is_not_framed_as_stated_is_lost(
+    framing: bytes, content: bytes
+) -> None:
+    answer = STATUS + OWN_HEADERS + content + framing + BLANK
+    (judged,) = receive_each([answer + b"id: 1\ndata: x\n\n"])
+    assert_that(judged.outcome, Is(SendOutcome.LOST))
+
+
+# Failure: sound answers are lost as well.
+@pytest.mark.parametrize(
+    "framing",
+    [
+        b"Content-Length: 15\r\n",
+        b"Content-Length: 0015, 15\r\n",
+        b"Content-Length : 15\r\n",
+        b"Content-Length: 15\r\nTransfer-Encoding: identity\r\n",
+        CLOSED,
+    ],
+)
+def test_a_body_of_the_stated_length_is_complete(framing: bytes) -> None:
+    answer = STATUS + OWN_HEADERS + STREAM + framing + BLANK
+    (judged,) = receive_each([answer + b"id: 1\ndata: x\n\n"])
+    assert_that(judged.outcome, Is(SendOutcome.COMPLETE))
