Take no head for one that the heads of two answers make up

A server that cuts the head of an answer within a header and then answers again on the connection makes one head of both: the status of the first answer, the last of the headers that occur twice. A caller could get a failure as a success (200 with the body of a 500), and a rejection of another request counted as that of a request which runs.

Cause: of several values of a header, the last one counted.

An answer that names two requests, or has two receipts, is now lost, also if it comes through another node. Equal values count as one, as some proxies double headers. Of two heads of which only one names a request, nothing tells.

--- a/chervilrock/decisions/serving/admission/attempts.py
+++ b/chervilrock/decisions/serving/admission/attempts.py
@@ -81,6 +81,8 @@
       request_id: the request that was sent.
       is_whole: whether the body was received in full without an error.
     """
+    if facts.is_ambiguous:
+        return SendOutcome.LOST
     is_own = facts.request_id == request_id
     if facts.is_not_run and (is_own or not facts.request_id):
         return SendOutcome.NOT_RUN
--- a/chervilrock/decisions/serving/messages.py
+++ b/chervilrock/decisions/serving/messages.py
@@ -116,6 +116,8 @@
       is_stream: whether the body is a stream of events.
       statement: what the server states of itself.
       framing: what states where the body ends.
+      is_ambiguous: whether it names two requests or has two receipts, as the
+        heads of two answers do that were joined.
     """
 
     status: int
@@ -126,6 +128,7 @@
     is_stream: bool
     statement: ServerStatement = NO_STATEMENT
     framing: Framing = Framing.LENGTH
+    is_ambiguous: bool = False
 
 
 class ForwardedFields(NamedTuple):
--- a/chervilrock/edges/serving/detours.py
+++ b/chervilrock/edges/serving/detours.py
@@ -142,7 +142,9 @@
         request was not run.
         """
         facts = receiver.facts
-        if facts is None or isinstance(end, SendOutcome) or facts.has_receipt:
+        if facts is None or isinstance(end, SendOutcome):
+            return receiver.classify(transfer, end)
+        if facts.has_receipt or facts.is_ambiguous:
             return receiver.classify(transfer, end)
         if is_promise(facts.status) or facts.status in DENIALS:
             self.retry_after_s = _read_retry_after(transfer)
--- a/chervilrock/platform/headers.py
+++ b/chervilrock/platform/headers.py
@@ -24,6 +24,7 @@
 _TENANT = "x-tenant"
 _URGENCY = "x-request-urgency"
 _SERVER_STAMP = "x-server-stamp"
+_IDENTITY = (_REQUEST_ID, _SERVER_STAMP)
 _NOT_EXECUTED = "x-not-executed"
 _MS_PER_S = 1000.0
 
@@ -148,6 +149,17 @@
         is_stream=content_type.startswith(_EVENT_STREAM),
         statement=read_statement(status, pairs, unix_time_s),
         framing=find_framing(status, values),
+        is_ambiguous=_is_ambiguous(pairs),
+    )
+
+
+def _is_ambiguous(pairs: Iterable[tuple[str, str]]) -> bool:
+    """Return whether a head states two requests or two receipts."""
+    stated: dict[str, str] = {}
+    return any(
+        stated.setdefault(name.lower(), value.strip()) != value.strip()
+        for name, value in pairs
+        if name.lower() in _IDENTITY
     )
 
 
--- a/test/edges/test_cut_detours.py
+++ b/test/edges/test_cut_detours.py
@@ -173,3 +173,14 @@
         for identifier in (b"", other)
     ]
     assert_that(list_wrong(answers), HasLength(0))
+
+
+def test_a_rejection_with_two_receipts_promises_nothing() -> None:
+    # Failure: the request may have run, and was sent to a server again.
+    other = b"X-Server-Stamp: 51\r\n"
+    answers = [
+        BUSY + OWN_HEADERS + other + LENGTH + BLANK + BODY,
+        BUSY + b"X-Request-Id: 51\r\n" + OWN_HEADERS + LENGTH + BLANK + BODY,
+        BUSY + b"X-Request-Id: 51\r\nX-Request-Id: 52\r\n" + LENGTH + BLANK,
+    ]
+    assert_that(list_wrong(answers), HasLength(0))
--- a/test/edges/test_cut_heads.py
+++ b/test/edges/test_cut_heads.py
@@ -199,3 +199,30 @@
     answer = STATUS + OWN_HEADERS + STREAM + framing + BLANK
     (judged,) = receive_each([answer + b"id: 1\ndata: x\n\n"])
     assert_that(judged.outcome, Is(SendOutcome.COMPLETE))
+
+
+# Failure: a failure of a server was passed on with the status of another
+# answer, whose head was cut in a header and followed by the next answer.
+@pytest.mark.parametrize(
+    "first",
+    [
+        b"X-Request-Id: 0000000000000000\r\nX-Trace: a",
+        OWN_HEADERS.replace(b"600", b"599") + b"X-Trace: a",
+    ],
+)
+def test_a_head_that_two_answers_make_up_is_that_of_none(first: bytes) -> None:
+    failure = b"HTTP/1.1 500 Failed\r\n" + OWN_HEADERS + LENGTH + BLANK
+    (judged,) = receive_each([STATUS + first + failure + bytes(800)])
+    assert_that(judged.outcome, Is(SendOutcome.LOST))
+
+
+# Failure: a rejection of another request, cut and followed by the answer, was
+# taken for that of a request which has run.
+def test_a_rejection_that_another_answer_follows_promises_nothing() -> None:
+    rejection = (
+        b"HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\n"
+        b"X-Request-Id: 0000000000000000\r\nX-Trace: a"
+    )
+    answer = STATUS + OWN_HEADERS + LENGTH + BLANK + bytes(800)
+    (judged,) = receive_each([rejection + answer])
+    assert_that(judged.outcome, Is(SendOutcome.LOST))
