Count the answer to a HEAD request of a stream as complete

A HEAD request for a stream got 502, and its server counted as having broken it off.

Cause: an answer with the content type of a stream was expected to hold events if neither a length nor chunks delimit it; with a length or chunks, nothing was kept of it that could be passed on, and the caller was told of an empty stream. An answer to HEAD has no body in any of these cases.

An answer that may have no body is now kept like any other and passed on with its headers. The three cases of the new test failed with the condition taken out; 119 tests of cut heads, detours, receivers, transfers, stuttering servers and serving pass.

--- a/chervilrock/edges/serving/receiver.py
+++ b/chervilrock/edges/serving/receiver.py
@@ -63,6 +63,7 @@
         *,
         request_id: str,
         last_event: str,
+        has_body: bool = True,
         is_continuation: bool = False,
         deliver: Callable[[Head, bytes], None],
         progress: Callable[["AnswerReceiver"], None],
@@ -75,6 +76,7 @@
           request_id: identifier of the request.
           last_event: identifier of the last event that the caller has, empty
             for none.
+          has_body: whether an answer may have a body; one to HEAD has none.
           is_continuation: whether the caller has a part of the answer, which
             only a stream can continue.
           deliver: is called with complete events for the caller.
@@ -87,6 +89,7 @@
         """
         self._record_collected = record_collected
         self._request_id = request_id
+        self._has_body = has_body
         self._is_continuation = is_continuation
         self._deliver = deliver
         self._progress = progress
@@ -121,7 +124,9 @@
         )
         self._is_used = outcome in _USED_OUTCOMES
         self.is_relayed = (
-            outcome is SendOutcome.COMPLETE and self.facts.is_stream
+            outcome is SendOutcome.COMPLETE
+            and self.facts.is_stream
+            and self._has_body
         )
         self._progress(self)
 
--- a/chervilrock/edges/serving/serversender.py
+++ b/chervilrock/edges/serving/serversender.py
@@ -80,6 +80,7 @@
         receiver = AnswerReceiver(
             request_id=exchange.request_id,
             last_event=exchange.last_event,
+            has_body=exchange.request.method != "HEAD",
             is_continuation=exchange.connection.has_begun,
             deliver=self._deliver,
             progress=lambda receiver: self._record_progress(endpoint, receiver),
--- a/test/edges/test_answer_receiver.py
+++ b/test/edges/test_answer_receiver.py
@@ -189,3 +189,22 @@
     receive(receiver, CHUNKED, b"id: 1\n" + b"x" * 1000)
     receiver.handle_data(b"\n\nid: 2\n")
     assert_that(held, Equals([1006, 6]))
+
+
+# Failure: a HEAD request to a stream counted as broken off by each server.
+@pytest.mark.parametrize("framing", [CLOSED, CHUNKED, ("Content-Length", "9")])
+def test_an_answer_without_a_body_needs_no_event(
+    framing: tuple[str, str],
+) -> None:
+    receiver = AnswerReceiver(
+        request_id=REQUEST_ID,
+        last_event="",
+        has_body=False,
+        deliver=lambda _head, _events: None,
+        progress=lambda _receiver: None,
+    )
+    head = receive(receiver, framing, b"")
+    end = TransferEnd(sent=True, head=head, error="")
+    assert_that(receiver.is_broken_off(end), Is(False))
+    assert_that(receiver.is_relayed, Is(False))
+    assert_that(classify(receiver, end), Equals(SendOutcome.COMPLETE))
