Go on probing servers when one probe fails

A node on which one probe of a server raised an unexpected exception never probed again: it neither found out that it was cut off, nor that it was no longer, and its suspicion lasted (a trial: still in doubt 60 s later).

Cause: a round of probes ended with the first exception, without a result, and the next one begins only after a result. The fault was logged (E7012), with the address of a coroutine object for its name.

A probe that raises is a fault and counts as unanswered; the others of its round give the result. Faults of calls are named by their function.

--- a/chervilrock/tasks/serving/outbound.py
+++ b/chervilrock/tasks/serving/outbound.py
@@ -250,7 +250,8 @@
         self._start(self._fetch_document(holder))
 
     def _start(self, work: Coroutine[Any, Any, _T]) -> "asyncio.Task[_T]":
-        task = asyncio.create_task(work)
+        name = getattr(work, "__qualname__", None)
+        task = asyncio.create_task(work, name=name)
         self._tasks.add(task)
         task.add_done_callback(self._record_end)
         return task
@@ -260,7 +261,7 @@
         self._tasks.discard(task)
         error = None if task.cancelled() else task.exception()
         if isinstance(error, Exception):
-            self._faults.record(Work.CALL, repr(task.get_coro()), error)
+            self._faults.record(Work.CALL, task.get_name(), error)
 
     async def _write_node(self, own: NodeEntry) -> None:
         key = f"{NODE_PREFIX}{own.node}"
@@ -395,10 +396,17 @@
         await self._outbox.send(ServersProbed(probes))
 
     async def _reaches_any(self, targets: tuple[ProbeTarget, ...]) -> bool:
-        """Return whether one of the servers answers, as soon as one does."""
-        probes = [self._start(self._is_reached(target)) for target in targets]
-        for probe in asyncio.as_completed(probes):
-            if await probe:
+        """Return whether one of the servers answers, as soon as one does.
+
+        A probe that fails unexpectedly is recorded as a fault, and counts as
+        unanswered: without a result, no further round would begin.
+        """
+        waiting = {self._start(self._is_reached(target)) for target in targets}
+        while waiting:
+            ended, waiting = await asyncio.wait(
+                waiting, return_when=asyncio.FIRST_COMPLETED
+            )
+            if any(not one.exception() and one.result() for one in ended):
                 return True
         return False
 
--- a/test/tasks/test_faults.py
+++ b/test/tasks/test_faults.py
@@ -13,6 +13,7 @@
 from chervilrock.clients.liveness import ConnectionLiveness
 from chervilrock.clients.serving import KeyedPage, KeyedRecord, Topic
 from chervilrock.decisions.decoding import UnreadableError
+from chervilrock.decisions.serving.nodes.reachability import ProbeTarget
 from chervilrock.decisions.serving.store.polling import PollSchedule
 from chervilrock.platform.store import StoreClient
 from chervilrock.tasks.mailbox import Mailbox
@@ -24,6 +25,7 @@
     RecordsRead,
     StallReported,
 )
+from chervilrock.tasks.serving.outbound import Outbound
 from test.tasks.installation import Installation
 from test.tasks.virtual_time import run_virtually
 
@@ -149,6 +151,38 @@
     assert_that(run_virtually(scenario()), Equals(1))
 
 
+def test_a_probe_that_fails_leaves_the_others_their_answers(monkeypatch):
+    # Failure: the node never probed again, whether or not it was cut off.
+    async def scenario() -> tuple[bool, Faults]:
+        site = Installation(monkeypatch=monkeypatch, seed=1)
+        await site.start(nodes=1, data_centres=1)
+        site.may_fault = True
+        (node,) = site.running_nodes.values()
+
+        async def reach(_outbound: Any, target: ProbeTarget) -> bool:
+            if target.server == "odd":
+                raise ZeroDivisionError
+            await asyncio.sleep(0.1)
+            return True
+
+        monkeypatch.setattr(Outbound, "_is_reached", reach)
+        reachability = node.state.reachability
+        reachability.record_probing()
+        targets = [
+            ProbeTarget(server, "10.0.0.1:1", is_head=True)
+            for server in ("odd", "sound")
+        ]
+        began = asyncio.get_running_loop().time()
+        node.task._outbound.probe_servers(tuple(targets), began)
+        await asyncio.sleep(1.0)
+        await site.stop()
+        return reachability._is_probing, node.state.faults
+
+    is_probing, faults = run_virtually(scenario())
+    assert_that(is_probing, Equals(False))
+    assert_that(faults.counts, Equals({Work.CALL: 1}))
+
+
 class FailingStore:
     """A store whose first answers raise."""
 
