Receive no answer beyond the memory for callers

Cause: the largest answers end one turn of the event loop after the budget is nearly used up, as libcurl allows no calls for other transfers before, and until then all that had arrived was taken. The body of an answer that was ended was counted, and kept, once more until its exchange ended.

A transfer now asks for room before it takes bytes. Without room it pauses, libcurl leaves the rest in the socket, and it goes on as soon as the largest answers have ended. 5% are kept for heads, the sizes of chunks and errors, which ask for none. An answer that ends while it is paused is not waited for.

An answer that looks whole must still be whole.

--- a/chervilrock/decisions/serving/admission/callerbuffers.py
+++ b/chervilrock/decisions/serving/admission/callerbuffers.py
@@ -11,6 +11,8 @@
   small allowances, and one that reads everything is never paused.
 * Above `END_FRACTION` the largest answers end, down to `ENDED_FRACTION`. The
   margin makes the search for them rare.
+* They end only after all that has arrived was handled. Until then bytes beyond
+  `ANSWER_FRACTION` are left to the servers, whose answers are paused.
 * A body that does not fit is rejected. Bodies get `BODY_FRACTION` at most; as
   this is less than what remains of `END_FRACTION`, bodies alone end no answer.
 """
@@ -29,6 +31,10 @@
 ENDED_FRACTION = 0.8
 BODY_FRACTION = 0.5
 
+ANSWER_FRACTION = 0.95
+"""Fraction up to which bytes of answers are received. The rest is for heads,
+the sizes of chunks and errors, which are written without a check."""
+
 RESUME_FRACTION = 0.5
 """Fraction of its allowance at which a paused reader is resumed, so that it is
 not paused again at once."""
@@ -113,6 +119,10 @@
         """Release bytes of a body that were counted."""
         self._bodies -= size
 
+    def has_room(self, size: int) -> bool:
+        """Return whether further bytes of an answer may be received now."""
+        return self._total + size <= ANSWER_FRACTION * self._budget
+
     def record_unread(self, caller: Caller, size: int) -> bool:
         """Record how many bytes a caller leaves unread.
 
@@ -129,8 +139,8 @@
     def record_collected(self, caller: Caller, size: int) -> None:
         """Record how many bytes of an answer are buffered until it is whole.
 
-        Reading of such an answer is never paused: its bytes are released only
-        when it is complete.
+        Its bytes are released only when it is complete, so that it is paused
+        only while there is no room at all.
         """
         self._answers += size - self._collected.get(caller, 0)
         if size:
@@ -171,11 +181,16 @@
         ]
         return sorted(resumed, key=lambda caller: self._unread.get(caller, 0))
 
-    def choose_ended(self) -> list[Caller]:
-        """Return the callers whose answers have to end, largest first."""
-        if not self.is_exceeded:
+    def choose_ended(self, size: int = 0) -> list[Caller]:
+        """Return the callers whose answers have to end, largest first.
+
+        Args:
+          size: further bytes that are to be received.
+        """
+        wanted = self._total + size
+        if wanted <= END_FRACTION * self._budget:
             return []
-        excess = self._total - ENDED_FRACTION * self._budget
+        excess = wanted - ENDED_FRACTION * self._budget
         ended = []
         for caller in sorted(
             {*self._unread, *self._collected}, key=self.find_held, reverse=True
--- a/chervilrock/edges/relay.py
+++ b/chervilrock/edges/relay.py
@@ -105,6 +105,14 @@
         """
         del head
 
+    def has_room(self, size: int) -> bool:
+        """Returns whether further bytes of the body may be received now.
+
+        If not, the transfer is paused until `Transfer.resume`.
+        """
+        del size
+        return True
+
     @abc.abstractmethod
     def handle_head(self, head: Head) -> None:
         """Handles the head of the answer; called once, before any data."""
@@ -373,6 +381,9 @@
         self._in_callback = True
         try:
             self._pass_on_head()
+            if not self._receiver.has_room(len(data)):
+                self.pause()
+                return _PAUSE
             self._receiver.handle_data(data)
         finally:
             self._in_callback = False
--- a/chervilrock/edges/serving/answer.py
+++ b/chervilrock/edges/serving/answer.py
@@ -34,7 +34,9 @@
 
     def keep(self, transfer: Transfer, receiver: AnswerReceiver) -> None:
         """Keep what a server sent, unless its events were forwarded."""
-        if transfer.head is not None and not receiver.is_relayed:
+        if self._connection.was_ended:
+            receiver.body.clear()
+        elif transfer.head is not None and not receiver.is_relayed:
             self._body = receiver.body
             self._head = transfer.head
             self.status = transfer.head.status
--- a/chervilrock/edges/serving/connection.py
+++ b/chervilrock/edges/serving/connection.py
@@ -209,6 +209,8 @@
         is_unfinished = source is not None and not self.is_done
         if self.has_begun:
             self._reset()
+        # Nothing waits for an answer that may have been paused.
+        self._flowing.set()
         if source is not None and is_unfinished:
             source.end()
 
@@ -264,9 +266,16 @@
 
     def record_collected(self, size: int) -> None:
         """Record the size of an answer that is buffered until it is whole."""
-        if not self.is_done:
+        if not self.is_done and not self.was_ended:
             self._memory.record_collected(self, size)
 
+    def has_room(self, size: int) -> bool:
+        """Return whether further bytes of the answer may be received now.
+
+        Reading is paused otherwise.
+        """
+        return self.is_done or self._memory.has_room(self, size)
+
     def _write_head(
         self,
         status: int,
@@ -354,6 +363,7 @@
         self._buffers = CallerBuffers[CallerConnection](budget=budget)
         self._metrics = metrics
         self._ending: asyncio.Handle | None = None
+        self._refused = 0
         self._logged_at = float("-inf")
 
     def add_body(self, size: int) -> bool:
@@ -379,6 +389,18 @@
         self._buffers.record_collected(caller, size)
         self._end_if_exceeded()
 
+    def has_room(self, caller: CallerConnection, size: int) -> bool:
+        """Return whether bytes of an answer may be received; pause it if not.
+
+        The largest answers then end soon, so that they may be received later.
+        """
+        if self._buffers.has_room(size):
+            return True
+        self._refused = max(self._refused, size)
+        caller.pause()
+        self._end_soon()
+        return False
+
     def record_pause(self, caller: CallerConnection) -> None:
         """Record that the answer of a caller is paused."""
         self._buffers.record_pause(caller)
@@ -391,9 +413,7 @@
         """Find out what callers have read, and resume those that read."""
         for caller in self._buffers.list_unread():
             caller.sample()
-        for caller in self._buffers.choose_resumed():
-            self._buffers.record_resume(caller)
-            caller.resume()
+        self._resume()
         use = self._buffers.describe()
         self._metrics.set_caller_buffers(use)
         if use.paused and now - self._logged_at >= LOG_INTERVAL_S:
@@ -411,21 +431,34 @@
         """Return what is held for all callers."""
         return self._buffers.describe()
 
+    def _resume(self) -> None:
+        """Resume the paused answers that may be resumed."""
+        for caller in self._buffers.choose_resumed():
+            self._buffers.record_resume(caller)
+            caller.resume()
+
     def _end_if_exceeded(self) -> None:
+        """Have the largest answers ended soon if too much is held."""
+        if self._buffers.is_exceeded:
+            self._end_soon()
+
+    def _end_soon(self) -> None:
         """Have the largest answers ended soon.
 
         Not at once, as this is called from within libcurl, which does not
         permit calls for other transfers there.
         """
-        if self._ending is None and self._buffers.is_exceeded:
+        if self._ending is None:
             loop = asyncio.get_running_loop()
             self._ending = loop.call_soon(self._end_largest)
 
     def _end_largest(self) -> None:
         self._ending = None
+        refused, self._refused = self._refused, 0
         for caller in self._buffers.list_unread():
             caller.sample()
-        for caller in self._buffers.choose_ended():
+        ended = self._buffers.choose_ended(refused)
+        for caller in ended:
             self._metrics.count_ended_answer()
             emit(
                 Event.ANSWER_ENDED,
@@ -434,6 +467,9 @@
             )
             self._buffers.forget(caller)
             caller.end_early()
+        if ended and refused:
+            # The others must not get all of the room first.
+            self._resume()
 
 
 class HeldBody:
--- a/chervilrock/edges/serving/detoursender.py
+++ b/chervilrock/edges/serving/detoursender.py
@@ -77,6 +77,7 @@
             deliver=self._deliver,
             progress=lambda _receiver: None,
             record_collected=exchange.connection.record_collected,
+            find_room=exchange.connection.has_room,
         )
         transfer = Transfer(
             request=self._detour.make_request(
--- a/chervilrock/edges/serving/receiver.py
+++ b/chervilrock/edges/serving/receiver.py
@@ -68,6 +68,7 @@
         progress: Callable[["AnswerReceiver"], None],
         record_facts: Callable[[AnswerFacts], None] = lambda _facts: None,
         record_collected: Callable[[int], None] = lambda _size: None,
+        find_room: Callable[[int], bool] = lambda _size: True,
     ) -> None:
         """Create a receiver that has received nothing.
 
@@ -84,7 +85,9 @@
             an abandoned transfer.
           record_collected: is called with the size of a body or event that is
             buffered until it is complete, whenever it changes.
+          find_room: returns whether further bytes may be received now.
         """
+        self._find_room = find_room
         self._record_collected = record_collected
         self._request_id = request_id
         self._is_continuation = is_continuation
@@ -125,6 +128,10 @@
         )
         self._progress(self)
 
+    def has_room(self, size: int) -> bool:
+        """See base class; bytes that are not kept need none."""
+        return not self._is_used or self._find_room(size)
+
     def handle_data(self, data: bytes) -> None:
         """See base class."""
         if self.fault:
@@ -134,9 +141,10 @@
         if self.is_relayed:
             events = self.splitter.feed(data)
             self.fault = self.splitter.fault
+            # What is delivered counts again until its caller has read it.
+            self._record_held(self.splitter.held)
             if events:
                 self._deliver(self._head, events)
-            self._record_held(self.splitter.held)
             return
         limit = MAX_BODY_BYTES if self._is_used else MAX_UNUSED_BYTES
         if self.size > limit:
--- a/chervilrock/edges/serving/serversender.py
+++ b/chervilrock/edges/serving/serversender.py
@@ -85,6 +85,7 @@
             progress=lambda receiver: self._record_progress(endpoint, receiver),
             record_facts=lambda facts: self._record_facts(endpoint, facts),
             record_collected=exchange.connection.record_collected,
+            find_room=exchange.connection.has_room,
         )
         transfer = Transfer(
             request=self._make_request(admission, endpoint, now),
--- a/test/decisions/serving/admission/test_callerbuffers.py
+++ b/test/decisions/serving/admission/test_callerbuffers.py
@@ -9,6 +9,7 @@
 from testtools.matchers import Equals, GreaterThan, HasLength, Is, LessThan
 
 from chervilrock.decisions.serving.admission.callerbuffers import (
+    ANSWER_FRACTION,
     BODY_FRACTION,
     CallerBuffers,
     END_FRACTION,
@@ -99,6 +100,19 @@
     assert_that(buffers.choose_ended(), HasLength(0))
 
 
+def test_answers_end_for_bytes_that_have_no_room(buffers) -> None:
+    # Failure: an answer waits for room that nothing makes.
+    buffers.record_collected(1, int(END_FRACTION * BUDGET))
+    room = round((ANSWER_FRACTION - END_FRACTION) * BUDGET)
+    assert_that(buffers.has_room(room), Is(True))
+    assert_that(buffers.has_room(room + 1), Is(False))
+    assert_that(buffers.choose_ended(), HasLength(0))
+    assert_that(buffers.choose_ended(room + 1), Equals([1]))
+    buffers.forget(1)
+    assert_that(buffers.has_room(room + 1), Is(True))
+    assert_that(buffers.choose_ended(room + 1), HasLength(0))
+
+
 def test_bodies_alone_pause_and_end_no_answer(buffers) -> None:
     while buffers.add_body(1000):
         pass
--- a/test/edges/test_relay.py
+++ b/test/edges/test_relay.py
@@ -43,6 +43,8 @@
         self.inspected: list[Head] = []
         self.heads: list[Head] = []
         self.data = b""
+        self.room = 1_000_000
+        self.asked: list[int] = []
 
     def inspect_head(self, head: Head) -> None:
         self.inspected.append(head)
@@ -50,6 +52,10 @@
     def handle_head(self, head: Head) -> None:
         self.heads.append(head)
 
+    def has_room(self, size: int) -> bool:
+        self.asked.append(size)
+        return self.room >= size
+
     def handle_data(self, data: bytes) -> None:
         self.data += data
 
@@ -261,6 +267,27 @@
     run_transfer(scenario)
 
 
+def test_bytes_without_room_are_received_later(run_transfer) -> None:
+    # Failure: they are kept beyond the memory, or lost.
+    async def scenario(sent: Sent) -> None:
+        sent.receiver.room = 0
+        _, writer = await sent.connections.get()
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbusy")
+        await writer.drain()
+        while not sent.receiver.asked:
+            await asyncio.sleep(0)
+        assert_that(sent.transfer.paused, Is(True))
+        assert_that(sent.receiver.data, Equals(b""))
+        assert_that(sent.receiver.heads, HasLength(1))
+        sent.receiver.room = 4
+        sent.transfer.resume()
+        end = await sent.end
+        assert_that(end.error, Equals(""))
+        assert_that(sent.receiver.data, Equals(b"busy"))
+
+    run_transfer(scenario)
+
+
 def test_a_transfer_ends_when_its_receiver_finds_a_fault(run_transfer) -> None:
     # Failure: what was known to be no answer was read until the time limit.
     async def scenario(sent: Sent) -> None:
--- a/test/node/test_slow_readers.py
+++ b/test/node/test_slow_readers.py
@@ -212,10 +212,7 @@
             )
             await asyncio.sleep(interval_s)
             assert_that(use(world).unread, LessThan(BUDGET))
-        outcomes = [
-            find_outcome(await caller.read(), caller.request_id)
-            for caller in callers
-        ]
+        outcomes = [await read_outcome(caller) for caller in callers]
         assert_that(outcomes, Contains(AnswerOutcome.WHOLE))
         ended = {AnswerOutcome.CUT, AnswerOutcome.REJECTED}
         assert_that(ended.intersection(outcomes), Not(HasLength(0)))
@@ -223,6 +220,42 @@
     run_world(scenario, memory_mb=MEMORY_MB)
 
 
+def test_answers_that_arrive_at_once_stay_within_the_budget() -> None:
+    # Failure: all that had arrived was taken before the largest answers ended,
+    # and the body of an ended answer was counted again.
+    most = 0
+
+    async def watch(world: World) -> None:
+        nonlocal most
+        while True:
+            held = use(world)
+            most = max(most, held.bodies + held.unread + held.collected)
+            await asyncio.sleep(0)
+
+    async def scenario(world: World) -> None:
+        await add_slots(world)
+        for server in world.site.servers:
+            assert server._http is not None
+            for listener in server._http._sockets.values():
+                listener.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_SNDBUF, 1_000_000
+                )
+        watching = asyncio.ensure_future(watch(world))
+        callers = [Caller(world) for _ in range(8)]
+        for caller in callers:
+            await caller.send("/look/x", body=b"pad-400000", X_Model="")
+        outcomes = [await read_outcome(caller) for caller in callers]
+        watching.cancel()
+        assert_that(outcomes, Contains(AnswerOutcome.WHOLE))
+        await world.wait(
+            lambda: use(world) == (BUDGET, 0, 0, 0, 0), "all is released"
+        )
+
+    run_world(scenario, memory_mb=MEMORY_MB)
+    assert_that(most, GreaterThan(BUDGET // 2))
+    assert_that(most, LessThan(BUDGET + 1))
+
+
 REJECTIONS = {502: ENDED_REASON, 503: "no memory for the body"}
 """Reasons of answers that had not begun, by status."""
 
@@ -235,6 +268,17 @@
     REJECTED = "rejected"
 
 
+async def read_outcome(caller: Caller) -> AnswerOutcome:
+    """Return how the answer to a caller ends."""
+    try:
+        answer = await caller.read()
+    except ConnectionResetError:
+        # It was reset before its head was read: the reader lets go of all that
+        # it has received.
+        return AnswerOutcome.CUT
+    return find_outcome(answer, caller.request_id)
+
+
 def find_outcome(answer: tuple[bytes, bytes], request_id: str) -> AnswerOutcome:
     """Return how an answer ended, which must not look like another outcome."""
     head, body = answer
--- a/test/tasks/overload.py
+++ b/test/tasks/overload.py
@@ -454,6 +454,10 @@
     def record_collected(self, size: int) -> None:
         del size
 
+    def has_room(self, size: int) -> bool:
+        del size
+        return True
+
     async def wait_until_flowing(self, timeout_s: float) -> None:
         del timeout_s
 
