Give simulated transfers the state of their head

test/tasks/test_overload.py did not end on: since an exchange asks its transfer how much of the head was received, which the simulated one does not know (AttributeError), so that every request failed and callers came back without end.

--- a/test/tasks/overload.py
+++ b/test/tasks/overload.py
@@ -35,7 +35,7 @@
     ServingView,
 )
 from chervilrock.edges.heads import Head
-from chervilrock.edges.relay import BackendRequest, TransferEnd
+from chervilrock.edges.relay import BackendRequest, HeadState, TransferEnd
 from chervilrock.edges.serving import detoursender as detoursender_module
 from chervilrock.edges.serving import exchange as exchange_module
 from chervilrock.edges.serving import exchangelog
@@ -343,6 +343,10 @@
         self.was_paused = False
         self.head: Head | None = None
 
+    @property
+    def head_state(self) -> HeadState:
+        return HeadState.NONE if self.head is None else HeadState.WHOLE
+
     async def run(self, client: object) -> TransferEnd:
         del client
         await asyncio.sleep(SERVER_LATENCY_S)
