--- a/test/decisions/serving/admission/test_waiting.py
+++ b/test/decisions/serving/admission/test_waiting.py
@@ -175,3 +175,41 @@
     # Slots were short because all servers paused.
     during = SHORTAGE._replace(pause_wait_s=0.5)
     assert_that(decide(LATE, during).wait_s, GreaterThan(0.5))
+
+
+SENT = LATE._replace(limit_s=7.0, gives_up_s=-1.0, may_have_run=True)
+
+
+# Failure: a request that a server may have run was failed at once, with most of
+# its time left.
+@pytest.mark.parametrize(
+    "availability",
+    [
+        FULL,
+        SHORTAGE,
+        Availability(has_endpoints=False, is_forming=True),
+        FULL._replace(limit_wait_s=6.0),
+        FULL._replace(pause_wait_s=6.0),
+    ],
+)
+def test_a_request_that_may_have_run_waits_until_its_time_limit(
+    availability: Availability,
+) -> None:
+    assert_that(decide(SENT, availability).wait_s, Equals(7.0))
+    on_time = SENT._replace(timeliness=Timeliness.ON_TIME, on_time_s=0.15)
+    assert_that(decide(on_time, availability).wait_s, Equals(0.15))
+
+
+@pytest.mark.parametrize(
+    "availability",
+    [
+        Availability(has_endpoints=False, is_forming=False),
+        FULL._replace(limit_wait_s=math.inf),
+        FULL._replace(pause_wait_s=8.0),
+        FULL._replace(hopeless_s=1.0),
+    ],
+)
+def test_a_request_that_may_have_run_does_not_wait_in_vain(
+    availability: Availability,
+) -> None:
+    assert_that(decide(SENT, availability).wait_s, Equals(0.0))
