--- a/bench/crashingparts.py
+++ b/bench/crashingparts.py
@@ -75,6 +75,7 @@
         """Send each part once more to all nodes; return broken guarantees."""
         violations = []
         for part in BAD_PARTS:
+            begin = self._count_crashes(part)
             for address in self._addresses:
                 await self._send_part(address, part)
             await asyncio.sleep(STABLE_S)
@@ -83,7 +84,10 @@
                 await self._send_part(address, part)
             count = self._count_crashes(part) - before
             if count > ALLOWED_SENDS:
-                violations.append(f"part {part} crashed {count} more servers")
+                violations.append(
+                    f"part {part} crashed {count} more servers, after {begin} "
+                    f"in the run and {before - begin} at its end"
+                )
         return violations
 
     async def _send_burst(self) -> None:
--- a/test/tasks/test_suspects_at_size.py
+++ b/test/tasks/test_suspects_at_size.py
@@ -13,6 +13,7 @@
 from testtools.matchers import Equals, GreaterThan, HasLength
 
 from chervilrock.decisions.serving.admission.suspecttracker import MAX_CRASHES
+from test.tasks import installation
 from test.tasks.crashing_requests import attempt_repeatedly, CrashingRequest
 from test.tasks.installation import Fault, Installation
 from test.tasks.virtual_time import run_virtually
@@ -69,6 +70,28 @@
     )
 
 
+@pytest.mark.parametrize("link_s", [0.001, 0.02])
+@pytest.mark.parametrize("seed", range(3))
+def test_attempts_without_a_pause_crash_three_servers(
+    monkeypatch, link_s: float, seed: int
+) -> None:
+    # Failure: the next node gets an attempt before it knows the last crash.
+    monkeypatch.setattr(installation, "LINK_S", link_s)
+
+    async def play() -> CrashingRequest:
+        site = await start(monkeypatch, 3, seed)
+        request = CrashingRequest(site=site, content=CONTENT)
+        order = sorted(site.running_nodes)
+        random.Random(seed).shuffle(order)
+        for address in order * 2:
+            await request.attempt(address)
+        await site.stop()
+        return request
+
+    request = run_virtually(play())
+    assert_that(request.sends, HasLength(MAX_CRASHES))
+
+
 @pytest.mark.parametrize("nodes", NODE_COUNTS)
 def test_crashes_seen_in_three_data_centres_add_up(monkeypatch, nodes):
     async def play() -> CrashingRequest:
