--- a/test/tasks/overload.py
+++ b/test/tasks/overload.py
@@ -17,6 +17,7 @@
 
 import pytest
 
+from chervilrock.clients.heads import HeadState
 from chervilrock.decisions.serving.admission.routes import RouteTable
 from chervilrock.decisions.serving.nodes.reportedloads import ReportedLoads
 from chervilrock.decisions.serving.site import (
@@ -35,7 +36,7 @@
     ServingView,
 )
 from chervilrock.edges.heads import Head
-from chervilrock.edges.relay import BackendRequest, HeadState, TransferEnd
+from chervilrock.edges.relay import BackendRequest, TransferEnd
 from chervilrock.edges.serving import detoursender as detoursender_module
 from chervilrock.edges.serving import exchange as exchange_module
 from chervilrock.edges.serving import exchangelog
