--- a/test/tasks/overload.py
+++ b/test/tasks/overload.py
@@ -17,6 +17,7 @@
 
 import pytest
 
+from chervilrock.clients.heads import HeadState
 from chervilrock.decisions.serving.admission.routes import RouteTable
 from chervilrock.decisions.serving.nodes.reportedloads import ReportedLoads
 from chervilrock.decisions.serving.site import (
@@ -343,6 +344,10 @@
         self.was_paused = False
         self.head: Head | None = None
 
+    @property
+    def head_state(self) -> HeadState:
+        return HeadState.NONE if self.head is None else HeadState.WHOLE
+
     async def run(self, client: object) -> TransferEnd:
         del client
         await asyncio.sleep(SERVER_LATENCY_S)
@@ -454,6 +459,10 @@
     def record_collected(self, size: int) -> None:
         del size
 
+    def has_room(self, size: int) -> bool:
+        del size
+        return True
+
     async def wait_until_flowing(self, timeout_s: float) -> None:
         del timeout_s
 
