Share the server of the tests that cut answers

Three files had the same server and transfers, and took their names from a test module. They stand in test/edges/cutanswers.py now; no case and no assertion has changed. The five files that use it pass (161), and test_cut_heads.py still fails when a cut head does not count as broken off.

--- a/test/edges/test_cut_detours.py
+++ b/test/edges/test_cut_detours.py
@@ -4,21 +4,17 @@
 request was not run.
 """
 
-import asyncio
 import itertools
-import socket
 from typing import Any
 
 import pytest
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, HasLength
 
-from chervilrock.clients.curlpool import CurlPool
 from chervilrock.decisions.serving.admission.attempts import SendOutcome
-from chervilrock.edges.relay import BackendRequest, Transfer
 from chervilrock.edges.serving.detours import CUT_OFF_PAIR, Detour
 from chervilrock.edges.serving.receiver import AnswerReceiver
-from test.edges.test_cut_heads import (
+from test.edges.cutanswers import (
     BLANK,
     CHUNKED,
     CLOSED,
@@ -27,10 +23,9 @@
     OWN_HEADERS,
     PLAIN,
     REQUEST_ID,
-    RESET_ON_CLOSE,
     STATUS,
     STREAM,
-    TIMEOUT_S,
+    transfer_each,
 )
 
 BUSY = b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1.5\r\n"
@@ -53,54 +48,22 @@
 ) -> list[tuple[SendOutcome, Detour]]:
     """Return the outcome for each answer of another node, and its detour."""
 
-    async def classify_all() -> list[tuple[SendOutcome, Detour]]:
-        remaining = list(answers)
-
-        async def answer(
-            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-        ) -> None:
-            await reader.readuntil(b"\r\n\r\n")
-            writer.write(remaining.pop(0))
-            await writer.drain()
-            if resets:
-                connection = writer.get_extra_info("socket")
-                connection.setsockopt(
-                    socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
-                )
-            writer.close()
-
-        server = await asyncio.start_server(answer, "127.0.0.1", 0)
-        port = server.sockets[0].getsockname()[1]
-        pool = CurlPool(max_requests=4, max_body_size=1 << 20)
-        outcomes = []
-        for _ in answers:
-            receiver = AnswerReceiver(
-                request_id=REQUEST_ID,
-                last_event=last_event,
-                is_continuation=bool(last_event),
-                deliver=lambda _head, _events: None,
-                progress=lambda _receiver: None,
-            )
-            transfer = Transfer(
-                request=BackendRequest(
-                    method="POST",
-                    url=f"http://127.0.0.1:{port}/",
-                    headers=(),
-                    body=b"",
-                    timeout_s=TIMEOUT_S,
-                    send_once=True,
-                ),
-                receiver=receiver,
-            )
-            detour = make_detour()
-            with pool.borrow() as client:
-                end = await transfer.run(client)
-            outcomes.append((detour.classify(transfer, receiver, end), detour))
-        pool.close()
-        server.close()
-        return outcomes
-
-    return asyncio.run(classify_all())
+    def make_receiver() -> AnswerReceiver:
+        return AnswerReceiver(
+            request_id=REQUEST_ID,
+            last_event=last_event,
+            is_continuation=bool(last_event),
+            deliver=lambda _head, _events: None,
+            progress=lambda _receiver: None,
+        )
+
+    outcomes = []
+    for receiver, transfer, end in transfer_each(
+        answers, make_receiver, resets=resets
+    ):
+        detour = make_detour()
+        outcomes.append((detour.classify(transfer, receiver, end), detour))
+    return outcomes
 
 
 def list_wrong(answers: list[bytes], **options: Any) -> list[bytes]:
--- a/test/edges/test_cut_heads.py
+++ b/test/edges/test_cut_heads.py
@@ -4,37 +4,30 @@
 complete before its last event.
 """
 
-import asyncio
 import itertools
-import socket
-import struct
 from typing import Any, NamedTuple
 
 import pytest
 from testtools.assertions import assert_that
 from testtools.matchers import HasLength, Is
 
-from chervilrock.clients.curlpool import CurlPool
 from chervilrock.decisions.serving.admission.attempts import SendOutcome
-from chervilrock.edges.relay import BackendRequest, Transfer, TransferEnd
 from chervilrock.edges.serving.receiver import AnswerReceiver
-
-REQUEST_ID = "9c41d07be2a35f68"
-TIMEOUT_S = 10.0
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-
-STATUS = b"HTTP/1.1 200 OK\r\n"
-OWN_HEADERS = (
-    b"X-Request-Id: 9c41d07be2a35f68\r\n"
-    b"X-Server-Stamp: 3e1b.07.5a2.600.0.c9f2a4d1\r\n"
+from test.edges.cutanswers import (
+    BLANK,
+    CHUNKED,
+    CLOSED,
+    cut,
+    INTERIM,
+    OWN_HEADERS,
+    PLAIN,
+    REQUEST_ID,
+    STATUS,
+    STREAM,
+    transfer_each,
 )
-STREAM = b"Content-Type: text/event-stream\r\n"
-PLAIN = b"Content-Type: text/plain\r\n"
+
 LENGTH = b"Content-Length: 800\r\n"
-CHUNKED = b"Transfer-Encoding: chunked\r\n"
-CLOSED = b"Connection: close\r\n"
-INTERIM = b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
-BLANK = b"\r\n"
 
 
 class Judged(NamedTuple):
@@ -42,82 +35,27 @@
 
     outcome: SendOutcome
     is_broken_off: bool
-    end: TransferEnd
-
-
-async def receive(
-    sent: bytes, *, send_once: bool, last_event: str, resets: bool
-) -> Judged:
-    """Send a request to a server that writes some bytes and closes."""
-
-    async def answer(
-        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        await reader.readuntil(b"\r\n\r\n")
-        writer.write(sent)
-        await writer.drain()
-        if resets:
-            connection = writer.get_extra_info("socket")
-            connection.setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
-            )
-        writer.close()
-
-    server = await asyncio.start_server(answer, "127.0.0.1", 0)
-    port = server.sockets[0].getsockname()[1]
-    receiver = AnswerReceiver(
-        request_id=REQUEST_ID,
-        last_event=last_event,
-        deliver=lambda _head, _events: None,
-        progress=lambda _receiver: None,
-    )
-    transfer = Transfer(
-        request=BackendRequest(
-            method="POST",
-            url=f"http://127.0.0.1:{port}/",
-            headers=(),
-            body=b"",
-            timeout_s=TIMEOUT_S,
-            send_once=send_once,
-        ),
-        receiver=receiver,
-    )
-    pool = CurlPool(max_requests=4, max_body_size=1 << 20)
-    with pool.borrow() as client:
-        end = await transfer.run(client)
-    pool.close()
-    server.close()
-    return Judged(
-        receiver.classify(transfer, end), receiver.is_broken_off(end), end
-    )
 
 
 def receive_each(
-    answers: list[bytes],
-    *,
-    send_once: bool = True,
-    last_event: str = "",
-    resets: bool = False,
+    answers: list[bytes], *, last_event: str = "", **options: bool
 ) -> list[Judged]:
     """Return how each of some answers is judged."""
 
-    async def receive_all() -> list[Judged]:
-        return [
-            await receive(
-                answer,
-                send_once=send_once,
-                last_event=last_event,
-                resets=resets,
-            )
-            for answer in answers
-        ]
-
-    return asyncio.run(receive_all())
-
+    def make_receiver() -> AnswerReceiver:
+        return AnswerReceiver(
+            request_id=REQUEST_ID,
+            last_event=last_event,
+            deliver=lambda _head, _events: None,
+            progress=lambda _receiver: None,
+        )
 
-def cut(head: bytes) -> list[bytes]:
-    """Return all beginnings of a head."""
-    return [head[:length] for length in range(len(head))]
+    return [
+        Judged(receiver.classify(transfer, end), receiver.is_broken_off(end))
+        for receiver, transfer, end in transfer_each(
+            answers, make_receiver, **options
+        )
+    ]
 
 
 def list_wrong(heads: list[bytes], **options: Any) -> list[bytes]:
--- a/test/edges/test_cut_requests.py
+++ b/test/edges/test_cut_requests.py
@@ -21,7 +21,7 @@
 from chervilrock.edges.serving.callers import CallerEdge
 from chervilrock.edges.serving.simpleedge import Reply, SimpleEdge
 from chervilrock.serving_metrics import ServingMetrics
-from test.edges.test_cut_heads import cut, RESET_ON_CLOSE
+from test.edges.cutanswers import cut, RESET_ON_CLOSE
 
 MAX_BODY_BYTES = 4096
 BODY = b"01234567"
--- a/test/edges/test_cut_service_answers.py
+++ b/test/edges/test_cut_service_answers.py
@@ -4,31 +4,24 @@
 that nothing ran.
 """
 
-import asyncio
 from collections.abc import Callable
-import socket
 from typing import Any
 
 import pytest
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, HasLength, Is
 
-from chervilrock.clients.curlpool import CurlPool
 from chervilrock.decisions.requests.attempts import Send, SendMode
 from chervilrock.decisions.requests.outcomes import AttemptEnd
 from chervilrock.edges.enginecalls import StreamReceiver, WholeReceiver
-from chervilrock.edges.relay import BackendRequest, Transfer
+from chervilrock.edges.relay import Transfer
 from chervilrock.edges.servicecalls import ServiceReceiver
 from chervilrock.edges.sinks import AnswerHead, AnswerSink
-from test.edges.test_cut_heads import cut, RESET_ON_CLOSE
+from test.edges.cutanswers import CHUNKED, CLOSED, cut, STREAM, transfer_each
 
-TIMEOUT_S = 10.0
 FENCE = 3
 OWN = b"X-Request-Id: r1\r\nX-Attempt-Id: r1.1\r\nX-Fence: 3\r\n"
 EXPECTED = (("x-request-id", "r1"), ("x-attempt-id", "r1.1"))
-CHUNKED = b"Transfer-Encoding: chunked\r\n"
-CLOSED = b"Connection: close\r\n"
-STREAM = b"Content-Type: text/event-stream\r\n"
 INTERIM = b"HTTP/1.1 103 Early Hints\r\nX-Not-Run: true\r\n\r\n"
 WHOLE_BODY = b'{"id":"r1","choices":[]}'
 LAST_EVENT = b"id: r1/2\ndata: [DONE]\n\n"
@@ -123,52 +116,13 @@
 
 
 def judge_each(
-    make: Callable[[], Any],
-    answers: list[bytes],
-    *,
-    send_once: bool = True,
-    resets: bool = False,
+    make: Callable[[], Any], answers: list[bytes], **options: bool
 ) -> list[AttemptEnd]:
     """Return how each of some answers is judged, each by its own receiver."""
-
-    async def judge_all() -> list[AttemptEnd]:
-        remaining = list(answers)
-
-        async def answer(
-            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-        ) -> None:
-            await reader.readuntil(b"\r\n\r\n")
-            writer.write(remaining.pop(0))
-            await writer.drain()
-            if resets:
-                connection = writer.get_extra_info("socket")
-                connection.setsockopt(
-                    socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
-                )
-            writer.close()
-
-        server = await asyncio.start_server(answer, "127.0.0.1", 0)
-        port = server.sockets[0].getsockname()[1]
-        request = BackendRequest(
-            method="POST",
-            url=f"http://127.0.0.1:{port}/",
-            headers=(),
-            body=b"",
-            timeout_s=TIMEOUT_S,
-            send_once=send_once,
-        )
-        pool = CurlPool(max_requests=4, max_body_size=1 << 20)
-        ends = []
-        for _ in answers:
-            receiver = make()
-            transfer = Transfer(request=request, receiver=receiver)
-            with pool.borrow() as client:
-                ends.append(receiver.judge(await transfer.run(client)))
-        pool.close()
-        server.close()
-        return ends
-
-    return asyncio.run(judge_all())
+    return [
+        ended.receiver.judge(ended.end)
+        for ended in transfer_each(answers, make, **options)
+    ]
 
 
 def list_wrong(
--- a/test/edges/test_tickets.py
+++ b/test/edges/test_tickets.py
@@ -8,8 +8,8 @@
 
 from chervilrock.standin.faults import FaultKind, FaultRule
 from chervilrock.standin.text import expected_text
+from test.edges.cutanswers import cut
 from test.edges.sites import join_stream, read_error, Site
-from test.edges.test_cut_heads import cut
 from test.standin.calls import Call
 
 EXPECTED = "".join(expected_text("m", "hello", 6))
