Revert "Let requests that may have run wait until their time limit"

The cause is the choice of the former server for whatever may have run, also where that server has answered with a failure.

--- a/chervilrock/decisions/serving/admission/waiting.py
+++ b/chervilrock/decisions/serving/admission/waiting.py
@@ -11,10 +11,6 @@
 An interrupted stream is different: its caller has a part of the answer, which
 is lost if the stream ends. It waits until its time limit, also while all
 servers pause for longer: groups that form meanwhile have not stated a pause.
-
-So is a request that a server may have run: its caller cannot be told that it
-was not, and what it waited before is no reason to fail it. It waits until its
-time limit unless it is known that nothing serves it by then.
 """
 
 import math
@@ -114,15 +110,12 @@
       limit_s: time until it must have its answer, in seconds.
       on_time_s: seconds for which it can wait and still be on time.
       gives_up_s: seconds after which its caller gives up without an event.
-      may_have_run: whether a server may have run it, so that it cannot be
-        rejected any more.
     """
 
     timeliness: Timeliness
     limit_s: float
     on_time_s: float
     gives_up_s: float
-    may_have_run: bool = False
 
 
 def find_give_up(target_s: float, pause_s: float) -> float:
@@ -151,8 +144,6 @@
         return WaitDecision(request.limit_s, RETRY_AFTER_S)
     if not availability.has_endpoints and not availability.is_forming:
         return WaitDecision(0.0, REPAIR_S)
-    if request.may_have_run:
-        return _decide_after_send(request, availability)
     if not _can_wait_for_limit(request, availability):
         return WaitDecision(0.0, _find_limited_retry_after(availability, draw))
     max_wait_s = _find_max_wait(request)
@@ -176,25 +167,6 @@
     return WaitDecision(0.0, _add_jitter(retry_after_s, draw))
 
 
-def _decide_after_send(
-    request: WaitingRequest, availability: Availability
-) -> WaitDecision:
-    """Return how long a request waits that a server may have run.
-
-    Args:
-      request: the request, whose caller has no event.
-      availability: endpoints that it can expect.
-    """
-    opens_s = max(availability.limit_wait_s, availability.pause_wait_s)
-    is_hopeless = availability.hopeless_s and availability.has_endpoints
-    if opens_s > request.limit_s or is_hopeless:
-        return WaitDecision(0.0, RETRY_AFTER_S)
-    wait_s = max(0.0, request.limit_s)
-    if request.timeliness is Timeliness.ON_TIME:
-        wait_s = min(wait_s, max(MIN_WAIT_S, request.on_time_s))
-    return WaitDecision(wait_s, RETRY_AFTER_S)
-
-
 def _find_max_wait(request: WaitingRequest) -> float:
     """Return the longest time for which a request may wait, in seconds."""
     return max(
--- a/chervilrock/edges/serving/slots.py
+++ b/chervilrock/edges/serving/slots.py
@@ -40,8 +40,8 @@
 STOPPING_REASON = "the node is stopping"
 
 BEGUN_RECHECK_S = 0.1
-"""Interval at which a request that waits until its time limit looks for a slot.
-Nothing announces the end of the time for which this node avoids a server."""
+"""Interval at which an interrupted stream looks for a slot. Nothing announces
+the end of the time for which this node avoids a server."""
 
 Endpoint = GroupEndpoint | ServerEndpoint
 SlotChoice = Choice[GroupEndpoint] | Choice[ServerEndpoint]
@@ -185,10 +185,8 @@
             if decision.wait_s <= 0:
                 return rejection
             until = min(now + decision.wait_s, latest_send)
-            waits_to_limit = self._cannot_reject and (
-                timeliness is not Timeliness.ON_TIME
-            )
-            if waits_to_limit:
+            has_begun = timeliness is Timeliness.BEGUN
+            if has_begun:
                 until = min(until, now + BEGUN_RECHECK_S)
             await self._wait(admission, timeliness, until)
             if (
@@ -197,7 +195,7 @@
                 or self._try_acquire()
             ):
                 return None
-            is_early = waits_to_limit and read_clock() < self._expires
+            is_early = has_begun and read_clock() < self._expires
             if is_early or self._is_wait_useless():
                 continue
             if timeliness is not Timeliness.ON_TIME:
@@ -461,9 +459,8 @@
         """Return a free slot, None if there is none.
 
         Servers that rejected the request and asked for a pause are the last
-        choice; they may take it when their pause has ended. A request that
-        cannot be rejected any more may return to any server that this node does
-        not avoid by now.
+        choice; they may take it when their pause has ended. An interrupted
+        stream may return to any server that this node does not avoid by now.
         """
         candidate = self._find_competitor(now)
         if candidate is not None and not self._state.admission.may_take(
@@ -476,7 +473,7 @@
         choice = self._choose_except(self._avoided | self._paused, now)
         if choice is None and self._paused:
             choice = self._choose_except(self._avoided, now)
-        if choice is None and self._cannot_reject:
+        if choice is None and self._connection.has_begun:
             again = self._choose_except(set(), now)
             if again is not None and not again.load.is_deprioritized:
                 choice = again
@@ -545,15 +542,6 @@
             has_evacuation=bool(state.evacuations),
         )
 
-    @property
-    def _cannot_reject(self) -> bool:
-        """Whether a server may have run the request, or its caller has events.
-
-        A caller cannot be told that it was not run.
-        """
-        progress = self._exchange.progress
-        return self._connection.has_begun or progress.may_have_run
-
     @property
     def _pool(self) -> str:
         """Model, or plain service, whose slots the request needs."""
@@ -606,7 +594,6 @@
             limit_s=self._expires - now,
             on_time_s=route.target_s - first_s - total_waited_s,
             gives_up_s=gives_up_s,
-            may_have_run=self._exchange.progress.may_have_run,
         )
 
     async def _wait(
