--- a/review/4/run.sh
+++ /dev/null
@@ -1,3 +0,0 @@
-#!/bin/sh
-cd "$(dirname "$0")/../.." || exit 2
-PYTHONPATH=target/deps:. exec python3 review/4/case.py
