--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,21 +1,25 @@
-"""Case 5: late orders open a former group, and its head joins another one."""
+"""Case 5: an entry of another writer makes a new leader forget an open group."""
 
 import asyncio
+import json
 import pathlib
-import time
+import signal
+
+from tornado.httpclient import AsyncHTTPClient
 
-from chervilrock.decisions.decoding import decode_plain
 from chervilrock.standin.site import servers as standin
+from chervilrock.standin.site import store as store_standin
 from chervilrock.standin.site.servers import SiteServer
 from chervilrock.standin.site.site import (
     LARGE,
     make_configuration,
     MODEL_SERVICE,
+    PLAIN_SERVICE,
     Site,
+    SMALL,
 )
 from review.common2 import (
     Callers,
-    CannotRunError,
     choose_network,
     NodeProcess,
     Record,
@@ -25,17 +29,14 @@
 )
 
 NODES = 3
-HOSTS = 5
-REPEATED = "i-0"
-"""The server whose orders are carried out late: the first by its identifier, so
-that it becomes the head of each group it joins."""
+HOSTS = 8
+ODD_KEY = "backup-1"
+"""Key of the odd entry; the store lists the entries in the order of keys."""
 
-MIN_LATE_S = 2.0
-MAX_LATE_S = 12.0
-"""How late an order without an answer may be carried out."""
+ODD_SERVICE = "archive"
+"""A service that the configuration doesn't name."""
 
-FORM_S = 0.3
-"""Time between the late order to join and the late one to open."""
+SETTLE_S = 3.0
 
 
 class Judge:
@@ -46,9 +47,8 @@
         self.record = record
         self.hosts: dict[str, Host] = {}
         self.broken: list[str] = []
-        self.orders = 0
 
-    def is_group_open(self, host: "Host") -> str:
+    def find_head_state(self, host: "Host") -> str:
         """Return the state of the head of a host's group if it is in use."""
         group = host.group
         if group is None or not host.members:
@@ -61,25 +61,21 @@
 
 
 class Host(SiteServer):
-    """A model server that counts its orders, and carries out some late.
+    """A model server that counts its orders and checks the expected count.
 
     Attributes:
       members: members of its group.
-      to_delay: kinds of the next orders that get no answer.
-      delayed: orders without an answer, with the times of their arrival.
     """
 
-    judge: Judge
-
-    def __init__(self, *, judge: Judge, name: str, site: Site) -> None:
-        """Create a host of the only fabric domain."""
-        super().__init__(store=site.store, service=MODEL_SERVICE, domain="d0")
+    def __init__(
+        self, *, judge: Judge, name: str, domain: str, site: Site
+    ) -> None:
+        """Create a host and register it."""
+        super().__init__(store=site.store, service=MODEL_SERVICE, domain=domain)
         self.server = name
         self.judge = judge
         self.members: list[str] = []
         self.accepted = 0
-        self.to_delay: list[str] = []
-        self.delayed: list[tuple[float, dict[str, object]]] = []
         judge.hosts[name] = self
         site.add_server(self)
 
@@ -87,8 +83,10 @@
         """Carry out an order as `PROTOCOL.md` says; judge it if it is a join."""
         kind = order.get("op")
         former = self.group
-        state = self.judge.is_group_open(self)
-        status = self._check(order) or super().obey(order)
+        state = self.judge.find_head_state(self)
+        expected = order.get("expected")
+        is_expected = expected is None or expected == self.accepted
+        status = super().obey(order) if is_expected else 409
         if status == 202:
             self.accepted += 1
         self.judge.record.write(
@@ -108,39 +106,11 @@
             self.members = [str(member) for member in members]
         return status
 
-    def _check(self, order: dict[str, object]) -> int:
-        """Return the status of an order that does not fit, 0 for another."""
-        expected = order.get("expected")
-        if expected is not None and expected != self.accepted:
-            return 409
-        group = self.group
-        is_same = (
-            order.get("op") == "join"
-            and group is not None
-            and group["name"] == order.get("group")
-            and group["epoch"] == order.get("epoch")
-        )
-        return 412 if is_same and order["members"] != self.members else 0
-
-    async def carry_out(self, kind: str) -> None:
-        """Carry out the delayed order of a kind."""
-        for arrived, order in list(self.delayed):
-            if order["op"] != kind:
-                continue
-            await asyncio.sleep(arrived + MIN_LATE_S - time.monotonic())
-            late_s = time.monotonic() - arrived
-            if late_s > MAX_LATE_S:
-                raise CannotRunError(f"{kind} would be {late_s:.1f} s late")
-            self.delayed.remove((arrived, order))
-            self.judge.record.write(f"carried out {late_s:.2f} s late: {kind}")
-            self.obey(order)
-
 
 class _ReportHandler(standin._ReportHandler):
     def get(self) -> None:
         """Answer with the status, the count of the orders included."""
         server = self.server
-        assert isinstance(server, Host)
         self.finish(
             {
                 "born": server.born,
@@ -149,36 +119,36 @@
                 "running": server.running,
                 "waiting": 0,
                 "pace": 1.0,
-                "sequence": server.accepted,
+                "sequence": getattr(server, "accepted", 0),
             }
         )
 
 
-class _OrderHandler(standin._OrderHandler):
-    async def post(self) -> None:
-        """Carry out an order, or leave it unanswered and carry it out later."""
-        if self.reject_misdirected():
-            return
-        server = self.server
-        assert isinstance(server, Host)
-        order = decode_plain(self.request.body)
-        server.judge.orders += 1
-        kind = str(order.get("op"))
-        if kind in server.to_delay:
-            server.to_delay.remove(kind)
-            server.delayed.append((time.monotonic(), order))
-            server.judge.record.write(
-                f"{server.server}: {kind} {order.get('group')} -> no answer"
-            )
-            # The sender closes the connection when it has waited enough.
-            await asyncio.sleep(MAX_LATE_S)
-            return
-        self.set_status(server.obey(order))
-        self.finish()
+class SortedTopic(store_standin.Topic):
+    """A topic that lists its newest records in the order of their keys."""
+
+    def list_newest(self) -> list[store_standin._Record]:
+        """Return the newest record of each key, without deleted keys."""
+        return sorted(super().list_newest(), key=lambda record: record.key)
 
 
 standin._ReportHandler = _ReportHandler  # type: ignore[misc]
-standin._OrderHandler = _OrderHandler  # type: ignore[misc]
+store_standin.Topic = SortedTopic  # type: ignore[misc]
+
+
+def write_odd_entry(site: Site, head: Host, record: Record) -> None:
+    """Write an entry as another program does that copies one of a server.
+
+    It names a service that does not exist here, and an address of its own.
+    """
+    topic = site.store.topic("keyed.servers")
+    newest = {entry.key: entry.value for entry in topic.list_newest()}
+    copied = json.loads(newest[head.server])
+    copied["service"] = ODD_SERVICE
+    copied["address"] = "127.0.0.1:9"
+    copied["domain"] = "elsewhere"
+    topic.append(ODD_KEY, json.dumps(copied).encode())
+    record.write(f"entry {ODD_KEY}: {json.dumps(copied)}", show=True)
 
 
 def describe(judge: Judge) -> str:
@@ -191,21 +161,48 @@
     )
 
 
+async def is_ready(node: NodeProcess) -> bool:
+    """Return whether a node answers that it is ready."""
+    try:
+        answer = await AsyncHTTPClient().fetch(
+            f"http://{node.ready_address}/ready", raise_error=False
+        )
+    except OSError:
+        return False
+    return answer.code == 200
+
+
+async def restart_in_turn(nodes: list[NodeProcess], record: Record) -> None:
+    """Stop and start each node, one after the other, as planned work."""
+    for node in nodes:
+        node.signal(signal.SIGTERM)
+        record.write(f"SIGTERM to {node.name}", show=True)
+        await wait_until(
+            lambda node=node: not node.is_running, f"{node.name} has stopped"
+        )
+        record.write(f"{node.name} has stopped", show=True)
+        await asyncio.sleep(1.0)
+        node.start()
+        while not await is_ready(node):
+            await asyncio.sleep(0.05)
+        record.write(f"{node.name} is ready again", show=True)
+        await asyncio.sleep(SETTLE_S)
+
+
 async def run(record: Record, folder: str) -> bool:
-    """Replace two servers while some orders get no answer."""
+    """Restart all nodes in turn beside an entry of another writer."""
     site = Site()
     site.store_address = site.open_door(site.store.door)
-    configuration = make_configuration()
-    engine = configuration["services"][0]["engine"]
-    engine["models"] = [
-        model for model in engine["models"] if model["name"] == LARGE
-    ]
-    site.store.write_configuration(configuration)
+    site.store.write_configuration(make_configuration())
     judge = Judge(record=record)
-    hosts = [
-        Host(judge=judge, name=f"i-{number}", site=site)
-        for number in range(HOSTS)
-    ]
+    for number in range(HOSTS):
+        Host(
+            judge=judge,
+            name=f"i-{number}",
+            domain=f"d{number // 4}",
+            site=site,
+        )
+    site.add_server(SiteServer(store=site.store, service=PLAIN_SERVICE))
     network = choose_network()
     nodes = [
         NodeProcess(
@@ -222,68 +219,21 @@
     try:
         for node in nodes:
             node.start()
-        head = hosts[0]
         await wait_until(
-            lambda: len(site.list_heads(LARGE)) == 2 and head.is_head,
-            "two groups serve",
+            lambda: bool(site.list_heads(LARGE) and site.list_heads(SMALL)),
+            "both models are served",
         )
         load = asyncio.create_task(callers.run(LARGE, 0.2))
         await asyncio.sleep(3.0)
         record.write(f"groups: {describe(judge)}", show=True)
-
-        # Planned work: a server leaves, so that its group is formed anew.
-        first = head.group
-        if TROUBLE:
-            head.to_delay = ["join", "open"]
-        leaving = judge.hosts[head.members[1]]
-        record.write(f"{leaving.server} drains", show=True)
-        leaving.leave()
-        await wait_until(
-            lambda: head.is_head
-            and head.group is not None
-            and first is not None
-            and head.group["epoch"] != first["epoch"],
-            "the group was formed anew",
-        )
-        record.write(f"groups: {describe(judge)}", show=True)
-        Host(judge=judge, name="i-5", site=site)
-        await asyncio.sleep(2.5)
-
-        # Planned work: another member leaves.
-        second = head.group
-        if TROUBLE:
-            head.to_delay = ["leave"]
-        leaving = judge.hosts[head.members[1]]
-        record.write(f"{leaving.server} drains", show=True)
-        leaving.leave()
-        await wait_until(
-            lambda: head.group is None
-            or second is None
-            or head.group["epoch"] != second["epoch"],
-            "the head has left",
-        )
         if TROUBLE:
-            await asyncio.sleep(0.1)
-            await head.carry_out("join")
-            await asyncio.sleep(FORM_S)
-            await head.carry_out("open")
-            record.write(f"groups: {describe(judge)}", show=True)
-        await wait_until(
-            lambda: head.is_head
-            and head.group is not None
-            and second is not None
-            and head.group["epoch"] != second["epoch"],
-            "the head serves with another member",
-        )
-        if TROUBLE:
-            await asyncio.sleep(2.0)
-            await head.carry_out("leave")
-        await asyncio.sleep(2.0)
+            head = site.list_heads(LARGE)[0]
+            assert isinstance(head, Host)
+            write_odd_entry(site, head, record)
+        await asyncio.sleep(1.0)
+        await restart_in_turn(nodes, record)
         record.write(f"groups: {describe(judge)}", show=True)
-        record.write(
-            f"{judge.orders} orders; answers to callers: {callers.statuses}",
-            show=True,
-        )
+        record.write(f"answers to callers: {callers.statuses}", show=True)
         return bool(judge.broken)
     finally:
         if load is not None:
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,20 +1,22 @@
-"""Case 6: servers in trouble answer orders and reports without end."""
+"""Case 6: late orders open a former group, and its head joins another one."""
 
 import asyncio
 import pathlib
-import signal
 import time
 
-from tornado.iostream import StreamClosedError
-from tornado.web import RequestHandler
-
+from chervilrock.decisions.decoding import decode_plain
 from chervilrock.standin.site import servers as standin
 from chervilrock.standin.site.servers import SiteServer
-from chervilrock.standin.site.site import LARGE, MODEL_SERVICE, Site, SMALL
+from chervilrock.standin.site.site import (
+    LARGE,
+    make_configuration,
+    MODEL_SERVICE,
+    Site,
+)
 from review.common2 import (
     Callers,
+    CannotRunError,
     choose_network,
-    MB,
     NodeProcess,
     Record,
     run_case,
@@ -23,122 +25,187 @@
 )
 
 NODES = 3
-HOSTS = 16
-IN_TROUBLE = 8
-"""Half of the model servers, the share of servers that `kinds` names for wrong
-bytes (`garble`)."""
+HOSTS = 5
+REPEATED = "i-0"
+"""The server whose orders are carried out late: the first by its identifier, so
+that it becomes the head of each group it joins."""
 
-MEMORY_MB = 300.0
-"""Memory of a process, as in the settings that `DEPLOY.md` shows."""
+MIN_LATE_S = 2.0
+MAX_LATE_S = 12.0
+"""How late an order without an answer may be carried out."""
 
-RESTART_S = 1.0
-WATCH_S = 85.0
+FORM_S = 0.3
+"""Time between the late order to join and the late one to open."""
 
-ENDS = 3
-MACHINES = 2
-"""The rule is broken if the processes of two machines end three times each."""
 
-PIECE = b"x" * (256 * 1024)
+class Judge:
+    """Knows the servers, and records which joins break the rule."""
 
-in_trouble: set[SiteServer] = set()
-floods: dict[str, int] = {}
+    def __init__(self, *, record: Record) -> None:
+        """Create a judge without servers."""
+        self.record = record
+        self.hosts: dict[str, Host] = {}
+        self.broken: list[str] = []
+        self.orders = 0
 
+    def is_group_open(self, host: "Host") -> str:
+        """Return the state of the head of a host's group if it is in use."""
+        group = host.group
+        if group is None or not host.members:
+            return ""
+        head = self.hosts[host.members[0]].group
+        if head is None or head["epoch"] != group["epoch"]:
+            return ""
+        state = str(head["state"])
+        return state if state in ("open", "closing") else ""
 
-async def write_without_end(handler: RequestHandler, kind: str) -> None:
-    """Send a body without a length or an end until the caller closes."""
-    floods[kind] = floods.get(kind, 0) + 1
-    stream = handler.detach()
-    try:
-        await stream.write(
-            b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n"
-        )
-        while True:
-            await stream.write(PIECE)
-            await asyncio.sleep(0)
-    except StreamClosedError:
-        stream.close()
 
+class Host(SiteServer):
+    """A model server that counts its orders, and carries out some late.
 
-class _ReportHandler(standin._ReportHandler):
-    async def get(self) -> None:  # type: ignore[override]
-        """Answer a status query."""
-        if self.server in in_trouble:
-            await write_without_end(self, "report")
-        else:
-            super().get()
+    Attributes:
+      members: members of its group.
+      to_delay: kinds of the next orders that get no answer.
+      delayed: orders without an answer, with the times of their arrival.
+    """
 
+    judge: Judge
 
-class _OrderHandler(standin._OrderHandler):
-    async def post(self) -> None:  # type: ignore[override]
-        """Answer an order."""
-        if self.server in in_trouble:
-            await write_without_end(self, "order")
-        else:
-            super().post()
+    def __init__(self, *, judge: Judge, name: str, site: Site) -> None:
+        """Create a host of the only fabric domain."""
+        super().__init__(store=site.store, service=MODEL_SERVICE, domain="d0")
+        self.server = name
+        self.judge = judge
+        self.members: list[str] = []
+        self.accepted = 0
+        self.to_delay: list[str] = []
+        self.delayed: list[tuple[float, dict[str, object]]] = []
+        judge.hosts[name] = self
+        site.add_server(self)
 
+    def obey(self, order: dict[str, object]) -> int:
+        """Carry out an order as `PROTOCOL.md` says; judge it if it is a join."""
+        kind = order.get("op")
+        former = self.group
+        state = self.judge.is_group_open(self)
+        status = self._check(order) or super().obey(order)
+        if status == 202:
+            self.accepted += 1
+        self.judge.record.write(
+            f"{self.server}: {kind} {order.get('group')} -> {status}"
+        )
+        if kind == "join" and status == 202:
+            if former is not None and state:
+                broken = (
+                    f"{self.server} takes a join of {order.get('group')} while"
+                    f" the head {self.members[0]} of its group"
+                    f" {former['name']} is {state}"
+                )
+                self.judge.broken.append(broken)
+                self.judge.record.write(broken, show=True)
+            members = order["members"]
+            assert isinstance(members, list)
+            self.members = [str(member) for member in members]
+        return status
 
-class _RequestHandler(standin._RequestHandler):
-    async def get(self) -> None:
-        """Answer a request."""
-        if self.server in in_trouble:
-            await write_without_end(self, "request")
-        else:
-            await super().get()
+    def _check(self, order: dict[str, object]) -> int:
+        """Return the status of an order that does not fit, 0 for another."""
+        expected = order.get("expected")
+        if expected is not None and expected != self.accepted:
+            return 409
+        group = self.group
+        is_same = (
+            order.get("op") == "join"
+            and group is not None
+            and group["name"] == order.get("group")
+            and group["epoch"] == order.get("epoch")
+        )
+        return 412 if is_same and order["members"] != self.members else 0
 
-    post = get
+    async def carry_out(self, kind: str) -> None:
+        """Carry out the delayed order of a kind."""
+        for arrived, order in list(self.delayed):
+            if order["op"] != kind:
+                continue
+            await asyncio.sleep(arrived + MIN_LATE_S - time.monotonic())
+            late_s = time.monotonic() - arrived
+            if late_s > MAX_LATE_S:
+                raise CannotRunError(f"{kind} would be {late_s:.1f} s late")
+            self.delayed.remove((arrived, order))
+            self.judge.record.write(f"carried out {late_s:.2f} s late: {kind}")
+            self.obey(order)
+
+
+class _ReportHandler(standin._ReportHandler):
+    def get(self) -> None:
+        """Answer with the status, the count of the orders included."""
+        server = self.server
+        assert isinstance(server, Host)
+        self.finish(
+            {
+                "born": server.born,
+                "staged": server.staged,
+                "group": server.group,
+                "running": server.running,
+                "waiting": 0,
+                "pace": 1.0,
+                "sequence": server.accepted,
+            }
+        )
+
+
+class _OrderHandler(standin._OrderHandler):
+    async def post(self) -> None:
+        """Carry out an order, or leave it unanswered and carry it out later."""
+        if self.reject_misdirected():
+            return
+        server = self.server
+        assert isinstance(server, Host)
+        order = decode_plain(self.request.body)
+        server.judge.orders += 1
+        kind = str(order.get("op"))
+        if kind in server.to_delay:
+            server.to_delay.remove(kind)
+            server.delayed.append((time.monotonic(), order))
+            server.judge.record.write(
+                f"{server.server}: {kind} {order.get('group')} -> no answer"
+            )
+            # The sender closes the connection when it has waited enough.
+            await asyncio.sleep(MAX_LATE_S)
+            return
+        self.set_status(server.obey(order))
+        self.finish()
 
 
 standin._ReportHandler = _ReportHandler  # type: ignore[misc]
 standin._OrderHandler = _OrderHandler  # type: ignore[misc]
-standin._RequestHandler = _RequestHandler  # type: ignore[misc]
-
-
-class Platform:
-    """Kills processes with too much memory, and starts ended ones again."""
-
-    def __init__(self, *, record: Record, nodes: list[NodeProcess]) -> None:
-        """Create a platform that has killed nothing."""
-        self._record = record
-        self._nodes = nodes
-        self.ends = dict.fromkeys((node.name for node in nodes), 0)
-        self.most = dict.fromkeys((node.name for node in nodes), 0)
-
-    async def run(self) -> None:
-        """Watch the processes until cancelled."""
-        async with asyncio.TaskGroup() as group:
-            for node in self._nodes:
-                group.create_task(self._watch(node))
-
-    async def _watch(self, node: NodeProcess) -> None:
-        while True:
-            await asyncio.sleep(0.01)
-            memory = node.find_memory()
-            self.most[node.name] = max(self.most[node.name], memory)
-            if memory > MEMORY_MB * MB:
-                node.signal(signal.SIGKILL)
-                await asyncio.sleep(0.1)
-            if node.is_running:
-                continue
-            self.ends[node.name] += 1
-            self._record.write(
-                f"{node.name} ended with {memory // MB} MB,"
-                f" the {self.ends[node.name]}. time",
-                show=True,
-            )
-            await asyncio.sleep(RESTART_S)
-            node.start()
 
-    @property
-    def is_fault(self) -> bool:
-        """Whether the rule is broken."""
-        often = [name for name, count in self.ends.items() if count >= ENDS]
-        return len(often) >= MACHINES
+
+def describe(judge: Judge) -> str:
+    """Return the groups of all hosts."""
+    return ", ".join(
+        f"{name}: {host.group['name']} {host.group['state']}"
+        if host.group
+        else f"{name}: none"
+        for name, host in sorted(judge.hosts.items())
+    )
 
 
 async def run(record: Record, folder: str) -> bool:
-    """Let half of the model servers answer without end."""
+    """Replace two servers while some orders get no answer."""
     site = Site()
-    site.start(model_servers=HOSTS, plain_servers=2)
+    site.store_address = site.open_door(site.store.door)
+    configuration = make_configuration()
+    engine = configuration["services"][0]["engine"]
+    engine["models"] = [
+        model for model in engine["models"] if model["name"] == LARGE
+    ]
+    site.store.write_configuration(configuration)
+    judge = Judge(record=record)
+    hosts = [
+        Host(judge=judge, name=f"i-{number}", site=site)
+        for number in range(HOSTS)
+    ]
     network = choose_network()
     nodes = [
         NodeProcess(
@@ -146,47 +213,81 @@
             network=network,
             store=site.store_address,
             folder=folder,
-            memory_mb=MEMORY_MB,
+            memory_mb=300.0,
         )
         for number in range(NODES)
     ]
     callers = Callers(record=record, nodes=nodes)
-    platform = Platform(record=record, nodes=nodes)
-    tasks: list[asyncio.Task[None]] = []
+    load: asyncio.Task[None] | None = None
     try:
         for node in nodes:
             node.start()
+        head = hosts[0]
         await wait_until(
-            lambda: bool(site.list_heads(LARGE) and site.list_heads(SMALL)),
-            "both models are served",
+            lambda: len(site.list_heads(LARGE)) == 2 and head.is_head,
+            "two groups serve",
         )
-        await asyncio.sleep(2.0)
-        tasks.append(asyncio.create_task(platform.run()))
-        for model in (LARGE, SMALL):
-            tasks.append(asyncio.create_task(callers.run(model, 0.1)))
+        load = asyncio.create_task(callers.run(LARGE, 0.2))
         await asyncio.sleep(3.0)
-        memory = [node.find_memory() // MB for node in nodes]
-        record.write(f"memory in MB: {memory}", show=True)
+        record.write(f"groups: {describe(judge)}", show=True)
+
+        # Planned work: a server leaves, so that its group is formed anew.
+        first = head.group
+        if TROUBLE:
+            head.to_delay = ["join", "open"]
+        leaving = judge.hosts[head.members[1]]
+        record.write(f"{leaving.server} drains", show=True)
+        leaving.leave()
+        await wait_until(
+            lambda: head.is_head
+            and head.group is not None
+            and first is not None
+            and head.group["epoch"] != first["epoch"],
+            "the group was formed anew",
+        )
+        record.write(f"groups: {describe(judge)}", show=True)
+        Host(judge=judge, name="i-5", site=site)
+        await asyncio.sleep(2.5)
+
+        # Planned work: another member leaves.
+        second = head.group
+        if TROUBLE:
+            head.to_delay = ["leave"]
+        leaving = judge.hosts[head.members[1]]
+        record.write(f"{leaving.server} drains", show=True)
+        leaving.leave()
+        await wait_until(
+            lambda: head.group is None
+            or second is None
+            or head.group["epoch"] != second["epoch"],
+            "the head has left",
+        )
         if TROUBLE:
-            hosts = [
-                server
-                for server in site.servers
-                if server.service == MODEL_SERVICE
-            ]
-            in_trouble.update(hosts[:IN_TROUBLE])
-            record.write(f"{IN_TROUBLE} of {HOSTS} model servers are in trouble")
-        end = time.monotonic() + WATCH_S
-        while time.monotonic() < end and not platform.is_fault:
             await asyncio.sleep(0.1)
-        most = {name: size // MB for name, size in platform.most.items()}
-        record.write(f"answers without end: {floods}", show=True)
-        record.write(f"most memory in MB: {most}", show=True)
-        record.write(f"ends of processes: {platform.ends}", show=True)
-        record.write(f"answers to callers: {callers.statuses}", show=True)
-        return platform.is_fault
+            await head.carry_out("join")
+            await asyncio.sleep(FORM_S)
+            await head.carry_out("open")
+            record.write(f"groups: {describe(judge)}", show=True)
+        await wait_until(
+            lambda: head.is_head
+            and head.group is not None
+            and second is not None
+            and head.group["epoch"] != second["epoch"],
+            "the head serves with another member",
+        )
+        if TROUBLE:
+            await asyncio.sleep(2.0)
+            await head.carry_out("leave")
+        await asyncio.sleep(2.0)
+        record.write(f"groups: {describe(judge)}", show=True)
+        record.write(
+            f"{judge.orders} orders; answers to callers: {callers.statuses}",
+            show=True,
+        )
+        return bool(judge.broken)
     finally:
-        for task in tasks:
-            task.cancel()
+        if load is not None:
+            load.cancel()
         for node in nodes:
             node.end()
         await site.stop()
