--- a/review/5/case.py
+++ b/review/5/case.py
@@ -87,7 +87,7 @@
         expected = order.get("expected")
         is_expected = expected is None or expected == self.accepted
         status = super().obey(order) if is_expected else 409
-        if status == 202:
+        if status == 202 or (status == 200 and kind in ("leave", "close")):
             self.accepted += 1
         self.judge.record.write(
             f"{self.server}: {kind} {order.get('group')} -> {status}"
@@ -243,4 +243,4 @@
         await site.stop()
 
 
-run_case(pathlib.Path(__file__).resolve().parent, run)
+run_case(pathlib.Path(__file__).resolve().parent / "record.txt", run)
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -89,7 +89,7 @@
         former = self.group
         state = self.judge.is_group_open(self)
         status = self._check(order) or super().obey(order)
-        if status == 202:
+        if status == 202 or (status == 200 and kind in ("leave", "close")):
             self.accepted += 1
         self.judge.record.write(
             f"{self.server}: {kind} {order.get('group')} -> {status}"
@@ -293,4 +293,4 @@
         await site.stop()
 
 
-run_case(pathlib.Path(__file__).resolve().parent, run)
+run_case(pathlib.Path(__file__).resolve().parent / "record.txt", run)
--- a/review/common2.py
+++ b/review/common2.py
@@ -43,9 +43,9 @@
 class Record:
     """Writes what was sent, answered and run to a file and to the output."""
 
-    def __init__(self, folder: pathlib.Path) -> None:
-        """Create an empty record in the folder of a case."""
-        self._file = (folder / "record.txt").open("w", encoding="utf-8")
+    def __init__(self, path: pathlib.Path) -> None:
+        """Create an empty record."""
+        self._file = path.open("w", encoding="utf-8")
         self._begin = time.monotonic()
 
     def write(self, text: str, *, show: bool = False) -> None:
@@ -90,6 +90,7 @@
         self._path.write_text(_render(document), encoding="utf-8")
         self._log = (pathlib.Path(folder) / f"{self.name}.log").open("ab")
         self._process: subprocess.Popen[bytes] | None = None
+        self.started_at = float("inf")
 
     def start(self) -> None:
         """Start the process by the command of the deploy file."""
@@ -99,6 +100,7 @@
         env = {name: os.environ[name] for name in names if name in os.environ}
         env["PYTHONPATH"] = str(ROOT / "target/deps")
         env["CHERVILROCK_NODE_FILE"] = str(self._path)
+        self.started_at = time.monotonic()
         self._process = subprocess.Popen(
             command, cwd=ROOT, env=env, stdout=self._log, stderr=self._log
         )
@@ -206,17 +208,17 @@
 
 
 def run_case(
-    folder: pathlib.Path,
+    path: pathlib.Path,
     scenario: Callable[[Record, str], Awaitable[bool]],
 ) -> None:
     """Run a case, and exit with 1 if the rule was broken, else 0 or 2.
 
     Args:
-      folder: folder of the case.
+      path: file of the record.
       scenario: returns whether the rule was broken; gets the record and
         a temporary folder.
     """
-    record = Record(folder)
+    record = Record(path)
 
     async def run() -> bool:
         main = asyncio.current_task()
