Check each line of the head of an answer against the grammar of HTTP

Callers got answers of servers in trouble in whose heads the name of a field held a blank or a control byte: with the malformed line dropped or passed on, with the frames of the chunks in the body (`Transfer -Encoding: chunked`), up to the end of the connection (`Content-Length : 15`), or a stream as a plain answer.

Cause: the lines of a head were never checked; what libcurl lets pass was taken as sound. `parse_head` dropped lines without a colon and stripped names, `has_ignored_coding` knew one form of one name, and the clients for calls and polls looked at the status line and the blank line only.

Change: `HeadProgress` in clients/heads.py, to which all readers of answers give each line, knows a status line and a field line (RFC 9112, sections 4 and 5; RFC 9110, sections 5.5 and 5.6.2). A line that is neither ends the transfer and its connection, in an interim answer, the head and trailers alike:

* A transfer is faulty, as for other bytes that are no answer: it is lost, avoided and may be repeated as those, and is not counted as broken off by its server.
* A call or a poll has no answer (outage), and is not sent again.
* A control byte in a value is rejected too: it may only be kept in a safe context (RFC 9110, section 5.5), which an answer that is forwarded is not.
So is one in a reason, and a trailer, as the body would end where nothing sound ends it.
* libcurl unfolds lines that continue a field, as RFC 9112, section 5.2, has it.
A folded line as the first one is rejected.

`test_a_body_of_the_stated_length_is_complete` had `Content-Length : 15` among the sound framings. A name that a blank follows is no field line, and a caller must not get it; the case is now among those that must be lost, with the same body.

--- a/chervilrock/clients/httpclient.py
+++ b/chervilrock/clients/httpclient.py
@@ -16,7 +16,7 @@
 
 from chervilrock.clients.curlpool import CurlPool
 from chervilrock.clients.errors import PlatformError, PlatformErrorKind
-from chervilrock.clients.heads import HeadProgress, HeadState
+from chervilrock.clients.heads import ABORT, HeadProgress, HeadState
 from chervilrock.clients.sendguard import SendGuard
 from chervilrock.decisions.decoding import Decoder, UnreadableError
 from chervilrock.events import emit, Event
@@ -85,10 +85,22 @@
         self.not_run = False
         self.value = ""
 
-    def record_line(self, line: bytes) -> None:
-        """Parse a header line; libcurl calls this for each of them."""
-        if self.progress.record_line(line) is HeadState.NONE:
+    def record_line(self, line: bytes) -> int | None:
+        """Parse a header line; libcurl calls this for each of them.
+
+        Returns:
+          What makes libcurl end the request if the line is malformed.
+        """
+        state = self.progress.record_line(line)
+        if state is HeadState.MALFORMED:
+            return ABORT
+        if state is HeadState.NONE:
             self._forget()
+        self._read_field(line)
+        return None
+
+    def _read_field(self, line: bytes) -> None:
+        """Read the value of a header that is required."""
         wanted = self._wanted_name
         if wanted and line[: len(wanted) + 1].lower() == wanted + b":":
             self.value = line[len(wanted) + 1 :].strip().decode("latin-1")
@@ -256,7 +268,8 @@
                 return Failure(PlatformError(kind, message))
             response = fetched.result()
         except HTTPClientError as error:
-            return Failure(_describe_error(error, guard, call.url))
+            fault = answer_headers.progress.fault
+            return Failure(_describe_error(error, guard, call.url, fault))
         except ValueError as error:
             # The URL or a header holds characters that cannot be sent.
             return Failure(PlatformError(PlatformErrorKind.REFUSED, str(error)))
@@ -294,9 +307,9 @@
 
 
 def _describe_error(
-    error: HTTPClientError, guard: SendGuard, url: str
+    error: HTTPClientError, guard: SendGuard, url: str, fault: str
 ) -> PlatformError:
-    message = f"{url}: {error.message}"
+    message = f"{url}: {fault or error.message}"
     if not guard.sent:
         return PlatformError(PlatformErrorKind.REFUSED, message)
     if guard.is_repeat_aborted:
--- a/chervilrock/clients/polling.py
+++ b/chervilrock/clients/polling.py
@@ -14,7 +14,7 @@
 
 from chervilrock.clients.curlloop import CurlLoop
 from chervilrock.clients.errors import PlatformError, PlatformErrorKind
-from chervilrock.clients.heads import HeadProgress, HeadState
+from chervilrock.clients.heads import ABORT, HeadProgress, HeadState
 from chervilrock.clients.httpclient import check_status, HttpAnswer
 from chervilrock.decisions.decoding import UnreadableError
 
@@ -163,11 +163,15 @@
         self._body += chunk
         return len(chunk)
 
-    def _read_header_line(self, line: bytes) -> None:
-        if self.progress.record_line(line) is HeadState.NONE:
+    def _read_header_line(self, line: bytes) -> int | None:
+        state = self.progress.record_line(line)
+        if state is HeadState.MALFORMED:
+            return ABORT
+        if state is HeadState.NONE:
             self.tag = b""
         if line[: len(_TAG_HEADER)].lower() == _TAG_HEADER:
             self.tag = line[len(_TAG_HEADER) :].strip()
+        return None
 
 
 class Poller:
@@ -220,7 +224,7 @@
             completion.result()
         except pycurl.error as error:
             resource.reset()
-            return Failure(_convert_error(error, url))
+            return Failure(_convert_error(error, url, handle.progress.fault))
         finally:
             resource.busy = False
             completion.cancel()
@@ -305,14 +309,14 @@
         completion.set_exception(error)
 
 
-def _convert_error(error: pycurl.error, url: str) -> PlatformError:
+def _convert_error(error: pycurl.error, url: str, fault: str) -> PlatformError:
     code = error.args[0]
     kind = PlatformErrorKind.OUTAGE
     if code == pycurl.E_OPERATION_TIMEDOUT:
         kind = PlatformErrorKind.TIMEOUT
     elif code == pycurl.E_COULDNT_CONNECT:
         kind = PlatformErrorKind.REFUSED
-    return PlatformError(kind, f"{url}: {error}")
+    return PlatformError(kind, f"{url}: {fault or error}")
 
 
 def _decode(decoder: Decoder[_T], body: bytes) -> Result[_T, PlatformError]:
--- a/chervilrock/edges/heads.py
+++ b/chervilrock/edges/heads.py
@@ -1,15 +1,17 @@
 """Status lines and headers of HTTP messages of backend servers."""
 
 from collections.abc import Sequence
-import re
 from typing import NamedTuple
 
-from chervilrock.clients.heads import is_final_status, parse_status
+from chervilrock.clients.heads import (
+    is_final_status,
+    parse_field,
+    parse_status,
+)
 from chervilrock.decisions.serving.messages import Framing
 from chervilrock.platform.headers import find_framing
 
 _WITHOUT_LENGTH = (Framing.CHUNKS, Framing.NO_BODY)
-_IGNORED_CODING = re.compile(rb"transfer-encoding[ \t]+:", re.IGNORECASE)
 
 
 class Head(NamedTuple):
@@ -44,8 +46,8 @@
     def find_length_error(self, size: int) -> str:
         """Return why a body is not of the stated length, empty if it may be.
 
-        libcurl ignores a length that is too great for it, whose name a space
-        follows, or that stands beside a coding.
+        libcurl ignores a length that is too great for it, or that stands
+        beside a coding.
 
         Args:
           size: bytes of the body that were received.
@@ -80,36 +82,22 @@
 
 
 def parse_head(lines: Sequence[bytes]) -> Head | None:
-    """Parses the header lines that libcurl delivers.
+    """Parses a head as libcurl delivers it.
 
     Args:
-      lines: all lines, also those of answers before the final one, such as
-        100 Continue.
+      lines: the status line, the field lines and the blank line, if any.
 
     Returns:
-      The final head, or None if it is missing or malformed.
+      The head, or None if it is malformed or that of an interim answer.
     """
-    first = None
-    for index, line in enumerate(lines):
-        if line.startswith(b"HTTP/"):
-            first = index
-    if first is None:
-        return None
-    status = parse_status(lines[first])
+    status = parse_status(lines[0]) if lines else None
     if status is None or not is_final_status(status):
         return None
+    fields = lines[1:-1] if lines[-1].strip() == b"" else lines[1:]
     pairs = []
-    for line in lines[first + 1 :]:
-        name, colon, value = line.decode("latin1").partition(":")
-        if colon:
-            pairs.append((name.strip(), value.strip()))
+    for line in fields:
+        pair = parse_field(line)
+        if pair is None:
+            return None
+        pairs.append(pair)
     return Head(status=status, headers=tuple(pairs))
-
-
-def has_ignored_coding(lines: Sequence[bytes]) -> bool:
-    """Return whether libcurl does not undo the coding that a head states.
-
-    It ignores a name that a space follows, and chunks would be taken for the
-    body.
-    """
-    return any(_IGNORED_CODING.match(line) for line in lines)
--- a/chervilrock/edges/relay.py
+++ b/chervilrock/edges/relay.py
@@ -18,13 +18,8 @@
 from tornado.httpclient import HTTPClientError, HTTPRequest
 
 from chervilrock.clients.curlpool import break_error_cycle
-from chervilrock.clients.heads import HeadProgress, HeadState
-from chervilrock.edges.heads import (
-    format_headers,
-    has_ignored_coding,
-    Head,
-    parse_head,
-)
+from chervilrock.clients.heads import ABORT, HeadProgress, HeadState
+from chervilrock.edges.heads import format_headers, Head, parse_head
 
 SEND_BUFFER_BYTES = 16 * 1024
 """Smallest size that libcurl accepts; each transfer keeps one buffer."""
@@ -38,7 +33,6 @@
 _SEND_OK: int = pycurl.PREREQFUNC_OK
 _SEND_ABORT: int = pycurl.PREREQFUNC_ABORT
 _PAUSE: int = pycurl.WRITEFUNC_PAUSE
-_ABORT = -1
 _CONTINUE = None
 """Result of a header callback that accepts the line."""
 
@@ -374,21 +368,21 @@
                 f"the head has more than {MAX_HEAD_BYTES} bytes, "
                 f"{self._head_bytes} received"
             )
-            return _ABORT
+            return ABORT
+        state = self._head_progress.record_line(line)
+        if state is HeadState.MALFORMED:
+            self._fault = self._head_progress.fault
+            return ABORT
         if self._final_head is not None:
             return _CONTINUE
         self._head_lines.append(line)
-        state = self._head_progress.record_line(line)
         if state is not HeadState.PARTIAL:
             self._finish_head()
-        return _ABORT if self._fault else _CONTINUE
+        return _CONTINUE
 
     def _finish_head(self) -> None:
         """Handles the blank line that ends an interim or the final head."""
         head = parse_head(self._head_lines)
-        if has_ignored_coding(self._head_lines):
-            self._fault = "a space follows the name of the transfer coding"
-            head = None
         self._head_lines.clear()
         if head is not None:
             self._final_head = head
@@ -397,7 +391,7 @@
     def _receive(self, data: bytes) -> int:
         """Handles bytes of the body; called by libcurl."""
         if self._abandoned or self._has_expired:
-            return _ABORT
+            return ABORT
         if self._paused:
             return _PAUSE
         self._in_callback = True
@@ -411,7 +405,7 @@
         finally:
             self._in_callback = False
         self._fault = self._receiver.fault
-        return _ABORT if self._abandoned or self._fault else len(data)
+        return ABORT if self._abandoned or self._fault else len(data)
 
     def _pass_on_head(self) -> None:
         """Passes the final head to the receiver, once."""
--- a/test/edges/test_cut_heads.py
+++ b/test/edges/test_cut_heads.py
@@ -110,6 +110,7 @@
     [
         b"Content-Length: 99999999999999999999999\r\n",
         b"Content-Length : 800\r\n",
+        b"Content-Length : 15\r\n",
         b"Content-Length: 800\r\nTransfer-Encoding: identity\r\n",
         b"Transfer-Encoding : chunked\r\n",
     ],
@@ -128,7 +129,6 @@
     [
         b"Content-Length: 15\r\n",
         b"Content-Length: 0015, 15\r\n",
-        b"Content-Length : 15\r\n",
         b"Content-Length: 15\r\nTransfer-Encoding: identity\r\n",
         CLOSED,
     ],
