Take only the statuses that HTTP defines

A caller got 600, 700 or 999 as the status that its server gave, and a call took it for an answer.

Cause: a status was any three digits, and each from 200 on was a final one.

Change: the grammar of a status line has 100 to 599 (RFC 9110, section 15), for all readers of answers; a line with another number is no status line.

--- a/chervilrock/clients/heads.py
+++ b/chervilrock/clients/heads.py
@@ -16,9 +16,10 @@
 _LINE_FEED = b"\n"
 _MAX_SHOWN_BYTES = 80
 
-# RFC 9112, section 4. The blank before an empty reason is often left out.
+# RFC 9112, section 4, with the statuses of RFC 9110, section 15. The blank
+# before an empty reason is often left out.
 _STATUS_LINE = re.compile(
-    rb"HTTP/1\.[0-9] ([0-9]{3})(?: [\t\x20-\x7e\x80-\xff]*)?\r?\n"
+    rb"HTTP/1\.[0-9] ([1-5][0-9]{2})(?: [\t\x20-\x7e\x80-\xff]*)?\r?\n"
 )
 # RFC 9112, section 5, and RFC 9110, sections 5.5 and 5.6.2. libcurl unfolds
 # the lines that continue a field.
--- a/test/clients/test_malformed_heads.py
+++ b/test/clients/test_malformed_heads.py
@@ -31,6 +31,7 @@
 )
 from test.malformed import (
     BAD_FIELDS,
+    BAD_STATUSES,
     BAD_VALUES,
     FOLDED_LINES,
     SOUND_FIELDS,
@@ -77,6 +78,15 @@
     assert_that(list_wrong(call, answers), HasLength(0))
 
 
+@pytest.mark.parametrize("call", CALLS)
+def test_a_call_whose_answer_has_an_undefined_status_has_no_answer(
+    call,
+) -> None:
+    answers = [make_answer(status + b" OK", ERA) for status in BAD_STATUSES]
+    answers += [INTERIM + answer for answer in answers]
+    assert_that(list_wrong(call, answers), HasLength(0))
+
+
 def test_a_call_on_a_kept_connection_is_not_repeated() -> None:
     for line in BAD_FIELDS:
         answers = [make_answer(b"200 OK", line), WHOLE]
--- a/test/edges/test_malformed_heads.py
+++ b/test/edges/test_malformed_heads.py
@@ -29,6 +29,7 @@
 from test.malformed import (
     BAD_FIELDS,
     BAD_STATUS_LINES,
+    BAD_STATUSES,
     BAD_VALUES,
     FOLDED_LINES,
     SOUND_FIELDS,
@@ -177,6 +178,33 @@
         assert_that(ended.receiver.is_broken_off(ended.end), Equals(False))
 
 
+# Failure: callers got 600 and more as the status that the server gave.
+@pytest.mark.parametrize("before", [b"", INTERIM])
+@pytest.mark.parametrize("last_event", ["", "3"])
+@pytest.mark.parametrize("framing", FRAMINGS)
+def test_an_answer_with_an_undefined_status_is_no_answer(
+    framing, last_event, before
+) -> None:
+    answers = [
+        before
+        + make_answer(
+            status=b"HTTP/1.1 " + status + b" OK\r\n",
+            content=content,
+            framing=framing,
+        )
+        for status in BAD_STATUSES
+        for content in (PLAIN, STREAM)
+    ]
+    wrong = [
+        answer
+        for answer, ended in zip(
+            answers, receive_each(answers, last_event=last_event), strict=True
+        )
+        if classify(ended) is not SendOutcome.LOST
+    ]
+    assert_that(wrong, HasLength(0))
+
+
 def test_an_answer_with_malformed_trailers_is_not_complete() -> None:
     answers = [
         make_answer(content=content, framing=CHUNKED).replace(
--- a/test/edges/test_malformed_service_heads.py
+++ b/test/edges/test_malformed_service_heads.py
@@ -21,7 +21,12 @@
     RECEIVERS,
     WHOLE_BODY,
 )
-from test.malformed import BAD_FIELDS, BAD_VALUES, spoil_names
+from test.malformed import (
+    BAD_FIELDS,
+    BAD_STATUSES,
+    BAD_VALUES,
+    spoil_names,
+)
 
 BODIES = (WHOLE_BODY, EVENTS)
 
@@ -69,3 +74,15 @@
         if field in answer
     ]
     assert_that(list_wrong(make, answers, LOST), HasLength(0))
+
+
+# Failure: callers got 600 and more as the status that the service gave.
+@pytest.mark.parametrize("make", RECEIVERS)
+def test_an_answer_with_an_undefined_status_is_lost(make) -> None:
+    answers = [
+        before + answer
+        for status in BAD_STATUSES
+        for answer in make_answers(status=status + b" OK")
+        for before in (b"", INTERIM)
+    ]
+    assert_that(list_wrong(make, answers, LOST), HasLength(0))
--- a/test/malformed.py
+++ b/test/malformed.py
@@ -84,6 +84,9 @@
     )
 )
 
+BAD_STATUSES = (b"000", b"001", b"099", b"600", b"700", b"999")
+"""Three digits that are no status."""
+
 SOUND_STATUS_LINES = tuple(
     line + b"\r\n"
     for line in (
