Play malformed answers from servers to callers

The stand-in of the servers gets six further ways to stutter: a blank or a control byte in the name of a further header, of one of its own, of the framing, of a header of an interim answer or of a trailer, and a status that HTTP does not define.

From socket to socket: streams and safe requests are served elsewhere, others get 502 and are not sent again, a stream that continues does not end as complete, and the node does not take itself for cut off.

Requests of callers with such a field, or with a control byte in a value, get 400 and reach no server, at `chervilrock node` and at `chervilrock serve`. That held before; the tests are kept.

--- a/chervilrock/standin/site/stutters.py
+++ b/chervilrock/standin/site/stutters.py
@@ -1,4 +1,4 @@
-"""Answers of servers that stutter: cut, unframed, or followed by another."""
+"""Answers of servers that stutter: cut, unframed, malformed, or doubled."""
 
 import asyncio
 from collections.abc import Sequence
@@ -23,6 +23,9 @@
 
 _STATUS = b"HTTP/1.1 200 OK\r\n"
 _INTERIM = b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
+_FIELD = b"X-Trace: a\r\n"
+_WRONG_BYTES = (b" ", b"\t", b"\x01", b"\x0b", b"\x1b", b"\x7f", b"\x80", b"(")
+_WRONG_CODES = (b"000", b"099", b"600", b"999")
 _CHUNKED = b"Transfer-Encoding: chunked\r\n"
 _CONTENT_TYPE = "content-type"
 _STAMP = b"x-server-stamp:"
@@ -54,6 +57,12 @@
         late.
       EXTRA_HEAD: the same, and ends the connection in the second head.
       EXTRA_NAMELESS: the same as `EXTRA`; the second answer names no request.
+      FIELD: has a further header whose name holds a blank or a control byte.
+      MISNAMED: has such a byte in the name of one of its own headers.
+      MISNAMED_FRAMING: in the name of the header that tells the framing.
+      MISNAMED_INTERIM: in a header of an interim answer before it.
+      MISNAMED_TRAILER: in a trailer, if it is sent in chunks, else in a header.
+      CODE: has a status that HTTP does not define.
     """
 
     HEAD = "head"
@@ -72,6 +81,12 @@
     EXTRA = "extra"
     EXTRA_HEAD = "extra head"
     EXTRA_NAMELESS = "extra nameless"
+    FIELD = "field"
+    MISNAMED = "misnamed"
+    MISNAMED_FRAMING = "misnamed framing"
+    MISNAMED_INTERIM = "misnamed interim"
+    MISNAMED_TRAILER = "misnamed trailer"
+    CODE = "code"
 
 
 HEAD_CUTS = (
@@ -85,6 +100,16 @@
     Stutter.INTERIM_HEAD,
 )
 BODY_CUTS = (Stutter.BROKEN, Stutter.INSIDE, Stutter.UNFRAMED_INSIDE)
+MALFORMED = (
+    Stutter.FIELD,
+    Stutter.MISNAMED,
+    Stutter.MISNAMED_FRAMING,
+    Stutter.MISNAMED_INTERIM,
+    Stutter.MISNAMED_TRAILER,
+    Stutter.CODE,
+)
+"""Those whose answer has all its bytes, and is none of HTTP."""
+
 EXTRAS = (Stutter.EXTRA, Stutter.EXTRA_HEAD, Stutter.EXTRA_NAMELESS)
 WHOLE = (Stutter.UNFRAMED, *EXTRAS)
 """Those whose first answer is complete."""
@@ -170,6 +195,8 @@
         """Return the pieces of an answer that are sent."""
         if stutter in HEAD_CUTS:
             return [self._cut_head(stutter, answer)]
+        if stutter in MALFORMED:
+            return self._malform(stutter, answer)
         if stutter is Stutter.NAMELESS:
             answer = _remove_name(answer)
         pieces = list(answer.pieces)
@@ -219,6 +246,42 @@
         is_interim = stutter in (Stutter.INTERIM, Stutter.INTERIM_HEAD)
         return _INTERIM * is_interim + head[:at]
 
+    def _malform(self, stutter: Stutter, answer: Answer) -> list[bytes]:
+        """Return the pieces of an answer whose head or trailer is malformed."""
+        status, *fields = _make_head(answer).splitlines(keepends=True)
+        framing = _make_framing(answer)
+        pieces = list(answer.pieces)
+        interim = trailer = b""
+        if stutter is Stutter.MISNAMED_TRAILER and not answer.is_stream:
+            stutter = Stutter.FIELD
+        if stutter is Stutter.FIELD:
+            at = self._generator.randrange(len(fields) + 1)
+            fields.insert(at, self._misname(_FIELD))
+        elif stutter is Stutter.MISNAMED:
+            at = self._generator.randrange(len(fields))
+            fields[at] = self._misname(fields[at])
+        elif stutter is Stutter.MISNAMED_FRAMING:
+            framing = self._misname(framing)
+        elif stutter is Stutter.MISNAMED_INTERIM:
+            interim = _INTERIM.removesuffix(b"\r\n") + self._misname(_FIELD)
+            interim += b"\r\n"
+        elif stutter is Stutter.MISNAMED_TRAILER:
+            trailer = self._misname(_FIELD)
+        else:
+            code = self._generator.choice(_WRONG_CODES)
+            status = status.replace(b"200", code)
+        if answer.is_stream:
+            pieces = [_make_chunk(piece) for piece in pieces]
+            pieces.append(b"0\r\n" + trailer + b"\r\n")
+        head = interim + status + b"".join(fields) + framing + b"\r\n"
+        return [head, *pieces]
+
+    def _misname(self, field: bytes) -> bytes:
+        """Return a field line with a wrong byte in its name."""
+        at = self._generator.randrange(1, field.index(b":") + 1)
+        wrong = self._generator.choice(_WRONG_BYTES)
+        return field[:at] + wrong + field[at:]
+
     def _make_extra(self, stutter: Stutter, answer: Answer) -> bytes:
         """Return the answer that comes after the first one."""
         extra = answer
--- a/test/edges/test_bad_input.py
+++ b/test/edges/test_bad_input.py
@@ -16,6 +16,7 @@
 from chervilrock.edges.state import BodyLimits
 from test.edges.raw import exchange, make_request
 from test.edges.sites import Site
+from test.malformed import BAD_FIELDS, BAD_VALUES
 
 GOOD = {"model": "m", "prompt": "p", "max_tokens": 2}
 MAX_BYTES = 2000
@@ -206,6 +207,21 @@
     assert_that(site.count_arrivals(), Equals(0))
 
 
+def test_requests_with_malformed_fields_are_rejected(
+    loop: asyncio.Runner, site: Site
+) -> None:
+    lines = [line.rstrip(b"\r\n") for line in (*BAD_FIELDS, *BAD_VALUES)]
+    for line in lines:
+        request = make_request(
+            "/v1/completions",
+            msgspec.json.encode(GOOD),
+            headers=(line.decode("latin1"),),
+        )
+        answer = loop.run(exchange(site.address, request))
+        assert answer.startswith(b"HTTP/1.1 400"), line
+    assert_that(site.count_arrivals(), Equals(0))
+
+
 def test_slow_body_is_rejected(loop: asyncio.Runner) -> None:
     site = loop.run(start_site_with_body_limits())
     request = make_request("/v1/completions", b"x" * 100)[:-50]
--- a/test/edges/test_cut_detours.py
+++ b/test/edges/test_cut_detours.py
@@ -27,6 +27,7 @@
     STREAM,
     transfer_each,
 )
+from test.malformed import BAD_FIELDS, BAD_STATUSES
 
 BUSY = b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1.5\r\n"
 CUT_OFF = BUSY + ": ".join(CUT_OFF_PAIR).encode() + b"\r\n"
@@ -147,3 +148,26 @@
         BUSY + b"X-Request-Id: 51\r\nX-Request-Id: 52\r\n" + LENGTH + BLANK,
     ]
     assert_that(list_wrong(answers), HasLength(0))
+
+
+# Failure: the malformed line was dropped, and the rest was believed.
+@pytest.mark.parametrize("status", [STATUS, CUT_OFF, DENIED, FAILED])
+@pytest.mark.parametrize("last_event", ["", "3"])
+def test_a_malformed_answer_of_another_node_promises_nothing(
+    last_event: str, status: bytes
+) -> None:
+    answers = [
+        status + OWN_HEADERS + line + LENGTH + BLANK + BODY
+        for line in BAD_FIELDS
+    ]
+    answers += [INTERIM[:-2] + line + BLANK + answers[0] for line in BAD_FIELDS]
+    wrong = list_wrong(answers, last_event=last_event)
+    assert_that(wrong, HasLength(0))
+
+
+@pytest.mark.parametrize("status", BAD_STATUSES)
+def test_an_undefined_status_of_another_node_promises_nothing(
+    status: bytes,
+) -> None:
+    lines = STATUS.replace(b"200", status) + OWN_HEADERS + LENGTH + BLANK
+    assert_that(list_wrong([lines + BODY]), HasLength(0))
--- a/test/node/test_stuttering_servers.py
+++ b/test/node/test_stuttering_servers.py
@@ -1,4 +1,4 @@
-"""Servers whose answers are cut, unframed, or followed by another one.
+"""Servers whose answers are cut, unframed, malformed, or doubled.
 
 Failure: callers got a 200 with an empty body, a stream that ended as complete
 before its last event, or the answer to another request.
@@ -23,6 +23,7 @@
 from chervilrock.standin.site.stutters import (
     BODY_CUTS,
     HEAD_CUTS,
+    MALFORMED,
     Stutter,
     Stutters,
     WHOLE,
@@ -34,12 +35,17 @@
 PLAIN_SERVERS = 3
 ROUNDS = 8
 NAMELESS = (Stutter.NAMELESS,)
-FAMILIES = [HEAD_CUTS, BODY_CUTS, NAMELESS, WHOLE]
-FAMILY_NAMES = ["head", "body", "nameless", "whole"]
+FAMILIES = [HEAD_CUTS, BODY_CUTS, NAMELESS, WHOLE, MALFORMED]
+FAMILY_NAMES = ["head", "body", "nameless", "whole", "malformed"]
 
 # Nothing tells a cut of a plain body with neither a length nor chunks.
-CUT_FAMILIES = [HEAD_CUTS, (Stutter.BROKEN, Stutter.INSIDE), NAMELESS]
-CUT_FAMILY_NAMES = ["head", "body", "nameless"]
+CUT_FAMILIES = [
+    HEAD_CUTS,
+    (Stutter.BROKEN, Stutter.INSIDE),
+    NAMELESS,
+    MALFORMED,
+]
+CUT_FAMILY_NAMES = ["head", "body", "nameless", "malformed"]
 
 
 def make_stutters(
@@ -140,7 +146,7 @@
 
 def test_a_stream_that_is_cut_again_does_not_end_as_complete() -> None:
     async def scenario(world: World) -> None:
-        for kind in [*HEAD_CUTS, *BODY_CUTS, *NAMELESS]:
+        for kind in [*HEAD_CUTS, *BODY_CUTS, *NAMELESS, *MALFORMED]:
             await wait_for_retries(world, MODEL_SERVICE)
             servers = world.site.servers
             stutters = make_stutters(servers, [Stutter.BROKEN])
--- a/test/standin/test_site_stutters.py
+++ b/test/standin/test_site_stutters.py
@@ -17,11 +17,13 @@
 )
 from tornado.iostream import StreamClosedError
 
+from chervilrock.clients.heads import HeadProgress, HeadState
 from chervilrock.standin.site.stutters import (
     Answer,
     BODY_CUTS,
     EXTRAS,
     HEAD_CUTS,
+    MALFORMED,
     Stutter,
     Stutters,
 )
@@ -104,6 +106,24 @@
     assert_that(written, EndsWith(b"\r\n0\r\n\r\n"))
 
 
+@pytest.mark.parametrize("stutter", MALFORMED)
+def test_a_malformed_answer_has_the_whole_body(stutter: Stutter) -> None:
+    for seed in range(SEEDS):
+        written = write(stutter, seed)
+        progress = HeadProgress()
+        for line in written.splitlines(keepends=True):
+            if progress.record_line(line) is HeadState.WHOLE:
+                break
+            if progress.fault:
+                break
+        is_trailer = stutter is Stutter.MISNAMED_TRAILER
+        assert_that(bool(progress.fault), Is(not is_trailer))
+        trailer = written.rpartition(b"0\r\n")[2].removesuffix(b"\r\n")
+        assert_that(progress.record_line(trailer), Is(HeadState.MALFORMED))
+        for piece in ANSWER.pieces:
+            assert_that(written, Contains(piece))
+
+
 @pytest.mark.parametrize("stutter", EXTRAS)
 def test_an_extra_answer_follows_a_whole_one(stutter: Stutter) -> None:
     answers = [write(stutter, seed) for seed in range(SEEDS)]
