Do not end a transfer just before its time limit

A caller whose time limit passed got `backend_lost` in place of `deadline_exceeded`.

Cause: Tornado hands libcurl the limit in whole milliseconds, rounded down. In the failed runs a transfer ended 0.03 to 0.25 ms before the deadline, so that it was judged as lost by its server.

Change: a transfer sets the limit itself, rounded up.

The new test of the limit that libcurl gets failed on the code before in each of its 4 cases.

--- a/chervilrock/edges/relay.py
+++ b/chervilrock/edges/relay.py
@@ -9,6 +9,7 @@
 import abc
 import asyncio
 from collections.abc import Callable
+import math
 import os
 import socket
 from typing import NamedTuple
@@ -58,6 +59,7 @@
 )
 """Errors of an answer that libcurl itself does not accept."""
 
+_MS_PER_S = 1000
 _NO_SOCKET = -1
 _TOO_LATE = "no whole answer in time"
 
@@ -323,6 +325,10 @@
         curl.setopt(pycurl.NOPROXY, "*")
         # libcurl would write percent-encoded octets in upper case.
         curl.setopt(pycurl.REQUEST_TARGET, find_target(self._request.url))
+        # Tornado rounds the limit down, so that a request would end as failed
+        # just before the time limit of its caller.
+        timeout_ms = math.ceil(self._request.timeout_s * _MS_PER_S)
+        curl.setopt(pycurl.TIMEOUT_MS, timeout_ms)
         curl.setopt(pycurl.UPLOAD_BUFFERSIZE, SEND_BUFFER_BYTES)
         curl.setopt(pycurl.HTTPHEADER, format_headers(self._request.headers))
         curl.setopt(pycurl.PREREQFUNCTION, self._record_send)
--- a/test/edges/test_relay.py
+++ b/test/edges/test_relay.py
@@ -15,6 +15,7 @@
     Is,
     IsInstance,
     LessThan,
+    Not,
 )
 from tornado.curl_httpclient import CurlError
 from tornado.httpclient import HTTPRequest, HTTPResponse
@@ -402,3 +403,38 @@
     end = run_virtually(receive())
     assert_that(end.error, Equals("no whole answer in time"))
     assert_that(end.is_broken, Is(False))
+
+
+class HandleThatKeepsItsLimit(HandleThatRepeats):
+    """The same, and records the time limit that it gets."""
+
+    limit_ms = 0
+
+    def setopt(self, option: int, value: Any) -> None:
+        super().setopt(option, value)
+        if option == pycurl.TIMEOUT_MS:
+            self.limit_ms = value
+
+
+# Failure: Tornado rounded the limit down, so that a request which ended at the
+# time limit of its caller counted as one that its server had lost.
+@pytest.mark.parametrize("timeout_s", [0.0209, 0.05, 0.0999, 1.001])
+def test_libcurl_does_not_end_a_transfer_before_its_limit(timeout_s) -> None:
+    async def receive() -> HandleThatKeepsItsLimit:
+        client: Any = HandleThatKeepsItsLimit(repeats_after_s=0.01)
+        request = BackendRequest(
+            method="GET",
+            url="http://127.0.0.1:1/",
+            headers=(),
+            body=None,
+            timeout_s=timeout_s,
+            send_once=False,
+        )
+        transfer = Transfer(request=request, receiver=RecordingReceiver())
+        await transfer.run(client)
+        handle: HandleThatKeepsItsLimit = client
+        return handle
+
+    limit_ms = run_virtually(receive()).limit_ms
+    assert_that(limit_ms, IsInstance(int))
+    assert_that(limit_ms / 1000, Not(LessThan(timeout_s)))
