Limit the answer to each kind of call

Cause: `HttpClient` kept up to 64 MB of each answer, of many servers at once and again and again, where a report or an order needs some kilobytes. `Poller` kept 16 MB. Heads were bounded by libcurl alone.

Change: a body has 64 KiB at most unless the caller of the client states another limit: pages of the store and of the log, documents and digests 64 MiB, host list, catalogue and cache events 16 MiB, acknowledgements 4 MiB, engines 1 MiB. The bytes count after decompression. A longer body ends the transfer and its connection; the call has no answer, as for other bytes that are no answer. The body is not received for a caller who has left. The bound of 64 KiB for all heads and trailers of an answer, which transfers had, now stands in `HeadProgress` and holds for all.

What held already and is tested: connections are closed at the time limit of a call also where bytes come too slowly for a limit, or as the extension of a chunk, which libcurl discards.

--- a/chervilrock/clients/heads.py
+++ b/chervilrock/clients/heads.py
@@ -11,6 +11,9 @@
 ABORT = -1
 """Result of a callback that makes libcurl end the transfer."""
 
+MAX_HEAD_BYTES = 64 * 1024
+"""Most bytes of all heads and trailers of one answer."""
+
 _FIRST_FINAL_STATUS = 200
 _BLANK_LINES = (b"\r\n", b"\n")
 _LINE_FEED = b"\n"
@@ -35,7 +38,7 @@
       NONE: no line of it.
       PARTIAL: some lines, without the blank one that ends it.
       WHOLE: all of it.
-      MALFORMED: bytes that are no head, or no trailers after it.
+      MALFORMED: bytes that are no head or no trailers, or too many of them.
     """
 
     NONE = "none"
@@ -59,13 +62,14 @@
       fault: why what was received is no head, empty while it may be one.
     """
 
-    __slots__ = ("state", "fault", "_is_final")
+    __slots__ = ("state", "fault", "_is_final", "_size")
 
     def __init__(self) -> None:
         """Create the progress of an answer of which nothing was received."""
         self.state = HeadState.NONE
         self.fault = ""
         self._is_final = False
+        self._size = 0
 
     def record_line(self, line: bytes) -> HeadState:
         """Record the next line of an interim answer, the head or a trailer.
@@ -73,6 +77,7 @@
         Returns:
           The state after it.
         """
+        self._size += len(line)
         if not self.fault:
             self.fault = self._find_fault(line)
         if self.fault:
@@ -89,6 +94,11 @@
 
     def _find_fault(self, line: bytes) -> str:
         """Return why a line cannot be the next one, empty if it can."""
+        if self._size > MAX_HEAD_BYTES:
+            return (
+                f"the head has more than {MAX_HEAD_BYTES} bytes, "
+                f"{self._size} received"
+            )
         if not line.endswith(_LINE_FEED):
             # The connection ended within it.
             return ""
--- a/chervilrock/clients/http.py
+++ b/chervilrock/clients/http.py
@@ -29,6 +29,18 @@
 DEFAULT_TIMEOUT_S = 3.0
 DEFAULT_ENGINE_TIMEOUT_S = 1.0
 
+MAX_PAGE_BYTES = 64 * 1024 * 1024
+"""Most bytes of a page of the log, whose records the caller counts."""
+
+MAX_LIST_BYTES = 16 * 1024 * 1024
+"""Most bytes of the host list and of the catalogue."""
+
+MAX_ENGINE_BYTES = 1024 * 1024
+"""Most bytes of an answer of a model engine."""
+
+MAX_EVENTS_BYTES = 16 * 1024 * 1024
+"""Most bytes of the cache events of an engine, the first time all of them."""
+
 _MS_PER_S = 1000.0
 _STATUS_CONFLICT = 409
 _STATUS_NOT_FOUND = 404
@@ -112,6 +124,7 @@
             timeout_s=self._timeout_s + wait_ms / _MS_PER_S,
             # The answer to a second long poll would come after the timeout.
             send_once=wait_ms > 0,
+            max_bytes=MAX_PAGE_BYTES,
         )
         return result.bind(decode_page).bind(
             lambda page: _check_page(page, start)
@@ -191,7 +204,10 @@
     async def fetch(self) -> Result[HostList, PlatformError]:
         """See base class."""
         result = await self._http.request(
-            "GET", self._url, timeout_s=self._timeout_s
+            "GET",
+            self._url,
+            timeout_s=self._timeout_s,
+            max_bytes=MAX_LIST_BYTES,
         )
         return result.bind(
             lambda answer: decode_success(_HOST_LIST_DECODER, answer)
@@ -224,7 +240,10 @@
     ) -> Result[base.Catalogue, PlatformError]:
         """See base class."""
         result = await self._http.request(
-            "GET", self._url, timeout_s=self._timeout_s
+            "GET",
+            self._url,
+            timeout_s=self._timeout_s,
+            max_bytes=MAX_LIST_BYTES,
         )
         return result.bind(
             lambda answer: decode_success(_CATALOGUE_DECODER, answer)
@@ -250,13 +269,20 @@
         self._timeout_s = timeout_s
 
     async def _request(
-        self, method: str, address: str, path: str, body: bytes | None = None
+        self,
+        method: str,
+        address: str,
+        path: str,
+        body: bytes | None = None,
+        *,
+        max_bytes: int = MAX_ENGINE_BYTES,
     ) -> Result[HttpAnswer, PlatformError]:
         return await self._http.request(
             method,
             f"http://{address}/control/{path}",
             timeout_s=self._timeout_s,
             body=body,
+            max_bytes=max_bytes,
         )
 
     async def order(
@@ -287,7 +313,12 @@
         self, address: str, start: int
     ) -> Result[base.CacheEventPage, PlatformError]:
         """See base class."""
-        result = await self._request("GET", address, f"events?from={start}")
+        result = await self._request(
+            "GET",
+            address,
+            f"events?from={start}",
+            max_bytes=MAX_EVENTS_BYTES,
+        )
         return result.bind(
             lambda answer: decode_success(_EVENTS_DECODER, answer)
         )
--- a/chervilrock/clients/httpclient.py
+++ b/chervilrock/clients/httpclient.py
@@ -23,7 +23,9 @@
 
 DEFAULT_MAX_CLIENTS = 256
 DEFAULT_CONNECT_TIMEOUT_S = 1.0
-MAX_ANSWER_BYTES = 64 * 1024 * 1024
+MAX_ANSWER_BYTES = 64 * 1024
+"""Most bytes of the body of a response unless the caller states another limit.
+A remote side in trouble may send bytes without end to many calls at once."""
 
 _HEADER_INITIALS = (b"R", b"r", b"X", b"x")
 _JSON_HEADERS = {"Content-Type": "application/json"}
@@ -114,6 +116,34 @@
             self.not_run = value == b"true"
 
 
+class _BodyReader:
+    """Collects the body of a response up to a limit.
+
+    Attributes:
+      body: what was received.
+      fault: why the body is not usable, empty while it may be.
+    """
+
+    __slots__ = ("body", "fault", "_limit", "_guard")
+
+    def __init__(self, *, limit: int, guard: SendGuard) -> None:
+        self.body = bytearray()
+        self.fault = ""
+        self._limit = limit
+        self._guard = guard
+
+    def append(self, chunk: bytes) -> int:
+        """Append decompressed bytes; libcurl calls this for each chunk."""
+        if self._guard.has_ended:
+            return ABORT
+        if len(self.body) + len(chunk) > self._limit:
+            self.fault = f"the body has more than {self._limit} bytes"
+            self.body.clear()
+            return ABORT
+        self.body += chunk
+        return len(chunk)
+
+
 class _Call(NamedTuple):
     """A request as the caller of the client gave it.
 
@@ -124,6 +154,7 @@
       headers: additional headers.
       decompress: whether the remote side may compress its response.
       wanted_header: name of a response header to return, or empty.
+      max_bytes: most bytes of the body of the response.
     """
 
     method: str
@@ -132,6 +163,7 @@
     headers: Mapping[str, str] | None
     decompress: bool
     wanted_header: str
+    max_bytes: int
 
 
 class HttpClient:
@@ -142,7 +174,8 @@
     limit, unless `send_once` is set.
 
     Cancelling a caller does not cancel a request that was sent, which continues
-    in the background.
+    in the background until its time limit, or until the body of its response
+    arrives.
 
     Attributes:
       calls_sent_again: number of calls that were sent a second time.
@@ -187,6 +220,7 @@
         is_fresh: bool = False,
         decompress: bool = False,
         wanted_header: str = "",
+        max_bytes: int = MAX_ANSWER_BYTES,
     ) -> Result[HttpAnswer, PlatformError]:
         """Sends a request and waits for its complete response.
 
@@ -200,6 +234,8 @@
           is_fresh: whether to use a new connection, and no kept one.
           decompress: whether the remote side may compress its response.
           wanted_header: name of a response header to return, or empty.
+          max_bytes: most bytes of the body of the response, decompressed;
+            a longer one is an error.
 
         Returns:
           The response, whatever its status, or the error if there was none.
@@ -213,6 +249,7 @@
             headers=headers,
             decompress=decompress,
             wanted_header=wanted_header,
+            max_bytes=max_bytes,
         )
         guard = SendGuard(fresh=is_fresh)
         result = await self._send(call, guard, deadline)
@@ -238,10 +275,12 @@
             # Tasks may still send requests while the process shuts down.
             return Failure(PlatformError(PlatformErrorKind.REFUSED, "closed"))
         answer_headers = _HeaderParser(call.wanted_header)
+        answer_body = _BodyReader(limit=call.max_bytes, guard=guard)
 
         def prepare(curl: pycurl.Curl) -> None:
             guard.prepare(curl)
             curl.setopt(pycurl.HEADERFUNCTION, answer_headers.record_line)
+            curl.setopt(pycurl.WRITEFUNCTION, answer_body.append)
 
         request = HTTPRequest(
             call.url,
@@ -268,7 +307,7 @@
                 return Failure(PlatformError(kind, message))
             response = fetched.result()
         except HTTPClientError as error:
-            fault = answer_headers.progress.fault
+            fault = answer_headers.progress.fault or answer_body.fault
             return Failure(_describe_error(error, guard, call.url, fault))
         except ValueError as error:
             # The URL or a header holds characters that cannot be sent.
@@ -282,7 +321,7 @@
         return Success(
             HttpAnswer(
                 status=response.code,
-                body=response.body,
+                body=bytes(answer_body.body),
                 retry_after_s=answer_headers.retry_after_s,
                 not_run=answer_headers.not_run,
                 header=answer_headers.value,
--- a/chervilrock/clients/polled.py
+++ b/chervilrock/clients/polled.py
@@ -12,6 +12,8 @@
     DEFAULT_ENGINE_TIMEOUT_S,
     DEFAULT_TIMEOUT_S,
     HttpModelEngine,
+    MAX_ENGINE_BYTES,
+    MAX_LIST_BYTES,
 )
 from chervilrock.clients.httpclient import HttpClient
 from chervilrock.clients.polling import Poller
@@ -75,14 +77,18 @@
     ) -> Result[EngineState, PlatformError]:
         """See base class."""
         url = f"http://{address}/control/state"
-        return await self._poller.poll(url, _STATE_DECODER, self._timeout_s)
+        return await self._poller.poll(
+            url, _STATE_DECODER, self._timeout_s, max_bytes=MAX_ENGINE_BYTES
+        )
 
     async def read_load(
         self, address: str
     ) -> Result[EngineLoad, PlatformError]:
         """See base class."""
         url = f"http://{address}/control/load"
-        return await self._poller.poll(url, _LOAD_DECODER, self._timeout_s)
+        return await self._poller.poll(
+            url, _LOAD_DECODER, self._timeout_s, max_bytes=MAX_ENGINE_BYTES
+        )
 
 
 class RegionHostDecoder:
@@ -152,5 +158,8 @@
     async def fetch(self) -> Result[HostList, PlatformError]:
         """See base class."""
         return await self._poller.poll(
-            self._url, self._decoder, self._timeout_s
+            self._url,
+            self._decoder,
+            self._timeout_s,
+            max_bytes=MAX_LIST_BYTES,
         )
--- a/chervilrock/clients/polling.py
+++ b/chervilrock/clients/polling.py
@@ -15,10 +15,13 @@
 from chervilrock.clients.curlloop import CurlLoop
 from chervilrock.clients.errors import PlatformError, PlatformErrorKind
 from chervilrock.clients.heads import ABORT, HeadProgress, HeadState
-from chervilrock.clients.httpclient import check_status, HttpAnswer
+from chervilrock.clients.httpclient import (
+    check_status,
+    HttpAnswer,
+    MAX_ANSWER_BYTES,
+)
 from chervilrock.decisions.decoding import UnreadableError
 
-MAX_ANSWER_BYTES = 16 * 1024 * 1024
 MAX_COMPARED_BYTES = 4096
 """Maximum size of a body that is kept to compare it with the next one."""
 
@@ -127,6 +130,7 @@
         self.progress = HeadProgress()
         self.curl = pycurl.Curl()
         self._body = bytearray()
+        self._max_bytes = 0
         for option, value in (
             (pycurl.NOSIGNAL, 1),
             (pycurl.NOPROXY, "*"),
@@ -135,9 +139,12 @@
         ):
             self.curl.setopt(option, value)
 
-    def begin(self, resource: _Resource, timeout_s: float) -> None:
+    def begin(
+        self, resource: _Resource, timeout_s: float, max_bytes: int
+    ) -> None:
         """Configure the handle for a request."""
         self.tag = b""
+        self._max_bytes = max_bytes
         self.progress = HeadProgress()
         self._body = bytearray()
         timeout_ms = round(timeout_s * _MS_PER_S)
@@ -158,8 +165,11 @@
         return HttpAnswer(status, body, 0.0, False)
 
     def _append_chunk(self, chunk: bytes) -> int:
-        if len(self._body) + len(chunk) > MAX_ANSWER_BYTES:
-            return 0
+        if self.completion is None or self.completion.done():
+            return ABORT
+        if len(self._body) + len(chunk) > self._max_bytes:
+            self._body.clear()
+            return ABORT
         self._body += chunk
         return len(chunk)
 
@@ -188,7 +198,12 @@
         self._transfers = CurlLoop(on_end=self._finish_transfer)
 
     async def poll(
-        self, url: str, decoder: Decoder[_T], timeout_s: float
+        self,
+        url: str,
+        decoder: Decoder[_T],
+        timeout_s: float,
+        *,
+        max_bytes: int = MAX_ANSWER_BYTES,
     ) -> Result[_T, PlatformError]:
         """Send a request and wait for its response.
 
@@ -196,6 +211,7 @@
           url: URL with an IP address.
           decoder: decodes the body; always the same one for a URL.
           timeout_s: timeout of the request in seconds.
+          max_bytes: most bytes of the body; a longer one is an error.
 
         Returns:
           The decoded body: the same object as before if it is unchanged. An
@@ -209,7 +225,7 @@
             return Failure(PlatformError(PlatformErrorKind.REFUSED, message))
         handle = self._acquire_handle()
         completion = handle.completion = self._loop.create_future()
-        handle.begin(resource, timeout_s)
+        handle.begin(resource, timeout_s, max_bytes)
         resource.busy = True
         self._transfers.add(handle.curl)
         try:
--- a/chervilrock/clients/sendguard.py
+++ b/chervilrock/clients/sendguard.py
@@ -21,9 +21,10 @@
         the request has been sent.
       is_repeat_aborted: whether libcurl would have sent it again, since a
         reused connection was closed before an answer.
+      has_ended: whether nobody waits for its answer any more.
     """
 
-    __slots__ = ("sent", "is_repeat_aborted", "_fresh", "_has_ended")
+    __slots__ = ("sent", "is_repeat_aborted", "has_ended", "_fresh")
 
     def __init__(self, *, fresh: bool = False) -> None:
         """Create a guard for one request.
@@ -35,12 +36,12 @@
         """
         self.sent = False
         self.is_repeat_aborted = False
+        self.has_ended = False
         self._fresh = fresh
-        self._has_ended = False
 
     def end(self) -> None:
         """Prevent the send if it has not begun."""
-        self._has_ended = True
+        self.has_ended = True
 
     def prepare(self, curl: pycurl.Curl) -> None:
         """Configure a handle; used as `prepare_curl_callback` of a request."""
@@ -51,7 +52,7 @@
             curl.setopt(pycurl.FORBID_REUSE, 1)
 
     def _record_send(self, *_addresses: object) -> int:
-        if self.sent or self._has_ended:
+        if self.sent or self.has_ended:
             self.is_repeat_aborted = self.sent
             return _ABORT
         self.sent = True
--- a/chervilrock/edges/relay.py
+++ b/chervilrock/edges/relay.py
@@ -25,10 +25,6 @@
 SEND_BUFFER_BYTES = 16 * 1024
 """Smallest size that libcurl accepts; each transfer keeps one buffer."""
 
-MAX_HEAD_BYTES = 64 * 1024
-"""Most bytes of all heads and trailers of one answer; more are a fault of the
-backend server."""
-
 DEFAULT_CONNECT_TIMEOUT_S = 1.0
 
 _SEND_OK: int = pycurl.PREREQFUNC_OK
@@ -183,7 +179,6 @@
         self._curl: pycurl.Curl | None = None
         self._head_lines: list[bytes] = []
         self._head_progress = HeadProgress()
-        self._head_bytes = 0
         self._body_bytes = 0
         self._fault = ""
         self._paused = False
@@ -368,13 +363,6 @@
 
     def _receive_head_line(self, line: bytes) -> int | None:
         """Handles a line of a head or of a trailer; called by libcurl."""
-        self._head_bytes += len(line)
-        if self._head_bytes > MAX_HEAD_BYTES:
-            self._fault = (
-                f"the head has more than {MAX_HEAD_BYTES} bytes, "
-                f"{self._head_bytes} received"
-            )
-            return ABORT
         state = self._head_progress.record_line(line)
         if state is HeadState.MALFORMED:
             self._fault = self._head_progress.fault
--- a/chervilrock/platform/store.py
+++ b/chervilrock/platform/store.py
@@ -14,6 +14,7 @@
     decode_success,
     HttpAnswer,
     HttpClient,
+    MAX_ANSWER_BYTES,
 )
 from chervilrock.clients.serving import (
     KeyedPage,
@@ -31,6 +32,9 @@
 PAGE_KB = 1024
 """Maximum size of the answer to one read."""
 
+MAX_PAGE_BYTES = 64 * 1024 * 1024
+"""Most bytes of a page of records, which the store itself delimits."""
+
 _TOPIC_NAMES = {
     Topic.CONFIGURATION: operator.TOPIC,
     Topic.SERVERS: servers.TOPIC,
@@ -141,7 +145,14 @@
         query = {"topic": _TOPIC_NAMES[topic], "part": "0"}
         if after:
             query["after"] = after
-        answer = await self._call(topic, "GET", "/log-newest", query, TIMEOUT_S)
+        answer = await self._call(
+            topic,
+            "GET",
+            "/log-newest",
+            query,
+            TIMEOUT_S,
+            max_bytes=MAX_PAGE_BYTES,
+        )
         era = self._era or 0
         return answer.bind(
             lambda success: decode_success(_NEWEST_DECODER, success)
@@ -166,6 +177,7 @@
             TIMEOUT_S + wait_s,
             # The answer to a second long poll would come after the timeout.
             send_once=wait_s > 0,
+            max_bytes=MAX_PAGE_BYTES,
         )
         if isinstance(answer, Failure):
             return answer
@@ -212,6 +224,7 @@
         body: bytes | None = None,
         *,
         send_once: bool = False,
+        max_bytes: int = MAX_ANSWER_BYTES,
     ) -> Result[HttpAnswer, PlatformError]:
         url = f"{self._base_url}{path}?{urllib.parse.urlencode(query)}"
         answer = await self._client.request(
@@ -227,6 +240,7 @@
             # another kept connection is dead.
             is_fresh=topic in self._failed,
             wanted_header=_ERA_HEADER,
+            max_bytes=max_bytes,
         )
         if isinstance(answer, Failure):
             self._failed.add(topic)
--- a/chervilrock/standin/site/servers.py
+++ b/chervilrock/standin/site/servers.py
@@ -157,6 +157,8 @@
       flood: bytes without end that the server sends as an answer, None for
         proper answers.
       flooded: number of bytes that it has sent in this way, by request.
+      control_flood: the same for the answers to orders and queries.
+      control_flooded: number of bytes of each of these, by path.
       stutters: spoiled answers that it draws, None for proper answers.
       work_s: time that a plain request runs, in seconds.
       patience_s: time for which an event may stay unread before the server
@@ -205,6 +207,8 @@
         self.fault = ServerFault.NONE
         self.flood: Flood | None = None
         self.flooded: dict[str, int] = {}
+        self.control_flood: Flood | None = None
+        self.control_flooded: dict[str, list[int]] = {}
         self.stutters: Stutters | None = None
         self.crashing_bodies = crashing_bodies
         self.crashing_parts = crashing_parts
@@ -528,7 +532,22 @@
         return True
 
 
-class _ReportHandler(_Handler):
+class _ControlHandler(_Handler):
+    async def prepare(self) -> None:  # type: ignore[override]
+        """Answer with bytes without end if the server does so."""
+        super().prepare()
+        server = self.server
+        if server.control_flood is not None:
+            self.clear_header("Content-Length")
+            headers = list(self._headers.get_all())
+            sizes = server.control_flooded.setdefault(self.request.path, [])
+            stream = self.detach()
+            sizes.append(
+                await write_flood(stream, server.control_flood, headers)
+            )
+
+
+class _ReportHandler(_ControlHandler):
     def get(self) -> None:
         """Answer with the status of the server."""
         if self.reset_if(self.server.control_resets is not None):
@@ -556,7 +575,7 @@
         self.finish()
 
 
-class _OrderHandler(_Handler):
+class _OrderHandler(_ControlHandler):
     def post(self) -> None:
         """Carry out an order."""
         if self.reject_misdirected():
--- a/chervilrock/tasks/peers.py
+++ b/chervilrock/tasks/peers.py
@@ -37,6 +37,9 @@
     "decode_digest",
 ]
 
+MAX_DIGEST_BYTES = 64 * 1024 * 1024
+"""Most bytes of a digest, which may hold a configuration."""
+
 EXCHANGE_TIMEOUT_S = 1.0
 IMMEDIATE_POLL_S = 0.1
 """Interval of the checks for urgent updates."""
@@ -72,6 +75,7 @@
             f"http://{address}/peer/exchange",
             timeout_s=EXCHANGE_TIMEOUT_S,
             body=msgspec.json.encode(digest),
+            max_bytes=MAX_DIGEST_BYTES,
         )
         return result.bind(check_status).bind(
             lambda answer: decode_digest(answer.body)
--- a/chervilrock/tasks/serving/outbound.py
+++ b/chervilrock/tasks/serving/outbound.py
@@ -99,6 +99,13 @@
 DOCUMENT_TIMEOUT_S = 2.0
 """Timeout of a request for another node's configuration, which can be large."""
 
+MAX_ACKNOWLEDGEMENT_BYTES = 4 * 1024 * 1024
+"""Most bytes of the answer to an announcement, which may sum up the answers of
+all nodes to which it was relayed."""
+
+MAX_DOCUMENT_BYTES = 64 * 1024 * 1024
+"""Most bytes of another node's configuration, decompressed."""
+
 STORE_RETRY_S = 0.5
 """Pause after a failed attempt to write a record of this node or of a withheld
 request to the store."""
@@ -335,6 +342,7 @@
             headers=headers,
             decompress=True,
             wanted_header=EXTENSION,
+            max_bytes=MAX_ACKNOWLEDGEMENT_BYTES,
         )
         acknowledgement = _read_acknowledgement(result)
         await self._outbox.send(
@@ -448,6 +456,7 @@
             f"http://{holder.peer_address}/peer/configuration",
             timeout_s=DOCUMENT_TIMEOUT_S,
             decompress=True,
+            max_bytes=MAX_DOCUMENT_BYTES,
         )
         if not isinstance(result, Failure):
             document = result.unwrap().body
--- a/chervilrock/ui/client.py
+++ b/chervilrock/ui/client.py
@@ -15,6 +15,10 @@
     StatusAnswer,
 )
 
+MAX_READ_BYTES = 64 * 1024 * 1024
+"""Most bytes of the status or the state of a node, or of a report on a
+configuration."""
+
 READ_TIMEOUT_S = 10.0
 APPLY_TIMEOUT_S = 30.0
 APPLY_STATUSES = frozenset({200, 400, 409})
@@ -70,6 +74,7 @@
             timeout_s=APPLY_TIMEOUT_S,
             body=msgspec.json.encode(request),
             send_once=True,
+            max_bytes=MAX_READ_BYTES,
         )
         return result.alt(
             lambda error: self._describe_failure(error, error.effect_possible)
@@ -88,7 +93,10 @@
     async def _read(self, path: str) -> Result[bytes, ClientError]:
         """Returns the response body of a GET request for a path."""
         result = await self._http.request(
-            "GET", self._format_url(path), timeout_s=READ_TIMEOUT_S
+            "GET",
+            self._format_url(path),
+            timeout_s=READ_TIMEOUT_S,
+            max_bytes=MAX_READ_BYTES,
         )
         return result.alt(
             lambda error: self._describe_failure(error, False)
--- a/test/edges/test_relay.py
+++ b/test/edges/test_relay.py
@@ -21,11 +21,11 @@
 from tornado.httpclient import HTTPRequest, HTTPResponse
 
 from chervilrock.clients.curlpool import CurlPool
+from chervilrock.clients.heads import MAX_HEAD_BYTES
 from chervilrock.edges import relay
 from chervilrock.edges.heads import Head, parse_head
 from chervilrock.edges.relay import (
     BackendRequest,
-    MAX_HEAD_BYTES,
     Receiver,
     Transfer,
     TransferEnd,
--- a/test/node/test_floods.py
+++ b/test/node/test_floods.py
@@ -20,7 +20,9 @@
     Not,
 )
 
+from chervilrock.clients.httpclient import MAX_ANSWER_BYTES
 from chervilrock.standin.site.floods import Flood, remove_comments
+from chervilrock.standin.site.servers import ServerFault, SiteServer
 from chervilrock.standin.site.site import (
     LARGE,
     MODEL_SERVICE,
@@ -36,6 +38,11 @@
 MAX_BODY_READ_BYTES = 24 * 1024 * 1024
 """The same for answers that are no streams."""
 
+MAX_CONTROL_READ_BYTES = MAX_ANSWER_BYTES + 8 * 1024 * 1024
+"""Most bytes that a server gets rid of as the answer to an order or a query:
+the limit of such an answer, and what the sockets hold."""
+
+CONTROL_PATHS = ("/report", "/order")
 REQUESTS = 6
 
 
@@ -118,3 +125,48 @@
         assert_that(read, AllMatch(LessThan(MAX_BODY_READ_BYTES)))
 
     run_world(scenario)
+
+
+def list_members(world: World) -> list[SiteServer]:
+    """Return the servers of one group of the large model."""
+    head, *_ = world.site.list_heads(LARGE)
+    assert head.group is not None
+    name = head.group["name"]
+    return [
+        server
+        for server in world.site.servers
+        if server.group is not None and server.group["name"] == name
+    ]
+
+
+def list_control_sizes(servers: list[SiteServer], path: str) -> list[int]:
+    """Return the sizes of what servers sent in answer to calls of nodes."""
+    return [
+        size for one in servers for size in one.control_flooded.get(path, [])
+    ]
+
+
+# Failure: a leader kept up to 64 MB of each answer and was killed for its
+# memory; requests that it had sent to sound servers got no answer.
+@pytest.mark.parametrize("flood", Flood)
+def test_answers_without_end_to_orders_and_queries_are_not_kept(flood) -> None:
+    async def scenario(world: World) -> None:
+        await world.wait(lambda: is_ready(world), "there are other groups")
+        bad = list_members(world)
+        for server in bad:
+            # Its streams stall, so that the leader queries the members.
+            server.fault = ServerFault.SILENT
+            server.control_flood = flood
+        for path in CONTROL_PATHS:
+            while not list_control_sizes(bad, path):
+                headers = world.make_headers(X_Model="", X_Token_Count="")
+                stream, plain = await asyncio.gather(
+                    world.call("/draft/x"),
+                    world.call("/book/x", headers=headers),
+                )
+                assert_that(stream.status, Equals(200))
+                assert_that(plain.status, Equals(200))
+            sizes = list_control_sizes(bad, path)
+            assert_that(sizes, AllMatch(LessThan(MAX_CONTROL_READ_BYTES)))
+
+    run_world(scenario, model_servers=12)
