Let a host join only by a report that names no group which may serve

Cause: a new leader sends the first join of a host on condition that the host has executed as many orders as it reported. When the host refused, since a former leader had sent it orders, the new leader took over the count of the next report and ignored the group that the same report named, because it counted as ended: its head had once confirmed that it left. A leave ends nothing for good; the host may join the same epoch again until it has seen a higher one.

Change: the count and the group of a report are kept as one observation. A join depends on the count only if the group is none, a standby group, one that was never ordered to open, or one whose head the host is and that is still joining. Otherwise the host is ordered to leave that group, and the decision is made again. Which groups count as ended decides only what is planned.

--- a/chervilrock/decisions/serving/groups/controller.py
+++ b/chervilrock/decisions/serving/groups/controller.py
@@ -3,8 +3,8 @@
 A group serves only after all of its members have reported ready under its name
 and epoch. No host gets another membership before the head of its group is known
 to have left, or the host itself has confirmed that it left. Orders may be lost,
-or be executed seconds later; epochs only grow, so a server that gets a late
-order has a higher epoch and rejects the order.
+or be executed seconds later. Epochs only grow, so a server that has joined a
+later group rejects a late order; one that has only left its group does not.
 """
 
 from collections.abc import Mapping
@@ -185,7 +185,7 @@
     ) -> None:
         """Record the answer to an order, None when there was none."""
         if not isinstance(order, Join):
-            self._registry.hosts.record_order(server)
+            self._registry.hosts.invalidate_observation(server)
         if isinstance(order, Stage):
             self._planner.record_staging_reply(server, order, reply, now)
             return
@@ -195,10 +195,15 @@
             # again.
             self._registry.hosts.record_misdirected(server, now)
         group = self._registry.groups.get(order.group)
-        if group is None or group.epoch != order.epoch:
+        is_known = group is not None and group.epoch == order.epoch
+        if is_known or isinstance(order, Leave):
+            wait_s = RESEND_DELAY_S if reply is None else RETRY_DELAY_S
+            self._registry.dispatcher.delay(server, order, now + wait_s)
+        if group is None or not is_known:
+            has_left = reply in (OrderReply.DONE, OrderReply.CONFLICT)
+            if isinstance(order, Leave) and has_left:
+                self._registry.hosts.record_left(server, order.epoch, now)
             return
-        wait_s = RESEND_DELAY_S if reply is None else RETRY_DELAY_S
-        self._registry.dispatcher.delay(server, order, now + wait_s)
         match order:
             case Join():
                 self._forming.handle_join_reply(group, server, reply, now)
--- a/chervilrock/decisions/serving/groups/forming.py
+++ b/chervilrock/decisions/serving/groups/forming.py
@@ -4,7 +4,12 @@
 from chervilrock.decisions.serving.groups.effects import Effect, GroupStep
 from chervilrock.decisions.serving.groups.groupregistry import GroupRegistry
 from chervilrock.decisions.serving.groups.groups import ManagedGroup, Phase
-from chervilrock.decisions.serving.groups.orders import Join, Open, OrderReply
+from chervilrock.decisions.serving.groups.orders import (
+    Join,
+    Leave,
+    Open,
+    OrderReply,
+)
 from chervilrock.decisions.serving.groups.verification import QUERY_INTERVAL_S
 from chervilrock.decisions.serving.planning.plan import (
     Formation,
@@ -49,7 +54,7 @@
     ) -> None:
         """Apply the answer to an order to join, None when there was none."""
         if reply is OrderReply.CONFLICT:
-            self._registry.hosts.obeyed.pop(server, None)
+            self._registry.hosts.invalidate_observation(server)
         if reply is OrderReply.DONE:
             group.ready.add(server)
             self._registry.hosts.loaded[server] = group.model
@@ -134,17 +139,26 @@
 
         Since its report, a host may have executed an order of a former leader,
         or a late one to join its former group, whose head then serves with it.
-        So its first join is conditional on the number of orders that it has
-        executed.
+        So its first join is conditional on the number of orders in a report
+        that names no group which may be served. Otherwise it has to leave that
+        group first.
         """
         join = Join(group.name, group.epoch, group.model, group.members)
         if not self._registry.hosts.needs_conditional_join(server):
             return self._registry.command(server, join, now)
-        obeyed = self._registry.hosts.obeyed.get(server)
-        if obeyed is None:
+        observed = self._registry.hosts.find_observation(server)
+        if observed is None:
             return self._registry.query(server, QUERY_INTERVAL_S, now)
+        membership = observed.membership
+        if (
+            membership is not None
+            and membership.epoch != group.epoch
+            and self._registry.hosts.may_be_served(membership)
+        ):
+            leave = Leave(membership.group, membership.epoch)
+            return self._registry.command(server, leave, now)
         return self._registry.command(
-            server, join._replace(expected=obeyed), now
+            server, join._replace(expected=observed.obeyed), now
         )
 
     def open(self, group: ManagedGroup, now: float) -> list[Effect]:
--- a/chervilrock/decisions/serving/groups/groupregistry.py
+++ b/chervilrock/decisions/serving/groups/groupregistry.py
@@ -131,5 +131,7 @@
         """Remove a group that was dissolved or a standby that has ended."""
         if group.head_out or not group.may_be_open:
             self.hosts.dissolved.add((group.name, group.epoch))
+        if not group.may_be_open:
+            self.hosts.record_unopened(group.name, group.epoch)
         self.groups.pop(group.name, None)
         self.record_change(GroupStep.REMOVED, group, group.reason)
--- a/chervilrock/decisions/serving/nodes/leadership.py
+++ b/chervilrock/decisions/serving/nodes/leadership.py
@@ -3,12 +3,15 @@
 The leader reads the entries of the servers and manages the groups. It is the
 node of the last claim in the store; its term is derived from the offset of the
 claim, so that terms only grow. Claims are conditional on the offset up to
-which the claimant has read, so that of two concurrent claims one fails. A
-leader needs no lease: servers reject memberships with an epoch below one that
-they have seen, epochs begin with the term, and a leader opens a group only
-after every member was ready under that epoch. A former leader that resumes
-therefore cannot disturb anything that its successor has ordered, and it stops
-when it receives a greater term.
+which the claimant has read, so that of two concurrent claims one fails.
+
+A leader needs no lease. Epochs begin with the term, and a server rejects
+memberships with an epoch below one that it has seen, so a former leader cannot
+take a server back that has joined a group of its successor. Until then it may
+still form, open and end groups of its own term. So no leader derives from its
+own orders that a group of an earlier term has ended: a join depends on the
+group and the number of orders in one report of the server. A former leader
+stops when it receives a greater term.
 """
 
 from typing import NamedTuple
--- a/chervilrock/decisions/serving/servers/hosts.py
+++ b/chervilrock/decisions/serving/servers/hosts.py
@@ -5,6 +5,7 @@
 """
 
 import enum
+from typing import NamedTuple
 
 from chervilrock.decisions.serving.groups import groupnames
 from chervilrock.decisions.serving.groups.orders import ServerReport
@@ -51,15 +52,27 @@
     FORMER = "former"
 
 
+class Observation(NamedTuple):
+    """What one report of a server says of its group and its orders.
+
+    Attributes:
+      membership: its group, None when it was in none.
+      obeyed: number of orders that it had executed since its start.
+    """
+
+    membership: Membership | None
+    obeyed: int
+
+
 class HostRegistry:
     """Registry of servers, their models, and which may join a group.
 
     Attributes:
       servers: servers that have an entry.
       loaded: model that each server has in memory, where known.
-      dissolved: groups whose heads have left, as pairs of name and epoch.
-      obeyed: number of orders that a server had executed when it last
-        reported; absent if it may have executed another one since.
+      dissolved: groups whose heads have left, as pairs of name and epoch. They
+        are not planned with again, but a late order or one of a former leader
+        may open them once more.
       last_added_at: when the last new server was added.
       first_entry_at: when the first entry was received.
       last_report_at: when any server last reported.
@@ -71,7 +84,6 @@
         self.servers: dict[str, BackendServer] = {}
         self.loaded: dict[str, str] = {}
         self.dissolved: set[tuple[str, int]] = set()
-        self.obeyed: dict[str, int] = {}
         self.last_added_at = float("-inf")
         self.first_entry_at = float("inf")
         self.last_report_at = float("-inf")
@@ -79,6 +91,8 @@
         self._former: dict[str, BackendServer] = {}
         self._reporting: set[str] = set()
         self._joined: set[str] = set()
+        self._observations: dict[str, Observation] = {}
+        self._unopened: set[tuple[str, int]] = set()
         self._reported: dict[str, Membership | None] = {}
         self._left: set[tuple[str, int]] = set()
         self._left_at: dict[str, float] = {}
@@ -125,7 +139,7 @@
         self._joined.discard(server)
         self._departed.discard(server)
         self.loaded.pop(server, None)
-        self.obeyed.pop(server, None)
+        self._observations.pop(server, None)
         self._unanswered.discard(server)
         self._misdirected.pop(server, None)
         for times in (self._left_at, self._unresponsive, self._slow_until):
@@ -251,11 +265,38 @@
         self._reporting.add(server)
         self._joined.add(server)
         self._left_at.pop(server, None)
-        self.obeyed.pop(server, None)
+        self._observations.pop(server, None)
+
+    def record_unopened(self, group: str, epoch: int) -> None:
+        """Record that a group has ended and no order to open it was sent."""
+        self._unopened.add((group, epoch))
+
+    def invalidate_observation(self, server: str) -> None:
+        """Record that a server may have executed an order since its report."""
+        self._observations.pop(server, None)
+
+    def find_observation(self, server: str) -> Observation | None:
+        """Return what a server last reported, None if it may be outdated."""
+        return self._observations.get(server)
+
+    def may_be_served(self, membership: Membership | None) -> bool:
+        """Return whether the head of a group may serve, whoever opened it.
 
-    def record_order(self, server: str) -> None:
-        """Record that a server may have executed an order other than a join."""
-        self.obeyed.pop(server, None)
+        That the group was dissolved does not count: until a server has seen a
+        higher epoch, it may join the same group again.
+
+        Args:
+          membership: the group, as a member reports it.
+        """
+        if membership is None:
+            return False
+        if (membership.group, membership.epoch) in self._unopened:
+            return False
+        name = groupnames.parse_name(membership.group)
+        if name is not None and name.is_standby:
+            return False
+        is_head = membership.rank == 0
+        return not (is_head and membership.state is MemberState.JOINING)
 
     def needs_conditional_join(self, server: str) -> bool:
         """Return whether a join must depend on the server's order count.
@@ -403,11 +444,13 @@
         """Return whether a late order made a server rejoin a group it left."""
         left_at = self._left_at.get(server)
         if left_at is None or report.membership is None:
-            self.obeyed[server] = report.obeyed
+            self._observations[server] = Observation(
+                report.membership, report.obeyed
+            )
             return False
         if now - left_at <= MAX_REPORT_AGE_S:
             return False
         self._left.discard((server, report.membership.epoch))
         del self._left_at[server]
-        self.obeyed.pop(server, None)
+        self._observations.pop(server, None)
         return True
