Adopt groups beside entries that are not those of members

Cause: a new leader took the service of the first entry that names a group for the service of the group. If that entry was of another program and its service unknown, the group counted as ended for good, its hosts as free, and their reports as outdated. The same happened to a sound group while its service had no engine, as the configuration was not read yet or left the service out. An odd entry that came last, or a copy with a rank, made the group look as if it had a member too many, so that it was dissolved.

Change: only entries of a service with engines are considered. A group is adopted at once if the entries of one service and fabric domain are complete. Otherwise the servers are queried, and only those count whose report confirms the entry. Of two with the same rank and report, an order that has no effect tells which one has the identifier. A missing engine proves nothing. Groups of other programs still count as ended; their members leave them before they join.

--- a/chervilrock/decisions/serving/groups/controller.py
+++ b/chervilrock/decisions/serving/groups/controller.py
@@ -276,8 +276,7 @@
         configuration = self._registry.configuration
         if configuration is None:
             return []
-        self._adoption.adopt(now)
-        effects: list[Effect] = []
+        effects = self._adoption.adopt(now)
         for group in list(self._registry.groups.values()):
             effects += self._advance(group, now)
         effects += self._verifier.query_reference_head(now)
--- a/test/decisions/serving/fleet.py
+++ b/test/decisions/serving/fleet.py
@@ -165,6 +165,7 @@
         self.now = 100.0
         self.faults = Faults()
         self.report_lag_s = 0.0
+        self.foreign_entries: dict[str, BackendServer] = {}
         self.violations: list[str] = []
         self.opened: set[tuple[str, int]] = set()
         self.servers: dict[str, FakeServer] = {}
@@ -192,12 +193,21 @@
         controller.set_configuration(CONFIGURATION)
         if self.has_traffic:
             controller.record_traffic()
-        for server in self.servers.values():
-            if not server.is_dead:
-                controller.record_server(self.make_entry(server), self.now)
+        for entry in self.list_entries():
+            controller.record_server(entry, self.now)
         self.controller = controller
         return controller
 
+    def list_entries(self) -> list[BackendServer]:
+        """Return the entries in the store, in the order of their keys."""
+        entries = {
+            server.server: self.make_entry(server)
+            for server in self.servers.values()
+            if not server.is_dead
+        }
+        entries |= self.foreign_entries
+        return [entry for _, entry in sorted(entries.items())]
+
     def cut_off_leader(self, term: int) -> Controller:
         """Let a new leader take over while the former one goes on.
 
