Give no orders once a server has got those of a later leader

A leader that is cut off from the store and all nodes, but not from the servers, went on beside its successor.

Change: groups of later terms are not adopted. A report that names one, or a host that rejects the epoch of a group that is being formed, proves that a later leader is in office. The leader then gives no orders and asks no server, and states in its announcements that it steps down. No time limit is involved: a leader that is cut off from the store alone, whose successor has given no order, goes on as before.

Tests: test_former_leaders.py, two new cases.

--- a/chervilrock/decisions/serving/groups/adoption.py
+++ b/chervilrock/decisions/serving/groups/adoption.py
@@ -39,14 +39,16 @@
     """
 
     def __init__(
-        self, *, registry: GroupRegistry, verifier: GroupVerifier
+        self, *, registry: GroupRegistry, verifier: GroupVerifier, term: int
     ) -> None:
         """Create an adoption without groups.
 
         Args:
           registry: registry that receives the groups.
           verifier: verifies that open groups are still complete.
+          term: the term; groups of later ones are left alone.
         """
+        self._term = term
         self._registry = registry
         self._verifier = verifier
         self._found_at: dict[tuple[str, int], float] = {}
@@ -65,8 +67,10 @@
         found: dict[_Key, list[BackendServer]] = {}
         for server in self._registry.hosts.servers.values():
             membership = server.membership
-            if membership is not None and self._registry.is_unknown_member(
-                server
+            if (
+                membership is not None
+                and self._registry.is_unknown_member(server)
+                and groupnames.find_term(membership.epoch) <= self._term
             ):
                 key = (membership.group, membership.epoch)
                 found.setdefault(key, []).append(server)
--- a/chervilrock/decisions/serving/groups/controller.py
+++ b/chervilrock/decisions/serving/groups/controller.py
@@ -11,6 +11,7 @@
 from collections.abc import Mapping
 import math
 
+from chervilrock.decisions.serving.groups import groupnames
 from chervilrock.decisions.serving.groups.adoption import Adoption
 from chervilrock.decisions.serving.groups.effects import (
     Command,
@@ -80,7 +81,13 @@
 
 
 class Controller:
-    """Decides what the leader does with groups and servers."""
+    """Decides what the leader does with groups and servers.
+
+    Attributes:
+      is_superseded: whether a server is known to have got orders of a later
+        leader. This one then gives none any more: it could only disturb that
+        leader.
+    """
 
     def __init__(self, *, term: int) -> None:
         """Create the controller of a term, without servers or groups."""
@@ -88,8 +95,10 @@
         self._planner = Planner(registry=self._registry)
         self._verifier = GroupVerifier(registry=self._registry)
         self._adoption = Adoption(
-            registry=self._registry, verifier=self._verifier
+            registry=self._registry, verifier=self._verifier, term=term
         )
+        self._term = term
+        self.is_superseded = False
         self._forming = Forming(
             registry=self._registry, planner=self._planner, term=term
         )
@@ -210,6 +219,10 @@
             return
         match order:
             case Join():
+                if reply is OrderReply.STALE and group.phase is Phase.FORMING:
+                    # Greater epochs of this term are given only to members of
+                    # groups that are formed later.
+                    self.is_superseded = True
                 self._forming.handle_join_reply(
                     group, server, order, reply, now
                 )
@@ -284,6 +297,8 @@
         configuration = self._registry.configuration
         if configuration is None:
             return []
+        if self.is_superseded:
+            return [*self._registry.take_changes()]
         effects = self._adoption.adopt(now)
         for group in list(self._registry.groups.values()):
             effects += self._advance(group, now)
@@ -404,6 +419,8 @@
         membership = report.membership
         if membership is None:
             return
+        if groupnames.find_term(membership.epoch) > self._term:
+            self.is_superseded = True
         self._registry.record_membership(server, membership)
         if has_rejoined:
             self._handle_rejoined(server, membership, now)
--- a/chervilrock/decisions/serving/groups/groupnames.py
+++ b/chervilrock/decisions/serving/groups/groupnames.py
@@ -41,6 +41,11 @@
     return GroupName(model=parts[2], is_standby=parts[0] == _STANDBY)
 
 
+def find_term(epoch: int) -> int:
+    """Return the term of the leader that uses an epoch."""
+    return epoch // EPOCHS_PER_TERM
+
+
 def make_epoch(term: int, number: int) -> int:
     """Return an epoch above all those of earlier terms."""
     return term * EPOCHS_PER_TERM + number
--- a/chervilrock/tasks/serving/leading.py
+++ b/chervilrock/tasks/serving/leading.py
@@ -145,6 +145,7 @@
         self._sequence = 0
         self._nodes_sequence = 0
         self._has_servers = False
+        self._is_superseded = False
         self._first_act_at: float | None = None
         self._counted_at = float("-inf")
         self.host_counts: tuple[ModelCount, ...] = ()
@@ -370,11 +371,22 @@
         )
         for effect in self._controller.step(now):
             self._execute(effect)
+        self._log_successor()
         self._count_hosts(now)
         self._update_view(now)
         update = self._make_update(now)
         self._peers.announce(update, now)
 
+    def _log_successor(self) -> None:
+        """Log once that a server has got orders of a later leader."""
+        if self._controller.is_superseded and not self._is_superseded:
+            self._is_superseded = True
+            emit(
+                Event.LEADER_STEPPED_DOWN,
+                term=self.term,
+                reason="a server has joined a group of a later leader",
+            )
+
     def _is_informed(self, now: float) -> bool:
         """Return whether this node knows of earlier evacuations.
 
@@ -593,7 +605,9 @@
             view=None,
             revision=max(state.revision, self._summary.revision),
             has_traffic=state.has_traffic,
-            is_stopping=state.is_stopping or self._is_cut_off_alone(now),
+            is_stopping=state.is_stopping
+            or self._controller.is_superseded
+            or self._is_cut_off_alone(now),
             is_store_unreachable=self._store.is_unreachable(now),
             lost_after_s=MISSED_INTERVALS * interval_s,
             is_relay=False,
--- a/test/decisions/serving/groups/test_former_leaders.py
+++ b/test/decisions/serving/groups/test_former_leaders.py
@@ -2,7 +2,7 @@
 
 import pytest
 from testtools.assertions import assert_that
-from testtools.matchers import GreaterThan, HasLength
+from testtools.matchers import Equals, GreaterThan, HasLength, Is
 
 from chervilrock.decisions.serving.groups.orders import (
     Join,
@@ -98,3 +98,34 @@
     fleet.run(25.0)
     assert_that(fleet.violations, HasLength(0))
     assert_that(sum(fleet.serving().values()), GreaterThan(0))
+
+
+def test_a_leader_that_meets_a_later_one_gives_no_orders(fleet: Fleet) -> None:
+    # Failure: a former leader takes the groups of its successor apart, and
+    # plans groups again and again of hosts that reject its orders.
+    former = fleet.cut_off_leader(term=2)
+    fleet.run(1.0)
+    assert_that(former.is_superseded, Is(False))
+    lose_member(fleet)
+    fleet.run(2.0)
+    lose_member(fleet)
+    fleet.run(3.0)
+    assert_that(former.is_superseded, Is(True))
+    effects = [former.step(fleet.now + number) for number in range(8)]
+    assert_that(sum(len(one) for one in effects), Equals(0))
+    assert_that(fleet.violations, HasLength(0))
+
+
+def test_a_leader_whose_successor_gave_no_order_goes_on(fleet: Fleet) -> None:
+    # It may be cut off from the store alone, and the successor be lost.
+    former = fleet.cut_off_leader(term=2)
+    lost = fleet.controller
+    fleet.controller = former
+    fleet.former.remove(former)
+    before = fleet.serving()
+    lose_member(fleet)
+    fleet.run(6.0)
+    assert_that(lost.is_superseded, Is(False))
+    assert_that(former.is_superseded, Is(False))
+    assert_that(fleet.serving(), Equals(before))
+    assert_that(fleet.violations, HasLength(0))
