Take only epochs of the own term as proof of a later leader

A new leader adopts standby hosts that are still loading, with epochs of earlier terms. A former leader may move such a host on within its own term, so that it rejects the repeated join of the adopted group.

Change: a rejected epoch proves a later leader only if it is of the own term.

Tests: test_former_leaders.py, one new case, failed before.

--- a/chervilrock/decisions/serving/groups/controller.py
+++ b/chervilrock/decisions/serving/groups/controller.py
@@ -219,9 +219,11 @@
             return
         match order:
             case Join():
-                if reply is OrderReply.STALE and group.phase is Phase.FORMING:
-                    # Greater epochs of this term are given only to members of
-                    # groups that are formed later.
+                is_own = groupnames.find_term(group.epoch) == self._term
+                is_forming = group.phase is Phase.FORMING
+                if reply is OrderReply.STALE and is_own and is_forming:
+                    # No member of a group that is being formed was ordered to
+                    # join a later one of this term.
                     self.is_superseded = True
                 self._forming.handle_join_reply(
                     group, server, order, reply, now
--- a/test/decisions/serving/groups/test_former_leaders.py
+++ b/test/decisions/serving/groups/test_former_leaders.py
@@ -4,10 +4,8 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, GreaterThan, HasLength, Is
 
-from chervilrock.decisions.serving.groups.orders import (
-    Join,
-    Order,
-)
+from chervilrock.decisions.serving.groups import groupnames
+from chervilrock.decisions.serving.groups.orders import Join, Leave, Order
 from test.decisions.serving.fleet import Fleet
 
 REPORT_LAG_S = 0.25
@@ -129,3 +127,26 @@
     assert_that(former.is_superseded, Is(False))
     assert_that(fleet.serving(), Equals(before))
     assert_that(fleet.violations, HasLength(0))
+
+
+def test_an_adopted_standby_host_of_an_earlier_term_proves_no_later_leader(
+    fleet: Fleet,
+) -> None:
+    # Failure: a leader adopts a standby host that is still loading. A former
+    # leader moves the host on within its own term, so that it rejects the
+    # epoch of the adopted group, and the only leader gives no orders any more.
+    host = fleet.add("host", "d0")
+    epoch = groupnames.make_epoch(1, 500)
+    name = groupnames.make_name("small", epoch, is_standby=True)
+    fleet.obey("host", Join(name, epoch, "small", ("host",)))
+    host.ready_at = fleet.now + 60.0
+    fleet.make_controller(term=2)
+    fleet.run(0.5)
+    later = groupnames.make_epoch(1, 501)
+    name = groupnames.make_name("small", later, is_standby=True)
+    fleet.obey("host", Join(name, later, "small", ("host",)))
+    fleet.obey("host", Leave(name, later))
+    fleet.run(30.0)
+    assert_that(fleet.controller.is_superseded, Is(False))
+    assert host.membership is not None
+    assert_that(groupnames.find_term(host.membership.epoch), Equals(2))
