--- a/test/decisions/serving/groups/test_faults_together.py
+++ b/test/decisions/serving/groups/test_faults_together.py
@@ -2,7 +2,7 @@
 
 import pytest
 from testtools.assertions import assert_that
-from testtools.matchers import Equals, GreaterThan, HasLength, Is
+from testtools.matchers import GreaterThan, HasLength, Is
 
 from test.decisions.serving.fleet import FakeServer, Faults, Fleet
 
@@ -90,4 +90,4 @@
         for server in list_present(fleet)
         if server.server.startswith("spare") and server.membership is None
     ]
-    assert_that(spare, Equals([]))
+    assert_that(spare, HasLength(0))
