Bound the time for which an entry counts more than the report

A new leader waits until the servers of an incomplete group confirm their entries. A server whose entry is out of date never does, and was asked ten times a second until its entry changed. After one second its report counts, and the host is used; its join is conditional in any case.

--- a/chervilrock/decisions/serving/groups/adoption.py
+++ b/chervilrock/decisions/serving/groups/adoption.py
@@ -23,6 +23,9 @@
 IDENTIFICATION_WAIT_S = 1.0
 """Time to wait for the answers that tell two entries of one rank apart."""
 
+DOUBT_S = 1.0
+"""Time after which the report of a server counts more than its entry."""
+
 NO_EPOCH = 0
 """Epoch of no group; those of a leader begin with its term."""
 
@@ -51,7 +54,7 @@
         self._term = term
         self._registry = registry
         self._verifier = verifier
-        self._found_at: dict[tuple[str, int], float] = {}
+        self._found_at: dict[_Key, float] = {}
         self.drained: frozenset[str] = frozenset()
 
     def adopt(self, now: float) -> list[Effect]:
@@ -114,10 +117,39 @@
         if chosen and (is_overdue or self._is_complete(chosen)):
             self._adopt_group(key, chosen, now)
             return []
+        doubtful = [server for server in candidates if server not in confirmed]
+        return self._ask(key, doubtful, now, is_last=now - since >= DOUBT_S)
+
+    def _ask(
+        self,
+        key: _Key,
+        doubtful: list[BackendServer],
+        now: float,
+        *,
+        is_last: bool,
+    ) -> list[Effect]:
+        """Query servers that have not confirmed their entries.
+
+        Args:
+          key: the group that the entries name.
+          doubtful: the servers.
+          now: current time.
+          is_last: whether an entry is out of date if its server has reported
+            another state.
+        """
+        hosts = self._registry.hosts
         effects: list[Effect] = []
-        for server in candidates:
-            if server not in confirmed:
-                effects += self._query(server, now)
+        for server in doubtful:
+            name = server.server
+            if is_last and hosts.has_reported(name):
+                hosts.record_left(name, key[1], now, by_order=False)
+                continue
+            interval_s = (
+                QUERY_INTERVAL_S
+                if hosts.is_answering(name)
+                else UNANSWERED_INTERVAL_S
+            )
+            effects += self._registry.query(name, interval_s, now)
         return effects
 
     def _identify(
@@ -135,20 +167,15 @@
             effects += self._registry.command(server.server, order, now)
         return effects
 
-    def _query(self, server: BackendServer, now: float) -> list[Effect]:
-        is_answering = self._registry.hosts.is_answering(server.server)
-        interval_s = QUERY_INTERVAL_S if is_answering else UNANSWERED_INTERVAL_S
-        return self._registry.query(server.server, interval_s, now)
-
     def _is_candidate(self, server: BackendServer) -> bool:
         """Return whether an entry may be that of a member of a group.
 
         A service that the configuration does not name, or not yet, proves
         nothing about the group.
         """
-        return self._registry.find_engine(
-            server.service
-        ) is not None and not self._registry.hosts.is_misdirected(server.server)
+        has_engine = self._registry.find_engine(server.service) is not None
+        is_other = self._registry.hosts.is_misdirected(server.server)
+        return has_engine and not is_other
 
     def _is_confirmed(self, key: _Key, server: BackendServer) -> bool:
         """Return whether a server has reported what its entry says."""
--- a/chervilrock/decisions/serving/nodes/leadership.py
+++ b/chervilrock/decisions/serving/nodes/leadership.py
@@ -10,8 +10,8 @@
 take a server back that has joined a group of its successor. Until then it may
 still form, open and end groups of its own term. So no leader derives from its
 own orders that a group of an earlier term has ended: a join depends on the
-group and the number of orders in one report of the server. A former leader
-stops when it receives a greater term.
+group and the number of orders of the server, as it reported them. A former
+leader stops when it receives a greater term, or learns of one from a server.
 """
 
 from typing import NamedTuple
--- a/test/decisions/serving/groups/test_adoption.py
+++ b/test/decisions/serving/groups/test_adoption.py
@@ -159,3 +159,17 @@
     assert_that(fleet.violations, HasLength(0))
     assert host.membership is not None
     assert groupnames.parse_name(host.membership.group) is not None
+
+
+def test_a_host_whose_entry_is_out_of_date_is_used(fleet: Fleet) -> None:
+    # Guards against a new leader that waits until the server confirms it.
+    host = fleet.add("host", "d0")
+    epoch = groupnames.make_epoch(1, 500)
+    name = groupnames.make_name("large", epoch, is_standby=False)
+    membership = Membership(name, epoch, 1, MemberState.READY)
+    host.stale_entry = fleet.make_entry(host)._replace(membership=membership)
+    fleet.make_controller(term=2)
+    fleet.run(4.0)
+    assert host.membership is not None
+    assert_that(groupnames.find_term(host.membership.epoch), Equals(2))
+    assert_that(fleet.violations, HasLength(0))
