Test entries of a plain service, and name what each test guards against

Of the cases with an odd entry, none had a service that the configuration names without engines. The product is unchanged.

--- a/test/decisions/serving/groups/test_adoption.py
+++ b/test/decisions/serving/groups/test_adoption.py
@@ -12,13 +12,18 @@
 from chervilrock.decisions.serving.site import (
     Membership,
     MemberState,
+    Service,
     SiteConfiguration,
 )
 from test.decisions.serving.fleet import CONFIGURATION, Fleet
 
+PLAIN_SERVICE = "apps"
+"""Service of the configuration whose servers form no groups."""
+
 ODD_FIELDS: Mapping[str, Mapping[str, Any]] = MappingProxyType(
     {
         "service": {"service": "nowhere"},
+        "plain service": {"service": PLAIN_SERVICE},
         "service, address, domain": {
             "service": "nowhere",
             "address": "127.0.0.1:9",
@@ -76,7 +81,11 @@
     # its head joins another one while it is open.
     before = list_memberships(fleet)
     copy_entry(fleet, key, rank, ODD_FIELDS[odd])
-    fleet.make_controller(term=2)
+    services = {PLAIN_SERVICE: Service(PLAIN_SERVICE, None)}
+    controller = fleet.make_controller(term=2)
+    controller.set_configuration(
+        CONFIGURATION._replace(services={**CONFIGURATION.services, **services})
+    )
     fleet.run(6.0)
     assert_that(fleet.violations, HasLength(0))
     assert_that(list_memberships(fleet), Equals(before))
@@ -84,6 +93,7 @@
 
 
 def test_copies_for_all_groups_take_none_apart(fleet: Fleet) -> None:
+    # Failure: with a copy for each group, all groups are taken apart at once.
     before = list_memberships(fleet)
     for number, group in enumerate(fleet.controller.list_groups(fleet.now)):
         entry = fleet.make_entry(fleet.servers[group.server])
@@ -105,6 +115,7 @@
 def test_an_odd_rank_or_epoch_takes_no_group_apart(
     fleet: Fleet, rank: int, epoch: int
 ) -> None:
+    # Failure: a group seems to have a member too many, and is dissolved.
     before = list_memberships(fleet)
     copy_entry(fleet, "a-first", 0, {})
     odd = fleet.foreign_entries["a-first"]
@@ -120,6 +131,7 @@
 
 
 def test_a_copy_that_is_removed_takes_no_group_apart(fleet: Fleet) -> None:
+    # Failure: the removal of a copy counts as the loss of a member.
     before = list_memberships(fleet)
     copy_entry(fleet, "a-first", 0, ODD_FIELDS["address"])
     fleet.make_controller(term=2)
@@ -150,6 +162,7 @@
 
 
 def test_a_host_in_a_group_of_another_program_is_used(fleet: Fleet) -> None:
+    # Failure: the head of an open group of another program joins another one.
     host = fleet.add("host", "d0")
     host.membership = Membership("theirs", 1, 0, MemberState.OPEN)
     host.members = ("host",)
--- a/test/decisions/serving/groups/test_late_orders.py
+++ b/test/decisions/serving/groups/test_late_orders.py
@@ -56,9 +56,7 @@
 
 
 def make_slow(fleet: Fleet, name: str) -> None:
-    fleet.servers[name].time_factor = 5.0
     fleet.controller._registry.hosts._slow_until[name] = fleet.now + 2.0
-    fleet.servers[name].time_factor = 1.0
 
 
 def make_misdirected(fleet: Fleet, name: str) -> None:
@@ -128,6 +126,7 @@
 def test_a_late_order_that_ends_a_group_takes_no_host_from_an_open_one(
     fleet: Fleet, kind: type
 ) -> None:
+    # Guards against a host that is used again while its former head serves.
     members = find_members(fleet)
     epoch = fleet.servers[members[0]].highest_epoch
     group = fleet.servers[members[0]].membership
@@ -145,7 +144,8 @@
 def test_guarantees_hold_while_hosts_are_idle_and_orders_late(
     seed: int,
 ) -> None:
-    # Few hosts and many planned ends: the same hosts meet their late orders.
+    # Guards against a host that is taken from a group which late orders open.
+    # There are few hosts, so that they meet their own late orders.
     fleet = Fleet(domains=1, hosts=6, seed=seed)
     generator = fleet.generator
     fleet.report_lag_s = REPORT_LAG_S
